--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,146 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/admin"
+	"github.com/croftvale/croftvale/adopt"
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/sched"
+	"github.com/croftvale/croftvale/settings"
+	"github.com/phuslu/log"
+)
+
+const (
+	// eventRoom is how many events may wait for the core.
+	eventRoom = 1024
+	// keepIdle is longer than routers keep idle connections, so that it is
+	// always the caller who closes one.
+	keepIdle = 10 * time.Minute
+)
+
+// Agent is the daemon beside one backend server.
+type Agent struct {
+	settings settings.Agent
+	log      *log.Logger
+	core     *core
+	admin    *admin.Server
+	server   *server
+}
+
+// New returns an agent that has opened no address yet.
+func New(s settings.Agent, logger *log.Logger) *Agent {
+	began := time.Now()
+	a := &Agent{settings: s, log: logger}
+	a.core = &core{
+		settings:    s,
+		log:         logger,
+		now:         func() time.Duration { return time.Since(began) },
+		incarnation: fleet.Incarnation(began.UnixNano()),
+		events:      make(chan event, eventRoom),
+		links:       make(chan link.Event, eventRoom),
+		meter:       &link.Meter{},
+		machine:     sched.New(sched.Config{}),
+		routers:     map[fleet.Name]*routerLink{},
+		waiting:     map[uint64]chan<- verdict{},
+		left:        make(chan struct{}),
+	}
+	a.server = newServer(a.core, logger)
+	a.core.bundles = func(f bundle.InForce) { a.server.configure(f) }
+	a.core.keeper = adopt.NewKeeper(s.Verifier(), a.adopted, a.refused)
+	a.admin = admin.New(admin.Source{Ready: a.server.ready, State: a.dump})
+	return a
+}
+
+func (a *Agent) adopted(f bundle.InForce) { a.core.events <- bundleEvent{f} }
+
+func (a *Agent) refused(err error) {
+	a.log.Warn().Err(err).Msg("bundle refused")
+}
+
+func (a *Agent) dump(ctx context.Context) (any, error) {
+	reply := make(chan State, 1)
+	select {
+	case a.core.events <- stateEvent{reply}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case s := <-reply:
+		return s, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Run serves until ctx ends, then takes no new work, waits for what runs and
+// returns. What still runs when the drain time is over is cut and logged.
+func (a *Agent) Run(ctx context.Context) error {
+	links, err := listen("links", a.settings.Links.String())
+	if err != nil {
+		return err
+	}
+	serve, err := listen("serve", a.settings.Serve.String())
+	if err != nil {
+		return err
+	}
+	adm, err := listen("admin", a.settings.Admin.String())
+	if err != nil {
+		return err
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer end()
+	hs := &http.Server{Handler: a.server, ReadHeaderTimeout: keepIdle, IdleTimeout: keepIdle}
+	wg.Go(func() { a.core.run(life) })
+	wg.Go(func() { a.core.keeper.Run(life) })
+	wg.Go(func() { a.server.probe(life) })
+	wg.Go(func() { a.report("links", link.Listen(life, links, a.linkOptions())) })
+	wg.Go(func() { a.report("admin", a.admin.Serve(life, adm)) })
+	wg.Go(func() { a.report("serve", hs.Serve(serve)) })
+	a.log.Info().Str("links", links.Addr().String()).Str("serve", serve.Addr().String()).Msg("agent started")
+	<-ctx.Done()
+	return a.drain(hs)
+}
+
+// drain ends the process in order.
+func (a *Agent) drain(hs *http.Server) error {
+	limit := a.settings.Drain.Or(settings.DefaultDrain)
+	a.log.Info().Dur("limit", limit).Msg("leaving: no new work is taken")
+	a.core.events <- leaveEvent{}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	select {
+	case <-a.core.left:
+	case <-ctx.Done():
+		a.log.Warn().Msg("drain time is over; requests are cut")
+		return hs.Close()
+	}
+	a.log.Info().Msg("left: nothing was cut")
+	return hs.Shutdown(ctx)
+}
+
+func (a *Agent) linkOptions() link.Options {
+	return link.Options{Hello: a.core.hello, Events: a.core.links, Meter: a.core.meter}
+}
+
+// report logs why a duty ended, unless it was asked to.
+func (a *Agent) report(duty string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		a.log.Error().Str("duty", duty).Err(err).Msg("duty ended")
+	}
+}
+
+func listen(key, address string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	return ln, errors.Wrapf(err, "settings: %s = %q: choose an address of this host that is not in use", key, address)
+}
--- /dev/null
+++ b/agent/config.go
@@ -0,0 +1,69 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/sched"
+)
+
+var (
+	errNotRouter = errors.New("peer is no router; agents take links from routers only")
+	errReplaced  = errors.New("replaced by a newer link of the same router")
+	// ErrClosing means that the process is stopping.
+	ErrClosing = errors.New("the agent is stopping; ask another")
+)
+
+// serverOf finds the agent's own backend server in a bundle.
+func serverOf(b bundle.Bundle, name fleet.Name) (bundle.Server, bool) {
+	for _, s := range b.Servers {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return bundle.Server{}, false
+}
+
+// configOf returns what the machine has to know of a bundle. A server that
+// the bundle does not name, or names as leaving, has no slots.
+func configOf(b bundle.Bundle, name fleet.Name) sched.Config {
+	c := sched.Config{
+		Shares:       map[fleet.Team]float64{},
+		Mode:         sched.Mode(b.Policy.Sharing),
+		ShareEvery:   time.Duration(b.Policy.ShareEvery),
+		Delta:        time.Duration(b.Policy.Delta),
+		UrgentBorrow: time.Duration(b.Policy.UrgentBorrow),
+		CatchUp:      time.Duration(b.Policy.CatchUp),
+	}
+	for _, t := range b.Teams {
+		c.Shares[t.Name] = t.Share
+	}
+	s, ok := serverOf(b, name)
+	if !ok || s.Leaving {
+		return c
+	}
+	c.Slots = s.Slots
+	c.Works = s.Works
+	c.ClaimAhead = b.Policy.ClaimAhead
+	return c
+}
+
+// state returns the dump.
+func (c *core) state() State {
+	s := State{
+		Name: c.settings.Name, Hall: c.settings.Hall, Role: "agent",
+		Incarnation: c.incarnation, Generation: c.inForce.Generation(),
+		Serving: c.serving, Leaving: c.leaving,
+		Slots: c.machine.Slots(), Running: c.machine.Running(), Held: c.machine.Held(),
+		Teams: c.machine.Teams(), Traffic: c.meter.Snapshot(),
+	}
+	for name, r := range c.routers {
+		s.Routers = append(s.Routers, PeerState{
+			Name: name, Remote: r.conn.Remote, Hall: r.conn.Peer.Hall,
+			Generation: r.last.Generation, Hub: r.last.Hub,
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/agent/core.go
@@ -0,0 +1,192 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftvale/croftvale/adopt"
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/sched"
+	"github.com/croftvale/croftvale/settings"
+	"github.com/croftvale/croftvale/wire"
+	"github.com/phuslu/log"
+)
+
+// pullTimeout is how long a bundle that was asked for may take before another
+// peer is asked.
+const pullTimeout = time.Second
+
+// core owns the agent's state. Only its own goroutine touches it.
+type core struct {
+	settings    settings.Agent
+	log         *log.Logger
+	now         func() time.Duration
+	incarnation fleet.Incarnation
+	events      chan event
+	links       chan link.Event
+	meter       *link.Meter
+	keeper      *adopt.Keeper
+	bundles     func(bundle.InForce) // hears of each bundle in force
+
+	machine *sched.Machine
+	inForce bundle.InForce
+	routers map[fleet.Name]*routerLink
+	waiting map[uint64]chan<- verdict
+	serving bool
+	leaving bool
+	left    chan struct{} // closed once nothing is held after leaving
+	pulled  time.Duration // when a bundle was last asked for
+}
+
+// routerLink is a link to a router and what it last said of itself.
+type routerLink struct {
+	conn *link.Conn
+	last wire.Heartbeat
+}
+
+// run feeds the machine until ctx ends.
+func (c *core) run(ctx context.Context) {
+	tick := time.NewTicker(sched.TickEvery)
+	defer tick.Stop()
+	beat := time.NewTicker(link.HeartbeatEvery)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-c.links:
+			c.onLink(e)
+		case e := <-c.events:
+			c.onEvent(e)
+		case <-tick.C:
+			c.feed(sched.TickMsg{Now: c.now()})
+		case <-beat.C:
+			c.heartbeat()
+		}
+		c.checkLeft()
+	}
+}
+
+// feed gives the machine one message and carries out what it wants.
+func (c *core) feed(m sched.Msg) {
+	for _, cmd := range c.machine.Update(m) {
+		c.perform(cmd)
+	}
+}
+
+func (c *core) perform(cmd sched.Command) {
+	switch cmd := cmd.(type) {
+	case sched.ClaimCmd:
+		c.send(cmd.Router, wire.Claim{
+			Incarnation: c.incarnation, Seq: cmd.Seq,
+			Work: cmd.Key.Work, Team: cmd.Key.Team, Class: cmd.Key.Class,
+		})
+	case sched.FreeCmd:
+		c.send(cmd.Router, wire.Free{Slots: uint32(cmd.Slots)})
+	case sched.ServiceCmd:
+		c.send(cmd.Router, wire.Service{Rows: wireRows(cmd.Rows)})
+	case sched.StartCmd:
+		c.decide(cmd.Seq, verdictStart)
+	case sched.RejectCmd:
+		c.decide(cmd.Seq, verdictReject)
+	}
+}
+
+func (c *core) send(router fleet.Name, m wire.Message) {
+	if r, ok := c.routers[router]; ok {
+		r.conn.Send(m)
+	}
+}
+
+// decide tells a request's goroutine the verdict.
+func (c *core) decide(seq uint64, v verdict) {
+	if reply, ok := c.waiting[seq]; ok {
+		reply <- v
+		delete(c.waiting, seq)
+	}
+}
+
+func (c *core) onEvent(e event) {
+	switch e := e.(type) {
+	case arriveEvent:
+		c.arrive(e)
+	case endEvent:
+		delete(c.waiting, e.seq)
+		c.feed(endMsg(c, e.seq))
+	case bundleEvent:
+		c.adopted(e.inForce)
+	case healthEvent:
+		c.setServing(e.serving)
+	case leaveEvent:
+		c.leave()
+	case stateEvent:
+		e.reply <- c.state()
+	}
+}
+
+// arrive hands a request to the machine. A second request with the same claim
+// must not disturb the first, so it is turned away here.
+func (c *core) arrive(e arriveEvent) {
+	if _, dup := c.waiting[e.seq]; dup {
+		e.reply <- verdictReject
+		return
+	}
+	c.waiting[e.seq] = e.reply
+	c.feed(sched.ArriveMsg{Now: c.now(), Seq: e.seq})
+}
+
+func (c *core) setServing(serving bool) {
+	if serving != c.serving {
+		c.log.Info().Bool("serving", serving).Msg("backend server's health changed")
+	}
+	c.serving = serving
+	c.feed(sched.HealthMsg{Now: c.now(), Serving: serving && !c.leaving})
+	c.heartbeat()
+}
+
+// leave stops the taking of new work and tells every router.
+func (c *core) leave() {
+	c.leaving = true
+	c.feed(sched.LeaveMsg{Now: c.now()})
+	c.heartbeat()
+}
+
+func (c *core) checkLeft() {
+	if !c.leaving || c.machine.Busy() {
+		return
+	}
+	select {
+	case <-c.left:
+	default:
+		close(c.left)
+	}
+}
+
+// adopted puts a bundle in force here.
+func (c *core) adopted(f bundle.InForce) {
+	c.inForce = f
+	b := f.Bundle.WithDefaults()
+	c.feed(sched.ConfigMsg{Now: c.now(), Config: configOf(b, c.settings.Name)})
+	c.bundles(f)
+	c.heartbeat()
+	c.log.Info().Uint64("generation", uint64(f.Generation())).Str("digest", string(f.Order.Digest)).Msg("bundle in force")
+}
+
+func (c *core) hello() wire.Hello {
+	return wire.Hello{
+		Name: c.settings.Name, Role: wire.RoleAgent, Hall: c.settings.Hall,
+		Incarnation: c.incarnation,
+	}
+}
+
+func (c *core) heartbeat() {
+	for _, r := range c.routers {
+		r.conn.Send(c.beat())
+	}
+}
+
+func (c *core) beat() wire.Heartbeat {
+	return wire.Heartbeat{Generation: c.inForce.Generation(), Leaving: c.leaving, Serving: c.serving}
+}
--- /dev/null
+++ b/agent/event.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/sched"
+)
+
+// event is what other goroutines tell the core.
+type event interface{ isEvent() }
+
+// arriveEvent brings a claimed request; the verdict goes to reply.
+type arriveEvent struct {
+	seq   uint64
+	reply chan<- verdict // has room for one
+}
+
+// endEvent says that a request which came is over.
+type endEvent struct{ seq uint64 }
+
+// bundleEvent brings a bundle that is now in force.
+type bundleEvent struct{ inForce bundle.InForce }
+
+// healthEvent says whether the server takes work.
+type healthEvent struct{ serving bool }
+
+// leaveEvent says that the process has been asked to stop.
+type leaveEvent struct{}
+
+// stateEvent asks for a dump.
+type stateEvent struct{ reply chan<- State }
+
+func (arriveEvent) isEvent() {}
+func (endEvent) isEvent()    {}
+func (bundleEvent) isEvent() {}
+func (healthEvent) isEvent() {}
+func (leaveEvent) isEvent()  {}
+func (stateEvent) isEvent()  {}
+
+// verdict says what becomes of a request that came.
+type verdict uint8
+
+const (
+	verdictStart verdict = iota
+	verdictReject
+)
+
+// messages for the machine that need no more than their number.
+func endMsg(c *core, seq uint64) sched.Msg {
+	return sched.EndMsg{Now: c.now(), Seq: seq}
+}
--- /dev/null
+++ b/agent/links.go
@@ -0,0 +1,118 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/sched"
+	"github.com/croftvale/croftvale/wire"
+)
+
+// onLink handles what happened on a link.
+func (c *core) onLink(e link.Event) {
+	name := e.Conn.Peer.Name
+	switch e.Kind {
+	case link.EventUp:
+		c.linkUp(name, e.Conn)
+	case link.EventDown:
+		c.linkDown(name, e.Conn)
+	case link.EventMessage:
+		c.onMessage(name, e)
+	}
+}
+
+// linkUp takes a router's link. A newer link of the same router replaces an
+// older one whose end has not been noticed yet.
+func (c *core) linkUp(name fleet.Name, conn *link.Conn) {
+	if conn.Peer.Role != wire.RoleRouter {
+		conn.Close(errNotRouter)
+		return
+	}
+	if old, ok := c.routers[name]; ok {
+		old.conn.Close(errReplaced)
+		c.feed(sched.RouterDownMsg{Now: c.now(), Router: name})
+	}
+	c.routers[name] = &routerLink{conn: conn}
+	conn.Send(c.beat())
+	c.feed(sched.RouterUpMsg{Now: c.now(), Router: name})
+}
+
+func (c *core) linkDown(name fleet.Name, conn *link.Conn) {
+	if r, ok := c.routers[name]; !ok || r.conn != conn {
+		return
+	}
+	delete(c.routers, name)
+	c.feed(sched.RouterDownMsg{Now: c.now(), Router: name})
+}
+
+func (c *core) onMessage(name fleet.Name, e link.Event) {
+	r, ok := c.routers[name]
+	if !ok || r.conn != e.Conn {
+		return
+	}
+	switch m := e.Msg.(type) {
+	case wire.Heartbeat:
+		c.onHeartbeat(name, r, m)
+	case wire.Demand:
+		c.feed(sched.DemandMsg{Now: c.now(), Router: name, Counts: counts(m.Rows)})
+	case wire.Deny:
+		c.feed(sched.DenyMsg{Now: c.now(), Seq: m.Seq, Count: count(m.Row)})
+	case wire.Totals:
+		c.feed(sched.TotalsMsg{Now: c.now(), Rows: machineRows(m.Rows)})
+	case wire.BundleData:
+		c.keeper.Offer(bundle.OfferMsg{Order: m.Order, Content: m.Content})
+	}
+}
+
+func (c *core) onHeartbeat(name fleet.Name, r *routerLink, m wire.Heartbeat) {
+	if m.Hub != r.last.Hub {
+		c.feed(sched.RouterUpMsg{Now: c.now(), Router: name, Hub: m.Hub})
+	}
+	r.last = m
+	if m.Generation > c.inForce.Generation() && c.now()-c.pulled > pullTimeout {
+		c.pulled = c.now()
+		r.conn.Send(wire.BundlePull{Have: c.inForce.Generation()})
+	}
+}
+
+func counts(rows []wire.DemandRow) []sched.Count {
+	out := make([]sched.Count, len(rows))
+	for i, r := range rows {
+		out[i] = count(r)
+	}
+	return out
+}
+
+func count(r wire.DemandRow) sched.Count {
+	return sched.Count{
+		Key:       r.Key(),
+		Waiting:   int(r.Count),
+		OldestAge: time.Duration(r.OldestAge) * time.Millisecond,
+	}
+}
+
+func machineRows(rows []wire.ServiceRow) []sched.ServiceRow {
+	out := make([]sched.ServiceRow, len(rows))
+	for i, r := range rows {
+		out[i] = sched.ServiceRow{
+			Team:    r.Team,
+			Service: time.Duration(r.Service) * time.Millisecond,
+			Lift:    time.Duration(r.Lift) * time.Millisecond,
+		}
+	}
+	return out
+}
+
+func wireRows(rows []sched.ServiceRow) []wire.ServiceRow {
+	out := make([]wire.ServiceRow, len(rows))
+	for i, r := range rows {
+		out[i] = wire.ServiceRow{
+			Team:    r.Team,
+			Service: int64(r.Service / time.Millisecond),
+			Lift:    int64(r.Lift / time.Millisecond),
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/bundle/defaults.go
@@ -0,0 +1,93 @@
+package bundle
+
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/tomlfile"
+)
+
+// Defaults of limits and policy.
+const (
+	DefaultMaxWaiting        = 20_000
+	DefaultMaxWaitingPerTeam = 2_000
+	DefaultMaxBody           = 4 << 20
+	DefaultMaxWait           = time.Minute
+	DefaultRetryBudget       = 0.1
+	DefaultUrgentBorrow      = 2 * time.Second
+	DefaultCatchUp           = time.Minute
+	DefaultClaimAhead        = 1
+	DefaultHubsPerHall       = 2
+	DefaultLinksPerServer    = 64
+	DefaultProbe             = "/health"
+)
+
+// The ways of sharing capacity.
+const (
+	SharingFleet = "fleet"
+	SharingLocal = "local"
+	SharingFIFO  = "fifo"
+)
+
+// sharing is what a preference stands for.
+type sharing struct {
+	every time.Duration
+	delta time.Duration
+}
+
+var preferences = map[Preference]sharing{
+	PreferGap:   {every: 250 * time.Millisecond, delta: 100 * time.Millisecond},
+	PreferBytes: {every: 2 * time.Second, delta: time.Second},
+}
+
+// WithDefaults returns the bundle with every default filled in. Processes run
+// on this form; only the operators' own text is signed and shown.
+func (b Bundle) WithDefaults() Bundle {
+	b.Policy = b.Policy.WithDefaults()
+	b.Limits = b.Limits.withDefaults()
+	servers := make([]Server, len(b.Servers))
+	for i, s := range b.Servers {
+		if s.Probe == "" {
+			s.Probe = DefaultProbe
+		}
+		servers[i] = s
+	}
+	b.Servers = servers
+	return b
+}
+
+// WithDefaults returns the policy with every default filled in.
+func (p Policy) WithDefaults() Policy {
+	if p.Prefer == "" {
+		p.Prefer = PreferGap
+	}
+	if p.Sharing == "" {
+		p.Sharing = SharingFleet
+	}
+	s := preferences[p.Prefer]
+	p.ShareEvery = tomlfile.Duration(p.ShareEvery.Or(s.every))
+	p.Delta = tomlfile.Duration(p.Delta.Or(s.delta))
+	p.UrgentBorrow = tomlfile.Duration(p.UrgentBorrow.Or(DefaultUrgentBorrow))
+	p.CatchUp = tomlfile.Duration(p.CatchUp.Or(DefaultCatchUp))
+	p.ClaimAhead = orInt(p.ClaimAhead, DefaultClaimAhead)
+	p.HubsPerHall = orInt(p.HubsPerHall, DefaultHubsPerHall)
+	p.LinksPerServer = orInt(p.LinksPerServer, DefaultLinksPerServer)
+	return p
+}
+
+func (l Limits) withDefaults() Limits {
+	l.MaxWaiting = orInt(l.MaxWaiting, DefaultMaxWaiting)
+	l.MaxWaitingPerTeam = orInt(l.MaxWaitingPerTeam, DefaultMaxWaitingPerTeam)
+	l.MaxBody = tomlfile.Size(l.MaxBody.Or(DefaultMaxBody))
+	l.MaxWait = tomlfile.Duration(l.MaxWait.Or(DefaultMaxWait))
+	if l.RetryBudget == 0 {
+		l.RetryBudget = DefaultRetryBudget
+	}
+	return l
+}
+
+func orInt(v, def int) int {
+	if v == 0 {
+		return def
+	}
+	return v
+}
--- /dev/null
+++ b/bundle/diff.go
@@ -0,0 +1,76 @@
+package bundle
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// Change is one thing that a roll changes.
+type Change struct {
+	What   string // such as `team "zurich"`
+	Before string // empty where it is new
+	After  string // empty where it goes
+}
+
+// String spells the change in one line with a leading +, - or ~.
+func (c Change) String() string {
+	switch {
+	case c.Before == "":
+		return fmt.Sprintf("+ %s %s", c.What, c.After)
+	case c.After == "":
+		return fmt.Sprintf("- %s %s", c.What, c.Before)
+	}
+	return fmt.Sprintf("~ %s %s -> %s", c.What, c.Before, c.After)
+}
+
+// Diff lists what differs between two bundles, in a stable order.
+func Diff(old, new Bundle) []Change {
+	before, after := parts(old), parts(new)
+	names := map[string]bool{}
+	for k := range before {
+		names[k] = true
+	}
+	for k := range after {
+		names[k] = true
+	}
+	var out []Change
+	for k := range names {
+		if before[k] != after[k] {
+			out = append(out, Change{What: k, Before: before[k], After: after[k]})
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int {
+		if a.What < b.What {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// parts spells each named part of a bundle.
+func parts(b Bundle) map[string]string {
+	out := map[string]string{
+		"policy": spell(b.Policy),
+		"limits": spell(b.Limits),
+	}
+	for _, t := range b.Teams {
+		out[fmt.Sprintf("team %q", t.Name)] = spell(t)
+	}
+	for _, w := range b.Works {
+		out[fmt.Sprintf("work %q", w.Name)] = spell(w)
+	}
+	for _, s := range b.Servers {
+		out[fmt.Sprintf("server %q", s.Name)] = spell(s)
+	}
+	return out
+}
+
+func spell(v any) string {
+	out, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // plain structs always encode
+	}
+	return string(out)
+}
--- /dev/null
+++ b/bundle/seal.go
@@ -0,0 +1,80 @@
+package bundle
+
+import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxUnpacked bounds what Open will inflate, in bytes.
+const maxUnpacked = 64 << 20
+
+// ErrDigest means that content is not what its order names.
+var ErrDigest = errors.New("bundle content does not match its digest; fetch it again, and roll the bundle again if that fails")
+
+// Digest is the SHA-256 of a bundle's canonical form, in hex.
+type Digest string
+
+// Canonical returns the bytes that a digest and signatures cover: JSON with
+// the lists sorted by name, so that order in the source means nothing.
+func Canonical(b Bundle) []byte {
+	b.Teams = slices.Clone(b.Teams)
+	b.Works = slices.Clone(b.Works)
+	b.Servers = slices.Clone(b.Servers)
+	slices.SortFunc(b.Teams, func(x, y Team) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortFunc(b.Works, func(x, y Work) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortFunc(b.Servers, func(x, y Server) int { return cmp.Compare(x.Name, y.Name) })
+	out, err := json.Marshal(b)
+	if err != nil {
+		// Plain structs of strings and numbers always encode; NaN shares are
+		// refused by check.
+		panic(err)
+	}
+	return out
+}
+
+// DigestOf returns the digest of a bundle.
+func DigestOf(b Bundle) Digest { return digestBytes(Canonical(b)) }
+
+func digestBytes(canonical []byte) Digest {
+	sum := sha256.Sum256(canonical)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
+// Seal returns the digest and the packed content of a bundle, as the platform
+// holds it and links carry it.
+func Seal(b Bundle) (Digest, []byte) {
+	canonical := Canonical(b)
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	_, _ = w.Write(canonical) // a bytes.Buffer never fails
+	_ = w.Close()
+	return digestBytes(canonical), buf.Bytes()
+}
+
+// Open unpacks content and refuses it unless its digest is want.
+func Open(content []byte, want Digest) (Bundle, error) {
+	r, err := gzip.NewReader(bytes.NewReader(content))
+	if err != nil {
+		return Bundle{}, errors.Mark(errors.Wrap(err, "unpack bundle"), ErrDigest)
+	}
+	canonical, err := io.ReadAll(io.LimitReader(r, maxUnpacked))
+	if err != nil {
+		return Bundle{}, errors.Mark(errors.Wrap(err, "unpack bundle"), ErrDigest)
+	}
+	if digestBytes(canonical) != want {
+		return Bundle{}, ErrDigest
+	}
+	var b Bundle
+	if err := json.Unmarshal(canonical, &b); err != nil {
+		return Bundle{}, errors.Wrap(err, "decode bundle")
+	}
+	return b, nil
+}
--- /dev/null
+++ b/fleet/class.go
@@ -0,0 +1,35 @@
+package fleet
+
+import "fmt"
+
+// Class orders the requests of one team: urgent before ordinary before batch.
+type Class uint8
+
+// The classes, in the order in which a team's requests are served.
+const (
+	Urgent Class = iota
+	Ordinary
+	Batch
+	// Classes is the number of classes; use it to size arrays by class.
+	Classes = 3
+)
+
+var classNames = [Classes]string{"urgent", "ordinary", "batch"}
+
+// String returns the class as bundles and headers spell it.
+func (c Class) String() string {
+	if int(c) < len(classNames) {
+		return classNames[c]
+	}
+	return fmt.Sprintf("class(%d)", uint8(c))
+}
+
+// ParseClass reads a class as bundles and headers spell it.
+func ParseClass(s string) (Class, bool) {
+	for i, n := range classNames {
+		if n == s {
+			return Class(i), true
+		}
+	}
+	return Ordinary, false
+}
--- /dev/null
+++ b/fleet/demandkey.go
@@ -0,0 +1,21 @@
+package fleet
+
+import "cmp"
+
+// DemandKey names one line of waiting requests: those of one team and class
+// for one work.
+type DemandKey struct {
+	Work  Work
+	Team  Team
+	Class Class
+}
+
+// Compare orders keys by team, work and class; decisions use it so that they
+// never depend on the order of a map.
+func (k DemandKey) Compare(o DemandKey) int {
+	return cmp.Or(
+		cmp.Compare(k.Team, o.Team),
+		cmp.Compare(k.Work, o.Work),
+		cmp.Compare(k.Class, o.Class),
+	)
+}
--- /dev/null
+++ b/fleet/rendezvous.go
@@ -0,0 +1,32 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rendezvous returns the n names that rank highest for key by rendezvous
+// hashing. Each process computes the same answer from the same list, and one
+// name more or less moves only the duties of that name.
+func Rendezvous(key string, names []Name, n int) []Name {
+	ranked := slices.Clone(names)
+	slices.SortFunc(ranked, func(a, b Name) int {
+		return cmp.Or(
+			cmp.Compare(weight(key, b), weight(key, a)),
+			cmp.Compare(a, b),
+		)
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
+// weight is the rank of one name for one key.
+func weight(key string, n Name) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(string(n))
+	return d.Sum64()
+}
--- /dev/null
+++ b/ledger/commands.go
@@ -0,0 +1,32 @@
+package ledger
+
+import "github.com/croftvale/croftvale/fleet"
+
+// Command is something that the hub wants done.
+type Command interface{ isCommand() }
+
+// TotalsCmd sends an agent the service of the fleet less its own.
+type TotalsCmd struct {
+	Agent fleet.Name
+	Rows  []Row
+}
+
+// HallTotalsCmd sends another hub the service of one hall.
+type HallTotalsCmd struct {
+	Peer fleet.Name
+	Hall fleet.Hall
+	Rows []Row
+}
+
+// AgentRowsCmd sends another hub of the same hall the service of one life of
+// an agent.
+type AgentRowsCmd struct {
+	Peer   fleet.Name
+	Source Source
+	Hall   fleet.Hall
+	Rows   []Row
+}
+
+func (TotalsCmd) isCommand()     {}
+func (HallTotalsCmd) isCommand() {}
+func (AgentRowsCmd) isCommand()  {}
--- /dev/null
+++ b/link/conn.go
@@ -0,0 +1,166 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/wire"
+)
+
+// Errors that end a link.
+var (
+	// ErrNoHello means that the other side is no croftvale process.
+	ErrNoHello = errors.New("peer did not say hello; check that the address is a control address")
+	// ErrTooSlow means that the peer did not take its messages.
+	ErrTooSlow = errors.New("peer does not take its messages; the link is cut and will be dialled again")
+)
+
+// Conn is one control link. Its methods may be called from any goroutine.
+type Conn struct {
+	Peer   wire.Hello // what the other side said first
+	Remote string
+
+	raw    net.Conn
+	opts   Options
+	out    chan wire.Message
+	once   sync.Once
+	closed chan struct{}
+	err    error
+}
+
+// Dial connects to a control address and runs the link until it ends or ctx
+// does. It returns why it ended.
+func Dial(ctx context.Context, address string, opts Options) error {
+	raw, err := opts.dial()(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "dial %s", address)
+	}
+	if opts.TLS != nil {
+		raw = client(raw, address, opts.TLS())
+	}
+	return serve(ctx, raw, opts)
+}
+
+// serve says hello and runs a link over an open connection.
+func serve(ctx context.Context, raw net.Conn, opts Options) error {
+	c := &Conn{
+		Remote: raw.RemoteAddr().String(),
+		raw:    raw,
+		opts:   opts,
+		out:    make(chan wire.Message, outgoing),
+		closed: make(chan struct{}),
+	}
+	defer c.Close(nil)
+	stop := context.AfterFunc(ctx, func() { c.Close(ctx.Err()) })
+	defer stop()
+	r := bufio.NewReader(raw)
+	if err := c.hello(r); err != nil {
+		return err
+	}
+	go c.write()
+	opts.Events <- Event{Conn: c, Kind: EventUp}
+	err := c.read(r)
+	c.Close(err)
+	opts.Events <- Event{Conn: c, Kind: EventDown}
+	return c.err
+}
+
+// hello exchanges the first messages.
+func (c *Conn) hello(r *bufio.Reader) error {
+	frame, err := wire.Encode(c.opts.Hello())
+	if err != nil {
+		return err
+	}
+	_ = c.raw.SetDeadline(time.Now().Add(c.opts.timeout()))
+	if _, err := c.raw.Write(frame); err != nil {
+		return errors.Wrap(err, "say hello")
+	}
+	m, _, err := wire.Read(r)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "wait for hello"), ErrNoHello)
+	}
+	h, ok := m.(wire.Hello)
+	if !ok {
+		return ErrNoHello
+	}
+	c.Peer = h
+	return c.raw.SetDeadline(time.Time{})
+}
+
+// Send hands a message to the writer. It never waits: a link whose channel is
+// full is cut, and Send returns false.
+func (c *Conn) Send(m wire.Message) bool {
+	select {
+	case <-c.closed:
+		return false
+	default:
+	}
+	select {
+	case c.out <- m:
+		return true
+	default:
+		c.Close(ErrTooSlow)
+		return false
+	}
+}
+
+// Close ends the link for a reason; later calls do nothing.
+func (c *Conn) Close(why error) {
+	c.once.Do(func() {
+		c.err = why
+		close(c.closed)
+		_ = c.raw.Close()
+	})
+}
+
+// write sends messages and flushes whenever none waits.
+func (c *Conn) write() {
+	w := bufio.NewWriter(c.raw)
+	for {
+		select {
+		case <-c.closed:
+			return
+		case m := <-c.out:
+			if err := c.writeOne(w, m); err != nil {
+				c.Close(err)
+				return
+			}
+		}
+	}
+}
+
+func (c *Conn) writeOne(w *bufio.Writer, m wire.Message) error {
+	frame, err := wire.Encode(m)
+	if err != nil {
+		return err
+	}
+	_ = c.raw.SetWriteDeadline(time.Now().Add(c.opts.timeout()))
+	if _, err := w.Write(frame); err != nil {
+		return err
+	}
+	c.opts.Meter.sent(m.Type(), len(frame))
+	if len(c.out) > 0 {
+		return nil
+	}
+	return w.Flush()
+}
+
+// read delivers messages until the link ends or the peer falls silent.
+func (c *Conn) read(r *bufio.Reader) error {
+	for {
+		_ = c.raw.SetReadDeadline(time.Now().Add(c.opts.timeout()))
+		m, n, err := wire.Read(r)
+		if errors.Is(err, wire.ErrUnknownType) {
+			continue // from a newer release; what it says is not for us
+		}
+		if err != nil {
+			return err
+		}
+		c.opts.Meter.read(m.Type(), n)
+		c.opts.Events <- Event{Conn: c, Kind: EventMessage, Msg: m}
+	}
+}
--- /dev/null
+++ b/link/keep.go
@@ -0,0 +1,42 @@
+package link
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+const (
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 2 * time.Second
+)
+
+// Keep holds a link to an address: it dials again, with exponential backoff
+// and jitter, until ctx ends. report hears why each link ended.
+func Keep(ctx context.Context, address string, opts Options, report func(error)) {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstRetry
+	b.MaxInterval = lastRetry
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := Dial(ctx, address, opts)
+		if ctx.Err() != nil {
+			return
+		}
+		report(err)
+		if time.Since(began) > lastRetry {
+			b.Reset()
+		}
+		wait(ctx, b.NextBackOff())
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/link/listen.go
@@ -0,0 +1,48 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxConns bounds the control links that a process accepts.
+const maxConns = 4096
+
+// Listen accepts links on a listener until ctx ends, then waits for all of
+// them to end. Connections above the limit are closed at once.
+func Listen(ctx context.Context, ln net.Listener, opts Options) error {
+	if opts.TLS != nil {
+		cfg := &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return opts.TLS(), nil
+		}}
+		ln = tls.NewListener(ln, cfg)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	room := make(chan struct{}, maxConns)
+	for {
+		raw, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "accept control links")
+		}
+		select {
+		case room <- struct{}{}:
+		default:
+			_ = raw.Close()
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-room }()
+			_ = serve(ctx, raw, opts)
+		})
+	}
+}
--- /dev/null
+++ b/link/options.go
@@ -0,0 +1,48 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/croftvale/croftvale/wire"
+)
+
+const (
+	// DefaultTimeout is how long a peer may be silent before its link is cut;
+	// heartbeats come at HeartbeatEvery.
+	DefaultTimeout = 3 * time.Second
+	// HeartbeatEvery is the time between two heartbeats.
+	HeartbeatEvery = time.Second
+	// outgoing is how many messages may wait for the writer.
+	outgoing = 1024
+)
+
+// DialFunc opens a network connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options is what links of one process have in common.
+type Options struct {
+	Hello   func() wire.Hello  // what this process says first, at the time of connecting
+	Events  chan<- Event       // bounded; readers wait for room, which slows the peer down
+	Timeout time.Duration      // DefaultTimeout where zero
+	TLS     func() *tls.Config // nil for plain TCP; asked anew for each connection
+	Dial    DialFunc           // net.Dialer where nil
+	Meter   *Meter             // counts messages and bytes; may be nil
+}
+
+func (o Options) timeout() time.Duration {
+	if o.Timeout == 0 {
+		return DefaultTimeout
+	}
+	return o.Timeout
+}
+
+func (o Options) dial() DialFunc {
+	if o.Dial != nil {
+		return o.Dial
+	}
+	d := &net.Dialer{Timeout: o.timeout()}
+	return d.DialContext
+}
--- /dev/null
+++ b/operate/roll.go
@@ -0,0 +1,145 @@
+package operate
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/platform"
+)
+
+// Store is the part of the platform that a roll needs.
+type Store interface {
+	Get(ctx context.Context, ref platform.Ref) (platform.Object, error)
+	Put(ctx context.Context, ref platform.Ref, body []byte, at platform.Version) (platform.Version, error)
+}
+
+// readBackTries bounds how often a roll asks what became of a write.
+const readBackTries = 8
+
+// Errors of a roll; each says what to do.
+var (
+	// ErrLostRace means that another operator's roll came first.
+	ErrLostRace = errors.New(`another roll came first and nothing of yours is in force; look at "croftvale bundle diff", then roll again`)
+	// ErrUndecided means that nobody can say yet whether the roll took effect.
+	ErrUndecided = errors.New(`the platform does not say whether the roll took effect; run "croftvale bundle status" when it answers again`)
+)
+
+// Roller puts signed bundles in force.
+type Roller struct {
+	Store    Store
+	Operator string
+	Key      ed25519.PrivateKey
+	RollID   string // unique to this roll; tells it apart after a lost reply
+	Now      time.Time
+}
+
+// Roll writes the content, then moves the pointer from what it read to the
+// next generation. It returns the order that is in force through it.
+func (r Roller) Roll(ctx context.Context, s Signed) (bundle.Order, error) {
+	if err := r.putContent(ctx, s); err != nil {
+		return bundle.Order{}, err
+	}
+	current, at, err := Current(ctx, r.Store)
+	if err != nil {
+		return bundle.Order{}, err
+	}
+	order := bundle.Order{
+		Generation: current.Generation + 1,
+		Digest:     s.Digest,
+		RollID:     r.RollID,
+		Operator:   r.Operator,
+		At:         r.Now.UTC().Format(time.RFC3339),
+		Signoffs:   s.Signoffs,
+	}.Sign(r.Key)
+	_, err = r.Store.Put(ctx, platform.BundlePointer, order.Encode(), at)
+	if err == nil {
+		return order, nil
+	}
+	return r.resolve(ctx, order, err)
+}
+
+// putContent stores the content under its digest. That it is there already,
+// from this roll or an earlier one, is as good.
+func (r Roller) putContent(ctx context.Context, s Signed) error {
+	ref := platform.BundleContent(string(s.Digest))
+	_, err := r.Store.Put(ctx, ref, s.Content, 0)
+	if err == nil || errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	if !errors.Is(err, platform.ErrOutcomeUnknown) {
+		return errors.Wrap(err, "store the bundle's content; nothing is rolled")
+	}
+	_, err = retry(ctx, func() (platform.Object, error) { return r.Store.Get(ctx, ref) })
+	return errors.Wrap(err, "store the bundle's content; nothing is rolled")
+}
+
+// resolve finds out what became of a pointer write that did not succeed
+// plainly. After a lost reply only the roll id at the pointer tells.
+func (r Roller) resolve(ctx context.Context, o bundle.Order, why error) (bundle.Order, error) {
+	conflict := errors.Is(why, platform.ErrConflict)
+	if !conflict && !errors.Is(why, platform.ErrOutcomeUnknown) {
+		return bundle.Order{}, errors.Wrap(why, "move the bundle pointer; nothing is rolled")
+	}
+	now, err := retry(ctx, func() (bundle.Order, error) {
+		now, _, err := Current(ctx, r.Store)
+		return now, err
+	})
+	switch {
+	case err != nil:
+		return bundle.Order{}, errors.Mark(err, ErrUndecided)
+	case now.RollID == o.RollID:
+		return o, nil
+	case now.Generation >= o.Generation:
+		return bundle.Order{}, errors.Wrapf(ErrLostRace, "generation %d by %s at %s", now.Generation, now.Operator, now.At)
+	}
+	// The pointer is where it was. A delayed write could still land, but not
+	// unseen: it carries the same version condition as any next roll.
+	return bundle.Order{}, errors.Wrapf(ErrUndecided, "the pointer is still at generation %d", now.Generation)
+}
+
+// retry asks until the platform answers, with backoff.
+func retry[T any](ctx context.Context, ask func() (T, error)) (T, error) {
+	return backoff.Retry(ctx, func() (T, error) {
+		v, err := ask()
+		if err != nil && errors.Is(err, platform.ErrNotFound) {
+			return v, backoff.Permanent(err)
+		}
+		return v, err
+	}, backoff.WithMaxTries(readBackTries))
+}
+
+// Current reads the order in force and the pointer's version; a platform
+// without one has generation 0.
+func Current(ctx context.Context, s Store) (bundle.Order, platform.Version, error) {
+	obj, err := s.Get(ctx, platform.BundlePointer)
+	if errors.Is(err, platform.ErrNotFound) {
+		return bundle.Order{}, 0, nil
+	}
+	if err != nil {
+		return bundle.Order{}, 0, errors.Wrap(err, "read the bundle pointer")
+	}
+	var o bundle.Order
+	if err := json.Unmarshal(obj.Body, &o); err != nil {
+		return bundle.Order{}, 0, errors.Wrap(err, "read the bundle pointer")
+	}
+	return o, obj.Version, nil
+}
+
+// InForce reads the order in force and its bundle.
+func InForce(ctx context.Context, s Store) (bundle.Order, bundle.Bundle, error) {
+	o, _, err := Current(ctx, s)
+	if err != nil || o.Generation == 0 {
+		return o, bundle.Bundle{}, err
+	}
+	obj, err := s.Get(ctx, platform.BundleContent(string(o.Digest)))
+	if err != nil {
+		return o, bundle.Bundle{}, errors.Wrap(err, "read the bundle's content")
+	}
+	b, err := bundle.Open(obj.Body, o.Digest)
+	return o, b, err
+}
--- /dev/null
+++ b/operate/state.go
@@ -0,0 +1,65 @@
+package operate
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/fleet"
+)
+
+const (
+	stateTimeout = 5 * time.Second
+	maxState     = 64 << 20
+)
+
+// ErrState means that a process gave no dump.
+var ErrState = errors.New("no state from this address; give the admin address of a running process")
+
+// Summary is what every process's dump has.
+type Summary struct {
+	Name       fleet.Name       `json:"name"`
+	Role       string           `json:"role"`
+	Hall       fleet.Hall       `json:"hall"`
+	Generation fleet.Generation `json:"generation"`
+	Leaving    bool             `json:"leaving"`
+	Peers      []PeerSummary    `json:"peers"`
+}
+
+// PeerSummary is what a router knows of another process.
+type PeerSummary struct {
+	Name       fleet.Name       `json:"name"`
+	Role       string           `json:"role"`
+	Hall       fleet.Hall       `json:"hall"`
+	Generation fleet.Generation `json:"generation"`
+}
+
+// State reads the dump of the process whose admin address is given.
+func State(ctx context.Context, address string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/state", nil)
+	if err != nil {
+		return nil, errors.Mark(err, ErrState)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "read state of %s", address), ErrState)
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxState))
+	if err != nil || res.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(ErrState, "%s answered %d", address, res.StatusCode)
+	}
+	return data, nil
+}
+
+// Summarize reads the part of a dump that every process has.
+func Summarize(dump []byte) (Summary, error) {
+	var s Summary
+	err := json.Unmarshal(dump, &s)
+	return s, errors.Wrap(err, "read state")
+}
--- /dev/null
+++ b/queue/agents.go
@@ -0,0 +1,97 @@
+package queue
+
+import (
+	"slices"
+	"time"
+
+	"github.com/croftvale/croftvale/fleet"
+)
+
+func (m *Machine) agentUp(msg AgentUpMsg) []Command {
+	a, i, ok := m.agent(msg.Agent)
+	if !ok {
+		a = &agentView{name: msg.Agent}
+		m.agents = slices.Insert(m.agents, i, a)
+	}
+	a.hall = msg.Hall
+	a.works = msg.Works
+	a.free = 0
+	a.leaving = false
+	a.told = map[fleet.DemandKey]int{}
+	return m.tellAll(msg.Now, a)
+}
+
+func (m *Machine) agentDown(msg AgentDownMsg) []Command {
+	_, i, ok := m.agent(msg.Agent)
+	if !ok {
+		return nil
+	}
+	m.agents = slices.Delete(m.agents, i, i+1)
+	return m.abortRuns(msg.Agent)
+}
+
+// abortRuns gives up the unanswered runs of a lost agent. Answers that have
+// begun may still end well: the link is not what they travel on.
+func (m *Machine) abortRuns(agent fleet.Name) []Command {
+	var ids []RequestID
+	for id, r := range m.requests {
+		if r.state == stateRunning && r.claim.Agent == agent {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	var cmds []Command
+	for _, id := range ids {
+		cmds = append(cmds, AbortCmd{ID: id})
+	}
+	return cmds
+}
+
+func (m *Machine) agentLeaving(msg AgentLeavingMsg) []Command {
+	if a, _, ok := m.agent(msg.Agent); ok {
+		a.leaving = true
+		a.free = 0
+	}
+	return nil
+}
+
+// freeSlots answers an idle agent with all the work that waits for it.
+func (m *Machine) freeSlots(msg FreeMsg) []Command {
+	a, _, ok := m.agent(msg.Agent)
+	if !ok || a.leaving {
+		return nil
+	}
+	a.free = msg.Slots
+	cmds := m.tellAll(msg.Now, a)
+	if len(cmds) > 0 {
+		a.free = 0
+	}
+	return cmds
+}
+
+// tellAll tells an agent of every line that waits for it.
+func (m *Machine) tellAll(now time.Duration, a *agentView) []Command {
+	return m.tell(a, func(l *line) (Count, bool) {
+		return l.count(now), l.waiting > 0
+	})
+}
+
+// tell collects the counts of an agent's lines that pick chooses.
+func (m *Machine) tell(a *agentView, pick func(*line) (Count, bool)) []Command {
+	var counts []Count
+	for _, l := range m.order {
+		if !a.runs(l.key.Work) {
+			continue
+		}
+		c, ok := pick(l)
+		if !ok {
+			continue
+		}
+		a.told[l.key] = c.Waiting
+		counts = append(counts, c)
+	}
+	if len(counts) == 0 {
+		return nil
+	}
+	return []Command{DemandCmd{Agent: a.name, Counts: counts}}
+}
--- /dev/null
+++ b/queue/line.go
@@ -0,0 +1,65 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/fleet"
+)
+
+// line is the waiting requests of one team and class for one work, oldest
+// first. Requests that left out of turn stay as holes until they reach the
+// front.
+type line struct {
+	key     fleet.DemandKey
+	items   []*request
+	waiting int
+}
+
+func (l *line) push(r *request) {
+	l.items = append(l.items, r)
+	l.waiting++
+}
+
+// pushFront puts back a request that has waited already.
+func (l *line) pushFront(r *request) {
+	l.trim()
+	l.items = append([]*request{r}, l.items...)
+	l.waiting++
+}
+
+// pop takes the oldest request, or nil.
+func (l *line) pop() *request {
+	l.trim()
+	if len(l.items) == 0 {
+		return nil
+	}
+	r := l.items[0]
+	l.items[0] = nil
+	l.items = l.items[1:]
+	l.waiting--
+	return r
+}
+
+// removed notes that a request of the line no longer waits.
+func (l *line) removed() {
+	l.waiting--
+	l.trim()
+}
+
+// trim drops holes from the front.
+func (l *line) trim() {
+	for len(l.items) > 0 && l.items[0].state != stateWaiting {
+		l.items[0] = nil
+		l.items = l.items[1:]
+	}
+}
+
+// count returns what the line comes to at a time.
+func (l *line) count(now time.Duration) Count {
+	c := Count{Key: l.key, Waiting: l.waiting}
+	l.trim()
+	if len(l.items) > 0 {
+		c.OldestAge = now - l.items[0].arrived
+	}
+	return c
+}
--- /dev/null
+++ b/relay/copy.go
@@ -0,0 +1,55 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	bufferSize = 32 << 10
+	// writeTimeout is how long a reader may take to accept one piece.
+	writeTimeout = 30 * time.Second
+)
+
+// Errors of Copy: which side failed decides what can be said of the request.
+var (
+	// ErrSource means that the answer broke off before its end.
+	ErrSource = errors.New("the answer broke off before its end")
+	// ErrReader means that the other side no longer takes the answer.
+	ErrReader = errors.New("the reader of the answer has gone or is too slow")
+)
+
+var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
+
+// Copy passes an answer on piece by piece, each at once.
+func Copy(w http.ResponseWriter, src io.Reader) error {
+	buf := buffers.Get().(*[bufferSize]byte)
+	defer buffers.Put(buf)
+	rc := http.NewResponseController(w)
+	for {
+		n, err := src.Read(buf[:])
+		if n > 0 {
+			if werr := writePiece(w, rc, buf[:n]); werr != nil {
+				return errors.Mark(werr, ErrReader)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Mark(err, ErrSource)
+		}
+	}
+}
+
+func writePiece(w io.Writer, rc *http.ResponseController, piece []byte) error {
+	_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout)) // test writers have none
+	if _, err := w.Write(piece); err != nil {
+		return err
+	}
+	return rc.Flush()
+}
--- /dev/null
+++ b/router/core.go
@@ -0,0 +1,254 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftvale/croftvale/adopt"
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/ledger"
+	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/queue"
+	"github.com/croftvale/croftvale/settings"
+	"github.com/croftvale/croftvale/wire"
+	"github.com/phuslu/log"
+)
+
+// pullTimeout is how long a bundle that was asked for may take before another
+// peer is asked.
+const pullTimeout = time.Second
+
+// core owns the router's state. Only its own goroutine touches it.
+type core struct {
+	settings    settings.Router
+	log         *log.Logger
+	now         func() time.Duration
+	incarnation fleet.Incarnation
+	events      chan event
+	links       chan link.Event
+	meter       *link.Meter
+	keeper      *adopt.Keeper
+	dialer      *dialer
+	platform    *watcher
+	adoptedHook func(bundle.InForce)
+
+	queue   *queue.Machine
+	hub     *ledger.Hub
+	inForce bundle.InForce
+	policy  bundle.Policy
+	servers map[fleet.Name]bundle.Server
+	hosts   []platform.Host
+	duty    duty
+	peers   map[fleet.Name]*peer
+	open    map[queue.RequestID]*openRequest
+	leaving bool
+	pulled  time.Duration
+}
+
+// peer is a link to another process and what it last said of itself.
+type peer struct {
+	conn *link.Conn
+	last wire.Heartbeat
+	hub  bool // this router is a hub for the peer
+}
+
+// openRequest is a request without a final answer.
+type openRequest struct {
+	reply chan<- decision
+	abort chan struct{} // closed to give up the run under way; nil while waiting
+}
+
+// run feeds the machines until ctx ends.
+func (c *core) run(ctx context.Context) {
+	tick := time.NewTicker(queue.TickEvery)
+	defer tick.Stop()
+	beat := time.NewTicker(link.HeartbeatEvery)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-c.links:
+			c.onLink(e)
+		case e := <-c.events:
+			c.onEvent(e)
+		case <-tick.C:
+			c.feed(queue.TickMsg{Now: c.now()})
+			c.feedHub(ledger.TickMsg{Now: c.now(), ShareEvery: time.Duration(c.policy.ShareEvery)})
+		case <-beat.C:
+			c.heartbeat()
+		}
+	}
+}
+
+// feed gives the request machine one message and carries out what it wants.
+func (c *core) feed(m queue.Msg) {
+	for _, cmd := range c.queue.Update(m) {
+		c.perform(cmd)
+	}
+}
+
+func (c *core) perform(cmd queue.Command) {
+	switch cmd := cmd.(type) {
+	case queue.DemandCmd:
+		c.send(cmd.Agent, wire.Demand{Rows: demandRows(cmd.Counts)})
+	case queue.DenyCmd:
+		c.send(cmd.Claim.Agent, wire.Deny{Seq: cmd.Claim.Seq, Row: demandRow(cmd.Count)})
+	case queue.RunCmd:
+		c.runRequest(cmd)
+	case queue.AbortCmd:
+		c.abort(cmd.ID)
+	case queue.RefuseCmd:
+		c.decide(cmd.ID, decision{refuse: &cmd})
+		delete(c.open, cmd.ID)
+	}
+}
+
+func (c *core) send(name fleet.Name, m wire.Message) {
+	if p, ok := c.peers[name]; ok {
+		p.conn.Send(m)
+	}
+}
+
+// runRequest sends a request's goroutine to the agent that claimed it.
+func (c *core) runRequest(cmd queue.RunCmd) {
+	r, ok := c.open[cmd.ID]
+	if !ok {
+		return
+	}
+	r.abort = make(chan struct{})
+	c.decide(cmd.ID, decision{run: &grant{
+		claim: cmd.Claim.String(),
+		serve: c.servers[cmd.Claim.Agent].Serve.String(),
+		abort: r.abort,
+	}})
+}
+
+func (c *core) abort(id queue.RequestID) {
+	r, ok := c.open[id]
+	if !ok || r.abort == nil {
+		return
+	}
+	close(r.abort)
+	r.abort = nil
+}
+
+// decide tells a request's goroutine what to do. There is always room: no
+// second decision comes before the goroutine has answered the first.
+func (c *core) decide(id queue.RequestID, d decision) {
+	if r, ok := c.open[id]; ok {
+		r.reply <- d
+	}
+}
+
+func (c *core) onEvent(e event) {
+	switch e := e.(type) {
+	case arriveEvent:
+		c.open[e.request.ID] = &openRequest{reply: e.reply}
+		c.feed(queue.ArriveMsg{Now: c.now(), Request: e.request})
+	case answerEvent:
+		c.feed(queue.AnswerMsg{Now: c.now(), ID: e.id})
+	case endEvent:
+		c.ended(e)
+	case cancelEvent:
+		c.feed(queue.CancelMsg{Now: c.now(), ID: e.id})
+		c.forget(e.id)
+	case bundleEvent:
+		c.adopted(e.inForce)
+	case hostsEvent:
+		c.hosts = e.hosts
+		c.reshape()
+	case leaveEvent:
+		c.leaving = true
+		c.heartbeat()
+	case stateEvent:
+		e.reply <- c.state()
+	}
+}
+
+func (c *core) ended(e endEvent) {
+	if r, ok := c.open[e.id]; ok {
+		r.abort = nil
+	}
+	c.feed(queue.EndMsg{Now: c.now(), ID: e.id, Outcome: e.outcome})
+	c.forget(e.id)
+}
+
+// forget drops a request that the machine no longer holds.
+func (c *core) forget(id queue.RequestID) {
+	if !c.queue.Holds(id) {
+		delete(c.open, id)
+	}
+}
+
+// adopted puts a bundle in force here.
+func (c *core) adopted(f bundle.InForce) {
+	c.inForce = f
+	b := f.Bundle.WithDefaults()
+	c.policy = b.Policy
+	c.servers = map[fleet.Name]bundle.Server{}
+	for _, s := range b.Servers {
+		c.servers[s.Name] = s
+	}
+	c.feed(queue.ConfigMsg{Now: c.now(), Config: c.configOf(b)})
+	c.adoptedHook(f)
+	c.reshape()
+	c.refreshAgents()
+	c.heartbeat()
+	c.log.Info().Uint64("generation", uint64(f.Generation())).Str("digest", string(f.Order.Digest)).Msg("bundle in force")
+}
+
+func (c *core) configOf(b bundle.Bundle) queue.Config {
+	cfg := queue.Config{
+		Self:        c.settings.Name,
+		Hall:        c.settings.Hall,
+		MaxWaiting:  b.Limits.MaxWaiting,
+		TeamWaiting: map[fleet.Team]int{},
+		MaxWait:     time.Duration(b.Limits.MaxWait),
+		RetryBudget: b.Limits.RetryBudget,
+	}
+	for _, t := range b.Teams {
+		cfg.TeamWaiting[t.Name] = b.Limits.MaxWaitingPerTeam
+		if t.MaxWaiting > 0 {
+			cfg.TeamWaiting[t.Name] = t.MaxWaiting
+		}
+	}
+	return cfg
+}
+
+func (c *core) hello() wire.Hello {
+	return wire.Hello{
+		Name: c.settings.Name, Role: wire.RoleRouter, Hall: c.settings.Hall,
+		Incarnation: c.incarnation,
+	}
+}
+
+func (c *core) heartbeat() {
+	for _, p := range c.peers {
+		p.conn.Send(c.beat(p))
+	}
+}
+
+func (c *core) beat(p *peer) wire.Heartbeat {
+	return wire.Heartbeat{
+		Generation: c.inForce.Generation(), Leaving: c.leaving, Serving: true, Hub: p.hub,
+	}
+}
+
+func demandRows(counts []queue.Count) []wire.DemandRow {
+	rows := make([]wire.DemandRow, len(counts))
+	for i, c := range counts {
+		rows[i] = demandRow(c)
+	}
+	return rows
+}
+
+func demandRow(c queue.Count) wire.DemandRow {
+	return wire.DemandRow{
+		Work: c.Key.Work, Team: c.Key.Team, Class: c.Key.Class,
+		Count:     uint32(c.Waiting),
+		OldestAge: uint32(c.OldestAge / time.Millisecond),
+	}
+}
--- /dev/null
+++ b/router/event.go
@@ -0,0 +1,62 @@
+package router
+
+import (
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/queue"
+)
+
+// event is what other goroutines tell the core.
+type event interface{ isEvent() }
+
+// arriveEvent brings a request; decisions about it go to reply.
+type arriveEvent struct {
+	request queue.Request
+	reply   chan<- decision // has room for one; no second comes before an answer to the first
+}
+
+// answerEvent says that a request's first answer byte went out.
+type answerEvent struct{ id queue.RequestID }
+
+// endEvent says how a run ended.
+type endEvent struct {
+	id      queue.RequestID
+	outcome queue.Outcome
+}
+
+// cancelEvent says that a caller has hung up.
+type cancelEvent struct{ id queue.RequestID }
+
+// bundleEvent brings a bundle that is now in force.
+type bundleEvent struct{ inForce bundle.InForce }
+
+// hostsEvent brings the platform's list of hosts.
+type hostsEvent struct{ hosts []platform.Host }
+
+// leaveEvent says that the process has been asked to stop.
+type leaveEvent struct{}
+
+// stateEvent asks for a dump.
+type stateEvent struct{ reply chan<- State }
+
+func (arriveEvent) isEvent() {}
+func (answerEvent) isEvent() {}
+func (endEvent) isEvent()    {}
+func (cancelEvent) isEvent() {}
+func (bundleEvent) isEvent() {}
+func (hostsEvent) isEvent()  {}
+func (leaveEvent) isEvent()  {}
+func (stateEvent) isEvent()  {}
+
+// decision is what the core tells a request's goroutine: run it, or answer it.
+type decision struct {
+	run    *grant
+	refuse *queue.RefuseCmd
+}
+
+// grant says where a request runs.
+type grant struct {
+	claim string
+	serve string          // the agent's address for granted requests
+	abort <-chan struct{} // closed when the run is given up, if nothing is answered yet
+}
--- /dev/null
+++ b/router/refusal.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/croftvale/croftvale/queue"
+	"github.com/croftvale/croftvale/relay"
+)
+
+// refusal is the final answer to a request that croftvale itself answers.
+type refusal struct {
+	status     int
+	kind       string
+	message    string
+	remedy     string
+	ran        queue.Ran
+	retryAfter time.Duration
+}
+
+// refusalBody is the JSON form of a refusal.
+type refusalBody struct {
+	Error refusalError `json:"error"`
+}
+
+type refusalError struct {
+	Kind       string `json:"type"`
+	Message    string `json:"message"`
+	Remedy     string `json:"remedy"`
+	RequestID  string `json:"request_id"`
+	RetryAfter int    `json:"retry_after_seconds,omitempty"`
+}
+
+var (
+	refusedNoBundle = refusal{status: http.StatusServiceUnavailable, kind: "not_ready",
+		message: "this router has no configuration yet", remedy: "come back after the time in Retry-After", retryAfter: time.Second}
+	refusedLeaving = refusal{status: http.StatusServiceUnavailable, kind: "leaving",
+		message: "this router is stopping", remedy: "send the request again; the balancer picks another router", retryAfter: time.Second}
+	refusedBusy = refusal{status: http.StatusServiceUnavailable, kind: "router_busy",
+		message: "this router can't take more requests at this moment", remedy: "come back after the time in Retry-After", retryAfter: time.Second}
+	refusedKey = refusal{status: http.StatusUnauthorized, kind: "unknown_key",
+		message: "the bearer key belongs to no team", remedy: "send Authorization: Bearer with a key that the operators gave your team"}
+	refusedRoute = refusal{status: http.StatusNotFound, kind: "no_such_work",
+		message: "no work has this method, path and model", remedy: "correct the request, or have the operators add a work to the bundle"}
+	refusedWork = refusal{status: http.StatusForbidden, kind: "work_not_allowed",
+		message: "the team may not ask for this work", remedy: "have the operators add the work to the team in the bundle"}
+	refusedLarge = refusal{status: http.StatusRequestEntityTooLarge, kind: "body_too_large",
+		message: "the body is larger than the limit", remedy: "send less, or have the operators raise limits.max_body"}
+	refusedHeader = refusal{status: http.StatusBadRequest, kind: "bad_header",
+		message: "a croftvale header can't be read", remedy: "Croftvale-Class is urgent, ordinary or batch; Croftvale-Repeatable is yes or no; Croftvale-Deadline is a duration such as 2s"}
+	refusedBody = refusal{status: http.StatusBadRequest, kind: "bad_body",
+		message: "the body could not be read", remedy: "send the whole body, as long as Content-Length says"}
+)
+
+// reasons gives each of the machine's reasons its answer.
+var reasons = map[queue.Reason]refusal{
+	queue.ReasonTeamFull: {status: http.StatusTooManyRequests,
+		message: "too many of the team's requests wait at this router", remedy: "come back after the time in Retry-After"},
+	queue.ReasonFull: {status: http.StatusServiceUnavailable,
+		message: "too many requests wait at this router", remedy: "come back after the time in Retry-After"},
+	queue.ReasonNoServer: {status: http.StatusServiceUnavailable,
+		message: "no backend server for this work can be reached", remedy: "come back after the time in Retry-After"},
+	queue.ReasonTooLate: {status: http.StatusServiceUnavailable,
+		message: "the request would not be served before its deadline", remedy: "come back after the time in Retry-After, or allow more time"},
+	queue.ReasonWaited: {status: http.StatusServiceUnavailable,
+		message: "the request waited as long as it may", remedy: "come back after the time in Retry-After"},
+	queue.ReasonFailed: {status: http.StatusBadGateway,
+		message: "backend servers turned the request away", remedy: "come back after the time in Retry-After"},
+	queue.ReasonUncertain: {status: http.StatusBadGateway,
+		message: "the backend server was lost; the request may have run", remedy: "find out whether it ran before sending it again"},
+}
+
+// refusalOf turns a command of the machine into an answer.
+func refusalOf(c queue.RefuseCmd) refusal {
+	f := reasons[c.Reason]
+	f.kind = string(c.Reason)
+	f.ran = c.Ran
+	f.retryAfter = c.RetryAfter
+	return f
+}
+
+// write sends the refusal.
+func (f refusal) write(w http.ResponseWriter, requestID string) {
+	h := w.Header()
+	h.Set(relay.HeaderRan, f.ran.String())
+	h.Set(relay.HeaderRequestID, requestID)
+	h.Set("Content-Type", "application/json")
+	seconds := int(math.Ceil(f.retryAfter.Seconds()))
+	if seconds > 0 {
+		h.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	body, err := json.Marshal(refusalBody{refusalError{f.kind, f.message, f.remedy, requestID, seconds}})
+	if err != nil {
+		panic(err) // plain strings always encode
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)+1))
+	w.WriteHeader(f.status)
+	_, _ = w.Write(append(body, '\n'))
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,236 @@
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/admin"
+	"github.com/croftvale/croftvale/adopt"
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/ledger"
+	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/queue"
+	"github.com/croftvale/croftvale/settings"
+	"github.com/phuslu/log"
+)
+
+const (
+	// eventRoom is how many events may wait for the core.
+	eventRoom = 4096
+	// headerTimeout is how long a caller may take to send its headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a caller's idle connection is kept.
+	idleTimeout = 2 * time.Minute
+	// maxHeader bounds a caller's headers, in bytes.
+	maxHeader = 32 << 10
+	// agentIdle is how long idle connections to agents are kept, which is less
+	// than agents keep them.
+	agentIdle    = 90 * time.Second
+	agentConns   = 256
+	dialTimeout  = 2 * time.Second
+	leaveMessage = "leaving: no new work is taken"
+)
+
+// Router is the daemon on an entry host.
+type Router struct {
+	settings settings.Router
+	log      *log.Logger
+	dial     link.DialFunc
+	core     *core
+	handler  *handler
+	admin    *admin.Server
+	watcher  *watcher
+}
+
+// Option changes a Router.
+type Option func(*Router)
+
+// WithDial sets how the router opens connections to agents and other routers,
+// for instance to put the delay between two halls on them in a lab.
+func WithDial(d link.DialFunc) Option {
+	return func(r *Router) { r.dial = d }
+}
+
+// New returns a router that has opened no address yet.
+func New(s settings.Router, logger *log.Logger, opts ...Option) *Router {
+	r := &Router{settings: s, log: logger, dial: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	for _, o := range opts {
+		o(r)
+	}
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
+	events := make(chan event, eventRoom)
+	incarnation := fleet.Incarnation(began.UnixNano())
+	r.admin = admin.New(admin.Source{Ready: r.ready, State: r.dump})
+	r.handler = &handler{
+		incarnation: incarnation,
+		log:         logger,
+		now:         now,
+		events:      events,
+		stats:       newStats(r.admin.Scope()),
+		transport: &http.Transport{
+			DialContext:         r.dial,
+			MaxIdleConnsPerHost: agentConns,
+			IdleConnTimeout:     agentIdle,
+			DisableCompression:  true,
+		},
+	}
+	keeper := adopt.NewKeeper(s.Verifier(), func(f bundle.InForce) { events <- bundleEvent{f} }, r.refused)
+	r.watcher = &watcher{
+		settings: s.Platform,
+		log:      logger,
+		client:   platform.NewClient(s.Platform.Address.String()),
+		keeper:   keeper,
+		verifier: s.Verifier(),
+		events:   events,
+	}
+	r.core = &core{
+		settings:    s,
+		log:         logger,
+		now:         now,
+		incarnation: incarnation,
+		events:      events,
+		links:       make(chan link.Event, eventRoom),
+		meter:       &link.Meter{},
+		keeper:      keeper,
+		platform:    r.watcher,
+		adoptedHook: func(f bundle.InForce) { r.handler.table.Store(newTable(f)) },
+		queue:       queue.New(queue.Config{}),
+		hub:         ledger.NewHub(s.Name, s.Hall),
+		policy:      bundle.Policy{}.WithDefaults(),
+		servers:     map[fleet.Name]bundle.Server{},
+		peers:       map[fleet.Name]*peer{},
+		open:        map[queue.RequestID]*openRequest{},
+	}
+	return r
+}
+
+func (r *Router) refused(err error) {
+	r.log.Warn().Err(err).Msg("bundle refused")
+}
+
+// ErrNotReady means that the router should get no requests yet, or no more.
+var ErrNotReady = errors.New("no bundle in force, or leaving; requests go to other routers")
+
+func (r *Router) ready() error {
+	if r.handler.table.Load() == nil || r.handler.leaving.Load() {
+		return ErrNotReady
+	}
+	return nil
+}
+
+func (r *Router) dump(ctx context.Context) (any, error) {
+	reply := make(chan State, 1)
+	select {
+	case r.core.events <- stateEvent{reply}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case s := <-reply:
+		return s, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Run serves until ctx ends, then takes no new requests, waits for those that
+// are there and returns. What is left when the drain time is over is cut.
+func (r *Router) Run(ctx context.Context) error {
+	callers, err := listen("listen", r.settings.Listen.String())
+	if err != nil {
+		return err
+	}
+	links, err := listen("links", r.settings.Links.String())
+	if err != nil {
+		return err
+	}
+	adm, err := listen("admin", r.settings.Admin.String())
+	if err != nil {
+		return err
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer end()
+	opts := link.Options{Hello: r.core.hello, Events: r.core.links, Meter: r.core.meter, Dial: r.dial}
+	r.core.dialer = &dialer{ctx: life, opts: opts, log: r.log, kept: map[string]context.CancelFunc{}}
+	hs := &http.Server{
+		Handler:           r.handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+	wg.Go(func() { r.core.run(life) })
+	wg.Go(func() { r.watcher.keeper.Run(life) })
+	wg.Go(func() { r.watcher.hosts(life) })
+	wg.Go(func() { r.watcher.bundles(life, func() bool { return r.handler.table.Load() != nil }) })
+	wg.Go(func() { r.report("links", link.Listen(life, links, opts)) })
+	wg.Go(func() { r.report("admin", r.admin.Serve(life, adm)) })
+	wg.Go(func() { r.report("listen", hs.Serve(callers)) })
+	r.log.Info().Str("listen", callers.Addr().String()).Str("links", links.Addr().String()).Msg("router started")
+	<-ctx.Done()
+	return r.drain(hs)
+}
+
+// drain ends the process in order.
+func (r *Router) drain(hs *http.Server) error {
+	limit := r.settings.Drain.Or(settings.DefaultDrain)
+	r.log.Info().Dur("limit", limit).Msg(leaveMessage)
+	r.handler.leaving.Store(true)
+	r.core.events <- leaveEvent{}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := hs.Shutdown(ctx); err != nil {
+		r.log.Warn().Msg("drain time is over; requests are cut")
+		return hs.Close()
+	}
+	r.log.Info().Msg("left: nothing was cut")
+	return nil
+}
+
+// report logs why a duty ended, unless it was asked to.
+func (r *Router) report(duty string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		r.log.Error().Str("duty", duty).Err(err).Msg("duty ended")
+	}
+}
+
+func listen(key, address string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	return ln, errors.Wrapf(err, "settings: %s = %q: choose an address of this host that is not in use", key, address)
+}
+
+// state returns the dump.
+func (c *core) state() State {
+	s := State{
+		Name: c.settings.Name, Hall: c.settings.Hall, Role: "router",
+		Incarnation: c.incarnation, Generation: c.inForce.Generation(), Digest: string(c.inForce.Order.Digest),
+		Leaving: c.leaving, Waiting: c.queue.Waiting(), Open: c.queue.Open(),
+		PlatformOK: c.platform.ok.Load(), PlatformCalls: c.platform.client.Calls(),
+		Lines: c.queue.Lines(c.now()), Traffic: c.meter.Snapshot(),
+	}
+	for hall := range c.duty.hubs {
+		if c.duty.isHub(hall, c.settings.Name) {
+			s.HubOf = append(s.HubOf, hall)
+		}
+	}
+	for name, p := range c.peers {
+		s.Peers = append(s.Peers, PeerState{
+			Name: name, Role: string(p.conn.Peer.Role), Hall: p.conn.Peer.Hall, Remote: p.conn.Remote,
+			Generation: p.last.Generation, Serving: p.last.Serving, Leaving: p.last.Leaving,
+		})
+	}
+	for _, row := range c.hub.Totals() {
+		s.Service = append(s.Service, ServiceState{
+			Team: row.Team, ServiceMS: row.Service.Milliseconds(), LiftMS: row.Lift.Milliseconds(),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/router/table.go
@@ -0,0 +1,122 @@
+package router
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/fleet"
+)
+
+// table is a bundle in force, made ready for requests. A request keeps the
+// table it was admitted under to its end.
+type table struct {
+	generation fleet.Generation
+	limits     bundle.Limits
+	teams      map[[sha256.Size]byte]*bundle.Team // by the digest of a bearer key
+	works      []bundle.Work
+}
+
+func newTable(f bundle.InForce) *table {
+	b := f.Bundle.WithDefaults()
+	t := &table{
+		generation: f.Generation(),
+		limits:     b.Limits,
+		teams:      map[[sha256.Size]byte]*bundle.Team{},
+		works:      b.Works,
+	}
+	for i := range b.Teams {
+		t.addKeys(&b.Teams[i])
+	}
+	return t
+}
+
+func (t *table) addKeys(team *bundle.Team) {
+	for _, k := range team.Keys {
+		raw, err := hex.DecodeString(strings.TrimPrefix(k, bundle.KeyHashPrefix))
+		if err != nil || len(raw) != sha256.Size {
+			continue // refused by the bundle's check
+		}
+		t.teams[[sha256.Size]byte(raw)] = team
+	}
+}
+
+// team finds the team of a bearer key. The map is searched by a digest, which
+// tells a caller's timing nothing of the key; the digests are then compared in
+// constant time.
+func (t *table) team(r *http.Request) (*bundle.Team, bool) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return nil, false
+	}
+	sum := sha256.Sum256([]byte(key))
+	team, ok := t.teams[sum]
+	if !ok {
+		return nil, false
+	}
+	for _, k := range team.Keys {
+		want := bundle.KeyHashPrefix + hex.EncodeToString(sum[:])
+		if subtle.ConstantTimeCompare([]byte(k), []byte(want)) == 1 {
+			return team, true
+		}
+	}
+	return nil, false
+}
+
+// route finds the work of a request: the longest path that matches, and of
+// equals the one that names the request's model.
+func (t *table) route(method, path, model string) (bundle.Work, bool) {
+	var best bundle.Work
+	bestRank := -1
+	for _, w := range t.works {
+		if !matches(w, method, path, model) {
+			continue
+		}
+		if r := rank(w); r > bestRank {
+			best, bestRank = w, r
+		}
+	}
+	return best, bestRank >= 0
+}
+
+// asksModel tells whether a path's route depends on the body's model.
+func (t *table) asksModel(path string) bool {
+	for _, w := range t.works {
+		if w.Model != "" && pathMatches(w.Path, path) {
+			return true
+		}
+	}
+	return false
+}
+
+func matches(w bundle.Work, method, path, model string) bool {
+	if w.Method != "" && w.Method != method {
+		return false
+	}
+	if w.Model != "" && w.Model != model {
+		return false
+	}
+	return pathMatches(w.Path, path)
+}
+
+func pathMatches(pattern, path string) bool {
+	if prefix, ok := strings.CutSuffix(pattern, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return pattern == path
+}
+
+// rank orders matching works: longer paths, then named models and methods.
+func rank(w bundle.Work) int {
+	r := 4 * len(w.Path)
+	if w.Model != "" {
+		r += 2
+	}
+	if w.Method != "" {
+		r++
+	}
+	return r
+}
--- /dev/null
+++ b/router/watcher.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/adopt"
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/settings"
+	"github.com/phuslu/log"
+)
+
+const (
+	defaultPoll   = 5 * time.Second
+	firstPlatform = 100 * time.Millisecond
+	lastPlatform  = 5 * time.Second
+	hostsRoom     = 1
+)
+
+// watcher is the router's side of the platform: it reads the list of hosts and
+// the bundle in force. Nothing on the path of a request waits for it.
+type watcher struct {
+	settings settings.Platform
+	log      *log.Logger
+	client   *platform.Client
+	keeper   *adopt.Keeper
+	verifier bundle.Verifier
+	events   chan<- event
+	ok       atomic.Bool
+	first    bool // a bundle has been read once
+}
+
+// hosts reads the list of hosts at intervals until ctx ends.
+func (w *watcher) hosts(ctx context.Context) {
+	for ctx.Err() == nil {
+		hosts, err := w.client.Hosts(ctx)
+		w.outcome("read host list", err)
+		if err == nil {
+			w.send(ctx, hostsEvent{hosts})
+		}
+		sleep(ctx, w.settings.Poll.Or(defaultPoll))
+	}
+}
+
+func (w *watcher) send(ctx context.Context, e event) {
+	select {
+	case w.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// bundles reads the bundle in force until ctx ends. A router that does not
+// watch asks only until it has a first one; links bring it the rest.
+func (w *watcher) bundles(ctx context.Context, haveOne func() bool) {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstPlatform
+	b.MaxInterval = lastPlatform
+	var seen platform.Version
+	for ctx.Err() == nil && (w.settings.Watch || !haveOne()) {
+		v, err := w.next(ctx, seen)
+		w.outcome("watch bundle", err)
+		if err != nil {
+			sleep(ctx, b.NextBackOff())
+			continue
+		}
+		b.Reset()
+		seen = v
+	}
+}
+
+// next waits for a pointer newer than seen and offers its bundle.
+func (w *watcher) next(ctx context.Context, seen platform.Version) (platform.Version, error) {
+	obj, err := w.client.Watch(ctx, platform.BundlePointer, seen)
+	if errors.Is(err, platform.ErrNotFound) {
+		return seen, nil
+	}
+	if err != nil {
+		return seen, err
+	}
+	order, err := w.verifier.Decode(obj.Body)
+	if err != nil {
+		w.log.Warn().Err(err).Msg("order on the platform refused")
+		return obj.Version, nil
+	}
+	content, err := w.client.Get(ctx, platform.BundleContent(string(order.Digest)))
+	if err != nil {
+		return seen, err
+	}
+	w.keeper.Offer(bundle.OfferMsg{Order: obj.Body, Content: content.Body})
+	return obj.Version, nil
+}
+
+// outcome notes whether the platform answers, and logs each change.
+func (w *watcher) outcome(what string, err error) {
+	ok := err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, context.Canceled)
+	if w.ok.Swap(ok) == ok {
+		return
+	}
+	if ok {
+		w.log.Info().Msg("platform answers")
+		return
+	}
+	w.log.Warn().Err(err).Str("call", what).Msg("platform does not answer; what is in force stays in force")
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/sched/pick.go
@@ -0,0 +1,171 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/fleet"
+)
+
+// next claims work for every slot that is or will soon be free, and tells
+// routers of slots for which no work is known.
+func (m *Machine) next(now time.Duration) []Command {
+	if !m.serving || m.leaving {
+		return nil
+	}
+	var cmds []Command
+	for m.room() > 0 {
+		c, ok := m.claimOne(now)
+		if !ok {
+			break
+		}
+		cmds = append(cmds, c)
+	}
+	return append(cmds, m.announce()...)
+}
+
+// room returns how many more claims the agent may make.
+func (m *Machine) room() int {
+	return m.cfg.Slots + m.cfg.ClaimAhead - m.started - len(m.ready) - m.claimed
+}
+
+// idle returns how many slots nothing is claimed for.
+func (m *Machine) idle() int {
+	return m.cfg.Slots - m.started - len(m.ready) - m.claimed
+}
+
+func (m *Machine) claimOne(now time.Duration) (ClaimCmd, bool) {
+	t := m.pick()
+	if t == nil {
+		return ClaimCmd{}, false
+	}
+	l, s := t.best()
+	if s == nil {
+		return ClaimCmd{}, false
+	}
+	l.take(s)
+	m.seq++
+	r := &run{seq: m.seq, key: l.key, router: s.router, claimed: now, estimate: m.costs.estimate(l.key)}
+	m.runs[r.seq] = r
+	m.claimed++
+	t.pending += r.estimate
+	t.active = now
+	return ClaimCmd{Router: s.router, Seq: r.seq, Key: l.key}, true
+}
+
+// pick returns the team to serve next, or nil if no work is known.
+func (m *Machine) pick() *team {
+	if m.cfg.Mode == ModeFIFO {
+		return m.pickOldest()
+	}
+	return m.pickLeast()
+}
+
+// pickLeast returns the waiting team with the least virtual service. Urgent
+// work counts as if its team had had UrgentBorrow less: it goes ahead of its
+// turn by a bounded amount and no further, so marking all work urgent gains
+// no lasting share.
+func (m *Machine) pickLeast() *team {
+	var best *team
+	var bestRank, least, most time.Duration
+	for _, t := range m.teams {
+		if t.waiting() == 0 {
+			continue
+		}
+		v := t.virtual()
+		rank := v
+		if t.urgent() {
+			rank -= m.cfg.UrgentBorrow
+		}
+		if best == nil {
+			least, most = v, v
+		}
+		least, most = min(least, v), max(most, v)
+		if best == nil || rank < bestRank {
+			best, bestRank = t, rank
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	m.floor = max(m.floor, least)
+	m.capDeficits(most)
+	return best
+}
+
+// capDeficits forgives what no team should wait for: after a partition heals,
+// a team that had less service is repaid at most CatchUp ahead of the others.
+func (m *Machine) capDeficits(most time.Duration) {
+	if m.cfg.CatchUp <= 0 {
+		return
+	}
+	for _, t := range m.teams {
+		if t.waiting() == 0 {
+			continue
+		}
+		if behind := most - t.virtual() - m.cfg.CatchUp; behind > 0 {
+			t.lift += behind
+		}
+	}
+}
+
+// pickOldest returns the team whose request has waited longest.
+func (m *Machine) pickOldest() *team {
+	var best *team
+	var bestOldest time.Duration
+	for _, t := range m.teams {
+		for _, l := range t.lines {
+			s := l.oldest()
+			if s == nil {
+				continue
+			}
+			if best == nil || s.oldest < bestOldest {
+				best, bestOldest = t, s.oldest
+			}
+		}
+	}
+	return best
+}
+
+// liftIdle brings a team that has been idle up to the others' service, so that
+// idling earns no credit.
+func (m *Machine) liftIdle(now time.Duration, t *team) {
+	idle := t.waiting() == 0 && t.running == 0 && now-t.active >= idleGrace
+	if !idle || m.cfg.Mode == ModeFIFO {
+		return
+	}
+	if behind := m.floor - t.virtual(); behind > 0 {
+		t.lift += behind
+	}
+}
+
+// announce tells routers of idle slots, each router once until it answers.
+func (m *Machine) announce() []Command {
+	idle := m.idle()
+	if idle <= 0 || m.hasWork() {
+		return nil
+	}
+	var cmds []Command
+	for _, r := range m.routers {
+		if r.announced > 0 {
+			continue
+		}
+		r.announced = idle
+		cmds = append(cmds, FreeCmd{Router: r.name, Slots: idle})
+	}
+	return cmds
+}
+
+func (m *Machine) hasWork() bool {
+	for _, t := range m.teams {
+		if t.waiting() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// claimRouter returns the router that a claim went to, if its link stands.
+func (m *Machine) claimRouter(r *run) (fleet.Name, bool) {
+	_, _, ok := m.router(r.router)
+	return r.router, ok
+}
--- /dev/null
+++ b/sched/router.go
@@ -0,0 +1,17 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/fleet"
+)
+
+// routerView is what an agent knows of one router, and what a hub was sent.
+type routerView struct {
+	name      fleet.Name
+	hub       bool
+	fresh     bool // the hub has been sent nothing yet
+	announced int  // idle slots that the router still believes in
+	sent      map[fleet.Team]ServiceRow
+	sentAt    time.Duration
+}
--- /dev/null
+++ b/sched/share.go
@@ -0,0 +1,90 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+// totals merges the service of the rest of the fleet. Rows only grow, so a
+// late or repeated row does no harm.
+func (m *Machine) totals(msg TotalsMsg) {
+	if m.cfg.Mode == ModeLocal {
+		return
+	}
+	for _, row := range msg.Rows {
+		t := m.team(msg.Now, row.Team)
+		if row.Service > t.others {
+			t.others = row.Service
+			t.active = msg.Now
+		}
+		t.lift = max(t.lift, row.Lift)
+	}
+}
+
+// tick accrues charges, ends claims that brought nothing, claims for idle
+// slots and sends service to the hubs when it is due.
+func (m *Machine) tick(msg TickMsg) []Command {
+	m.accrue(msg.Now)
+	m.expireClaims(msg.Now)
+	cmds := m.next(msg.Now)
+	for _, r := range m.routers {
+		if !r.hub {
+			continue
+		}
+		if rows, ok := m.due(msg.Now, r); ok {
+			cmds = append(cmds, ServiceCmd{Router: r.name, Rows: rows})
+		}
+	}
+	return cmds
+}
+
+func (m *Machine) expireClaims(now time.Duration) {
+	var late []uint64
+	for seq, r := range m.runs {
+		if r.state == runClaimed && now-r.claimed >= claimTimeout {
+			late = append(late, seq)
+		}
+	}
+	slices.Sort(late)
+	for _, seq := range late {
+		m.dropClaim(m.runs[seq])
+	}
+}
+
+// due returns the rows that a hub should have now: all that changed once
+// ShareEvery has passed, and before that all once one team's unsent service
+// passes Delta. A new hub hears at once, even of nothing: it says nothing to
+// an agent whose own part it does not know.
+func (m *Machine) due(now time.Duration, r *routerView) ([]ServiceRow, bool) {
+	rows, most := m.unsent(r)
+	late := now-r.sentAt >= m.cfg.ShareEvery || most >= m.cfg.Delta
+	due := r.fresh || (late && len(rows) > 0)
+	if !due {
+		return nil, false
+	}
+	for _, row := range rows {
+		r.sent[row.Team] = row
+	}
+	r.fresh = false
+	r.sentAt = now
+	return rows, true
+}
+
+// unsent returns the rows that differ from what a hub was sent, and the most
+// service that one of them adds.
+func (m *Machine) unsent(r *routerView) ([]ServiceRow, time.Duration) {
+	var rows []ServiceRow
+	var most time.Duration
+	for _, t := range m.teams {
+		t.reported = max(t.reported, t.own)
+		row := ServiceRow{Team: t.name, Service: t.reported, Lift: t.lift}
+		old := r.sent[t.name]
+		old.Team = t.name
+		if row == old {
+			continue
+		}
+		rows = append(rows, row)
+		most = max(most, row.Service-old.Service)
+	}
+	return rows, most
+}
--- /dev/null
+++ b/sched/team.go
@@ -0,0 +1,71 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/fleet"
+)
+
+// team is what an agent knows of one team.
+type team struct {
+	name   fleet.Team
+	share  float64
+	lines  []*line       // by class, then work
+	others time.Duration // service by the rest of the fleet
+	lift   time.Duration // per unit of share
+	own    time.Duration // service by this agent, by the rule of charging
+	// reported is the greatest own service ever reported: what is shared only
+	// grows, so that it merges by maximum.
+	reported time.Duration
+	pending  time.Duration // estimates of claims not yet started
+	running  int
+	active   time.Duration // when it last had demand or service
+}
+
+// waiting returns how many requests the team is known to have waiting.
+func (t *team) waiting() int {
+	n := 0
+	for _, l := range t.lines {
+		n += l.waiting
+	}
+	return n
+}
+
+// virtual returns the team's virtual service: slot time per unit of share.
+func (t *team) virtual() time.Duration {
+	total := t.others + t.own + t.pending
+	return time.Duration(float64(total)/t.share) + t.lift
+}
+
+// best returns the line to serve next: the highest class that waits, and in it
+// the line whose request is oldest.
+func (t *team) best() (*line, *source) {
+	var bestLine *line
+	var bestSource *source
+	for _, l := range t.lines {
+		if l.waiting == 0 {
+			continue
+		}
+		if bestLine != nil && l.key.Class > bestLine.key.Class {
+			continue
+		}
+		s := l.oldest()
+		if s == nil {
+			continue
+		}
+		if bestLine == nil || l.key.Class < bestLine.key.Class || s.oldest < bestSource.oldest {
+			bestLine, bestSource = l, s
+		}
+	}
+	return bestLine, bestSource
+}
+
+// urgent tells whether an urgent request of the team waits.
+func (t *team) urgent() bool {
+	for _, l := range t.lines {
+		if l.key.Class == fleet.Urgent && l.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,224 @@
+package wire
+
+import "github.com/croftvale/croftvale/fleet"
+
+// Type tells the messages of a frame apart. Numbers are never used again.
+type Type uint8
+
+// The message types.
+const (
+	TypeHello       Type = 1
+	TypeHeartbeat   Type = 2
+	TypeDemand      Type = 3
+	TypeFree        Type = 4
+	TypeClaim       Type = 5
+	TypeDeny        Type = 6
+	TypeService     Type = 7
+	TypeTotals      Type = 8
+	TypeHallTotals  Type = 9
+	TypeBundleOffer Type = 10
+	TypeBundlePull  Type = 11
+	TypeBundleData  Type = 12
+	TypeAgentRows   Type = 13
+)
+
+var typeNames = map[Type]string{
+	TypeHello: "hello", TypeHeartbeat: "heartbeat", TypeDemand: "demand",
+	TypeFree: "free", TypeClaim: "claim", TypeDeny: "deny",
+	TypeService: "service", TypeTotals: "totals", TypeHallTotals: "hall_totals",
+	TypeBundleOffer: "bundle_offer", TypeBundlePull: "bundle_pull", TypeBundleData: "bundle_data",
+	TypeAgentRows: "agent_rows",
+}
+
+// String names the type as metrics and dumps spell it.
+func (t Type) String() string {
+	if n, ok := typeNames[t]; ok {
+		return n
+	}
+	return "unknown"
+}
+
+// Message is any control message.
+type Message interface {
+	// Type returns the byte that announces the message in its frame.
+	Type() Type
+}
+
+// Role says what a process does for the fleet.
+type Role string
+
+// The roles.
+const (
+	RoleRouter Role = "router"
+	RoleAgent  Role = "agent"
+)
+
+// Hello is the first message on a link, from both sides.
+type Hello struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Name        fleet.Name
+	Role        Role
+	Hall        fleet.Hall
+	Incarnation fleet.Incarnation
+	Generation  fleet.Generation
+	Leaving     bool
+	Serving     bool // the sender takes requests: its bundle and, for an agent, its server are there
+	Hub         bool // set by a router that is a hub for the other side's hall
+}
+
+// Heartbeat says that the sender lives; it goes at intervals and at once when
+// one of its fields changes.
+type Heartbeat struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	Generation fleet.Generation
+	Leaving    bool
+	Serving    bool
+	Hub        bool
+}
+
+// DemandRow is the count of one line of waiting requests.
+type DemandRow struct {
+	_msgpack  struct{} `msgpack:",as_array"`
+	Work      fleet.Work
+	Team      fleet.Team
+	Class     fleet.Class
+	Count     uint32
+	OldestAge uint32 // milliseconds
+}
+
+// Key returns the line that the row counts.
+func (r DemandRow) Key() fleet.DemandKey {
+	return fleet.DemandKey{Work: r.Work, Team: r.Team, Class: r.Class}
+}
+
+// Demand tells an agent how many requests wait at a router. Rows that are not
+// named keep their last count.
+type Demand struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Rows     []DemandRow
+}
+
+// Free tells a router that an agent has slots and knows of no work for them.
+type Free struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Slots    uint32
+}
+
+// Claim asks a router for one request of a line. The request itself, sent by
+// HTTP with the claim's id, is the grant; Deny is the other answer.
+type Claim struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Incarnation fleet.Incarnation
+	Seq         uint64
+	Work        fleet.Work
+	Team        fleet.Team
+	Class       fleet.Class
+}
+
+// Deny answers a claim for a line that is empty. It carries the true count.
+type Deny struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Seq      uint64
+	Row      DemandRow
+}
+
+// ServiceRow is one team's service in milliseconds of slot time, and its lift
+// in milliseconds of slot time per unit of share. Both only ever grow, so rows
+// merge by maximum and may be lost, repeated or reordered.
+type ServiceRow struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Team     fleet.Team
+	Service  int64
+	Lift     int64
+}
+
+// Service carries an agent's own counters, for its present incarnation, to a
+// hub. Rows that are not named keep their last value.
+type Service struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Rows     []ServiceRow
+}
+
+// Totals carries the service of the whole fleet less the receiver's own.
+type Totals struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Rows     []ServiceRow
+}
+
+// HallTotals carries the service of one hall between hubs.
+type HallTotals struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Hall     fleet.Hall
+	Rows     []ServiceRow
+}
+
+// AgentRows passes the service of one life of one agent from hub to hub, so
+// that a hub that has just started counts lives that have ended.
+type AgentRows struct {
+	_msgpack    struct{} `msgpack:",as_array"`
+	Hall        fleet.Hall
+	Agent       fleet.Name
+	Incarnation fleet.Incarnation
+	Rows        []ServiceRow
+}
+
+// BundleOffer says which bundle the sender has in force.
+type BundleOffer struct {
+	_msgpack   struct{} `msgpack:",as_array"`
+	Generation fleet.Generation
+}
+
+// BundlePull asks for the bundle that the other side has in force. Have is
+// the generation that the sender has, so that a patch may do.
+type BundlePull struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Have     fleet.Generation
+}
+
+// BundleData carries a signed order and the bundle it puts in force: whole,
+// or as a patch on the generation Base where Base is not zero.
+type BundleData struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Order    []byte
+	Base     fleet.Generation
+	Content  []byte
+}
+
+// Type implements Message.
+func (Hello) Type() Type { return TypeHello }
+
+// Type implements Message.
+func (Heartbeat) Type() Type { return TypeHeartbeat }
+
+// Type implements Message.
+func (Demand) Type() Type { return TypeDemand }
+
+// Type implements Message.
+func (Free) Type() Type { return TypeFree }
+
+// Type implements Message.
+func (Claim) Type() Type { return TypeClaim }
+
+// Type implements Message.
+func (Deny) Type() Type { return TypeDeny }
+
+// Type implements Message.
+func (Service) Type() Type { return TypeService }
+
+// Type implements Message.
+func (Totals) Type() Type { return TypeTotals }
+
+// Type implements Message.
+func (HallTotals) Type() Type { return TypeHallTotals }
+
+// Type implements Message.
+func (BundleOffer) Type() Type { return TypeBundleOffer }
+
+// Type implements Message.
+func (BundlePull) Type() Type { return TypeBundlePull }
+
+// Type implements Message.
+func (BundleData) Type() Type { return TypeBundleData }
+
+// Type implements Message.
+func (AgentRows) Type() Type { return TypeAgentRows }
