--- a/agent/config.go
+++ b/agent/config.go
@@ -46,7 +46,7 @@
 	}
 	c.Slots = s.Slots
 	c.Works = s.Works
-	c.ClaimAhead = b.Policy.ClaimAhead
+	c.ClaimAhead = *b.Policy.ClaimAhead
 	return c
 }
 
--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -34,7 +34,7 @@
 	Delta          tomlfile.Duration `toml:"delta" json:"delta,omitempty"`                 // slot time of unsent service of one team that is sent at once
 	UrgentBorrow   tomlfile.Duration `toml:"urgent_borrow" json:"urgent_borrow,omitempty"` // slot time per share that urgent work may take ahead of its team's turn
 	CatchUp        tomlfile.Duration `toml:"catch_up" json:"catch_up,omitempty"`           // largest deficit per share that is ever repaid
-	ClaimAhead     int               `toml:"claim_ahead" json:"claim_ahead,omitempty"`     // claims an agent may hold beyond its slots
+	ClaimAhead     *int              `toml:"claim_ahead" json:"claim_ahead,omitempty"`     // claims an agent may hold beyond its slots
 	HubsPerHall    int               `toml:"hubs_per_hall" json:"hubs_per_hall,omitempty"`
 	LinksPerServer int               `toml:"links_per_server" json:"links_per_server,omitempty"` // routers that link to one agent
 }
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -33,7 +33,9 @@
 	default:
 		f.Add("policy.sharing", p.Sharing, `write "fleet", or "local" or "fifo" to measure without it`)
 	}
-	notNegative(f, "policy.claim_ahead", p.ClaimAhead)
+	if p.ClaimAhead != nil && *p.ClaimAhead < 0 {
+		f.Add("policy.claim_ahead", *p.ClaimAhead, "write a whole number from 0")
+	}
 	notNegative(f, "policy.hubs_per_hall", p.HubsPerHall)
 	notNegative(f, "policy.links_per_server", p.LinksPerServer)
 }
--- a/bundle/defaults.go
+++ b/bundle/defaults.go
@@ -68,7 +68,10 @@
 	p.Delta = tomlfile.Duration(p.Delta.Or(s.delta))
 	p.UrgentBorrow = tomlfile.Duration(p.UrgentBorrow.Or(DefaultUrgentBorrow))
 	p.CatchUp = tomlfile.Duration(p.CatchUp.Or(DefaultCatchUp))
-	p.ClaimAhead = orInt(p.ClaimAhead, DefaultClaimAhead)
+	if p.ClaimAhead == nil {
+		ahead := DefaultClaimAhead
+		p.ClaimAhead = &ahead
+	}
 	p.HubsPerHall = orInt(p.HubsPerHall, DefaultHubsPerHall)
 	p.LinksPerServer = orInt(p.LinksPerServer, DefaultLinksPerServer)
 	return p
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -19,6 +19,7 @@
 	Step      time.Duration // time of one step: one token for every request of the batch
 	Prefill   int           // steps that a prompt takes whose prefix is not cached
 	CacheSize int           // prefixes remembered
+	Account   *Account      // measures slot time by team; may be nil
 }
 
 // Fault is a way to misbehave.
@@ -97,6 +98,7 @@
 		return
 	}
 	defer e.batch.leave()
+	defer e.cfg.Account.begin(req.Nonce)()
 	began := time.Now()
 	defer func() { e.busy.Add(int64(time.Since(began))) }()
 	e.steps(r, e.prefill(req.Prompt))
--- a/standin/lab/routers.go
+++ b/standin/lab/routers.go
@@ -118,3 +118,6 @@
 	err = json.Unmarshal(dump, &s)
 	return s, errors.Wrap(err, "read state")
 }
+
+// ServerURL returns where the n-th stand-in server answers, without an agent.
+func (l *Lab) ServerURL(n int) string { return "http://" + l.servers[n].Address.String() }
