--- a/agent/core.go
+++ b/agent/core.go
@@ -142,8 +142,8 @@
 		c.log.Info().Bool("serving", serving).Msg("backend server's health changed")
 	}
 	c.serving = serving
+	c.heartbeat() // first, for routers take no word of idle slots from an agent that does not serve
 	c.feed(sched.HealthMsg{Now: c.now(), Serving: serving && !c.leaving})
-	c.heartbeat()
 }
 
 // leave stops the taking of new work and tells every router.
--- a/queue/agents.go
+++ b/queue/agents.go
@@ -15,7 +15,6 @@
 	}
 	a.hall = msg.Hall
 	a.works = msg.Works
-	a.free = 0
 	a.leaving = false
 	a.told = map[fleet.DemandKey]int{}
 	return m.tellAll(msg.Now, a)
@@ -62,11 +61,7 @@
 		return nil
 	}
 	a.free = msg.Slots
-	cmds := m.tellAll(msg.Now, a)
-	if len(cmds) > 0 {
-		a.free = 0
-	}
-	return cmds
+	return m.tellAll(msg.Now, a)
 }
 
 // tellAll tells an agent of every line that waits for it.
@@ -93,5 +88,5 @@
 	if len(counts) == 0 {
 		return nil
 	}
-	return []Command{DemandCmd{Agent: a.name, Counts: counts}}
+	return []Command{a.demand(counts)}
 }
--- a/queue/agentview.go
+++ b/queue/agentview.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// demand tells the agent of counts. Each such message uses up one of the
+// slots that it announced; the agent counts the same way, and announces anew
+// when none is left.
+func (a *agentView) demand(counts []Count) DemandCmd {
+	a.free = max(0, a.free-1)
+	return DemandCmd{Agent: a.name, Counts: counts}
+}
+
 // material tells whether the agent should hear of a count: when it would
 // wrongly see none, or is wrong by a factor of two. Small changes wait, so
 // that the number of messages does not follow the rate of requests.
--- a/queue/arrive.go
+++ b/queue/arrive.go
@@ -52,10 +52,9 @@
 	if a == nil {
 		return nil
 	}
-	a.free--
 	l := m.lines[r.Key]
 	a.told[r.Key] = l.waiting
-	return []Command{DemandCmd{Agent: a.name, Counts: []Count{l.count(now)}}}
+	return []Command{a.demand([]Count{l.count(now)})}
 }
 
 // idleAgent picks an agent that has said it is idle: in the router's own hall
--- a/router/core.go
+++ b/router/core.go
@@ -49,9 +49,16 @@
 
 // peer is a link to another process and what it last said of itself.
 type peer struct {
-	conn *link.Conn
-	last wire.Heartbeat
-	hub  bool // this router is a hub for the peer
+	conn  *link.Conn
+	last  wire.Heartbeat
+	hub   bool // this router is a hub for the peer
+	shape peerShape
+}
+
+// peerShape is what the hub has been told of another router.
+type peerShape struct {
+	known bool
+	pair  bool // this router sends it its hall's totals
 }
 
 // openRequest is a request without a final answer.
--- a/router/duty.go
+++ b/router/duty.go
@@ -148,10 +148,12 @@
 		c.shapeAgent(name, p)
 		return
 	}
-	c.feedHub(ledger.PeerUpMsg{
-		Now: c.now(), Peer: name, Hall: p.conn.Peer.Hall,
-		Pair: c.duty.pairs(c.settings.Name, name),
-	})
+	shape := peerShape{pair: c.duty.pairs(c.settings.Name, name), known: true}
+	if shape == p.shape {
+		return
+	}
+	p.shape = shape
+	c.feedHub(ledger.PeerUpMsg{Now: c.now(), Peer: name, Hall: p.conn.Peer.Hall, Pair: shape.pair})
 }
 
 func (c *core) shapeAgent(name fleet.Name, p *peer) {
--- a/router/watcher.go
+++ b/router/watcher.go
@@ -18,7 +18,6 @@
 	defaultPoll   = 5 * time.Second
 	firstPlatform = 100 * time.Millisecond
 	lastPlatform  = 5 * time.Second
-	hostsRoom     = 1
 )
 
 // watcher is the router's side of the platform: it reads the list of hosts and
@@ -31,7 +30,6 @@
 	verifier bundle.Verifier
 	events   chan<- event
 	ok       atomic.Bool
-	first    bool // a bundle has been read once
 }
 
 // hosts reads the list of hosts at intervals until ctx ends.
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -14,6 +14,8 @@
 	// idleGrace is how long a team must be without demand and service before
 	// its next request counts as newly backlogged.
 	idleGrace = 2 * time.Second
+	// announceAgain is how long a router is taken to remember idle slots.
+	announceAgain = 2 * time.Second
 )
 
 // Machine holds the slots of one backend server and the accounts of the teams.
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -20,7 +20,7 @@
 		}
 		cmds = append(cmds, c)
 	}
-	return append(cmds, m.announce()...)
+	return append(cmds, m.announce(now)...)
 }
 
 // room returns how many more claims the agent may make.
@@ -138,18 +138,20 @@
 	}
 }
 
-// announce tells routers of idle slots, each router once until it answers.
-func (m *Machine) announce() []Command {
+// announce tells routers of idle slots: each router once until it has used
+// them up, and again after a while in case the two sides count differently.
+func (m *Machine) announce(now time.Duration) []Command {
 	idle := m.idle()
 	if idle <= 0 || m.hasWork() {
 		return nil
 	}
 	var cmds []Command
 	for _, r := range m.routers {
-		if r.announced > 0 {
+		if r.announced > 0 && now-r.announcedAt < announceAgain {
 			continue
 		}
 		r.announced = idle
+		r.announcedAt = now
 		cmds = append(cmds, FreeCmd{Router: r.name, Slots: idle})
 	}
 	return cmds
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -12,8 +13,6 @@
 // holds no value above a megabyte, so no bundle comes near it.
 const MaxFrame = 4 << 20
 
-const headerLen = 5
-
 // Errors that Read and Write return.
 var (
 	// ErrFrameTooLarge means that the other side sent, or was to be sent, more
@@ -25,35 +24,46 @@
 
 // Encode returns the whole frame of a message.
 func Encode(m Message) ([]byte, error) {
-	body, err := msgpack.Marshal(m)
-	if err != nil {
+	var body bytes.Buffer
+	enc := msgpack.NewEncoder(&body)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(m); err != nil {
 		return nil, errors.Wrapf(err, "encode %s", m.Type())
 	}
-	if len(body)+1 > MaxFrame {
+	if body.Len()+1 > MaxFrame {
 		return nil, ErrFrameTooLarge
 	}
-	frame := make([]byte, headerLen, headerLen+len(body))
-	binary.BigEndian.PutUint32(frame, uint32(len(body)+1))
-	frame[4] = byte(m.Type())
-	return append(frame, body...), nil
+	frame := binary.AppendUvarint(nil, uint64(body.Len()+1))
+	frame = append(frame, byte(m.Type()))
+	return append(frame, body.Bytes()...), nil
+}
+
+// Reader is what Read reads from, such as a bufio.Reader.
+type Reader interface {
+	io.Reader
+	io.ByteReader
 }
 
 // Read reads one message and returns it with the bytes that its frame took.
-func Read(r io.Reader) (Message, int, error) {
-	var head [headerLen]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
+func Read(r Reader) (Message, int, error) {
+	n, err := binary.ReadUvarint(r)
+	if err != nil {
 		return nil, 0, err
 	}
-	n := binary.BigEndian.Uint32(head[:])
 	if n < 1 || n > MaxFrame {
-		return nil, headerLen, ErrFrameTooLarge
+		return nil, 0, ErrFrameTooLarge
 	}
-	body := make([]byte, n-1)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, headerLen, err
+	frame := make([]byte, n)
+	if _, err := io.ReadFull(r, frame); err != nil {
+		return nil, 0, err
 	}
-	m, err := decode(Type(head[4]), body)
-	return m, headerLen + len(body), err
+	m, err := decode(Type(frame[0]), frame[1:])
+	return m, uvarintLen(n) + len(frame), err
+}
+
+func uvarintLen(n uint64) int {
+	return len(binary.AppendUvarint(nil, n))
 }
 
 // decode turns the body of a frame into its message.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -55,7 +55,6 @@
 
 // Hello is the first message on a link, from both sides.
 type Hello struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Name        fleet.Name
 	Role        Role
 	Hall        fleet.Hall
@@ -69,7 +68,6 @@
 // Heartbeat says that the sender lives; it goes at intervals and at once when
 // one of its fields changes.
 type Heartbeat struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	Generation fleet.Generation
 	Leaving    bool
 	Serving    bool
@@ -78,7 +76,6 @@
 
 // DemandRow is the count of one line of waiting requests.
 type DemandRow struct {
-	_msgpack  struct{} `msgpack:",as_array"`
 	Work      fleet.Work
 	Team      fleet.Team
 	Class     fleet.Class
@@ -94,20 +91,17 @@
 // Demand tells an agent how many requests wait at a router. Rows that are not
 // named keep their last count.
 type Demand struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Rows     []DemandRow
+	Rows []DemandRow
 }
 
 // Free tells a router that an agent has slots and knows of no work for them.
 type Free struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Slots    uint32
+	Slots uint32
 }
 
 // Claim asks a router for one request of a line. The request itself, sent by
 // HTTP with the claim's id, is the grant; Deny is the other answer.
 type Claim struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Incarnation fleet.Incarnation
 	Seq         uint64
 	Work        fleet.Work
@@ -117,45 +111,39 @@
 
 // Deny answers a claim for a line that is empty. It carries the true count.
 type Deny struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Seq      uint64
-	Row      DemandRow
+	Seq uint64
+	Row DemandRow
 }
 
 // ServiceRow is one team's service in milliseconds of slot time, and its lift
 // in milliseconds of slot time per unit of share. Both only ever grow, so rows
 // merge by maximum and may be lost, repeated or reordered.
 type ServiceRow struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Team     fleet.Team
-	Service  int64
-	Lift     int64
+	Team    fleet.Team
+	Service int64
+	Lift    int64
 }
 
 // Service carries an agent's own counters, for its present incarnation, to a
 // hub. Rows that are not named keep their last value.
 type Service struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Rows     []ServiceRow
+	Rows []ServiceRow
 }
 
 // Totals carries the service of the whole fleet less the receiver's own.
 type Totals struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Rows     []ServiceRow
+	Rows []ServiceRow
 }
 
 // HallTotals carries the service of one hall between hubs.
 type HallTotals struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Hall     fleet.Hall
-	Rows     []ServiceRow
+	Hall fleet.Hall
+	Rows []ServiceRow
 }
 
 // AgentRows passes the service of one life of one agent from hub to hub, so
 // that a hub that has just started counts lives that have ended.
 type AgentRows struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Hall        fleet.Hall
 	Agent       fleet.Name
 	Incarnation fleet.Incarnation
@@ -164,24 +152,21 @@
 
 // BundleOffer says which bundle the sender has in force.
 type BundleOffer struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	Generation fleet.Generation
 }
 
 // BundlePull asks for the bundle that the other side has in force. Have is
 // the generation that the sender has, so that a patch may do.
 type BundlePull struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Have     fleet.Generation
+	Have fleet.Generation
 }
 
 // BundleData carries a signed order and the bundle it puts in force: whole,
 // or as a patch on the generation Base where Base is not zero.
 type BundleData struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Order    []byte
-	Base     fleet.Generation
-	Content  []byte
+	Order   []byte
+	Base    fleet.Generation
+	Content []byte
 }
 
 // Type implements Message.
