Share fairly with fewer messages: names by number, counts with grants, agents that expect each other

Cause: (1) names travelled in every row; (2) every change of a small line was told to every agent, 20 times a second; (3) all agents saw the same totals and picked the same team until the next ones, so each interval overshot. Change: names are numbered per link; a granted request's header says what is left of its line; demand is told when it appears or has grown fourfold; an agent counts its own service since the last totals for half of its likes too.

--- a/agent/config.go
+++ b/agent/config.go
@@ -47,9 +47,25 @@
 	c.Slots = s.Slots
 	c.Works = s.Works
 	c.ClaimAhead = *b.Policy.ClaimAhead
+	c.Alike = alike(b, s)
 	return c
 }
 
+// alike returns, for each work of a server, the slots of the other servers
+// that run it, in units of the server's own.
+func alike(b bundle.Bundle, own bundle.Server) map[fleet.Work]float64 {
+	out := map[fleet.Work]float64{}
+	for _, s := range b.Servers {
+		if s.Name == own.Name || s.Leaving {
+			continue
+		}
+		for _, w := range s.Works {
+			out[w] += float64(s.Slots) / float64(own.Slots)
+		}
+	}
+	return out
+}
+
 // state returns the dump.
 func (c *core) state() State {
 	s := State{
--- a/agent/core.go
+++ b/agent/core.go
@@ -79,14 +79,13 @@
 func (c *core) perform(cmd sched.Command) {
 	switch cmd := cmd.(type) {
 	case sched.ClaimCmd:
-		c.send(cmd.Router, wire.Claim{
-			Incarnation: c.incarnation, Seq: cmd.Seq,
-			Work: cmd.Key.Work, Team: cmd.Key.Team, Class: cmd.Key.Class,
-		})
+		c.send(cmd.Router, func(conn *link.Conn) wire.Message { return claimOf(conn, cmd) })
 	case sched.FreeCmd:
-		c.send(cmd.Router, wire.Free{Slots: uint32(cmd.Slots)})
+		c.send(cmd.Router, func(*link.Conn) wire.Message { return wire.Free{Slots: uint32(cmd.Slots)} })
 	case sched.ServiceCmd:
-		c.send(cmd.Router, wire.Service{Rows: wireRows(cmd.Rows)})
+		c.send(cmd.Router, func(conn *link.Conn) wire.Message {
+			return wire.Service{Rows: wireRows(conn, cmd.Rows)}
+		})
 	case sched.StartCmd:
 		c.decide(cmd.Seq, verdictStart)
 	case sched.RejectCmd:
@@ -94,9 +93,10 @@
 	}
 }
 
-func (c *core) send(router fleet.Name, m wire.Message) {
+// send spells a message for a router's link and sends it, if the link stands.
+func (c *core) send(router fleet.Name, spell func(*link.Conn) wire.Message) {
 	if r, ok := c.routers[router]; ok {
-		r.conn.Send(m)
+		r.conn.SendNamed(spell(r.conn))
 	}
 }
 
@@ -134,7 +134,7 @@
 		return
 	}
 	c.waiting[e.seq] = e.reply
-	c.feed(sched.ArriveMsg{Now: c.now(), Seq: e.seq})
+	c.feed(sched.ArriveMsg{Now: c.now(), Seq: e.seq, Left: e.left, Oldest: e.oldest})
 }
 
 func (c *core) setServing(serving bool) {
--- a/agent/event.go
+++ b/agent/event.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/sched"
 )
@@ -10,8 +12,10 @@
 
 // arriveEvent brings a claimed request; the verdict goes to reply.
 type arriveEvent struct {
-	seq   uint64
-	reply chan<- verdict // has room for one
+	seq    uint64
+	left   int            // requests left in its line
+	oldest time.Duration  // age of the oldest of them
+	reply  chan<- verdict // has room for one
 }
 
 // endEvent says that a request which came is over.
--- a/agent/links.go
+++ b/agent/links.go
@@ -1,8 +1,6 @@
 package agent
 
 import (
-	"time"
-
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/link"
@@ -55,12 +53,14 @@
 	switch m := e.Msg.(type) {
 	case wire.Heartbeat:
 		c.onHeartbeat(name, r, m)
+	case wire.Name:
+		r.conn.In.Learn(m)
 	case wire.Demand:
-		c.feed(sched.DemandMsg{Now: c.now(), Router: name, Counts: counts(m.Rows)})
+		c.feed(sched.DemandMsg{Now: c.now(), Router: name, Counts: counts(r.conn, m.Rows)})
 	case wire.Deny:
-		c.feed(sched.DenyMsg{Now: c.now(), Seq: m.Seq, Count: count(m.Row)})
+		c.feed(sched.DenyMsg{Now: c.now(), Seq: m.Seq, Count: count(r.conn, m.Row)})
 	case wire.Totals:
-		c.feed(sched.TotalsMsg{Now: c.now(), Rows: machineRows(m.Rows)})
+		c.feed(sched.TotalsMsg{Now: c.now(), Rows: machineRows(r.conn, m.Rows)})
 	case wire.BundleData:
 		c.keeper.Offer(bundle.OfferMsg{Order: m.Order, Content: m.Content})
 	}
@@ -76,43 +76,3 @@
 		r.conn.Send(wire.BundlePull{Have: c.inForce.Generation()})
 	}
 }
-
-func counts(rows []wire.DemandRow) []sched.Count {
-	out := make([]sched.Count, len(rows))
-	for i, r := range rows {
-		out[i] = count(r)
-	}
-	return out
-}
-
-func count(r wire.DemandRow) sched.Count {
-	return sched.Count{
-		Key:       r.Key(),
-		Waiting:   int(r.Count),
-		OldestAge: time.Duration(r.OldestAge) * time.Millisecond,
-	}
-}
-
-func machineRows(rows []wire.ServiceRow) []sched.ServiceRow {
-	out := make([]sched.ServiceRow, len(rows))
-	for i, r := range rows {
-		out[i] = sched.ServiceRow{
-			Team:    r.Team,
-			Service: time.Duration(r.Service) * time.Millisecond,
-			Lift:    time.Duration(r.Lift) * time.Millisecond,
-		}
-	}
-	return out
-}
-
-func wireRows(rows []sched.ServiceRow) []wire.ServiceRow {
-	out := make([]wire.ServiceRow, len(rows))
-	for i, r := range rows {
-		out[i] = wire.ServiceRow{
-			Team:    r.Team,
-			Service: int64(r.Service / time.Millisecond),
-			Lift:    int64(r.Lift / time.Millisecond),
-		}
-	}
-	return out
-}
--- a/agent/server.go
+++ b/agent/server.go
@@ -4,7 +4,9 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/bundle"
@@ -61,7 +63,8 @@
 
 // ServeHTTP takes one granted request.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id, ok := fleet.ParseClaimID(r.Header.Get(relay.HeaderClaim))
+	claim, left, _ := strings.Cut(r.Header.Get(relay.HeaderClaim), " ")
+	id, ok := fleet.ParseClaimID(claim)
 	if !ok || id.Agent != s.core.settings.Name || id.Incarnation != s.core.incarnation {
 		refuse(w, "no", "the request names no claim of this agent; requests go through a router")
 		return
@@ -71,7 +74,7 @@
 		refuse(w, "no", ErrNoBundle.Error())
 		return
 	}
-	if !s.await(r.Context(), id.Seq) {
+	if !s.await(r.Context(), id.Seq, left) {
 		refuse(w, "no", "the claim is not open any more")
 		return
 	}
@@ -81,10 +84,11 @@
 
 // await waits until the core lets the request start. A request whose router
 // gives it up meanwhile has not run.
-func (s *server) await(ctx context.Context, seq uint64) bool {
+func (s *server) await(ctx context.Context, seq uint64, rest string) bool {
 	reply := make(chan verdict, 1)
+	left, oldest := leftOf(rest)
 	select {
-	case s.core.events <- arriveEvent{seq: seq, reply: reply}:
+	case s.core.events <- arriveEvent{seq: seq, left: left, oldest: oldest, reply: reply}:
 	case <-ctx.Done():
 		return false
 	}
@@ -97,6 +101,17 @@
 	}
 }
 
+// leftOf reads what is left of a granted request's line.
+func leftOf(text string) (int, time.Duration) {
+	count, age, _ := strings.Cut(text, "/")
+	n, err := strconv.Atoi(count)
+	if err != nil {
+		return 0, 0
+	}
+	ms, _ := strconv.Atoi(age)
+	return n, time.Duration(ms) * time.Millisecond
+}
+
 func (s *server) ended(seq uint64) { s.core.events <- endEvent{seq} }
 
 // refuse answers without a run, or without knowing whether there was one.
--- a/link/conn.go
+++ b/link/conn.go
@@ -19,10 +19,13 @@
 	ErrTooSlow = errors.New("peer does not take its messages; the link is cut and will be dialled again")
 )
 
-// Conn is one control link. Its methods may be called from any goroutine.
+// Conn is one control link. Its methods may be called from any goroutine; its
+// name tables are for the one goroutine that handles the link's events.
 type Conn struct {
 	Peer   wire.Hello // what the other side said first
 	Remote string
+	Out    wire.Namer // names in messages to the peer
+	In     wire.Names // names in messages from the peer
 
 	raw    net.Conn
 	opts   Options
@@ -91,6 +94,17 @@
 	return c.raw.SetDeadline(time.Time{})
 }
 
+// SendNamed sends a message that uses numbers of Out, and before it the names
+// that are new to the peer.
+func (c *Conn) SendNamed(m wire.Message) bool {
+	for _, n := range c.Out.News() {
+		if !c.Send(n) {
+			return false
+		}
+	}
+	return c.Send(m)
+}
+
 // Send hands a message to the writer. It never waits: a link whose channel is
 // full is cut, and Send returns false.
 func (c *Conn) Send(m wire.Message) bool {
--- a/queue/agentview.go
+++ b/queue/agentview.go
@@ -6,6 +6,9 @@
 	"github.com/croftvale/croftvale/fleet"
 )
 
+// growth is the factor by which a count must grow to be told again.
+const growth = 4
+
 // agentView is what the router knows of one agent, and what the agent knows
 // of the router's lines.
 type agentView struct {
@@ -21,13 +24,6 @@
 	return !a.leaving && slices.Contains(a.works, w)
 }
 
-// claimed mirrors that the agent counts one request less after its claim.
-func (a *agentView) claimed(k fleet.DemandKey) {
-	if a.told[k] > 0 {
-		a.told[k]--
-	}
-}
-
 // demand tells the agent of counts. Each such message uses up one of the
 // slots that it announced; the agent counts the same way, and announces anew
 // when none is left.
@@ -36,13 +32,14 @@
 	return DemandCmd{Agent: a.name, Counts: counts}
 }
 
-// material tells whether the agent should hear of a count: when it would
-// wrongly see none, or is wrong by a factor of two. Small changes wait, so
-// that the number of messages does not follow the rate of requests.
-func (a *agentView) material(k fleet.DemandKey, waiting int) bool {
+// grown tells whether a count has grown so much that the agent should hear of
+// it. Smaller changes wait: what is left of a line comes with every request
+// that the agent is granted, so that the number of messages does not follow
+// the rate of requests.
+func (a *agentView) grown(k fleet.DemandKey, waiting int) bool {
 	told := a.told[k]
 	if told == 0 {
 		return waiting > 0
 	}
-	return waiting >= 2*told || 2*waiting < told
+	return waiting >= growth*told
 }
--- a/queue/arrive.go
+++ b/queue/arrive.go
@@ -84,7 +84,7 @@
 		return nil
 	}
 	if r.state == stateWaiting {
-		m.drop(r)
+		m.drop(msg.Now, r)
 	}
 	return nil
 }
--- a/queue/claims.go
+++ b/queue/claims.go
@@ -9,17 +9,18 @@
 	if !known {
 		return []Command{DenyCmd{Claim: msg.Claim, Count: Count{Key: msg.Key}}}
 	}
-	a.claimed(msg.Key)
 	r := m.take(msg.Key)
 	if r == nil {
 		a.told[msg.Key] = 0
 		return []Command{DenyCmd{Claim: msg.Claim, Count: Count{Key: msg.Key}}}
 	}
-	m.leave(r)
+	m.leave(msg.Now, r)
 	m.team(r.Key.Team).drained(msg.Now)
 	r.state = stateRunning
 	r.claim = msg.Claim
-	return []Command{RunCmd{ID: r.ID, Claim: msg.Claim}}
+	left := m.lines[msg.Key].count(msg.Now)
+	a.told[msg.Key] = left.Waiting
+	return []Command{RunCmd{ID: r.ID, Claim: msg.Claim, Left: left}}
 }
 
 func (m *Machine) take(k fleet.DemandKey) *request {
--- a/queue/commands.go
+++ b/queue/commands.go
@@ -32,6 +32,7 @@
 type RunCmd struct {
 	ID    RequestID
 	Claim fleet.ClaimID
+	Left  Count // what is left of its line, for the agent to know
 }
 
 // AbortCmd gives up a run of which nothing has been answered: its agent is
--- a/queue/line.go
+++ b/queue/line.go
@@ -13,6 +13,7 @@
 	key     fleet.DemandKey
 	items   []*request
 	waiting int
+	emptied time.Duration // when a request last left
 }
 
 func (l *line) push(r *request) {
--- a/queue/machine.go
+++ b/queue/machine.go
@@ -12,10 +12,6 @@
 // maxReturned bounds how often agents may hand a request back unrun.
 const maxReturned = 16
 
-// zeroEvery is the number of ticks between two rounds that tell agents of
-// lines that have emptied; a Deny tells them sooner where it matters.
-const zeroEvery = 5
-
 // Machine holds the waiting and running requests of one router.
 type Machine struct {
 	cfg      Config
@@ -28,7 +24,6 @@
 	waiting  int
 	byTeam   map[fleet.Team]*teamState
 	budget   retryBudget
-	ticks    uint64
 }
 
 // New returns a machine with no requests and no agents.
@@ -131,8 +126,9 @@
 }
 
 // leave notes that a request waits no longer; its line is told by the caller.
-func (m *Machine) leave(r *request) {
+func (m *Machine) leave(now time.Duration, r *request) {
 	m.waiting--
+	m.lines[r.Key].emptied = now
 	m.team(r.Key.Team).waiting--
 	if r.index >= 0 {
 		heap.Remove(&m.expiry, r.index)
@@ -140,9 +136,9 @@
 }
 
 // drop ends a waiting request out of turn.
-func (m *Machine) drop(r *request) {
+func (m *Machine) drop(now time.Duration, r *request) {
 	r.state = stateEnded
-	m.leave(r)
+	m.leave(now, r)
 	m.lines[r.Key].removed()
 	delete(m.requests, r.ID)
 }
--- a/queue/tick.go
+++ b/queue/tick.go
@@ -1,18 +1,29 @@
 package queue
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
+
+const (
+	// unclaimedFor is how long a line's first request must have waited before
+	// agents that were not told of it at once hear of it: one idle agent was,
+	// and may have claimed it by then.
+	unclaimedFor = TickEvery / 2
+	// emptyFor is how long a line must have been empty before agents are told.
+	// A Deny tells them sooner where it matters.
+	emptyFor = time.Second
+)
 
 // tick ends waits that have lasted too long and tells agents of lines whose
 // counts have changed materially.
 func (m *Machine) tick(msg TickMsg) []Command {
-	m.ticks++
 	cmds := m.expire(msg)
 	for _, t := range m.byTeam {
 		t.decay(msg.Now)
 	}
-	zeros := m.ticks%zeroEvery == 0
 	for _, a := range m.agents {
-		cmds = append(cmds, m.coalesce(msg, a, zeros)...)
+		cmds = append(cmds, m.coalesce(msg, a)...)
 	}
 	return cmds
 }
@@ -21,7 +32,7 @@
 	var cmds []Command
 	for len(m.expiry) > 0 && m.expiry[0].expires <= msg.Now {
 		r := heap.Pop(&m.expiry).(*request)
-		m.drop(r)
+		m.drop(msg.Now, r)
 		c := m.refusalAfterRuns(r, ReasonWaited)
 		c.RetryAfter = jitter(r.ID, m.team(r.Key.Team).expectedWait())
 		cmds = append(cmds, c)
@@ -29,18 +40,17 @@
 	return cmds
 }
 
-// coalesce tells an agent what has changed since it was last told. A line
-// that has only just got its first request is left out: an idle agent knows
-// of it already, and it may be gone by the next tick.
-func (m *Machine) coalesce(msg TickMsg, a *agentView, zeros bool) []Command {
+// coalesce tells an agent what has changed since it was last told.
+func (m *Machine) coalesce(msg TickMsg, a *agentView) []Command {
 	return m.tell(a, func(l *line) (Count, bool) {
-		if !a.material(l.key, l.waiting) {
+		if l.waiting == 0 {
+			stale := a.told[l.key] > 0 && msg.Now-l.emptied >= emptyFor
+			return Count{Key: l.key}, stale
+		}
+		if !a.grown(l.key, l.waiting) {
 			return Count{}, false
 		}
 		c := l.count(msg.Now)
-		if l.waiting == 0 {
-			return c, zeros
-		}
-		return c, a.told[l.key] > 0 || c.OldestAge >= TickEvery/2
+		return c, a.told[l.key] > 0 || c.OldestAge >= unclaimedFor
 	})
 }
--- a/router/core.go
+++ b/router/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/croftvale/croftvale/adopt"
@@ -100,9 +101,13 @@
 func (c *core) perform(cmd queue.Command) {
 	switch cmd := cmd.(type) {
 	case queue.DemandCmd:
-		c.send(cmd.Agent, wire.Demand{Rows: demandRows(cmd.Counts)})
+		c.send(cmd.Agent, func(conn *link.Conn) wire.Message {
+			return wire.Demand{Rows: demandRows(conn, cmd.Counts)}
+		})
 	case queue.DenyCmd:
-		c.send(cmd.Claim.Agent, wire.Deny{Seq: cmd.Claim.Seq, Row: demandRow(cmd.Count)})
+		c.send(cmd.Claim.Agent, func(conn *link.Conn) wire.Message {
+			return wire.Deny{Seq: cmd.Claim.Seq, Row: demandRow(conn, cmd.Count)}
+		})
 	case queue.RunCmd:
 		c.runRequest(cmd)
 	case queue.AbortCmd:
@@ -113,9 +118,10 @@
 	}
 }
 
-func (c *core) send(name fleet.Name, m wire.Message) {
+// send spells a message for a peer's link and sends it, if the link stands.
+func (c *core) send(name fleet.Name, spell func(*link.Conn) wire.Message) {
 	if p, ok := c.peers[name]; ok {
-		p.conn.Send(m)
+		p.conn.SendNamed(spell(p.conn))
 	}
 }
 
@@ -129,10 +135,16 @@
 	c.decide(cmd.ID, decision{run: &grant{
 		claim: cmd.Claim.String(),
 		serve: c.servers[cmd.Claim.Agent].Serve.String(),
+		left:  leftOf(cmd.Left),
 		abort: r.abort,
 	}})
 }
 
+// leftOf spells what is left of a line for the header of a granted request.
+func leftOf(left queue.Count) string {
+	return fmt.Sprintf("%d/%d", left.Waiting, left.OldestAge/time.Millisecond)
+}
+
 func (c *core) abort(id queue.RequestID) {
 	r, ok := c.open[id]
 	if !ok || r.abort == nil {
@@ -243,19 +255,3 @@
 		Generation: c.inForce.Generation(), Leaving: c.leaving, Serving: true, Hub: p.hub,
 	}
 }
-
-func demandRows(counts []queue.Count) []wire.DemandRow {
-	rows := make([]wire.DemandRow, len(counts))
-	for i, c := range counts {
-		rows[i] = demandRow(c)
-	}
-	return rows
-}
-
-func demandRow(c queue.Count) wire.DemandRow {
-	return wire.DemandRow{
-		Work: c.Key.Work, Team: c.Key.Team, Class: c.Key.Class,
-		Count:     uint32(c.Waiting),
-		OldestAge: uint32(c.OldestAge / time.Millisecond),
-	}
-}
--- a/router/duty.go
+++ b/router/duty.go
@@ -5,6 +5,7 @@
 
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/ledger"
+	"github.com/croftvale/croftvale/link"
 	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/wire"
 )
@@ -172,16 +173,26 @@
 // feedHub gives the hub one message and carries out what it wants.
 func (c *core) feedHub(m ledger.Msg) {
 	for _, cmd := range c.hub.Update(m) {
-		switch cmd := cmd.(type) {
-		case ledger.TotalsCmd:
-			c.send(cmd.Agent, wire.Totals{Rows: wireRows(cmd.Rows)})
-		case ledger.HallTotalsCmd:
-			c.send(cmd.Peer, wire.HallTotals{Hall: cmd.Hall, Rows: wireRows(cmd.Rows)})
-		case ledger.AgentRowsCmd:
-			c.send(cmd.Peer, wire.AgentRows{
+		c.performHub(cmd)
+	}
+}
+
+func (c *core) performHub(cmd ledger.Command) {
+	switch cmd := cmd.(type) {
+	case ledger.TotalsCmd:
+		c.send(cmd.Agent, func(conn *link.Conn) wire.Message {
+			return wire.Totals{Rows: wireRows(conn, cmd.Rows)}
+		})
+	case ledger.HallTotalsCmd:
+		c.send(cmd.Peer, func(conn *link.Conn) wire.Message {
+			return wire.HallTotals{Hall: cmd.Hall, Rows: wireRows(conn, cmd.Rows)}
+		})
+	case ledger.AgentRowsCmd:
+		c.send(cmd.Peer, func(conn *link.Conn) wire.Message {
+			return wire.AgentRows{
 				Hall: cmd.Hall, Agent: cmd.Source.Agent,
-				Incarnation: cmd.Source.Incarnation, Rows: wireRows(cmd.Rows),
-			})
-		}
+				Incarnation: cmd.Source.Incarnation, Rows: wireRows(conn, cmd.Rows),
+			}
+		})
 	}
 }
--- a/router/event.go
+++ b/router/event.go
@@ -57,6 +57,7 @@
 // grant says where a request runs.
 type grant struct {
 	claim string
+	left  string          // what is left of the request's line
 	serve string          // the agent's address for granted requests
 	abort <-chan struct{} // closed when the run is given up, if nothing is answered yet
 }
--- a/router/handler.go
+++ b/router/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/link"
 	"github.com/croftvale/croftvale/queue"
 	"github.com/croftvale/croftvale/relay"
 	"github.com/phuslu/log"
@@ -25,6 +26,7 @@
 	next        atomic.Uint64
 	transport   http.RoundTripper
 	stats       stats
+	meter       *link.Meter
 }
 
 // ServeHTTP takes one request to its final answer.
@@ -135,6 +137,7 @@
 	go giveUp(g.abort, answered, cancel)
 	var sent relay.Sent
 	req := sent.Trace(outgoing(r, a, g).WithContext(ctx))
+	h.meter.Grant(len(g.left) + 1)
 	res, err := h.transport.RoundTrip(req)
 	close(answered)
 	if err != nil {
@@ -196,7 +199,7 @@
 	}
 	relay.CopyHeader(req.Header, r.Header, "Authorization", "Expect")
 	req.Header.Set(relay.HeaderRequestID, a.id)
-	req.Header.Set(relay.HeaderClaim, g.claim)
+	req.Header.Set(relay.HeaderClaim, g.claim+" "+g.left)
 	req.Header.Set(relay.HeaderWork, string(a.work.Name))
 	req.Header.Set(relay.HeaderClass, a.class.String())
 	req.Header.Set(relay.HeaderRepeatable, "no")
--- a/router/links.go
+++ b/router/links.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
@@ -71,23 +69,25 @@
 		c.onHeartbeat(name, p, m)
 	case wire.Free:
 		c.feed(queue.FreeMsg{Now: c.now(), Agent: name, Slots: int(m.Slots)})
+	case wire.Name:
+		p.conn.In.Learn(m)
 	case wire.Claim:
 		c.feed(queue.ClaimMsg{
 			Now:   c.now(),
-			Claim: fleet.ClaimID{Agent: name, Incarnation: m.Incarnation, Seq: m.Seq},
-			Key:   fleet.DemandKey{Work: m.Work, Team: m.Team, Class: m.Class},
+			Claim: fleet.ClaimID{Agent: name, Incarnation: p.conn.Peer.Incarnation, Seq: m.Seq},
+			Key:   claimKey(p.conn, m),
 		})
 	case wire.Service:
 		c.feedHub(ledger.ServiceMsg{
-			Now: c.now(), Source: sourceOf(p), Hall: p.conn.Peer.Hall, Rows: hubRows(m.Rows),
+			Now: c.now(), Source: sourceOf(p), Hall: p.conn.Peer.Hall, Rows: hubRows(p.conn, m.Rows),
 		})
 	case wire.AgentRows:
 		c.feedHub(ledger.ServiceMsg{
 			Now: c.now(), Source: ledger.Source{Agent: m.Agent, Incarnation: m.Incarnation},
-			Hall: m.Hall, Rows: hubRows(m.Rows),
+			Hall: m.Hall, Rows: hubRows(p.conn, m.Rows),
 		})
 	case wire.HallTotals:
-		c.feedHub(ledger.HallTotalsMsg{Now: c.now(), Hall: m.Hall, Rows: hubRows(m.Rows)})
+		c.feedHub(ledger.HallTotalsMsg{Now: c.now(), Hall: m.Hall, Rows: hubRows(p.conn, m.Rows)})
 	case wire.BundlePull:
 		c.sendBundle(p, m.Have)
 	case wire.BundleData:
@@ -153,27 +153,3 @@
 func sourceOf(p *peer) ledger.Source {
 	return ledger.Source{Agent: p.conn.Peer.Name, Incarnation: p.conn.Peer.Incarnation}
 }
-
-func hubRows(rows []wire.ServiceRow) []ledger.Row {
-	out := make([]ledger.Row, len(rows))
-	for i, r := range rows {
-		out[i] = ledger.Row{
-			Team:    r.Team,
-			Service: time.Duration(r.Service) * time.Millisecond,
-			Lift:    time.Duration(r.Lift) * time.Millisecond,
-		}
-	}
-	return out
-}
-
-func wireRows(rows []ledger.Row) []wire.ServiceRow {
-	out := make([]wire.ServiceRow, len(rows))
-	for i, r := range rows {
-		out[i] = wire.ServiceRow{
-			Team:    r.Team,
-			Service: int64(r.Service / time.Millisecond),
-			Lift:    int64(r.Lift / time.Millisecond),
-		}
-	}
-	return out
-}
--- a/router/router.go
+++ b/router/router.go
@@ -66,6 +66,7 @@
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
 	events := make(chan event, eventRoom)
+	meter := &link.Meter{}
 	incarnation := fleet.Incarnation(began.UnixNano())
 	r.admin = admin.New(admin.Source{Ready: r.ready, State: r.dump})
 	r.handler = &handler{
@@ -73,6 +74,7 @@
 		log:         logger,
 		now:         now,
 		events:      events,
+		meter:       meter,
 		stats:       newStats(r.admin.Scope()),
 		transport: &http.Transport{
 			DialContext:         r.dial,
@@ -97,7 +99,7 @@
 		incarnation: incarnation,
 		events:      events,
 		links:       make(chan link.Event, eventRoom),
-		meter:       &link.Meter{},
+		meter:       meter,
 		keeper:      keeper,
 		platform:    r.watcher,
 		adoptedHook: func(f bundle.InForce) { r.handler.table.Store(newTable(f)) },
--- a/sched/demand.go
+++ b/sched/demand.go
@@ -30,6 +30,7 @@
 		m.liftIdle(now, t)
 		t.active = now
 	}
+	t.alike = max(t.alike, m.cfg.Alike[c.Key.Work])
 	t.line(c.Key).set(router, c.Waiting, now-c.OldestAge)
 }
 
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -101,7 +101,9 @@
 func (m *Machine) configure(msg ConfigMsg) {
 	m.cfg = msg.Config
 	for _, name := range sortedTeams(msg.Config.Shares) {
-		m.team(msg.Now, name).share = msg.Config.Shares[name]
+		t := m.team(msg.Now, name)
+		t.share = msg.Config.Shares[name]
+		t.alike = 0 // learned again from the demand
 	}
 }
 
--- a/sched/messages.go
+++ b/sched/messages.go
@@ -58,10 +58,13 @@
 	Count Count
 }
 
-// ArriveMsg says that a claimed request has come by HTTP.
+// ArriveMsg says that a claimed request has come by HTTP, and what is left of
+// its line.
 type ArriveMsg struct {
-	Now time.Duration
-	Seq uint64
+	Now    time.Duration
+	Seq    uint64
+	Left   int
+	Oldest time.Duration // age of the oldest that is left
 }
 
 // EndMsg says that a request which came has ended, or that its router gave it
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -13,11 +13,19 @@
 		return []Command{RejectCmd{Seq: msg.Seq}}
 	}
 	m.claimed--
+	m.learnLeft(msg, r)
 	r.state = runReady
 	m.ready = append(m.ready, r.seq)
 	return append(m.startReady(msg.Now), m.turnAway()...)
 }
 
+// learnLeft takes the router's word for what is left of a request's line.
+func (m *Machine) learnLeft(msg ArriveMsg, r *run) {
+	if router, known := m.claimRouter(r); known {
+		m.setCount(msg.Now, router, Count{Key: r.key, Waiting: msg.Left, OldestAge: msg.Oldest})
+	}
+}
+
 // turnAway gives back the requests that came and can't start here, because
 // the server does not serve or has no slots any more; others may run them.
 func (m *Machine) turnAway() []Command {
--- a/sched/share.go
+++ b/sched/share.go
@@ -11,6 +11,9 @@
 	if m.cfg.Mode == ModeLocal {
 		return
 	}
+	for _, t := range m.teams {
+		t.mark()
+	}
 	for _, row := range msg.Rows {
 		t := m.team(msg.Now, row.Team)
 		if row.Service > t.others {
--- a/sched/team.go
+++ b/sched/team.go
@@ -17,7 +17,9 @@
 	// reported is the greatest own service ever reported: what is shared only
 	// grows, so that it merges by maximum.
 	reported time.Duration
-	pending  time.Duration // estimates of claims not yet started
+	pending  time.Duration    // estimates of claims not yet started
+	alike    float64          // the most that Config.Alike has for one of its works
+	marks    [2]time.Duration // own and pending at the last two totals, the older first
 	running  int
 	active   time.Duration // when it last had demand or service
 }
@@ -33,10 +35,31 @@
 
 // virtual returns the team's virtual service: slot time per unit of share.
 func (t *team) virtual() time.Duration {
-	total := t.others + t.own + t.pending
+	total := t.others + t.own + t.pending + t.mirrored()
 	return time.Duration(float64(total)/t.share) + t.lift
 }
 
+// mirrorPart is the part of the other servers that is taken to act alike.
+const mirrorPart = 0.5
+
+// maxMirror bounds the extrapolation in fleets of thousands of servers.
+const maxMirror = 16
+
+// mirrored returns what the other agents are taken to have given the team
+// since the last totals. They see the same totals and pick the same team, so
+// each would overshoot on its own; this agent's own recent service stands for
+// theirs until the next totals say what it was.
+func (t *team) mirrored() time.Duration {
+	recent := t.own + t.pending - t.marks[0]
+	return time.Duration(min(t.alike*mirrorPart, maxMirror) * float64(recent))
+}
+
+// mark notes that new totals have come.
+func (t *team) mark() {
+	t.marks[0] = t.marks[1]
+	t.marks[1] = t.own + t.pending
+}
+
 // best returns the line to serve next: the highest class that waits, and in it
 // the line whose request is oldest.
 func (t *team) best() (*line, *source) {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -95,6 +95,8 @@
 		return decodeAs[BundleData](body)
 	case TypeAgentRows:
 		return decodeAs[AgentRows](body)
+	case TypeName:
+		return decodeAs[Name](body)
 	}
 	return nil, ErrUnknownType
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -20,6 +20,10 @@
 	TypeBundlePull  Type = 11
 	TypeBundleData  Type = 12
 	TypeAgentRows   Type = 13
+	TypeName        Type = 14
+	// TypeGrant is never sent: it counts the header of a granted request that
+	// control needs.
+	TypeGrant Type = 15
 )
 
 var typeNames = map[Type]string{
@@ -27,7 +31,7 @@
 	TypeFree: "free", TypeClaim: "claim", TypeDeny: "deny",
 	TypeService: "service", TypeTotals: "totals", TypeHallTotals: "hall_totals",
 	TypeBundleOffer: "bundle_offer", TypeBundlePull: "bundle_pull", TypeBundleData: "bundle_data",
-	TypeAgentRows: "agent_rows",
+	TypeAgentRows: "agent_rows", TypeName: "name", TypeGrant: "grant_header",
 }
 
 // String names the type as metrics and dumps spell it.
@@ -76,18 +80,13 @@
 
 // DemandRow is the count of one line of waiting requests.
 type DemandRow struct {
-	Work      fleet.Work
-	Team      fleet.Team
+	Work      Number
+	Team      Number
 	Class     fleet.Class
 	Count     uint32
 	OldestAge uint32 // milliseconds
 }
 
-// Key returns the line that the row counts.
-func (r DemandRow) Key() fleet.DemandKey {
-	return fleet.DemandKey{Work: r.Work, Team: r.Team, Class: r.Class}
-}
-
 // Demand tells an agent how many requests wait at a router. Rows that are not
 // named keep their last count.
 type Demand struct {
@@ -102,11 +101,10 @@
 // Claim asks a router for one request of a line. The request itself, sent by
 // HTTP with the claim's id, is the grant; Deny is the other answer.
 type Claim struct {
-	Incarnation fleet.Incarnation
-	Seq         uint64
-	Work        fleet.Work
-	Team        fleet.Team
-	Class       fleet.Class
+	Seq   uint64
+	Work  Number
+	Team  Number
+	Class fleet.Class
 }
 
 // Deny answers a claim for a line that is empty. It carries the true count.
@@ -119,7 +117,7 @@
 // in milliseconds of slot time per unit of share. Both only ever grow, so rows
 // merge by maximum and may be lost, repeated or reordered.
 type ServiceRow struct {
-	Team    fleet.Team
+	Team    Number
 	Service int64
 	Lift    int64
 }
--- /dev/null
+++ b/wire/names.go
@@ -0,0 +1,66 @@
+package wire
+
+// Number stands for a name on one link, in one direction. Names are long and
+// come again and again; each is sent once, in a Name message, before its
+// number is first used.
+type Number uint32
+
+// Name gives a name its number for the rest of the link's life.
+type Name struct {
+	Number Number
+	Text   string
+}
+
+// Type implements Message.
+func (Name) Type() Type { return TypeName }
+
+// Namer numbers the names that one side of a link sends. The zero value is
+// ready for use.
+type Namer struct {
+	numbers map[string]Number
+	news    []Name
+}
+
+// Number returns a name's number.
+func (n *Namer) Number(text string) Number {
+	if num, ok := n.numbers[text]; ok {
+		return num
+	}
+	if n.numbers == nil {
+		n.numbers = map[string]Number{}
+	}
+	num := Number(len(n.numbers))
+	n.numbers[text] = num
+	n.news = append(n.news, Name{Number: num, Text: text})
+	return num
+}
+
+// News returns the names that were numbered since the last call; they must be
+// sent before the message that uses them.
+func (n *Namer) News() []Name {
+	news := n.news
+	n.news = nil
+	return news
+}
+
+// maxNames bounds what one link may name.
+const maxNames = 1 << 16
+
+// Names knows the names that the other side of a link sends. The zero value is
+// ready for use.
+type Names struct{ texts []string }
+
+// Learn takes a name. Numbers come in order; any other is ignored.
+func (n *Names) Learn(m Name) {
+	if int(m.Number) == len(n.texts) && len(n.texts) < maxNames {
+		n.texts = append(n.texts, m.Text)
+	}
+}
+
+// Text returns the name of a number, or "" if it was never sent.
+func (n *Names) Text(num Number) string {
+	if int(num) >= len(n.texts) {
+		return ""
+	}
+	return n.texts[num]
+}
