Tell a short line to a few agents, and hubs in turn

Cause: 80 of 147 claims a second at the busiest router were denied: every agent knew of every short line and claimed from it, mostly in vain. And both hubs of a hall heard everything at the same moment. Ruled out: telling all agents of emptied lines (more bytes than the denials). Change: at each tick a line is told to two agents for each waiting request, and to one more for each 100 ms that its oldest has waited; an agent's two hubs are sent service in turn.

--- a/queue/agentview.go
+++ b/queue/agentview.go
@@ -6,7 +6,10 @@
 	"github.com/croftvale/croftvale/fleet"
 )
 
-// growth is the factor by which a count must grow to be told again.
+// growth is the factor by which a count must grow to be told again. Smaller
+// changes wait: what is left of a line comes with every request that the agent
+// is granted, so that the number of messages does not follow the rate of
+// requests.
 const growth = 4
 
 // agentView is what the router knows of one agent, and what the agent knows
@@ -31,15 +34,3 @@
 	a.free = max(0, a.free-1)
 	return DemandCmd{Agent: a.name, Counts: counts}
 }
-
-// grown tells whether a count has grown so much that the agent should hear of
-// it. Smaller changes wait: what is left of a line comes with every request
-// that the agent is granted, so that the number of messages does not follow
-// the rate of requests.
-func (a *agentView) grown(k fleet.DemandKey, waiting int) bool {
-	told := a.told[k]
-	if told == 0 {
-		return waiting > 0
-	}
-	return waiting >= growth*told
-}
--- a/queue/line.go
+++ b/queue/line.go
@@ -14,6 +14,8 @@
 	items   []*request
 	waiting int
 	emptied time.Duration // when a request last left
+	cursor  int           // rotates over the agents that are told
+	chosen  []fleet.Name  // agents to tell at this tick
 }
 
 func (l *line) push(r *request) {
--- a/queue/tick.go
+++ b/queue/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -13,15 +14,23 @@
 	// emptyFor is how long a line must have been empty before agents are told.
 	// A Deny tells them sooner where it matters.
 	emptyFor = time.Second
+	// tellPerRequest is how many agents should know of each waiting request. A
+	// short line that all knew would draw a claim from each, most in vain.
+	tellPerRequest = 2
+	// tellMoreEvery is the wait after which one more agent should know.
+	tellMoreEvery = 100 * time.Millisecond
 )
 
-// tick ends waits that have lasted too long and tells agents of lines whose
-// counts have changed materially.
+// tick ends waits that have lasted too long and tells agents of lines that
+// they should know.
 func (m *Machine) tick(msg TickMsg) []Command {
 	cmds := m.expire(msg)
 	for _, t := range m.byTeam {
 		t.decay(msg.Now)
 	}
+	for _, l := range m.order {
+		m.choose(msg.Now, l)
+	}
 	for _, a := range m.agents {
 		cmds = append(cmds, m.coalesce(msg, a)...)
 	}
@@ -40,17 +49,45 @@
 	return cmds
 }
 
-// coalesce tells an agent what has changed since it was last told.
+// choose marks agents that should hear of a line, so that enough know of it:
+// a few for each request that waits, and more the longer the oldest waits.
+func (m *Machine) choose(now time.Duration, l *line) {
+	l.chosen = nil
+	if l.waiting == 0 {
+		return
+	}
+	c := l.count(now)
+	if c.OldestAge < unclaimedFor {
+		return
+	}
+	want := 1 + tellPerRequest*l.waiting + int(c.OldestAge/tellMoreEvery)
+	n := len(m.agents)
+	for _, a := range m.agents {
+		if a.told[l.key] > 0 {
+			want--
+		}
+	}
+	for i := 0; i < n && want > 0; i++ {
+		l.cursor++
+		a := m.agents[l.cursor%n]
+		if a.told[l.key] == 0 && a.runs(l.key.Work) {
+			l.chosen = append(l.chosen, a.name)
+			want--
+		}
+	}
+}
+
+// coalesce tells an agent of the lines that it is chosen for, and of those
+// that have grown much or have long been empty since it was told.
 func (m *Machine) coalesce(msg TickMsg, a *agentView) []Command {
 	return m.tell(a, func(l *line) (Count, bool) {
-		if l.waiting == 0 {
-			stale := a.told[l.key] > 0 && msg.Now-l.emptied >= emptyFor
-			return Count{Key: l.key}, stale
-		}
-		if !a.grown(l.key, l.waiting) {
-			return Count{}, false
+		told := a.told[l.key]
+		switch {
+		case l.waiting == 0:
+			return Count{Key: l.key}, told > 0 && msg.Now-l.emptied >= emptyFor
+		case told == 0:
+			return l.count(msg.Now), slices.Contains(l.chosen, a.name)
 		}
-		c := l.count(msg.Now)
-		return c, a.told[l.key] > 0 || c.OldestAge >= unclaimedFor
+		return l.count(msg.Now), l.waiting >= growth*told
 	})
 }
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -20,19 +20,20 @@
 
 // Machine holds the slots of one backend server and the accounts of the teams.
 type Machine struct {
-	cfg     Config
-	teams   []*team // by name
-	byName  map[fleet.Team]*team
-	routers []*routerView // by name
-	runs    map[uint64]*run
-	ready   []uint64 // came and wait for a slot, oldest first
-	seq     uint64
-	claimed int // claims with nothing come yet
-	started int // slots in use
-	serving bool
-	leaving bool
-	costs   estimator
-	floor   time.Duration // virtual service below which no team starts anew
+	cfg      Config
+	teams    []*team // by name
+	byName   map[fleet.Team]*team
+	routers  []*routerView // by name
+	runs     map[uint64]*run
+	ready    []uint64 // came and wait for a slot, oldest first
+	seq      uint64
+	claimed  int // claims with nothing come yet
+	started  int // slots in use
+	serving  bool
+	leaving  bool
+	costs    estimator
+	sharedAt time.Duration // when a hub was last sent service
+	floor    time.Duration // virtual service below which no team starts anew
 }
 
 // New returns a machine with no routers; its server takes no work until a
--- a/sched/share.go
+++ b/sched/share.go
@@ -57,10 +57,12 @@
 // due returns the rows that a hub should have now: all that changed once
 // ShareEvery has passed, and before that all once one team's unsent service
 // passes Delta. A new hub hears at once, even of nothing: it says nothing to
-// an agent whose own part it does not know.
+// an agent whose own part it does not know. The hubs hear in turn: each gets
+// half of the messages, and the fleet hears as often.
 func (m *Machine) due(now time.Duration, r *routerView) ([]ServiceRow, bool) {
 	rows, most := m.unsent(r)
 	late := now-r.sentAt >= m.cfg.ShareEvery || most >= m.cfg.Delta
+	late = late && now-m.sharedAt >= m.cfg.ShareEvery/time.Duration(max(m.hubs(), 1))
 	due := r.fresh || (late && len(rows) > 0)
 	if !due {
 		return nil, false
@@ -70,9 +72,20 @@
 	}
 	r.fresh = false
 	r.sentAt = now
+	m.sharedAt = now
 	return rows, true
 }
 
+func (m *Machine) hubs() int {
+	n := 0
+	for _, r := range m.routers {
+		if r.hub {
+			n++
+		}
+	}
+	return n
+}
+
 // unsent returns the rows that differ from what a hub was sent, and the most
 // service that one of them adds.
 func (m *Machine) unsent(r *routerView) ([]ServiceRow, time.Duration) {
--- a/standin/cmd/load/report.go
+++ b/standin/cmd/load/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
 	"slices"
 	"time"
 
@@ -175,6 +176,15 @@
 		}
 		sum += node
 		r.ControlMax = max(r.ControlMax, node)
+		if os.Getenv("NODES") != "" {
+			fmt.Fprintln(os.Stderr, name, int(node))
+			if node > 5000 {
+				for _, t := range types {
+					o := old[t.Type]
+					fmt.Fprintln(os.Stderr, "   ", t.Type, (t.SentCount-o.SentCount)/int64(seconds), (t.SentBytes-o.SentBytes)/int64(seconds), (t.ReadCount-o.ReadCount)/int64(seconds), (t.ReadBytes-o.ReadBytes)/int64(seconds))
+				}
+			}
+		}
 	}
 	r.ControlMean = sum / float64(max(len(after), 1))
 }
