--- a/agent/core.go
+++ b/agent/core.go
@@ -63,7 +63,7 @@
 		case <-tick.C:
 			c.feed(sched.TickMsg{Now: c.now()})
 		case <-beat.C:
-			c.heartbeat()
+			c.keepAlive()
 		}
 		c.checkLeft()
 	}
@@ -181,6 +181,16 @@
 	}
 }
 
+// keepAlive sends a heartbeat on links that carry nothing else.
+func (c *core) keepAlive() {
+	for _, r := range c.routers {
+		if r.conn.Quiet() {
+			r.conn.Send(c.beat())
+		}
+	}
+}
+
+// heartbeat tells every peer at once that something has changed.
 func (c *core) heartbeat() {
 	for _, r := range c.routers {
 		r.conn.Send(c.beat())
--- a/bundle/defaults.go
+++ b/bundle/defaults.go
@@ -35,8 +35,8 @@
 }
 
 var preferences = map[Preference]sharing{
-	PreferGap:   {every: 250 * time.Millisecond, delta: 100 * time.Millisecond},
-	PreferBytes: {every: 2 * time.Second, delta: time.Second},
+	PreferGap:   {every: 500 * time.Millisecond, delta: 10 * time.Second},
+	PreferBytes: {every: 2 * time.Second, delta: 20 * time.Second},
 }
 
 // WithDefaults returns the bundle with every default filled in. Processes run
--- a/link/conn.go
+++ b/link/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,7 @@
 
 	raw    net.Conn
 	opts   Options
+	sentAt atomic.Int64 // when the last message was handed over, in Unix nanoseconds
 	out    chan wire.Message
 	once   sync.Once
 	closed chan struct{}
@@ -115,6 +117,7 @@
 	}
 	select {
 	case c.out <- m:
+		c.sentAt.Store(time.Now().UnixNano())
 		return true
 	default:
 		c.Close(ErrTooSlow)
@@ -122,6 +125,12 @@
 	}
 }
 
+// Quiet tells whether nothing has been sent for most of a heartbeat's time, so
+// that the peer needs one to know that this side lives.
+func (c *Conn) Quiet() bool {
+	return time.Now().UnixNano()-c.sentAt.Load() > int64(HeartbeatEvery*3/4)
+}
+
 // Close ends the link for a reason; later calls do nothing.
 func (c *Conn) Close(why error) {
 	c.once.Do(func() {
--- a/queue/agents.go
+++ b/queue/agents.go
@@ -10,21 +10,22 @@
 func (m *Machine) agentUp(msg AgentUpMsg) []Command {
 	a, i, ok := m.agent(msg.Agent)
 	if !ok {
-		a = &agentView{name: msg.Agent}
+		a = &agentView{name: msg.Agent, told: map[fleet.DemandKey]int{}}
 		m.agents = slices.Insert(m.agents, i, a)
 	}
 	a.hall = msg.Hall
 	a.works = msg.Works
 	a.leaving = false
-	a.told = map[fleet.DemandKey]int{}
+	m.forget(a)
 	return m.tellAll(msg.Now, a)
 }
 
 func (m *Machine) agentDown(msg AgentDownMsg) []Command {
-	_, i, ok := m.agent(msg.Agent)
+	a, i, ok := m.agent(msg.Agent)
 	if !ok {
 		return nil
 	}
+	m.forget(a)
 	m.agents = slices.Delete(m.agents, i, i+1)
 	return m.abortRuns(msg.Agent)
 }
@@ -50,10 +51,19 @@
 	if a, _, ok := m.agent(msg.Agent); ok {
 		a.leaving = true
 		a.free = 0
+		m.forget(a)
 	}
 	return nil
 }
 
+// forget notes that an agent believes in nothing any more.
+func (m *Machine) forget(a *agentView) {
+	for k := range a.told {
+		a.knows(m.lines[k], 0)
+	}
+	clear(a.told)
+}
+
 // freeSlots answers an idle agent with all the work that waits for it.
 func (m *Machine) freeSlots(msg FreeMsg) []Command {
 	a, _, ok := m.agent(msg.Agent)
@@ -82,7 +92,7 @@
 		if !ok {
 			continue
 		}
-		a.told[l.key] = c.Waiting
+		a.knows(l, c.Waiting)
 		counts = append(counts, c)
 	}
 	if len(counts) == 0 {
--- a/queue/agentview.go
+++ b/queue/agentview.go
@@ -23,6 +23,19 @@
 	told    map[fleet.DemandKey]int // the counts that the agent believes
 }
 
+// knows notes the count that the agent will believe of a line.
+func (a *agentView) knows(l *line, waiting int) {
+	was := a.told[l.key] > 0
+	a.told[l.key] = waiting
+	is := waiting > 0
+	switch {
+	case is && !was:
+		l.known++
+	case was && !is:
+		l.known--
+	}
+}
+
 func (a *agentView) runs(w fleet.Work) bool {
 	return !a.leaving && slices.Contains(a.works, w)
 }
--- a/queue/arrive.go
+++ b/queue/arrive.go
@@ -53,7 +53,7 @@
 		return nil
 	}
 	l := m.lines[r.Key]
-	a.told[r.Key] = l.waiting
+	a.knows(l, l.waiting)
 	return []Command{a.demand([]Count{l.count(now)})}
 }
 
--- a/queue/claims.go
+++ b/queue/claims.go
@@ -1,6 +1,10 @@
 package queue
 
-import "github.com/croftvale/croftvale/fleet"
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/fleet"
+)
 
 // claim gives the oldest request of a line to the agent that asks for it. An
 // unknown agent is denied: its claim came late, over a link that is gone.
@@ -11,16 +15,26 @@
 	}
 	r := m.take(msg.Key)
 	if r == nil {
-		a.told[msg.Key] = 0
+		a.knows(m.lineOf(msg.Key), 0)
 		return []Command{DenyCmd{Claim: msg.Claim, Count: Count{Key: msg.Key}}}
 	}
 	m.leave(msg.Now, r)
 	m.team(r.Key.Team).drained(msg.Now)
 	r.state = stateRunning
 	r.claim = msg.Claim
-	left := m.lines[msg.Key].count(msg.Now)
-	a.told[msg.Key] = left.Waiting
-	return []Command{RunCmd{ID: r.ID, Claim: msg.Claim, Left: left}}
+	return []Command{RunCmd{ID: r.ID, Claim: msg.Claim, Left: m.left(msg.Now, a, m.lines[msg.Key])}}
+}
+
+// left returns what the agent should believe to be left of a line. Where more
+// agents know of it than it has requests for, this one may forget it: each
+// would else claim once in vain when the line is empty.
+func (m *Machine) left(now time.Duration, a *agentView, l *line) Count {
+	c := l.count(now)
+	if l.known > 1+tellPerRequest*l.waiting {
+		c.Waiting = 0
+	}
+	a.knows(l, c.Waiting)
+	return c
 }
 
 func (m *Machine) take(k fleet.DemandKey) *request {
--- a/queue/line.go
+++ b/queue/line.go
@@ -14,6 +14,7 @@
 	items   []*request
 	waiting int
 	emptied time.Duration // when a request last left
+	known   int           // agents that believe in waiting requests
 	cursor  int           // rotates over the agents that are told
 	chosen  []fleet.Name  // agents to tell at this tick
 }
--- a/queue/tick.go
+++ b/queue/tick.go
@@ -60,13 +60,8 @@
 	if c.OldestAge < unclaimedFor {
 		return
 	}
-	want := 1 + tellPerRequest*l.waiting + int(c.OldestAge/tellMoreEvery)
+	want := 1 + tellPerRequest*l.waiting + int(c.OldestAge/tellMoreEvery) - l.known
 	n := len(m.agents)
-	for _, a := range m.agents {
-		if a.told[l.key] > 0 {
-			want--
-		}
-	}
 	for i := 0; i < n && want > 0; i++ {
 		l.cursor++
 		a := m.agents[l.cursor%n]
--- a/router/core.go
+++ b/router/core.go
@@ -86,7 +86,7 @@
 			c.feed(queue.TickMsg{Now: c.now()})
 			c.feedHub(ledger.TickMsg{Now: c.now(), ShareEvery: time.Duration(c.policy.ShareEvery)})
 		case <-beat.C:
-			c.heartbeat()
+			c.keepAlive()
 		}
 	}
 }
@@ -244,6 +244,16 @@
 	}
 }
 
+// keepAlive sends a heartbeat on links that carry nothing else.
+func (c *core) keepAlive() {
+	for _, p := range c.peers {
+		if p.conn.Quiet() {
+			p.conn.Send(c.beat(p))
+		}
+	}
+}
+
+// heartbeat tells every peer at once that something has changed.
 func (c *core) heartbeat() {
 	for _, p := range c.peers {
 		p.conn.Send(c.beat(p))
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -32,6 +32,7 @@
 	serving  bool
 	leaving  bool
 	costs    estimator
+	markedAt time.Duration // when own service was last marked
 	sharedAt time.Duration // when a hub was last sent service
 	floor    time.Duration // virtual service below which no team starts anew
 }
--- a/sched/share.go
+++ b/sched/share.go
@@ -11,9 +11,6 @@
 	if m.cfg.Mode == ModeLocal {
 		return
 	}
-	for _, t := range m.teams {
-		t.mark()
-	}
 	for _, row := range msg.Rows {
 		t := m.team(msg.Now, row.Team)
 		if row.Service > t.others {
@@ -24,10 +21,22 @@
 	}
 }
 
+// mark notes every team's own service at even intervals.
+func (m *Machine) mark(now time.Duration) {
+	if now-m.markedAt < m.cfg.ShareEvery/marksPerShare {
+		return
+	}
+	m.markedAt = now
+	for _, t := range m.teams {
+		t.mark()
+	}
+}
+
 // tick accrues charges, ends claims that brought nothing, claims for idle
 // slots and sends service to the hubs when it is due.
 func (m *Machine) tick(msg TickMsg) []Command {
 	m.accrue(msg.Now)
+	m.mark(msg.Now)
 	m.expireClaims(msg.Now)
 	cmds := m.next(msg.Now)
 	for _, r := range m.routers {
--- a/sched/team.go
+++ b/sched/team.go
@@ -17,9 +17,9 @@
 	// reported is the greatest own service ever reported: what is shared only
 	// grows, so that it merges by maximum.
 	reported time.Duration
-	pending  time.Duration    // estimates of claims not yet started
-	alike    float64          // the most that Config.Alike has for one of its works
-	marks    [2]time.Duration // own and pending at the last two totals, the older first
+	pending  time.Duration            // estimates of claims not yet started
+	alike    float64                  // the most that Config.Alike has for one of its works
+	marks    [marksKept]time.Duration // own and pending at the last marks, the oldest first
 	running  int
 	active   time.Duration // when it last had demand or service
 }
@@ -39,14 +39,20 @@
 	return time.Duration(float64(total)/t.share) + t.lift
 }
 
-// mirrorPart is the part of the other servers that is taken to act alike.
-const mirrorPart = 0.5
-
-// maxMirror bounds the extrapolation in fleets of thousands of servers.
-const maxMirror = 16
+const (
+	// mirrorPart is the part of the other servers that is taken to act alike.
+	mirrorPart = 0.8
+	// maxMirror bounds the extrapolation in fleets of thousands of servers.
+	maxMirror = 16
+	// marksPerShare is how many marks fall into ShareEvery.
+	marksPerShare = 4
+	// marksKept is how many marks the extrapolation reaches back: about as long
+	// as service takes to go round the fleet.
+	marksKept = 5
+)
 
 // mirrored returns what the other agents are taken to have given the team
-// since the last totals. They see the same totals and pick the same team, so
+// that the totals do not show yet. They see the same totals and pick the same team, so
 // each would overshoot on its own; this agent's own recent service stands for
 // theirs until the next totals say what it was.
 func (t *team) mirrored() time.Duration {
@@ -54,10 +60,10 @@
 	return time.Duration(min(t.alike*mirrorPart, maxMirror) * float64(recent))
 }
 
-// mark notes that new totals have come.
+// mark notes the team's service by this agent up to now.
 func (t *team) mark() {
-	t.marks[0] = t.marks[1]
-	t.marks[1] = t.own + t.pending
+	copy(t.marks[:], t.marks[1:])
+	t.marks[marksKept-1] = t.own + t.pending
 }
 
 // best returns the line to serve next: the highest class that waits, and in it
