--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -163,6 +163,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
 	if Fault(e.fault.Load()) == FaultCut {
 		_, _ = w.Write(out[:len(out)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(out)
--- a/standin/lab/routers.go
+++ b/standin/lab/routers.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/agent"
+	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/operate"
 	"github.com/croftvale/croftvale/router"
 )
@@ -121,3 +122,6 @@
 
 // ServerURL returns where the n-th stand-in server answers, without an agent.
 func (l *Lab) ServerURL(n int) string { return "http://" + l.servers[n].Address.String() }
+
+// Servers returns the backend servers, as a bundle names them.
+func (l *Lab) Servers() []bundle.Server { return l.servers }
