--- a/agent/health.go
+++ b/agent/health.go
@@ -93,7 +93,18 @@
 		} else {
 			pause = b.NextBackOff()
 		}
-		sleep(ctx, pause)
+		s.pause(ctx, pause)
+	}
+}
+
+// pause waits for the next probe, or until one is asked for.
+func (s *server) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-s.kick:
+	case <-t.C:
 	}
 }
 
@@ -125,12 +136,3 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<16))
 	return res.StatusCode < http.StatusInternalServerError
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/agent/links.go
+++ b/agent/links.go
@@ -71,6 +71,7 @@
 		c.feed(sched.RouterUpMsg{Now: c.now(), Router: name, Hub: m.Hub})
 	}
 	r.last = m
+	c.feed(sched.RouterAliveMsg{Now: c.now(), Router: name})
 	if m.Generation > c.inForce.Generation() && c.now()-c.pulled > pullTimeout {
 		c.pulled = c.now()
 		r.conn.Send(wire.BundlePull{Have: c.inForce.Generation()})
--- a/agent/server.go
+++ b/agent/server.go
@@ -32,10 +32,11 @@
 	target atomic.Pointer[target]
 	back   *backend
 	health health
+	kick   chan struct{} // asks for a probe now
 }
 
 func newServer(c *core, logger *log.Logger) *server {
-	return &server{core: c, log: logger, back: newBackend()}
+	return &server{core: c, log: logger, back: newBackend(), kick: make(chan struct{}, 1)}
 }
 
 // configure takes a new bundle.
@@ -51,6 +52,10 @@
 		t.works[w.Name] = w
 	}
 	s.target.Store(t)
+	select {
+	case s.kick <- struct{}{}:
+	default: // one is asked for already
+	}
 }
 
 // ready says why the agent takes no work, or nil.
--- a/bundle/order.go
+++ b/bundle/order.go
@@ -28,18 +28,32 @@
 	Digest     Digest           `json:"digest"`
 	RollID     string           `json:"roll_id"`
 	Operator   string           `json:"operator"`
-	At         string           `json:"at"` // RFC 3339, for people
+	At         string           `json:"at"`     // RFC 3339, for people
+	Recent     []string         `json:"recent"` // roll ids of the orders before this one, the newest first
 	Signoffs   []Signoff        `json:"signoffs"`
 	Signature  []byte           `json:"signature"`
 }
 
+// recentKept is how many roll ids an order remembers.
+const recentKept = 32
+
+// RecentFor returns what the order that replaces this one remembers.
+func (o Order) RecentFor() []string {
+	if o.RollID == "" {
+		return nil
+	}
+	recent := append([]string{o.RollID}, o.Recent...)
+	return recent[:min(len(recent), recentKept)]
+}
+
 // Operators maps the names of operators to their public keys.
 type Operators map[string]ed25519.PublicKey
 
 // signedText returns what a signature covers; the first word keeps a sign-off
 // from passing as an order.
 func (o Order) signedText() []byte {
-	return fmt.Appendf(nil, "croftvale order\n%d\n%s\n%s\n%s\n%s\n", o.Generation, o.Digest, o.RollID, o.Operator, o.At)
+	return fmt.Appendf(nil, "croftvale order\n%d\n%s\n%s\n%s\n%s\n%q\n",
+		o.Generation, o.Digest, o.RollID, o.Operator, o.At, o.Recent)
 }
 
 func signoffText(d Digest) []byte {
--- /dev/null
+++ b/bundle/order_test.go
@@ -0,0 +1,102 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"testing"
+
+	"github.com/croftvale/croftvale/fleet"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func keyOf(b byte) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	seed[0] = b
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+func operatorsOf(keys map[string]ed25519.PrivateKey) Operators {
+	ops := Operators{}
+	for n, k := range keys {
+		ops[n] = k.Public().(ed25519.PublicKey)
+	}
+	return ops
+}
+
+func TestVerifyRefuses(t *testing.T) {
+	anna, piet, eve := keyOf(1), keyOf(2), keyOf(3)
+	v := Verifier{Operators: operatorsOf(map[string]ed25519.PrivateKey{"anna": anna, "piet": piet}), Signoffs: 2}
+	digest := Digest("d1")
+	good := Order{
+		Generation: 3, Digest: digest, RollID: "r", Operator: "anna",
+		Signoffs: []Signoff{SignOff("anna", anna, digest), SignOff("piet", piet, digest)},
+	}.Sign(anna)
+	require.NoError(t, v.Verify(good))
+
+	later := good
+	later.Generation++
+	require.ErrorIs(t, v.Verify(later), ErrSignature, "a raised generation is not signed")
+	other := good
+	other.Digest = "d2"
+	require.ErrorIs(t, v.Verify(other), ErrSignature)
+	stranger := Order{Generation: 3, Digest: digest, Operator: "eve", Signoffs: good.Signoffs}.Sign(eve)
+	require.ErrorIs(t, v.Verify(stranger), ErrSignature)
+	alone := good
+	alone.Signoffs = []Signoff{good.Signoffs[0], good.Signoffs[0]}
+	require.ErrorIs(t, v.Verify(alone), ErrSignoffs, "one operator twice is one sign-off")
+	swapped := good
+	swapped.Signoffs = []Signoff{good.Signoffs[0], {Operator: "piet", Signature: good.Signature}}
+	require.ErrorIs(t, v.Verify(swapped), ErrSignoffs, "an order's signature is no sign-off")
+}
+
+// TestAdopterNeverGoesBack offers bundles in any order, again and again, some
+// forged or broken: what is in force only ever rises, and is always signed.
+func TestAdopterNeverGoesBack(t *testing.T) {
+	anna, eve := keyOf(1), keyOf(3)
+	v := Verifier{Operators: operatorsOf(map[string]ed25519.PrivateKey{"anna": anna})}
+	b, err := Parse("f", []byte(goodSource))
+	require.NoError(t, err)
+	rapid.Check(t, func(rt *rapid.T) {
+		a := Adopter{Verifier: v}
+		highest := Order{}
+		for range rapid.IntRange(1, 30).Draw(rt, "offers") {
+			next := b
+			next.Teams = []Team{{Name: "zurich", Share: float64(rapid.IntRange(1, 3).Draw(rt, "share"))}}
+			digest, content := Seal(next)
+			key, operator := anna, "anna"
+			forged := rapid.IntRange(0, 4).Draw(rt, "forged") == 0
+			if forged {
+				key = eve
+			}
+			o := Order{Generation: genOf(rt), Digest: digest, Operator: operator}.Sign(key)
+			broken := rapid.IntRange(0, 4).Draw(rt, "broken") == 0
+			if broken {
+				content = content[:len(content)-3]
+			}
+			what, err := a.Update(OfferMsg{Order: o.Encode(), Content: content})
+			fresh := o.Generation > highest.Generation
+			switch {
+			case forged || (broken && fresh):
+				if what != Refused || err == nil {
+					rt.Fatalf("took a bad offer: %v", what)
+				}
+			case fresh:
+				if what != Adopted {
+					rt.Fatalf("did not take generation %d: %v %v", o.Generation, what, err)
+				}
+				highest = o
+			default:
+				if what != Outdated {
+					rt.Fatalf("went back to %d: %v", o.Generation, what)
+				}
+			}
+			if a.Current().Generation() != highest.Generation || a.Current().Order.Digest != highest.Digest {
+				rt.Fatalf("in force %d, want %d", a.Current().Generation(), highest.Generation)
+			}
+		}
+	})
+}
+
+func genOf(rt *rapid.T) fleet.Generation {
+	return fleet.Generation(rapid.IntRange(1, 12).Draw(rt, "generation"))
+}
--- a/link/keep.go
+++ b/link/keep.go
@@ -9,7 +9,7 @@
 
 const (
 	firstRetry = 50 * time.Millisecond
-	lastRetry  = 2 * time.Second
+	lastRetry  = time.Second
 )
 
 // Keep holds a link to an address: it dials again, with exponential backoff
--- a/operate/roll.go
+++ b/operate/roll.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -25,6 +26,8 @@
 var (
 	// ErrLostRace means that another operator's roll came first.
 	ErrLostRace = errors.New(`another roll came first and nothing of yours is in force; look at "croftvale bundle diff", then roll again`)
+	// ErrReplaced means that the roll took effect, and another came after it.
+	ErrReplaced = errors.New(`your roll took effect and has been replaced since; look at "croftvale bundle diff"`)
 	// ErrUndecided means that nobody can say yet whether the roll took effect.
 	ErrUndecided = errors.New(`the platform does not say whether the roll took effect; run "croftvale bundle status" when it answers again`)
 )
@@ -54,6 +57,7 @@
 		RollID:     r.RollID,
 		Operator:   r.Operator,
 		At:         r.Now.UTC().Format(time.RFC3339),
+		Recent:     current.RecentFor(),
 		Signoffs:   s.Signoffs,
 	}.Sign(r.Key)
 	_, err = r.Store.Put(ctx, platform.BundlePointer, order.Encode(), at)
@@ -94,7 +98,9 @@
 		return bundle.Order{}, errors.Mark(err, ErrUndecided)
 	case now.RollID == o.RollID:
 		return o, nil
-	case now.Generation >= o.Generation:
+	case slices.Contains(now.Recent, o.RollID):
+		return o, errors.Wrapf(ErrReplaced, "generation %d by %s at %s", now.Generation, now.Operator, now.At)
+	case conflict || now.Generation >= o.Generation:
 		return bundle.Order{}, errors.Wrapf(ErrLostRace, "generation %d by %s at %s", now.Generation, now.Operator, now.At)
 	}
 	// The pointer is where it was. A delayed write could still land, but not
--- a/sched/demand.go
+++ b/sched/demand.go
@@ -16,6 +16,7 @@
 		return
 	}
 	r.announced = max(0, r.announced-1)
+	m.suspend(r, false)
 	for _, c := range msg.Counts {
 		m.setCount(msg.Now, msg.Router, c)
 	}
@@ -31,7 +32,11 @@
 		t.active = now
 	}
 	t.alike = max(t.alike, m.cfg.Alike[c.Key.Work])
-	t.line(c.Key).set(router, c.Waiting, now-c.OldestAge)
+	l := t.line(c.Key)
+	l.set(router, c.Waiting, now-c.OldestAge)
+	if r, _, ok := m.router(router); ok && r.suspended {
+		l.suspend(router, true)
+	}
 }
 
 // line returns the team's line of a key, making it where there is none.
@@ -52,6 +57,7 @@
 		return
 	}
 	m.dropClaim(r)
+	m.heard(r.router)
 	if src, known := m.claimRouter(r); known {
 		m.setCount(msg.Now, src, msg.Count)
 	}
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// claimTimeout ends a claim that brought neither a request nor a denial.
-	claimTimeout = 2 * time.Second
+	// claimPatience is how long a router may leave a claim unanswered before
+	// others are asked instead: many times a round trip between regions.
+	claimPatience = 200 * time.Millisecond
+	// claimTimeout ends a claim that brought neither a request nor a denial. A
+	// request that comes later is turned away, unrun.
+	claimTimeout = 500 * time.Millisecond
 	// idleGrace is how long a team must be without demand and service before
 	// its next request counts as newly backlogged.
 	idleGrace = 2 * time.Second
@@ -61,6 +65,9 @@
 	case RouterDownMsg:
 		m.routerDown(msg)
 		return nil
+	case RouterAliveMsg:
+		m.heard(msg.Router)
+		return m.next(msg.Now)
 	case DemandMsg:
 		m.demand(msg)
 		return m.next(msg.Now)
@@ -150,6 +157,7 @@
 		m.routers = slices.Insert(m.routers, i, r)
 	}
 	r.announced = 0
+	m.suspend(r, false)
 	if msg.Hub && !r.hub {
 		r.sent = map[fleet.Team]ServiceRow{}
 		r.fresh = true
--- a/sched/messages.go
+++ b/sched/messages.go
@@ -44,6 +44,12 @@
 	Router fleet.Name
 }
 
+// RouterAliveMsg says that a router was heard of.
+type RouterAliveMsg struct {
+	Now    time.Duration
+	Router fleet.Name
+}
+
 // DemandMsg brings the counts of some of a router's lines.
 type DemandMsg struct {
 	Now    time.Duration
@@ -95,14 +101,15 @@
 // TickEvery is the time between two ticks.
 const TickEvery = 50 * time.Millisecond
 
-func (ConfigMsg) isMsg()     {}
-func (RouterUpMsg) isMsg()   {}
-func (RouterDownMsg) isMsg() {}
-func (DemandMsg) isMsg()     {}
-func (DenyMsg) isMsg()       {}
-func (ArriveMsg) isMsg()     {}
-func (EndMsg) isMsg()        {}
-func (TotalsMsg) isMsg()     {}
-func (HealthMsg) isMsg()     {}
-func (LeaveMsg) isMsg()      {}
-func (TickMsg) isMsg()       {}
+func (ConfigMsg) isMsg()      {}
+func (RouterUpMsg) isMsg()    {}
+func (RouterDownMsg) isMsg()  {}
+func (RouterAliveMsg) isMsg() {}
+func (DemandMsg) isMsg()      {}
+func (DenyMsg) isMsg()        {}
+func (ArriveMsg) isMsg()      {}
+func (EndMsg) isMsg()         {}
+func (TotalsMsg) isMsg()      {}
+func (HealthMsg) isMsg()      {}
+func (LeaveMsg) isMsg()       {}
+func (TickMsg) isMsg()        {}
--- a/sched/router.go
+++ b/sched/router.go
@@ -13,6 +13,28 @@
 	fresh       bool // the hub has been sent nothing yet
 	announced   int  // idle slots that the router still believes in
 	announcedAt time.Duration
+	suspended   bool // it leaves claims unanswered
 	sent        map[fleet.Team]ServiceRow
 	sentAt      time.Duration
 }
+
+// suspend stops or resumes claims from a router. A router that is cut off or
+// frozen would else hold this agent's slots with claims that it never sees.
+func (m *Machine) suspend(r *routerView, suspended bool) {
+	if r.suspended == suspended {
+		return
+	}
+	r.suspended = suspended
+	for _, t := range m.teams {
+		for _, l := range t.lines {
+			l.suspend(r.name, suspended)
+		}
+	}
+}
+
+// heard notes that a router has answered.
+func (m *Machine) heard(name fleet.Name) {
+	if r, _, ok := m.router(name); ok {
+		m.suspend(r, false)
+	}
+}
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -13,6 +13,7 @@
 		return []Command{RejectCmd{Seq: msg.Seq}}
 	}
 	m.claimed--
+	m.heard(r.router)
 	m.learnLeft(msg, r)
 	r.state = runReady
 	m.ready = append(m.ready, r.seq)
--- a/sched/share.go
+++ b/sched/share.go
@@ -50,10 +50,18 @@
 	return cmds
 }
 
+// expireClaims suspends routers that leave claims unanswered, and ends the
+// claims.
 func (m *Machine) expireClaims(now time.Duration) {
 	var late []uint64
 	for seq, r := range m.runs {
-		if r.state == runClaimed && now-r.claimed >= claimTimeout {
+		if r.state != runClaimed || now-r.claimed < claimPatience {
+			continue
+		}
+		if v, _, ok := m.router(r.router); ok {
+			m.suspend(v, true)
+		}
+		if now-r.claimed >= claimTimeout {
 			late = append(late, seq)
 		}
 	}
--- /dev/null
+++ b/wire/frame_test.go
@@ -0,0 +1,89 @@
+package wire
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var samples = []Message{
+	Hello{Name: "r", Role: RoleRouter, Hall: "a", Incarnation: 7, Generation: 2},
+	Heartbeat{Generation: 3, Leaving: true, Hub: true},
+	Demand{Rows: []DemandRow{{Work: 1, Team: 2, Class: 1, Count: 3, OldestAge: 40}}},
+	Free{Slots: 8},
+	Claim{Seq: 900, Work: 1, Team: 2, Class: 2},
+	Deny{Seq: 9, Row: DemandRow{Work: 1}},
+	Service{Rows: []ServiceRow{{Team: 1, Service: 1 << 40, Lift: 5}}},
+	Totals{Rows: []ServiceRow{{Team: 1, Service: 12}}},
+	HallTotals{Hall: "b", Rows: []ServiceRow{{Team: 1, Service: 12}}},
+	AgentRows{Hall: "b", Agent: "e", Incarnation: 4, Rows: []ServiceRow{{Team: 1}}},
+	BundleOffer{Generation: 4},
+	BundlePull{Have: 3},
+	BundleData{Order: []byte("o"), Content: []byte("c")},
+	Name{Number: 4, Text: "zurich"},
+}
+
+func TestFramesComeBack(t *testing.T) {
+	var all bytes.Buffer
+	sizes := 0
+	for _, m := range samples {
+		f, err := Encode(m)
+		require.NoError(t, err)
+		all.Write(f)
+		sizes += len(f)
+	}
+	for _, want := range samples {
+		got, n, err := Read(&all)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+		sizes -= n
+	}
+	require.Zero(t, sizes)
+}
+
+func TestReadRefuses(t *testing.T) {
+	_, _, err := Read(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff, 0x7f, 1}))
+	require.ErrorIs(t, err, ErrFrameTooLarge)
+	_, _, err = Read(bytes.NewReader([]byte{2, 200, 0}))
+	require.ErrorIs(t, err, ErrUnknownType)
+	_, _, err = Read(bytes.NewReader([]byte{0}))
+	require.ErrorIs(t, err, ErrFrameTooLarge)
+	_, err = Encode(BundleData{Content: make([]byte, MaxFrame+1)})
+	require.ErrorIs(t, err, ErrFrameTooLarge)
+}
+
+func TestNamesAreSentOnce(t *testing.T) {
+	var out Namer
+	var in Names
+	a, b := out.Number("ajax"), out.Number("basel")
+	require.Equal(t, a, out.Number("ajax"))
+	news := out.News()
+	require.Len(t, news, 2)
+	require.Empty(t, out.News())
+	for _, n := range news {
+		in.Learn(n)
+	}
+	require.Equal(t, "basel", in.Text(b))
+	require.Empty(t, in.Text(99))
+}
+
+// FuzzRead holds that no bytes from a peer do more than fail.
+func FuzzRead(f *testing.F) {
+	for _, m := range samples {
+		frame, err := Encode(m)
+		require.NoError(f, err)
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bytes.NewReader(data)
+		for {
+			m, _, err := Read(r)
+			if err != nil {
+				return
+			}
+			_, err = Encode(m)
+			require.NoError(t, err)
+		}
+	})
+}
