Remember idempotency keys in three agents each, as a pure machine

Cause: a caller's repeat of a key through another router could run twice. Ruled out: objects on the platform (at 3,000 keyed requests a second, batched five times a second by 670 routers, 3,350 writes a second against 100, and no keyed request in an outage); two owners that must both answer (one host down would refuse two thirds of the keys at three app servers). Change: package once: three owners by rendezvous, a majority must note a key, and an owner that started or became one too recently does not vouch.

--- /dev/null
+++ b/once/memory.go
@@ -0,0 +1,159 @@
+package once
+
+import (
+	"slices"
+	"time"
+
+	"github.com/croftvale/croftvale/fleet"
+)
+
+// MemoryConfig is what a Memory has to know of its agent.
+type MemoryConfig struct {
+	Self      fleet.Name
+	StartedAt time.Time // by the host's clock
+}
+
+// maxKeys bounds what one agent remembers; above it no key is noted.
+const maxKeys = 1 << 18
+
+// Memory is an agent's part in remembering keys. It is pure: the time since
+// the process started comes with each message.
+type Memory struct {
+	cfg   MemoryConfig
+	keys  map[Key]note
+	pools map[fleet.Work][]pool // newest last
+	swept time.Duration
+}
+
+// note is one key that was noted.
+type note struct {
+	holder Holder
+	at     time.Duration
+}
+
+// pool is the agents of a work's servers since a time.
+type pool struct {
+	since time.Duration
+	names []fleet.Name
+}
+
+// NewMemory returns a memory that knows no keys.
+func NewMemory(cfg MemoryConfig) *Memory {
+	return &Memory{cfg: cfg, keys: map[Key]note{}, pools: map[fleet.Work][]pool{}}
+}
+
+// MemoryMsg is anything that a Memory can be told.
+type MemoryMsg interface{ isMemoryMsg() }
+
+// PoolMsg says which agents stand beside the servers of a work from now on.
+type PoolMsg struct {
+	Now   time.Duration
+	Work  fleet.Work
+	Names []fleet.Name
+}
+
+// ReserveMsg asks to note a key for a request. Made is when the caller first
+// used the key, by its clock, or zero if it does not say.
+type ReserveMsg struct {
+	Now    time.Duration
+	Key    Key
+	Holder Holder
+	Made   time.Time
+}
+
+// ReleaseMsg says that the request which holds a key did not run.
+type ReleaseMsg struct {
+	Now    time.Duration
+	Key    Key
+	Holder Holder
+}
+
+func (PoolMsg) isMemoryMsg()    {}
+func (ReserveMsg) isMemoryMsg() {}
+func (ReleaseMsg) isMemoryMsg() {}
+
+// Update takes one message; the verdict has a meaning for ReserveMsg only.
+func (m *Memory) Update(msg MemoryMsg) Verdict {
+	switch msg := msg.(type) {
+	case PoolMsg:
+		m.setPool(msg)
+	case ReserveMsg:
+		m.sweep(msg.Now)
+		return m.reserve(msg)
+	case ReleaseMsg:
+		if n, ok := m.keys[msg.Key]; ok && n.holder == msg.Holder {
+			delete(m.keys, msg.Key)
+		}
+	}
+	return VerdictUnsure
+}
+
+// Len returns how many keys are remembered.
+func (m *Memory) Len() int { return len(m.keys) }
+
+func (m *Memory) setPool(msg PoolMsg) {
+	pools := m.pools[msg.Work]
+	if n := len(pools); n > 0 && slices.Equal(pools[n-1].names, msg.Names) {
+		return
+	}
+	m.pools[msg.Work] = append(pools, pool{since: msg.Now, names: slices.Clone(msg.Names)})
+}
+
+func (m *Memory) reserve(msg ReserveMsg) Verdict {
+	n, known := m.keys[msg.Key]
+	if known && n.holder != msg.Holder {
+		return VerdictKnown
+	}
+	if !known && len(m.keys) >= maxKeys {
+		return VerdictUnsure
+	}
+	m.keys[msg.Key] = note{holder: msg.Holder, at: msg.Now}
+	if m.vouches(msg) {
+		return VerdictNoted
+	}
+	return VerdictUnsure
+}
+
+// vouches tells whether the agent would know the key had it been noted before:
+// it has lived, and owned the key in every pool, for as long as keys are
+// remembered or since before the key was made.
+func (m *Memory) vouches(msg ReserveMsg) bool {
+	horizon := msg.Now - Window
+	if !msg.Made.IsZero() {
+		made := msg.Made.Sub(m.cfg.StartedAt) - ClockSkew
+		horizon = max(horizon, made)
+	}
+	if horizon < 0 {
+		return false
+	}
+	pools := m.pools[msg.Key.Work]
+	for i, p := range pools {
+		over := i+1 < len(pools) && pools[i+1].since < horizon
+		if over {
+			continue
+		}
+		if !slices.Contains(Owners(msg.Key, p.names), m.cfg.Self) {
+			return false
+		}
+	}
+	return len(pools) > 0 && pools[0].since <= horizon
+}
+
+// sweep forgets keys and pools whose time is over, now and then.
+func (m *Memory) sweep(now time.Duration) {
+	if now-m.swept < Window/10 {
+		return
+	}
+	m.swept = now
+	for k, n := range m.keys {
+		if now-n.at > Window {
+			delete(m.keys, k)
+		}
+	}
+	for w, pools := range m.pools {
+		for len(pools) > 1 && pools[1].since < now-Window {
+			pools = pools[1:]
+		}
+		m.pools[w] = pools
+	}
+}
