Hold idempotency keys across routers

Cause: the key memory stood alone; a repeat through another router still ran. Ruled out: asking the owners after the claim (it would hold a slot for a round trip); asking for repeatable work too (its servers may see it twice anyway). Change: a request that may not be repeated and bears an Idempotency-Key waits for its owners' word before it may wait for a server; a refusal that says "not run" gives the key back; 409 and 503 answers name the two cases. A router must be linked to most owners of a key; above the size at which routers link to all agents of a plain service this needs links on demand, which are not built.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/once"
 	"github.com/croftvale/croftvale/sched"
 	"github.com/croftvale/croftvale/settings"
 	"github.com/phuslu/log"
@@ -48,6 +49,7 @@
 		links:       make(chan link.Event, eventRoom),
 		meter:       &link.Meter{},
 		machine:     sched.New(sched.Config{}),
+		keys:        once.NewMemory(once.MemoryConfig{Self: s.Name, StartedAt: began}),
 		routers:     map[fleet.Name]*routerLink{},
 		waiting:     map[uint64]chan<- verdict{},
 		left:        make(chan struct{}),
--- a/agent/config.go
+++ b/agent/config.go
@@ -72,7 +72,7 @@
 		Name: c.settings.Name, Hall: c.settings.Hall, Role: "agent",
 		Incarnation: c.incarnation, Generation: c.inForce.Generation(),
 		Serving: c.serving, Leaving: c.leaving,
-		Slots: c.machine.Slots(), Running: c.machine.Running(), Held: c.machine.Held(),
+		Slots: c.machine.Slots(), Running: c.machine.Running(), Held: c.machine.Held(), Keys: c.keys.Len(),
 		Teams: c.machine.Teams(), Traffic: c.meter.Snapshot(),
 	}
 	for name, r := range c.routers {
--- a/agent/core.go
+++ b/agent/core.go
@@ -8,6 +8,7 @@
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/once"
 	"github.com/croftvale/croftvale/sched"
 	"github.com/croftvale/croftvale/settings"
 	"github.com/croftvale/croftvale/wire"
@@ -31,6 +32,7 @@
 	bundles     func(bundle.InForce) // hears of each bundle in force
 
 	machine *sched.Machine
+	keys    *once.Memory
 	inForce bundle.InForce
 	routers map[fleet.Name]*routerLink
 	waiting map[uint64]chan<- verdict
@@ -169,6 +171,7 @@
 	c.inForce = f
 	b := f.Bundle.WithDefaults()
 	c.feed(sched.ConfigMsg{Now: c.now(), Config: configOf(b, c.settings.Name)})
+	c.setPools(b)
 	c.bundles(f)
 	c.heartbeat()
 	c.log.Info().Uint64("generation", uint64(f.Generation())).Str("digest", string(f.Order.Digest)).Msg("bundle in force")
--- a/agent/links.go
+++ b/agent/links.go
@@ -61,6 +61,10 @@
 		c.feed(sched.DenyMsg{Now: c.now(), Seq: m.Seq, Count: count(r.conn, m.Row)})
 	case wire.Totals:
 		c.feed(sched.TotalsMsg{Now: c.now(), Rows: machineRows(r.conn, m.Rows)})
+	case wire.KeyReserve:
+		c.reserveKey(r, m)
+	case wire.KeyRelease:
+		c.releaseKey(r, m)
 	case wire.BundleData:
 		c.keeper.Offer(bundle.OfferMsg{Order: m.Order, Content: m.Content})
 	}
--- a/agent/state.go
+++ b/agent/state.go
@@ -18,6 +18,7 @@
 	Slots       int               `json:"slots"`
 	Running     int               `json:"running"`
 	Held        int               `json:"held"`
+	Keys        int               `json:"keys"` // idempotency keys remembered
 	Routers     []PeerState       `json:"routers"`
 	Teams       []sched.TeamState `json:"teams"`
 	Traffic     []link.Traffic    `json:"traffic"`
--- a/bundle/defaults.go
+++ b/bundle/defaults.go
@@ -1,8 +1,10 @@
 package bundle
 
 import (
+	"slices"
 	"time"
 
+	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/tomlfile"
 )
 
@@ -88,6 +90,19 @@
 	return l
 }
 
+// ServersOf returns the names of the servers that run a work, leaving ones
+// too, in order.
+func (b Bundle) ServersOf(w fleet.Work) []fleet.Name {
+	var names []fleet.Name
+	for _, s := range b.Servers {
+		if slices.Contains(s.Works, w) {
+			names = append(names, s.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func orInt(v, def int) int {
 	if v == 0 {
 		return def
--- a/relay/header.go
+++ b/relay/header.go
@@ -15,6 +15,7 @@
 	HeaderRepeatable = "Croftvale-Repeatable" // yes or no
 	HeaderDeadline   = "Croftvale-Deadline"   // time left, such as 2s
 	HeaderIdempotent = "Idempotency-Key"
+	HeaderKeyMade    = "Croftvale-Key-Made" // when the key was first used: RFC 3339 with fractions of a second
 )
 
 // hopByHop headers belong to one connection and are never passed on.
--- a/router/admission.go
+++ b/router/admission.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/once"
 	"github.com/croftvale/croftvale/relay"
 )
 
@@ -19,14 +20,15 @@
 
 // admission is a request that has passed the checks at the door.
 type admission struct {
-	id         string
-	table      *table
-	team       *bundle.Team
-	work       bundle.Work
-	class      fleet.Class
-	repeatable bool
-	timeLeft   time.Duration // 0 where the caller sets no deadline
-	body       *body
+	id          string
+	table       *table
+	team        *bundle.Team
+	work        bundle.Work
+	class       fleet.Class
+	repeatable  bool
+	timeLeft    time.Duration // 0 where the caller sets no deadline
+	body        *body
+	idempotency *idempotency
 }
 
 // body is a caller's request body: what was read, and the rest of the stream.
@@ -151,7 +153,24 @@
 		}
 		a.timeLeft = d
 	}
-	return true
+	return a.readKey(h)
+}
+
+// readKey reads the idempotency key of a request that may not be repeated; of
+// others it is the server's business alone.
+func (a *admission) readKey(h http.Header) bool {
+	text := h.Get(relay.HeaderIdempotent)
+	if text == "" || a.repeatable {
+		return true
+	}
+	a.idempotency = &idempotency{key: once.NewKey(a.team.Name, a.work.Name, text)}
+	v := h.Get(relay.HeaderKeyMade)
+	if v == "" {
+		return true
+	}
+	made, err := time.Parse(time.RFC3339Nano, v)
+	a.idempotency.made = made
+	return err == nil
 }
 
 func (a *admission) key() fleet.DemandKey {
--- a/router/core.go
+++ b/router/core.go
@@ -10,6 +10,7 @@
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/ledger"
 	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/once"
 	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/queue"
 	"github.com/croftvale/croftvale/settings"
@@ -37,6 +38,7 @@
 
 	queue   *queue.Machine
 	hub     *ledger.Hub
+	keys    *once.Asker
 	inForce bundle.InForce
 	policy  bundle.Policy
 	servers map[fleet.Name]bundle.Server
@@ -64,8 +66,10 @@
 
 // openRequest is a request without a final answer.
 type openRequest struct {
-	reply chan<- decision
-	abort chan struct{} // closed to give up the run under way; nil while waiting
+	reply  chan<- decision
+	abort  chan struct{}  // closed to give up the run under way; nil while waiting
+	parked *queue.Request // waits for the owners of its key
+	keyed  bool           // holds an idempotency key
 }
 
 // run feeds the machines until ctx ends.
@@ -84,6 +88,7 @@
 			c.onEvent(e)
 		case <-tick.C:
 			c.feed(queue.TickMsg{Now: c.now()})
+			c.feedKeys(once.AskTickMsg{Now: c.now()})
 			c.feedHub(ledger.TickMsg{Now: c.now(), ShareEvery: time.Duration(c.policy.ShareEvery)})
 		case <-beat.C:
 			c.keepAlive()
@@ -114,6 +119,7 @@
 		c.abort(cmd.ID)
 	case queue.RefuseCmd:
 		c.decide(cmd.ID, decision{refuse: &cmd})
+		c.freeKey(cmd.ID, cmd.Ran)
 		delete(c.open, cmd.ID)
 	}
 }
@@ -165,15 +171,13 @@
 func (c *core) onEvent(e event) {
 	switch e := e.(type) {
 	case arriveEvent:
-		c.open[e.request.ID] = &openRequest{reply: e.reply}
-		c.feed(queue.ArriveMsg{Now: c.now(), Request: e.request})
+		c.arrive(e)
 	case answerEvent:
 		c.feed(queue.AnswerMsg{Now: c.now(), ID: e.id})
 	case endEvent:
 		c.ended(e)
 	case cancelEvent:
-		c.feed(queue.CancelMsg{Now: c.now(), ID: e.id})
-		c.forget(e.id)
+		c.cancel(e.id)
 	case bundleEvent:
 		c.adopted(e.inForce)
 	case hostsEvent:
@@ -187,6 +191,29 @@
 	}
 }
 
+func (c *core) arrive(e arriveEvent) {
+	c.open[e.request.ID] = &openRequest{reply: e.reply}
+	if e.idempotency != nil {
+		c.askKey(e)
+		return
+	}
+	c.feed(queue.ArriveMsg{Now: c.now(), Request: e.request})
+}
+
+// cancel drops a request whose caller has hung up. One that waits has not run;
+// of one that runs the call itself says when it has ended.
+func (c *core) cancel(id queue.RequestID) {
+	if r, ok := c.open[id]; ok && r.parked != nil {
+		r.parked = nil
+		c.feedKeys(once.NotRunMsg{Now: c.now(), Request: uint64(id)})
+	}
+	c.feed(queue.CancelMsg{Now: c.now(), ID: id})
+	if !c.queue.Holds(id) {
+		c.freeKey(id, queue.RanNo)
+		delete(c.open, id)
+	}
+}
+
 func (c *core) ended(e endEvent) {
 	if r, ok := c.open[e.id]; ok {
 		r.abort = nil
@@ -198,6 +225,7 @@
 // forget drops a request that the machine no longer holds.
 func (c *core) forget(id queue.RequestID) {
 	if !c.queue.Holds(id) {
+		c.freeKey(id, queue.RanYes)
 		delete(c.open, id)
 	}
 }
--- a/router/event.go
+++ b/router/event.go
@@ -11,8 +11,9 @@
 
 // arriveEvent brings a request; decisions about it go to reply.
 type arriveEvent struct {
-	request queue.Request
-	reply   chan<- decision // has room for one; no second comes before an answer to the first
+	request     queue.Request
+	idempotency *idempotency    // nil where the request needs none
+	reply       chan<- decision // has room for one; no second comes before an answer to the first
 }
 
 // answerEvent says that a request's first answer byte went out.
--- a/router/handler.go
+++ b/router/handler.go
@@ -61,8 +61,9 @@
 func (h *handler) enter(n queue.RequestID, a *admission) (<-chan decision, bool) {
 	decisions := make(chan decision, 1)
 	e := arriveEvent{
-		request: queue.Request{ID: n, Key: a.key(), Repeatable: a.repeatable, Deadline: h.deadline(a)},
-		reply:   decisions,
+		request:     queue.Request{ID: n, Key: a.key(), Repeatable: a.repeatable, Deadline: h.deadline(a)},
+		idempotency: a.idempotency,
+		reply:       decisions,
 	}
 	select {
 	case h.events <- e:
--- a/router/links.go
+++ b/router/links.go
@@ -88,6 +88,8 @@
 		})
 	case wire.HallTotals:
 		c.feedHub(ledger.HallTotalsMsg{Now: c.now(), Hall: m.Hall, Rows: hubRows(p.conn, m.Rows)})
+	case wire.KeyVerdict:
+		c.onVerdict(name, m)
 	case wire.BundlePull:
 		c.sendBundle(p, m.Have)
 	case wire.BundleData:
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -50,13 +50,23 @@
 	refusedLarge = refusal{status: http.StatusRequestEntityTooLarge, kind: "body_too_large",
 		message: "the body is larger than the limit", remedy: "send less, or have the operators raise limits.max_body"}
 	refusedHeader = refusal{status: http.StatusBadRequest, kind: "bad_header",
-		message: "a croftvale header can't be read", remedy: "Croftvale-Class is urgent, ordinary or batch; Croftvale-Repeatable is yes or no; Croftvale-Deadline is a duration such as 2s"}
+		message: "a croftvale header can't be read", remedy: "Croftvale-Class is urgent, ordinary or batch; Croftvale-Repeatable is yes or no; Croftvale-Deadline is a duration such as 2s; Croftvale-Key-Made is an RFC 3339 time"}
 	refusedBody = refusal{status: http.StatusBadRequest, kind: "bad_body",
 		message: "the body could not be read", remedy: "send the whole body, as long as Content-Length says"}
 )
 
+// Reasons that come before a request reaches the machine.
+const (
+	reasonRepeat queue.Reason = "idempotency_key_in_use"
+	reasonUnsure queue.Reason = "idempotency_key_unsure"
+)
+
 // reasons gives each of the machine's reasons its answer.
 var reasons = map[queue.Reason]refusal{
+	reasonRepeat: {status: http.StatusConflict,
+		message: "another request with this Idempotency-Key runs or has run", remedy: "find out what became of it; use a new key for a new piece of work"},
+	reasonUnsure: {status: http.StatusServiceUnavailable,
+		message: "it can't be told at this moment whether this Idempotency-Key has been used", remedy: "come back after the time in Retry-After; Croftvale-Key-Made with the time of the first attempt helps after restarts"},
 	queue.ReasonTeamFull: {status: http.StatusTooManyRequests,
 		message: "too many of the team's requests wait at this router", remedy: "come back after the time in Retry-After"},
 	queue.ReasonFull: {status: http.StatusServiceUnavailable,
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/ledger"
 	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/once"
 	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/queue"
 	"github.com/croftvale/croftvale/settings"
@@ -105,6 +106,7 @@
 		adoptedHook: func(f bundle.InForce) { r.handler.table.Store(newTable(f)) },
 		queue:       queue.New(queue.Config{}),
 		hub:         ledger.NewHub(s.Name, s.Hall),
+		keys:        once.NewAsker(),
 		policy:      bundle.Policy{}.WithDefaults(),
 		servers:     map[fleet.Name]bundle.Server{},
 		peers:       map[fleet.Name]*peer{},
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -95,6 +95,12 @@
 		return decodeAs[BundleData](body)
 	case TypeAgentRows:
 		return decodeAs[AgentRows](body)
+	case TypeKeyReserve:
+		return decodeAs[KeyReserve](body)
+	case TypeKeyVerdict:
+		return decodeAs[KeyVerdict](body)
+	case TypeKeyRelease:
+		return decodeAs[KeyRelease](body)
 	case TypeName:
 		return decodeAs[Name](body)
 	}
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -22,6 +22,9 @@
 	BundlePull{Have: 3},
 	BundleData{Order: []byte("o"), Content: []byte("c")},
 	Name{Number: 4, Text: "zurich"},
+	KeyReserve{Request: 7, Work: 1, Digest: make([]byte, 16), Made: 1 << 41},
+	KeyVerdict{Request: 7, Verdict: 1},
+	KeyRelease{Request: 7, Work: 1, Digest: make([]byte, 16)},
 }
 
 func TestFramesComeBack(t *testing.T) {
--- /dev/null
+++ b/wire/keys.go
@@ -0,0 +1,31 @@
+package wire
+
+// KeyReserve asks an owner to note the idempotency key of a request.
+type KeyReserve struct {
+	Request uint64
+	Work    Number
+	Digest  []byte // 16 bytes
+	Made    int64  // Unix milliseconds by the caller's clock, 0 where unknown
+}
+
+// KeyVerdict is an owner's answer.
+type KeyVerdict struct {
+	Request uint64
+	Verdict uint8
+}
+
+// KeyRelease tells an owner that the request did not run.
+type KeyRelease struct {
+	Request uint64
+	Work    Number
+	Digest  []byte // 16 bytes
+}
+
+// Type implements Message.
+func (KeyReserve) Type() Type { return TypeKeyReserve }
+
+// Type implements Message.
+func (KeyVerdict) Type() Type { return TypeKeyVerdict }
+
+// Type implements Message.
+func (KeyRelease) Type() Type { return TypeKeyRelease }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -21,6 +21,9 @@
 	TypeBundleData  Type = 12
 	TypeAgentRows   Type = 13
 	TypeName        Type = 14
+	TypeKeyReserve  Type = 16
+	TypeKeyVerdict  Type = 17
+	TypeKeyRelease  Type = 18
 	// TypeGrant is never sent: it counts the header of a granted request that
 	// control needs.
 	TypeGrant Type = 15
@@ -32,6 +35,7 @@
 	TypeService: "service", TypeTotals: "totals", TypeHallTotals: "hall_totals",
 	TypeBundleOffer: "bundle_offer", TypeBundlePull: "bundle_pull", TypeBundleData: "bundle_data",
 	TypeAgentRows: "agent_rows", TypeName: "name", TypeGrant: "grant_header",
+	TypeKeyReserve: "key_reserve", TypeKeyVerdict: "key_verdict", TypeKeyRelease: "key_release",
 }
 
 // String names the type as metrics and dumps spell it.
