A router's tick and a hub's round cost what has changed, not what is known

Cause: the tick looked at every pair of line and agent, the round at every pair of team and agent, through maps. Ruled out: fewer ticks (idle slots would wait longer for news). Change: lines count the agents that believe in them and only those that need telling are walked; hubs keep vectors by a team's place and a set of changes.

--- a/ledger/hallstate.go
+++ b/ledger/hallstate.go
@@ -1,10 +1,6 @@
 package ledger
 
-import (
-	"time"
-
-	"github.com/croftvale/croftvale/fleet"
-)
+import "time"
 
 // settleAfter is how long a hub gathers service for a hall before it speaks
 // of it: long enough for every agent's first report and a peer's rows.
@@ -20,43 +16,29 @@
 	settled bool
 }
 
-func newHallState() *hallState {
-	return &hallState{sum: vector{}, told: vector{}, carry: vector{}}
-}
-
 // settle fixes what only others remember, once the hall's agents have had
-// time to report: the service of lives whose hubs are all gone.
-func (s *hallState) settle(now time.Duration) {
+// time to report: the service of lives whose hubs are all gone. It returns
+// whether the hall has settled just now.
+func (s *hallState) settle(now time.Duration) bool {
 	if s.settled || s.linked == 0 || now-s.since < settleAfter {
-		return
+		return false
 	}
 	s.settled = true
-	for t, e := range s.told {
-		if missing := e.service - s.sum[t].service; missing > 0 {
-			s.carry.add(t, missing, e.lift)
+	for i, e := range s.told {
+		if missing := e.service - s.sum.at(i).service; missing > 0 {
+			s.carry.add(i, entry{service: missing, lift: e.lift})
 		}
 	}
+	return true
 }
 
-// service returns one team's counters in the hall. Of a hall that is served
-// here the lives are known first hand; of another, what its hubs say.
-func (s *hallState) service(t fleet.Team) entry {
-	sum, told := s.sum[t], s.told[t]
-	e := entry{service: sum.service + s.carry[t].service, lift: max(sum.lift, told.lift)}
+// at returns one team's counters in the hall. Of a hall that is served here
+// the lives are known first hand; of another, what its hubs say.
+func (s *hallState) at(i int) entry {
+	sum, told := s.sum.at(i), s.told.at(i)
+	e := entry{service: sum.service + s.carry.at(i).service, lift: max(sum.lift, told.lift)}
 	if s.linked == 0 {
 		e.service = max(e.service, told.service)
 	}
 	return e
 }
-
-// vector returns the counters of every team in the hall.
-func (s *hallState) vector() vector {
-	out := vector{}
-	for t := range s.sum {
-		out[t] = s.service(t)
-	}
-	for t := range s.told {
-		out[t] = s.service(t)
-	}
-	return out
-}
--- a/ledger/hub.go
+++ b/ledger/hub.go
@@ -10,34 +10,16 @@
 
 // Hub adds up service for the agents that it serves.
 type Hub struct {
-	self   fleet.Name
-	hall   fleet.Hall
-	lives  map[Source]*life
-	halls  map[fleet.Hall]*hallState
-	agents []*agentLink // by name
-	peers  []*peerLink  // by name
-	sentAt time.Duration
-}
-
-// life is the service of one life of one agent.
-type life struct {
+	self    fleet.Name
 	hall    fleet.Hall
-	service vector
-}
-
-// agentLink is an agent that is sent totals, and what it was sent.
-type agentLink struct {
-	source Source
-	hall   fleet.Hall
-	sent   vector
-}
-
-// peerLink is another hub, and what it was sent.
-type peerLink struct {
-	name fleet.Name
-	hall fleet.Hall
-	pair bool
-	sent map[fleet.Hall]vector
+	index   *index
+	lives   map[Source]*life
+	halls   map[fleet.Hall]*hallState
+	order   []fleet.Hall // the halls, by name
+	agents  []*agentLink // by name
+	peers   []*peerLink  // by name
+	changed changes      // teams whose total has changed since the last round
+	sentAt  time.Duration
 }
 
 // NewHub returns a hub that knows of no service.
@@ -45,6 +27,7 @@
 	return &Hub{
 		self:  self,
 		hall:  hall,
+		index: newIndex(),
 		lives: map[Source]*life{},
 		halls: map[fleet.Hall]*hallState{},
 	}
@@ -72,7 +55,13 @@
 }
 
 // Totals returns the service of the whole fleet as this hub knows it.
-func (h *Hub) Totals() []Row { return h.total().rows() }
+func (h *Hub) Totals() []Row {
+	var sum vector
+	for i := range h.index.teams {
+		sum.set(i, h.total(i))
+	}
+	return h.index.rows(sum)
+}
 
 // Lives returns how many lives of agents the hub remembers.
 func (h *Hub) Lives() int { return len(h.lives) }
@@ -95,7 +84,7 @@
 		h.agents = slices.Insert(h.agents, i, &agentLink{})
 		h.serve(msg)
 	}
-	*h.agents[i] = agentLink{source: msg.Source, hall: msg.Hall, sent: vector{}}
+	*h.agents[i] = agentLink{source: msg.Source, hall: msg.Hall}
 }
 
 // serve counts one more linked agent of a hall; the first starts the time in
@@ -104,6 +93,8 @@
 	s := h.hallState(msg.Hall)
 	if s.linked == 0 {
 		s.since = msg.Now
+		s.settled = false
+		s.carry = nil
 	}
 	s.linked++
 }
@@ -124,14 +115,17 @@
 	if !ok {
 		h.peers = slices.Insert(h.peers, i, &peerLink{})
 	}
-	*h.peers[i] = peerLink{name: msg.Peer, hall: msg.Hall, pair: msg.Pair, sent: map[fleet.Hall]vector{}}
+	*h.peers[i] = peerLink{
+		name: msg.Peer, hall: msg.Hall, pair: msg.Pair,
+		sent: map[fleet.Hall]vector{}, whole: map[fleet.Hall]bool{},
+	}
 	if msg.Hall != h.hall {
 		return h.giveBack(msg)
 	}
 	var cmds []Command
 	for _, src := range h.sources() {
 		l := h.lives[src]
-		cmds = append(cmds, AgentRowsCmd{Peer: msg.Peer, Source: src, Hall: l.hall, Rows: l.service.rows()})
+		cmds = append(cmds, AgentRowsCmd{Peer: msg.Peer, Source: src, Hall: l.hall, Rows: h.index.rows(l.service)})
 	}
 	return cmds
 }
@@ -143,7 +137,7 @@
 	if !ok || len(s.told) == 0 {
 		return nil
 	}
-	return []Command{HallTotalsCmd{Peer: msg.Peer, Hall: msg.Hall, Rows: s.told.rows()}}
+	return []Command{HallTotalsCmd{Peer: msg.Peer, Hall: msg.Hall, Rows: h.index.rows(s.told)}}
 }
 
 func (h *Hub) peerDown(msg PeerDownMsg) {
@@ -167,21 +161,25 @@
 func (h *Hub) service(msg ServiceMsg) {
 	l, ok := h.lives[msg.Source]
 	if !ok {
-		l = &life{hall: msg.Hall, service: vector{}}
+		l = &life{hall: msg.Hall}
 		h.lives[msg.Source] = l
 	}
-	sum := h.hallState(l.hall).sum
+	sum := &h.hallState(l.hall).sum
 	for _, r := range msg.Rows {
-		grown := l.service.merge(r)
-		sum.add(r.Team, grown, r.Lift)
+		i := h.index.place(r.Team)
+		grown := l.service.merge(i, entry{service: r.Service, lift: r.Lift})
+		sum.add(i, entry{service: grown, lift: r.Lift})
+		h.changed.note(i)
 	}
 }
 
 func (h *Hub) hallState(hall fleet.Hall) *hallState {
 	s, ok := h.halls[hall]
 	if !ok {
-		s = newHallState()
+		s = &hallState{}
 		h.halls[hall] = s
+		i, _ := slices.BinarySearch(h.order, hall)
+		h.order = slices.Insert(h.order, i, hall)
 	}
 	return s
 }
@@ -190,96 +188,19 @@
 func (h *Hub) hallTotals(msg HallTotalsMsg) {
 	s := h.hallState(msg.Hall)
 	for _, r := range msg.Rows {
-		s.told.merge(r)
-	}
-}
-
-func (h *Hub) total() vector {
-	sum := vector{}
-	for _, s := range h.halls {
-		for t, e := range s.vector() {
-			sum.add(t, e.service, e.lift)
-		}
-	}
-	return sum
-}
-
-// tick sends a round of totals when one is due.
-func (h *Hub) tick(msg TickMsg) []Command {
-	if msg.Now-h.sentAt < msg.ShareEvery {
-		return nil
-	}
-	h.sentAt = msg.Now
-	for _, s := range h.halls {
-		s.settle(msg.Now)
+		i := h.index.place(r.Team)
+		s.told.merge(i, entry{service: r.Service, lift: r.Lift})
+		h.changed.note(i)
 	}
-	return append(h.toPeers(), h.toAgents()...)
-}
-
-// toPeers sends the halls served here to the hubs that pair with this one.
-func (h *Hub) toPeers() []Command {
-	var cmds []Command
-	for _, p := range h.peers {
-		if !p.pair {
-			continue
-		}
-		for _, hall := range h.servedHalls() {
-			if hall == p.hall {
-				continue
-			}
-			sent, ok := p.sent[hall]
-			if !ok {
-				sent = vector{}
-				p.sent[hall] = sent
-			}
-			if rows := h.halls[hall].vector().changed(sent); len(rows) > 0 {
-				cmds = append(cmds, HallTotalsCmd{Peer: p.name, Hall: hall, Rows: rows})
-			}
-		}
-	}
-	return cmds
-}
-
-// servedHalls returns the halls of which this hub may speak.
-func (h *Hub) servedHalls() []fleet.Hall {
-	var out []fleet.Hall
-	for hall, s := range h.halls {
-		if s.linked > 0 && s.settled {
-			out = append(out, hall)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// toAgents sends each agent the totals less its own part. An agent whose hall
-// has not settled, or whose own part is not known yet, would count itself
-// twice, so it waits.
-func (h *Hub) toAgents() []Command {
-	if len(h.agents) == 0 {
-		return nil
-	}
-	total := h.total()
-	var cmds []Command
-	for _, a := range h.agents {
-		own, known := h.lives[a.source]
-		if !known || !h.hallState(a.hall).settled {
-			continue
-		}
-		rest := less(total, own)
-		if rows := rest.changed(a.sent); len(rows) > 0 {
-			cmds = append(cmds, TotalsCmd{Agent: a.source.Agent, Rows: rows})
-		}
-	}
-	return cmds
 }
 
-// less returns the totals without one life's own service.
-func less(total vector, own *life) vector {
-	rest := vector{}
-	for t, e := range total {
-		e.service -= own.service[t].service
-		rest[t] = e
+// total returns one team's counters in the whole fleet.
+func (h *Hub) total(i int) entry {
+	var e entry
+	for _, hall := range h.order {
+		part := h.halls[hall].at(i)
+		e.service += part.service
+		e.lift = max(e.lift, part.lift)
 	}
-	return rest
+	return e
 }
--- a/ledger/hub_test.go
+++ b/ledger/hub_test.go
@@ -21,13 +21,24 @@
 	agents []*worldAgent
 	mail   []letter
 	truth  map[fleet.Team]time.Duration
-	told   map[fleet.Name]vector // the most that each agent was told of the others
+	told   map[fleet.Name]tally // the most that each agent was told of the others
 }
 
 type worldAgent struct {
 	src  Source
 	hall fleet.Hall
-	own  vector
+	own  tally
+}
+
+// tally is service by team.
+type tally map[fleet.Team]time.Duration
+
+func (t tally) rows() []Row {
+	var out []Row
+	for team, d := range t {
+		out = append(out, Row{Team: team, Service: d})
+	}
+	return out
 }
 
 type letter struct {
@@ -37,14 +48,14 @@
 }
 
 func newWorld() *world {
-	w := &world{truth: map[fleet.Team]time.Duration{}, told: map[fleet.Name]vector{}, now: time.Second}
+	w := &world{truth: map[fleet.Team]time.Duration{}, told: map[fleet.Name]tally{}, now: time.Second}
 	for i := range 4 {
 		w.halls = append(w.halls, fleet.Hall([]string{"a", "b"}[i/2]))
 		w.hubs = append(w.hubs, NewHub(w.hubName(i), w.halls[i]))
 	}
 	for i := range 4 {
 		w.agents = append(w.agents, &worldAgent{
-			src: Source{Agent: fleet.Name(fmt.Sprintf("e%d", i)), Incarnation: 1}, hall: w.halls[i], own: vector{},
+			src: Source{Agent: fleet.Name(fmt.Sprintf("e%d", i)), Incarnation: 1}, hall: w.halls[i], own: tally{},
 		})
 	}
 	for i := range w.hubs {
@@ -84,11 +95,11 @@
 		case TotalsCmd:
 			v, ok := w.told[c.Agent]
 			if !ok {
-				v = vector{}
+				v = tally{}
 				w.told[c.Agent] = v
 			}
 			for _, r := range c.Rows {
-				v.merge(r)
+				v[r.Team] = max(v[r.Team], r.Service)
 			}
 		}
 	}
@@ -104,7 +115,7 @@
 
 // serve lets an agent give a team service.
 func (w *world) serve(a *worldAgent, team fleet.Team, d time.Duration) {
-	a.own.add(team, d, 0)
+	a.own[team] += d
 	w.truth[team] += d
 }
 
@@ -198,7 +209,7 @@
 			}
 		}
 		a.src.Incarnation++
-		a.own = vector{}
+		a.own = tally{}
 		delete(w.told, a.src.Agent)
 		for i := range w.hubs {
 			if w.halls[i] == a.hall {
@@ -259,9 +270,9 @@
 		}
 	}
 	for _, a := range w.agents {
-		for team, e := range w.told[a.src.Agent] {
-			if others := w.truth[team] - a.own[team].service; e.service > others {
-				rt.Fatalf("%s was told %v of %s, the others served %v", a.src.Agent, e.service, team, others)
+		for team, told := range w.told[a.src.Agent] {
+			if others := w.truth[team] - a.own[team]; told > others {
+				rt.Fatalf("%s was told %v of %s, the others served %v", a.src.Agent, told, team, others)
 			}
 		}
 	}
@@ -276,7 +287,7 @@
 	w.serve(gone, "x", time.Second)
 	w.settle()
 	gone.src.Incarnation++
-	gone.own = vector{}
+	gone.own = tally{}
 	for i := range 2 {
 		w.hubs[i] = NewHub(w.hubName(i), "a")
 	}
--- a/ledger/vector.go
+++ b/ledger/vector.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"slices"
 	"time"
 
 	"github.com/croftvale/croftvale/fleet"
@@ -13,50 +12,61 @@
 	lift    time.Duration
 }
 
-// vector holds counters by team.
-type vector map[fleet.Team]entry
+// index gives each team that a hub has heard of a place in its vectors.
+type index struct {
+	places map[fleet.Team]int
+	teams  []fleet.Team
+}
 
-// merge raises one team's counters and returns by how much its service grew.
-func (v vector) merge(r Row) time.Duration {
-	old := v[r.Team]
-	v[r.Team] = entry{
-		service: max(old.service, r.Service),
-		lift:    max(old.lift, r.Lift),
+func newIndex() *index { return &index{places: map[fleet.Team]int{}} }
+
+func (x *index) place(t fleet.Team) int {
+	if i, ok := x.places[t]; ok {
+		return i
 	}
-	return max(0, r.Service-old.service)
+	i := len(x.teams)
+	x.places[t] = i
+	x.teams = append(x.teams, t)
+	return i
 }
 
-// add raises one team's service by an amount and its lift to a level.
-func (v vector) add(t fleet.Team, service, lift time.Duration) {
-	old := v[t]
-	v[t] = entry{service: old.service + service, lift: max(old.lift, lift)}
+// vector holds counters by a team's place; it grows as places are used.
+type vector []entry
+
+func (v vector) at(i int) entry {
+	if i >= len(v) {
+		return entry{}
+	}
+	return v[i]
 }
 
-// rows returns the vector by team.
-func (v vector) rows() []Row {
-	out := make([]Row, 0, len(v))
-	for t, e := range v {
-		out = append(out, Row{Team: t, Service: e.service, Lift: e.lift})
+func (v *vector) set(i int, e entry) {
+	for len(*v) <= i {
+		*v = append(*v, entry{})
 	}
-	slices.SortFunc(out, func(a, b Row) int {
-		if a.Team < b.Team {
-			return -1
-		}
-		return 1
-	})
-	return out
+	(*v)[i] = e
+}
+
+// merge raises one team's counters and returns by how much its service grew.
+func (v *vector) merge(i int, e entry) time.Duration {
+	old := v.at(i)
+	v.set(i, entry{service: max(old.service, e.service), lift: max(old.lift, e.lift)})
+	return max(0, e.service-old.service)
+}
+
+// add raises one team's service by an amount and its lift to a level.
+func (v *vector) add(i int, e entry) {
+	old := v.at(i)
+	v.set(i, entry{service: old.service + e.service, lift: max(old.lift, e.lift)})
 }
 
-// changed returns the rows of v that differ from old, and copies them there.
-func (v vector) changed(old vector) []Row {
+// rows spells the counters that are not zero.
+func (x *index) rows(v vector) []Row {
 	var out []Row
-	for _, r := range v.rows() {
-		e := v[r.Team]
-		if old[r.Team] == e {
-			continue
+	for i, e := range v {
+		if e != (entry{}) {
+			out = append(out, Row{Team: x.teams[i], Service: e.service, Lift: e.lift})
 		}
-		old[r.Team] = e
-		out = append(out, r)
 	}
 	return out
 }
--- a/queue/agents.go
+++ b/queue/agents.go
@@ -76,27 +76,10 @@
 
 // tellAll tells an agent of every line that waits for it.
 func (m *Machine) tellAll(now time.Duration, a *agentView) []Command {
-	return m.tell(a, func(l *line) (Count, bool) {
-		return l.count(now), l.waiting > 0
-	})
-}
-
-// tell collects the counts of an agent's lines that pick chooses.
-func (m *Machine) tell(a *agentView, pick func(*line) (Count, bool)) []Command {
-	var counts []Count
 	for _, l := range m.order {
-		if !a.runs(l.key.Work) {
-			continue
-		}
-		c, ok := pick(l)
-		if !ok {
-			continue
+		if l.waiting > 0 && a.runs(l.key.Work) {
+			m.queueTell(a, l, l.count(now))
 		}
-		a.knows(l, c.Waiting)
-		counts = append(counts, c)
-	}
-	if len(counts) == 0 {
-		return nil
 	}
-	return []Command{a.demand(counts)}
+	return m.flush()
 }
--- a/queue/agentview.go
+++ b/queue/agentview.go
@@ -21,6 +21,7 @@
 	free    int // slots that the agent has said are idle, less what it was told of
 	leaving bool
 	told    map[fleet.DemandKey]int // the counts that the agent believes
+	untold  []Count                 // what this tick has for it
 }
 
 // knows notes the count that the agent will believe of a line.
--- a/queue/line.go
+++ b/queue/line.go
@@ -16,7 +16,7 @@
 	emptied time.Duration // when a request last left
 	known   int           // agents that believe in waiting requests
 	cursor  int           // rotates over the agents that are told
-	chosen  []fleet.Name  // agents to tell at this tick
+	base    int           // the count when it was first told or last told to all
 }
 
 func (l *line) push(r *request) {
--- a/queue/machine.go
+++ b/queue/machine.go
@@ -20,6 +20,7 @@
 	requests map[RequestID]*request
 	expiry   expiryHeap
 	agents   []*agentView // by name
+	untold   []*agentView // that this tick has counts for
 	turn     int          // rotates the choice between equal agents
 	waiting  int
 	byTeam   map[fleet.Team]*teamState
--- a/queue/tick.go
+++ b/queue/tick.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"slices"
 	"time"
 )
 
@@ -22,19 +21,16 @@
 )
 
 // tick ends waits that have lasted too long and tells agents of lines that
-// they should know.
+// they should know. It looks at each line, not at each pair of line and agent.
 func (m *Machine) tick(msg TickMsg) []Command {
 	cmds := m.expire(msg)
 	for _, t := range m.byTeam {
 		t.decay(msg.Now)
 	}
 	for _, l := range m.order {
-		m.choose(msg.Now, l)
+		m.spread(msg.Now, l)
 	}
-	for _, a := range m.agents {
-		cmds = append(cmds, m.coalesce(msg, a)...)
-	}
-	return cmds
+	return append(cmds, m.flush()...)
 }
 
 func (m *Machine) expire(msg TickMsg) []Command {
@@ -49,40 +45,72 @@
 	return cmds
 }
 
-// choose marks agents that should hear of a line, so that enough know of it:
-// a few for each request that waits, and more the longer the oldest waits.
-func (m *Machine) choose(now time.Duration, l *line) {
-	l.chosen = nil
+// spread has agents told of one line: all that believe in it when it has long
+// been empty or has grown much, else as many more as should know.
+func (m *Machine) spread(now time.Duration, l *line) {
 	if l.waiting == 0 {
+		l.base = 0
+		if l.known > 0 && now-l.emptied >= emptyFor {
+			m.tellKnowing(l, Count{Key: l.key})
+		}
 		return
 	}
 	c := l.count(now)
 	if c.OldestAge < unclaimedFor {
 		return
 	}
-	want := 1 + tellPerRequest*l.waiting + int(c.OldestAge/tellMoreEvery) - l.known
+	if l.base > 0 && l.waiting >= growth*l.base {
+		m.tellKnowing(l, c)
+		l.base = l.waiting
+	}
+	m.tellMore(l, c)
+}
+
+// tellKnowing corrects the count of every agent that believes in a line.
+func (m *Machine) tellKnowing(l *line, c Count) {
+	for _, a := range m.agents {
+		if a.told[l.key] > 0 {
+			m.queueTell(a, l, c)
+		}
+	}
+}
+
+// tellMore lets enough agents know of a line: a few for each request that
+// waits, and more the longer the oldest waits.
+func (m *Machine) tellMore(l *line, c Count) {
+	want := 1 + tellPerRequest*l.waiting + int(c.OldestAge/tellMoreEvery)
+	if l.known >= min(want, len(m.agents)) {
+		return
+	}
+	if l.base == 0 {
+		l.base = l.waiting
+	}
 	n := len(m.agents)
-	for i := 0; i < n && want > 0; i++ {
+	for i := 0; i < n && l.known < want; i++ {
 		l.cursor++
 		a := m.agents[l.cursor%n]
 		if a.told[l.key] == 0 && a.runs(l.key.Work) {
-			l.chosen = append(l.chosen, a.name)
-			want--
+			m.queueTell(a, l, c)
 		}
 	}
 }
 
-// coalesce tells an agent of the lines that it is chosen for, and of those
-// that have grown much or have long been empty since it was told.
-func (m *Machine) coalesce(msg TickMsg, a *agentView) []Command {
-	return m.tell(a, func(l *line) (Count, bool) {
-		told := a.told[l.key]
-		switch {
-		case l.waiting == 0:
-			return Count{Key: l.key}, told > 0 && msg.Now-l.emptied >= emptyFor
-		case told == 0:
-			return l.count(msg.Now), slices.Contains(l.chosen, a.name)
-		}
-		return l.count(msg.Now), l.waiting >= growth*told
-	})
+// queueTell adds a count to what an agent is told at the end of the tick.
+func (m *Machine) queueTell(a *agentView, l *line, c Count) {
+	a.knows(l, c.Waiting)
+	if len(a.untold) == 0 {
+		m.untold = append(m.untold, a)
+	}
+	a.untold = append(a.untold, c)
+}
+
+// flush sends each agent all that this tick has for it, in one message.
+func (m *Machine) flush() []Command {
+	var cmds []Command
+	for _, a := range m.untold {
+		cmds = append(cmds, a.demand(a.untold))
+		a.untold = nil
+	}
+	m.untold = nil
+	return cmds
 }
