Spread changes as patches, and prepare bundles away from the core

Working a bundle out held up the router's decisions, and which router links to which agent was ranked anew each time. Ruled out: sending agents only their own slice (the signed digest would not cover it); compressing patches (they are smaller than the order that comes with them). Change: a patch on a recent generation, checked against the signed digest of the whole; bundles are prepared in the keeper's goroutine; links are ranked without sorting and remembered while the routers stay the same.

--- a/bundle/adopt.go
+++ b/bundle/adopt.go
@@ -1,12 +1,24 @@
 package bundle
 
-import "github.com/croftvale/croftvale/fleet"
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/fleet"
+)
 
 // InForce is a bundle with the order that put it in force.
 type InForce struct {
 	Order   Order
 	Bundle  Bundle // as signed
-	Content []byte // packed, for passing on
+	Content []byte // packed, for passing on; nil where it was made by a patch
+}
+
+// Packed returns the packed bundle. After a patch it is worked out anew at
+// each call, since hardly anyone asks for it: keep it if it is asked for.
+func (f InForce) Packed() []byte {
+	if f.Content != nil {
+		return f.Content
+	}
+	return pack(Canonical(f.Bundle))
 }
 
 // Generation returns the generation in force, 0 before the first.
@@ -23,10 +35,12 @@
 // Current returns what is in force.
 func (a *Adopter) Current() InForce { return a.current }
 
-// OfferMsg says that a bundle may be had. Order is the encoded order.
+// OfferMsg says that a bundle may be had. Order is the encoded order; Content
+// is the packed bundle or, where Base is not zero, a patch on that generation.
 type OfferMsg struct {
 	Order   []byte
 	Content []byte
+	Base    fleet.Generation
 }
 
 // Adoption says what came of an offer.
@@ -49,10 +63,30 @@
 	if o.Generation <= a.current.Generation() {
 		return Outdated, nil
 	}
-	b, err := Open(m.Content, o.Digest)
+	next, err := a.content(o, m)
 	if err != nil {
 		return Refused, err
 	}
-	a.current = InForce{Order: o, Bundle: b, Content: m.Content}
+	a.current = next
 	return Adopted, nil
 }
+
+// content takes what an offer brings, if it has the digest that was ordered.
+func (a *Adopter) content(o Order, m OfferMsg) (InForce, error) {
+	if m.Base == 0 {
+		b, err := Open(m.Content, o.Digest)
+		return InForce{Order: o, Bundle: b, Content: m.Content}, err
+	}
+	if m.Base != a.current.Generation() {
+		return InForce{}, errors.Wrapf(ErrPatch, "made for generation %d", m.Base)
+	}
+	p, err := DecodePatch(m.Content)
+	if err != nil {
+		return InForce{}, errors.Mark(err, ErrPatch)
+	}
+	b := p.Apply(a.current.Bundle)
+	if DigestOf(b) != o.Digest {
+		return InForce{}, ErrPatch
+	}
+	return InForce{Order: o, Bundle: b}, nil
+}
--- a/bundle/order_test.go
+++ b/bundle/order_test.go
@@ -15,6 +15,10 @@
 	return ed25519.NewKeyFromSeed(seed)
 }
 
+func keysOf(anna ed25519.PrivateKey) map[string]ed25519.PrivateKey {
+	return map[string]ed25519.PrivateKey{"anna": anna}
+}
+
 func operatorsOf(keys map[string]ed25519.PrivateKey) Operators {
 	ops := Operators{}
 	for n, k := range keys {
--- /dev/null
+++ b/bundle/patch.go
@@ -0,0 +1,115 @@
+package bundle
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/fleet"
+)
+
+// ErrPatch means that a patch does not fit; ask for the whole bundle.
+var ErrPatch = errors.New("bundle patch does not fit what is in force; ask for the whole bundle")
+
+// Patch is what one bundle has that another has not. It needs no signature of
+// its own: what it makes must have the digest that a signed order names.
+type Patch struct {
+	Policy      *Policy      `json:"policy,omitempty"`
+	Limits      *Limits      `json:"limits,omitempty"`
+	Teams       []Team       `json:"teams,omitempty"`
+	GoneTeams   []fleet.Team `json:"gone_teams,omitempty"`
+	Works       []Work       `json:"works,omitempty"`
+	GoneWorks   []fleet.Work `json:"gone_works,omitempty"`
+	Servers     []Server     `json:"servers,omitempty"`
+	GoneServers []fleet.Name `json:"gone_servers,omitempty"`
+}
+
+// NewPatch returns what turns one bundle into another.
+func NewPatch(from, to Bundle) Patch {
+	var p Patch
+	if spell(from.Policy) != spell(to.Policy) {
+		p.Policy = &to.Policy
+	}
+	if spell(from.Limits) != spell(to.Limits) {
+		p.Limits = &to.Limits
+	}
+	p.Teams, p.GoneTeams = differences(from.Teams, to.Teams, func(t Team) fleet.Team { return t.Name })
+	p.Works, p.GoneWorks = differences(from.Works, to.Works, func(w Work) fleet.Work { return w.Name })
+	p.Servers, p.GoneServers = differences(from.Servers, to.Servers, func(s Server) fleet.Name { return s.Name })
+	return p
+}
+
+// Encode returns the form that links carry.
+func (p Patch) Encode() []byte {
+	out, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // plain structs of strings and numbers always encode
+	}
+	return out
+}
+
+// DecodePatch reads what Encode wrote.
+func DecodePatch(data []byte) (Patch, error) {
+	var p Patch
+	err := json.Unmarshal(data, &p)
+	return p, errors.Wrap(err, "decode bundle patch")
+}
+
+// Apply returns the bundle that the patch makes of another, with its lists in
+// canonical order.
+func (p Patch) Apply(b Bundle) Bundle {
+	if p.Policy != nil {
+		b.Policy = *p.Policy
+	}
+	if p.Limits != nil {
+		b.Limits = *p.Limits
+	}
+	b.Teams = patched(b.Teams, p.Teams, p.GoneTeams, func(t Team) fleet.Team { return t.Name })
+	b.Works = patched(b.Works, p.Works, p.GoneWorks, func(w Work) fleet.Work { return w.Name })
+	b.Servers = patched(b.Servers, p.Servers, p.GoneServers, func(s Server) fleet.Name { return s.Name })
+	return b
+}
+
+// differences returns the entries of to that from has not, or has otherwise,
+// and the names that to no longer has.
+func differences[E any, N cmp.Ordered](from, to []E, name func(E) N) (changed []E, gone []N) {
+	old := map[N]string{}
+	for _, e := range from {
+		old[name(e)] = spell(e)
+	}
+	for _, e := range to {
+		if was, ok := old[name(e)]; !ok || was != spell(e) {
+			changed = append(changed, e)
+		}
+		delete(old, name(e))
+	}
+	for n := range old {
+		gone = append(gone, n)
+	}
+	slices.Sort(gone)
+	return changed, gone
+}
+
+// patched returns a list with entries replaced, added and taken away.
+func patched[E any, N cmp.Ordered](list, changed []E, gone []N, name func(E) N) []E {
+	if len(changed)+len(gone) == 0 {
+		return list
+	}
+	drop := map[N]bool{}
+	for _, n := range gone {
+		drop[n] = true
+	}
+	for _, e := range changed {
+		drop[name(e)] = true
+	}
+	out := make([]E, 0, len(list)+len(changed))
+	for _, e := range list {
+		if !drop[name(e)] {
+			out = append(out, e)
+		}
+	}
+	out = append(out, changed...)
+	slices.SortFunc(out, func(a, b E) int { return cmp.Compare(name(a), name(b)) })
+	return out
+}
--- /dev/null
+++ b/bundle/patch_test.go
@@ -0,0 +1,100 @@
+package bundle
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/croftvale/croftvale/fleet"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestPatchMakesTheSameBundle holds that for any two bundles the patch between
+// them gives the digest of the second, over its encoded form.
+func TestPatchMakesTheSameBundle(t *testing.T) {
+	any2 := func(rt *rapid.T, label string) Bundle {
+		b := sized(rapid.IntRange(0, 6).Draw(rt, label+" teams"), rapid.IntRange(0, 6).Draw(rt, label+" servers"))
+		for i := range b.Teams {
+			b.Teams[i].Share = float64(rapid.IntRange(1, 3).Draw(rt, label+" share"))
+		}
+		for i := range b.Servers {
+			b.Servers[i].Leaving = rapid.Bool().Draw(rt, label+" leaving")
+		}
+		if rapid.Bool().Draw(rt, label+" policy") {
+			b.Policy.Prefer = PreferBytes
+			b.Limits.MaxWaiting = 9
+		}
+		return b
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		from, to := any2(rt, "from"), any2(rt, "to")
+		p, err := DecodePatch(NewPatch(from, to).Encode())
+		if err != nil {
+			rt.Fatal(err)
+		}
+		if got := DigestOf(p.Apply(from)); got != DigestOf(to) {
+			rt.Fatalf("%s is not %s", got, DigestOf(to))
+		}
+	})
+}
+
+// TestAdopterTakesPatches holds that a patch is taken on the generation that
+// it is made for, and refused on any other.
+func TestAdopterTakesPatches(t *testing.T) {
+	anna := keyOf(1)
+	a := Adopter{Verifier: Verifier{Operators: operatorsOf(keysOf(anna))}}
+	first, second := sized(3, 3), sized(4, 2)
+	offer := func(g fleet.Generation, b Bundle, base fleet.Generation, from Bundle) OfferMsg {
+		digest, content := Seal(b)
+		o := Order{Generation: g, Digest: digest, Operator: "anna"}.Sign(anna)
+		if base > 0 {
+			content = NewPatch(from, b).Encode()
+		}
+		return OfferMsg{Order: o.Encode(), Content: content, Base: base}
+	}
+	what, err := a.Update(offer(1, first, 0, Bundle{}))
+	require.NoError(t, err)
+	require.Equal(t, Adopted, what)
+	what, err = a.Update(offer(3, second, 2, first))
+	require.ErrorIs(t, err, ErrPatch, "made for another generation")
+	require.Equal(t, Refused, what)
+	what, err = a.Update(offer(3, second, 1, Bundle{}))
+	require.Equal(t, Refused, what, "made from another bundle: %v", err)
+	require.EqualValues(t, 1, a.Current().Generation())
+	what, err = a.Update(offer(3, second, 1, first))
+	require.NoError(t, err)
+	require.Equal(t, Adopted, what)
+	require.Equal(t, DigestOf(second), DigestOf(a.Current().Bundle))
+	_, err = Open(a.Current().Packed(), DigestOf(second))
+	require.NoError(t, err, "what was patched can be passed on whole")
+}
+
+// BenchmarkPatch is what a process spends on a change of one team, and the
+// bytes that it takes on a link.
+func BenchmarkPatch(b *testing.B) {
+	for _, servers := range []int{15, 1000, 10000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			from := sized(540, servers)
+			to := sized(540, servers)
+			to.Teams[7].Share = 9
+			anna := keyOf(1)
+			v := Verifier{Operators: operatorsOf(keysOf(anna))}
+			digest, content := Seal(from)
+			first := OfferMsg{Order: Order{Generation: 1, Digest: digest, Operator: "anna"}.Sign(anna).Encode(), Content: content}
+			patch := NewPatch(from, to).Encode()
+			next := OfferMsg{Order: Order{Generation: 2, Digest: DigestOf(to), Operator: "anna"}.Sign(anna).Encode(), Content: patch, Base: 1}
+			a := Adopter{Verifier: v}
+			if what, err := a.Update(first); what != Adopted {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				again := a
+				if what, err := again.Update(next); what != Adopted {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(patch)+len(next.Order)), "link-bytes")
+		})
+	}
+}
--- a/bundle/seal.go
+++ b/bundle/seal.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/fleet"
 )
 
 // maxUnpacked bounds what Open will inflate, in bytes.
@@ -25,12 +26,9 @@
 // Canonical returns the bytes that a digest and signatures cover: JSON with
 // the lists sorted by name, so that order in the source means nothing.
 func Canonical(b Bundle) []byte {
-	b.Teams = slices.Clone(b.Teams)
-	b.Works = slices.Clone(b.Works)
-	b.Servers = slices.Clone(b.Servers)
-	slices.SortFunc(b.Teams, func(x, y Team) int { return cmp.Compare(x.Name, y.Name) })
-	slices.SortFunc(b.Works, func(x, y Work) int { return cmp.Compare(x.Name, y.Name) })
-	slices.SortFunc(b.Servers, func(x, y Server) int { return cmp.Compare(x.Name, y.Name) })
+	b.Teams = sorted(b.Teams, func(t Team) fleet.Team { return t.Name })
+	b.Works = sorted(b.Works, func(w Work) fleet.Work { return w.Name })
+	b.Servers = sorted(b.Servers, func(s Server) fleet.Name { return s.Name })
 	out, err := json.Marshal(b)
 	if err != nil {
 		// Plain structs of strings and numbers always encode; NaN shares are
@@ -40,6 +38,17 @@
 	return out
 }
 
+// sorted returns a copy of a list by name, and nil for an empty one: the two
+// would be spelt differently.
+func sorted[E any, N cmp.Ordered](list []E, name func(E) N) []E {
+	if len(list) == 0 {
+		return nil
+	}
+	out := slices.Clone(list)
+	slices.SortFunc(out, func(x, y E) int { return cmp.Compare(name(x), name(y)) })
+	return out
+}
+
 // DigestOf returns the digest of a bundle.
 func DigestOf(b Bundle) Digest { return digestBytes(Canonical(b)) }
 
@@ -52,11 +61,15 @@
 // holds it and links carry it.
 func Seal(b Bundle) (Digest, []byte) {
 	canonical := Canonical(b)
+	return digestBytes(canonical), pack(canonical)
+}
+
+func pack(canonical []byte) []byte {
 	var buf bytes.Buffer
 	w := gzip.NewWriter(&buf)
 	_, _ = w.Write(canonical) // a bytes.Buffer never fails
 	_ = w.Close()
-	return digestBytes(canonical), buf.Bytes()
+	return buf.Bytes()
 }
 
 // Open unpacks content and refuses it unless its digest is want.
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -21,6 +21,20 @@
 	return ranked[:min(n, len(ranked))]
 }
 
+// Ranks tells whether a name is among the n that rank highest for key, without
+// ranking the others.
+func Ranks(key string, names []Name, name Name, n int) bool {
+	own := weight(key, name)
+	higher := 0
+	for _, other := range names {
+		w := weight(key, other)
+		if w > own || (w == own && other < name) {
+			higher++
+		}
+	}
+	return higher < n
+}
+
 // weight is the rank of one name for one key.
 func weight(key string, n Name) uint64 {
 	var d xxhash.Digest
--- /dev/null
+++ b/fleet/rendezvous_test.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRendezvous(t *testing.T) {
+	var names []Name
+	for i := range 20 {
+		names = append(names, Name(fmt.Sprintf("router-%d", i)))
+	}
+	moved := 0
+	for k := range 200 {
+		key := fmt.Sprint("key", k)
+		top := Rendezvous(key, names, 3)
+		require.Len(t, top, 3)
+		for _, n := range names {
+			require.Equal(t, slices.Contains(top, n), Ranks(key, names, n, 3))
+		}
+		if !slices.Equal(top, Rendezvous(key, names[1:], 3)) {
+			moved++
+			require.Contains(t, top, names[0], "only the duties of the one that went move")
+		}
+	}
+	require.Positive(t, moved)
+	require.Len(t, Rendezvous("k", names[:2], 3), 2)
+}
+
+func TestNamesComeBack(t *testing.T) {
+	id := ClaimID{Agent: "engine-1", Incarnation: 7, Seq: 12}
+	back, ok := ParseClaimID(id.String())
+	require.True(t, ok)
+	require.Equal(t, id, back)
+	for _, bad := range []string{"", "a/b/c", "/1/2", "a/1", "a/1/2/3", "a/-1/2"} {
+		_, ok := ParseClaimID(bad)
+		require.False(t, ok, bad)
+	}
+	for c := range Class(Classes) {
+		back, ok := ParseClass(c.String())
+		require.True(t, ok)
+		require.Equal(t, c, back)
+	}
+	_, ok = ParseClass("soon")
+	require.False(t, ok)
+}
--- a/router/core.go
+++ b/router/core.go
@@ -34,20 +34,25 @@
 	keeper      *adopt.Keeper
 	dialer      *dialer
 	platform    *watcher
-	adoptedHook func(bundle.InForce)
+	admit       func(*table) // lets requests in under a table
 
 	queue   *queue.Machine
 	hub     *ledger.Hub
 	keys    *once.Asker
 	inForce bundle.InForce
+	patches bundle.Patches
 	policy  bundle.Policy
 	servers map[fleet.Name]bundle.Server
 	hosts   []platform.Host
 	duty    duty
-	peers   map[fleet.Name]*peer
-	open    map[queue.RequestID]*openRequest
-	leaving bool
-	pulled  time.Duration
+	// linked remembers, for the routers and the number of links that it was
+	// worked out for, which servers this router links to.
+	linked    map[fleet.Name]bool
+	linkedFor int
+	peers     map[fleet.Name]*peer
+	open      map[queue.RequestID]*openRequest
+	leaving   bool
+	pulled    time.Duration
 }
 
 // peer is a link to another process and what it last said of itself.
@@ -179,7 +184,7 @@
 	case cancelEvent:
 		c.cancel(e.id)
 	case bundleEvent:
-		c.adopted(e.inForce)
+		c.adopted(e.prepared)
 	case hostsEvent:
 		c.hosts = e.hosts
 		c.reshape()
@@ -231,40 +236,20 @@
 }
 
 // adopted puts a bundle in force here.
-func (c *core) adopted(f bundle.InForce) {
+func (c *core) adopted(p prepared) {
+	f := p.inForce
 	c.inForce = f
-	b := f.Bundle.WithDefaults()
-	c.policy = b.Policy
-	c.servers = map[fleet.Name]bundle.Server{}
-	for _, s := range b.Servers {
-		c.servers[s.Name] = s
-	}
-	c.feed(queue.ConfigMsg{Now: c.now(), Config: c.configOf(b)})
-	c.adoptedHook(f)
+	c.patches.Adopted(f)
+	c.policy = p.bundle.Policy
+	c.servers = p.servers
+	c.feed(queue.ConfigMsg{Now: c.now(), Config: p.config})
+	c.admit(p.table)
 	c.reshape()
 	c.refreshAgents()
 	c.heartbeat()
 	c.log.Info().Uint64("generation", uint64(f.Generation())).Str("digest", string(f.Order.Digest)).Msg("bundle in force")
 }
 
-func (c *core) configOf(b bundle.Bundle) queue.Config {
-	cfg := queue.Config{
-		Self:        c.settings.Name,
-		Hall:        c.settings.Hall,
-		MaxWaiting:  b.Limits.MaxWaiting,
-		TeamWaiting: map[fleet.Team]int{},
-		MaxWait:     time.Duration(b.Limits.MaxWait),
-		RetryBudget: b.Limits.RetryBudget,
-	}
-	for _, t := range b.Teams {
-		cfg.TeamWaiting[t.Name] = b.Limits.MaxWaitingPerTeam
-		if t.MaxWaiting > 0 {
-			cfg.TeamWaiting[t.Name] = t.MaxWaiting
-		}
-	}
-	return cfg
-}
-
 func (c *core) hello() wire.Hello {
 	return wire.Hello{
 		Name: c.settings.Name, Role: wire.RoleRouter, Hall: c.settings.Hall,
--- a/router/duty.go
+++ b/router/duty.go
@@ -90,7 +90,12 @@
 
 // reshape works out the duties and the links that they need anew.
 func (c *core) reshape() {
+	before := c.duty.routers
 	c.duty = c.dutyOf()
+	if !slices.Equal(before, c.duty.routers) || c.linkedFor != c.policy.LinksPerServer {
+		c.linked = map[fleet.Name]bool{}
+		c.linkedFor = c.policy.LinksPerServer
+	}
 	c.dialer.want(c.targets())
 	for name, p := range c.peers {
 		was := p.hub
@@ -127,8 +132,12 @@
 	if c.duty.isHub(hall, c.settings.Name) {
 		return true
 	}
-	linked := fleet.Rendezvous("links/"+string(server), c.duty.routers, c.policy.LinksPerServer)
-	return slices.Contains(linked, c.settings.Name)
+	if linked, known := c.linked[server]; known {
+		return linked
+	}
+	linked := fleet.Ranks("links/"+string(server), c.duty.routers, c.settings.Name, c.policy.LinksPerServer)
+	c.linked[server] = linked
+	return linked
 }
 
 // dials tells whether this router dials another: hubs link to each other and
--- a/router/event.go
+++ b/router/event.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/queue"
 )
@@ -29,7 +28,7 @@
 type cancelEvent struct{ id queue.RequestID }
 
 // bundleEvent brings a bundle that is now in force.
-type bundleEvent struct{ inForce bundle.InForce }
+type bundleEvent struct{ prepared prepared }
 
 // hostsEvent brings the platform's list of hosts.
 type hostsEvent struct{ hosts []platform.Host }
--- a/router/links.go
+++ b/router/links.go
@@ -93,7 +93,7 @@
 	case wire.BundlePull:
 		c.sendBundle(p, m.Have)
 	case wire.BundleData:
-		c.keeper.Offer(bundle.OfferMsg{Order: m.Order, Content: m.Content})
+		c.keeper.Offer(bundle.OfferMsg{Order: m.Order, Content: m.Content, Base: m.Base})
 	}
 }
 
@@ -149,7 +149,13 @@
 	if c.inForce.Generation() <= have {
 		return
 	}
-	p.conn.Send(wire.BundleData{Order: c.inForce.Order.Encode(), Content: c.inForce.Content})
+	order := c.inForce.Order.Encode()
+	if patch, ok := c.patches.From(have); ok {
+		p.conn.Send(wire.BundleData{Order: order, Base: have, Content: patch})
+		return
+	}
+	c.inForce.Content = c.inForce.Packed()
+	p.conn.Send(wire.BundleData{Order: order, Content: c.inForce.Content})
 }
 
 func sourceOf(p *peer) ledger.Source {
--- a/router/router.go
+++ b/router/router.go
@@ -84,7 +84,7 @@
 			DisableCompression:  true,
 		},
 	}
-	keeper := adopt.NewKeeper(s.Verifier(), func(f bundle.InForce) { events <- bundleEvent{f} }, r.refused)
+	keeper := adopt.NewKeeper(s.Verifier(), r.adopted, r.refused)
 	r.watcher = &watcher{
 		settings: s.Platform,
 		log:      logger,
@@ -98,12 +98,12 @@
 		log:         logger,
 		now:         now,
 		incarnation: incarnation,
+		admit:       r.handler.table.Store,
 		events:      events,
 		links:       make(chan link.Event, eventRoom),
 		meter:       meter,
 		keeper:      keeper,
 		platform:    r.watcher,
-		adoptedHook: func(f bundle.InForce) { r.handler.table.Store(newTable(f)) },
 		queue:       queue.New(queue.Config{}),
 		hub:         ledger.NewHub(s.Name, s.Hall),
 		keys:        once.NewAsker(),
@@ -115,6 +115,12 @@
 	return r
 }
 
+// adopted prepares a bundle for the core, in the keeper's goroutine. Requests
+// are admitted under it once the core knows of it.
+func (r *Router) adopted(f bundle.InForce) {
+	r.core.events <- bundleEvent{prepare(f, r.settings.Process)}
+}
+
 func (r *Router) refused(err error) {
 	r.log.Warn().Err(err).Msg("bundle refused")
 }
--- a/router/table.go
+++ b/router/table.go
@@ -20,10 +20,9 @@
 	works      []bundle.Work
 }
 
-func newTable(f bundle.InForce) *table {
-	b := f.Bundle.WithDefaults()
+func newTable(g fleet.Generation, b bundle.Bundle) *table {
 	t := &table{
-		generation: f.Generation(),
+		generation: g,
 		limits:     b.Limits,
 		teams:      map[[sha256.Size]byte]*bundle.Team{},
 		works:      b.Works,
