TLS between processes, by name and role, with keys that rotate in place

Cause: any process that reached a control address could speak there. Ruled out: host-name checks (processes are dialled by IP number and known by name); a restart for new keys. Change: package secure; certificates of the fleet's authority whose common name is the process and whose unit is its role; hellos must agree with them; agents take granted requests from routers only; files are read again when they change. Before and after: TestKeys, over real processes: a fleet with keys serves; an agent with another authority's, an expired or another's certificate gets no link and the fleet goes on; new keys are taken by the same process. Before, there was nothing to refuse them.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -15,7 +16,9 @@
 	"github.com/croftvale/croftvale/link"
 	"github.com/croftvale/croftvale/once"
 	"github.com/croftvale/croftvale/sched"
+	"github.com/croftvale/croftvale/secure"
 	"github.com/croftvale/croftvale/settings"
+	"github.com/croftvale/croftvale/wire"
 	"github.com/phuslu/log"
 )
 
@@ -31,15 +34,24 @@
 type Agent struct {
 	settings settings.Agent
 	log      *log.Logger
+	secure   *secure.Store // nil for plain connections
 	core     *core
 	admin    *admin.Server
 	server   *server
 }
 
-// New returns an agent that has opened no address yet.
-func New(s settings.Agent, logger *log.Logger) *Agent {
+// New returns an agent that has opened no address yet. It fails where the TLS
+// files of the settings can't be used.
+func New(s settings.Agent, logger *log.Logger) (*Agent, error) {
 	began := time.Now()
 	a := &Agent{settings: s, log: logger}
+	if s.TLS.On() {
+		store, err := secure.NewStore(secure.Files(s.TLS))
+		if err != nil {
+			return nil, err
+		}
+		a.secure = store
+	}
 	a.core = &core{
 		settings:    s,
 		log:         logger,
@@ -58,7 +70,7 @@
 	a.core.bundles = func(f bundle.InForce) { a.server.configure(f) }
 	a.core.keeper = adopt.NewKeeper(s.Verifier(), a.adopted, a.refused)
 	a.admin = admin.New(admin.Source{Ready: a.server.ready, State: a.dump})
-	return a
+	return a, nil
 }
 
 func (a *Agent) adopted(f bundle.InForce) { a.core.events <- bundleEvent{f} }
@@ -108,7 +120,7 @@
 	wg.Go(func() { a.server.probe(life) })
 	wg.Go(func() { a.report("links", link.Listen(life, links, a.linkOptions())) })
 	wg.Go(func() { a.report("admin", a.admin.Serve(life, adm)) })
-	wg.Go(func() { a.report("serve", hs.Serve(serve)) })
+	wg.Go(func() { a.report("serve", hs.Serve(a.secured(serve))) })
 	a.log.Info().Str("links", links.Addr().String()).Str("serve", serve.Addr().String()).Msg("agent started")
 	<-ctx.Done()
 	return a.drain(hs)
@@ -132,7 +144,28 @@
 }
 
 func (a *Agent) linkOptions() link.Options {
-	return link.Options{Hello: a.core.hello, Events: a.core.links, Meter: a.core.meter}
+	return link.Options{
+		Hello: a.core.hello, Events: a.core.links, Meter: a.core.meter,
+		Secure: a.secure, Accept: wire.RoleRouter, Refused: a.linkRefused,
+	}
+}
+
+// linkRefused logs why an accepted link ended.
+func (a *Agent) linkRefused(remote string, err error) {
+	a.log.Debug().Str("remote", remote).Err(err).Msg("accepted link ended")
+}
+
+// secured wraps a listener for granted requests: only routers of the fleet may
+// connect. Keys are read anew for each connection.
+func (a *Agent) secured(ln net.Listener) net.Listener {
+	if a.secure == nil {
+		return ln
+	}
+	return tls.NewListener(ln, &tls.Config{
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return a.secure.Server(secure.Identity{Role: string(wire.RoleRouter)}), nil
+		},
+	})
 }
 
 // report logs why a duty ended, unless it was asked to.
--- a/cmd/croftvaled/main.go
+++ b/cmd/croftvaled/main.go
@@ -70,7 +70,11 @@
 		return err
 	}
 	logger := newLogger(s.Process)
-	return router.New(s, logger).Run(untilSignal(logger))
+	r, err := router.New(s, logger)
+	if err != nil {
+		return err
+	}
+	return r.Run(untilSignal(logger))
 }
 
 // Run runs an agent until a signal.
@@ -80,7 +84,11 @@
 		return err
 	}
 	logger := newLogger(s.Process)
-	return agent.New(s, logger).Run(untilSignal(logger))
+	a, err := agent.New(s, logger)
+	if err != nil {
+		return err
+	}
+	return a.Run(untilSignal(logger))
 }
 
 // Run checks a settings file of either role.
--- a/link/conn.go
+++ b/link/conn.go
@@ -44,10 +44,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "dial %s", address)
 	}
-	if opts.TLS != nil {
-		raw = client(raw, address, opts.TLS())
-	}
-	return serve(ctx, raw, opts)
+	return serve(ctx, opts.client(raw), opts)
 }
 
 // serve says hello and runs a link over an open connection.
@@ -92,6 +89,9 @@
 	if !ok {
 		return ErrNoHello
 	}
+	if err := checkIdentity(c.raw, h); err != nil {
+		return err
+	}
 	c.Peer = h
 	return c.raw.SetDeadline(time.Time{})
 }
--- a/link/listen.go
+++ b/link/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"sync"
 
@@ -15,12 +14,7 @@
 // Listen accepts links on a listener until ctx ends, then waits for all of
 // them to end. Connections above the limit are closed at once.
 func Listen(ctx context.Context, ln net.Listener, opts Options) error {
-	if opts.TLS != nil {
-		cfg := &tls.Config{GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			return opts.TLS(), nil
-		}}
-		ln = tls.NewListener(ln, cfg)
-	}
+	ln = opts.listener(ln)
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	var wg sync.WaitGroup
@@ -42,7 +36,9 @@
 		}
 		wg.Go(func() {
 			defer func() { <-room }()
-			_ = serve(ctx, raw, opts)
+			if err := serve(ctx, raw, opts); err != nil && opts.Refused != nil {
+				opts.Refused(raw.RemoteAddr().String(), err)
+			}
 		})
 	}
 }
--- a/link/options.go
+++ b/link/options.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"time"
 
+	"github.com/croftvale/croftvale/secure"
 	"github.com/croftvale/croftvale/wire"
 )
 
@@ -24,12 +24,14 @@
 
 // Options is what links of one process have in common.
 type Options struct {
-	Hello   func() wire.Hello  // what this process says first, at the time of connecting
-	Events  chan<- Event       // bounded; readers wait for room, which slows the peer down
-	Timeout time.Duration      // DefaultTimeout where zero
-	TLS     func() *tls.Config // nil for plain TCP; asked anew for each connection
-	Dial    DialFunc           // net.Dialer where nil
-	Meter   *Meter             // counts messages and bytes; may be nil
+	Hello   func() wire.Hello              // what this process says first, at the time of connecting
+	Events  chan<- Event                   // bounded; readers wait for room, which slows the peer down
+	Timeout time.Duration                  // DefaultTimeout where zero
+	Secure  *secure.Store                  // nil for plain TCP
+	Accept  wire.Role                      // the role that may connect here; any where empty
+	Dial    DialFunc                       // net.Dialer where nil
+	Refused func(remote string, err error) // hears why accepted links ended; may be nil
+	Meter   *Meter                         // counts messages and bytes; may be nil
 }
 
 func (o Options) timeout() time.Duration {
--- a/link/tls.go
+++ b/link/tls.go
@@ -3,15 +3,49 @@
 import (
 	"crypto/tls"
 	"net"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/secure"
+	"github.com/croftvale/croftvale/wire"
 )
 
-// client wraps a dialled connection; the certificate must name the IP number
-// that was dialled unless the configuration says otherwise.
-func client(raw net.Conn, address string, cfg *tls.Config) net.Conn {
-	if cfg.ServerName == "" {
-		cfg = cfg.Clone()
-		host, _, _ := net.SplitHostPort(address)
-		cfg.ServerName = host
+// ErrImpostor means that a peer calls itself by another name or role than its
+// certificate does.
+var ErrImpostor = errors.New("the peer's hello and its certificate disagree; give each process the certificate of its own name and role")
+
+// client wraps a dialled connection where the fleet has keys.
+func (o Options) client(raw net.Conn) net.Conn {
+	if o.Secure == nil {
+		return raw
+	}
+	return tls.Client(raw, o.Secure.Client(secure.Identity{}))
+}
+
+// listener wraps a listener where the fleet has keys.
+func (o Options) listener(ln net.Listener) net.Listener {
+	if o.Secure == nil {
+		return ln
+	}
+	return tls.NewListener(ln, &tls.Config{
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return o.Secure.Server(secure.Identity{Role: string(o.Accept)}), nil
+		},
+	})
+}
+
+// checkIdentity holds a peer's hello against its certificate.
+func checkIdentity(raw net.Conn, h wire.Hello) error {
+	conn, ok := raw.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	certs := conn.ConnectionState().PeerCertificates
+	if len(certs) == 0 {
+		return ErrImpostor
+	}
+	id := secure.IdentityOf(certs[0])
+	if id.Name != string(h.Name) || id.Role != string(h.Role) {
+		return errors.Wrapf(ErrImpostor, "hello of %s %q, certificate of %s %q", h.Role, h.Name, id.Role, id.Name)
 	}
-	return tls.Client(raw, cfg)
+	return nil
 }
--- a/router/doc.go
+++ b/router/doc.go
@@ -3,6 +3,6 @@
 // streams the answers back. Some routers also share service counters as hubs
 // and watch the platform for bundles.
 //
-//	r := router.New(settings, logger)
-//	err := r.Run(ctx) // until ctx ends and everything that runs has finished
+//	r, err := router.New(settings, logger)
+//	err = r.Run(ctx) // until ctx ends and everything that runs has finished
 package router
--- a/router/handler.go
+++ b/router/handler.go
@@ -25,6 +25,7 @@
 	leaving     atomic.Bool
 	next        atomic.Uint64
 	transport   http.RoundTripper
+	secure      bool // agents are called by TLS
 	stats       stats
 	meter       *link.Meter
 }
@@ -138,6 +139,9 @@
 	go giveUp(g.abort, answered, cancel)
 	var sent relay.Sent
 	req := sent.Trace(outgoing(r, a, g).WithContext(ctx))
+	if h.secure {
+		req.URL.Scheme = "https"
+	}
 	h.meter.Grant(len(g.left) + 1)
 	res, err := h.transport.RoundTrip(req)
 	close(answered)
--- a/router/router.go
+++ b/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -17,7 +18,9 @@
 	"github.com/croftvale/croftvale/once"
 	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/queue"
+	"github.com/croftvale/croftvale/secure"
 	"github.com/croftvale/croftvale/settings"
+	"github.com/croftvale/croftvale/wire"
 	"github.com/phuslu/log"
 )
 
@@ -43,6 +46,7 @@
 	settings settings.Router
 	log      *log.Logger
 	dial     link.DialFunc
+	secure   *secure.Store // nil for plain connections
 	core     *core
 	handler  *handler
 	admin    *admin.Server
@@ -58,12 +62,20 @@
 	return func(r *Router) { r.dial = d }
 }
 
-// New returns a router that has opened no address yet.
-func New(s settings.Router, logger *log.Logger, opts ...Option) *Router {
+// New returns a router that has opened no address yet. It fails where the TLS
+// files of the settings can't be used.
+func New(s settings.Router, logger *log.Logger, opts ...Option) (*Router, error) {
 	r := &Router{settings: s, log: logger, dial: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	for _, o := range opts {
 		o(r)
 	}
+	if s.TLS.On() {
+		store, err := secure.NewStore(secure.Files(s.TLS))
+		if err != nil {
+			return nil, err
+		}
+		r.secure = store
+	}
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
 	events := make(chan event, eventRoom)
@@ -77,12 +89,8 @@
 		events:      events,
 		meter:       meter,
 		stats:       newStats(r.admin.Scope()),
-		transport: &http.Transport{
-			DialContext:         r.dial,
-			MaxIdleConnsPerHost: agentConns,
-			IdleConnTimeout:     agentIdle,
-			DisableCompression:  true,
-		},
+		transport:   r.transport(),
+		secure:      r.secure != nil,
 	}
 	keeper := adopt.NewKeeper(s.Verifier(), r.adopted, r.refused)
 	r.watcher = &watcher{
@@ -112,7 +120,35 @@
 		peers:       map[fleet.Name]*peer{},
 		open:        map[queue.RequestID]*openRequest{},
 	}
-	return r
+	return r, nil
+}
+
+// transport returns what calls agents.
+func (r *Router) transport() *http.Transport {
+	t := &http.Transport{
+		DialContext:         r.dial,
+		MaxIdleConnsPerHost: agentConns,
+		IdleConnTimeout:     agentIdle,
+		DisableCompression:  true,
+	}
+	if r.secure != nil {
+		t.DialTLSContext = r.dialAgent
+	}
+	return t
+}
+
+// dialAgent opens a TLS connection to an agent; keys are read anew for each.
+func (r *Router) dialAgent(ctx context.Context, network, address string) (net.Conn, error) {
+	raw, err := r.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	conn := tls.Client(raw, r.secure.Client(secure.Identity{Role: string(wire.RoleAgent)}))
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return conn, nil
 }
 
 // adopted prepares a bundle for the core, in the keeper's goroutine. Requests
@@ -169,7 +205,10 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer end()
-	opts := link.Options{Hello: r.core.hello, Events: r.core.links, Meter: r.core.meter, Dial: r.dial}
+	opts := link.Options{
+		Hello: r.core.hello, Events: r.core.links, Meter: r.core.meter, Dial: r.dial,
+		Secure: r.secure, Accept: wire.RoleRouter, Refused: r.linkRefused,
+	}
 	r.core.dialer = &dialer{ctx: life, opts: opts, log: r.log, kept: map[string]context.CancelFunc{}}
 	hs := &http.Server{
 		Handler:           r.handler,
@@ -189,6 +228,11 @@
 	return r.drain(hs)
 }
 
+// linkRefused logs why an accepted link ended, unless its peer just went.
+func (r *Router) linkRefused(remote string, err error) {
+	r.log.Debug().Str("remote", remote).Err(err).Msg("accepted link ended")
+}
+
 // drain ends the process in order.
 func (r *Router) drain(hs *http.Server) error {
 	limit := r.settings.Drain.Or(settings.DefaultDrain)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,10 +23,22 @@
 	Admin     tomlfile.Address  `toml:"admin"` // /metrics, /healthz, /readyz, /state
 	Operators []Operator        `toml:"operators"`
 	Signoffs  int               `toml:"signoffs"` // sign-offs that a bundle needs
+	TLS       TLS               `toml:"tls"`
 	Log       Log               `toml:"log"`
 	Drain     tomlfile.Duration `toml:"drain"` // longest wait for what runs after SIGTERM
 }
 
+// TLS says where the process's keys are. Without them connections between
+// processes are plain, which suits a lab only.
+type TLS struct {
+	Cert      string `toml:"cert"`      // PEM certificate; its common name is the process's name
+	Key       string `toml:"key"`       // PEM private key
+	Authority string `toml:"authority"` // PEM certificate of the fleet's authority
+}
+
+// On tells whether keys are set.
+func (t TLS) On() bool { return t != TLS{} }
+
 // Operator is a person whose orders are obeyed.
 type Operator struct {
 	Name string `toml:"name"`
@@ -115,6 +127,7 @@
 	if p.Signoffs < 0 || p.Signoffs > len(p.Operators) {
 		f.Add("signoffs", p.Signoffs, "write a number from 0 to the number of operators")
 	}
+	checkTLS(f, p.TLS)
 	for i, o := range p.Operators {
 		if _, err := publicKey(o.Key); err != nil {
 			f.Add(fmt.Sprintf("operators[%d].key", i), o.Key, err.Error())
@@ -122,6 +135,19 @@
 	}
 }
 
+func checkTLS(f *tomlfile.File, t TLS) {
+	if !t.On() {
+		return
+	}
+	for _, file := range []struct{ key, path string }{
+		{"tls.cert", t.Cert}, {"tls.key", t.Key}, {"tls.authority", t.Authority},
+	} {
+		if _, err := os.Stat(file.path); err != nil {
+			f.Add(file.key, fmt.Sprintf("%q", file.path), "give the path of a readable PEM file; cert, key and authority go together")
+		}
+	}
+}
+
 func need(f *tomlfile.File, key string, a tomlfile.Address) {
 	if !a.IsValid() {
 		f.Add(key, `""`, tomlfile.ErrAddress.Error())
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -72,6 +72,7 @@
 		{`signoffs = 1`, `signoffs = 2`, "s.toml:6: signoffs = 2: write a number from 0 to the number of operators"},
 		{`signoffs = 1`, `drain = "-3s"`, "not a duration"},
 		{`signoffs = 1`, `log.level = "loud"`, "log.level = loud"},
+		{`watch = true`, "watch = true\n[tls]\ncert = \"/nowhere.crt\"", `tls.cert = "/nowhere.crt"`},
 		{`key = "AAAA`, `key = "AA`, "not a public key"},
 		{"[[operators]]\nname = \"anna\"", "[[operator]]\nname = \"anna\"", "no such key"},
 	}
--- a/standin/cmd/node/main.go
+++ b/standin/cmd/node/main.go
@@ -51,7 +51,11 @@
 	defer stop()
 	hall := delay.HallOf(s.Listen.String())
 	d := delay.NewDialer(hall, c.OneWay, delay.WatchCuts(c.Cuts))
-	return router.New(s, logger(s.Process), router.WithDial(d.DialContext)).Run(ctx)
+	r, err := router.New(s, logger(s.Process), router.WithDial(d.DialContext))
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
 }
 
 // Run runs an agent; it dials nothing but its own server.
@@ -62,7 +66,11 @@
 	}
 	ctx, stop := untilSignal()
 	defer stop()
-	return agent.New(s, logger(s.Process)).Run(ctx)
+	a, err := agent.New(s, logger(s.Process))
+	if err != nil {
+		return err
+	}
+	return a.Run(ctx)
 }
 
 func untilSignal() (context.Context, context.CancelFunc) {
--- a/standin/e2e/fleet_test.go
+++ b/standin/e2e/fleet_test.go
@@ -59,7 +59,12 @@
 
 func newSmall(t *testing.T) *small {
 	t.Helper()
-	l, err := lab.New(lab.Config{Dir: t.TempDir(), Bin: bin, Poll: 200 * time.Millisecond, Drain: patience})
+	return newSmallWith(t, t.TempDir(), nil)
+}
+
+func newSmallWith(t *testing.T, dir string, keys *lab.Authority) *small {
+	t.Helper()
+	l, err := lab.New(lab.Config{Dir: dir, Bin: bin, Poll: 200 * time.Millisecond, Drain: patience, Keys: keys, LogLevel: "debug"})
 	require.NoError(t, err)
 	t.Cleanup(l.Close)
 	s := &small{t: t, lab: l, record: &record.Recorder{}}
--- a/standin/lab/lab.go
+++ b/standin/lab/lab.go
@@ -44,6 +44,7 @@
 	Drain    time.Duration
 	Poll     time.Duration // between two reads of the host list
 	Env      []string      // more environment for the processes
+	Keys     *Authority    // TLS between the processes; plain where nil
 }
 
 // Lab is a fleet on one machine.
@@ -132,7 +133,7 @@
 		Address: addr(l.address(ip, portServer)),
 	})
 	conf := settings.Agent{
-		Process: l.process(s.Name, HallName(s.Hall), ip),
+		Process: l.process(s.Name, "agent", HallName(s.Hall), ip),
 		Links:   addr(l.address(ip, portLinks)),
 		Serve:   addr(l.address(ip, portServe)),
 	}
@@ -143,7 +144,7 @@
 func (l *Lab) AddRouter(name fleet.Name, hall int) error {
 	ip := l.nextIP(hall)
 	conf := settings.Router{
-		Process: l.process(name, HallName(hall), ip),
+		Process: l.process(name, "router", HallName(hall), ip),
 		Listen:  addr(l.address(ip, portListen)),
 		Links:   addr(l.address(ip, portLinks)),
 		Platform: settings.Platform{
@@ -159,9 +160,10 @@
 	return nil
 }
 
-func (l *Lab) process(name fleet.Name, hall fleet.Hall, ip string) settings.Process {
+func (l *Lab) process(name fleet.Name, role string, hall fleet.Hall, ip string) settings.Process {
 	public := l.key.Public().(ed25519.PublicKey)
 	return settings.Process{
+		TLS:  l.issue(name, role),
 		Name: name, Hall: hall,
 		Admin:     addr(l.address(ip, portAdmin)),
 		Operators: []settings.Operator{{Name: operator, Key: base64.StdEncoding.EncodeToString(public)}},
@@ -171,6 +173,19 @@
 	}
 }
 
+// issue returns a process's keys, or none where the lab has no authority. Where
+// they can't be written the process says so when it starts.
+func (l *Lab) issue(name fleet.Name, role string) settings.TLS {
+	if l.cfg.Keys == nil {
+		return settings.TLS{}
+	}
+	t, err := l.cfg.Keys.Issue(name, role, time.Now().Add(time.Hour))
+	if err != nil {
+		return settings.TLS{Cert: err.Error()}
+	}
+	return t
+}
+
 // add writes a process's settings and starts it.
 func (l *Lab) add(role string, name fleet.Name, ip string, conf any) error {
 	text, err := settings.Marshal(conf)
