Signs of life that scale with the links, and bundles that are asked for again

Cause: at the two-year size a router has some 240 links, a hub a thousand; a heartbeat of 9 bytes each second on each would be 9 KB/s alone. And a bundle was asked for only when a heartbeat came, not in the first second of a process's life. Ruled out: fewer links per agent alone; longer intervals for all (today's fleets would notice a lost host later). Change: a sign of life is 2 bytes, its interval grows with the links and is announced; an agent is linked to 16 routers by default, not 64; a process that knows of a newer bundle asks again until it has it. Before and after: with the heartbeats gone two end-to-end tests failed, since nobody was ever asked again (TestPlatformOutage, TestKillsLoseNothingSilently); they pass now, and the package takes 6.6 s instead of 18 to 25, as processes get their bundle at once.

--- a/agent/core.go
+++ b/agent/core.go
@@ -31,15 +31,16 @@
 	keeper      *adopt.Keeper
 	bundles     func(bundle.InForce) // hears of each bundle in force
 
-	machine *sched.Machine
-	keys    *once.Memory
-	inForce bundle.InForce
-	routers map[fleet.Name]*routerLink
-	waiting map[uint64]chan<- verdict
-	serving bool
-	leaving bool
-	left    chan struct{} // closed once nothing is held after leaving
-	pulled  time.Duration // when a bundle was last asked for
+	machine    *sched.Machine
+	keys       *once.Memory
+	inForce    bundle.InForce
+	routers    map[fleet.Name]*routerLink
+	waiting    map[uint64]chan<- verdict
+	serving    bool
+	leaving    bool
+	left       chan struct{} // closed once nothing is held after leaving
+	aliveEvery time.Duration // between two signs of life on a quiet link
+	pullAgain  time.Duration // when another peer may be asked for a bundle
 }
 
 // routerLink is a link to a router and what it last said of itself.
@@ -184,11 +185,21 @@
 	}
 }
 
-// keepAlive sends a heartbeat on links that carry nothing else.
+// keepAlive gives a sign of life on links that carry nothing else, and asks
+// again for a bundle that a peer has and this process has not.
 func (c *core) keepAlive() {
 	for _, r := range c.routers {
-		if r.conn.Quiet() {
-			r.conn.Send(c.beat())
+		c.pullFrom(r)
+	}
+	every := link.AliveEvery(len(c.routers))
+	if every != c.aliveEvery {
+		c.aliveEvery = every
+		c.heartbeat()
+		return
+	}
+	for _, r := range c.routers {
+		if r.conn.Quiet(every) {
+			r.conn.Send(wire.Alive{})
 		}
 	}
 }
@@ -201,5 +212,8 @@
 }
 
 func (c *core) beat() wire.Heartbeat {
-	return wire.Heartbeat{Generation: c.inForce.Generation(), Leaving: c.leaving, Serving: c.serving}
+	return wire.Heartbeat{
+		Generation: c.inForce.Generation(), Leaving: c.leaving, Serving: c.serving,
+		Every: uint32(c.aliveEvery / time.Millisecond),
+	}
 }
--- a/agent/links.go
+++ b/agent/links.go
@@ -53,6 +53,8 @@
 	switch m := e.Msg.(type) {
 	case wire.Heartbeat:
 		c.onHeartbeat(name, r, m)
+	case wire.Alive:
+		c.feed(sched.RouterAliveMsg{Now: c.now(), Router: name})
 	case wire.Name:
 		r.conn.In.Learn(m)
 	case wire.Demand:
@@ -76,8 +78,15 @@
 	}
 	r.last = m
 	c.feed(sched.RouterAliveMsg{Now: c.now(), Router: name})
-	if m.Generation > c.inForce.Generation() && c.now()-c.pulled > pullTimeout {
-		c.pulled = c.now()
-		r.conn.Send(wire.BundlePull{Have: c.inForce.Generation()})
+	c.pullFrom(r)
+}
+
+// pullFrom asks a peer for its bundle if that is newer, and nobody has been
+// asked just now.
+func (c *core) pullFrom(r *routerLink) {
+	if r.last.Generation <= c.inForce.Generation() || c.now() < c.pullAgain {
+		return
 	}
+	c.pullAgain = c.now() + pullTimeout
+	r.conn.Send(wire.BundlePull{Have: c.inForce.Generation()})
 }
--- a/bundle/defaults.go
+++ b/bundle/defaults.go
@@ -19,7 +19,7 @@
 	DefaultCatchUp           = time.Minute
 	DefaultClaimAhead        = 1
 	DefaultHubsPerHall       = 2
-	DefaultLinksPerServer    = 64
+	DefaultLinksPerServer    = 16
 	DefaultProbe             = "/health"
 )
 
--- a/link/conn.go
+++ b/link/conn.go
@@ -125,10 +125,10 @@
 	}
 }
 
-// Quiet tells whether nothing has been sent for most of a heartbeat's time, so
-// that the peer needs one to know that this side lives.
-func (c *Conn) Quiet() bool {
-	return time.Now().UnixNano()-c.sentAt.Load() > int64(HeartbeatEvery*3/4)
+// Quiet tells whether so little has been sent lately that the peer needs a sign
+// of life, if it is to have one at intervals.
+func (c *Conn) Quiet(every time.Duration) bool {
+	return time.Now().UnixNano()-c.sentAt.Load() > int64(every-HeartbeatEvery/4)
 }
 
 // Close ends the link for a reason; later calls do nothing.
@@ -174,8 +174,9 @@
 
 // read delivers messages until the link ends or the peer falls silent.
 func (c *Conn) read(r *bufio.Reader) error {
+	patience := c.opts.timeout()
 	for {
-		_ = c.raw.SetReadDeadline(time.Now().Add(c.opts.timeout()))
+		_ = c.raw.SetReadDeadline(time.Now().Add(patience))
 		m, n, err := wire.Read(r)
 		if errors.Is(err, wire.ErrUnknownType) {
 			continue // from a newer release; what it says is not for us
@@ -184,6 +185,9 @@
 			return err
 		}
 		c.opts.Meter.read(m.Type(), n)
+		if h, ok := m.(wire.Heartbeat); ok {
+			patience = max(c.opts.timeout(), missed*time.Duration(h.Every)*time.Millisecond)
+		}
 		c.opts.Events <- Event{Conn: c, Kind: EventMessage, Msg: m}
 	}
 }
--- a/link/options.go
+++ b/link/options.go
@@ -10,11 +10,17 @@
 )
 
 const (
-	// DefaultTimeout is how long a peer may be silent before its link is cut;
-	// heartbeats come at HeartbeatEvery.
-	DefaultTimeout = 3 * time.Second
-	// HeartbeatEvery is the time between two heartbeats.
+	// DefaultTimeout is how long a peer that gives a sign of life every
+	// HeartbeatEvery may be silent before its link is cut.
+	DefaultTimeout = missed * HeartbeatEvery
+	// HeartbeatEvery is the time between two signs of life on a quiet link of a
+	// process with few links.
 	HeartbeatEvery = time.Second
+	// linksPerSecond is how many quiet links a process keeps alive each second;
+	// one with more links does so less often, and says how often.
+	linksPerSecond = 100
+	// missed is how many signs of life must be missing.
+	missed = 3
 	// outgoing is how many messages may wait for the writer.
 	outgoing = 1024
 )
@@ -34,6 +40,12 @@
 	Meter   *Meter                         // counts messages and bytes; may be nil
 }
 
+// AliveEvery returns the time between two signs of life on a quiet link of a
+// process with a number of links.
+func AliveEvery(links int) time.Duration {
+	return max(HeartbeatEvery, time.Duration(links)*time.Second/linksPerSecond)
+}
+
 func (o Options) timeout() time.Duration {
 	if o.Timeout == 0 {
 		return DefaultTimeout
--- a/router/core.go
+++ b/router/core.go
@@ -47,12 +47,13 @@
 	duty    duty
 	// linked remembers, for the routers and the number of links that it was
 	// worked out for, which servers this router links to.
-	linked    map[fleet.Name]bool
-	linkedFor int
-	peers     map[fleet.Name]*peer
-	open      map[queue.RequestID]*openRequest
-	leaving   bool
-	pulled    time.Duration
+	linked     map[fleet.Name]bool
+	linkedFor  int
+	peers      map[fleet.Name]*peer
+	open       map[queue.RequestID]*openRequest
+	leaving    bool
+	aliveEvery time.Duration // between two signs of life on a quiet link
+	pullAgain  time.Duration // when another peer may be asked for a bundle
 }
 
 // peer is a link to another process and what it last said of itself.
@@ -257,11 +258,21 @@
 	}
 }
 
-// keepAlive sends a heartbeat on links that carry nothing else.
+// keepAlive gives a sign of life on links that carry nothing else, and asks
+// again for a bundle that a peer has and this process has not.
 func (c *core) keepAlive() {
 	for _, p := range c.peers {
-		if p.conn.Quiet() {
-			p.conn.Send(c.beat(p))
+		c.pullFrom(p)
+	}
+	every := link.AliveEvery(len(c.peers))
+	if every != c.aliveEvery {
+		c.aliveEvery = every
+		c.heartbeat()
+		return
+	}
+	for _, p := range c.peers {
+		if p.conn.Quiet(every) {
+			p.conn.Send(wire.Alive{})
 		}
 	}
 }
@@ -276,5 +287,6 @@
 func (c *core) beat(p *peer) wire.Heartbeat {
 	return wire.Heartbeat{
 		Generation: c.inForce.Generation(), Leaving: c.leaving, Serving: true, Hub: p.hub,
+		Every: uint32(c.aliveEvery / time.Millisecond),
 	}
 }
--- a/router/links.go
+++ b/router/links.go
@@ -105,10 +105,7 @@
 	if p.conn.Peer.Role == wire.RoleAgent {
 		c.agentSays(name, p, before, m)
 	}
-	if m.Generation > c.inForce.Generation() && c.now()-c.pulled > pullTimeout {
-		c.pulled = c.now()
-		p.conn.Send(wire.BundlePull{Have: c.inForce.Generation()})
-	}
+	c.pullFrom(p)
 }
 
 // agentSays follows an agent's coming and going.
@@ -161,3 +158,13 @@
 func sourceOf(p *peer) ledger.Source {
 	return ledger.Source{Agent: p.conn.Peer.Name, Incarnation: p.conn.Peer.Incarnation}
 }
+
+// pullFrom asks a peer for its bundle if that is newer, and nobody has been
+// asked just now.
+func (c *core) pullFrom(p *peer) {
+	if p.last.Generation <= c.inForce.Generation() || c.now() < c.pullAgain {
+		return
+	}
+	c.pullAgain = c.now() + pullTimeout
+	p.conn.Send(wire.BundlePull{Have: c.inForce.Generation()})
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -25,6 +25,9 @@
 // Encode returns the whole frame of a message.
 func Encode(m Message) ([]byte, error) {
 	var body bytes.Buffer
+	if m.Type() == TypeAlive {
+		return []byte{1, byte(TypeAlive)}, nil
+	}
 	enc := msgpack.NewEncoder(&body)
 	enc.UseArrayEncodedStructs(true)
 	enc.UseCompactInts(true)
@@ -73,6 +76,8 @@
 		return decodeAs[Hello](body)
 	case TypeHeartbeat:
 		return decodeAs[Heartbeat](body)
+	case TypeAlive:
+		return Alive{}, nil
 	case TypeDemand:
 		return decodeAs[Demand](body)
 	case TypeFree:
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -10,6 +10,7 @@
 var samples = []Message{
 	Hello{Name: "r", Role: RoleRouter, Hall: "a", Incarnation: 7, Generation: 2},
 	Heartbeat{Generation: 3, Leaving: true, Hub: true},
+	Alive{},
 	Demand{Rows: []DemandRow{{Work: 1, Team: 2, Class: 1, Count: 3, OldestAge: 40}}},
 	Free{Slots: 8},
 	Claim{Seq: 900, Work: 1, Team: 2, Class: 2},
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -24,6 +24,7 @@
 	TypeKeyReserve  Type = 16
 	TypeKeyVerdict  Type = 17
 	TypeKeyRelease  Type = 18
+	TypeAlive       Type = 19
 	// TypeGrant is never sent: it counts the header of a granted request that
 	// control needs.
 	TypeGrant Type = 15
@@ -36,6 +37,7 @@
 	TypeBundleOffer: "bundle_offer", TypeBundlePull: "bundle_pull", TypeBundleData: "bundle_data",
 	TypeAgentRows: "agent_rows", TypeName: "name", TypeGrant: "grant_header",
 	TypeKeyReserve: "key_reserve", TypeKeyVerdict: "key_verdict", TypeKeyRelease: "key_release",
+	TypeAlive: "alive",
 }
 
 // String names the type as metrics and dumps spell it.
@@ -80,8 +82,12 @@
 	Leaving    bool
 	Serving    bool
 	Hub        bool
+	Every      uint32 // milliseconds between two signs of life from the sender
 }
 
+// Alive says that the sender lives and that its last Heartbeat still holds.
+type Alive struct{}
+
 // DemandRow is the count of one line of waiting requests.
 type DemandRow struct {
 	Work      Number
@@ -177,6 +183,9 @@
 // Type implements Message.
 func (Heartbeat) Type() Type { return TypeHeartbeat }
 
+// Type implements Message.
+func (Alive) Type() Type { return TypeAlive }
+
 // Type implements Message.
 func (Demand) Type() Type { return TypeDemand }
 
