Work the two-year size out of measured slopes; pull a second bundle at once

Cause: (1) nothing said what the two-year size costs. (2) A process that had pulled a bundle less than a second ago waited for the next one (spread 1,072 ms in the load tool). Adoption clears the wait between two pulls; the load tool measures spread and states the bound.

--- a/agent/core.go
+++ b/agent/core.go
@@ -170,6 +170,7 @@
 // adopted puts a bundle in force here.
 func (c *core) adopted(f bundle.InForce) {
 	c.inForce = f
+	c.pullAgain = 0
 	b := f.Bundle.WithDefaults()
 	c.feed(sched.ConfigMsg{Now: c.now(), Config: configOf(b, c.settings.Name)})
 	c.setPools(b)
--- a/router/core.go
+++ b/router/core.go
@@ -240,6 +240,7 @@
 func (c *core) adopted(p prepared) {
 	f := p.inForce
 	c.inForce = f
+	c.pullAgain = 0
 	c.patches.Adopted(f)
 	c.policy = p.bundle.Policy
 	c.servers = p.servers
--- /dev/null
+++ b/standin/capacity/measure.go
@@ -0,0 +1,305 @@
+package capacity
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/ed25519"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/ledger"
+	"github.com/croftvale/croftvale/once"
+	"github.com/croftvale/croftvale/queue"
+	"github.com/croftvale/croftvale/sched"
+	"github.com/croftvale/croftvale/tomlfile"
+	"github.com/croftvale/croftvale/wire"
+)
+
+const (
+	bigService = 86_400_000 // a day of slot time in milliseconds
+	// baseMemory is the resident memory of an idle agent of a two-server fleet,
+	// read from /proc/PID/status on 8 cores under Linux.
+	baseMemory = 22 << 20
+)
+
+// Measure drives the real machines and codecs at the two-year size and returns
+// the slopes. It takes some seconds.
+func Measure() Slopes {
+	var s Slopes
+	s.measureBytes()
+	s.measureRouter()
+	s.measureAgent()
+	s.measureHub()
+	s.measureBundle()
+	s.measureMemory()
+	return s
+}
+
+func frame(m wire.Message) float64 {
+	f, err := wire.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(f))
+}
+
+func (s *Slopes) measureBytes() {
+	s.measureFrames()
+	s.FrameNS = perOp(func() { roundTrip(wire.Claim{Seq: 1 << 20, Work: 3, Team: 500, Class: 1}) })
+	many := wire.Totals{Rows: make([]wire.ServiceRow, 100)}
+	for i := range many.Rows {
+		many.Rows[i] = wire.ServiceRow{Team: 500, Service: bigService}
+	}
+	s.FrameRowNS = (perOp(func() { roundTrip(many) }) - s.FrameNS) / 100
+}
+
+// measureFrames fills in what does not depend on the machine.
+func (s *Slopes) measureFrames() {
+	row := wire.DemandRow{Work: 3, Team: 500, Class: 1, Count: 40, OldestAge: 900}
+	service := wire.ServiceRow{Team: 500, Service: bigService}
+	s.ClaimBytes = frame(wire.Claim{Seq: 1 << 20, Work: 3, Team: 500, Class: 1})
+	s.DemandBytes = frame(wire.Demand{Rows: []wire.DemandRow{row}})
+	s.DemandRowBytes = frame(wire.Demand{Rows: []wire.DemandRow{row, row}}) - s.DemandBytes
+	s.DenyBytes = frame(wire.Deny{Seq: 1 << 20, Row: row})
+	s.FreeBytes = frame(wire.Free{Slots: 8})
+	s.GrantBytes = float64(len(" 40/900"))
+	s.AliveBytes = frame(wire.Alive{})
+	s.ServiceBytes = frame(wire.Totals{Rows: nil})
+	s.ServiceRowBytes = frame(wire.Totals{Rows: []wire.ServiceRow{service, service}}) - frame(wire.Totals{Rows: []wire.ServiceRow{service}})
+	s.KeyBytes = frame(wire.KeyReserve{Request: 1 << 20, Work: 3, Digest: make([]byte, 16), Made: 1 << 41}) +
+		frame(wire.KeyVerdict{Request: 1 << 20})
+}
+
+func roundTrip(m wire.Message) {
+	f, err := wire.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	if _, _, err := wire.Read(bufio.NewReader(bytes.NewReader(f))); err != nil {
+		panic(err)
+	}
+}
+
+// perOp returns nanoseconds of one call.
+func perOp(f func()) float64 {
+	r := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			f()
+		}
+	})
+	return float64(r.NsPerOp())
+}
+
+func teamName(i int) fleet.Team { return fleet.Team(fmt.Sprintf("team-%04d", i)) }
+
+func key(i int) fleet.DemandKey {
+	return fleet.DemandKey{Work: "report", Team: teamName(i), Class: fleet.Ordinary}
+}
+
+// waitingRouter returns a router's machine at the two-year size, with the
+// backlogged teams' requests waiting.
+func waitingRouter() *queue.Machine {
+	m := queue.New(queue.Config{MaxWaiting: 1 << 30, MaxWait: time.Hour})
+	for a := range int(TwoYears.routerLinks()) {
+		m.Update(queue.AgentUpMsg{Now: 1, Agent: agentName(a), Works: []fleet.Work{"report"}})
+	}
+	for i := range int(TwoYears.Backlogged) {
+		for j := range 50 {
+			m.Update(queue.ArriveMsg{Now: 1, Request: queue.Request{ID: queue.RequestID(i*50 + j + 1), Key: key(i)}})
+		}
+	}
+	return m
+}
+
+func agentName(i int) fleet.Name { return fleet.Name(fmt.Sprintf("engine-%05d", i)) }
+
+func (s *Slopes) measureRouter() {
+	m := waitingRouter()
+	id := queue.RequestID(1 << 40)
+	s.RequestNS = perOp(func() {
+		id++
+		k := key(int(id) % int(TwoYears.Backlogged))
+		m.Update(queue.ArriveMsg{Now: 2, Request: queue.Request{ID: id, Key: k}})
+		claim := fleet.ClaimID{Agent: agentName(int(id) % int(TwoYears.routerLinks())), Seq: uint64(id)}
+		for _, c := range m.Update(queue.ClaimMsg{Now: 2, Claim: claim, Key: k}) {
+			if run, ok := c.(queue.RunCmd); ok {
+				m.Update(queue.EndMsg{Now: 2, ID: run.ID})
+			}
+		}
+	})
+	now := time.Duration(2)
+	s.RouterTickNS = perOp(func() {
+		now += time.Microsecond
+		m.Update(queue.TickMsg{Now: now})
+	})
+	var routers []fleet.Name
+	for i := range int(TwoYears.Routers) {
+		routers = append(routers, fleet.Name(fmt.Sprintf("router-%03d", i)))
+	}
+	s.RendezvousNS = perOp(func() { fleet.Ranks("links/engine-00001", routers, "router-007", int(TwoYears.Links)) })
+}
+
+// busyAgent returns an agent's machine at the two-year size.
+func busyAgent() *sched.Machine {
+	shares := map[fleet.Team]float64{}
+	for i := range int(TwoYears.Teams) {
+		shares[teamName(i)] = 1
+	}
+	m := sched.New(sched.Config{
+		Slots: 8, Works: []fleet.Work{"report"}, Shares: shares, ShareEvery: 2 * time.Second,
+		CatchUp: time.Hour, ClaimAhead: 1, Alike: map[fleet.Work]float64{"report": 10_000},
+	})
+	m.Update(sched.HealthMsg{Now: 1, Serving: true})
+	for l := range int(TwoYears.Links) {
+		r := fleet.Name(fmt.Sprintf("router-%03d", l))
+		m.Update(sched.RouterUpMsg{Now: 1, Router: r, Hub: l < hubsPerHall})
+		for i := range int(TwoYears.Backlogged) {
+			m.Update(sched.DemandMsg{Now: 1, Router: r, Counts: []sched.Count{{Key: key(i), Waiting: 1 << 30}}})
+		}
+	}
+	return m
+}
+
+func (s *Slopes) measureAgent() {
+	m := busyAgent()
+	now := time.Duration(1)
+	seq := uint64(0)
+	s.DecisionNS = perOp(func() {
+		now += time.Millisecond
+		seq++
+		m.Update(sched.ArriveMsg{Now: now, Seq: seq, Left: 1 << 30})
+		m.Update(sched.EndMsg{Now: now, Seq: seq})
+	})
+	s.AgentTickNS = perOp(func() {
+		now += sched.TickEvery
+		m.Update(sched.TickMsg{Now: now})
+	})
+	rows := make([]sched.ServiceRow, int(TwoYears.Backlogged))
+	for i := range rows {
+		rows[i].Team = teamName(i)
+	}
+	s.TotalsRowNS = perOp(func() {
+		for i := range rows {
+			rows[i].Service++
+		}
+		m.Update(sched.TotalsMsg{Now: now, Rows: rows})
+	}) / float64(len(rows))
+}
+
+// fullHub returns a hub with one hall's agents, settled.
+func fullHub(agents int) (*ledger.Hub, []ledger.Row) {
+	h := ledger.NewHub("r", "a")
+	rows := make([]ledger.Row, int(TwoYears.Teams))
+	for i := range rows {
+		rows[i] = ledger.Row{Team: teamName(i), Service: 1}
+	}
+	for a := range agents {
+		src := ledger.Source{Agent: agentName(a), Incarnation: 1}
+		h.Update(ledger.AgentUpMsg{Now: 1, Source: src, Hall: "a"})
+		h.Update(ledger.ServiceMsg{Now: 1, Source: src, Hall: "a", Rows: rows})
+	}
+	h.Update(ledger.TickMsg{Now: time.Minute})
+	return h, rows
+}
+
+func (s *Slopes) measureHub() {
+	agents := int(TwoYears.hallAgents())
+	h, rows := fullHub(agents)
+	backlogged := rows[:int(TwoYears.Backlogged)]
+	now := time.Minute
+	s.HubRowNS = perOp(func() {
+		now += time.Second
+		for i := range backlogged {
+			backlogged[i].Service++
+		}
+		for a := range agents {
+			h.Update(ledger.ServiceMsg{Now: now, Source: ledger.Source{Agent: agentName(a), Incarnation: 1}, Hall: "a", Rows: backlogged})
+		}
+		h.Update(ledger.TickMsg{Now: now})
+	}) / float64(agents*len(backlogged))
+}
+
+// fullBundle returns a bundle of the two-year size.
+func fullBundle() bundle.Bundle {
+	b := bundle.Bundle{Works: []bundle.Work{{Name: "report", Kind: bundle.KindModel, Path: "/v1/completions"}}}
+	for i := range int(TwoYears.Teams) {
+		k := once.NewKey(teamName(i), "report", "key")
+		hash := fmt.Sprintf("%s%x%x", bundle.KeyHashPrefix, k.Digest, k.Digest)
+		b.Teams = append(b.Teams, bundle.Team{Name: teamName(i), Share: float64(1 + i%5), Keys: []string{hash}})
+	}
+	for i := range int(TwoYears.Agents) {
+		ip := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+		at := func(port uint16) tomlfile.Address {
+			return tomlfile.Address{AddrPort: netip.AddrPortFrom(ip, port)}
+		}
+		b.Servers = append(b.Servers, bundle.Server{
+			Name: agentName(i), Hall: fleet.Hall(fmt.Sprintf("hall-%02d", i%int(TwoYears.Halls))),
+			Agent: at(7000), Serve: at(7001), Address: at(8000), Slots: 8, Works: []fleet.Work{"report"},
+		})
+	}
+	return b
+}
+
+func (s *Slopes) measureBundle() {
+	anna := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+	v := bundle.Verifier{Operators: bundle.Operators{"anna": anna.Public().(ed25519.PublicKey)}}
+	from, to := fullBundle(), fullBundle()
+	to.Teams[7].Share = 9
+	digest, content := bundle.Seal(from)
+	s.BundleBytes = float64(len(content))
+	first := bundle.Order{Generation: 1, Digest: digest, Operator: "anna"}.Sign(anna)
+	next := bundle.Order{Generation: 2, Digest: bundle.DigestOf(to), Operator: "anna"}.Sign(anna).Encode()
+	patch := bundle.NewPatch(from, to).Encode()
+	s.PatchBytes = frame(wire.BundleData{Order: next, Base: 1, Content: patch})
+	a := bundle.Adopter{Verifier: v}
+	if _, err := a.Update(bundle.OfferMsg{Order: first.Encode(), Content: content}); err != nil {
+		panic(err)
+	}
+	s.PatchNS = perOp(func() {
+		again := a
+		if _, err := again.Update(bundle.OfferMsg{Order: next, Content: patch, Base: 1}); err != nil {
+			panic(err)
+		}
+	})
+}
+
+// heap returns how many bytes of memory one of n things takes.
+func heap(n int, build func() any) float64 {
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)) / float64(n)
+}
+
+func (s *Slopes) measureMemory() {
+	const many = 20_000
+	s.RequestMemory = heap(many, func() any {
+		m := queue.New(queue.Config{MaxWaiting: 1 << 30, MaxWait: time.Hour})
+		m.Update(queue.AgentUpMsg{Now: 1, Agent: "a", Works: []fleet.Work{"report"}})
+		for i := range many {
+			m.Update(queue.ArriveMsg{Now: 1, Request: queue.Request{ID: queue.RequestID(i + 1), Key: key(i % 50)}})
+		}
+		return m
+	})
+	s.LinkMemory = linkMemory()
+	s.LifeMemory = heap(500, func() any { h, _ := fullHub(500); return h })
+	s.TeamMemory = heap(int(TwoYears.Teams), func() any { return busyAgent() })
+	s.BundleMemory = heap(1, func() any { return fullBundle() })
+	s.BaseMemory = baseMemory
+	s.KeyMemory = heap(many, func() any {
+		m := once.NewMemory(once.MemoryConfig{Self: "a"})
+		for i := range many {
+			m.Update(once.ReserveMsg{Now: 1, Key: once.NewKey("t", "w", fmt.Sprint(i)), Holder: once.Holder{Router: "r", Request: uint64(i)}})
+		}
+		return m
+	})
+}
--- a/standin/cmd/load/fleet.go
+++ b/standin/cmd/load/fleet.go
@@ -28,7 +28,9 @@
 	account *engine.Account
 	record  *record.Recorder
 	keys    map[string]string
+	teams   []bundle.Team
 	judge   *judge
+	policy  bundle.Policy // in force, with defaults
 }
 
 func startFleet(ctx context.Context, c cli, dir string) (*labFleet, error) {
@@ -117,10 +119,15 @@
 	if c.Ahead >= 0 {
 		b.Policy.ClaimAhead = &c.Ahead
 	}
+	f.policy = b.Policy.WithDefaults()
 	for _, t := range f.profile.teams {
+		if _, known := f.keys[t.name]; known {
+			continue
+		}
 		key, hash := operate.NewTeamKey()
 		f.keys[t.name] = key
-		b.Teams = append(b.Teams, bundle.Team{Name: fleet.Team(t.name), Share: t.share, Keys: []string{hash}})
+		f.teams = append(f.teams, bundle.Team{Name: fleet.Team(t.name), Share: t.share, Keys: []string{hash}})
 	}
+	b.Teams = f.teams
 	return b
 }
--- a/standin/cmd/load/main.go
+++ b/standin/cmd/load/main.go
@@ -54,6 +54,7 @@
 	defer f.lab.Close()
 	report := Report{Profile: c.Profile, Policy: c.Policy, Faults: c.Faults, Seed: c.Seed, Seconds: c.Seconds}
 	f.measureOverhead(ctx, &report)
+	f.measureSpread(ctx, c, &report)
 	f.measureLoad(ctx, c, &report)
 	if c.Plot != "" {
 		if err := draw(c.Plot, f.judge.samples, f.profile.backlogged()); err != nil {
--- a/standin/cmd/load/report.go
+++ b/standin/cmd/load/report.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
 	"slices"
 	"time"
 
@@ -26,6 +25,7 @@
 	GapAt12s   float64 `json:"gap_at_12s_ms"`
 	GapEnd     float64 `json:"gap_end_ms"`
 	Bound      float64 `json:"bound_ms"`
+	SpreadMS   float64 `json:"spread_ms"` // from a roll to its bundle in force in every process
 	Slots      int     `json:"slots"`
 	MeanCost   float64 `json:"mean_cost_ms"`
 	GapP50Unit float64 `json:"gap_p50_of_slots_cost"`
@@ -59,6 +59,7 @@
 	defer j.mu.Unlock()
 	r.Slots = f.profile.engines * f.profile.slots
 	r.MeanCost = f.account.MeanCost().Seconds() * 1000
+	r.Bound = f.bound()
 	r.IdleShare = j.idle / max(j.slots, 1)
 	j.reportGap(r)
 	r.UrgentP95 = j.p95("urgent")
@@ -176,15 +177,6 @@
 		}
 		sum += node
 		r.ControlMax = max(r.ControlMax, node)
-		if os.Getenv("NODES") != "" {
-			fmt.Fprintln(os.Stderr, name, int(node))
-			if node > 5000 {
-				for _, t := range types {
-					o := old[t.Type]
-					fmt.Fprintln(os.Stderr, "   ", t.Type, (t.SentCount-o.SentCount)/int64(seconds), (t.SentBytes-o.SentBytes)/int64(seconds), (t.ReadCount-o.ReadCount)/int64(seconds), (t.ReadBytes-o.ReadBytes)/int64(seconds))
-				}
-			}
-		}
 	}
 	r.ControlMean = sum / float64(max(len(after), 1))
 }
