--- a/proof/fairness_test.go
+++ b/proof/fairness_test.go
@@ -60,8 +60,6 @@
 	shares  map[fleet.Team]float64
 	served  map[fleet.Team]time.Duration
 	next    queue.RequestID
-	idle    time.Duration // slot time without work
-	flood   fleet.Team
 	classes map[fleet.Team]fleet.Class // Ordinary where a team is not named
 	teamsOf map[runsOf]fleet.Team      // which team a claimed request is of
 }
--- a/standin/capacity/size.go
+++ b/standin/capacity/size.go
@@ -45,9 +45,6 @@
 // hallAgents returns how many agents a hall has.
 func (s Size) hallAgents() float64 { return s.Agents / s.Halls }
 
-// hallRouters returns how many routers a hall has.
-func (s Size) hallRouters() float64 { return s.Routers / s.Halls }
-
 // perRouter and perAgent return requests a second.
 func (s Size) perRouter() float64 { return s.Requests / s.Routers }
 func (s Size) perAgent() float64  { return s.Requests / s.Agents }
--- a/standin/e2e/fleet_test.go
+++ b/standin/e2e/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -66,7 +67,10 @@
 	t.Helper()
 	l, err := lab.New(lab.Config{Dir: dir, Bin: bin, Poll: 200 * time.Millisecond, Drain: patience, Keys: keys, LogLevel: "debug"})
 	require.NoError(t, err)
-	t.Cleanup(l.Close)
+	t.Cleanup(func() {
+		l.Close()
+		noRaces(t, dir)
+	})
 	s := &small{t: t, lab: l, record: &record.Recorder{}}
 	s.addServers()
 	for i := range 2 {
@@ -76,6 +80,19 @@
 	return s
 }
 
+// noRaces holds that no process reported a data race, where the tests run with
+// GOFLAGS=-race, which the daemons are then built with too.
+func noRaces(t *testing.T, dir string) {
+	t.Helper()
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	require.NoError(t, err)
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.NotContains(t, string(text), "DATA RACE", path)
+	}
+}
+
 func (s *small) addServers() {
 	for i := range 2 {
 		e := engine.New(engine.Config{Slots: 4, Step: step, CacheSize: 4}, s.record)
