--- /dev/null
+++ b/sched/machine_test.go
@@ -0,0 +1,144 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/fleet"
+	"github.com/stretchr/testify/require"
+)
+
+func lineKey(team fleet.Team, class fleet.Class) fleet.DemandKey {
+	return fleet.DemandKey{Work: "report", Team: team, Class: class}
+}
+
+// newServing returns a machine with one slot and a router with demand of two
+// equal teams.
+func newServing(cfg Config) *Machine {
+	cfg.Works = []fleet.Work{"report"}
+	cfg.Shares = map[fleet.Team]float64{"ajax": 1, "basel": 1}
+	cfg.ShareEvery = time.Second
+	m := New(cfg)
+	m.Update(RouterUpMsg{Now: 1, Router: "r"})
+	return m
+}
+
+func demand(now time.Duration, waiting int, keys ...fleet.DemandKey) DemandMsg {
+	msg := DemandMsg{Now: now, Router: "r"}
+	for _, k := range keys {
+		msg.Counts = append(msg.Counts, Count{Key: k, Waiting: waiting})
+	}
+	return msg
+}
+
+func claims(cmds []Command) []ClaimCmd {
+	var out []ClaimCmd
+	for _, c := range cmds {
+		if claim, ok := c.(ClaimCmd); ok {
+			out = append(out, claim)
+		}
+	}
+	return out
+}
+
+// serveOne lets the machine run one request of a second and returns its team.
+func serveOne(t *testing.T, m *Machine, now time.Duration, c ClaimCmd) []ClaimCmd {
+	t.Helper()
+	m.Update(ArriveMsg{Now: now, Seq: c.Seq, Left: 1000})
+	return claims(m.Update(EndMsg{Now: now + time.Second, Seq: c.Seq}))
+}
+
+// TestCatchUpIsCapped holds that after a partition heals a team that had far
+// less service is repaid no more than CatchUp ahead of the other.
+func TestCatchUpIsCapped(t *testing.T) {
+	m := newServing(Config{Slots: 1, CatchUp: 10 * time.Second})
+	m.Update(TotalsMsg{Now: 1, Rows: []ServiceRow{{Team: "basel", Service: time.Hour}}})
+	m.Update(demand(2, 1000, lineKey("ajax", fleet.Ordinary), lineKey("basel", fleet.Ordinary)))
+	next := claims(m.Update(HealthMsg{Now: 3, Serving: true}))
+	now := time.Duration(3)
+	alone := 0
+	for range 30 {
+		require.Len(t, next, 1)
+		if next[0].Key.Team == "basel" {
+			break
+		}
+		alone++
+		next = serveOne(t, m, now, next[0])
+		now += time.Second
+	}
+	require.InDelta(t, 10, alone, 2)
+}
+
+// TestClassesWithinATeam holds the order urgent, ordinary, batch.
+func TestClassesWithinATeam(t *testing.T) {
+	m := newServing(Config{Slots: 3})
+	m.Update(demand(2, 1, lineKey("ajax", fleet.Batch), lineKey("ajax", fleet.Urgent), lineKey("ajax", fleet.Ordinary)))
+	var got []fleet.Class
+	for _, c := range claims(m.Update(HealthMsg{Now: 3, Serving: true})) {
+		got = append(got, c.Key.Class)
+	}
+	require.Equal(t, []fleet.Class{fleet.Urgent, fleet.Ordinary, fleet.Batch}, got)
+}
+
+// TestUrgentGoesAheadWithinItsBound holds that urgent work overtakes another
+// team's turn while its own team is less than UrgentBorrow ahead.
+func TestUrgentGoesAheadWithinItsBound(t *testing.T) {
+	for _, c := range []struct {
+		ahead time.Duration
+		first fleet.Team
+	}{{time.Second, "basel"}, {3 * time.Second, "ajax"}} {
+		m := newServing(Config{Slots: 1, UrgentBorrow: 2 * time.Second})
+		m.Update(TotalsMsg{Now: 1, Rows: []ServiceRow{{Team: "basel", Service: c.ahead}}})
+		m.Update(demand(2, 1, lineKey("ajax", fleet.Ordinary), lineKey("basel", fleet.Urgent)))
+		next := claims(m.Update(HealthMsg{Now: 3, Serving: true}))
+		require.Equal(t, c.first, next[0].Key.Team, "ahead by %v", c.ahead)
+	}
+}
+
+// TestSilentRouterIsSuspended holds that an agent stops claiming from a router
+// that leaves a claim unanswered, and goes on when it is heard of.
+func TestSilentRouterIsSuspended(t *testing.T) {
+	m := newServing(Config{Slots: 1})
+	m.Update(demand(2, 5, lineKey("ajax", fleet.Ordinary)))
+	require.Len(t, claims(m.Update(HealthMsg{Now: 3, Serving: true})), 1)
+	now := time.Duration(3)
+	for range 40 {
+		now += TickEvery
+		require.Empty(t, claims(m.Update(TickMsg{Now: now})))
+	}
+	require.False(t, m.Busy(), "the claim has ended")
+	require.Len(t, claims(m.Update(RouterAliveMsg{Now: now, Router: "r"})), 1)
+	late := m.Update(ArriveMsg{Now: now, Seq: 1})
+	require.Contains(t, late, RejectCmd{Seq: 1}, "the first claim's request comes too late to run")
+}
+
+// TestOpenClaimsAreUsedOnce holds that an open claim lets one request start,
+// and that one without an idle slot is turned away.
+func TestOpenClaimsAreUsedOnce(t *testing.T) {
+	m := newServing(Config{Slots: 1})
+	var free FreeCmd
+	for _, c := range m.Update(HealthMsg{Now: 2, Serving: true}) {
+		if f, ok := c.(FreeCmd); ok {
+			free = f
+		}
+	}
+	require.Equal(t, 1, free.Slots)
+	arrive := ArriveMsg{Now: 3, Seq: free.First, Key: lineKey("ajax", fleet.Ordinary)}
+	require.Contains(t, m.Update(arrive), StartCmd{Seq: free.First})
+	require.Contains(t, m.Update(arrive), RejectCmd{Seq: free.First})
+	m.Update(RouterUpMsg{Now: 4, Router: "r2"})
+	require.Contains(t, m.Update(ArriveMsg{Now: 4, Seq: free.First + 1, Key: arrive.Key}), RejectCmd{Seq: free.First + 1})
+}
+
+// TestReadyRequestsAreGivenBack holds that a server that fails gives back what
+// has come and not started.
+func TestReadyRequestsAreGivenBack(t *testing.T) {
+	m := newServing(Config{Slots: 1, ClaimAhead: 1})
+	m.Update(demand(2, 5, lineKey("ajax", fleet.Ordinary)))
+	next := claims(m.Update(HealthMsg{Now: 3, Serving: true}))
+	require.Len(t, next, 2)
+	require.Contains(t, m.Update(ArriveMsg{Now: 4, Seq: next[0].Seq}), StartCmd{Seq: next[0].Seq})
+	require.NotContains(t, m.Update(ArriveMsg{Now: 4, Seq: next[1].Seq}), StartCmd{Seq: next[1].Seq})
+	require.Contains(t, m.Update(HealthMsg{Now: 5}), RejectCmd{Seq: next[1].Seq})
+	require.Equal(t, 1, m.Held())
+}
