Two tests that a switched-off mechanism slipped past

Cause: with mechanisms switched off one at a time on a scratch copy, a second use of an open claim after its run had ended went unseen, and retries without a budget hung the test instead of failing it. Change: the test uses the claim once more after the end; the loop is bounded. Before and after: each change fails with the mechanism off (seen for the first in the scratch copy), and passes with it.

--- a/queue/machine_test.go
+++ b/queue/machine_test.go
@@ -125,7 +125,7 @@
 		a := arrive(2, id+1)
 		a.Request.Repeatable = true
 		m.Update(a)
-		for m.Waiting() > 0 {
+		for m.Waiting() > 0 && retries < 5000 {
 			m.Update(claimOf(uint64(id)))
 			m.Update(EndMsg{Now: 2, ID: id + 1, Outcome: OutcomeFailed})
 			retries++
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -126,6 +126,8 @@
 	arrive := ArriveMsg{Now: 3, Seq: free.First, Key: lineKey("ajax", fleet.Ordinary)}
 	require.Contains(t, m.Update(arrive), StartCmd{Seq: free.First})
 	require.Contains(t, m.Update(arrive), RejectCmd{Seq: free.First})
+	m.Update(EndMsg{Now: 3, Seq: free.First})
+	require.Contains(t, m.Update(arrive), RejectCmd{Seq: free.First}, "it ran, and is over")
 	m.Update(RouterUpMsg{Now: 4, Router: "r2"})
 	require.Contains(t, m.Update(ArriveMsg{Now: 4, Seq: free.First + 1, Key: arrive.Key}), RejectCmd{Seq: free.First + 1})
 }
