--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -128,8 +128,11 @@
 	require.Contains(t, m.Update(arrive), RejectCmd{Seq: free.First})
 	m.Update(EndMsg{Now: 3, Seq: free.First})
 	require.Contains(t, m.Update(arrive), RejectCmd{Seq: free.First}, "it ran, and is over")
-	m.Update(RouterUpMsg{Now: 4, Router: "r2"})
-	require.Contains(t, m.Update(ArriveMsg{Now: 4, Seq: free.First + 1, Key: arrive.Key}), RejectCmd{Seq: free.First + 1})
+	second := ArriveMsg{Now: 4, Seq: free.First + 1, Key: arrive.Key}
+	m.Update(RouterUpMsg{Now: 4, Router: "r2"}) // is given the number after it
+	require.Contains(t, m.Update(second), StartCmd{Seq: second.Seq})
+	third := ArriveMsg{Now: 5, Seq: second.Seq + 1, Key: arrive.Key}
+	require.Contains(t, m.Update(third), RejectCmd{Seq: third.Seq}, "the slot has been taken")
 }
 
 // TestReadyRequestsAreGivenBack holds that a server that fails gives back what
