--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,13 +8,13 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/admin"
 	"github.com/croftvale/croftvale/adopt"
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/link"
 	"github.com/croftvale/croftvale/once"
+	"github.com/croftvale/croftvale/process"
 	"github.com/croftvale/croftvale/sched"
 	"github.com/croftvale/croftvale/secure"
 	"github.com/croftvale/croftvale/settings"
@@ -45,13 +45,11 @@
 func New(s settings.Agent, logger *log.Logger) (*Agent, error) {
 	began := time.Now()
 	a := &Agent{settings: s, log: logger}
-	if s.TLS.On() {
-		store, err := secure.NewStore(secure.Files(s.TLS))
-		if err != nil {
-			return nil, err
-		}
-		a.secure = store
+	store, err := process.Keys(s.TLS)
+	if err != nil {
+		return nil, err
 	}
+	a.secure = store
 	a.core = &core{
 		settings:    s,
 		log:         logger,
@@ -80,32 +78,21 @@
 }
 
 func (a *Agent) dump(ctx context.Context) (any, error) {
-	reply := make(chan State, 1)
-	select {
-	case a.core.events <- stateEvent{reply}:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	select {
-	case s := <-reply:
-		return s, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return process.Dump(ctx, a.core.events, func(reply chan<- State) event { return stateEvent{reply} })
 }
 
 // Run serves until ctx ends, then takes no new work, waits for what runs and
 // returns. What still runs when the drain time is over is cut and logged.
 func (a *Agent) Run(ctx context.Context) error {
-	links, err := listen("links", a.settings.Links.String())
+	links, err := process.Listen("links", a.settings.Links.String())
 	if err != nil {
 		return err
 	}
-	serve, err := listen("serve", a.settings.Serve.String())
+	serve, err := process.Listen("serve", a.settings.Serve.String())
 	if err != nil {
 		return err
 	}
-	adm, err := listen("admin", a.settings.Admin.String())
+	adm, err := process.Listen("admin", a.settings.Admin.String())
 	if err != nil {
 		return err
 	}
@@ -118,9 +105,9 @@
 	wg.Go(func() { a.core.run(life) })
 	wg.Go(func() { a.core.keeper.Run(life) })
 	wg.Go(func() { a.server.probe(life) })
-	wg.Go(func() { a.report("links", link.Listen(life, links, a.linkOptions())) })
-	wg.Go(func() { a.report("admin", a.admin.Serve(life, adm)) })
-	wg.Go(func() { a.report("serve", hs.Serve(a.secured(serve))) })
+	wg.Go(func() { process.Report(a.log, "links", link.Listen(life, links, a.linkOptions())) })
+	wg.Go(func() { process.Report(a.log, "admin", a.admin.Serve(life, adm)) })
+	wg.Go(func() { process.Report(a.log, "serve", hs.Serve(a.secured(serve))) })
 	a.log.Info().Str("links", links.Addr().String()).Str("serve", serve.Addr().String()).Msg("agent started")
 	<-ctx.Done()
 	return a.drain(hs)
@@ -146,15 +133,10 @@
 func (a *Agent) linkOptions() link.Options {
 	return link.Options{
 		Hello: a.core.hello, Events: a.core.links, Meter: a.core.meter,
-		Secure: a.secure, Accept: wire.RoleRouter, Refused: a.linkRefused,
+		Secure: a.secure, Accept: wire.RoleRouter, Refused: process.LinkEnded(a.log),
 	}
 }
 
-// linkRefused logs why an accepted link ended.
-func (a *Agent) linkRefused(remote string, err error) {
-	a.log.Debug().Str("remote", remote).Err(err).Msg("accepted link ended")
-}
-
 // secured wraps a listener for granted requests: only routers of the fleet may
 // connect. Keys are read anew for each connection.
 func (a *Agent) secured(ln net.Listener) net.Listener {
@@ -167,15 +149,3 @@
 		},
 	})
 }
-
-// report logs why a duty ended, unless it was asked to.
-func (a *Agent) report(duty string, err error) {
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		a.log.Error().Str("duty", duty).Err(err).Msg("duty ended")
-	}
-}
-
-func listen(key, address string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", address)
-	return ln, errors.Wrapf(err, "settings: %s = %q: choose an address of this host that is not in use", key, address)
-}
--- a/agent/core.go
+++ b/agent/core.go
@@ -9,6 +9,7 @@
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/link"
 	"github.com/croftvale/croftvale/once"
+	"github.com/croftvale/croftvale/process"
 	"github.com/croftvale/croftvale/sched"
 	"github.com/croftvale/croftvale/settings"
 	"github.com/croftvale/croftvale/wire"
@@ -31,16 +32,16 @@
 	keeper      *adopt.Keeper
 	bundles     func(bundle.InForce) // hears of each bundle in force
 
-	machine    *sched.Machine
-	keys       *once.Memory
-	inForce    bundle.InForce
-	routers    map[fleet.Name]*routerLink
-	waiting    map[uint64]chan<- verdict
-	serving    bool
-	leaving    bool
-	left       chan struct{} // closed once nothing is held after leaving
-	aliveEvery time.Duration // between two signs of life on a quiet link
-	pullAgain  time.Duration // when another peer may be asked for a bundle
+	machine   *sched.Machine
+	keys      *once.Memory
+	inForce   bundle.InForce
+	routers   map[fleet.Name]*routerLink
+	waiting   map[uint64]chan<- verdict
+	serving   bool
+	leaving   bool
+	left      chan struct{} // closed once nothing is held after leaving
+	pulse     process.Pulse
+	pullAgain time.Duration // when another peer may be asked for a bundle
 }
 
 // routerLink is a link to a router and what it last said of itself.
@@ -87,7 +88,7 @@
 		c.send(cmd.Router, func(*link.Conn) wire.Message { return wire.Free{Slots: uint32(cmd.Slots), First: cmd.First} })
 	case sched.ServiceCmd:
 		c.send(cmd.Router, func(conn *link.Conn) wire.Message {
-			return wire.Service{Rows: wireRows(conn, cmd.Rows)}
+			return wire.Service{Rows: conn.SpellService(cmd.Rows)}
 		})
 	case sched.StartCmd:
 		c.decide(cmd.Seq, verdictStart)
@@ -96,6 +97,16 @@
 	}
 }
 
+// claimOf spells a claim for one link.
+func claimOf(conn *link.Conn, cmd sched.ClaimCmd) wire.Claim {
+	return wire.Claim{
+		Seq:   cmd.Seq,
+		Work:  conn.Out.Number(string(cmd.Key.Work)),
+		Team:  conn.Out.Number(string(cmd.Key.Team)),
+		Class: cmd.Key.Class,
+	}
+}
+
 // send spells a message for a router's link and sends it, if the link stands.
 func (c *core) send(router fleet.Name, spell func(*link.Conn) wire.Message) {
 	if r, ok := c.routers[router]; ok {
@@ -178,43 +189,3 @@
 	c.heartbeat()
 	c.log.Info().Uint64("generation", uint64(f.Generation())).Str("digest", string(f.Order.Digest)).Msg("bundle in force")
 }
-
-func (c *core) hello() wire.Hello {
-	return wire.Hello{
-		Name: c.settings.Name, Role: wire.RoleAgent, Hall: c.settings.Hall,
-		Incarnation: c.incarnation,
-	}
-}
-
-// keepAlive gives a sign of life on links that carry nothing else, and asks
-// again for a bundle that a peer has and this process has not.
-func (c *core) keepAlive() {
-	for _, r := range c.routers {
-		c.pullFrom(r)
-	}
-	every := link.AliveEvery(len(c.routers))
-	if every != c.aliveEvery {
-		c.aliveEvery = every
-		c.heartbeat()
-		return
-	}
-	for _, r := range c.routers {
-		if r.conn.Quiet(every) {
-			r.conn.Send(wire.Alive{})
-		}
-	}
-}
-
-// heartbeat tells every peer at once that something has changed.
-func (c *core) heartbeat() {
-	for _, r := range c.routers {
-		r.conn.Send(c.beat())
-	}
-}
-
-func (c *core) beat() wire.Heartbeat {
-	return wire.Heartbeat{
-		Generation: c.inForce.Generation(), Leaving: c.leaving, Serving: c.serving,
-		Every: uint32(c.aliveEvery / time.Millisecond),
-	}
-}
--- a/agent/links.go
+++ b/agent/links.go
@@ -58,11 +58,11 @@
 	case wire.Name:
 		r.conn.In.Learn(m)
 	case wire.Demand:
-		c.feed(sched.DemandMsg{Now: c.now(), Router: name, Counts: counts(r.conn, m.Rows)})
+		c.feed(sched.DemandMsg{Now: c.now(), Router: name, Counts: r.conn.ReadCounts(m.Rows)})
 	case wire.Deny:
-		c.feed(sched.DenyMsg{Now: c.now(), Seq: m.Seq, Count: count(r.conn, m.Row)})
+		c.feed(sched.DenyMsg{Now: c.now(), Seq: m.Seq, Count: r.conn.ReadCount(m.Row)})
 	case wire.Totals:
-		c.feed(sched.TotalsMsg{Now: c.now(), Rows: machineRows(r.conn, m.Rows)})
+		c.feed(sched.TotalsMsg{Now: c.now(), Rows: r.conn.ReadService(m.Rows)})
 	case wire.KeyReserve:
 		c.reserveKey(r, m)
 	case wire.KeyRelease:
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -23,9 +23,9 @@
 func benchmarkRound(b *testing.B, teams, agents int) {
 	h := NewHub("r", "a")
 	now := time.Duration(0)
-	var rows []Row
+	var rows []fleet.ServiceRow
 	for i := range teams {
-		rows = append(rows, Row{Team: fleet.Team(fmt.Sprintf("team-%04d", i)), Service: 1})
+		rows = append(rows, fleet.ServiceRow{Team: fleet.Team(fmt.Sprintf("team-%04d", i)), Service: 1})
 	}
 	source := func(a int) Source { return Source{Agent: fleet.Name(fmt.Sprintf("agent-%04d", a)), Incarnation: 1} }
 	for a := range agents {
--- a/ledger/commands.go
+++ b/ledger/commands.go
@@ -8,14 +8,14 @@
 // TotalsCmd sends an agent the service of the fleet less its own.
 type TotalsCmd struct {
 	Agent fleet.Name
-	Rows  []Row
+	Rows  []fleet.ServiceRow
 }
 
 // HallTotalsCmd sends another hub the service of one hall.
 type HallTotalsCmd struct {
 	Peer fleet.Name
 	Hall fleet.Hall
-	Rows []Row
+	Rows []fleet.ServiceRow
 }
 
 // AgentRowsCmd sends another hub of the same hall the service of one life of
@@ -24,7 +24,7 @@
 	Peer   fleet.Name
 	Source Source
 	Hall   fleet.Hall
-	Rows   []Row
+	Rows   []fleet.ServiceRow
 }
 
 func (TotalsCmd) isCommand()     {}
--- a/ledger/hub.go
+++ b/ledger/hub.go
@@ -55,7 +55,7 @@
 }
 
 // Totals returns the service of the whole fleet as this hub knows it.
-func (h *Hub) Totals() []Row {
+func (h *Hub) Totals() []fleet.ServiceRow {
 	var sum vector
 	for i := range h.index.teams {
 		sum.set(i, h.total(i))
--- a/ledger/hub_test.go
+++ b/ledger/hub_test.go
@@ -33,10 +33,10 @@
 // tally is service by team.
 type tally map[fleet.Team]time.Duration
 
-func (t tally) rows() []Row {
-	var out []Row
+func (t tally) rows() []fleet.ServiceRow {
+	var out []fleet.ServiceRow
 	for team, d := range t {
-		out = append(out, Row{Team: team, Service: d})
+		out = append(out, fleet.ServiceRow{Team: team, Service: d})
 	}
 	return out
 }
@@ -296,6 +296,6 @@
 	}
 	w.settle()
 	for i, h := range w.hubs {
-		require.Equal(t, []Row{{Team: "x", Service: time.Second}}, h.Totals(), "hub %d", i)
+		require.Equal(t, []fleet.ServiceRow{{Team: "x", Service: time.Second}}, h.Totals(), "hub %d", i)
 	}
 }
--- a/ledger/messages.go
+++ b/ledger/messages.go
@@ -6,14 +6,6 @@
 	"github.com/croftvale/croftvale/fleet"
 )
 
-// Row is one team's service in slot time, and its lift in slot time per unit
-// of share. Both only grow.
-type Row struct {
-	Team    fleet.Team
-	Service time.Duration
-	Lift    time.Duration
-}
-
 // Source is one life of one agent.
 type Source struct {
 	Agent       fleet.Name
@@ -56,14 +48,14 @@
 	Now    time.Duration
 	Source Source
 	Hall   fleet.Hall
-	Rows   []Row
+	Rows   []fleet.ServiceRow
 }
 
 // HallTotalsMsg brings the service of a hall that other hubs serve.
 type HallTotalsMsg struct {
 	Now  time.Duration
 	Hall fleet.Hall
-	Rows []Row
+	Rows []fleet.ServiceRow
 }
 
 // TickMsg lets time pass; send it every TickEvery.
--- a/ledger/round.go
+++ b/ledger/round.go
@@ -118,15 +118,15 @@
 
 // fresh spells the places whose counters differ from what was sent, and notes
 // that they are sent now.
-func (h *Hub) fresh(places []int, sent *vector, at func(int) entry) []Row {
-	var rows []Row
+func (h *Hub) fresh(places []int, sent *vector, at func(int) entry) []fleet.ServiceRow {
+	var rows []fleet.ServiceRow
 	for _, i := range places {
 		e := at(i)
 		if sent.at(i) == e {
 			continue
 		}
 		sent.set(i, e)
-		rows = append(rows, Row{Team: h.index.teams[i], Service: e.service, Lift: e.lift})
+		rows = append(rows, fleet.ServiceRow{Team: h.index.teams[i], Service: e.service, Lift: e.lift})
 	}
 	return rows
 }
--- a/ledger/vector.go
+++ b/ledger/vector.go
@@ -61,11 +61,11 @@
 }
 
 // rows spells the counters that are not zero.
-func (x *index) rows(v vector) []Row {
-	var out []Row
+func (x *index) rows(v vector) []fleet.ServiceRow {
+	var out []fleet.ServiceRow
 	for i, e := range v {
 		if e != (entry{}) {
-			out = append(out, Row{Team: x.teams[i], Service: e.service, Lift: e.lift})
+			out = append(out, fleet.ServiceRow{Team: x.teams[i], Service: e.service, Lift: e.lift})
 		}
 	}
 	return out
--- a/proof/box_test.go
+++ b/proof/box_test.go
@@ -226,26 +226,14 @@
 	a, router := b.agents[l.a], b.routers[l.r].name
 	switch m := m.(type) {
 	case queue.DemandCmd:
-		b.agentDo(l.a, a.m.Update(sched.DemandMsg{Now: b.now, Router: router, Counts: schedCounts(m.Counts)}))
+		b.agentDo(l.a, a.m.Update(sched.DemandMsg{Now: b.now, Router: router, Counts: m.Counts}))
 	case queue.DenyCmd:
-		b.agentDo(l.a, a.m.Update(sched.DenyMsg{Now: b.now, Seq: m.Claim.Seq, Count: sched.Count(m.Count)}))
+		b.agentDo(l.a, a.m.Update(sched.DenyMsg{Now: b.now, Seq: m.Claim.Seq, Count: m.Count}))
 	case ledger.TotalsCmd:
-		var rows []sched.ServiceRow
-		for _, r := range m.Rows {
-			rows = append(rows, sched.ServiceRow(r))
-		}
-		b.agentDo(l.a, a.m.Update(sched.TotalsMsg{Now: b.now, Rows: rows}))
+		b.agentDo(l.a, a.m.Update(sched.TotalsMsg{Now: b.now, Rows: m.Rows}))
 	}
 }
 
-func schedCounts(in []queue.Count) []sched.Count {
-	var out []sched.Count
-	for _, c := range in {
-		out = append(out, sched.Count(c))
-	}
-	return out
-}
-
 func (b *box) routerHears(l *boxLink, m any) {
 	r, a := b.routers[l.r], b.agents[l.a]
 	src := fleet.ClaimID{Agent: a.name, Incarnation: a.inc}
@@ -266,12 +254,8 @@
 		src.Seq = m.Seq
 		b.routerDo(l.r, r.m.Update(queue.ClaimMsg{Now: b.now, Claim: src, Key: m.Key}))
 	case sched.ServiceCmd:
-		var rows []ledger.Row
-		for _, row := range m.Rows {
-			rows = append(rows, ledger.Row(row))
-		}
 		b.hubDo(l.r, r.hub.Update(ledger.ServiceMsg{
-			Now: b.now, Source: ledger.Source{Agent: a.name, Incarnation: a.inc}, Hall: boxHall, Rows: rows,
+			Now: b.now, Source: ledger.Source{Agent: a.name, Incarnation: a.inc}, Hall: boxHall, Rows: m.Rows,
 		}))
 	}
 }
--- a/proof/fairness_test.go
+++ b/proof/fairness_test.go
@@ -125,12 +125,8 @@
 }
 
 func (f *fairFleet) totals(t ledger.TotalsCmd) {
-	var rows []sched.ServiceRow
-	for _, r := range t.Rows {
-		rows = append(rows, sched.ServiceRow(r))
-	}
 	i := f.index(t.Agent)
-	f.agentDo(i, f.agents[i].Update(sched.TotalsMsg{Now: f.now, Rows: rows}))
+	f.agentDo(i, f.agents[i].Update(sched.TotalsMsg{Now: f.now, Rows: t.Rows}))
 }
 
 // ask brings one request of a team.
@@ -150,12 +146,12 @@
 		case queue.DemandCmd:
 			f.after(fairDelay, func() {
 				i := f.index(c.Agent)
-				f.agentDo(i, f.agents[i].Update(sched.DemandMsg{Now: f.now, Router: "r", Counts: schedCounts(c.Counts)}))
+				f.agentDo(i, f.agents[i].Update(sched.DemandMsg{Now: f.now, Router: "r", Counts: c.Counts}))
 			})
 		case queue.DenyCmd:
 			f.after(fairDelay, func() {
 				i := f.index(c.Claim.Agent)
-				f.agentDo(i, f.agents[i].Update(sched.DenyMsg{Now: f.now, Seq: c.Claim.Seq, Count: sched.Count(c.Count)}))
+				f.agentDo(i, f.agents[i].Update(sched.DenyMsg{Now: f.now, Seq: c.Claim.Seq, Count: c.Count}))
 			})
 		case queue.RunCmd:
 			f.after(fairDelay, func() {
@@ -194,11 +190,7 @@
 			})
 		case sched.ServiceCmd:
 			f.after(fairDelay, func() {
-				var rows []ledger.Row
-				for _, r := range c.Rows {
-					rows = append(rows, ledger.Row(r))
-				}
-				f.hub.Update(ledger.ServiceMsg{Now: f.now, Source: f.source(i), Hall: boxHall, Rows: rows})
+				f.hub.Update(ledger.ServiceMsg{Now: f.now, Source: f.source(i), Hall: boxHall, Rows: c.Rows})
 			})
 		case sched.StartCmd:
 			f.start(i, c.Seq)
--- a/queue/agentview.go
+++ b/queue/agentview.go
@@ -22,7 +22,7 @@
 	open    openClaims
 	leaving bool
 	told    map[fleet.DemandKey]int // the counts that the agent believes
-	untold  []Count                 // what this tick has for it
+	untold  []fleet.Count           // what this tick has for it
 }
 
 // knows notes the count that the agent will believe of a line.
--- a/queue/claims.go
+++ b/queue/claims.go
@@ -11,12 +11,12 @@
 func (m *Machine) claim(msg ClaimMsg) []Command {
 	a, _, known := m.agent(msg.Claim.Agent)
 	if !known {
-		return []Command{DenyCmd{Claim: msg.Claim, Count: Count{Key: msg.Key}}}
+		return []Command{DenyCmd{Claim: msg.Claim, Count: fleet.Count{Key: msg.Key}}}
 	}
 	l := m.lineOf(msg.Key)
 	if l.waiting == 0 {
 		a.knows(l, 0)
-		return []Command{DenyCmd{Claim: msg.Claim, Count: Count{Key: msg.Key}}}
+		return []Command{DenyCmd{Claim: msg.Claim, Count: fleet.Count{Key: msg.Key}}}
 	}
 	return m.grant(msg.Now, a, msg.Claim, l)
 }
@@ -34,7 +34,7 @@
 // left returns what the agent should believe to be left of a line. Where more
 // agents know of it than it has requests for, this one may forget it: each
 // would else claim once in vain when the line is empty.
-func (m *Machine) left(now time.Duration, a *agentView, l *line) Count {
+func (m *Machine) left(now time.Duration, a *agentView, l *line) fleet.Count {
 	c := l.count(now)
 	if l.known > 1+tellPerRequest*l.waiting {
 		c.Waiting = 0
--- a/queue/commands.go
+++ b/queue/commands.go
@@ -9,30 +9,23 @@
 // Command is something that the machine wants done.
 type Command interface{ isCommand() }
 
-// Count is what one line of waiting requests comes to.
-type Count struct {
-	Key       fleet.DemandKey
-	Waiting   int
-	OldestAge time.Duration
-}
-
 // DemandCmd tells an agent of lines whose counts it should know.
 type DemandCmd struct {
 	Agent  fleet.Name
-	Counts []Count
+	Counts []fleet.Count
 }
 
 // DenyCmd refuses a claim because its line is empty.
 type DenyCmd struct {
 	Claim fleet.ClaimID
-	Count Count
+	Count fleet.Count
 }
 
 // RunCmd sends a request to the agent that claimed it.
 type RunCmd struct {
 	ID    RequestID
 	Claim fleet.ClaimID
-	Left  Count // what is left of its line, for the agent to know
+	Left  fleet.Count // what is left of its line, for the agent to know
 }
 
 // AbortCmd gives up a run of which nothing has been answered: its agent is
--- a/queue/line.go
+++ b/queue/line.go
@@ -59,8 +59,8 @@
 }
 
 // count returns what the line comes to at a time.
-func (l *line) count(now time.Duration) Count {
-	c := Count{Key: l.key, Waiting: l.waiting}
+func (l *line) count(now time.Duration) fleet.Count {
+	c := fleet.Count{Key: l.key, Waiting: l.waiting}
 	l.trim()
 	if len(l.items) > 0 {
 		c.OldestAge = now - l.items[0].arrived
--- a/queue/machine.go
+++ b/queue/machine.go
@@ -159,8 +159,8 @@
 }
 
 // Lines returns the lines in which requests wait.
-func (m *Machine) Lines(now time.Duration) []Count {
-	var out []Count
+func (m *Machine) Lines(now time.Duration) []fleet.Count {
+	var out []fleet.Count
 	for _, l := range m.order {
 		if l.waiting > 0 {
 			out = append(out, l.count(now))
--- a/queue/tick.go
+++ b/queue/tick.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/croftvale/croftvale/fleet"
 )
 
 const (
@@ -51,7 +53,7 @@
 	if l.waiting == 0 {
 		l.base = 0
 		if l.known > 0 && now-l.emptied >= emptyFor {
-			m.tellKnowing(l, Count{Key: l.key})
+			m.tellKnowing(l, fleet.Count{Key: l.key})
 		}
 		return
 	}
@@ -67,7 +69,7 @@
 }
 
 // tellKnowing corrects the count of every agent that believes in a line.
-func (m *Machine) tellKnowing(l *line, c Count) {
+func (m *Machine) tellKnowing(l *line, c fleet.Count) {
 	for _, a := range m.agents {
 		if a.told[l.key] > 0 {
 			m.queueTell(a, l, c)
@@ -77,7 +79,7 @@
 
 // tellMore lets enough agents know of a line: a few for each request that
 // waits, and more the longer the oldest waits.
-func (m *Machine) tellMore(l *line, c Count) {
+func (m *Machine) tellMore(l *line, c fleet.Count) {
 	want := 1 + tellPerRequest*l.waiting + int(c.OldestAge/tellMoreEvery)
 	if l.known >= min(want, len(m.agents)) {
 		return
@@ -96,7 +98,7 @@
 }
 
 // queueTell adds a count to what an agent is told at the end of the tick.
-func (m *Machine) queueTell(a *agentView, l *line, c Count) {
+func (m *Machine) queueTell(a *agentView, l *line, c fleet.Count) {
 	a.knows(l, c.Waiting)
 	if len(a.untold) == 0 {
 		m.untold = append(m.untold, a)
--- a/router/core.go
+++ b/router/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/croftvale/croftvale/adopt"
@@ -12,6 +11,7 @@
 	"github.com/croftvale/croftvale/link"
 	"github.com/croftvale/croftvale/once"
 	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/process"
 	"github.com/croftvale/croftvale/queue"
 	"github.com/croftvale/croftvale/settings"
 	"github.com/croftvale/croftvale/wire"
@@ -47,13 +47,13 @@
 	duty    duty
 	// linked remembers, for the routers and the number of links that it was
 	// worked out for, which servers this router links to.
-	linked     map[fleet.Name]bool
-	linkedFor  int
-	peers      map[fleet.Name]*peer
-	open       map[queue.RequestID]*openRequest
-	leaving    bool
-	aliveEvery time.Duration // between two signs of life on a quiet link
-	pullAgain  time.Duration // when another peer may be asked for a bundle
+	linked    map[fleet.Name]bool
+	linkedFor int
+	peers     map[fleet.Name]*peer
+	open      map[queue.RequestID]*openRequest
+	leaving   bool
+	pulse     process.Pulse
+	pullAgain time.Duration // when another peer may be asked for a bundle
 }
 
 // peer is a link to another process and what it last said of itself.
@@ -113,11 +113,11 @@
 	switch cmd := cmd.(type) {
 	case queue.DemandCmd:
 		c.send(cmd.Agent, func(conn *link.Conn) wire.Message {
-			return wire.Demand{Rows: demandRows(conn, cmd.Counts)}
+			return wire.Demand{Rows: conn.SpellCounts(cmd.Counts)}
 		})
 	case queue.DenyCmd:
 		c.send(cmd.Claim.Agent, func(conn *link.Conn) wire.Message {
-			return wire.Deny{Seq: cmd.Claim.Seq, Row: demandRow(conn, cmd.Count)}
+			return wire.Deny{Seq: cmd.Claim.Seq, Row: conn.SpellCount(cmd.Count)}
 		})
 	case queue.RunCmd:
 		c.runRequest(cmd)
@@ -137,43 +137,6 @@
 	}
 }
 
-// runRequest sends a request's goroutine to the agent that claimed it.
-func (c *core) runRequest(cmd queue.RunCmd) {
-	r, ok := c.open[cmd.ID]
-	if !ok {
-		return
-	}
-	r.abort = make(chan struct{})
-	c.decide(cmd.ID, decision{run: &grant{
-		claim: cmd.Claim.String(),
-		serve: c.servers[cmd.Claim.Agent].Serve.String(),
-		left:  leftOf(cmd.Left),
-		abort: r.abort,
-	}})
-}
-
-// leftOf spells what is left of a line for the header of a granted request.
-func leftOf(left queue.Count) string {
-	return fmt.Sprintf("%d/%d", left.Waiting, left.OldestAge/time.Millisecond)
-}
-
-func (c *core) abort(id queue.RequestID) {
-	r, ok := c.open[id]
-	if !ok || r.abort == nil {
-		return
-	}
-	close(r.abort)
-	r.abort = nil
-}
-
-// decide tells a request's goroutine what to do. There is always room: no
-// second decision comes before the goroutine has answered the first.
-func (c *core) decide(id queue.RequestID, d decision) {
-	if r, ok := c.open[id]; ok {
-		r.reply <- d
-	}
-}
-
 func (c *core) onEvent(e event) {
 	switch e := e.(type) {
 	case arriveEvent:
@@ -197,45 +160,6 @@
 	}
 }
 
-func (c *core) arrive(e arriveEvent) {
-	c.open[e.request.ID] = &openRequest{reply: e.reply}
-	if e.idempotency != nil {
-		c.askKey(e)
-		return
-	}
-	c.feed(queue.ArriveMsg{Now: c.now(), Request: e.request})
-}
-
-// cancel drops a request whose caller has hung up. One that waits has not run;
-// of one that runs the call itself says when it has ended.
-func (c *core) cancel(id queue.RequestID) {
-	if r, ok := c.open[id]; ok && r.parked != nil {
-		r.parked = nil
-		c.feedKeys(once.NotRunMsg{Now: c.now(), Request: uint64(id)})
-	}
-	c.feed(queue.CancelMsg{Now: c.now(), ID: id})
-	if !c.queue.Holds(id) {
-		c.freeKey(id, queue.RanNo)
-		delete(c.open, id)
-	}
-}
-
-func (c *core) ended(e endEvent) {
-	if r, ok := c.open[e.id]; ok {
-		r.abort = nil
-	}
-	c.feed(queue.EndMsg{Now: c.now(), ID: e.id, Outcome: e.outcome})
-	c.forget(e.id)
-}
-
-// forget drops a request that the machine no longer holds.
-func (c *core) forget(id queue.RequestID) {
-	if !c.queue.Holds(id) {
-		c.freeKey(id, queue.RanYes)
-		delete(c.open, id)
-	}
-}
-
 // adopted puts a bundle in force here.
 func (c *core) adopted(p prepared) {
 	f := p.inForce
@@ -251,43 +175,3 @@
 	c.heartbeat()
 	c.log.Info().Uint64("generation", uint64(f.Generation())).Str("digest", string(f.Order.Digest)).Msg("bundle in force")
 }
-
-func (c *core) hello() wire.Hello {
-	return wire.Hello{
-		Name: c.settings.Name, Role: wire.RoleRouter, Hall: c.settings.Hall,
-		Incarnation: c.incarnation,
-	}
-}
-
-// keepAlive gives a sign of life on links that carry nothing else, and asks
-// again for a bundle that a peer has and this process has not.
-func (c *core) keepAlive() {
-	for _, p := range c.peers {
-		c.pullFrom(p)
-	}
-	every := link.AliveEvery(len(c.peers))
-	if every != c.aliveEvery {
-		c.aliveEvery = every
-		c.heartbeat()
-		return
-	}
-	for _, p := range c.peers {
-		if p.conn.Quiet(every) {
-			p.conn.Send(wire.Alive{})
-		}
-	}
-}
-
-// heartbeat tells every peer at once that something has changed.
-func (c *core) heartbeat() {
-	for _, p := range c.peers {
-		p.conn.Send(c.beat(p))
-	}
-}
-
-func (c *core) beat(p *peer) wire.Heartbeat {
-	return wire.Heartbeat{
-		Generation: c.inForce.Generation(), Leaving: c.leaving, Serving: true, Hub: p.hub,
-		Every: uint32(c.aliveEvery / time.Millisecond),
-	}
-}
--- a/router/links.go
+++ b/router/links.go
@@ -77,19 +77,19 @@
 		c.feed(queue.ClaimMsg{
 			Now:   c.now(),
 			Claim: fleet.ClaimID{Agent: name, Incarnation: p.conn.Peer.Incarnation, Seq: m.Seq},
-			Key:   claimKey(p.conn, m),
+			Key:   p.conn.ReadKey(m.Work, m.Team, m.Class),
 		})
 	case wire.Service:
 		c.feedHub(ledger.ServiceMsg{
-			Now: c.now(), Source: sourceOf(p), Hall: p.conn.Peer.Hall, Rows: hubRows(p.conn, m.Rows),
+			Now: c.now(), Source: sourceOf(p), Hall: p.conn.Peer.Hall, Rows: p.conn.ReadService(m.Rows),
 		})
 	case wire.AgentRows:
 		c.feedHub(ledger.ServiceMsg{
 			Now: c.now(), Source: ledger.Source{Agent: m.Agent, Incarnation: m.Incarnation},
-			Hall: m.Hall, Rows: hubRows(p.conn, m.Rows),
+			Hall: m.Hall, Rows: p.conn.ReadService(m.Rows),
 		})
 	case wire.HallTotals:
-		c.feedHub(ledger.HallTotalsMsg{Now: c.now(), Hall: m.Hall, Rows: hubRows(p.conn, m.Rows)})
+		c.feedHub(ledger.HallTotalsMsg{Now: c.now(), Hall: m.Hall, Rows: p.conn.ReadService(m.Rows)})
 	case wire.KeyVerdict:
 		c.onVerdict(name, m)
 	case wire.BundlePull:
--- a/router/router.go
+++ b/router/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +16,7 @@
 	"github.com/croftvale/croftvale/link"
 	"github.com/croftvale/croftvale/once"
 	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/process"
 	"github.com/croftvale/croftvale/queue"
 	"github.com/croftvale/croftvale/secure"
 	"github.com/croftvale/croftvale/settings"
@@ -69,13 +69,11 @@
 	for _, o := range opts {
 		o(r)
 	}
-	if s.TLS.On() {
-		store, err := secure.NewStore(secure.Files(s.TLS))
-		if err != nil {
-			return nil, err
-		}
-		r.secure = store
+	store, err := process.Keys(s.TLS)
+	if err != nil {
+		return nil, err
 	}
+	r.secure = store
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
 	events := make(chan event, eventRoom)
@@ -123,34 +121,6 @@
 	return r, nil
 }
 
-// transport returns what calls agents.
-func (r *Router) transport() *http.Transport {
-	t := &http.Transport{
-		DialContext:         r.dial,
-		MaxIdleConnsPerHost: agentConns,
-		IdleConnTimeout:     agentIdle,
-		DisableCompression:  true,
-	}
-	if r.secure != nil {
-		t.DialTLSContext = r.dialAgent
-	}
-	return t
-}
-
-// dialAgent opens a TLS connection to an agent; keys are read anew for each.
-func (r *Router) dialAgent(ctx context.Context, network, address string) (net.Conn, error) {
-	raw, err := r.dial(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	conn := tls.Client(raw, r.secure.Client(secure.Identity{Role: string(wire.RoleAgent)}))
-	if err := conn.HandshakeContext(ctx); err != nil {
-		_ = raw.Close()
-		return nil, err
-	}
-	return conn, nil
-}
-
 // adopted prepares a bundle for the core, in the keeper's goroutine. Requests
 // are admitted under it once the core knows of it.
 func (r *Router) adopted(f bundle.InForce) {
@@ -172,32 +142,21 @@
 }
 
 func (r *Router) dump(ctx context.Context) (any, error) {
-	reply := make(chan State, 1)
-	select {
-	case r.core.events <- stateEvent{reply}:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	select {
-	case s := <-reply:
-		return s, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return process.Dump(ctx, r.core.events, func(reply chan<- State) event { return stateEvent{reply} })
 }
 
 // Run serves until ctx ends, then takes no new requests, waits for those that
 // are there and returns. What is left when the drain time is over is cut.
 func (r *Router) Run(ctx context.Context) error {
-	callers, err := listen("listen", r.settings.Listen.String())
+	callers, err := process.Listen("listen", r.settings.Listen.String())
 	if err != nil {
 		return err
 	}
-	links, err := listen("links", r.settings.Links.String())
+	links, err := process.Listen("links", r.settings.Links.String())
 	if err != nil {
 		return err
 	}
-	adm, err := listen("admin", r.settings.Admin.String())
+	adm, err := process.Listen("admin", r.settings.Admin.String())
 	if err != nil {
 		return err
 	}
@@ -207,7 +166,7 @@
 	defer end()
 	opts := link.Options{
 		Hello: r.core.hello, Events: r.core.links, Meter: r.core.meter, Dial: r.dial,
-		Secure: r.secure, Accept: wire.RoleRouter, Refused: r.linkRefused,
+		Secure: r.secure, Accept: wire.RoleRouter, Refused: process.LinkEnded(r.log),
 	}
 	r.core.dialer = &dialer{ctx: life, opts: opts, log: r.log, kept: map[string]context.CancelFunc{}}
 	hs := &http.Server{
@@ -220,19 +179,14 @@
 	wg.Go(func() { r.watcher.keeper.Run(life) })
 	wg.Go(func() { r.watcher.hosts(life) })
 	wg.Go(func() { r.watcher.bundles(life, func() bool { return r.handler.table.Load() != nil }) })
-	wg.Go(func() { r.report("links", link.Listen(life, links, opts)) })
-	wg.Go(func() { r.report("admin", r.admin.Serve(life, adm)) })
-	wg.Go(func() { r.report("listen", hs.Serve(callers)) })
+	wg.Go(func() { process.Report(r.log, "links", link.Listen(life, links, opts)) })
+	wg.Go(func() { process.Report(r.log, "admin", r.admin.Serve(life, adm)) })
+	wg.Go(func() { process.Report(r.log, "listen", hs.Serve(callers)) })
 	r.log.Info().Str("listen", callers.Addr().String()).Str("links", links.Addr().String()).Msg("router started")
 	<-ctx.Done()
 	return r.drain(hs)
 }
 
-// linkRefused logs why an accepted link ended, unless its peer just went.
-func (r *Router) linkRefused(remote string, err error) {
-	r.log.Debug().Str("remote", remote).Err(err).Msg("accepted link ended")
-}
-
 // drain ends the process in order.
 func (r *Router) drain(hs *http.Server) error {
 	limit := r.settings.Drain.Or(settings.DefaultDrain)
@@ -248,43 +202,3 @@
 	r.log.Info().Msg("left: nothing was cut")
 	return nil
 }
-
-// report logs why a duty ended, unless it was asked to.
-func (r *Router) report(duty string, err error) {
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		r.log.Error().Str("duty", duty).Err(err).Msg("duty ended")
-	}
-}
-
-func listen(key, address string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", address)
-	return ln, errors.Wrapf(err, "settings: %s = %q: choose an address of this host that is not in use", key, address)
-}
-
-// state returns the dump.
-func (c *core) state() State {
-	s := State{
-		Name: c.settings.Name, Hall: c.settings.Hall, Role: "router",
-		Incarnation: c.incarnation, Generation: c.inForce.Generation(), Digest: string(c.inForce.Order.Digest),
-		Leaving: c.leaving, Waiting: c.queue.Waiting(), Open: c.queue.Open(),
-		PlatformOK: c.platform.ok.Load(), PlatformCalls: c.platform.client.Calls(),
-		Lines: c.queue.Lines(c.now()), Traffic: c.meter.Snapshot(),
-	}
-	for hall := range c.duty.hubs {
-		if c.duty.isHub(hall, c.settings.Name) {
-			s.HubOf = append(s.HubOf, hall)
-		}
-	}
-	for name, p := range c.peers {
-		s.Peers = append(s.Peers, PeerState{
-			Name: name, Role: string(p.conn.Peer.Role), Hall: p.conn.Peer.Hall, Remote: p.conn.Remote,
-			Generation: p.last.Generation, Serving: p.last.Serving, Leaving: p.last.Leaving,
-		})
-	}
-	for _, row := range c.hub.Totals() {
-		s.Service = append(s.Service, ServiceState{
-			Team: row.Team, ServiceMS: row.Service.Milliseconds(), LiftMS: row.Lift.Milliseconds(),
-		})
-	}
-	return s
-}
--- a/router/state.go
+++ b/router/state.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/link"
-	"github.com/croftvale/croftvale/queue"
 )
 
 // State is the dump of a router.
@@ -20,7 +19,7 @@
 	HubOf         []fleet.Hall      `json:"hub_of"`
 	PlatformOK    bool              `json:"platform_ok"`
 	PlatformCalls int64             `json:"platform_calls"`
-	Lines         []queue.Count     `json:"lines"`
+	Lines         []fleet.Count     `json:"lines"`
 	Peers         []PeerState       `json:"peers"`
 	Service       []ServiceState    `json:"service"`
 	Traffic       []link.Traffic    `json:"traffic"`
@@ -43,3 +42,31 @@
 	ServiceMS int64      `json:"service_ms"`
 	LiftMS    int64      `json:"lift_ms"`
 }
+
+// state returns the dump.
+func (c *core) state() State {
+	s := State{
+		Name: c.settings.Name, Hall: c.settings.Hall, Role: "router",
+		Incarnation: c.incarnation, Generation: c.inForce.Generation(), Digest: string(c.inForce.Order.Digest),
+		Leaving: c.leaving, Waiting: c.queue.Waiting(), Open: c.queue.Open(),
+		PlatformOK: c.platform.ok.Load(), PlatformCalls: c.platform.client.Calls(),
+		Lines: c.queue.Lines(c.now()), Traffic: c.meter.Snapshot(),
+	}
+	for hall := range c.duty.hubs {
+		if c.duty.isHub(hall, c.settings.Name) {
+			s.HubOf = append(s.HubOf, hall)
+		}
+	}
+	for name, p := range c.peers {
+		s.Peers = append(s.Peers, PeerState{
+			Name: name, Role: string(p.conn.Peer.Role), Hall: p.conn.Peer.Hall, Remote: p.conn.Remote,
+			Generation: p.last.Generation, Serving: p.last.Serving, Leaving: p.last.Leaving,
+		})
+	}
+	for _, row := range c.hub.Totals() {
+		s.Service = append(s.Service, ServiceState{
+			Team: row.Team, ServiceMS: row.Service.Milliseconds(), LiftMS: row.Lift.Milliseconds(),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/router/transport.go
@@ -0,0 +1,39 @@
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/croftvale/croftvale/secure"
+	"github.com/croftvale/croftvale/wire"
+)
+
+// transport returns what calls agents.
+func (r *Router) transport() *http.Transport {
+	t := &http.Transport{
+		DialContext:         r.dial,
+		MaxIdleConnsPerHost: agentConns,
+		IdleConnTimeout:     agentIdle,
+		DisableCompression:  true,
+	}
+	if r.secure != nil {
+		t.DialTLSContext = r.dialAgent
+	}
+	return t
+}
+
+// dialAgent opens a TLS connection to an agent; keys are read anew for each.
+func (r *Router) dialAgent(ctx context.Context, network, address string) (net.Conn, error) {
+	raw, err := r.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	conn := tls.Client(raw, r.secure.Client(secure.Identity{Role: string(wire.RoleAgent)}))
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return conn, nil
+}
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -27,7 +27,7 @@
 		r := fleet.Name(fmt.Sprintf("router-%03d", l))
 		m.Update(RouterUpMsg{Now: 1, Router: r, Hub: l < 2})
 		for i := 0; i < teams; i += 10 {
-			m.Update(DemandMsg{Now: 1, Router: r, Counts: []Count{{
+			m.Update(DemandMsg{Now: 1, Router: r, Counts: []fleet.Count{{
 				Key:     fleet.DemandKey{Work: "report", Team: names[i], Class: fleet.Ordinary},
 				Waiting: 1 << 30,
 			}}})
@@ -62,9 +62,9 @@
 	for _, teams := range []int{10, 540, 5000} {
 		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
 			m, names := crowded(teams, 3)
-			var rows []ServiceRow
+			var rows []fleet.ServiceRow
 			for i := 0; i < teams; i += 10 {
-				rows = append(rows, ServiceRow{Team: names[i]})
+				rows = append(rows, fleet.ServiceRow{Team: names[i]})
 			}
 			now := time.Duration(1)
 			b.ReportAllocs()
--- a/sched/commands.go
+++ b/sched/commands.go
@@ -31,7 +31,7 @@
 // ServiceCmd sends the agent's own service to a hub.
 type ServiceCmd struct {
 	Router fleet.Name
-	Rows   []ServiceRow
+	Rows   []fleet.ServiceRow
 }
 
 func (ClaimCmd) isCommand()   {}
--- a/sched/demand.go
+++ b/sched/demand.go
@@ -21,7 +21,7 @@
 	}
 }
 
-func (m *Machine) setCount(now time.Duration, router fleet.Name, c Count) {
+func (m *Machine) setCount(now time.Duration, router fleet.Name, c fleet.Count) {
 	if !m.cfg.runs(c.Key.Work) {
 		return
 	}
--- a/sched/machine.go
+++ b/sched/machine.go
@@ -161,7 +161,7 @@
 	r.open = openClaims{}
 	m.suspend(r, false)
 	if msg.Hub && !r.hub {
-		r.sent = map[fleet.Team]ServiceRow{}
+		r.sent = map[fleet.Team]fleet.ServiceRow{}
 		r.fresh = true
 	}
 	r.hub = msg.Hub
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -26,7 +26,7 @@
 func demand(now time.Duration, waiting int, keys ...fleet.DemandKey) DemandMsg {
 	msg := DemandMsg{Now: now, Router: "r"}
 	for _, k := range keys {
-		msg.Counts = append(msg.Counts, Count{Key: k, Waiting: waiting})
+		msg.Counts = append(msg.Counts, fleet.Count{Key: k, Waiting: waiting})
 	}
 	return msg
 }
@@ -52,7 +52,7 @@
 // less service is repaid no more than CatchUp ahead of the other.
 func TestCatchUpIsCapped(t *testing.T) {
 	m := newServing(Config{Slots: 1, CatchUp: 10 * time.Second})
-	m.Update(TotalsMsg{Now: 1, Rows: []ServiceRow{{Team: "basel", Service: time.Hour}}})
+	m.Update(TotalsMsg{Now: 1, Rows: []fleet.ServiceRow{{Team: "basel", Service: time.Hour}}})
 	m.Update(demand(2, 1000, lineKey("ajax", fleet.Ordinary), lineKey("basel", fleet.Ordinary)))
 	next := claims(m.Update(HealthMsg{Now: 3, Serving: true}))
 	now := time.Duration(3)
@@ -88,7 +88,7 @@
 		first fleet.Team
 	}{{time.Second, "basel"}, {3 * time.Second, "ajax"}} {
 		m := newServing(Config{Slots: 1, UrgentBorrow: 2 * time.Second})
-		m.Update(TotalsMsg{Now: 1, Rows: []ServiceRow{{Team: "basel", Service: c.ahead}}})
+		m.Update(TotalsMsg{Now: 1, Rows: []fleet.ServiceRow{{Team: "basel", Service: c.ahead}}})
 		m.Update(demand(2, 1, lineKey("ajax", fleet.Ordinary), lineKey("basel", fleet.Urgent)))
 		next := claims(m.Update(HealthMsg{Now: 3, Serving: true}))
 		require.Equal(t, c.first, next[0].Key.Team, "ahead by %v", c.ahead)
--- a/sched/messages.go
+++ b/sched/messages.go
@@ -10,21 +10,6 @@
 // process started, on its monotonic clock.
 type Msg interface{ isMsg() }
 
-// Count is what one line of a router's waiting requests comes to.
-type Count struct {
-	Key       fleet.DemandKey
-	Waiting   int
-	OldestAge time.Duration
-}
-
-// ServiceRow is one team's service in slot time, and its lift in slot time
-// per unit of share. Both only grow.
-type ServiceRow struct {
-	Team    fleet.Team
-	Service time.Duration
-	Lift    time.Duration
-}
-
 // ConfigMsg puts a new configuration in force.
 type ConfigMsg struct {
 	Now    time.Duration
@@ -54,14 +39,14 @@
 type DemandMsg struct {
 	Now    time.Duration
 	Router fleet.Name
-	Counts []Count
+	Counts []fleet.Count
 }
 
 // DenyMsg refuses a claim and gives the line's true count.
 type DenyMsg struct {
 	Now   time.Duration
 	Seq   uint64
-	Count Count
+	Count fleet.Count
 }
 
 // ArriveMsg says that a claimed request has come by HTTP, and what is left of
@@ -85,7 +70,7 @@
 // TotalsMsg brings the service of the fleet less this agent's own.
 type TotalsMsg struct {
 	Now  time.Duration
-	Rows []ServiceRow
+	Rows []fleet.ServiceRow
 }
 
 // HealthMsg says whether the server takes work.
--- a/sched/router.go
+++ b/sched/router.go
@@ -14,7 +14,7 @@
 	open        openClaims
 	announcedAt time.Duration
 	suspended   bool // it leaves claims unanswered
-	sent        map[fleet.Team]ServiceRow
+	sent        map[fleet.Team]fleet.ServiceRow
 	sentAt      time.Duration
 }
 
--- a/sched/share.go
+++ b/sched/share.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/croftvale/croftvale/fleet"
 )
 
 // totals merges the service of the rest of the fleet. Rows only grow, so a
@@ -88,7 +90,7 @@
 // passes Delta. A new hub hears at once, even of nothing: it says nothing to
 // an agent whose own part it does not know. The hubs hear in turn: each gets
 // half of the messages, and the fleet hears as often.
-func (m *Machine) due(now time.Duration, r *routerView) ([]ServiceRow, bool) {
+func (m *Machine) due(now time.Duration, r *routerView) ([]fleet.ServiceRow, bool) {
 	rows, most := m.unsent(r)
 	late := now-r.sentAt >= m.cfg.ShareEvery || most >= m.cfg.Delta
 	late = late && now-m.sharedAt >= m.cfg.ShareEvery/time.Duration(max(m.hubs(), 1))
@@ -117,12 +119,12 @@
 
 // unsent returns the rows that differ from what a hub was sent, and the most
 // service that one of them adds.
-func (m *Machine) unsent(r *routerView) ([]ServiceRow, time.Duration) {
-	var rows []ServiceRow
+func (m *Machine) unsent(r *routerView) ([]fleet.ServiceRow, time.Duration) {
+	var rows []fleet.ServiceRow
 	var most time.Duration
 	for _, t := range m.teams {
 		t.reported = max(t.reported, t.own)
-		row := ServiceRow{Team: t.name, Service: t.reported, Lift: t.lift}
+		row := fleet.ServiceRow{Team: t.name, Service: t.reported, Lift: t.lift}
 		old := r.sent[t.name]
 		old.Team = t.name
 		if row == old {
--- a/standin/capacity/measure.go
+++ b/standin/capacity/measure.go
@@ -3,20 +3,13 @@
 import (
 	"bufio"
 	"bytes"
-	"crypto/ed25519"
 	"fmt"
-	"net/netip"
-	"runtime"
 	"testing"
 	"time"
 
-	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
-	"github.com/croftvale/croftvale/ledger"
-	"github.com/croftvale/croftvale/once"
 	"github.com/croftvale/croftvale/queue"
 	"github.com/croftvale/croftvale/sched"
-	"github.com/croftvale/croftvale/tomlfile"
 	"github.com/croftvale/croftvale/wire"
 )
 
@@ -159,7 +152,7 @@
 		r := fleet.Name(fmt.Sprintf("router-%03d", l))
 		m.Update(sched.RouterUpMsg{Now: 1, Router: r, Hub: l < hubsPerHall})
 		for i := range int(TwoYears.Backlogged) {
-			m.Update(sched.DemandMsg{Now: 1, Router: r, Counts: []sched.Count{{Key: key(i), Waiting: 1 << 30}}})
+			m.Update(sched.DemandMsg{Now: 1, Router: r, Counts: []fleet.Count{{Key: key(i), Waiting: 1 << 30}}})
 		}
 	}
 	return m
@@ -179,7 +172,7 @@
 		now += sched.TickEvery
 		m.Update(sched.TickMsg{Now: now})
 	})
-	rows := make([]sched.ServiceRow, int(TwoYears.Backlogged))
+	rows := make([]fleet.ServiceRow, int(TwoYears.Backlogged))
 	for i := range rows {
 		rows[i].Team = teamName(i)
 	}
@@ -190,116 +183,3 @@
 		m.Update(sched.TotalsMsg{Now: now, Rows: rows})
 	}) / float64(len(rows))
 }
-
-// fullHub returns a hub with one hall's agents, settled.
-func fullHub(agents int) (*ledger.Hub, []ledger.Row) {
-	h := ledger.NewHub("r", "a")
-	rows := make([]ledger.Row, int(TwoYears.Teams))
-	for i := range rows {
-		rows[i] = ledger.Row{Team: teamName(i), Service: 1}
-	}
-	for a := range agents {
-		src := ledger.Source{Agent: agentName(a), Incarnation: 1}
-		h.Update(ledger.AgentUpMsg{Now: 1, Source: src, Hall: "a"})
-		h.Update(ledger.ServiceMsg{Now: 1, Source: src, Hall: "a", Rows: rows})
-	}
-	h.Update(ledger.TickMsg{Now: time.Minute})
-	return h, rows
-}
-
-func (s *Slopes) measureHub() {
-	agents := int(TwoYears.hallAgents())
-	h, rows := fullHub(agents)
-	backlogged := rows[:int(TwoYears.Backlogged)]
-	now := time.Minute
-	s.HubRowNS = perOp(func() {
-		now += time.Second
-		for i := range backlogged {
-			backlogged[i].Service++
-		}
-		for a := range agents {
-			h.Update(ledger.ServiceMsg{Now: now, Source: ledger.Source{Agent: agentName(a), Incarnation: 1}, Hall: "a", Rows: backlogged})
-		}
-		h.Update(ledger.TickMsg{Now: now})
-	}) / float64(agents*len(backlogged))
-}
-
-// fullBundle returns a bundle of the two-year size.
-func fullBundle() bundle.Bundle {
-	b := bundle.Bundle{Works: []bundle.Work{{Name: "report", Kind: bundle.KindModel, Path: "/v1/completions"}}}
-	for i := range int(TwoYears.Teams) {
-		k := once.NewKey(teamName(i), "report", "key")
-		hash := fmt.Sprintf("%s%x%x", bundle.KeyHashPrefix, k.Digest, k.Digest)
-		b.Teams = append(b.Teams, bundle.Team{Name: teamName(i), Share: float64(1 + i%5), Keys: []string{hash}})
-	}
-	for i := range int(TwoYears.Agents) {
-		ip := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
-		at := func(port uint16) tomlfile.Address {
-			return tomlfile.Address{AddrPort: netip.AddrPortFrom(ip, port)}
-		}
-		b.Servers = append(b.Servers, bundle.Server{
-			Name: agentName(i), Hall: fleet.Hall(fmt.Sprintf("hall-%02d", i%int(TwoYears.Halls))),
-			Agent: at(7000), Serve: at(7001), Address: at(8000), Slots: 8, Works: []fleet.Work{"report"},
-		})
-	}
-	return b
-}
-
-func (s *Slopes) measureBundle() {
-	anna := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
-	v := bundle.Verifier{Operators: bundle.Operators{"anna": anna.Public().(ed25519.PublicKey)}}
-	from, to := fullBundle(), fullBundle()
-	to.Teams[7].Share = 9
-	digest, content := bundle.Seal(from)
-	s.BundleBytes = float64(len(content))
-	first := bundle.Order{Generation: 1, Digest: digest, Operator: "anna"}.Sign(anna)
-	next := bundle.Order{Generation: 2, Digest: bundle.DigestOf(to), Operator: "anna"}.Sign(anna).Encode()
-	patch := bundle.NewPatch(from, to).Encode()
-	s.PatchBytes = frame(wire.BundleData{Order: next, Base: 1, Content: patch})
-	a := bundle.Adopter{Verifier: v}
-	if _, err := a.Update(bundle.OfferMsg{Order: first.Encode(), Content: content}); err != nil {
-		panic(err)
-	}
-	s.PatchNS = perOp(func() {
-		again := a
-		if _, err := again.Update(bundle.OfferMsg{Order: next, Content: patch, Base: 1}); err != nil {
-			panic(err)
-		}
-	})
-}
-
-// heap returns how many bytes of memory one of n things takes.
-func heap(n int, build func() any) float64 {
-	runtime.GC()
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	kept := build()
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-	runtime.KeepAlive(kept)
-	return float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)) / float64(n)
-}
-
-func (s *Slopes) measureMemory() {
-	const many = 20_000
-	s.RequestMemory = heap(many, func() any {
-		m := queue.New(queue.Config{MaxWaiting: 1 << 30, MaxWait: time.Hour})
-		m.Update(queue.AgentUpMsg{Now: 1, Agent: "a", Works: []fleet.Work{"report"}})
-		for i := range many {
-			m.Update(queue.ArriveMsg{Now: 1, Request: queue.Request{ID: queue.RequestID(i + 1), Key: key(i % 50)}})
-		}
-		return m
-	})
-	s.LinkMemory = linkMemory()
-	s.LifeMemory = heap(500, func() any { h, _ := fullHub(500); return h })
-	s.TeamMemory = heap(int(TwoYears.Teams), func() any { return busyAgent() })
-	s.BundleMemory = heap(1, func() any { return fullBundle() })
-	s.BaseMemory = baseMemory
-	s.KeyMemory = heap(many, func() any {
-		m := once.NewMemory(once.MemoryConfig{Self: "a"})
-		for i := range many {
-			m.Update(once.ReserveMsg{Now: 1, Key: once.NewKey("t", "w", fmt.Sprint(i)), Holder: once.Holder{Router: "r", Request: uint64(i)}})
-		}
-		return m
-	})
-}
