Tests of links; time for bodies; metrics are there

Cause: package link had no tests of its own; a caller could hold a goroutine by never finishing its body; nothing looked at /metrics. Change: link tests (order and names, a full link is cut and the sender never waits, a stranger is refused) with a check for leaked goroutines; 30 s to send a body or the head of a large one; the end-to-end test reads /metrics. Before and after: the stranger's test failed at first, for the test's own sake: marks of cockroachdb/errors are seen by its own Is only. The body's time limit itself is not tested (no timed tests).

--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,116 @@
+package link
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/wire"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// side is one end of links.
+type side struct {
+	opts   Options
+	events chan Event
+}
+
+func newSide() side {
+	events := make(chan Event, 16)
+	hello := func() wire.Hello { return wire.Hello{Name: "peer", Role: wire.RoleRouter, Hall: "a"} }
+	return side{events: events, opts: Options{Events: events, Meter: &Meter{}, Hello: hello}}
+}
+
+// pair returns two linked ends, and what ends the link.
+func pair(t *testing.T) (dialled, accepted side, end func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	dialled, accepted = newSide(), newSide()
+	done := make(chan struct{}, 2)
+	go func() {
+		_ = Listen(ctx, ln, accepted.opts)
+		done <- struct{}{}
+	}()
+	go func() {
+		_ = Dial(ctx, ln.Addr().String(), dialled.opts)
+		done <- struct{}{}
+	}()
+	return dialled, accepted, func() {
+		cancel()
+		<-done
+		<-done
+	}
+}
+
+// TestLinkCarriesInOrder holds that messages come in order, with the names that
+// they use before them, and that both ends hear of the end.
+func TestLinkCarriesInOrder(t *testing.T) {
+	dialled, accepted, end := pair(t)
+	up := <-dialled.events
+	require.Equal(t, EventUp, up.Kind)
+	require.Equal(t, EventUp, (<-accepted.events).Kind)
+	for i := range uint64(3) {
+		require.True(t, up.Conn.SendNamed(wire.Claim{Seq: i, Team: up.Conn.Out.Number("ajax")}))
+	}
+	name := <-accepted.events
+	require.Equal(t, wire.Name{Number: 0, Text: "ajax"}, name.Msg)
+	for i := range uint64(3) {
+		require.Equal(t, i, (<-accepted.events).Msg.(wire.Claim).Seq)
+	}
+	sent := dialled.opts.Meter.Snapshot()
+	read := accepted.opts.Meter.Snapshot()
+	require.Equal(t, sent[0].SentBytes, read[0].ReadBytes)
+	end()
+	require.Equal(t, EventDown, (<-dialled.events).Kind)
+	require.Equal(t, EventDown, (<-accepted.events).Kind)
+}
+
+// TestFullLinkIsCut holds that a peer which does not read loses its link, and
+// that the sender never waits.
+func TestFullLinkIsCut(t *testing.T) {
+	dialled, accepted, end := pair(t)
+	conn := (<-dialled.events).Conn
+	require.Equal(t, EventUp, (<-accepted.events).Kind)
+	big := wire.BundleData{Content: make([]byte, 1<<20)}
+	sent := 0
+	for conn.Send(big) { // nobody takes events at the other end
+		sent++
+		require.Less(t, sent, 100_000)
+	}
+	require.True(t, errors.Is(conn.err, ErrTooSlow))
+	go func() {
+		for range accepted.events {
+		}
+	}()
+	end()
+	close(accepted.events)
+}
+
+// TestStrangerIsRefused holds that what does not say hello gets no link.
+func TestStrangerIsRefused(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	refused := make(chan error, 1)
+	s := newSide()
+	s.opts.Refused = func(_ string, err error) { refused <- err }
+	done := make(chan struct{})
+	go func() {
+		_ = Listen(ctx, ln, s.opts)
+		close(done)
+	}()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	_, err = c.Write([]byte("GET /state HTTP/1.1\r\nHost: 127.0.0.1:7000\r\nUser-Agent: somebody/1.0\r\nAccept: */*\r\n\r\n"))
+	require.NoError(t, err)
+	require.True(t, errors.Is(<-refused, ErrNoHello))
+	require.NoError(t, c.Close())
+	cancel()
+	<-done
+}
--- a/router/admission.go
+++ b/router/admission.go
@@ -18,6 +18,10 @@
 // bytes; smaller ones are held, so that they can be sent again.
 const streamAbove = 64 << 10
 
+// bodyTimeout is how long a caller may take to send its body, or the head of a
+// large one.
+const bodyTimeout = 30 * time.Second
+
 // admission is a request that has passed the checks at the door.
 type admission struct {
 	id          string
@@ -93,6 +97,9 @@
 		return &refusedLarge
 	}
 	src := http.MaxBytesReader(w, r.Body, limit)
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // test writers have none
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 	keep := int64(streamAbove)
 	if a.table.asksModel(r.URL.Path) {
 		keep = limit
--- a/standin/e2e/path_test.go
+++ b/standin/e2e/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os/exec"
@@ -103,6 +104,12 @@
 	out, err = run("bundle", "show", "--platform", s.lab.PlatformAddress())
 	require.NoError(t, err, out)
 	require.Contains(t, out, `"zurich"`)
+	res, err := http.Get("http://" + admin + "/metrics")
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	metrics, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(metrics), "croftvale_served")
 	_, err = run("bundle", "roll")
 	var exit *exec.ExitError
 	require.ErrorAs(t, err, &exit)
