Gauges for both roles, a server's own word of its load, a server that dies

Cause: agents had no metrics, routers none of their state; what a server says of its load was not read; no test let a server die. Ruled out: deciding by the server's word (it lags; the agent counts its runs).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -78,7 +78,27 @@
 }
 
 func (a *Agent) dump(ctx context.Context) (any, error) {
-	return process.Dump(ctx, a.core.events, func(reply chan<- State) event { return stateEvent{reply} })
+	s, err := process.Dump(ctx, a.core.events, func(reply chan<- State) event { return stateEvent{reply} })
+	s.Server = a.server.health.lastLoad()
+	return s, err
+}
+
+// gauges returns what the metrics show of the state.
+func (a *Agent) gauges(ctx context.Context) ([]process.Reading, error) {
+	dump, err := a.dump(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s := dump.(State)
+	readings := []process.Reading{
+		{Name: "generation", Value: float64(s.Generation)},
+		{Name: "slots", Value: float64(s.Slots)},
+		{Name: "running", Value: float64(s.Running)},
+		{Name: "held", Value: float64(s.Held)},
+		{Name: "keys", Value: float64(s.Keys)},
+		{Name: "server_running", Value: float64(s.Server.Running)},
+	}
+	return append(readings, process.TrafficReadings(s.Traffic)...), nil
 }
 
 // Run serves until ctx ends, then takes no new work, waits for what runs and
@@ -105,6 +125,7 @@
 	wg.Go(func() { a.core.run(life) })
 	wg.Go(func() { a.core.keeper.Run(life) })
 	wg.Go(func() { a.server.probe(life) })
+	wg.Go(func() { process.Gauge(life, a.admin.Scope(), a.gauges) })
 	wg.Go(func() { process.Report(a.log, "links", link.Listen(life, links, a.linkOptions())) })
 	wg.Go(func() { process.Report(a.log, "admin", a.admin.Serve(life, adm)) })
 	wg.Go(func() { process.Report(a.log, "serve", hs.Serve(a.secured(serve))) })
--- a/agent/health.go
+++ b/agent/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -14,6 +15,8 @@
 const (
 	probeEvery   = time.Second
 	probeTimeout = 2 * time.Second
+	// maxProbe is how much of a probe's answer is read, in bytes.
+	maxProbe = 1 << 16
 	// firstProbe is the time to the first probe after a failure.
 	firstProbe = 100 * time.Millisecond
 	// lastProbe bounds how long a server that is well again stays unused.
@@ -31,6 +34,27 @@
 	mu       sync.Mutex
 	up       bool
 	failures int
+	load     Load
+}
+
+// Load is what a server last said of itself in answer to its probe, if it
+// answers in JSON. It lags by up to the time between two probes, so decisions
+// don't rest on it: the agent counts its own runs.
+type Load struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+}
+
+func (h *health) setLoad(l Load) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.load = l
+}
+
+func (h *health) lastLoad() Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.load
 }
 
 func (h *health) err() error {
@@ -133,6 +157,9 @@
 		return false
 	}
 	defer func() { _ = res.Body.Close() }()
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<16))
+	var load Load
+	if json.NewDecoder(io.LimitReader(res.Body, maxProbe)).Decode(&load) == nil {
+		s.health.setLoad(load)
+	}
 	return res.StatusCode < http.StatusInternalServerError
 }
--- a/agent/state.go
+++ b/agent/state.go
@@ -18,7 +18,8 @@
 	Slots       int               `json:"slots"`
 	Running     int               `json:"running"`
 	Held        int               `json:"held"`
-	Keys        int               `json:"keys"` // idempotency keys remembered
+	Server      Load              `json:"server"` // as the server said at its last probe
+	Keys        int               `json:"keys"`   // idempotency keys remembered
 	Routers     []PeerState       `json:"routers"`
 	Teams       []sched.TeamState `json:"teams"`
 	Traffic     []link.Traffic    `json:"traffic"`
--- a/router/router.go
+++ b/router/router.go
@@ -145,6 +145,30 @@
 	return process.Dump(ctx, r.core.events, func(reply chan<- State) event { return stateEvent{reply} })
 }
 
+// gauges returns what the metrics show of the state.
+func (r *Router) gauges(ctx context.Context) ([]process.Reading, error) {
+	dump, err := r.dump(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s := dump.(State)
+	readings := []process.Reading{
+		{Name: "generation", Value: float64(s.Generation)},
+		{Name: "waiting", Value: float64(s.Waiting)},
+		{Name: "open", Value: float64(s.Open)},
+		{Name: "platform_calls", Value: float64(s.PlatformCalls)},
+		{Name: "platform_ok", Value: boolValue(s.PlatformOK)},
+	}
+	return append(readings, process.TrafficReadings(s.Traffic)...), nil
+}
+
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // Run serves until ctx ends, then takes no new requests, waits for those that
 // are there and returns. What is left when the drain time is over is cut.
 func (r *Router) Run(ctx context.Context) error {
@@ -178,6 +202,7 @@
 	wg.Go(func() { r.core.run(life) })
 	wg.Go(func() { r.watcher.keeper.Run(life) })
 	wg.Go(func() { r.watcher.hosts(life) })
+	wg.Go(func() { process.Gauge(life, r.admin.Scope(), r.gauges) })
 	wg.Go(func() { r.watcher.bundles(life, func() bool { return r.handler.table.Load() != nil }) })
 	wg.Go(func() { process.Report(r.log, "links", link.Listen(life, links, opts)) })
 	wg.Go(func() { process.Report(r.log, "admin", r.admin.Serve(life, adm)) })
--- a/standin/e2e/path_test.go
+++ b/standin/e2e/path_test.go
@@ -110,6 +110,7 @@
 	metrics, err := io.ReadAll(res.Body)
 	require.NoError(t, err)
 	require.Contains(t, string(metrics), "croftvale_served")
+	require.Contains(t, string(metrics), "croftvale_platform_calls")
 	_, err = run("bundle", "roll")
 	var exit *exec.ExitError
 	require.ErrorAs(t, err, &exit)
--- a/standin/e2e/stop_test.go
+++ b/standin/e2e/stop_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/standin/caller"
+	"github.com/croftvale/croftvale/standin/engine"
 	"github.com/croftvale/croftvale/standin/lab"
 	"github.com/stretchr/testify/require"
 )
@@ -160,3 +161,21 @@
 	require.LessOrEqual(t, kinds[caller.Broken], 3*4)
 	require.Positive(t, kinds[caller.Served])
 }
+
+// TestDeadServerIsLeftAlone lets a server die under load: its agent takes no
+// more work, the other server goes on, and it is used again when it is well.
+func TestDeadServerIsLeftAlone(t *testing.T) {
+	s := newSmall(t)
+	s.engines[0].SetFault(engine.FaultDie)
+	agent := s.lab.Process("engine-0")
+	serving := func() bool {
+		st, err := s.lab.AgentState(context.Background(), agent)
+		return err == nil && st.Serving
+	}
+	require.Eventually(t, func() bool { return !serving() }, patience, 20*time.Millisecond)
+	for range 20 {
+		require.Equal(t, caller.Served, s.complete(0, 2, false).Kind)
+	}
+	s.engines[0].SetFault(engine.FaultNone)
+	require.Eventually(t, serving, patience, 20*time.Millisecond)
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -32,6 +32,7 @@
 	FaultHang        // no token ever
 	FaultCut         // the connection closes in the middle of the answer
 	FaultShort       // the stream ends cleanly, but before its end mark
+	FaultDie         // every connection breaks, the probe's too
 )
 
 const slowFactor = 10
@@ -67,6 +68,9 @@
 
 // ServeHTTP answers completions and the health probe.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if Fault(e.fault.Load()) == FaultDie {
+		panic(http.ErrAbortHandler)
+	}
 	switch r.URL.Path {
 	case "/health":
 		e.health(w, r)
@@ -179,7 +183,7 @@
 			return
 		}
 		fault := Fault(e.fault.Load())
-		if i == req.MaxTokens/2 && fault == FaultCut {
+		if fault == FaultDie || (i == req.MaxTokens/2 && fault == FaultCut) {
 			panic(http.ErrAbortHandler)
 		}
 		if i == req.MaxTokens/2 && fault == FaultShort {
