The judge leaves out the slots of agents that are down

Cause: idle_share counted the slots of killed and frozen agents, which can do nothing, so that it said little under faults. Change: exactly while a process is killed or frozen its slots don't count; how long it takes to come back does. Conclusion: the measure is stricter in what it blames, looser in nothing else.

--- a/standin/cmd/load/faults.go
+++ b/standin/cmd/load/faults.go
@@ -69,10 +69,12 @@
 func (x *faults) kill(ctx context.Context) {
 	p := x.victim()
 	from := time.Now()
+	x.fleet.judge.setDown(string(p.Name), true)
 	p.Kill()
 	x.fleet.judge.trouble(string(p.Name), from, from.Add(killedFor+afterEffect))
 	x.fleet.lab.ListHosts()
 	sleep(ctx, killedFor)
+	x.fleet.judge.setDown(string(p.Name), false)
 	_ = p.Start() // a process that does not start stays dead, which the report shows
 	x.fleet.lab.ListHosts()
 }
@@ -82,9 +84,11 @@
 	p := x.victim()
 	from := time.Now()
 	x.fleet.judge.trouble(string(p.Name), from, from.Add(frozenFor+afterEffect))
+	x.fleet.judge.setDown(string(p.Name), true)
 	p.Signal(syscall.SIGSTOP)
 	sleep(ctx, frozenFor)
 	p.Signal(syscall.SIGCONT)
+	x.fleet.judge.setDown(string(p.Name), false)
 }
 
 // cut parts two halls, one way or both.
--- a/standin/cmd/load/judge.go
+++ b/standin/cmd/load/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -33,7 +34,8 @@
 	open    map[string]int // requests without an answer, by team
 	waits   map[string]*hdrhistogram.Histogram
 	answers []answer
-	hurt    map[string][]span // when a process was killed or frozen
+	hurt    map[string][]span // when a process was in trouble, and felt it
+	down    map[string]bool   // processes that are killed or frozen now
 }
 
 // answer is one caller's answer, kept to be checked at the end.
@@ -49,7 +51,7 @@
 type span struct{ from, to time.Time }
 
 func newJudge(f *labFleet) *judge {
-	j := &judge{fleet: f, open: map[string]int{}, waits: map[string]*hdrhistogram.Histogram{}, hurt: map[string][]span{}}
+	j := &judge{fleet: f, open: map[string]int{}, waits: map[string]*hdrhistogram.Histogram{}, hurt: map[string][]span{}, down: map[string]bool{}}
 	for _, class := range []string{"urgent", "ordinary", "batch"} {
 		j.waits[class] = hdrhistogram.New(1, int64(2*time.Minute/time.Microsecond), 3)
 	}
@@ -87,6 +89,13 @@
 	j.hurt[name] = append(j.hurt[name], span{from, to})
 }
 
+// setDown notes that a process is killed or frozen, or no longer.
+func (j *judge) setDown(name string, down bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.down[name] = down
+}
+
 // sample watches until ctx ends.
 func (j *judge) sample(ctx context.Context) {
 	tick := time.NewTicker(sampleEvery)
@@ -116,7 +125,8 @@
 }
 
 // sampleIdle counts idle slots for which work waits. What waits is what has
-// been asked and neither runs nor is answered.
+// been asked and neither runs nor is answered. The slots of an agent that is
+// killed or frozen can do nothing and don't count until it is back.
 func (j *judge) sampleIdle() {
 	running := j.fleet.account.Running()
 	waiting := map[string]int{}
@@ -124,6 +134,9 @@
 		waiting[t.work] += max(0, j.open[t.name]-running[t.name])
 	}
 	for i, e := range j.fleet.engines {
+		if j.down[fmt.Sprintf("engine-%d", i)] {
+			continue
+		}
 		free := j.fleet.profile.slots - e.Running()
 		work := waiting[workReport]
 		if j.fleet.half[i] {
