Lift teams by what is known, not by what other agents are expected to do

Cause: found in reading: the floor to which a newly backlogged team is lifted was taken from virtual service with the expected service of the other agents in it. With 100 like servers a team that came back after four seconds of the other's service was lifted to 68 s, for good. Change: choices go by the expected service, floors, lifts and the cap on deficits by the known one.

--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -147,3 +147,23 @@
 	require.Contains(t, m.Update(HealthMsg{Now: 5}), RejectCmd{Seq: next[1].Seq})
 	require.Equal(t, 1, m.Held())
 }
+
+// TestLiftsGoByWhatIsKnown holds that a team which comes back is lifted to the
+// service that the others have had, not to what other agents are expected to
+// have given them: a lift is for good.
+func TestLiftsGoByWhatIsKnown(t *testing.T) {
+	m := newServing(Config{Slots: 1, Alike: map[fleet.Work]float64{"report": 100}})
+	m.Update(demand(2, 1000, lineKey("ajax", fleet.Ordinary)))
+	next := claims(m.Update(HealthMsg{Now: 3, Serving: true}))
+	now := time.Duration(3)
+	for range 4 {
+		next = serveOne(t, m, now, next[0])
+		now += time.Second
+	}
+	m.Update(demand(now, 1, lineKey("basel", fleet.Ordinary)))
+	for _, team := range m.Teams() {
+		if team.Team == "basel" {
+			require.InDelta(t, 4000, team.LiftMS, 1100)
+		}
+	}
+}
--- a/sched/pick.go
+++ b/sched/pick.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		v := t.virtual()
-		rank := v
+		rank := t.expected()
 		if t.urgent() {
 			rank -= m.cfg.UrgentBorrow
 		}
--- a/sched/team.go
+++ b/sched/team.go
@@ -33,10 +33,20 @@
 	return n
 }
 
-// virtual returns the team's virtual service: slot time per unit of share.
+// virtual returns the team's virtual service: slot time per unit of share, as
+// far as it is known.
 func (t *team) virtual() time.Duration {
-	total := t.others + t.own + t.pending + t.mirrored()
-	return time.Duration(float64(total)/t.share) + t.lift
+	return t.perShare(t.others+t.own+t.pending) + t.lift
+}
+
+// expected returns the virtual service with what the other agents are taken to
+// have given meanwhile. Choices go by it; accounts and lifts never do.
+func (t *team) expected() time.Duration {
+	return t.virtual() + t.perShare(t.mirrored())
+}
+
+func (t *team) perShare(service time.Duration) time.Duration {
+	return time.Duration(float64(service) / t.share)
 }
 
 const (
