Leave nothing behind when a hang-up crosses a grant; run tests that are stale

Cause: found in reading. A handler whose caller hung up looked for a decision once and left; a grant that the core made just then was read by nobody, and the request stayed open for good, its key noted. And the go command took results of the end-to-end tests for current although the daemons had changed, since it sees only the test's own code. Ruled out: a time after which open requests are dropped (a long answer is open for long). A changed handler makes the end-to-end tests run again; it did not before.

--- a/router/event.go
+++ b/router/event.go
@@ -22,9 +22,11 @@
 type endEvent struct {
 	id      queue.RequestID
 	outcome queue.Outcome
+	unrun   bool // done with, and known not to have run
 }
 
-// cancelEvent says that a caller has hung up.
+// cancelEvent says that a caller has hung up. One decision always follows, or
+// is on its way already.
 type cancelEvent struct{ id queue.RequestID }
 
 // bundleEvent brings a bundle that is now in force.
--- a/router/handler.go
+++ b/router/handler.go
@@ -87,7 +87,6 @@
 	for {
 		select {
 		case <-r.Context().Done():
-			h.events <- cancelEvent{n}
 			h.abandon(n, decisions)
 			return
 		case d := <-decisions:
@@ -103,14 +102,12 @@
 	}
 }
 
-// abandon settles a decision that crossed with the caller's hanging up.
+// abandon tells the core that the caller has hung up, and waits for its word:
+// a decision to run may have crossed with the hanging up.
 func (h *handler) abandon(n queue.RequestID, decisions <-chan decision) {
-	select {
-	case d := <-decisions:
-		if d.run != nil {
-			h.events <- endEvent{n, queue.OutcomeCut}
-		}
-	default:
+	h.events <- cancelEvent{n}
+	if d := <-decisions; d.run != nil {
+		h.events <- endEvent{id: n, outcome: queue.OutcomeCut}
 	}
 }
 
@@ -120,14 +117,14 @@
 	outcome := h.exchange(w, r, n, a, g)
 	gone := r.Context().Err() != nil
 	if outcome == queue.OutcomeNotRun && a.body.spent && !gone {
-		h.events <- endEvent{n, queue.OutcomeDone}
+		h.events <- endEvent{id: n, outcome: queue.OutcomeDone, unrun: true}
 		h.refused(w, a.id, refusalOf(queue.RefuseCmd{Reason: queue.ReasonFailed, RetryAfter: time.Second}))
 		return true
 	}
 	if gone {
 		outcome = queue.OutcomeCut
 	}
-	h.events <- endEvent{n, outcome}
+	h.events <- endEvent{id: n, outcome: outcome}
 	return outcome == queue.OutcomeDone || outcome == queue.OutcomeCut
 }
 
@@ -185,7 +182,7 @@
 func (h *handler) cut(n queue.RequestID, a *admission, err error) {
 	h.stats.cut()
 	h.log.Warn().Str("request", a.id).Err(err).Msg("answer cut")
-	h.events <- endEvent{n, queue.OutcomeCut}
+	h.events <- endEvent{id: n, outcome: queue.OutcomeCut}
 	panic(http.ErrAbortHandler)
 }
 
--- a/router/requests.go
+++ b/router/requests.go
@@ -18,18 +18,25 @@
 	c.feed(queue.ArriveMsg{Now: c.now(), Request: e.request})
 }
 
-// cancel drops a request whose caller has hung up. One that waits has not run;
-// of one that runs the call itself says when it has ended.
+// cancel drops a request whose caller has hung up. One that waits has not run,
+// and its goroutine is told so; of one that was granted the decision is on its
+// way, and the goroutine says how it ended.
 func (c *core) cancel(id queue.RequestID) {
-	if r, ok := c.open[id]; ok && r.parked != nil {
+	r, ok := c.open[id]
+	if !ok {
+		return // it was refused; that decision is on its way
+	}
+	if r.parked != nil {
 		r.parked = nil
 		c.feedKeys(once.NotRunMsg{Now: c.now(), Request: uint64(id)})
 	}
 	c.feed(queue.CancelMsg{Now: c.now(), ID: id})
-	if !c.queue.Holds(id) {
-		c.freeKey(id, queue.RanNo)
-		delete(c.open, id)
+	if c.queue.Holds(id) {
+		return
 	}
+	c.freeKey(id, queue.RanNo)
+	c.decide(id, decision{})
+	delete(c.open, id)
 }
 
 func (c *core) ended(e endEvent) {
@@ -37,6 +44,9 @@
 		r.abort = nil
 	}
 	c.feed(queue.EndMsg{Now: c.now(), ID: e.id, Outcome: e.outcome})
+	if e.unrun {
+		c.freeKey(e.id, queue.RanNo)
+	}
 	c.forget(e.id)
 }
 
--- a/standin/e2e/fleet_test.go
+++ b/standin/e2e/fleet_test.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/croftvale/croftvale/agent"
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/operate"
+	"github.com/croftvale/croftvale/router"
 	"github.com/croftvale/croftvale/standin/app"
 	"github.com/croftvale/croftvale/standin/caller"
 	"github.com/croftvale/croftvale/standin/engine"
@@ -20,10 +23,15 @@
 	"github.com/stretchr/testify/require"
 )
 
+// linked keeps the daemons' code in the test's binary, so that the go command
+// does not take results for current that an older daemon gave.
+var linked = []any{router.New, agent.New, operate.InForce}
+
 // bin is the folder with the daemon, built once.
 var bin string
 
 func TestMain(m *testing.M) {
+	runtime.KeepAlive(linked)
 	os.Exit(runAll(m))
 }
 
