Split the lab's platform from its processes

Cause: standin/lab/lab.go had grown to 270 lines with two topics; two files kept empty import lists from an earlier split. Change: standin/lab/platform.go; the empty lists are gone. Behaviour stays.

--- a/standin/capacity/measure_bundle.go
+++ b/standin/capacity/measure_bundle.go
@@ -14,8 +14,6 @@
 	"github.com/croftvale/croftvale/wire"
 )
 
-import ()
-
 // fullHub returns a hub with one hall's agents, settled.
 func fullHub(agents int) (*ledger.Hub, []fleet.ServiceRow) {
 	h := ledger.NewHub("r", "a")
--- a/standin/capacity/measure_memory.go
+++ b/standin/capacity/measure_memory.go
@@ -10,8 +10,6 @@
 	"github.com/croftvale/croftvale/queue"
 )
 
-import ()
-
 // heap returns how many bytes of memory one of n things takes.
 func heap(n int, build func() any) float64 {
 	runtime.GC()
--- a/standin/lab/lab.go
+++ b/standin/lab/lab.go
@@ -1,7 +1,6 @@
 package lab
 
 import (
-	"context"
 	"crypto/ed25519"
 	"crypto/rand"
 	"encoding/base64"
@@ -17,8 +16,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
-	"github.com/croftvale/croftvale/operate"
-	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/settings"
 	"github.com/croftvale/croftvale/standin/platformd"
 	"github.com/croftvale/croftvale/tomlfile"
@@ -218,41 +215,6 @@
 	return l.procs[string(name)]
 }
 
-// ListHosts brings the platform's list of hosts up to date.
-func (l *Lab) ListHosts() {
-	var hosts []platform.Host
-	for _, p := range l.Routers() {
-		state := platform.HostLive
-		if !p.Running() {
-			continue
-		}
-		conf, err := settings.LoadRouter(p.argv[3])
-		if err != nil {
-			continue
-		}
-		hosts = append(hosts, platform.Host{
-			Name: p.Name, Role: p.Role, Hall: conf.Hall, State: state,
-			Links: l.address(p.IP, portLinks),
-		})
-	}
-	l.Platform.SetHosts(hosts)
-}
-
-// Roll signs a bundle and puts it in force. The lab's servers are added to it
-// where it names none.
-func (l *Lab) Roll(ctx context.Context, b bundle.Bundle) (bundle.Order, error) {
-	if len(b.Servers) == 0 {
-		b.Servers = l.servers
-	}
-	s := operate.NewSigned(b)
-	s.Signoffs = append(s.Signoffs, bundle.SignOff(operator, l.key, s.Digest))
-	r := operate.Roller{
-		Store: platform.NewClient(l.platAddr), Operator: operator, Key: l.key,
-		RollID: rand.Text(), Now: time.Now(),
-	}
-	return r.Roll(ctx, s)
-}
-
 // Close ends every process and stand-in that the lab started.
 func (l *Lab) Close() {
 	l.mu.Lock()
