--- a/wire/frame.go
+++ b/wire/frame.go
@@ -92,8 +92,6 @@
 		return decodeAs[Totals](body)
 	case TypeHallTotals:
 		return decodeAs[HallTotals](body)
-	case TypeBundleOffer:
-		return decodeAs[BundleOffer](body)
 	case TypeBundlePull:
 		return decodeAs[BundlePull](body)
 	case TypeBundleData:
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -8,7 +8,7 @@
 )
 
 var samples = []Message{
-	Hello{Name: "r", Role: RoleRouter, Hall: "a", Incarnation: 7, Generation: 2},
+	Hello{Name: "r", Role: RoleRouter, Hall: "a", Incarnation: 7},
 	Heartbeat{Generation: 3, Leaving: true, Hub: true},
 	Alive{},
 	Demand{Rows: []DemandRow{{Work: 1, Team: 2, Class: 1, Count: 3, OldestAge: 40}}},
@@ -19,7 +19,6 @@
 	Totals{Rows: []ServiceRow{{Team: 1, Service: 12}}},
 	HallTotals{Hall: "b", Rows: []ServiceRow{{Team: 1, Service: 12}}},
 	AgentRows{Hall: "b", Agent: "e", Incarnation: 4, Rows: []ServiceRow{{Team: 1}}},
-	BundleOffer{Generation: 4},
 	BundlePull{Have: 3},
 	BundleData{Order: []byte("o"), Content: []byte("c")},
 	Name{Number: 4, Text: "zurich"},
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -2,58 +2,6 @@
 
 import "github.com/croftvale/croftvale/fleet"
 
-// Type tells the messages of a frame apart. Numbers are never used again.
-type Type uint8
-
-// The message types.
-const (
-	TypeHello       Type = 1
-	TypeHeartbeat   Type = 2
-	TypeDemand      Type = 3
-	TypeFree        Type = 4
-	TypeClaim       Type = 5
-	TypeDeny        Type = 6
-	TypeService     Type = 7
-	TypeTotals      Type = 8
-	TypeHallTotals  Type = 9
-	TypeBundleOffer Type = 10
-	TypeBundlePull  Type = 11
-	TypeBundleData  Type = 12
-	TypeAgentRows   Type = 13
-	TypeName        Type = 14
-	TypeKeyReserve  Type = 16
-	TypeKeyVerdict  Type = 17
-	TypeKeyRelease  Type = 18
-	TypeAlive       Type = 19
-	// TypeGrant is never sent: it counts the header of a granted request that
-	// control needs.
-	TypeGrant Type = 15
-)
-
-var typeNames = map[Type]string{
-	TypeHello: "hello", TypeHeartbeat: "heartbeat", TypeDemand: "demand",
-	TypeFree: "free", TypeClaim: "claim", TypeDeny: "deny",
-	TypeService: "service", TypeTotals: "totals", TypeHallTotals: "hall_totals",
-	TypeBundleOffer: "bundle_offer", TypeBundlePull: "bundle_pull", TypeBundleData: "bundle_data",
-	TypeAgentRows: "agent_rows", TypeName: "name", TypeGrant: "grant_header",
-	TypeKeyReserve: "key_reserve", TypeKeyVerdict: "key_verdict", TypeKeyRelease: "key_release",
-	TypeAlive: "alive",
-}
-
-// String names the type as metrics and dumps spell it.
-func (t Type) String() string {
-	if n, ok := typeNames[t]; ok {
-		return n
-	}
-	return "unknown"
-}
-
-// Message is any control message.
-type Message interface {
-	// Type returns the byte that announces the message in its frame.
-	Type() Type
-}
-
 // Role says what a process does for the fleet.
 type Role string
 
@@ -69,10 +17,6 @@
 	Role        Role
 	Hall        fleet.Hall
 	Incarnation fleet.Incarnation
-	Generation  fleet.Generation
-	Leaving     bool
-	Serving     bool // the sender takes requests: its bundle and, for an agent, its server are there
-	Hub         bool // set by a router that is a hub for the other side's hall
 }
 
 // Heartbeat says that the sender lives; it goes at intervals and at once when
@@ -160,11 +104,6 @@
 	Rows        []ServiceRow
 }
 
-// BundleOffer says which bundle the sender has in force.
-type BundleOffer struct {
-	Generation fleet.Generation
-}
-
 // BundlePull asks for the bundle that the other side has in force. Have is
 // the generation that the sender has, so that a patch may do.
 type BundlePull struct {
@@ -209,9 +148,6 @@
 // Type implements Message.
 func (HallTotals) Type() Type { return TypeHallTotals }
 
-// Type implements Message.
-func (BundleOffer) Type() Type { return TypeBundleOffer }
-
 // Type implements Message.
 func (BundlePull) Type() Type { return TypeBundlePull }
 
