A call that is given up at an agent ends only itself

Cause: found in reading. A call given up while it waited to start ended its claim by number. Had net/http sent the same call twice, the second one's end would have settled the first one's run and freed a slot in use. Ruled out: that it happens today (bodies can't be rewound, so nothing is sent twice); it must not rest on that alone. Change: giving up names the call itself, and one verdict always follows.

--- a/agent/core.go
+++ b/agent/core.go
@@ -126,9 +126,10 @@
 	switch e := e.(type) {
 	case arriveEvent:
 		c.arrive(e)
+	case abandonEvent:
+		c.abandon(e)
 	case endEvent:
-		delete(c.waiting, e.seq)
-		c.feed(endMsg(c, e.seq))
+		c.feed(sched.EndMsg{Now: c.now(), Seq: e.seq})
 	case bundleEvent:
 		c.adopted(e.inForce)
 	case healthEvent:
@@ -151,6 +152,17 @@
 	c.feed(sched.ArriveMsg{Now: c.now(), Seq: e.seq, Key: e.key, Left: e.left, Oldest: e.oldest})
 }
 
+// abandon forgets a request that waits to start. Another one with the same
+// claim is not its business.
+func (c *core) abandon(e abandonEvent) {
+	if c.waiting[e.seq] != e.reply {
+		return // it has its verdict
+	}
+	delete(c.waiting, e.seq)
+	c.feed(sched.EndMsg{Now: c.now(), Seq: e.seq})
+	e.reply <- verdictReject
+}
+
 func (c *core) setServing(serving bool) {
 	if serving != c.serving {
 		c.log.Info().Bool("serving", serving).Msg("backend server's health changed")
--- a/agent/event.go
+++ b/agent/event.go
@@ -5,7 +5,6 @@
 
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
-	"github.com/croftvale/croftvale/sched"
 )
 
 // event is what other goroutines tell the core.
@@ -20,6 +19,13 @@
 	reply  chan<- verdict // has room for one
 }
 
+// abandonEvent says that a router has given up a request that waits to start.
+// One verdict always follows on reply, or is on its way already.
+type abandonEvent struct {
+	seq   uint64
+	reply chan<- verdict
+}
+
 // endEvent says that a request which came is over.
 type endEvent struct{ seq uint64 }
 
@@ -35,12 +41,13 @@
 // stateEvent asks for a dump.
 type stateEvent struct{ reply chan<- State }
 
-func (arriveEvent) isEvent() {}
-func (endEvent) isEvent()    {}
-func (bundleEvent) isEvent() {}
-func (healthEvent) isEvent() {}
-func (leaveEvent) isEvent()  {}
-func (stateEvent) isEvent()  {}
+func (arriveEvent) isEvent()  {}
+func (abandonEvent) isEvent() {}
+func (endEvent) isEvent()     {}
+func (bundleEvent) isEvent()  {}
+func (healthEvent) isEvent()  {}
+func (leaveEvent) isEvent()   {}
+func (stateEvent) isEvent()   {}
 
 // verdict says what becomes of a request that came.
 type verdict uint8
@@ -49,8 +56,3 @@
 	verdictStart verdict = iota
 	verdictReject
 )
-
-// messages for the machine that need no more than their number.
-func endMsg(c *core, seq uint64) sched.Msg {
-	return sched.EndMsg{Now: c.now(), Seq: seq}
-}
--- a/agent/server.go
+++ b/agent/server.go
@@ -101,7 +101,10 @@
 	case v := <-reply:
 		return v == verdictStart
 	case <-ctx.Done():
-		s.ended(seq)
+		s.core.events <- abandonEvent{seq: seq, reply: reply}
+		if <-reply == verdictStart { // it crossed with the giving up
+			s.ended(seq)
+		}
 		return false
 	}
 }
