--- a/standin/cmd/load/report.go
+++ b/standin/cmd/load/report.go
@@ -31,6 +31,8 @@
 	GapP50Unit float64 `json:"gap_p50_of_slots_cost"`
 	GapMaxUnit float64 `json:"gap_max_of_slots_cost"`
 
+	ServiceEnd map[string]float64 `json:"service_end_ms"` // of the backlogged teams
+
 	IdleShare    float64            `json:"idle_share"`
 	ControlMax   float64            `json:"control_bytes_per_node_s"`
 	ControlMean  float64            `json:"control_bytes_per_node_s_mean"`
@@ -78,6 +80,10 @@
 	at12 := min(len(gaps)-1, int(12*time.Second/sampleEvery))
 	r.GapAt12s = gaps[at12]
 	r.GapEnd = gaps[len(gaps)-1]
+	r.ServiceEnd = map[string]float64{}
+	for _, t := range j.fleet.profile.backlogged() {
+		r.ServiceEnd[t.name] = j.samples[len(j.samples)-1].service[t.name]
+	}
 	slices.Sort(gaps)
 	r.GapP50 = gaps[len(gaps)/2]
 	r.GapMax = gaps[len(gaps)-1]
