Pages follow the default of one second

Cause: share_every changed; the capacity page's column for today and the design page named the old default.

--- a/standin/capacity/size.go
+++ b/standin/capacity/size.go
@@ -30,7 +30,7 @@
 var Today = Size{
 	Routers: 6, Agents: 15, Halls: 3, Teams: 10, Backlogged: 5,
 	Requests: 550, Changes: 100, Replaced: 1, Links: 16, Keyed: 0.05,
-	ShareEvery: 0.5, PollHosts: 5, Watchers: 2,
+	ShareEvery: 1, PollHosts: 5, Watchers: 2,
 }
 
 const (
