--- a/operate/state.go
+++ b/operate/state.go
@@ -47,7 +47,7 @@
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "read state of %s", address), ErrState)
+		return nil, errors.Mark(errors.Wrapf(err, "%s: %s", address, ErrState.Error()), ErrState)
 	}
 	defer func() { _ = res.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxState))
