Capacity by type of message

Cause: the page gave control traffic as one figure for each role; the issue asks for messages and bytes a second by type. And what a hub reads stood without its limit. Change: a line for each type at routers and agents, the rate in its name for the two-year size; the hub's limit holds for what it reads as well.

--- a/standin/capacity/project.go
+++ b/standin/capacity/project.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Limits of control, for each node, and of the platform.
 const (
@@ -48,14 +51,20 @@
 func routerRows(s Slopes, z Size) []Row {
 	req, links := z.perRouter(), z.routerLinks()
 	claims := req * (1 + deniedPart)
-	bytes := claims*s.ClaimBytes + req*deniedPart*s.DenyBytes + req*s.GrantBytes +
-		req*waitedPart*toldPer*s.DemandBytes + 2*aliveRate(links)*s.AliveBytes +
-		z.changes()*s.PatchBytes + req*z.Keyed*keyOwners*s.KeyBytes
-	messages := claims + req*deniedPart + req*waitedPart*toldPer + 2*aliveRate(links)
+	kinds := []kind{
+		{"claims read", claims, s.ClaimBytes},
+		{"denials sent", req * deniedPart, s.DenyBytes},
+		{"counts in grants", req, s.GrantBytes},
+		{"demand sent", req * waitedPart * toldPer, s.DemandBytes},
+		{"signs of life, both ways", 2 * aliveRate(links), s.AliveBytes},
+		{"patches of the bundle", z.changes(), s.PatchBytes},
+		{"idempotency keys", req * z.Keyed * keyOwners * 2, s.KeyBytes / 2},
+	}
+	messages, bytes := sum(kinds)
 	ns := req*s.RequestNS + ticksPerSec*s.RouterTickNS + messages*s.FrameNS +
 		z.changes()*s.PatchNS + z.Replaced/secondsPerDay*z.Routers/(z.Routers+z.Agents)*z.Agents*s.RendezvousNS
 	memory := s.BaseMemory + links*s.LinkMemory + s.BundleMemory + maxWaiting*s.RequestMemory
-	return []Row{
+	rows := []Row{
 		{"router", "requests", req, "1/s", 0, "the balancer"},
 		{"router", "links to agents", links, "", 0, "rendezvous: links_per_server routers for each agent"},
 		{"router", "control messages", messages, "1/s", 0, "demand told to a few agents; counts ride on grants"},
@@ -63,6 +72,32 @@
 		{"router", "control processor time", ns / nsPerSec, "core", LimitCore, "a tick costs its lines, not lines x agents"},
 		{"router", "control memory, with 20,000 requests waiting", memory, "B", LimitMemory, "limits.max_waiting"},
 	}
+	return append(rows, kindRows("router", kinds)...)
+}
+
+// kind is one type of message of a node: how many a second, and their size.
+type kind struct {
+	name  string
+	rate  float64
+	bytes float64
+}
+
+func sum(kinds []kind) (messages, bytes float64) {
+	for _, k := range kinds {
+		messages += k.rate
+		bytes += k.rate * k.bytes
+	}
+	return messages, bytes
+}
+
+// kindRows lists the messages and bytes of each type.
+func kindRows(role string, kinds []kind) []Row {
+	var rows []Row
+	for _, k := range kinds {
+		what := fmt.Sprintf("… %s: %.3g/s", k.name, k.rate)
+		rows = append(rows, Row{Role: role, What: what, Value: k.rate * k.bytes, Unit: "B/s"})
+	}
+	return rows
 }
 
 func hubRows(s Slopes, z Size) []Row {
@@ -77,7 +112,7 @@
 	memory := agents*s.LinkMemory + lives*s.LifeMemory
 	return []Row{
 		{"hub duty", "agents served", agents, "", 0, "two hubs a hall by rendezvous"},
-		{"hub duty", "service read", in, "B/s", 0, "agents report to their hubs in turn"},
+		{"hub duty", "service read", in, "B/s", LimitTraffic, "agents report to their hubs in turn"},
 		{"hub duty", "totals sent", out, "B/s", LimitTraffic, "rows of changed teams only"},
 		{"hub duty", "between halls", between, "B/s", LimitTraffic, "each hub pairs with one of each other hall"},
 		{"hub duty", "processor time", ns / nsPerSec, "core", LimitCore, "a round costs what has changed"},
@@ -90,16 +125,22 @@
 	links := min(z.Links, z.Routers) + hubsPerHall
 	rounds := 1 / z.ShareEvery
 	claims := req * (1 + deniedPart)
-	totals := hubsPerHall * rounds * (s.ServiceBytes + z.Backlogged*s.ServiceRowBytes)
-	bytes := claims*s.ClaimBytes + req*deniedPart*s.DenyBytes + req*s.GrantBytes + totals +
-		rounds*(s.ServiceBytes+agentTeams*s.ServiceRowBytes) + 2*links*s.AliveBytes + z.changes()*s.PatchBytes +
-		req*waitedPart*toldPer*s.DemandBytes
-	messages := claims + req + 2*links + (1+hubsPerHall)*rounds
+	kinds := []kind{
+		{"claims sent", claims, s.ClaimBytes},
+		{"denials read", req * deniedPart, s.DenyBytes},
+		{"counts in grants", req, s.GrantBytes},
+		{"demand read", req * waitedPart * toldPer, s.DemandBytes},
+		{"totals read", hubsPerHall * rounds, s.ServiceBytes + z.Backlogged*s.ServiceRowBytes},
+		{"service sent", rounds, s.ServiceBytes + agentTeams*s.ServiceRowBytes},
+		{"signs of life, both ways", 2 * links, s.AliveBytes},
+		{"patches of the bundle", z.changes(), s.PatchBytes},
+	}
+	messages, bytes := sum(kinds)
 	ns := req*s.DecisionNS + ticksPerSec*s.AgentTickNS + messages*s.FrameNS + z.changes()*s.PatchNS +
 		hubsPerHall*rounds*z.Backlogged*(s.TotalsRowNS+s.FrameRowNS)
 	memory := s.BaseMemory + links*s.LinkMemory + s.BundleMemory + z.Teams*s.TeamMemory +
 		z.Keyed*z.perAgent()*keyOwners*keyWindow*s.KeyMemory
-	return []Row{
+	rows := []Row{
 		{"agent", "requests", req, "1/s", 0, "late binding"},
 		{"agent", "links to routers", links, "", 0, "links_per_server and the hall's hubs"},
 		{"agent", "control messages", messages, "1/s", 0, "claims, totals, signs of life"},
@@ -107,6 +148,7 @@
 		{"agent", "control processor time", ns / nsPerSec, "core", LimitCore, "one decision a request"},
 		{"agent", "control memory", memory, "B", LimitMemory, "accounts by team, the bundle"},
 	}
+	return append(rows, kindRows("agent", kinds)...)
 }
 
 func platformRows(s Slopes, z Size) []Row {
