Log what an end out of order cuts

Cause: when the drain time was over, or at a second signal, the log said that requests were cut but not how many. Change: LogCut of both roles, called in both cases; TestSecondSignalEndsAtOnce looks for it in the log. Before and after: the test passes, 11.4 s for the package.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -134,6 +134,23 @@
 	return a.drain(hs)
 }
 
+// cutTimeout bounds how long LogCut waits for the state.
+const cutTimeout = time.Second
+
+// LogCut logs the requests that an end at this moment cuts. Call it before the
+// process is ended out of order.
+func (a *Agent) LogCut() {
+	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
+	defer cancel()
+	s, err := a.dump(ctx)
+	if err != nil {
+		a.log.Error().Err(err).Msg("requests are cut; how many is not known")
+		return
+	}
+	state := s.(State)
+	a.log.Error().Int("running", state.Running).Int("held", state.Held).Msg("requests are cut")
+}
+
 // drain ends the process in order.
 func (a *Agent) drain(hs *http.Server) error {
 	limit := a.settings.Drain.Or(settings.DefaultDrain)
@@ -144,7 +161,7 @@
 	select {
 	case <-a.core.left:
 	case <-ctx.Done():
-		a.log.Warn().Msg("drain time is over; requests are cut")
+		a.LogCut()
 		return hs.Close()
 	}
 	a.log.Info().Msg("left: nothing was cut")
--- a/cmd/croftvaled/main.go
+++ b/cmd/croftvaled/main.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	return r.Run(untilSignal(logger))
+	return r.Run(untilSignal(r.LogCut))
 }
 
 // Run runs an agent until a signal.
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	return a.Run(untilSignal(logger))
+	return a.Run(untilSignal(a.LogCut))
 }
 
 // Run checks a settings file of either role.
@@ -110,8 +110,8 @@
 }
 
 // untilSignal returns a context that the first SIGTERM or SIGINT ends. A
-// second signal ends the process at once.
-func untilSignal(logger *log.Logger) context.Context {
+// second signal has what is cut logged and ends the process.
+func untilSignal(logCut func()) context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -119,7 +119,7 @@
 		<-signals
 		cancel()
 		<-signals
-		logger.Error().Msg("second signal: what runs is cut")
+		logCut()
 		os.Exit(exitFailed)
 	}()
 	return ctx
--- a/router/router.go
+++ b/router/router.go
@@ -212,6 +212,23 @@
 	return r.drain(hs)
 }
 
+// cutTimeout bounds how long LogCut waits for the state.
+const cutTimeout = time.Second
+
+// LogCut logs the requests that an end at this moment cuts. Call it before the
+// process is ended out of order.
+func (r *Router) LogCut() {
+	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
+	defer cancel()
+	s, err := r.dump(ctx)
+	if err != nil {
+		r.log.Error().Err(err).Msg("requests are cut; how many is not known")
+		return
+	}
+	state := s.(State)
+	r.log.Error().Int("running", state.Open-state.Waiting).Int("waiting", state.Waiting).Msg("requests are cut")
+}
+
 // drain ends the process in order.
 func (r *Router) drain(hs *http.Server) error {
 	limit := r.settings.Drain.Or(settings.DefaultDrain)
@@ -221,7 +238,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	if err := hs.Shutdown(ctx); err != nil {
-		r.log.Warn().Msg("drain time is over; requests are cut")
+		r.LogCut()
 		return hs.Close()
 	}
 	r.log.Info().Msg("left: nothing was cut")
--- a/standin/e2e/stop_test.go
+++ b/standin/e2e/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -120,6 +121,9 @@
 	code, ended := p.Wait(patience)
 	require.True(t, ended)
 	require.Equal(t, 1, code)
+	text, err := os.ReadFile(p.Log())
+	require.NoError(t, err)
+	require.Contains(t, string(text), `"running":1,"waiting":0,"message":"requests are cut"`)
 }
 
 // TestPlatformOutage holds that nothing in force stops when the platform does,
--- a/standin/lab/process.go
+++ b/standin/lab/process.go
@@ -104,6 +104,9 @@
 	return p.code, true
 }
 
+// Log returns the file of the process's log.
+func (p *Process) Log() string { return p.log }
+
 // PID returns the number of the running process, 0 before the first start.
 func (p *Process) PID() int {
 	p.mu.Lock()
