Open claims have files of their own; a comment that had grown old

Cause: read once more as a newcomer: openClaims stood in files about other types in both machines, and unclaimedFor still told of the way before open claims. Ruled out: one type for both (the agent's is a range that it gave out, the router's a counter that it uses up); one alive.go for both daemons (their peers differ in type, and what is alike is in process.Pulse already). Behaviour stays. Before and after: the tests of queue, sched and proof pass.

--- a/queue/tick.go
+++ b/queue/tick.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// unclaimedFor is how long a line's first request must have waited before
-	// agents that were not told of it at once hear of it: one idle agent was,
-	// and may have claimed it by then.
+	// unclaimedFor is how long a line's oldest request must have waited before
+	// agents are told of the line: one that has only just come may be granted to
+	// an open claim, or claimed by an agent that knows the line already.
 	unclaimedFor = TickEvery / 2
 	// emptyFor is how long a line must have been empty before agents are told.
 	// A Deny tells them sooner where it matters.
--- a/sched/router.go
+++ b/sched/router.go
@@ -18,19 +18,6 @@
 	sentAt      time.Duration
 }
 
-// openClaims is the open claims that a router holds: the numbers from first to
-// before end, less those that were used.
-type openClaims struct {
-	first, end uint64
-	used       int
-}
-
-// left returns how many the router has not used.
-func (o openClaims) left() int { return int(o.end-o.first) - o.used }
-
-// has tells whether a number is one of them.
-func (o openClaims) has(seq uint64) bool { return seq >= o.first && seq < o.end }
-
 // suspend stops or resumes claims from a router. A router that is cut off or
 // frozen would else hold this agent's slots with claims that it never sees.
 func (m *Machine) suspend(r *routerView, suspended bool) {
