Move the client of the object API to a plainly named package

Cause: platform/ is to hold only what translates for the users' platform, and today's package of that name is the client of the project's own object API. Ruled out: keeping both in one folder (it would not be small, and names would mix). Change: git mv platform objectapi, imports follow. Behaviour is the same; the packages' tests pass before and after.

--- a/cmd/croftvale/bundle.go
+++ b/cmd/croftvale/bundle.go
@@ -10,8 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/objectapi"
 	"github.com/croftvale/croftvale/operate"
-	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/tomlfile"
 )
 
@@ -29,12 +29,12 @@
 	Platform string `required:"" env:"CROFTVALE_PLATFORM" help:"IP number and port of the platform's object API."`
 }
 
-func (f platformFlags) client() (*platform.Client, error) {
+func (f platformFlags) client() (*objectapi.Client, error) {
 	var a tomlfile.Address
 	if err := a.UnmarshalText([]byte(f.Platform)); err != nil {
 		return nil, errors.Wrapf(err, "--platform=%s", f.Platform)
 	}
-	return platform.NewClient(f.Platform), nil
+	return objectapi.NewClient(f.Platform), nil
 }
 
 type bundleCheckCmd struct {
--- a/platform/object.go
+++ b/objectapi/object.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import "github.com/croftvale/croftvale/fleet"
 
--- a/operate/roll.go
+++ b/operate/roll.go
@@ -10,13 +10,13 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/bundle"
-	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/objectapi"
 )
 
 // Store is the part of the platform that a roll needs.
 type Store interface {
-	Get(ctx context.Context, ref platform.Ref) (platform.Object, error)
-	Put(ctx context.Context, ref platform.Ref, body []byte, at platform.Version) (platform.Version, error)
+	Get(ctx context.Context, ref objectapi.Ref) (objectapi.Object, error)
+	Put(ctx context.Context, ref objectapi.Ref, body []byte, at objectapi.Version) (objectapi.Version, error)
 }
 
 // readBackTries bounds how often a roll asks what became of a write.
@@ -60,7 +60,7 @@
 		Recent:     current.RecentFor(),
 		Signoffs:   s.Signoffs,
 	}.Sign(r.Key)
-	_, err = r.Store.Put(ctx, platform.BundlePointer, order.Encode(), at)
+	_, err = r.Store.Put(ctx, objectapi.BundlePointer, order.Encode(), at)
 	if err == nil {
 		return order, nil
 	}
@@ -70,23 +70,23 @@
 // putContent stores the content under its digest. That it is there already,
 // from this roll or an earlier one, is as good.
 func (r Roller) putContent(ctx context.Context, s Signed) error {
-	ref := platform.BundleContent(string(s.Digest))
+	ref := objectapi.BundleContent(string(s.Digest))
 	_, err := r.Store.Put(ctx, ref, s.Content, 0)
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, objectapi.ErrConflict) {
 		return nil
 	}
-	if !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if !errors.Is(err, objectapi.ErrOutcomeUnknown) {
 		return errors.Wrap(err, "store the bundle's content; nothing is rolled")
 	}
-	_, err = retry(ctx, func() (platform.Object, error) { return r.Store.Get(ctx, ref) })
+	_, err = retry(ctx, func() (objectapi.Object, error) { return r.Store.Get(ctx, ref) })
 	return errors.Wrap(err, "store the bundle's content; nothing is rolled")
 }
 
 // resolve finds out what became of a pointer write that did not succeed
 // plainly. After a lost reply only the roll id at the pointer tells.
 func (r Roller) resolve(ctx context.Context, o bundle.Order, why error) (bundle.Order, error) {
-	conflict := errors.Is(why, platform.ErrConflict)
-	if !conflict && !errors.Is(why, platform.ErrOutcomeUnknown) {
+	conflict := errors.Is(why, objectapi.ErrConflict)
+	if !conflict && !errors.Is(why, objectapi.ErrOutcomeUnknown) {
 		return bundle.Order{}, errors.Wrap(why, "move the bundle pointer; nothing is rolled")
 	}
 	now, err := retry(ctx, func() (bundle.Order, error) {
@@ -112,7 +112,7 @@
 func retry[T any](ctx context.Context, ask func() (T, error)) (T, error) {
 	return backoff.Retry(ctx, func() (T, error) {
 		v, err := ask()
-		if err != nil && errors.Is(err, platform.ErrNotFound) {
+		if err != nil && errors.Is(err, objectapi.ErrNotFound) {
 			return v, backoff.Permanent(err)
 		}
 		return v, err
@@ -121,9 +121,9 @@
 
 // Current reads the order in force and the pointer's version; a platform
 // without one has generation 0.
-func Current(ctx context.Context, s Store) (bundle.Order, platform.Version, error) {
-	obj, err := s.Get(ctx, platform.BundlePointer)
-	if errors.Is(err, platform.ErrNotFound) {
+func Current(ctx context.Context, s Store) (bundle.Order, objectapi.Version, error) {
+	obj, err := s.Get(ctx, objectapi.BundlePointer)
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return bundle.Order{}, 0, nil
 	}
 	if err != nil {
@@ -142,7 +142,7 @@
 	if err != nil || o.Generation == 0 {
 		return o, bundle.Bundle{}, err
 	}
-	obj, err := s.Get(ctx, platform.BundleContent(string(o.Digest)))
+	obj, err := s.Get(ctx, objectapi.BundleContent(string(o.Digest)))
 	if err != nil {
 		return o, bundle.Bundle{}, errors.Wrap(err, "read the bundle's content")
 	}
--- a/operate/roll_test.go
+++ b/operate/roll_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/bundle"
-	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/objectapi"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -18,8 +18,8 @@
 // store is the platform's oracle: it keeps every pointer there ever was, loses
 // replies, fails, and lets another operator in between.
 type store struct {
-	objects map[platform.Ref]platform.Object
-	version platform.Version
+	objects map[objectapi.Ref]objectapi.Object
+	version objectapi.Version
 	history []bundle.Order
 	mishap  func() mishap
 	between func() // runs before a pointer write
@@ -35,22 +35,22 @@
 )
 
 func newStore(m func() mishap) *store {
-	return &store{objects: map[platform.Ref]platform.Object{}, mishap: m}
+	return &store{objects: map[objectapi.Ref]objectapi.Object{}, mishap: m}
 }
 
-func (s *store) Get(_ context.Context, ref platform.Ref) (platform.Object, error) {
+func (s *store) Get(_ context.Context, ref objectapi.Ref) (objectapi.Object, error) {
 	if s.mishap() == refused {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	o, ok := s.objects[ref]
 	if !ok {
-		return o, platform.ErrNotFound
+		return o, objectapi.ErrNotFound
 	}
 	return o, nil
 }
 
-func (s *store) Put(_ context.Context, ref platform.Ref, body []byte, at platform.Version) (platform.Version, error) {
-	if ref == platform.BundlePointer && s.between != nil {
+func (s *store) Put(_ context.Context, ref objectapi.Ref, body []byte, at objectapi.Version) (objectapi.Version, error) {
+	if ref == objectapi.BundlePointer && s.between != nil {
 		between := s.between
 		s.between = nil
 		between()
@@ -58,15 +58,15 @@
 	m := s.mishap()
 	switch {
 	case m == refused:
-		return 0, platform.ErrUnavailable
+		return 0, objectapi.ErrUnavailable
 	case m == lostWrite:
-		return 0, platform.ErrOutcomeUnknown
+		return 0, objectapi.ErrOutcomeUnknown
 	case s.objects[ref].Version != at:
-		return 0, platform.ErrConflict
+		return 0, objectapi.ErrConflict
 	}
 	s.version++
-	s.objects[ref] = platform.Object{Ref: ref, Version: s.version, Body: body}
-	if ref == platform.BundlePointer {
+	s.objects[ref] = objectapi.Object{Ref: ref, Version: s.version, Body: body}
+	if ref == objectapi.BundlePointer {
 		o, _, err := Current(context.Background(), &store{objects: s.objects, mishap: func() mishap { return wellDone }})
 		if err != nil {
 			panic(err)
@@ -74,7 +74,7 @@
 		s.history = append(s.history, o)
 	}
 	if m == lostReply {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, objectapi.ErrOutcomeUnknown
 	}
 	return s.version, nil
 }
--- a/router/core.go
+++ b/router/core.go
@@ -9,8 +9,8 @@
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/ledger"
 	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/objectapi"
 	"github.com/croftvale/croftvale/once"
-	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/process"
 	"github.com/croftvale/croftvale/queue"
 	"github.com/croftvale/croftvale/settings"
@@ -43,7 +43,7 @@
 	patches bundle.Patches
 	policy  bundle.Policy
 	servers map[fleet.Name]bundle.Server
-	hosts   []platform.Host
+	hosts   []objectapi.Host
 	duty    duty
 	// linked remembers, for the routers and the number of links that it was
 	// worked out for, which servers this router links to.
--- a/router/duty.go
+++ b/router/duty.go
@@ -6,7 +6,7 @@
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/ledger"
 	"github.com/croftvale/croftvale/link"
-	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/objectapi"
 	"github.com/croftvale/croftvale/wire"
 )
 
@@ -44,7 +44,7 @@
 	d := duty{halls: map[fleet.Name]fleet.Hall{}, hubs: map[fleet.Hall][]fleet.Name{}}
 	d.add(c.settings.Name, c.settings.Hall)
 	for _, h := range c.hosts {
-		if h.Role == string(wire.RoleRouter) && h.State == platform.HostLive && h.Name != c.settings.Name {
+		if h.Role == string(wire.RoleRouter) && h.State == objectapi.HostLive && h.Name != c.settings.Name {
 			d.add(h.Name, h.Hall)
 		}
 	}
@@ -142,7 +142,7 @@
 
 // dials tells whether this router dials another: hubs link to each other and
 // to the routers of their halls; of two, the lesser name dials.
-func (c *core) dials(h platform.Host) bool {
+func (c *core) dials(h objectapi.Host) bool {
 	self := c.settings.Name
 	if self >= h.Name {
 		return false
--- a/router/event.go
+++ b/router/event.go
@@ -1,7 +1,7 @@
 package router
 
 import (
-	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/objectapi"
 	"github.com/croftvale/croftvale/queue"
 )
 
@@ -33,7 +33,7 @@
 type bundleEvent struct{ prepared prepared }
 
 // hostsEvent brings the platform's list of hosts.
-type hostsEvent struct{ hosts []platform.Host }
+type hostsEvent struct{ hosts []objectapi.Host }
 
 // leaveEvent says that the process has been asked to stop.
 type leaveEvent struct{}
--- a/router/router.go
+++ b/router/router.go
@@ -14,8 +14,8 @@
 	"github.com/croftvale/croftvale/fleet"
 	"github.com/croftvale/croftvale/ledger"
 	"github.com/croftvale/croftvale/link"
+	"github.com/croftvale/croftvale/objectapi"
 	"github.com/croftvale/croftvale/once"
-	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/process"
 	"github.com/croftvale/croftvale/queue"
 	"github.com/croftvale/croftvale/secure"
@@ -94,7 +94,7 @@
 	r.watcher = &watcher{
 		settings: s.Platform,
 		log:      logger,
-		client:   platform.NewClient(s.Platform.Address.String()),
+		client:   objectapi.NewClient(s.Platform.Address.String()),
 		keeper:   keeper,
 		verifier: s.Verifier(),
 		events:   events,
--- a/router/watcher.go
+++ b/router/watcher.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/adopt"
 	"github.com/croftvale/croftvale/bundle"
-	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/objectapi"
 	"github.com/croftvale/croftvale/settings"
 	"github.com/phuslu/log"
 )
@@ -25,7 +25,7 @@
 type watcher struct {
 	settings settings.Platform
 	log      *log.Logger
-	client   *platform.Client
+	client   *objectapi.Client
 	keeper   *adopt.Keeper
 	verifier bundle.Verifier
 	events   chan<- event
@@ -57,7 +57,7 @@
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = firstPlatform
 	b.MaxInterval = lastPlatform
-	var seen platform.Version
+	var seen objectapi.Version
 	for ctx.Err() == nil && (w.settings.Watch || !haveOne()) {
 		v, err := w.next(ctx, seen)
 		w.outcome("watch bundle", err)
@@ -71,9 +71,9 @@
 }
 
 // next waits for a pointer newer than seen and offers its bundle.
-func (w *watcher) next(ctx context.Context, seen platform.Version) (platform.Version, error) {
-	obj, err := w.client.Watch(ctx, platform.BundlePointer, seen)
-	if errors.Is(err, platform.ErrNotFound) {
+func (w *watcher) next(ctx context.Context, seen objectapi.Version) (objectapi.Version, error) {
+	obj, err := w.client.Watch(ctx, objectapi.BundlePointer, seen)
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return seen, nil
 	}
 	if err != nil {
@@ -84,7 +84,7 @@
 		w.log.Warn().Err(err).Msg("order on the platform refused")
 		return obj.Version, nil
 	}
-	content, err := w.client.Get(ctx, platform.BundleContent(string(order.Digest)))
+	content, err := w.client.Get(ctx, objectapi.BundleContent(string(order.Digest)))
 	if err != nil {
 		return seen, err
 	}
@@ -94,7 +94,7 @@
 
 // outcome notes whether the platform answers, and logs each change.
 func (w *watcher) outcome(what string, err error) {
-	ok := err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, context.Canceled)
+	ok := err == nil || errors.Is(err, objectapi.ErrNotFound) || errors.Is(err, context.Canceled)
 	if w.ok.Swap(ok) == ok {
 		return
 	}
--- a/standin/e2e/roll_test.go
+++ b/standin/e2e/roll_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/objectapi"
 	"github.com/croftvale/croftvale/operate"
-	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/standin/caller"
 	"github.com/stretchr/testify/require"
 )
@@ -74,16 +74,16 @@
 // operator's tool would: nobody goes back.
 func TestNodesKeepToTheNewest(t *testing.T) {
 	s := newSmall(t)
-	client := platform.NewClient(s.lab.PlatformAddress())
-	first, err := client.Get(context.Background(), platform.BundlePointer)
+	client := objectapi.NewClient(s.lab.PlatformAddress())
+	first, err := client.Get(context.Background(), objectapi.BundlePointer)
 	require.NoError(t, err)
 	changed := s.bundle
 	changed.Servers = s.lab.Servers()
 	changed.Limits.MaxWaiting = 77
 	s.rollAndWait(changed)
-	now, err := client.Get(context.Background(), platform.BundlePointer)
+	now, err := client.Get(context.Background(), objectapi.BundlePointer)
 	require.NoError(t, err)
-	_, err = client.Put(context.Background(), platform.BundlePointer, first.Body, now.Version)
+	_, err = client.Put(context.Background(), objectapi.BundlePointer, first.Body, now.Version)
 	require.NoError(t, err)
 	restarted := s.lab.Routers()[1]
 	for range 50 {
--- a/standin/lab/platform.go
+++ b/standin/lab/platform.go
@@ -6,16 +6,16 @@
 	"time"
 
 	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/objectapi"
 	"github.com/croftvale/croftvale/operate"
-	"github.com/croftvale/croftvale/platform"
 	"github.com/croftvale/croftvale/settings"
 )
 
 // ListHosts brings the platform's list of hosts up to date.
 func (l *Lab) ListHosts() {
-	var hosts []platform.Host
+	var hosts []objectapi.Host
 	for _, p := range l.Routers() {
-		state := platform.HostLive
+		state := objectapi.HostLive
 		if !p.Running() {
 			continue
 		}
@@ -23,7 +23,7 @@
 		if err != nil {
 			continue
 		}
-		hosts = append(hosts, platform.Host{
+		hosts = append(hosts, objectapi.Host{
 			Name: p.Name, Role: p.Role, Hall: conf.Hall, State: state,
 			Links: l.address(p.IP, portLinks),
 		})
@@ -40,7 +40,7 @@
 	s := operate.NewSigned(b)
 	s.Signoffs = append(s.Signoffs, bundle.SignOff(operator, l.key, s.Digest))
 	r := operate.Roller{
-		Store: platform.NewClient(l.platAddr), Operator: operator, Key: l.key,
+		Store: objectapi.NewClient(l.platAddr), Operator: operator, Key: l.key,
 		RollID: rand.Text(), Now: time.Now(),
 	}
 	return r.Roll(ctx, s)
--- a/standin/platformd/platform.go
+++ b/standin/platformd/platform.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/croftvale/croftvale/platform"
+	"github.com/croftvale/croftvale/objectapi"
 	"golang.org/x/time/rate"
 )
 
@@ -24,8 +24,8 @@
 // Platform is the stand-in. It keeps everything in memory.
 type Platform struct {
 	mu      sync.Mutex
-	objects map[platform.Ref]platform.Object
-	last    platform.Version
+	objects map[objectapi.Ref]objectapi.Object
+	last    objectapi.Version
 	changed chan struct{} // closed and replaced at every write
 	hosts   []hostAt
 	hostLag time.Duration
@@ -42,13 +42,13 @@
 // hostAt is a state of the host list and when it came.
 type hostAt struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []objectapi.Host
 }
 
 // New returns a platform without objects or hosts.
 func New() *Platform {
 	p := &Platform{
-		objects: map[platform.Ref]platform.Object{},
+		objects: map[objectapi.Ref]objectapi.Object{},
 		changed: make(chan struct{}),
 		reads:   rate.NewLimiter(ReadsPerSecond, ReadsPerSecond),
 		writes:  rate.NewLimiter(WritesPerSecond, WritesPerSecond),
@@ -80,7 +80,7 @@
 }
 
 // SetHosts replaces the list of hosts.
-func (p *Platform) SetHosts(hosts []platform.Host) {
+func (p *Platform) SetHosts(hosts []objectapi.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hosts = append(p.hosts, hostAt{time.Now(), hosts})
@@ -109,8 +109,8 @@
 	p.mux.ServeHTTP(w, r)
 }
 
-func refOf(r *http.Request) platform.Ref {
-	return platform.Ref{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
+func refOf(r *http.Request) objectapi.Ref {
+	return objectapi.Ref{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
 }
 
 // get reads an object; with after and wait it is a watch.
@@ -120,7 +120,7 @@
 	end := time.After(wait)
 	for {
 		obj, changed, ok := p.object(refOf(r))
-		if ok && obj.Version > platform.Version(after) {
+		if ok && obj.Version > objectapi.Version(after) {
 			w.Header().Set("ETag", etag(obj.Version))
 			_, _ = w.Write(obj.Body)
 			return
@@ -143,7 +143,7 @@
 	}
 }
 
-func (p *Platform) object(ref platform.Ref) (platform.Object, <-chan struct{}, bool) {
+func (p *Platform) object(ref objectapi.Ref) (objectapi.Object, <-chan struct{}, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	obj, ok := p.objects[ref]
@@ -151,7 +151,7 @@
 }
 
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxObject))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectapi.MaxObject))
 	if err != nil {
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
@@ -169,7 +169,7 @@
 }
 
 // write applies a conditional write.
-func (p *Platform) write(ref platform.Ref, body []byte, h http.Header) (platform.Version, bool) {
+func (p *Platform) write(ref objectapi.Ref, body []byte, h http.Header) (objectapi.Version, bool) {
 	p.mu.Lock()
 	obj, exists := p.objects[ref]
 	ok := true
@@ -185,7 +185,7 @@
 	}
 	p.last++
 	v := p.last
-	p.objects[ref] = platform.Object{Ref: ref, Version: v, Body: body}
+	p.objects[ref] = objectapi.Object{Ref: ref, Version: v, Body: body}
 	p.mu.Unlock()
 	p.wake()
 	return v, true
@@ -205,10 +205,10 @@
 }
 
 // listedHosts returns the list as it was a lag ago.
-func (p *Platform) listedHosts(now time.Time) []platform.Host {
+func (p *Platform) listedHosts(now time.Time) []objectapi.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listed := []platform.Host{}
+	listed := []objectapi.Host{}
 	for _, h := range p.hosts {
 		if now.Sub(h.at) >= p.hostLag {
 			listed = h.hosts
@@ -217,4 +217,4 @@
 	return listed
 }
 
-func etag(v platform.Version) string { return strconv.Quote(strconv.FormatUint(uint64(v), 10)) }
+func etag(v objectapi.Version) string { return strconv.Quote(strconv.FormatUint(uint64(v), 10)) }
