--- /dev/null
+++ b/backend/pool.go
@@ -0,0 +1,129 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// idleMost is how long a connection is kept without use where the server
+	// does not say.
+	idleMost = 20 * time.Second
+	// idleMargin is taken off the time that a server states.
+	idleMargin = 1200 * time.Millisecond
+	// readSize is the buffer of a connection.
+	readSize = 4 << 10
+)
+
+// ErrUnsent marks an attempt of which no byte has left.
+var ErrUnsent = errors.New("nothing was sent to the backend server")
+
+// Options bound what connections may take.
+type Options struct {
+	DialTimeout time.Duration // for a new connection
+	SilentPeer  time.Duration // after which a peer that acknowledges nothing is lost
+	MaxIdle     int           // kept connections of one address
+}
+
+// Pool keeps idle connections by address.
+type Pool struct {
+	options Options
+	dialer  net.Dialer
+	mu      sync.Mutex
+	idle    map[string][]*Conn
+}
+
+// NewPool returns an empty pool.
+func NewPool(o Options) *Pool {
+	p := &Pool{options: o, idle: make(map[string][]*Conn)}
+	p.dialer = net.Dialer{
+		Timeout:   o.DialTimeout,
+		KeepAlive: -1,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     o.SilentPeer,
+			Interval: o.SilentPeer / 2,
+			Count:    2,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.SilentPeer.Milliseconds()))
+			})
+		},
+	}
+	return p
+}
+
+// Get returns a connection to an address, a kept one where one is sound.
+func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			return p.dial(ctx, address)
+		}
+		if time.Now().Before(c.idleUntil) && c.quiet() {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+func (p *Pool) take(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Mark(err, ErrUnsent)
+	}
+	return &Conn{Conn: raw, pool: p, address: address, reader: bufio.NewReaderSize(raw, readSize)}, nil
+}
+
+func (p *Pool) put(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= p.options.MaxIdle {
+		c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Sweep closes what has been idle too long, and everything to addresses that
+// are no longer wanted.
+func (p *Pool) Sweep(wanted func(address string) bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.After(c.idleUntil) || !wanted(address) {
+				c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		clear(list[len(kept):])
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
--- a/cmd/croftvaled/main.go
+++ b/cmd/croftvaled/main.go
@@ -27,6 +27,7 @@
 
 type cli struct {
 	Router  routerCmd        `cmd:"" help:"Run a router on an entry host."`
+	Gateway gatewayCmd       `cmd:"" help:"Run a router that calls backend servers itself, on the users' platform."`
 	Agent   agentCmd         `cmd:"" help:"Run the agent beside one backend server."`
 	Check   checkCmd         `cmd:"" help:"Check a settings file and say what it would run."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
--- /dev/null
+++ b/direct/commands.go
@@ -0,0 +1,76 @@
+package direct
+
+import "time"
+
+// Cmd is something that a router has to do.
+type Cmd interface{ isCmd() }
+
+// SendCmd sends a request to a server.
+type SendCmd struct {
+	ID      RequestID
+	Server  Server
+	Attempt int // 1 for the first
+	Basis   Basis
+}
+
+// Basis is what a placement was decided on, for the logs.
+type Basis struct {
+	Running  int           // at the server, all routers
+	Pending  int           // tokens ahead, all routers
+	Miss     int           // tokens of shared parts that the server must read again
+	Estimate time.Duration // expected time to the first event
+	Waited   time.Duration // in the line
+}
+
+// RefuseCmd ends a request that has not run.
+type RefuseCmd struct {
+	ID     RequestID
+	Reason Reason
+	After  time.Duration // when to come back
+}
+
+// FailCmd ends a request whose last attempt may have run.
+type FailCmd struct {
+	ID     RequestID
+	Reason Reason
+}
+
+// BeliefCmd says that what the machine believes of a server has changed; it
+// changes nothing outside and is there to be logged.
+type BeliefCmd struct {
+	Server Server
+	Belief Belief
+	Cause  string
+	For    time.Duration
+}
+
+func (SendCmd) isCmd()   {}
+func (RefuseCmd) isCmd() {}
+func (FailCmd) isCmd()   {}
+func (BeliefCmd) isCmd() {}
+
+// Reason says why a request got no server.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoServers Reason = "no_servers" // none of the service is known
+	ReasonOverload  Reason = "overload"   // no server would meet the objective
+	ReasonShare     Reason = "over_share" // as overload, for a team above its share
+	ReasonAttempts  Reason = "attempts"   // the route allows no further server
+	ReasonBudget    Reason = "budget"     // the budget for retries is spent
+	ReasonOnce      Reason = "at_most_once"
+	ReasonDeadline  Reason = "deadline"
+)
+
+// Belief is what the machine takes a server to be.
+type Belief string
+
+// The beliefs.
+const (
+	BeliefListed  Belief = "listed"
+	BeliefGone    Belief = "gone"
+	BeliefDrain   Belief = "draining"
+	BeliefEjected Belief = "ejected"
+	BeliefBack    Belief = "back"
+)
--- /dev/null
+++ b/direct/config.go
@@ -0,0 +1,96 @@
+package direct
+
+import "time"
+
+// Kind says what may be done with a request that may have run.
+type Kind uint8
+
+// The kinds of requests.
+const (
+	Once       Kind = iota // at most once
+	Repeatable             // may run more than once
+	Stream                 // a series of events; repeatable where the route is resumable
+)
+
+// Weighted is one service of a route that is split between services.
+type Weighted struct {
+	Service string
+	Weight  int
+}
+
+// Route says which requests go to which service, and what holds for them.
+type Route struct {
+	Name      string
+	Host      string
+	Prefix    string // begins and ends with a slash
+	Kind      Kind
+	Split     []Weighted    // at least one
+	Timeout   time.Duration // the longest that a request may be held
+	Objective time.Duration // an answer, or the first event, earns its full worth within it
+	Pause     time.Duration // longest pause between events that is still in time
+	Attempts  int           // servers that one request may be sent to
+	Priority  int           // 0 is the highest
+	Anonymous bool          // needs no key
+	Resumable bool          // a broken stream may go on at another server
+	Sticky    bool          // requests name the parts of their prompts
+}
+
+// MayRepeat tells whether a request of the route may run more than once.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots     int
+	KVTokens  int // memory of an engine for prompts, in tokens
+	EventSize int // tokens in one event of a stream
+}
+
+// Service is a group of servers that run the same requests.
+type Service struct {
+	Name           string
+	MaxConnections int     // that one server accepts from all callers together
+	Engine         *Engine // nil for a plain HTTP service
+}
+
+// Team is who sends requests.
+type Team struct {
+	Name     string
+	Keys     []string
+	Priority *int // takes the place of the route's, where it is set
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes     int
+	BodyBytes       int
+	HeaderTimeout   time.Duration
+	IdleTimeout     time.Duration
+	TokensPerSecond float64 // of all engines together; a token made counts twice
+}
+
+// Config is one version of the whole configuration.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Teams    []Team
+	Limits   Limits
+}
+
+// Server is one backend server, in one life.
+type Server struct {
+	ID       string // of this life; no other has it
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+}
+
+// Directory is the list of servers at one revision of its source.
+type Directory struct {
+	Revision uint64
+	Servers  []Server
+}
--- /dev/null
+++ b/direct/ending.go
@@ -0,0 +1,139 @@
+package direct
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// hungWeight is how many failures a server counts that said nothing.
+const hungWeight = 2
+
+// end takes in how an attempt ended, and decides whether there is another.
+func (m *Machine) end(msg EndMsg) {
+	r := m.runs[msg.ID]
+	if r == nil || r.at == nil {
+		return
+	}
+	p := m.pool(r.Service)
+	s := r.at
+	r.at = nil
+	s.release(r)
+	m.judge(msg.Now, p, s, msg.Outcome)
+	if msg.Retry {
+		m.again(msg.Now, p, r, msg.Outcome)
+	} else {
+		delete(m.runs, r.ID)
+	}
+	m.serve(msg.Now, p)
+}
+
+// judge takes in what an outcome says of a server.
+func (m *Machine) judge(now time.Duration, p *pool, s *server, o Outcome) {
+	switch o {
+	case Done:
+		if s.succeeded() {
+			s.pause /= 2
+			m.emit(BeliefCmd{Server: s.Server, Belief: BeliefBack, Cause: "answered"})
+		}
+	case NotRun:
+		s.fullUntil = now + fullPause
+	case Unsent, Elsewhere:
+		m.emit(BeliefCmd{Server: s.Server, Belief: BeliefEjected, Cause: o.String(), For: s.down(now)})
+	case Failed, Broken:
+		m.failed(now, p, s, 1, o)
+	case Hung:
+		m.failed(now, p, s, hungWeight, o)
+	}
+}
+
+func (m *Machine) failed(now time.Duration, p *pool, s *server, weight int, o Outcome) {
+	if !s.failed(weight, p.medianFailures()) || p.mostEjected(now) {
+		return
+	}
+	m.emit(BeliefCmd{Server: s.Server, Belief: BeliefEjected, Cause: o.String(), For: s.eject(now)})
+}
+
+// again decides on another attempt for a request whose last one brought no
+// answer.
+func (m *Machine) again(now time.Duration, p *pool, r *run, o Outcome) {
+	switch o {
+	case Unsent:
+		r.attempt--
+		r.unsent++
+		if r.unsent >= unsentTries {
+			m.giveUp(now, p, r, ReasonNoServers)
+			return
+		}
+		m.enqueue(now, p, r)
+		return
+	case NotRun, Elsewhere:
+	default:
+		r.mayRan = true
+		if !r.MayRepeat {
+			m.giveUp(now, p, r, ReasonOnce)
+			return
+		}
+	}
+	switch {
+	case now >= r.Deadline:
+		m.giveUp(now, p, r, ReasonDeadline)
+	case r.attempt >= r.Attempts:
+		m.giveUp(now, p, r, ReasonAttempts)
+	case !p.budget.spend(now, m.options.Budget, m.routers):
+		m.giveUp(now, p, r, ReasonBudget)
+	default:
+		m.enqueue(now, p, r)
+	}
+}
+
+// turnAway ends a request that waits.
+func (m *Machine) turnAway(now time.Duration, p *pool, r *run) {
+	p.line.remove(r)
+	reason := ReasonOverload
+	switch {
+	case len(p.order) == 0:
+		reason = ReasonNoServers
+	case r.overShare:
+		reason = ReasonShare
+	}
+	m.giveUp(now, p, r, reason)
+}
+
+// giveUp ends a request: it is refused where it has certainly not run.
+func (m *Machine) giveUp(now time.Duration, p *pool, r *run, reason Reason) {
+	r.waiting = false
+	delete(m.runs, r.ID)
+	if r.mayRan {
+		m.emit(FailCmd{ID: r.ID, Reason: reason})
+		return
+	}
+	m.emit(RefuseCmd{ID: r.ID, Reason: reason, After: m.comeBack(now, p, r, reason)})
+}
+
+// comeBack says when a refused request would find room: when the servers have
+// read what they have now, and spread over half an objective so that not all
+// come at once.
+func (m *Machine) comeBack(now time.Duration, p *pool, r *run, reason Reason) time.Duration {
+	backlog, n := 0.0, 0
+	for _, s := range p.order {
+		if !s.usable(now) {
+			continue
+		}
+		if p.engine != nil {
+			backlog += float64(s.allPending()) / p.rateOf(s)
+		} else {
+			backlog += s.latency * float64(s.allRunning()) / float64(max(s.Slots, 1))
+		}
+		n++
+	}
+	if n > 0 {
+		backlog /= float64(n)
+	}
+	jitter := float64(xxhash.Sum64String(r.Team)^uint64(r.ID)*0x9e3779b97f4a7c15) / (1 << 64)
+	after := milliseconds(backlog) + time.Duration(float64(r.Objective)*(0.5+jitter))
+	if reason == ReasonShare {
+		after += time.Second
+	}
+	return after
+}
--- /dev/null
+++ b/direct/listing.go
@@ -0,0 +1,85 @@
+package direct
+
+import "time"
+
+// list takes in a newer list of servers.
+func (m *Machine) list(msg ServersMsg) {
+	if msg.Directory.Revision < m.revision {
+		return
+	}
+	m.revision = msg.Directory.Revision
+	listed := make(map[string]bool, len(msg.Directory.Servers))
+	changed := make(map[*pool]bool)
+	for _, s := range msg.Directory.Servers {
+		listed[s.ID] = true
+		if m.note(msg.Now, s) {
+			changed[m.pool(s.Service)] = true
+		}
+	}
+	for id, s := range m.byServer {
+		if !listed[id] && !s.gone {
+			s.gone = true
+			s.leave(msg.Now)
+			m.emit(BeliefCmd{Server: s.Server, Belief: BeliefGone, Cause: "not listed"})
+		}
+	}
+	for _, name := range m.poolNames() {
+		p := m.pools[name]
+		if changed[p] {
+			p.reorder()
+		}
+		if service, ok := m.services[name]; ok {
+			p.configure(&service, m.limits)
+		}
+		m.serve(msg.Now, p)
+	}
+}
+
+// note takes in one listed server; it returns whether it is new.
+func (m *Machine) note(now time.Duration, listed Server) bool {
+	s := m.byServer[listed.ID]
+	if s == nil {
+		s = &server{Server: listed}
+		m.byServer[listed.ID] = s
+		m.pool(listed.Service).servers[listed.ID] = s
+		if listed.Draining {
+			s.leave(now)
+		}
+		m.emit(BeliefCmd{Server: listed, Belief: BeliefListed, Cause: "listed"})
+		return true
+	}
+	wasDraining := s.Draining
+	s.Server = listed
+	s.gone = false
+	switch {
+	case listed.Draining && !wasDraining:
+		s.leave(now)
+		m.emit(BeliefCmd{Server: listed, Belief: BeliefDrain, Cause: "listed as draining"})
+	case !listed.Draining && s.leaving:
+		s.leaving = false
+		m.emit(BeliefCmd{Server: listed, Belief: BeliefListed, Cause: "listed again"})
+	}
+	return false
+}
+
+func (s *server) leave(now time.Duration) {
+	if !s.leaving {
+		s.leaving = true
+		s.leavingAt = now
+	}
+}
+
+// forgetGone drops servers that left long ago.
+func (m *Machine) forgetGone(now time.Duration, p *pool) {
+	dropped := false
+	for id, s := range p.servers {
+		if s.gone && s.running == 0 && now-s.leavingAt > goneMemory {
+			delete(p.servers, id)
+			delete(m.byServer, id)
+			dropped = true
+		}
+	}
+	if dropped {
+		p.reorder()
+	}
+}
--- /dev/null
+++ b/direct/machine.go
@@ -0,0 +1,281 @@
+package direct
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// activeRate is the tokens a second from which a team counts as active.
+	activeRate = 1.0
+	// goneMemory is how long a server that left is remembered.
+	goneMemory = 10 * time.Second
+	// unsentTries bounds the servers that a request may fail to reach.
+	unsentTries = 4
+)
+
+// Options are what a machine is told once.
+type Options struct {
+	Zone   string
+	Budget BudgetOptions
+}
+
+// Machine decides for the requests of one router. Its zero value is not of use;
+// make one with NewMachine.
+type Machine struct {
+	options  Options
+	limits   Limits
+	services map[string]Service
+	pools    map[string]*pool
+	byServer map[string]*server
+	revision uint64
+	runs     map[RequestID]*run
+	teams    map[string]*teamUse
+	level    float64 // most that a team may get, tokens a second
+	holders  holders
+	peers    map[string]peerReport
+	routers  int
+	hold     time.Duration
+	out      []Cmd
+	// peersChanged says that the reports must be added up again.
+	peersChanged bool
+}
+
+// run is a request that the machine knows.
+type run struct {
+	Request
+	arrivedAt time.Duration
+	waitUntil time.Duration
+	waiting   bool
+	attempt   int // attempts that reached a server
+	unsent    int
+	mayRan    bool // an attempt may have run
+	tried     []string
+	at        *server
+	sentAt    time.Duration
+	pending   int // tokens that the server has yet to read for it
+	ahead     int // tokens to be read up to its first event, when it was sent
+	begun     bool
+	overShare bool
+	served    float64 // rate of its team, for the order of the line
+}
+
+func (r *run) wasAt(id string) bool { return slices.Contains(r.tried, id) }
+
+// peerReport is the last report of another router.
+type peerReport struct {
+	at     time.Duration
+	report Report
+}
+
+// NewMachine returns a machine that knows no configuration and no servers.
+func NewMachine(o Options) *Machine {
+	return &Machine{
+		options:  o,
+		services: make(map[string]Service),
+		pools:    make(map[string]*pool),
+		byServer: make(map[string]*server),
+		runs:     make(map[RequestID]*run),
+		teams:    make(map[string]*teamUse),
+		peers:    make(map[string]peerReport),
+		routers:  1,
+		hold:     time.Second,
+	}
+}
+
+// Update takes in what happened and returns what to do. The slice is valid
+// until the next call.
+func (m *Machine) Update(msg Msg) []Cmd {
+	m.out = m.out[:0]
+	switch msg := msg.(type) {
+	case ConfigMsg:
+		m.configure(msg)
+	case ServersMsg:
+		m.list(msg)
+	case ArriveMsg:
+		m.arrive(msg)
+	case FirstMsg:
+		m.first(msg)
+	case EndMsg:
+		m.end(msg)
+	case LeaveMsg:
+		m.leave(msg)
+	case PeerMsg:
+		m.peer(msg)
+	case PeersMsg:
+		m.routers, m.hold = max(msg.Routers, 1), msg.Hold
+	case TickMsg:
+		m.tick(msg.Now)
+	}
+	return m.out
+}
+
+func (m *Machine) emit(c Cmd) { m.out = append(m.out, c) }
+
+func (m *Machine) configure(msg ConfigMsg) {
+	m.limits = msg.Config.Limits
+	clear(m.services)
+	for _, s := range msg.Config.Services {
+		m.services[s.Name] = s
+		m.pool(s.Name).configure(&s, m.limits)
+	}
+}
+
+func (m *Machine) pool(name string) *pool {
+	p := m.pools[name]
+	if p == nil {
+		p = newPool(name)
+		if s, ok := m.services[name]; ok {
+			p.configure(&s, m.limits)
+		}
+		m.pools[name] = p
+	}
+	return p
+}
+
+// arrive takes a request in and tries to place it.
+func (m *Machine) arrive(msg ArriveMsg) {
+	r := &run{Request: msg.Request, arrivedAt: msg.Now}
+	m.runs[r.ID] = r
+	p := m.pool(r.Service)
+	p.budget.first(msg.Now)
+	m.team(r.Team).offered.add(msg.Now, tokenCost(r.PromptTokens, r.OutputTokens))
+	m.enqueue(msg.Now, p, r)
+}
+
+// enqueue puts a request in line and serves the line.
+func (m *Machine) enqueue(now time.Duration, p *pool, r *run) {
+	r.waiting = true
+	r.waitUntil = now + time.Duration(waitShare*float64(r.Objective))
+	p.line.add(r)
+	m.serve(now, p)
+	if r.waiting && len(p.line.waiting) > maxLine {
+		worst := p.line.waiting[len(p.line.waiting)-1]
+		m.turnAway(now, p, worst)
+	}
+}
+
+// serve places what can be placed of a line, in its order.
+func (m *Machine) serve(now time.Duration, p *pool) {
+	if len(p.line.waiting) == 0 {
+		return
+	}
+	for _, r := range p.line.waiting {
+		m.rate(now, p, r)
+	}
+	if len(p.line.waiting) > 1 {
+		p.line.sort()
+	}
+	kept := p.line.waiting[:0]
+	for _, r := range p.line.waiting {
+		c, ok := m.place(now, p, r)
+		if !ok {
+			kept = append(kept, r)
+			continue
+		}
+		m.send(now, p, r, c)
+	}
+	clear(p.line.waiting[len(kept):])
+	p.line.waiting = kept
+}
+
+// rate sets where a request's team stands.
+func (m *Machine) rate(now time.Duration, p *pool, r *run) {
+	r.served = m.team(r.Team).servedRate(now)
+	r.overShare = p.engine != nil && m.level > 0 && r.served > m.level
+}
+
+func (m *Machine) send(now time.Duration, p *pool, r *run, c choice) {
+	s := c.server
+	r.waiting = false
+	r.at = s
+	r.sentAt = now
+	r.attempt++
+	r.tried = append(r.tried, s.ID)
+	r.begun = false
+	basis := Basis{
+		Running: s.allRunning(), Pending: s.allPending(), Miss: c.miss,
+		Estimate: c.estimate, Waited: now - r.arrivedAt,
+	}
+	s.running++
+	if p.engine != nil {
+		r.pending = r.PromptTokens + c.miss
+		r.ahead = s.allPending() + r.pending
+		s.pending += r.pending
+	}
+	if r.attempt == 1 {
+		m.team(r.Team).served.add(now, tokenCost(r.PromptTokens, r.OutputTokens))
+	}
+	for i := 0; i+1 < len(r.Parts); i++ {
+		m.holders.note(now, r.Parts[i].ID, s.ID)
+	}
+	m.emit(SendCmd{ID: r.ID, Server: s.Server, Attempt: r.attempt, Basis: basis})
+}
+
+// first takes in that an attempt's first event came.
+func (m *Machine) first(msg FirstMsg) {
+	r := m.runs[msg.ID]
+	if r == nil || r.at == nil || r.begun {
+		return
+	}
+	r.begun = true
+	p := m.pool(r.Service)
+	r.at.learnFirst(p, r, msg.Now-r.sentAt)
+	r.at.started(r)
+	m.serve(msg.Now, p)
+}
+
+func (m *Machine) leave(msg LeaveMsg) {
+	r := m.runs[msg.ID]
+	if r == nil || !r.waiting {
+		return
+	}
+	m.pool(r.Service).line.remove(r)
+	delete(m.runs, msg.ID)
+}
+
+func (m *Machine) team(name string) *teamUse {
+	t := m.teams[name]
+	if t == nil {
+		t = &teamUse{}
+		m.teams[name] = t
+	}
+	return t
+}
+
+// tick refuses what has waited too long and drops what is old.
+func (m *Machine) tick(now time.Duration) {
+	m.sumPeers(now)
+	m.share(now)
+	for _, name := range m.poolNames() {
+		p := m.pools[name]
+		m.serve(now, p)
+		for _, r := range p.line.expired(now) {
+			m.turnAway(now, p, r)
+		}
+		m.forgetGone(now, p)
+	}
+}
+
+func (m *Machine) poolNames() []string {
+	names := make([]string, 0, len(m.pools))
+	for name := range m.pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// share sets how much a team may have while capacity is short.
+func (m *Machine) share(now time.Duration) {
+	demands := make([]float64, 0, len(m.teams))
+	for _, t := range m.teams {
+		if d := t.offeredRate(now); d > activeRate {
+			demands = append(demands, d)
+		}
+	}
+	m.level = 0
+	if m.limits.TokensPerSecond > 0 {
+		m.level = waterLevel(demands, m.limits.TokensPerSecond)
+	}
+}
--- /dev/null
+++ b/direct/messages.go
@@ -0,0 +1,142 @@
+package direct
+
+import "time"
+
+// RequestID names a request within one life of a router.
+type RequestID uint64
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what the decisions need to know of a request.
+type Request struct {
+	ID           RequestID
+	Team         string
+	Service      string
+	Kind         Kind
+	MayRepeat    bool
+	Attempts     int // servers that it may be sent to
+	Priority     int
+	Objective    time.Duration
+	Deadline     time.Duration // when the caller or the route gives it up
+	PromptTokens int
+	OutputTokens int    // expected
+	Parts        []Part // of the prompt, in order; the last is the request's own
+}
+
+// Outcome says how an attempt at a server ended.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	Done      Outcome = iota // a whole answer
+	Unsent                   // no byte of the request left the router
+	NotRun                   // the server says that it did not run it
+	Elsewhere                // another server has the address; it did not run it
+	Failed                   // the server's own failure, a whole answer
+	Broken                   // sent; no whole answer came
+	Hung                     // sent; nothing came in good time, and it was cut
+	GivenUp                  // the caller or the route's timeout ended it
+)
+
+// String names the outcome for logs.
+func (o Outcome) String() string {
+	return [...]string{"done", "unsent", "not_run", "elsewhere", "failed", "broken", "hung", "given_up"}[o]
+}
+
+// Msg is anything that a Machine can be told. Now is the time since the process
+// started, on its monotonic clock.
+type Msg interface{ isMsg() }
+
+// ConfigMsg puts a configuration in force.
+type ConfigMsg struct {
+	Now    time.Duration
+	Config Config
+}
+
+// ServersMsg brings a newer list of servers.
+type ServersMsg struct {
+	Now       time.Duration
+	Directory Directory
+}
+
+// ArriveMsg brings a request.
+type ArriveMsg struct {
+	Now     time.Duration
+	Request Request
+}
+
+// FirstMsg says that the first event of an attempt, or its whole answer, came.
+type FirstMsg struct {
+	Now time.Duration
+	ID  RequestID
+}
+
+// EndMsg says how an attempt ended. Retry asks for another one; the machine
+// answers with a Send, or with a Refuse or Fail.
+type EndMsg struct {
+	Now     time.Duration
+	ID      RequestID
+	Outcome Outcome
+	Retry   bool
+}
+
+// LeaveMsg says that a waiting request is no longer wanted.
+type LeaveMsg struct {
+	Now time.Duration
+	ID  RequestID
+}
+
+// PeerMsg brings what another router does at the moment.
+type PeerMsg struct {
+	Now    time.Duration
+	Peer   string
+	Report Report
+}
+
+// PeersMsg tells how many routers there are, this one included, and how long a
+// report of one holds.
+type PeersMsg struct {
+	Now     time.Duration
+	Routers int
+	Hold    time.Duration
+}
+
+// TickMsg lets time pass; send it every TickEvery.
+type TickMsg struct{ Now time.Duration }
+
+// TickEvery is the time between two ticks.
+const TickEvery = 25 * time.Millisecond
+
+func (ConfigMsg) isMsg()  {}
+func (ServersMsg) isMsg() {}
+func (ArriveMsg) isMsg()  {}
+func (FirstMsg) isMsg()   {}
+func (EndMsg) isMsg()     {}
+func (LeaveMsg) isMsg()   {}
+func (PeerMsg) isMsg()    {}
+func (PeersMsg) isMsg()   {}
+func (TickMsg) isMsg()    {}
+
+// Report is what one router tells the others of itself.
+type Report struct {
+	Loads []ServerLoad
+	Teams []TeamUse
+}
+
+// ServerLoad is what one router has at a server.
+type ServerLoad struct {
+	Server  string
+	Running int // requests that were sent and have not ended
+	Pending int // tokens of prompts whose first event has not come
+}
+
+// TeamUse is what one router saw of a team lately, in tokens a second.
+type TeamUse struct {
+	Team    string
+	Offered float64
+	Served  float64
+}
--- /dev/null
+++ b/direct/peers.go
@@ -0,0 +1,78 @@
+package direct
+
+import (
+	"slices"
+	"time"
+)
+
+// peer takes in what another router does at the moment.
+func (m *Machine) peer(msg PeerMsg) {
+	m.peers[msg.Peer] = peerReport{at: msg.Now, report: msg.Report}
+	m.peersChanged = true
+}
+
+// sumPeers adds up the reports that still hold.
+func (m *Machine) sumPeers(now time.Duration) {
+	for name, p := range m.peers {
+		if now-p.at > m.hold {
+			delete(m.peers, name)
+			m.peersChanged = true
+		}
+	}
+	if !m.peersChanged {
+		return
+	}
+	m.peersChanged = false
+	for _, s := range m.byServer {
+		s.others = ServerLoad{}
+	}
+	for _, t := range m.teams {
+		t.others = TeamUse{}
+	}
+	for _, p := range m.peers {
+		m.addReport(p.report)
+	}
+}
+
+func (m *Machine) addReport(r Report) {
+	for _, l := range r.Loads {
+		if s := m.byServer[l.Server]; s != nil {
+			s.others.Running += l.Running
+			s.others.Pending += l.Pending
+		}
+	}
+	for _, t := range r.Teams {
+		u := m.team(t.Team)
+		u.others.Offered += t.Offered
+		u.others.Served += t.Served
+	}
+}
+
+// Report returns what this router does at the moment, for the others.
+func (m *Machine) Report(now time.Duration) Report {
+	var r Report
+	for id, s := range m.byServer {
+		if s.running > 0 {
+			r.Loads = append(r.Loads, ServerLoad{Server: id, Running: s.running, Pending: s.pending})
+		}
+	}
+	for name, t := range m.teams {
+		offered := t.offered.decay(now)
+		if offered > activeRate {
+			r.Teams = append(r.Teams, TeamUse{Team: name, Offered: offered, Served: t.served.decay(now)})
+		}
+	}
+	slices.SortFunc(r.Loads, func(a, b ServerLoad) int { return compareText(a.Server, b.Server) })
+	slices.SortFunc(r.Teams, func(a, b TeamUse) int { return compareText(a.Team, b.Team) })
+	return r
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/direct/pool.go
@@ -0,0 +1,90 @@
+package direct
+
+import (
+	"slices"
+	"time"
+)
+
+// pool holds the servers of one service and the requests that wait for them.
+type pool struct {
+	name      string
+	engine    *Engine
+	servers   map[string]*server
+	order     []*server // by id
+	tokenRate float64   // tokens a millisecond of a server, averaged
+	line      line
+	budget    budget
+}
+
+func newPool(name string) *pool {
+	return &pool{name: name, servers: make(map[string]*server)}
+}
+
+// configure takes in what the configuration says of the service.
+func (p *pool) configure(s *Service, limits Limits) {
+	p.engine = s.Engine
+	if p.tokenRate == 0 && s.Engine != nil {
+		p.tokenRate = firstRate(limits.TokensPerSecond, len(p.order))
+	}
+}
+
+// firstRate guesses how fast a server reads prompts before one was measured:
+// twice its part of the tokens that all make and read together.
+func firstRate(tokensPerSecond float64, servers int) float64 {
+	if tokensPerSecond == 0 || servers == 0 {
+		return 60
+	}
+	return 2 * tokensPerSecond / 1000 / float64(servers)
+}
+
+// rateOf returns how many tokens a millisecond a server reads.
+func (p *pool) rateOf(s *server) float64 {
+	if s.tokenRate > 0 {
+		return max(s.tokenRate, 1)
+	}
+	return max(p.tokenRate, 1)
+}
+
+// reorder sorts the servers after a change, so that choices depend on no map
+// order.
+func (p *pool) reorder() {
+	p.order = p.order[:0]
+	for _, s := range p.servers {
+		p.order = append(p.order, s)
+	}
+	slices.SortFunc(p.order, func(a, b *server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+}
+
+// medianFailures returns the failure average of the middle server.
+func (p *pool) medianFailures() float64 {
+	if len(p.order) == 0 {
+		return 0
+	}
+	all := make([]float64, 0, len(p.order))
+	for _, s := range p.order {
+		all = append(all, s.failures)
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
+
+// mostEjected tells whether one more ejection would leave less than half of
+// the servers.
+func (p *pool) mostEjected(now time.Duration) bool {
+	in, all := 0, 0
+	for _, s := range p.order {
+		if s.leaving {
+			continue
+		}
+		all++
+		if s.usable(now) {
+			in++
+		}
+	}
+	return in-1 < (all+1)/2
+}
--- /dev/null
+++ b/direct/server.go
@@ -0,0 +1,133 @@
+package direct
+
+import "time"
+
+const (
+	failureStep      = 0.08 // weight of one answer in a server's failure average
+	minSamples       = 8    // answers before the average may eject
+	ejectStreak      = 4    // failures in a row that eject
+	ejectAbove       = 0.3  // failure average that ejects ...
+	ejectOverMedian  = 3.0  // ... where it is also so many times the pool's median
+	ejectShortest    = time.Second
+	ejectLongest     = 5 * time.Second
+	downShortest     = 250 * time.Millisecond
+	downLongest      = 2 * time.Second
+	lastResortTime   = 800 * time.Millisecond // a leaving server is used so long where no other is there
+	fullPause        = 60 * time.Millisecond  // after a server turned a request away
+	learnStep        = 0.1
+	learnFromTokens  = 1500
+	slowestRate      = 4.0   // tokens a millisecond
+	fastestRate      = 600.0 // tokens a millisecond
+	firstEventBase   = 40 * time.Millisecond
+	plainLatencyInit = 40.0 // milliseconds
+)
+
+// server is what the machine knows of one backend server.
+type server struct {
+	Server
+	leavingAt time.Duration // when it was first known to drain or to be gone
+	leaving   bool
+	gone      bool
+
+	running int // of this router
+	pending int // tokens of this router
+	others  ServerLoad
+
+	tokenRate float64 // tokens a millisecond, 0 until measured
+	latency   float64 // milliseconds of a plain answer, 0 until measured
+
+	failures     float64 // average, 0 to 1
+	samples      int
+	streak       int
+	downUntil    time.Duration // nothing could be sent
+	ejectedUntil time.Duration // fails too often
+	pause        time.Duration // of the last ejection or down time
+	probation    bool          // must first answer one repeatable request
+	fullUntil    time.Duration
+}
+
+// usable tells whether new requests may go to a server at all.
+func (s *server) usable(now time.Duration) bool {
+	return !s.leaving && now >= s.downUntil && now >= s.ejectedUntil
+}
+
+func (s *server) allRunning() int { return s.running + s.others.Running }
+func (s *server) allPending() int { return s.pending + s.others.Pending }
+
+// release takes an attempt off the server's load.
+func (s *server) release(r *run) {
+	s.running--
+	s.started(r)
+}
+
+// started says that an attempt's prompt has been read.
+func (s *server) started(r *run) {
+	s.pending -= r.pending
+	r.pending = 0
+}
+
+// learnFirst takes in the time to a first event.
+func (s *server) learnFirst(p *pool, r *run, elapsed time.Duration) {
+	ms := float64(elapsed) / float64(time.Millisecond)
+	if p.engine == nil {
+		s.latency = average(s.latency, ms, plainLatencyInit)
+		return
+	}
+	if r.ahead < learnFromTokens {
+		return
+	}
+	spent := max(ms-float64(firstEventBase/time.Millisecond), 1)
+	seen := min(max(float64(r.ahead)/spent, slowestRate), fastestRate)
+	s.tokenRate = average(s.tokenRate, seen, p.tokenRate)
+	p.tokenRate += learnStep / 4 * (seen - p.tokenRate)
+}
+
+// average moves an average, which starts at first, towards a value.
+func average(old, value, first float64) float64 {
+	if old == 0 {
+		old = first
+	}
+	return old + learnStep*(value-old)
+}
+
+// succeeded takes in a whole answer; it returns whether the server has come
+// back by it.
+func (s *server) succeeded() bool {
+	s.failures -= failureStep * s.failures
+	s.samples++
+	s.streak = 0
+	if !s.probation {
+		return false
+	}
+	s.probation = false
+	s.failures = min(s.failures, ejectAbove*2/3)
+	return true
+}
+
+// failed takes in a failure and tells whether the server should be ejected.
+func (s *server) failed(weight int, median float64) bool {
+	for range weight {
+		s.failures += failureStep * (1 - s.failures)
+	}
+	s.samples++
+	s.streak++
+	often := s.samples >= minSamples && s.failures > ejectAbove && s.failures > ejectOverMedian*median
+	return s.probation || s.streak >= ejectStreak || often
+}
+
+// eject takes the server out for a time that doubles.
+func (s *server) eject(now time.Duration) time.Duration {
+	s.pause = min(max(s.pause*2, ejectShortest), ejectLongest)
+	s.ejectedUntil = now + s.pause
+	s.probation = true
+	s.streak = 0
+	return s.pause
+}
+
+// down takes the server out after nothing could be sent to it.
+func (s *server) down(now time.Duration) time.Duration {
+	s.pause = min(max(s.pause*2, downShortest), downLongest)
+	s.downUntil = now + s.pause
+	s.probation = true
+	return s.pause
+}
--- /dev/null
+++ b/direct/table.go
@@ -0,0 +1,93 @@
+package direct
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table finds routes and teams in a configuration.
+type Table struct {
+	Config   Config
+	hosts    map[string]map[string]*Route // by host, then prefix
+	teams    map[string]*Team             // by key
+	services map[string]*Service
+}
+
+// NewTable indexes a configuration.
+func NewTable(c Config) *Table {
+	t := &Table{
+		Config:   c,
+		hosts:    make(map[string]map[string]*Route),
+		teams:    make(map[string]*Team),
+		services: make(map[string]*Service, len(c.Services)),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if t.hosts[r.Host] == nil {
+			t.hosts[r.Host] = make(map[string]*Route)
+		}
+		t.hosts[r.Host][r.Prefix] = r
+	}
+	for i := range c.Teams {
+		for _, key := range c.Teams[i].Keys {
+			t.teams[key] = &c.Teams[i]
+		}
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return t
+}
+
+// Route returns the route of a host whose prefix begins the path and is
+// longest, or nil. It looks up one prefix for each slash of the path.
+func (t *Table) Route(host, path string) *Route {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
+		host = host[:colon]
+	}
+	prefixes := t.hosts[host]
+	if prefixes == nil {
+		return nil
+	}
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return nil
+		}
+		if r := prefixes[path[:slash+1]]; r != nil {
+			return r
+		}
+		end = slash
+	}
+	return nil
+}
+
+// Team returns the team that holds a key, or nil.
+func (t *Table) Team(key string) *Team { return t.teams[key] }
+
+// HasTeams tells whether requests need keys at all.
+func (t *Table) HasTeams() bool { return len(t.Config.Teams) > 0 }
+
+// Service returns the service of a request: the only one of the route, or one
+// that its id picks by weight.
+func (t *Table) Service(r *Route, id string) string {
+	if len(r.Split) == 1 {
+		return r.Split[0].Service
+	}
+	total := 0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	if total <= 0 {
+		return r.Split[0].Service
+	}
+	at := int(xxhash.Sum64String(id) % uint64(total))
+	for _, w := range r.Split {
+		at -= w.Weight
+		if at < 0 {
+			return w.Service
+		}
+	}
+	return r.Split[0].Service
+}
--- /dev/null
+++ b/direct/usage.go
@@ -0,0 +1,62 @@
+package direct
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// useWindow is the time over which a team's tokens are averaged.
+const useWindow = 3 * time.Second
+
+// rate is a decaying rate of tokens a second.
+type rate struct {
+	value float64
+	at    time.Duration
+}
+
+func (r *rate) decay(now time.Duration) float64 {
+	if now > r.at {
+		r.value *= math.Exp(-float64(now-r.at) / float64(useWindow))
+		r.at = now
+	}
+	return r.value
+}
+
+func (r *rate) add(now time.Duration, tokens float64) {
+	r.decay(now)
+	r.value += tokens / useWindow.Seconds()
+}
+
+// teamUse is what a router knows of a team's tokens.
+type teamUse struct {
+	offered rate
+	served  rate
+	others  TeamUse // sum over the other routers
+}
+
+func (u *teamUse) servedRate(now time.Duration) float64 {
+	return u.served.decay(now) + u.others.Served
+}
+
+func (u *teamUse) offeredRate(now time.Duration) float64 {
+	return u.offered.decay(now) + u.others.Offered
+}
+
+// waterLevel returns the most that a team may get when capacity is shared so
+// that the smallest demands are met first.
+func waterLevel(demands []float64, capacity float64) float64 {
+	slices.Sort(demands)
+	left := capacity
+	for i, d := range demands {
+		even := left / float64(len(demands)-i)
+		if d > even {
+			return even
+		}
+		left -= d
+	}
+	return math.Inf(1)
+}
+
+// tokenCost is what a request takes of the engines: a token made counts twice.
+func tokenCost(prompt, output int) float64 { return float64(prompt) + 2*float64(output) }
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/backend"
+	"github.com/croftvale/croftvale/direct"
+)
+
+const (
+	// streamSilence is the least pause within a stream after which it goes on
+	// elsewhere, where it may; pauseSilence the same in longest pauses.
+	streamSilence = 800 * time.Millisecond
+	pauseSilence  = 4
+	// firstPatience is the part of the objective after which a request that may
+	// be repeated is tried elsewhere; streams get streamPatience.
+	firstPatience  = 0.6
+	streamPatience = 1.6
+	// estimateTimes is the least patience in expected times to a first event.
+	estimateTimes = 3
+	// leastLeft is the shortest time that is worth sending a request for.
+	leastLeft = 2 * time.Millisecond
+)
+
+// errSpoiled says that an answer is not one that a server may give.
+var errSpoiled = errors.New("the answer is spoiled")
+
+// attempt is one request to one server.
+type attempt struct {
+	x    *exchange
+	cmd  direct.SendCmd
+	conn *backend.Conn
+	stop func() bool // ends the watch on the caller
+}
+
+// run sends the request and passes the answer on. It returns how the attempt
+// ended and whether the caller's request has ended with it.
+func (a *attempt) run() (direct.Outcome, bool) {
+	left := a.x.deadline - a.x.front.core.now()
+	if left < leastLeft {
+		a.endLate(direct.GivenUp)
+		return direct.GivenUp, true
+	}
+	conn, err := a.x.front.pool.Get(a.x.ctx, a.cmd.Server.Address)
+	if err != nil {
+		return a.lost(direct.Unsent)
+	}
+	a.conn = conn
+	a.stop = context.AfterFunc(a.x.ctx, func() { conn.Close() })
+	defer a.stop()
+	left = a.x.deadline - a.x.front.core.now()
+	_ = conn.SetDeadline(time.Now().Add(left))
+	err = conn.Send(&backend.Request{
+		Method: a.x.r.Method,
+		Target: a.x.r.RequestURI,
+		Host:   a.x.r.Host,
+		Header: a.x.front.dialect.Outbound(a.x.r.Header, a.call(left)),
+		Body:   a.x.body,
+	})
+	if err != nil {
+		conn.Close()
+		if errors.Is(err, backend.ErrUnsent) {
+			return a.lost(direct.Unsent)
+		}
+		// What the server says before it has read everything still counts.
+		return a.lost(direct.Broken)
+	}
+	return a.receive(left)
+}
+
+// call is what the server is told.
+func (a *attempt) call(left time.Duration) Call {
+	c := Call{Left: left, Server: a.cmd.Server.ID, Team: a.x.team, AfterEvent: a.x.envelope.AfterEvent}
+	if a.x.headSent {
+		c.AfterEvent = formatID(a.x.lastID)
+	}
+	return c
+}
+
+// receive reads the head of the answer, and hands over to what reads the rest.
+func (a *attempt) receive(left time.Duration) (direct.Outcome, bool) {
+	patience, bounded := a.patience(left)
+	if bounded {
+		_ = a.conn.SetReadDeadline(time.Now().Add(patience))
+	}
+	answer, err := a.conn.Answer(a.x.r.Method, func(h *http.Response) bool {
+		return a.x.front.dialect.Verdict(h.StatusCode, h.Header).ID == a.x.envelope.ID
+	})
+	if err != nil {
+		a.conn.Close()
+		return a.lost(a.silence(err, bounded))
+	}
+	verdict := a.x.front.dialect.Verdict(answer.StatusCode, answer.Header)
+	switch {
+	case verdict.Elsewhere:
+		a.discard(answer)
+		return direct.Elsewhere, false
+	case verdict.NotRun && answer.StatusCode != http.StatusBadRequest:
+		a.discard(answer)
+		return direct.NotRun, false
+	case a.isStream(answer):
+		return a.stream(answer, verdict)
+	}
+	_ = a.conn.SetReadDeadline(time.Now().Add(a.x.deadline - a.x.front.core.now()))
+	return a.whole(answer, verdict)
+}
+
+// patience is how long the server may say nothing, where the request could be
+// tried elsewhere.
+func (a *attempt) patience(left time.Duration) (time.Duration, bool) {
+	route := a.x.route
+	if !route.MayRepeat() || a.cmd.Attempt >= route.Attempts {
+		return 0, false
+	}
+	part := firstPatience
+	if route.Kind == direct.Stream {
+		part = streamPatience
+	}
+	patience := max(time.Duration(part*float64(route.Objective)), estimateTimes*a.cmd.Basis.Estimate)
+	return patience, patience < left
+}
+
+// silence tells a server that said nothing in good time from one that broke
+// off.
+func (a *attempt) silence(err error, bounded bool) direct.Outcome {
+	if bounded && errors.Is(err, os.ErrDeadlineExceeded) {
+		return direct.Hung
+	}
+	return direct.Broken
+}
+
+// lost ends an attempt without an answer. The request has ended too where the
+// caller left or its time is over.
+func (a *attempt) lost(o direct.Outcome) (direct.Outcome, bool) {
+	switch {
+	case a.x.ctx.Err() != nil:
+		a.x.finish("caller_left", 0, "")
+		return direct.GivenUp, true
+	case a.x.front.core.now()+leastLeft >= a.x.deadline:
+		if o != direct.Unsent {
+			o = direct.GivenUp
+		}
+		a.endLate(o)
+		return o, true
+	}
+	return o, false
+}
+
+// endLate gives the answer of a request whose time is over. It may panic to
+// break a stream off, so the machine is told first.
+func (a *attempt) endLate(o direct.Outcome) {
+	if a.x.headSent {
+		a.closeRun(o)
+	}
+	a.x.timedOut()
+}
+
+// closeRun tells the machine that the attempt ended, before a panic.
+func (a *attempt) closeRun(o direct.Outcome) {
+	a.x.front.core.update(direct.EndMsg{Now: a.x.front.core.now(), ID: a.x.id, Outcome: o})
+}
+
+// discard drops an answer of which only the head counts.
+func (a *attempt) discard(answer *http.Response) {
+	if _, err := readWhole(answer, discardMost); err != nil {
+		a.conn.Close()
+		return
+	}
+	a.release()
+}
+
+// release keeps the connection for other requests. Once the caller's leaving
+// may close it, it is this request's alone.
+func (a *attempt) release() {
+	if !a.stop() {
+		a.conn.Close()
+		return
+	}
+	a.conn.Release()
+}
+
+// discardMost bounds a body that is read only to keep its connection.
+const discardMost = 64 << 10
--- /dev/null
+++ b/gateway/core.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+)
+
+// core owns the decisions: one lock around the machine, and a channel to the
+// goroutine of each request.
+type core struct {
+	mu      sync.Mutex
+	machine *direct.Machine
+	waiters map[direct.RequestID]chan direct.Cmd
+	next    direct.RequestID
+	start   time.Time
+	belief  func(direct.BeliefCmd)
+}
+
+func newCore(o direct.Options, belief func(direct.BeliefCmd)) *core {
+	return &core{
+		machine: direct.NewMachine(o),
+		waiters: make(map[direct.RequestID]chan direct.Cmd),
+		start:   time.Now(),
+		belief:  belief,
+	}
+}
+
+// now is the time since the start, on the monotonic clock.
+func (c *core) now() time.Duration { return time.Since(c.start) }
+
+// update tells the machine something and hands its commands out.
+func (c *core) update(msg direct.Msg) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.locked(msg)
+}
+
+func (c *core) locked(msg direct.Msg) {
+	for _, cmd := range c.machine.Update(msg) {
+		switch cmd := cmd.(type) {
+		case direct.SendCmd:
+			c.deliver(cmd.ID, cmd)
+		case direct.RefuseCmd:
+			c.deliver(cmd.ID, cmd)
+		case direct.FailCmd:
+			c.deliver(cmd.ID, cmd)
+		case direct.BeliefCmd:
+			c.belief(cmd)
+		}
+	}
+}
+
+func (c *core) deliver(id direct.RequestID, cmd direct.Cmd) {
+	if w := c.waiters[id]; w != nil {
+		w <- cmd
+	}
+}
+
+// arrive takes a request in. Its commands come on the channel.
+func (c *core) arrive(r direct.Request) (direct.RequestID, <-chan direct.Cmd) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	r.ID = c.next
+	commands := make(chan direct.Cmd, 2)
+	c.waiters[r.ID] = commands
+	c.locked(direct.ArriveMsg{Now: c.now(), Request: r})
+	return r.ID, commands
+}
+
+// done ends the channel of a request.
+func (c *core) done(id direct.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiters, id)
+}
+
+// leave takes a waiting request out. Where it has just been sent, the attempt
+// ends unused.
+func (c *core) leave(id direct.RequestID, commands <-chan direct.Cmd) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.locked(direct.LeaveMsg{Now: now, ID: id})
+	select {
+	case <-commands:
+		c.locked(direct.EndMsg{Now: now, ID: id, Outcome: direct.GivenUp})
+	default:
+	}
+}
+
+// report returns what this router does at the moment.
+func (c *core) report() direct.Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Report(c.now())
+}
+
+// tick lets time pass until ctx ends.
+func (c *core) tick(ctx context.Context) error {
+	ticker := time.NewTicker(direct.TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			c.update(direct.TickMsg{Now: c.now()})
+		}
+	}
+}
--- /dev/null
+++ b/gateway/dump.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+// State is what a router shows of itself.
+type State struct {
+	Name      string
+	Config    uint64
+	ConfigAge time.Duration
+	Servers   uint64
+	Active    int64
+	Peers     []string
+	Dropped   uint64 // log lines
+}
+
+// dump returns the state for the admin server.
+func (g *Gateway) dump(context.Context) (any, error) {
+	config, servers := g.state.versions()
+	g.peers.mu.Lock()
+	defer g.peers.mu.Unlock()
+	s := State{
+		Name: g.settings.Name, Config: config, ConfigAge: g.state.configAge(), Servers: servers,
+		Active: g.front.active.Load(), Dropped: g.journal.dropped.Load(),
+	}
+	for address, p := range g.peers.known {
+		if p.live {
+			s.Peers = append(s.Peers, address)
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+)
+
+// exchange is one request of a caller on its way to its final answer.
+type exchange struct {
+	front    *front
+	w        http.ResponseWriter
+	r        *http.Request
+	ctx      context.Context // ends when the caller leaves
+	envelope Envelope
+	route    *direct.Route
+	service  string
+	team     string
+	priority int
+	body     []byte
+	start    time.Duration
+	deadline time.Duration
+
+	id       direct.RequestID
+	attempts int
+	headSent bool
+	lastID   int64 // of the last event that was passed on
+	firstAt  time.Duration
+	held     *whole // a server's own failure, kept while another is tried
+	last     direct.SendCmd
+}
+
+// request is what the decisions need to know.
+func (x *exchange) request() direct.Request {
+	return direct.Request{
+		Team:         x.team,
+		Service:      x.service,
+		Kind:         x.route.Kind,
+		MayRepeat:    x.route.MayRepeat(),
+		Attempts:     max(x.route.Attempts, 1),
+		Priority:     x.priority,
+		Objective:    x.route.Objective,
+		Deadline:     x.deadline,
+		PromptTokens: x.envelope.PromptTokens - sharedTokens(x.envelope.Parts),
+		OutputTokens: x.envelope.OutputTokens,
+		Parts:        x.envelope.Parts,
+	}
+}
+
+// sharedTokens counts the tokens of the parts that other requests may share:
+// all but the last.
+func sharedTokens(parts []direct.Part) int {
+	n := 0
+	for i := 0; i+1 < len(parts); i++ {
+		n += parts[i].Tokens
+	}
+	return n
+}
+
+// run takes the request to its final answer.
+func (x *exchange) run() {
+	core := x.front.core
+	id, commands := core.arrive(x.request())
+	x.id = id
+	defer core.done(id)
+	timer := time.NewTimer(x.deadline - core.now())
+	defer timer.Stop()
+	for {
+		select {
+		case cmd := <-commands:
+			if x.follow(cmd) {
+				return
+			}
+		case <-x.ctx.Done():
+			core.leave(id, commands)
+			x.finish("caller_left", 0, "")
+			return
+		case <-timer.C:
+			core.leave(id, commands)
+			x.timedOut()
+			return
+		}
+	}
+}
+
+// follow carries out one command and tells whether the request has ended.
+func (x *exchange) follow(cmd direct.Cmd) bool {
+	switch cmd := cmd.(type) {
+	case direct.SendCmd:
+		x.attempts++
+		x.last = cmd
+		a := attempt{x: x, cmd: cmd}
+		outcome, ended := a.run()
+		x.front.core.update(direct.EndMsg{Now: x.front.core.now(), ID: x.id, Outcome: outcome, Retry: !ended})
+		x.front.stats.attempt(outcome)
+		if ended {
+			return true
+		}
+		x.front.journal.retry(x, outcome)
+	case direct.RefuseCmd:
+		x.refuse(string(cmd.Reason), cmd.After)
+		return true
+	case direct.FailCmd:
+		x.fail(string(cmd.Reason))
+		return true
+	}
+	return false
+}
+
+// refuse ends a request that has not run.
+func (x *exchange) refuse(reason string, after time.Duration) {
+	if x.headSent {
+		x.abort(reason)
+	}
+	x.front.refuse(x.w, http.StatusServiceUnavailable, reason, after)
+	x.finish("refused", http.StatusServiceUnavailable, reason)
+}
+
+// fail ends a request that may have run: with the server's own failure where
+// there is one.
+func (x *exchange) fail(reason string) {
+	switch {
+	case x.headSent:
+		x.abort(reason)
+	case x.held != nil:
+		x.held.write(x)
+		x.finish("failed", x.held.status, reason)
+	default:
+		x.front.refuse(x.w, http.StatusBadGateway, reason, 0)
+		x.finish("failed", http.StatusBadGateway, reason)
+	}
+}
+
+// timedOut ends a request whose time is over.
+func (x *exchange) timedOut() {
+	switch {
+	case x.headSent:
+		x.abort("timeout")
+	case x.attempts == 0:
+		x.refuse("deadline", x.route.Objective)
+	default:
+		x.front.refuse(x.w, http.StatusGatewayTimeout, "timeout", 0)
+		x.finish("failed", http.StatusGatewayTimeout, "timeout")
+	}
+}
+
+// abort breaks the caller's connection off, since an answer that ends early
+// must not look whole.
+func (x *exchange) abort(reason string) {
+	x.finish("cut", http.StatusOK, reason)
+	panic(http.ErrAbortHandler)
+}
+
+// finish logs and counts how the request ended.
+func (x *exchange) finish(result string, status int, reason string) {
+	x.front.stats.request(x, result, reason)
+	x.front.journal.request(x, result, status, reason)
+}
+
+// pathOf returns the path of a request target, as the caller wrote it.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// readBody reads a body of at most most bytes.
+func readBody(w http.ResponseWriter, r *http.Request, most int) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	limited := http.MaxBytesReader(w, r.Body, int64(most))
+	if r.ContentLength > 0 && r.ContentLength <= int64(most) {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(limited, body)
+		if err != nil {
+			return nil, err
+		}
+		// Reading to the end lets the server notice when the caller leaves.
+		_, err = limited.Read(make([]byte, 1))
+		if err == io.EOF {
+			err = nil
+		}
+		return body, err
+	}
+	return io.ReadAll(limited)
+}
--- /dev/null
+++ b/gateway/journal.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/croftvale/croftvale/direct"
+	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
+)
+
+const (
+	journalLines = 2048 // that wait to be written
+	sampleOneIn  = 32   // ordinary successes; the same ids on every host
+	failureLines = 60   // a second, failures and refusals of requests
+	beliefLines  = 40   // a second
+)
+
+// journal writes JSON lines: one for each decision that touches a request or
+// changes what the router believes. It never blocks; what does not fit is
+// counted and dropped.
+type journal struct {
+	logger   log.Logger
+	lines    chan []byte
+	dropped  atomic.Uint64
+	failures *rate.Limiter
+	beliefs  *rate.Limiter
+	done     chan struct{}
+}
+
+func newJournal(out io.Writer, process string) *journal {
+	j := &journal{
+		lines:    make(chan []byte, journalLines),
+		failures: rate.NewLimiter(failureLines, failureLines),
+		beliefs:  rate.NewLimiter(beliefLines, 4*beliefLines),
+		done:     make(chan struct{}),
+	}
+	j.logger = log.Logger{
+		Level:      log.InfoLevel,
+		TimeFormat: time.RFC3339Nano,
+		Context:    log.NewContext(nil).Str("process", process).Value(),
+		Writer:     &log.IOWriter{Writer: j},
+	}
+	go j.write(out)
+	return j
+}
+
+// Write takes one line, or drops it.
+func (j *journal) Write(line []byte) (int, error) {
+	select {
+	case j.lines <- append([]byte(nil), line...):
+	default:
+		j.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (j *journal) write(out io.Writer) {
+	defer close(j.done)
+	for line := range j.lines {
+		_, _ = out.Write(line)
+	}
+}
+
+// close writes what is left. Nothing may be logged after it.
+func (j *journal) close() {
+	if n := j.dropped.Load(); n > 0 {
+		j.logger.Warn().Str("event", "log_dropped").Uint64("lines", n).Msg("")
+	}
+	close(j.lines)
+	<-j.done
+}
+
+func (j *journal) event(name string) *log.Entry {
+	return j.logger.Info().Str("event", name)
+}
+
+func (j *journal) config(c *direct.Config, from string) {
+	j.event("config_in_force").Uint64("version", c.Version).Str("from", from).
+		Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Msg("")
+}
+
+func (j *journal) servers(d *direct.Directory, from string) {
+	if j.beliefs.Allow() {
+		j.event("servers_listed").Uint64("revision", d.Revision).Str("from", from).Int("servers", len(d.Servers)).Msg("")
+	}
+}
+
+func (j *journal) belief(b direct.BeliefCmd) {
+	if j.beliefs.Allow() {
+		j.event("server_"+string(b.Belief)).Str("server", b.Server.ID).Str("service", b.Server.Service).
+			Str("address", b.Server.Address).Str("cause", b.Cause).Dur("for", b.For).Msg("")
+	}
+}
+
+func (j *journal) dependency(name, what string, err error) {
+	j.event("dependency_"+what).Str("dependency", name).Err(err).Msg("")
+}
+
+// sampled tells whether an ordinary request is logged.
+func sampled(id string) bool { return xxhash.Sum64String(id)%sampleOneIn == 0 }
+
+// request logs how a request ended: failures and refusals up to a rate,
+// ordinary successes by a sample of ids.
+func (j *journal) request(x *exchange, result string, status int, reason string) {
+	if result == "served" || result == "caller_left" {
+		if !sampled(x.envelope.ID) {
+			return
+		}
+	} else if !j.failures.Allow() {
+		j.dropped.Add(1)
+		return
+	}
+	now := x.front.core.now()
+	e := x.describe(j.event("request_"+result)).Int("status", status).Str("reason", reason).Dur("took", now-x.start)
+	if x.firstAt > 0 {
+		e.Dur("first_after", x.firstAt-x.start)
+	}
+	e.Msg("")
+}
+
+// retry logs an attempt that led to another decision.
+func (j *journal) retry(x *exchange, o direct.Outcome) {
+	if !j.failures.Allow() {
+		j.dropped.Add(1)
+		return
+	}
+	x.describe(j.event("attempt_ended")).Str("outcome", o.String()).Dur("after", x.front.core.now()-x.start).Msg("")
+}
+
+// describe adds what every line on a request has: who, where, and what decided
+// it, with ages and versions.
+func (x *exchange) describe(e *log.Entry) *log.Entry {
+	config, servers := x.front.state.versions()
+	e.Str("request", x.envelope.ID).Str("team", x.team).Str("route", x.route.Name).Str("service", x.service).
+		Int("attempts", x.attempts).Uint64("config", config).Uint64("servers", servers).
+		Dur("config_age", x.front.state.configAge())
+	if x.attempts > 0 {
+		b := x.last.Basis
+		e.Str("server", x.last.Server.ID).Int("running", b.Running).Int("pending_tokens", b.Pending).
+			Int("miss_tokens", b.Miss).Dur("estimate", b.Estimate).Dur("waited", b.Waited)
+	}
+	return e
+}
+
+// turnedAway logs a request that was not admitted.
+func (j *journal) turnedAway(f *front, r *http.Request, status int, reason string) {
+	if !j.failures.Allow() {
+		j.dropped.Add(1)
+		return
+	}
+	config, _ := f.state.versions()
+	id := ""
+	if envelope, err := f.dialect.Envelope(r.Header); err == nil {
+		id = envelope.ID
+	}
+	j.event("request_turned_away").Str("request", id).Str("host", r.Host).Str("path", pathOf(r.RequestURI)).
+		Int("status", status).Str("reason", reason).Uint64("config", config).Msg("")
+}
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	beatEvery   = 100 * time.Millisecond
+	beatFanout  = 16          // peers that one beat goes to
+	peerLive    = time.Second // without a beat a peer counts as away
+	peerForget  = 60 * time.Second
+	datagram    = 60 << 10
+	beatMembers = 16 // peers named in one beat
+)
+
+// beat is what a router tells the others, several times a second.
+type beat struct {
+	Address string // of the sender's host
+	Life    int64  // start of the sender, so that a restart begins anew
+	Seq     uint64
+	Config  uint64 // version
+	Servers uint64 // revision
+	Report  direct.Report
+	Members []string // other routers that the sender has heard of
+}
+
+// peer is another router.
+type peer struct {
+	address string
+	life    int64
+	seq     uint64
+	heard   time.Duration // 0: never
+	added   time.Duration
+	config  uint64
+	servers uint64
+	live    bool
+}
+
+// peers exchanges beats with the other routers.
+type peers struct {
+	self    string
+	port    int
+	life    int64
+	conn    net.PacketConn
+	core    *core
+	state   *state
+	journal *journal
+	seeds   int
+	mu      sync.Mutex
+	known   map[string]*peer
+	seq     uint64
+	behind  chan struct{} // a peer knows something newer
+	poke    chan struct{} // this router has something newer
+}
+
+func newPeers(s Settings, port int, conn net.PacketConn, c *core, st *state, j *journal) *peers {
+	return &peers{
+		self: s.Address, port: port, life: time.Now().UnixNano(), conn: conn, core: c, state: st, journal: j,
+		seeds: len(s.Seeds), known: make(map[string]*peer),
+		behind: make(chan struct{}, 1), poke: make(chan struct{}, 1),
+	}
+}
+
+// add makes a router known.
+func (p *peers) add(address string) {
+	if address == p.self || address == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.known[address] == nil {
+		p.known[address] = &peer{address: address, added: p.core.now()}
+	}
+}
+
+// changed tells the peers at once that this router has something newer.
+func (p *peers) changed() { notify(p.poke) }
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// send beats until ctx ends.
+func (p *peers) send(ctx context.Context) error {
+	ticker := time.NewTicker(beatEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-p.poke:
+		}
+		p.beat()
+	}
+}
+
+func (p *peers) beat() {
+	report := p.core.report()
+	config, servers := p.state.versions()
+	targets, members := p.round()
+	p.seq++
+	body, err := msgpack.Marshal(beat{
+		Address: p.self, Life: p.life, Seq: p.seq, Config: config, Servers: servers, Report: report, Members: members,
+	})
+	if err != nil {
+		return
+	}
+	for _, address := range targets {
+		to, err := netip.ParseAddr(address)
+		if err != nil {
+			continue
+		}
+		_, _ = p.conn.WriteTo(body, net.UDPAddrFromAddrPort(netip.AddrPortFrom(to, uint16(p.port))))
+	}
+}
+
+// round picks whom a beat goes to, and tells the machine how many routers
+// there are.
+func (p *peers) round() (targets, members []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.core.now()
+	live := 1
+	for address, peer := range p.known {
+		age := now - max(peer.heard, peer.added)
+		if peer.heard > 0 && age < peerLive {
+			live++
+		} else if peer.live {
+			peer.live = false
+			p.journal.dependency("router "+address, "lost", nil)
+		}
+		if age > peerForget {
+			delete(p.known, address)
+			continue
+		}
+		targets = append(targets, address)
+		if peer.live && len(members) < beatMembers {
+			members = append(members, address)
+		}
+	}
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	rounds := max((len(targets)+beatFanout-1)/beatFanout, 1)
+	targets = targets[:min(len(targets), beatFanout)]
+	p.core.update(direct.PeersMsg{Now: now, Routers: max(live, p.seeds), Hold: time.Duration(rounds) * peerLive})
+	return targets, members
+}
+
+// receive takes beats until ctx ends.
+func (p *peers) receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
+	defer stop()
+	buffer := make([]byte, datagram)
+	for {
+		n, _, err := p.conn.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			sleep(ctx, beatEvery)
+			continue
+		}
+		var b beat
+		if msgpack.Unmarshal(buffer[:n], &b) == nil {
+			p.hear(b)
+		}
+	}
+}
+
+// hear takes one beat in.
+func (p *peers) hear(b beat) {
+	p.add(b.Address)
+	for _, m := range b.Members {
+		p.add(m)
+	}
+	p.mu.Lock()
+	peer := p.known[b.Address]
+	if peer == nil || b.Life < peer.life || (b.Life == peer.life && b.Seq <= peer.seq) {
+		p.mu.Unlock()
+		return
+	}
+	now := p.core.now()
+	peer.life, peer.seq, peer.heard = b.Life, b.Seq, now
+	peer.config, peer.servers = b.Config, b.Servers
+	if !peer.live {
+		peer.live = true
+		p.journal.dependency("router "+b.Address, "regained", nil)
+	}
+	p.mu.Unlock()
+	p.core.update(direct.PeerMsg{Now: now, Peer: b.Address, Report: b.Report})
+	config, servers := p.state.versions()
+	if b.Config > config || b.Servers > servers {
+		notify(p.behind)
+	}
+}
+
+// ahead returns the live peers that know something newer.
+func (p *peers) ahead() (config, servers []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ownConfig, ownServers := p.state.versions()
+	now := p.core.now()
+	for address, peer := range p.known {
+		if peer.heard == 0 || now-peer.heard > peerLive {
+			continue
+		}
+		if peer.config > ownConfig {
+			config = append(config, address)
+		}
+		if peer.servers > ownServers {
+			servers = append(servers, address)
+		}
+	}
+	return config, servers
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+)
+
+// Settings are what a router is started with.
+type Settings struct {
+	Name    string
+	Zone    string
+	Address string // of this host, without a port
+
+	Front   string // callers
+	Ready   string // the balancer's question
+	Control string // other routers' pulls
+	Peers   string // other routers' datagrams
+	Metrics string // empty: not served
+
+	Seeds       []string // control addresses of some routers
+	MemoryBytes int64
+	Descriptors int
+	Grace       time.Duration // from the request to end until the end
+	Budget      direct.BudgetOptions
+}
--- /dev/null
+++ b/gateway/sync.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/direct"
+)
+
+const (
+	watchWait   = time.Second
+	watchSlack  = 700 * time.Millisecond // over watchWait, then the call is given up
+	readTimeout = 1500 * time.Millisecond
+	retryFirst  = 100 * time.Millisecond
+	retryMost   = time.Second
+	membersEach = 6 * time.Second
+)
+
+// follower keeps one kind of thing up to date from the source.
+type follower struct {
+	name    string
+	journal *journal
+	lost    bool
+	// read takes everything; watch what changed since a revision.
+	read  func(ctx context.Context) (uint64, error)
+	watch func(ctx context.Context, since uint64) (uint64, error)
+}
+
+// run reads, then watches, until ctx ends. Every failure leads back to reading.
+func (f *follower) run(ctx context.Context) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = retryFirst
+	pause.MaxInterval = retryMost
+	since, known := uint64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if known {
+			since, err = f.bounded(ctx, watchWait+watchSlack, func(c context.Context) (uint64, error) { return f.watch(c, since) })
+		} else {
+			since, err = f.bounded(ctx, readTimeout, f.read)
+		}
+		f.note(err)
+		if err == nil {
+			known = true
+			pause.Reset()
+			continue
+		}
+		known = false
+		if errors.Is(err, ErrHistoryGone) {
+			continue
+		}
+		sleep(ctx, pause.NextBackOff())
+	}
+	return nil
+}
+
+func (f *follower) bounded(ctx context.Context, limit time.Duration, call func(context.Context) (uint64, error)) (uint64, error) {
+	c, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return call(c)
+}
+
+// note logs a lost or regained source.
+func (f *follower) note(err error) {
+	if err != nil && !errors.Is(err, ErrHistoryGone) {
+		if !f.lost {
+			f.journal.dependency(f.name, "lost", err)
+		}
+		f.lost = true
+		return
+	}
+	if f.lost {
+		f.journal.dependency(f.name, "regained", nil)
+	}
+	f.lost = false
+}
+
+// followConfig returns the follower of the configuration.
+func followConfig(source Source, s *state) *follower {
+	return &follower{
+		name: "source of configuration", journal: s.journal,
+		read: func(ctx context.Context) (uint64, error) {
+			c, at, err := source.ReadConfig(ctx)
+			if err == nil {
+				s.offerConfig(c, "source")
+			}
+			return at, err
+		},
+		watch: func(ctx context.Context, since uint64) (uint64, error) {
+			c, at, err := source.WatchConfig(ctx, since, watchWait)
+			if err == nil {
+				s.offerConfig(c, "source")
+			}
+			return at, err
+		},
+	}
+}
+
+// serverList is the list of servers as the source alone tells it.
+type serverList struct {
+	servers map[string]direct.Server
+}
+
+// followServers returns the follower of the list of servers.
+func followServers(source Source, s *state) *follower {
+	list := &serverList{}
+	return &follower{
+		name: "source of servers", journal: s.journal,
+		read: func(ctx context.Context) (uint64, error) {
+			servers, at, err := source.ReadServers(ctx)
+			if err != nil {
+				return 0, err
+			}
+			list.servers = make(map[string]direct.Server, len(servers))
+			for _, server := range servers {
+				list.servers[server.ID] = server
+			}
+			s.offerServers(list.directory(at), "source")
+			return at, nil
+		},
+		watch: func(ctx context.Context, since uint64) (uint64, error) {
+			changes, at, err := source.WatchServers(ctx, since, watchWait)
+			if err != nil {
+				return 0, err
+			}
+			for _, c := range changes {
+				if c.Gone {
+					delete(list.servers, c.Server.ID)
+				} else {
+					list.servers[c.Server.ID] = c.Server
+				}
+			}
+			if len(changes) > 0 {
+				s.offerServers(list.directory(at), "source")
+			}
+			return at, nil
+		},
+	}
+}
+
+func (l *serverList) directory(at uint64) *direct.Directory {
+	servers := slices.SortedFunc(maps.Values(l.servers), func(a, b direct.Server) int { return strings.Compare(a.ID, b.ID) })
+	return &direct.Directory{Revision: at, Servers: servers}
+}
+
+// followMembers registers this router and finds the others, until ctx ends.
+func followMembers(ctx context.Context, source Source, self Member, found func(Member)) error {
+	registered := false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		if !registered {
+			registered = source.Register(call, self) == nil
+		}
+		members, err := source.Members(call)
+		cancel()
+		for _, m := range members {
+			found(m)
+		}
+		if err != nil || !registered {
+			sleep(ctx, retryMost)
+			continue
+		}
+		sleep(ctx, membersEach)
+	}
+	return nil
+}
+
+// sleep waits, or returns when ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/gateway/whole.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/croftvale/croftvale/direct"
+)
+
+// wholeMost bounds an answer that is read before it is passed on.
+const wholeMost = 4 << 20
+
+// whole is an answer that was read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// readWhole reads a body to its end; an end before the length that was said is
+// an error.
+func readWhole(answer *http.Response, most int64) ([]byte, error) {
+	if n := answer.ContentLength; n >= 0 && n <= most {
+		body := make([]byte, n)
+		_, err := io.ReadFull(answer.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, most+1))
+	if err == nil && int64(len(body)) > most {
+		err = errSpoiled
+	}
+	return body, err
+}
+
+// whole reads an answer that is no stream, and passes it on where it is sound.
+func (a *attempt) whole(answer *http.Response, v Verdict) (direct.Outcome, bool) {
+	body, err := readWhole(answer, wholeMost)
+	if err != nil || !sound(answer, v) {
+		a.conn.Close()
+		return a.lost(direct.Broken)
+	}
+	a.release()
+	got := &whole{status: answer.StatusCode, header: answer.Header, body: body}
+	a.first()
+	if answer.StatusCode/100 == 5 {
+		return a.serverFailed(got)
+	}
+	if a.x.headSent {
+		// A stream that was to go on got an answer of another kind.
+		return a.lost(direct.Failed)
+	}
+	if promises(answer.StatusCode) {
+		return direct.Failed, false
+	}
+	got.write(a.x)
+	a.x.finish("served", got.status, "")
+	return direct.Done, true
+}
+
+// serverFailed keeps a server's own failure while another server is tried.
+func (a *attempt) serverFailed(got *whole) (direct.Outcome, bool) {
+	if !a.x.headSent && !promises(got.status) {
+		a.x.held = got
+	}
+	return a.lost(direct.Failed)
+}
+
+// first tells the machine that the server has answered.
+func (a *attempt) first() {
+	now := a.x.front.core.now()
+	if a.x.firstAt == 0 {
+		a.x.firstAt = now
+	}
+	a.x.front.core.update(direct.FirstMsg{Now: now, ID: a.x.id})
+}
+
+// sound tells whether an answer may be passed on: a success must be vouched
+// for, and callers ask for plain bodies.
+func sound(answer *http.Response, v Verdict) bool {
+	if answer.StatusCode/100 == 2 && !v.Signed {
+		return false
+	}
+	return answer.Header.Get("Content-Encoding") == ""
+}
+
+// promises tells whether a status says that the request did not run, which a
+// server's status without its word for it does not.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// write passes the answer on.
+func (h *whole) write(x *exchange) {
+	copyHeader(x.w.Header(), h.header)
+	if x.r.Method != http.MethodHead && bodyAllowed(h.status) {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
+	}
+	x.front.closing(x.w)
+	x.w.WriteHeader(h.status)
+	_, _ = x.w.Write(h.body)
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// connectionHeaders belong to one connection only.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
+	"Te": true, "Trailer": true, "Upgrade": true, "Content-Length": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Expect": true,
+}
+
+// copyHeader passes on the headers that do not belong to the server's
+// connection.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !connectionHeaders[name] {
+			to[name] = values
+		}
+	}
+	if from["Content-Type"] == nil {
+		to["Content-Type"] = nil
+	}
+	if from["Date"] == nil {
+		to["Date"] = nil
+	}
+}
