Give teams above their share only what others leave; keep parts at one holder

Change: servers take a team above its share only below half of their slots, less the further it is above; being late is weighed by its likelihood; the first holder of a part goes before copies; how long a part is kept follows from what the engines read.

--- a/direct/ending.go
+++ b/direct/ending.go
@@ -94,7 +94,7 @@
 	switch {
 	case len(p.order) == 0:
 		reason = ReasonNoServers
-	case r.overShare:
+	case r.over > 1:
 		reason = ReasonShare
 	}
 	m.giveUp(now, p, r, reason)
--- a/direct/holders.go
+++ b/direct/holders.go
@@ -7,7 +7,8 @@
 	maxParts = 20000
 	// holdersEach bounds the servers remembered for one part.
 	holdersEach = 12
-	// holderMemory is how long a server is taken to keep a part unused.
+	// holderMemory is the longest time that a server is taken to keep a part
+	// unused.
 	holderMemory = 30 * time.Second
 )
 
@@ -50,21 +51,12 @@
 	list[oldest] = holder{server: server, at: now}
 }
 
-// has tells whether a server is known to keep a part.
-func (h *holders) has(now time.Duration, part uint64, server string) bool {
+// has tells whether a server is known to keep a part, when parts are kept for
+// some time.
+func (h *holders) has(now, keeps time.Duration, part uint64, server string) bool {
 	for _, e := range h.parts[part] {
 		if e.server == server {
-			return now-e.at < holderMemory
-		}
-	}
-	return false
-}
-
-// anyOf tells whether one of the servers that usable accepts keeps a part.
-func (h *holders) anyOf(now time.Duration, part uint64, usable map[string]*server) bool {
-	for _, e := range h.parts[part] {
-		if s := usable[e.server]; s != nil && s.usable(now) && now-e.at < holderMemory {
-			return true
+			return now-e.at < keeps
 		}
 	}
 	return false
--- a/direct/line.go
+++ b/direct/line.go
@@ -37,7 +37,7 @@
 		return cmp.Or(
 			-cmp.Compare(min(a.attempt, 1), min(b.attempt, 1)),
 			cmp.Compare(a.Priority, b.Priority),
-			compareBool(a.overShare, b.overShare),
+			compareBool(a.over > 1, b.over > 1),
 			cmp.Compare(a.served, b.served),
 			cmp.Compare(a.arrivedAt, b.arrivedAt),
 			cmp.Compare(a.ID, b.ID),
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -56,7 +56,7 @@
 	pending   int // tokens that the server has yet to read for it
 	ahead     int // tokens to be read up to its first event, when it was sent
 	begun     bool
-	overShare bool
+	over      float64 // what its team gets, in shares
 	served    float64 // rate of its team, for the order of the line
 }
 
@@ -182,7 +182,10 @@
 // rate sets where a request's team stands.
 func (m *Machine) rate(now time.Duration, p *pool, r *run) {
 	r.served = m.team(r.Team).servedRate(now)
-	r.overShare = p.engine != nil && m.level > 0 && r.served > m.level
+	r.over = 0
+	if p.engine != nil && m.level > 0 {
+		r.over = r.served / m.level
+	}
 }
 
 func (m *Machine) send(now time.Duration, p *pool, r *run, c choice) {
@@ -269,11 +272,16 @@
 // share sets how much a team may have while capacity is short.
 func (m *Machine) share(now time.Duration) {
 	demands := make([]float64, 0, len(m.teams))
+	served := 0.0
 	for _, t := range m.teams {
+		served += t.servedRate(now)
 		if d := t.offeredRate(now); d > activeRate {
 			demands = append(demands, d)
 		}
 	}
+	for _, p := range m.pools {
+		p.setKeeps(served)
+	}
 	m.level = 0
 	if m.limits.TokensPerSecond > 0 {
 		m.level = waterLevel(demands, m.limits.TokensPerSecond)
--- a/direct/place.go
+++ b/direct/place.go
@@ -12,18 +12,28 @@
 	// so long that they cannot meet their objective anywhere.
 	fitWithin  = 0.85
 	waitWithin = 0.4
-	// overFit and overWait hold for teams above their share.
-	overFit  = 0.5
-	overWait = 0.15
-	// lateFrom is the part of the objective from which a longer wait costs.
-	lateFrom = 0.65
-	lateCost = 4.0
-	waitCost = 0.3
-	missCost = 6.0
-	slotCost = 0.5 // milliseconds for each request that runs there
-	zoneCost = 4.0 // milliseconds for a server of another zone
-	rankCost = 1.5 // milliseconds for each place down the order of a part's homes
-	maxRanks = 4   // places down the order that are told apart
+	// A team above its share gets only what the others leave: servers with at
+	// most this part of their slots taken, and next to no backlog, both less
+	// the further the team is above.
+	overSlots = 0.5
+	overWait  = 0.1
+
+	// The costs of a choice, in milliseconds.
+	lateCost = 200.0 // for being late for certain
+	missCost = 0.04  // for each token that must be read again
+	waitCost = 0.1   // for each millisecond of backlog
+	slotCost = 0.5   // for each request that runs there
+	zoneCost = 4.0   // for a server of another zone
+	copyCost = 25.0  // for a server that is not the first to keep the part
+	// rankCost is the part of the cost of reading a part that tells servers
+	// apart which do not keep it, so that all routers copy it to the same one.
+	rankCost = 0.25
+
+	// certainFrom and certainTo bound the part of the objective, as expected,
+	// between which being late goes from unlikely to likely.
+	certainFrom = 0.4
+	certainTo   = 1.2
+
 	// plainQueue is how many requests a plain server may have beyond its slots.
 	plainQueue = 12
 )
@@ -40,12 +50,12 @@
 // request in time, or returns false.
 func (m *Machine) place(now time.Duration, p *pool, r *run) (choice, bool) {
 	best, found := choice{}, false
-	home, ranked := m.homes(now, p, r)
+	home, _ := m.firstHolder(now, p, r)
 	for _, s := range p.order {
 		if !m.open(now, s, r) {
 			continue
 		}
-		c, fits := m.weigh(now, p, s, r, ranked && home == s)
+		c, fits := m.weigh(now, p, s, r, home)
 		if !fits {
 			continue
 		}
@@ -84,27 +94,29 @@
 	return choice{server: best}, best != nil
 }
 
-// homes returns the server that ranks first for the request's last shared part
-// while no server is known to keep it.
-func (m *Machine) homes(now time.Duration, p *pool, r *run) (*server, bool) {
+// firstHolder returns the server that keeps the request's last shared part and ranks
+// highest for it, or, where none is known to keep it, the one that ranks highest
+// of all: every router takes that one first.
+func (m *Machine) firstHolder(now time.Duration, p *pool, r *run) (first *server, held bool) {
 	if len(r.Parts) < 2 {
 		return nil, false
 	}
 	part := r.Parts[len(r.Parts)-2].ID
-	if m.holders.anyOf(now, part, p.servers) {
-		return nil, false
-	}
-	var home *server
 	var top uint64
 	for _, s := range p.order {
 		if !s.usable(now) || s.probation {
 			continue
 		}
-		if w := rank(part, s.ID); home == nil || w > top {
-			home, top = s, w
+		has := m.holders.has(now, p.keeps, part, s.ID)
+		if held && !has {
+			continue
+		}
+		w := rank(part, s.ID)
+		if first == nil || w > top || (has && !held) {
+			first, top, held = s, w, has
 		}
 	}
-	return home, home != nil
+	return first, held
 }
 
 // rank is the rendezvous weight of a server for a part.
@@ -119,7 +131,7 @@
 
 // weigh estimates what a request would cost at a server, and tells whether the
 // server would serve it in time.
-func (m *Machine) weigh(now time.Duration, p *pool, s *server, r *run, home bool) (choice, bool) {
+func (m *Machine) weigh(now time.Duration, p *pool, s *server, r *run, home *server) (choice, bool) {
 	if p.engine == nil {
 		return m.weighPlain(s, r)
 	}
@@ -127,31 +139,39 @@
 		return choice{}, false
 	}
 	perMS := p.rateOf(s)
-	miss := m.missing(now, s, r)
-	if home {
-		miss = 0
+	miss := 0
+	if s != home {
+		miss = m.missing(now, p, s, r)
 	}
 	wait := float64(s.allPending()) / perMS
 	own := float64(r.PromptTokens+miss) / perMS
 	first := float64(firstEventBase/time.Millisecond) + wait + own
 	objective := float64(r.Objective) / float64(time.Millisecond)
-	fit, waits := fitWithin, waitWithin
-	if r.overShare {
-		fit, waits = overFit, overWait
-	}
-	if r.attempt > 0 {
-		fit, waits = 1, 1
-	}
-	if first > fit*objective && wait > waits*objective {
+	if !fits(s, r, first/objective, wait/objective) {
 		return choice{}, false
 	}
-	cost := waitCost*wait + missCost*float64(miss)/perMS + slotCost*float64(s.allRunning())
-	cost += lateCost * max(first-lateFrom*objective, 0)
+	late := min(max((first/objective-certainFrom)/(certainTo-certainFrom), 0), 1)
+	cost := lateCost*late + missCost*float64(miss) + waitCost*wait + slotCost*float64(s.allRunning())
 	cost += m.distance(s)
-	cost += spread(r, s)
+	if home != nil && s != home {
+		cost += spread(r, s, miss)
+	}
 	return choice{server: s, miss: miss, estimate: milliseconds(first), cost: cost}, true
 }
 
+// fits tells whether a server would serve a request in time. first and wait are
+// the expected first event and the backlog, in parts of the objective.
+func fits(s *server, r *run, first, wait float64) bool {
+	switch {
+	case r.attempt > 0:
+		return first <= 1 || wait <= 1
+	case r.over > 1:
+		less := r.over * r.over
+		return float64(s.allRunning()) < overSlots*float64(s.Slots)/less && wait <= overWait/less
+	}
+	return first <= fitWithin || wait <= waitWithin
+}
+
 func (m *Machine) weighPlain(s *server, r *run) (choice, bool) {
 	latency := s.latency
 	if latency == 0 {
@@ -174,22 +194,24 @@
 	return zoneCost
 }
 
-// spread tells servers of like cost apart by the order of the part's homes, so
-// that all routers try them in the same order.
-func spread(r *run, s *server) float64 {
-	if len(r.Parts) < 2 {
-		return 0
-	}
-	w := rank(r.Parts[len(r.Parts)-2].ID, s.ID)
-	return rankCost * maxRanks * (1 - float64(w>>11)/float64(1<<53))
+// spread tells apart the servers other than the first that keeps a part: by the
+// order of the part's rendezvous weights, so that all routers copy it to the
+// same one.
+func spread(r *run, s *server, miss int) float64 {
+	if miss == 0 {
+		return copyCost
+	}
+	last := r.Parts[len(r.Parts)-2]
+	w := rank(last.ID, s.ID)
+	return rankCost * missCost * float64(last.Tokens) * (1 - float64(w>>11)/float64(1<<53))
 }
 
 // missing returns the tokens of shared parts that a server would have to read.
 // A part is of use only where everything before it is kept as well.
-func (m *Machine) missing(now time.Duration, s *server, r *run) int {
+func (m *Machine) missing(now time.Duration, p *pool, s *server, r *run) int {
 	miss := 0
 	for i := len(r.Parts) - 2; i >= 0; i-- {
-		if m.holders.has(now, r.Parts[i].ID, s.ID) {
+		if m.holders.has(now, p.keeps, r.Parts[i].ID, s.ID) {
 			return miss
 		}
 		miss += r.Parts[i].Tokens
--- a/direct/pool.go
+++ b/direct/pool.go
@@ -10,14 +10,15 @@
 	name      string
 	engine    *Engine
 	servers   map[string]*server
-	order     []*server // by id
-	tokenRate float64   // tokens a millisecond of a server, averaged
+	order     []*server     // by id
+	tokenRate float64       // tokens a millisecond of a server, averaged
+	keeps     time.Duration // how long a server keeps a part of a prompt unused
 	line      line
 	budget    budget
 }
 
 func newPool(name string) *pool {
-	return &pool{name: name, servers: make(map[string]*server)}
+	return &pool{name: name, servers: make(map[string]*server), keeps: holderMemory}
 }
 
 // configure takes in what the configuration says of the service.
@@ -88,3 +89,17 @@
 	}
 	return in-1 < (all+1)/2
 }
+
+// keepsShare is the part of an engine's memory that parts of prompts have.
+const keepsShare = 0.8
+
+// setKeeps works out how long a part is kept unused, from the tokens a second
+// that all servers read: the parts unused longest give way.
+func (p *pool) setKeeps(tokens float64) {
+	p.keeps = holderMemory
+	if p.engine == nil || tokens <= 0 || len(p.order) == 0 {
+		return
+	}
+	seconds := keepsShare * float64(p.engine.KVTokens) * float64(len(p.order)) / tokens
+	p.keeps = min(holderMemory, time.Duration(seconds*float64(time.Second)))
+}
