Reload settings on SIGHUP and when the file changes; keep the last good ones

Ruled out: a crash of ours (no panic in the logs, code 129 = 128 + SIGHUP). Change: the signal is caught before settings are read; a changed file, with or without a signal, is read, checked and put in force (budget, grace, memory, seeds, store); a bad one is logged and the last good settings stay.

--- a/cmd/croftvaled/gateway.go
+++ b/cmd/croftvaled/gateway.go
@@ -1,7 +1,11 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/croftvale/croftvale/gateway"
 	"github.com/croftvale/croftvale/platform"
@@ -27,5 +31,56 @@
 		return err
 	}
 	store.Report = g.Unreadable
-	return g.Run(untilSignal(func() {}))
+	ctx := untilSignal(func() {})
+	go reload(ctx, path, func() {
+		s, err := platform.LoadSettings(path)
+		if err != nil {
+			g.ReloadFailed(err)
+			return
+		}
+		store.SetAddress(s.Store)
+		g.Reload(s.Gateway)
+	})
+	return g.Run(ctx)
+}
+
+// reloadEvery is how often the settings file is looked at: it may change
+// without a signal.
+const reloadEvery = time.Second
+
+// reload calls changed on SIGHUP, and when the file has another time or size.
+func reload(ctx context.Context, path string, changed func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	last := stamp(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			last = stamp(path)
+			changed()
+		case <-ticker.C:
+			if now := stamp(path); now != last {
+				last = now
+				changed()
+			}
+		}
+	}
+}
+
+// fileStamp tells two states of a file apart.
+type fileStamp struct {
+	at   time.Time
+	size int64
+}
+
+func stamp(path string) fileStamp {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileStamp{}
+	}
+	return fileStamp{at: info.ModTime(), size: info.Size()}
 }
--- a/cmd/croftvaled/main.go
+++ b/cmd/croftvaled/main.go
@@ -46,6 +46,8 @@
 }
 
 func main() {
+	// A hang-up that comes before the settings are read must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	var c cli
 	parser := kong.Must(&c,
 		kong.Name("croftvaled"),
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -90,6 +90,8 @@
 	switch msg := msg.(type) {
 	case ConfigMsg:
 		m.configure(msg)
+	case BudgetMsg:
+		m.options.Budget = msg.Budget
 	case ServersMsg:
 		m.list(msg)
 	case ArriveMsg:
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -57,6 +57,9 @@
 	Config Config
 }
 
+// BudgetMsg changes the budget for retries.
+type BudgetMsg struct{ Budget BudgetOptions }
+
 // ServersMsg brings a newer list of servers.
 type ServersMsg struct {
 	Now       time.Duration
@@ -112,6 +115,7 @@
 const TickEvery = 25 * time.Millisecond
 
 func (ConfigMsg) isMsg()  {}
+func (BudgetMsg) isMsg()  {}
 func (ServersMsg) isMsg() {}
 func (ArriveMsg) isMsg()  {}
 func (FirstMsg) isMsg()   {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,12 +45,14 @@
 	puller   *puller
 	admin    *admin.Server
 	server   *http.Server
+	grace    atomic.Int64 // nanoseconds; changes with the settings
 }
 
 // New returns a gateway that logs to out.
 func New(s Settings, source Source, dialect Dialect, out io.Writer) (*Gateway, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g := &Gateway{settings: s, source: source, dialect: dialect, journal: newJournal(out, s.Name)}
+	g.grace.Store(int64(s.Grace))
 	g.core = newCore(direct.Options{Zone: s.Zone, Budget: s.Budget}, g.journal.belief)
 	g.state = &state{core: g.core, journal: g.journal}
 	conn, port, err := listenPeers(s)
@@ -199,7 +202,7 @@
 	began := time.Now()
 	g.front.draining.Store(true)
 	g.journal.event("drain").Int64("active", g.front.active.Load()).Msg("")
-	grace := g.settings.Grace
+	grace := time.Duration(g.grace.Load())
 	if grace <= 0 {
 		grace = defaultGrace
 	}
@@ -218,3 +221,24 @@
 func (g *Gateway) Unreadable(kind, name string, revision uint64, err error) {
 	g.journal.event("object_unreadable").Str("kind", kind).Str("name", name).Uint64("revision", revision).Err(err).Msg("")
 }
+
+// Reload puts changed settings in force. What a process has opened stays open
+// until its end; a changed address of its own is logged.
+func (g *Gateway) Reload(s Settings) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	g.grace.Store(int64(s.Grace))
+	g.core.update(direct.BudgetMsg{Budget: s.Budget})
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			g.peers.add(host)
+		}
+	}
+	moved := s.Front != g.settings.Front || s.Ready != g.settings.Ready || s.Control != g.settings.Control
+	g.journal.event("reload").Bool("restart_needed", moved).Msg("")
+}
+
+// ReloadFailed logs settings that cannot be read; the last good ones stay in
+// force.
+func (g *Gateway) ReloadFailed(err error) {
+	g.journal.event("reload_failed").Err(err).Msg("")
+}
