Shed by own lag, bound callers' connections, ask the store less often

Change: lag is measured behind all runnable goroutines; requests are shed at the door by it, and what a late router sees of servers is not held against them; callers' connections are bounded, answers close theirs in a crowd, what is at rest too long is closed without passing on what crosses; beats are rarer among many routers; three routers ask the store each second, the others each 4 s; the first event is told once an attempt instead of at each event. Open: the router's processor time per event.

--- a/direct/ending.go
+++ b/direct/ending.go
@@ -19,7 +19,9 @@
 	s := r.at
 	r.at = nil
 	s.release(r)
-	m.judge(msg.Now, p, s, msg.Outcome)
+	if !msg.Slow || msg.Outcome == Done {
+		m.judge(msg.Now, p, s, msg.Outcome)
+	}
 	if msg.Retry {
 		m.again(msg.Now, p, r, msg.Outcome)
 	} else {
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -85,6 +85,7 @@
 	ID      RequestID
 	Outcome Outcome
 	Retry   bool
+	Slow    bool // the router itself was late; a silence says nothing of the server
 }
 
 // LeaveMsg says that a waiting request is no longer wanted.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,6 +35,8 @@
 	cmd  direct.SendCmd
 	conn *backend.Conn
 	stop func() bool // ends the watch on the caller
+	// begun says that the first event of a stream has been passed on.
+	begun bool
 }
 
 // run sends the request and passes the answer on. It returns how the attempt
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	next    direct.RequestID
 	start   time.Time
 	belief  func(direct.BeliefCmd)
+	// pressure tells how late this process runs.
+	pressure pressure
 }
 
 func newCore(o direct.Options, belief func(direct.BeliefCmd)) *core {
@@ -103,11 +106,19 @@
 func (c *core) tick(ctx context.Context) error {
 	ticker := time.NewTicker(direct.TickEvery)
 	defer ticker.Stop()
+	last := c.now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			now := c.now()
+			late := now - last - direct.TickEvery
+			last = now
+			// A timer's goroutine runs first. How long it takes to run again
+			// behind all others tells how long requests wait.
+			runtime.Gosched()
+			c.pressure.note(max(late, c.now()-now))
 			c.update(direct.TickMsg{Now: c.now()})
 		}
 	}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -36,6 +36,8 @@
 
 // Dialect translates the headers of a deployment.
 type Dialect interface {
+	// ID returns the caller's name for its attempt.
+	ID(h http.Header) string
 	// Envelope reads a caller's headers. An error is the caller's fault.
 	Envelope(h http.Header) (Envelope, error)
 	// Outbound returns the headers to send to a server, without those of the
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -95,7 +95,9 @@
 		x.last = cmd
 		a := attempt{x: x, cmd: cmd}
 		outcome, ended := a.run()
-		x.front.core.update(direct.EndMsg{Now: x.front.core.now(), ID: x.id, Outcome: outcome, Retry: !ended})
+		x.front.core.update(direct.EndMsg{
+			Now: x.front.core.now(), ID: x.id, Outcome: outcome, Retry: !ended, Slow: x.front.core.pressure.slow(),
+		})
 		x.front.stats.attempt(outcome)
 		if ended {
 			return true
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -36,12 +36,16 @@
 	draining atomic.Bool  // answers close their connections
 	refusing atomic.Bool  // new requests are refused
 	active   atomic.Int64
+	callers  *callers
 }
 
 // ServeHTTP takes one request to its final answer.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
+	if f.callers.lost(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	start := f.core.now()
 	table := f.state.table.Load()
 	switch {
@@ -52,6 +56,10 @@
 		f.turnAway(w, r, http.StatusServiceUnavailable, "no_config", noConfigAfter)
 		return
 	}
+	if id := f.dialect.ID(r.Header); f.core.pressure.sheds(id) {
+		f.turnAway(w, r, http.StatusServiceUnavailable, "pressure", shedAfter)
+		return
+	}
 	x, status, reason := f.admit(w, r, table, start)
 	if x == nil {
 		f.turnAway(w, r, status, reason, noConfigAfter)
@@ -148,9 +156,9 @@
 }
 
 // closing asks callers to open new connections elsewhere while this router
-// ends.
+// ends, or holds too many of them.
 func (f *front) closing(w http.ResponseWriter) {
-	if f.draining.Load() {
+	if f.draining.Load() || f.callers.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/croftvale/croftvale/admin"
 	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
+	"golang.org/x/net/netutil"
 )
 
 const (
@@ -21,6 +23,7 @@
 	silentPeer   = 1200 * time.Millisecond
 	maxIdle      = 64
 	sweepEvery   = time.Second
+	vitalsEvery  = 2 * time.Second
 	headerLimit  = 32 << 10
 	headerWait   = 5 * time.Second
 	idleWait     = 120 * time.Second
@@ -30,6 +33,9 @@
 	lastMoment   = 300 * time.Millisecond // before the end of the grace
 	drainPoll    = 20 * time.Millisecond
 	defaultGrace = 8 * time.Second
+	// spareDescriptors are left for files, peers and the source.
+	spareDescriptors = 400
+	defaultCallers   = 1000
 )
 
 // Gateway is one router.
@@ -68,10 +74,11 @@
 	g.front = &front{
 		core: g.core, state: g.state, dialect: dialect, journal: g.journal, stats: newStats(g.admin.Scope()),
 		pool: backend.NewPool(backend.Options{DialTimeout: dialTimeout, SilentPeer: silentPeer, MaxIdle: maxIdle}),
-		most: s.MemoryBytes / bodiesShare,
+		most: s.MemoryBytes / bodiesShare, callers: newCallers(callersMost(s.Descriptors)),
 	}
 	g.server = &http.Server{
 		Handler: g.front, MaxHeaderBytes: headerLimit, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait,
+		ConnState: g.front.callers.state, ConnContext: g.front.callers.context,
 	}
 	return g, nil
 }
@@ -124,6 +131,9 @@
 	}
 	for _, s := range servers {
 		ln, err := net.Listen("tcp", s.address)
+		if err == nil && s.server == g.server {
+			ln = netutil.LimitListener(ln, g.front.callers.most)
+		}
 		if err != nil {
 			return errors.Wrapf(err, "settings: the %s address %q: choose one of this host that is not in use", s.key, s.address)
 		}
@@ -144,13 +154,22 @@
 	return nil
 }
 
+// callersMost is how many connections of callers are held at once: two thirds
+// of the descriptors, since those that wait for a server need one more.
+func callersMost(descriptors int) int {
+	if descriptors <= 0 {
+		return defaultCallers
+	}
+	return max((descriptors-spareDescriptors)*2/3, 1)
+}
+
 // duties starts what goes on beside the requests.
 func (g *Gateway) duties(life context.Context) {
 	self := Member{Name: g.settings.Name, Address: g.settings.Address}
 	for _, duty := range []func(context.Context) error{
 		g.core.tick,
-		followConfig(g.source, g.state).run,
-		followServers(g.source, g.state).run,
+		followConfig(g.source, g.state, g.peers.watches).run,
+		followServers(g.source, g.state, g.peers.watches).run,
 		func(ctx context.Context) error {
 			return followMembers(ctx, g.source, self, func(m Member) { g.peers.add(m.Address) })
 		},
@@ -158,6 +177,7 @@
 		g.peers.receive,
 		g.puller.run,
 		g.sweep,
+		g.vitals,
 	} {
 		go func() { _ = duty(life) }()
 	}
@@ -173,11 +193,36 @@
 				wanted[s.Address] = true
 			}
 		}
+		g.front.callers.sweep(g.restTime())
 		g.front.pool.Sweep(func(address string) bool { return wanted[address] })
 	}
 	return nil
 }
 
+// restTime is how long a caller's connection may be at rest: somewhat longer
+// than callers are told, since they may resume one until then.
+func (g *Gateway) restTime() time.Duration {
+	t := g.state.table.Load()
+	if t == nil {
+		return idleWait
+	}
+	return t.Config.Limits.IdleTimeout * 5 / 4
+}
+
+// vitals logs how the process itself does, every few seconds.
+func (g *Gateway) vitals(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, vitalsEvery)
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		g.journal.event("vitals").Int64("active", g.front.active.Load()).Int64("body_bytes", g.front.bodies.Load()).
+			Dur("lag", time.Duration(g.core.pressure.lag.Load())).Int("goroutines", runtime.NumGoroutine()).
+			Uint64("heap_bytes", m.HeapInuse).Uint64("stack_bytes", m.StackInuse).Uint32("collections", m.NumGC).
+			Uint64("lines_dropped", g.journal.dropped.Load()).Msg("")
+	}
+	return nil
+}
+
 // ready tells why the router takes no callers, or nil.
 func (g *Gateway) ready() error {
 	switch {
--- a/gateway/journal.go
+++ b/gateway/journal.go
@@ -153,10 +153,6 @@
 		return
 	}
 	config, _ := f.state.versions()
-	id := ""
-	if envelope, err := f.dialect.Envelope(r.Header); err == nil {
-		id = envelope.ID
-	}
-	j.event("request_turned_away").Str("request", id).Str("host", r.Host).Str("path", pathOf(r.RequestURI)).
+	j.event("request_turned_away").Str("request", f.dialect.ID(r.Header)).Str("host", r.Host).Str("path", pathOf(r.RequestURI)).
 		Int("status", status).Str("reason", reason).Uint64("config", config).Msg("")
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,12 +13,14 @@
 )
 
 const (
-	beatEvery   = 100 * time.Millisecond
-	beatFanout  = 16          // peers that one beat goes to
-	peerLive    = time.Second // without a beat a peer counts as away
+	beatEvery   = 100 * time.Millisecond // at the least
+	beatsHeard  = 40                     // a second, that a router should hear
+	beatFanout  = 24                     // peers that one beat goes to
+	beatMembers = 16                     // peers named in one beat
+	peerLive    = time.Second            // without a beat a peer counts as away
+	liveBeats   = 5                      // beats that may be missed, where they are rarer
 	peerForget  = 60 * time.Second
 	datagram    = 60 << 10
-	beatMembers = 16 // peers named in one beat
 )
 
 // beat is what a router tells the others, several times a second.
@@ -103,9 +105,25 @@
 		case <-p.poke:
 		}
 		p.beat()
+		ticker.Reset(p.every())
 	}
 }
 
+// every is the time between two beats: the more routers there are, the rarer.
+func (p *peers) every() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	targets := min(len(p.known), beatFanout)
+	return max(beatEvery, time.Duration(targets)*time.Second/beatsHeard)
+}
+
+// live is how long a peer counts as there without a beat.
+func (p *peers) live() time.Duration {
+	rounds := max((len(p.known)+beatFanout-1)/beatFanout, 1)
+	each := max(beatEvery, time.Duration(min(len(p.known), beatFanout))*time.Second/beatsHeard)
+	return max(peerLive, time.Duration(rounds*liveBeats)*each)
+}
+
 func (p *peers) beat() {
 	report := p.core.report()
 	config, servers := p.state.versions()
@@ -132,10 +150,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.core.now()
-	live := 1
+	live, lasts := 1, p.live()
 	for address, peer := range p.known {
 		age := now - max(peer.heard, peer.added)
-		if peer.heard > 0 && age < peerLive {
+		if peer.heard > 0 && age < lasts {
 			live++
 		} else if peer.live {
 			peer.live = false
@@ -151,9 +169,8 @@
 		}
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	rounds := max((len(targets)+beatFanout-1)/beatFanout, 1)
 	targets = targets[:min(len(targets), beatFanout)]
-	p.core.update(direct.PeersMsg{Now: now, Routers: max(live, p.seeds), Hold: time.Duration(rounds) * peerLive})
+	p.core.update(direct.PeersMsg{Now: now, Routers: max(live, p.seeds), Hold: lasts})
 	return targets, members
 }
 
@@ -205,6 +222,20 @@
 	}
 }
 
+// watches tells whether this router is one of the few that ask the source
+// often: the others learn of changes from them, and ask rarely.
+func (p *peers) watches() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := 0
+	for address, peer := range p.known {
+		if peer.live && address < p.self {
+			before++
+		}
+	}
+	return before < frequentWatchers
+}
+
 // ahead returns the live peers that know something newer.
 func (p *peers) ahead() (config, servers []string) {
 	p.mu.Lock()
@@ -212,7 +243,7 @@
 	ownConfig, ownServers := p.state.versions()
 	now := p.core.now()
 	for address, peer := range p.known {
-		if peer.heard == 0 || now-peer.heard > peerLive {
+		if peer.heard == 0 || now-peer.heard > p.live() {
 			continue
 		}
 		if peer.config > ownConfig {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -98,7 +98,10 @@
 		a.x.w.WriteHeader(answer.StatusCode)
 		a.x.headSent = true
 	}
-	a.first()
+	if !a.begun {
+		a.begun = true
+		a.first()
+	}
 	if _, err := a.x.w.Write(event.raw); err != nil {
 		return err
 	}
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -13,12 +13,15 @@
 )
 
 const (
-	watchWait   = time.Second
-	watchSlack  = 700 * time.Millisecond // over watchWait, then the call is given up
-	readTimeout = 1500 * time.Millisecond
-	retryFirst  = 100 * time.Millisecond
-	retryMost   = time.Second
-	membersEach = 6 * time.Second
+	watchWait = time.Second     // of the few routers that ask often
+	watchLong = 4 * time.Second // of the others
+	// frequentWatchers is how many routers ask often.
+	frequentWatchers = 3
+	watchSlack       = 700 * time.Millisecond // over watchWait, then the call is given up
+	readTimeout      = 1500 * time.Millisecond
+	retryFirst       = 100 * time.Millisecond
+	retryMost        = time.Second
+	membersEach      = 6 * time.Second
 )
 
 // follower keeps one kind of thing up to date from the source.
@@ -28,7 +31,9 @@
 	lost    bool
 	// read takes everything; watch what changed since a revision.
 	read  func(ctx context.Context) (uint64, error)
-	watch func(ctx context.Context, since uint64) (uint64, error)
+	watch func(ctx context.Context, since uint64, wait time.Duration) (uint64, error)
+	// often tells whether this router is one of those that ask often.
+	often func() bool
 }
 
 // run reads, then watches, until ctx ends. Every failure leads back to reading.
@@ -40,7 +45,11 @@
 	for ctx.Err() == nil {
 		var err error
 		if known {
-			since, err = f.bounded(ctx, watchWait+watchSlack, func(c context.Context) (uint64, error) { return f.watch(c, since) })
+			wait := watchLong
+			if f.often() {
+				wait = watchWait
+			}
+			since, err = f.bounded(ctx, wait+watchSlack, func(c context.Context) (uint64, error) { return f.watch(c, since, wait) })
 		} else {
 			since, err = f.bounded(ctx, readTimeout, f.read)
 		}
@@ -81,9 +90,9 @@
 }
 
 // followConfig returns the follower of the configuration.
-func followConfig(source Source, s *state) *follower {
+func followConfig(source Source, s *state, often func() bool) *follower {
 	return &follower{
-		name: "source of configuration", journal: s.journal,
+		name: "source of configuration", journal: s.journal, often: often,
 		read: func(ctx context.Context) (uint64, error) {
 			c, at, err := source.ReadConfig(ctx)
 			if err == nil {
@@ -91,8 +100,8 @@
 			}
 			return at, err
 		},
-		watch: func(ctx context.Context, since uint64) (uint64, error) {
-			c, at, err := source.WatchConfig(ctx, since, watchWait)
+		watch: func(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
+			c, at, err := source.WatchConfig(ctx, since, wait)
 			if err == nil {
 				s.offerConfig(c, "source")
 			}
@@ -107,10 +116,10 @@
 }
 
 // followServers returns the follower of the list of servers.
-func followServers(source Source, s *state) *follower {
+func followServers(source Source, s *state, often func() bool) *follower {
 	list := &serverList{}
 	return &follower{
-		name: "source of servers", journal: s.journal,
+		name: "source of servers", journal: s.journal, often: often,
 		read: func(ctx context.Context) (uint64, error) {
 			servers, at, err := source.ReadServers(ctx)
 			if err != nil {
@@ -123,8 +132,8 @@
 			s.offerServers(list.directory(at), "source")
 			return at, nil
 		},
-		watch: func(ctx context.Context, since uint64) (uint64, error) {
-			changes, at, err := source.WatchServers(ctx, since, watchWait)
+		watch: func(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
+			changes, at, err := source.WatchServers(ctx, since, wait)
 			if err != nil {
 				return 0, err
 			}
