--- a/cmd/croftvaled/gateway.go
+++ b/cmd/croftvaled/gateway.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewStore(s.Store)
+	store := platform.NewStore(s.Store, s.Gateway.Name)
 	g, err := gateway.New(s.Gateway, store, platform.Headers{}, os.Stdout)
 	if err != nil {
 		return err
--- a/gateway/journal.go
+++ b/gateway/journal.go
@@ -28,7 +28,8 @@
 	dropped  atomic.Uint64
 	failures *rate.Limiter
 	beliefs  *rate.Limiter
-	done     chan struct{}
+	end      chan struct{} // closed to have what is left written
+	done     chan struct{} // closed when it is
 }
 
 func newJournal(out io.Writer, process string) *journal {
@@ -36,6 +37,7 @@
 		lines:    make(chan []byte, journalLines),
 		failures: rate.NewLimiter(failureLines, failureLines),
 		beliefs:  rate.NewLimiter(beliefLines, 4*beliefLines),
+		end:      make(chan struct{}),
 		done:     make(chan struct{}),
 	}
 	j.logger = log.Logger{
@@ -60,17 +62,25 @@
 
 func (j *journal) write(out io.Writer) {
 	defer close(j.done)
-	for line := range j.lines {
-		_, _ = out.Write(line)
+	for {
+		select {
+		case line := <-j.lines:
+			_, _ = out.Write(line)
+		case <-j.end:
+			for len(j.lines) > 0 {
+				_, _ = out.Write(<-j.lines)
+			}
+			return
+		}
 	}
 }
 
-// close writes what is left. Nothing may be logged after it.
+// close writes what is left. What is logged after it is not written.
 func (j *journal) close() {
 	if n := j.dropped.Load(); n > 0 {
 		j.logger.Warn().Str("event", "log_dropped").Uint64("lines", n).Msg("")
 	}
-	close(j.lines)
+	close(j.end)
 	<-j.done
 }
 
