Share by whole prompts, give room above shares while engines idle, evenly

Change: tokens of whole prompts; what all may have grows up to four times while engines are seen idle and shrinks when busy; above the share no team gets more than 1.2 times the least of those that want more. Beats 100 a second heard; callers' connections are closed at rest only beyond the time they are resumed in.

--- a/admin/server.go
+++ b/admin/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,6 +48,8 @@
 	s.mux.HandleFunc("GET /healthz", s.health)
 	s.mux.HandleFunc("GET /readyz", s.ready)
 	s.mux.HandleFunc("GET /state", s.state)
+	s.mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	s.mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return s
 }
 
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -32,6 +32,9 @@
 	runs     map[RequestID]*run
 	teams    map[string]*teamUse
 	level    float64 // most that a team may get, tokens a second
+	even     float64 // what a team may get above its share while others get less
+	room     float64 // what teams may have together, in parts of what is configured
+	sharedAt time.Duration
 	holders  holders
 	peers    map[string]peerReport
 	routers  int
@@ -57,6 +60,7 @@
 	ahead     int // tokens to be read up to its first event, when it was sent
 	begun     bool
 	over      float64 // what its team gets, in shares
+	above     bool    // its team gets more than others that want more too
 	served    float64 // rate of its team, for the order of the line
 }
 
@@ -184,9 +188,10 @@
 // rate sets where a request's team stands.
 func (m *Machine) rate(now time.Duration, p *pool, r *run) {
 	r.served = m.team(r.Team).servedRate(now)
-	r.over = 0
+	r.over, r.above = 0, false
 	if p.engine != nil && m.level > 0 {
 		r.over = r.served / m.level
+		r.above = r.served > m.even
 	}
 }
 
@@ -204,7 +209,7 @@
 	}
 	s.running++
 	if p.engine != nil {
-		r.pending = r.PromptTokens + c.miss
+		r.pending = r.ownTokens() + c.miss
 		r.ahead = s.allPending() + r.pending
 		s.pending += r.pending
 	}
@@ -270,22 +275,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// share sets how much a team may have while capacity is short.
-func (m *Machine) share(now time.Duration) {
-	demands := make([]float64, 0, len(m.teams))
-	served := 0.0
-	for _, t := range m.teams {
-		served += t.servedRate(now)
-		if d := t.offeredRate(now); d > activeRate {
-			demands = append(demands, d)
-		}
-	}
-	for _, p := range m.pools {
-		p.setKeeps(served)
-	}
-	m.level = 0
-	if m.limits.TokensPerSecond > 0 {
-		m.level = waterLevel(demands, m.limits.TokensPerSecond)
-	}
-}
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -22,9 +22,18 @@
 	Priority     int
 	Objective    time.Duration
 	Deadline     time.Duration // when the caller or the route gives it up
-	PromptTokens int
-	OutputTokens int    // expected
-	Parts        []Part // of the prompt, in order; the last is the request's own
+	PromptTokens int           // of the whole prompt
+	OutputTokens int           // expected
+	Parts        []Part        // of the prompt, in order; the last is the request's own
+}
+
+// ownTokens counts the tokens of the prompt that no other request shares.
+func (r *Request) ownTokens() int {
+	n := r.PromptTokens
+	for i := 0; i+1 < len(r.Parts); i++ {
+		n -= r.Parts[i].Tokens
+	}
+	return max(n, 0)
 }
 
 // Outcome says how an attempt at a server ended.
--- a/direct/place.go
+++ b/direct/place.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,8 +16,12 @@
 	// A team above its share gets only what the others leave: servers with at
 	// most this part of their slots taken, and next to no backlog, both less
 	// the further the team is above.
-	overSlots = 0.5
+	overSlots = 0.55
 	overWait  = 0.1
+	overPower = 2
+	// aboveSlots is the part of its slots that a server may have taken when it
+	// serves a team above others that want more too.
+	aboveSlots = 0.1
 
 	// The costs of a choice, in milliseconds.
 	lateCost = 200.0 // for being late for certain
@@ -144,7 +149,7 @@
 		miss = m.missing(now, p, s, r)
 	}
 	wait := float64(s.allPending()) / perMS
-	own := float64(r.PromptTokens+miss) / perMS
+	own := float64(r.ownTokens()+miss) / perMS
 	first := float64(firstEventBase/time.Millisecond) + wait + own
 	objective := float64(r.Objective) / float64(time.Millisecond)
 	if !fits(s, r, first/objective, wait/objective) {
@@ -165,8 +170,10 @@
 	switch {
 	case r.attempt > 0:
 		return first <= 1 || wait <= 1
+	case r.above:
+		return s.allPending() == 0 && float64(s.allRunning()) < aboveSlots*float64(s.Slots)
 	case r.over > 1:
-		less := r.over * r.over
+		less := math.Pow(r.over, overPower)
 		return float64(s.allRunning()) < overSlots*float64(s.Slots)/less && wait <= overWait/less
 	}
 	return first <= fitWithin || wait <= waitWithin
--- /dev/null
+++ b/direct/share.go
@@ -0,0 +1,94 @@
+package direct
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shareEvery is how often shares are worked out.
+	shareEvery = 100 * time.Millisecond
+	// busySlots is the part of the slots, and busyWait the backlog, at which
+	// engines count as busy.
+	busySlots = 0.55
+	busyWait  = 80 * time.Millisecond
+	// roomGrows and roomShrinks change the room that teams get above their
+	// shares while engines are idle, or busy; roomMost bounds it.
+	roomGrows   = 1.03
+	roomShrinks = 0.9
+	roomMost    = 4.0
+	roomFrom    = 0.8 // of busy: below, the room grows
+	// wantsFrom is the demand, in shares, from which a team wants more than
+	// its share; evenWithin is how far such teams may be apart.
+	wantsFrom  = 1.1
+	evenWithin = 1.2
+)
+
+// share works out how much a team may have. What all teams may have together is
+// what the configuration says that engines produce, and more of it while the
+// engines are seen to have room.
+func (m *Machine) share(now time.Duration) {
+	if now < m.sharedAt+shareEvery {
+		return
+	}
+	m.sharedAt = now
+	demands := make([]float64, 0, len(m.teams))
+	served := 0.0
+	for _, t := range m.teams {
+		served += t.servedRate(now)
+		if d := t.offeredRate(now); d > activeRate {
+			demands = append(demands, d)
+		}
+	}
+	busy := 0.0
+	for _, p := range m.pools {
+		p.setKeeps(served)
+		busy = max(busy, p.busy(now))
+	}
+	switch {
+	case busy > 1:
+		m.room = max(m.room*roomShrinks, 1)
+	case busy < roomFrom:
+		m.room = min(max(m.room, 1)*roomGrows, roomMost)
+	}
+	m.level = 0
+	if m.limits.TokensPerSecond > 0 {
+		m.level = waterLevel(demands, m.limits.TokensPerSecond*max(m.room, 1))
+	}
+	m.even = m.evenLevel(now)
+}
+
+// evenLevel returns what a team may get beyond its share as long as another
+// team that wants more than its share gets less: the least that those get.
+func (m *Machine) evenLevel(now time.Duration) float64 {
+	least := math.Inf(1)
+	for _, t := range m.teams {
+		if t.offeredRate(now) > wantsFrom*m.level {
+			least = min(least, t.servedRate(now))
+		}
+	}
+	return evenWithin * max(least, m.level)
+}
+
+// busy tells how much the engines of a pool have to do; above 1 they are busy.
+func (p *pool) busy(now time.Duration) float64 {
+	if p.engine == nil {
+		return 0
+	}
+	running, slots, wait, n := 0, 0, 0.0, 0
+	for _, s := range p.order {
+		if !s.usable(now) {
+			continue
+		}
+		running += s.allRunning()
+		slots += s.Slots
+		wait += float64(s.allPending()) / p.rateOf(s)
+		n++
+	}
+	if n == 0 || slots == 0 {
+		return 0
+	}
+	bySlots := float64(running) / float64(slots) / busySlots
+	byWait := wait / float64(n) / float64(busyWait/time.Millisecond)
+	return max(bySlots, byWait)
+}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -10,11 +10,8 @@
 
 const (
 	// crowdedPart is the part of the connections that may be held from which
-	// answers close theirs, and those at rest are closed sooner.
+	// answers close theirs.
 	crowdedPart = 0.6
-	// restLeast is how long a connection must have been at rest to be closed
-	// in a crowd.
-	restLeast = 3 * time.Second
 )
 
 // callerConn is one connection of a caller.
@@ -83,12 +80,10 @@
 	return float64(len(c.open)) > crowdedPart*float64(c.most)
 }
 
-// sweep closes connections that have been at rest longer than rest, or in a
-// crowd longer than restLeast.
+// sweep closes connections that have been at rest longer than rest. It must be
+// longer than callers resume them: a request that comes as its connection is
+// closed is lost to a caller whose bytes a late router has not read yet.
 func (c *callers) sweep(rest time.Duration) {
-	if c.crowded() {
-		rest = restLeast
-	}
 	if rest <= 0 {
 		return
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -45,22 +45,12 @@
 		Priority:     x.priority,
 		Objective:    x.route.Objective,
 		Deadline:     x.deadline,
-		PromptTokens: x.envelope.PromptTokens - sharedTokens(x.envelope.Parts),
+		PromptTokens: x.envelope.PromptTokens,
 		OutputTokens: x.envelope.OutputTokens,
 		Parts:        x.envelope.Parts,
 	}
 }
 
-// sharedTokens counts the tokens of the parts that other requests may share:
-// all but the last.
-func sharedTokens(parts []direct.Part) int {
-	n := 0
-	for i := 0; i+1 < len(parts); i++ {
-		n += parts[i].Tokens
-	}
-	return n
-}
-
 // run takes the request to its final answer.
 func (x *exchange) run() {
 	core := x.front.core
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -14,7 +14,7 @@
 
 const (
 	beatEvery   = 100 * time.Millisecond // at the least
-	beatsHeard  = 40                     // a second, that a router should hear
+	beatsHeard  = 100                    // a second, that a router should hear
 	beatFanout  = 24                     // peers that one beat goes to
 	beatMembers = 16                     // peers named in one beat
 	peerLive    = time.Second            // without a beat a peer counts as away
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -48,7 +48,7 @@
 			a.conn.Close()
 			return a.broken(direct.Broken)
 		}
-		if a.pass(answer, event) != nil {
+		if a.pass(answer, event, !events.another()) != nil {
 			a.conn.Close()
 			a.x.finish("caller_left", http.StatusOK, "")
 			return direct.GivenUp, true
@@ -90,8 +90,9 @@
 	return true
 }
 
-// pass writes one event, with the head before the first.
-func (a *attempt) pass(answer *http.Response, event event) error {
+// pass writes one event, with the head before the first. Events that came
+// together leave together: only the last is flushed.
+func (a *attempt) pass(answer *http.Response, event event, flush bool) error {
 	if !a.x.headSent {
 		copyHeader(a.x.w.Header(), answer.Header)
 		a.x.front.closing(a.x.w)
@@ -105,6 +106,9 @@
 	if _, err := a.x.w.Write(event.raw); err != nil {
 		return err
 	}
+	if !flush {
+		return nil
+	}
 	return a.x.front.flush(a.x.w)
 }
 
@@ -144,7 +148,16 @@
 	buffer []byte
 }
 
-var idField = []byte("id:")
+var (
+	idField  = []byte("id:")
+	eventEnd = []byte("\n\n")
+)
+
+// another tells whether one more whole event can be read without waiting.
+func (e *eventReader) another() bool {
+	buffered, err := e.reader.Peek(e.reader.Buffered())
+	return err == nil && bytes.Contains(buffered, eventEnd)
+}
 
 // next returns the next whole event, valid until the next call. io.EOF says
 // that the stream ended between two events.
