Even out what teams get without exceptions; refund what never began; log shares

Change: what never began is taken off; above its share no team gets more than 1.5 times the least of others that want more, and 0.7 of its share at the least.

--- a/direct/commands.go
+++ b/direct/commands.go
@@ -20,6 +20,7 @@
 	Miss     int           // tokens of shared parts that the server must read again
 	Estimate time.Duration // expected time to the first event
 	Waited   time.Duration // in the line
+	Share    float64       // what the team gets, in parts of its share
 }
 
 // RefuseCmd ends a request that has not run.
@@ -27,6 +28,7 @@
 	ID     RequestID
 	Reason Reason
 	After  time.Duration // when to come back
+	Share  float64       // what the team gets, in parts of its share
 }
 
 // FailCmd ends a request whose last attempt may have run.
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -19,6 +19,7 @@
 	s := r.at
 	r.at = nil
 	s.release(r)
+	m.refund(msg.Now, r)
 	if !msg.Slow || msg.Outcome == Done {
 		m.judge(msg.Now, p, s, msg.Outcome)
 	}
@@ -110,7 +111,7 @@
 		m.emit(FailCmd{ID: r.ID, Reason: reason})
 		return
 	}
-	m.emit(RefuseCmd{ID: r.ID, Reason: reason, After: m.comeBack(now, p, r, reason)})
+	m.emit(RefuseCmd{ID: r.ID, Reason: reason, After: m.comeBack(now, p, r, reason), Share: r.over})
 }
 
 // comeBack says when a refused request would find room: when the servers have
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -59,6 +59,7 @@
 	pending   int // tokens that the server has yet to read for it
 	ahead     int // tokens to be read up to its first event, when it was sent
 	begun     bool
+	charged   bool    // counted for its team
 	over      float64 // what its team gets, in shares
 	above     bool    // its team gets more than others that want more too
 	served    float64 // rate of its team, for the order of the line
@@ -202,10 +203,9 @@
 	r.sentAt = now
 	r.attempt++
 	r.tried = append(r.tried, s.ID)
-	r.begun = false
 	basis := Basis{
 		Running: s.allRunning(), Pending: s.allPending(), Miss: c.miss,
-		Estimate: c.estimate, Waited: now - r.arrivedAt,
+		Estimate: c.estimate, Waited: now - r.arrivedAt, Share: r.over,
 	}
 	s.running++
 	if p.engine != nil {
@@ -213,15 +213,29 @@
 		r.ahead = s.allPending() + r.pending
 		s.pending += r.pending
 	}
-	if r.attempt == 1 {
-		m.team(r.Team).served.add(now, tokenCost(r.PromptTokens, r.OutputTokens))
-	}
+	m.charge(now, r)
 	for i := 0; i+1 < len(r.Parts); i++ {
 		m.holders.note(now, r.Parts[i].ID, s.ID)
 	}
 	m.emit(SendCmd{ID: r.ID, Server: s.Server, Attempt: r.attempt, Basis: basis})
 }
 
+// charge counts a request for its team when it is sent, so that those sent at
+// one moment count at once; refund takes it off where it never began.
+func (m *Machine) charge(now time.Duration, r *run) {
+	if !r.charged {
+		r.charged = true
+		m.team(r.Team).served.add(now, tokenCost(r.PromptTokens, r.OutputTokens))
+	}
+}
+
+func (m *Machine) refund(now time.Duration, r *run) {
+	if r.charged && !r.begun {
+		r.charged = false
+		m.team(r.Team).served.take(now, tokenCost(r.PromptTokens, r.OutputTokens), now-r.sentAt)
+	}
+}
+
 // first takes in that an attempt's first event came.
 func (m *Machine) first(msg FirstMsg) {
 	r := m.runs[msg.ID]
--- a/direct/place.go
+++ b/direct/place.go
@@ -19,9 +19,6 @@
 	overSlots = 0.55
 	overWait  = 0.1
 	overPower = 2
-	// aboveSlots is the part of its slots that a server may have taken when it
-	// serves a team above others that want more too.
-	aboveSlots = 0.1
 
 	// The costs of a choice, in milliseconds.
 	lateCost = 200.0 // for being late for certain
@@ -171,7 +168,7 @@
 	case r.attempt > 0:
 		return first <= 1 || wait <= 1
 	case r.above:
-		return s.allPending() == 0 && float64(s.allRunning()) < aboveSlots*float64(s.Slots)
+		return false
 	case r.over > 1:
 		less := math.Pow(r.over, overPower)
 		return float64(s.allRunning()) < overSlots*float64(s.Slots)/less && wait <= overWait/less
--- a/direct/share.go
+++ b/direct/share.go
@@ -18,10 +18,13 @@
 	roomShrinks = 0.9
 	roomMost    = 4.0
 	roomFrom    = 0.8 // of busy: below, the room grows
+	// leastEven is the part of its share that a team is held to at the least,
+	// however little another one gets.
+	leastEven = 0.7
 	// wantsFrom is the demand, in shares, from which a team wants more than
 	// its share; evenWithin is how far such teams may be apart.
 	wantsFrom  = 1.1
-	evenWithin = 1.2
+	evenWithin = 1.5
 )
 
 // share works out how much a team may have. What all teams may have together is
@@ -67,7 +70,7 @@
 			least = min(least, t.servedRate(now))
 		}
 	}
-	return evenWithin * max(least, m.level)
+	return evenWithin * max(least, leastEven*m.level)
 }
 
 // busy tells how much the engines of a pool have to do; above 1 they are busy.
--- a/direct/usage.go
+++ b/direct/usage.go
@@ -28,6 +28,12 @@
 	r.value += tokens / useWindow.Seconds()
 }
 
+// take takes off tokens that were added some time ago.
+func (r *rate) take(now time.Duration, tokens float64, ago time.Duration) {
+	left := tokens * math.Exp(-float64(ago)/float64(useWindow))
+	r.value = max(r.decay(now)-left/useWindow.Seconds(), 0)
+}
+
 // teamUse is what a router knows of a team's tokens.
 type teamUse struct {
 	offered rate
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -94,6 +94,7 @@
 		}
 		x.front.journal.retry(x, outcome)
 	case direct.RefuseCmd:
+		x.last.Basis.Share = cmd.Share
 		x.refuse(string(cmd.Reason), cmd.After)
 		return true
 	case direct.FailCmd:
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -10,6 +10,9 @@
 	"github.com/croftvale/croftvale/direct"
 )
 
+// reasonPressure says that the router had no processor time for a request.
+const reasonPressure = "pressure"
+
 const (
 	// noConfigAfter is when callers come back to a router that knows no
 	// configuration yet.
@@ -57,7 +60,7 @@
 		return
 	}
 	if id := f.dialect.ID(r.Header); f.core.pressure.sheds(id) {
-		f.turnAway(w, r, http.StatusServiceUnavailable, "pressure", shedAfter)
+		f.turnAway(w, r, http.StatusServiceUnavailable, reasonPressure, shedAfter)
 		return
 	}
 	x, status, reason := f.admit(w, r, table, start)
--- a/gateway/journal.go
+++ b/gateway/journal.go
@@ -116,7 +116,7 @@
 // request logs how a request ended: failures and refusals up to a rate,
 // ordinary successes by a sample of ids.
 func (j *journal) request(x *exchange, result string, status int, reason string) {
-	if result == "served" || result == "caller_left" {
+	if result == "served" {
 		if !sampled(x.envelope.ID) {
 			return
 		}
@@ -147,7 +147,7 @@
 	config, servers := x.front.state.versions()
 	e.Str("request", x.envelope.ID).Str("team", x.team).Str("route", x.route.Name).Str("service", x.service).
 		Int("attempts", x.attempts).Uint64("config", config).Uint64("servers", servers).
-		Dur("config_age", x.front.state.configAge())
+		Dur("config_age", x.front.state.configAge()).Float64("share", x.last.Basis.Share)
 	if x.attempts > 0 {
 		b := x.last.Basis
 		e.Str("server", x.last.Server.ID).Int("running", b.Running).Int("pending_tokens", b.Pending).
@@ -158,7 +158,8 @@
 
 // turnedAway logs a request that was not admitted.
 func (j *journal) turnedAway(f *front, r *http.Request, status int, reason string) {
-	if !j.failures.Allow() {
+	// Under pressure there are too many to be told one by one.
+	if (reason == reasonPressure && !sampled(f.dialect.ID(r.Header))) || !j.failures.Allow() {
 		j.dropped.Add(1)
 		return
 	}
