Connections whose bytes a late router has not read are not at rest

Ruled out: the write deadline of the request before; panics (none printed). Change: before a connection at rest is closed, its socket is looked at; bytes that wait keep it open. Own listener in place of netutil's, which hides the socket.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -7,11 +7,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
+	"github.com/croftvale/croftvale/internal/socket"
 )
 
 // ErrForeign says that a connection brought answers to other requests only.
@@ -130,22 +129,5 @@
 // quiet tells whether an idle connection is open and has nothing to read: bytes
 // that come without a request belong to no request.
 func (c *Conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	var one [1]byte
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-	})
-	return err == nil && quiet
+	return c.reader.Buffered() == 0 && socket.Look(c.Conn) == socket.Nothing
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -6,31 +6,66 @@
 	"net/http"
 	"sync"
 	"time"
-)
 
-const (
-	// crowdedPart is the part of the connections that may be held from which
-	// answers close theirs.
-	crowdedPart = 0.6
+	"github.com/croftvale/croftvale/internal/socket"
 )
 
+// crowdedPart is the part of the connections that may be held from which answers
+// close theirs.
+const crowdedPart = 0.6
+
+// callers keeps account of the connections that callers hold: no more than a
+// number at once, and none at rest for too long.
+type callers struct {
+	places chan struct{}
+	mu     sync.Mutex
+	open   map[*callerConn]bool
+}
+
 // callerConn is one connection of a caller.
 type callerConn struct {
 	net.Conn
+	callers   *callers
+	once      sync.Once
 	idleSince time.Time // zero while a request is under way
 	closed    bool      // by this router, while it was at rest
 }
 
-// callers keeps account of the connections that callers hold, so that those at
-// rest make room for new ones.
-type callers struct {
-	most int
-	mu   sync.Mutex
-	open map[net.Conn]*callerConn
+func newCallers(most int) *callers {
+	return &callers{places: make(chan struct{}, most), open: make(map[*callerConn]bool)}
 }
 
-func newCallers(most int) *callers {
-	return &callers{most: most, open: make(map[net.Conn]*callerConn)}
+// listener accepts connections while there is a place for them.
+type listener struct {
+	net.Listener
+	callers *callers
+}
+
+// Accept waits for a place, and then for a connection.
+func (l listener) Accept() (net.Conn, error) {
+	l.callers.places <- struct{}{}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.callers.places
+		return nil, err
+	}
+	caller := &callerConn{Conn: conn, callers: l.callers}
+	l.callers.mu.Lock()
+	l.callers.open[caller] = true
+	l.callers.mu.Unlock()
+	return caller, nil
+}
+
+// Close gives the place back.
+func (c *callerConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() {
+		c.callers.mu.Lock()
+		delete(c.callers.open, c)
+		c.callers.mu.Unlock()
+		<-c.callers.places
+	})
+	return err
 }
 
 // callerKey is the context key of a request's connection.
@@ -38,26 +73,22 @@
 
 // context is the http.Server's ConnContext.
 func (c *callers) context(ctx context.Context, conn net.Conn) context.Context {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	caller := &callerConn{Conn: conn}
-	c.open[conn] = caller
-	return context.WithValue(ctx, callerKey{}, caller)
+	return context.WithValue(ctx, callerKey{}, conn)
 }
 
 // state is the http.Server's ConnState.
 func (c *callers) state(conn net.Conn, s http.ConnState) {
+	caller, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	caller := c.open[conn]
-	switch {
-	case caller == nil:
-	case s == http.StateActive:
+	switch s {
+	case http.StateActive:
 		caller.idleSince = time.Time{}
-	case s == http.StateIdle:
+	case http.StateIdle:
 		caller.idleSince = time.Now()
-	case s == http.StateClosed || s == http.StateHijacked:
-		delete(c.open, conn)
 	}
 }
 
@@ -75,24 +106,31 @@
 
 // crowded tells whether answers should close their connections.
 func (c *callers) crowded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return float64(len(c.open)) > crowdedPart*float64(c.most)
+	return float64(len(c.places)) > crowdedPart*float64(cap(c.places))
 }
 
-// sweep closes connections that have been at rest longer than rest. It must be
-// longer than callers resume them: a request that comes as its connection is
-// closed is lost to a caller whose bytes a late router has not read yet.
+// sweep closes connections that have been at rest longer than rest. One that
+// has bytes to read is not at rest: a late router has not come to read them.
 func (c *callers) sweep(rest time.Duration) {
+	for _, caller := range c.atRest(rest) {
+		_ = caller.Close()
+	}
+}
+
+// atRest marks and returns the connections to close.
+func (c *callers) atRest(rest time.Duration) []*callerConn {
 	if rest <= 0 {
-		return
+		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, caller := range c.open {
-		if !caller.closed && !caller.idleSince.IsZero() && time.Since(caller.idleSince) > rest {
+	var out []*callerConn
+	for caller := range c.open {
+		old := !caller.closed && !caller.idleSince.IsZero() && time.Since(caller.idleSince) > rest
+		if old && socket.Look(caller.Conn) != socket.Bytes {
 			caller.closed = true
-			_ = caller.Close()
+			out = append(out, caller)
 		}
 	}
+	return out
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"github.com/croftvale/croftvale/admin"
 	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
-	"golang.org/x/net/netutil"
 )
 
 const (
@@ -132,7 +131,7 @@
 	for _, s := range servers {
 		ln, err := net.Listen("tcp", s.address)
 		if err == nil && s.server == g.server {
-			ln = netutil.LimitListener(ln, g.front.callers.most)
+			ln = listener{ln, g.front.callers}
 		}
 		if err != nil {
 			return errors.Wrapf(err, "settings: the %s address %q: choose one of this host that is not in use", s.key, s.address)
--- a/gateway/journal.go
+++ b/gateway/journal.go
@@ -90,7 +90,7 @@
 
 func (j *journal) config(c *direct.Config, from string) {
 	j.event("config_in_force").Uint64("version", c.Version).Str("from", from).
-		Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Msg("")
+		Dur("idle_timeout", c.Limits.IdleTimeout).Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Msg("")
 }
 
 func (j *journal) servers(d *direct.Directory, from string) {
--- /dev/null
+++ b/internal/socket/socket_test.go
@@ -0,0 +1,29 @@
+package socket
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLook(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	server, err := listener.Accept()
+	require.NoError(t, err)
+	require.Equal(t, Nothing, Look(server))
+	_, err = client.Write([]byte("x"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return Look(server) == Bytes }, 10*time.Second, time.Millisecond)
+	require.NoError(t, server.Close())
+	require.Equal(t, Ended, Look(server))
+	require.Equal(t, Nothing, Look(nothing{}))
+}
+
+// nothing is a connection without a socket.
+type nothing struct{ net.Conn }
