Hold teams above their shares within 1.1 of each other; log what the router takes shares to be

Ruled out: levels that differ between routers (177 k, 174 k, 177 k at 12 s). Next: a small team whose callers all reach a starved router is shed there with everybody else (nozi508 asked 250 k, got 9 k in 6 s).

--- a/direct/share.go
+++ b/direct/share.go
@@ -1,7 +1,9 @@
 package direct
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -24,7 +26,7 @@
 	// wantsFrom is the demand, in shares, from which a team wants more than
 	// its share; evenWithin is how far such teams may be apart.
 	wantsFrom  = 1.1
-	evenWithin = 1.5
+	evenWithin = 1.1
 )
 
 // share works out how much a team may have. What all teams may have together is
@@ -73,6 +75,33 @@
 	return evenWithin * max(least, leastEven*m.level)
 }
 
+// TeamShare is what a team asks for and gets, in tokens a second.
+type TeamShare struct {
+	Team            string
+	Offered, Served float64
+}
+
+// Shares is what the machine takes the teams' shares to be.
+type Shares struct {
+	Level float64 // most that a team may get while capacity is short
+	Even  float64 // most that a team may get while others get less
+	Room  float64 // what all may have, in parts of what is configured
+	Most  []TeamShare
+}
+
+// Shares returns the shares, with the n teams that ask for most.
+func (m *Machine) Shares(now time.Duration, n int) Shares {
+	s := Shares{Level: m.level, Even: m.even, Room: m.room}
+	for name, t := range m.teams {
+		s.Most = append(s.Most, TeamShare{Team: name, Offered: t.offeredRate(now), Served: t.servedRate(now)})
+	}
+	slices.SortFunc(s.Most, func(a, b TeamShare) int {
+		return cmp.Or(cmp.Compare(b.Offered, a.Offered), cmp.Compare(a.Team, b.Team))
+	})
+	s.Most = s.Most[:min(n, len(s.Most))]
+	return s
+}
+
 // busy tells how much the engines of a pool have to do; above 1 they are busy.
 func (p *pool) busy(now time.Duration) float64 {
 	if p.engine == nil {
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -102,6 +102,13 @@
 	return c.machine.Report(c.now())
 }
 
+// shares returns what the machine takes the teams' shares to be.
+func (c *core) shares(n int) direct.Shares {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Shares(c.now(), n)
+}
+
 // tick lets time pass until ctx ends.
 func (c *core) tick(ctx context.Context) error {
 	ticker := time.NewTicker(direct.TickEvery)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	maxIdle      = 64
 	sweepEvery   = time.Second
 	vitalsEvery  = 2 * time.Second
+	teamsLogged  = 4
 	headerLimit  = 32 << 10
 	headerWait   = 5 * time.Second
 	idleWait     = 120 * time.Second
@@ -218,6 +219,7 @@
 			Dur("lag", time.Duration(g.core.pressure.lag.Load())).Int("goroutines", runtime.NumGoroutine()).
 			Uint64("heap_bytes", m.HeapInuse).Uint64("stack_bytes", m.StackInuse).Uint32("collections", m.NumGC).
 			Uint64("lines_dropped", g.journal.dropped.Load()).Msg("")
+		g.journal.shares(g.core.shares(teamsLogged))
 	}
 	return nil
 }
--- a/gateway/journal.go
+++ b/gateway/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -167,3 +168,12 @@
 	j.event("request_turned_away").Str("request", f.dialect.ID(r.Header)).Str("host", r.Host).Str("path", pathOf(r.RequestURI)).
 		Int("status", status).Str("reason", reason).Uint64("config", config).Msg("")
 }
+
+// shares logs what the teams that ask for most get.
+func (j *journal) shares(s direct.Shares) {
+	e := j.event("shares").Float64("level", s.Level).Float64("room", s.Room)
+	if !math.IsInf(s.Even, 0) {
+		e.Float64("even", s.Even)
+	}
+	e.Any("most", s.Most).Msg("")
+}
