Shed by share, agree on the room above shares, leave ready while overloaded

A small team whose callers all reached a router without processor time was refused there with everybody (nozi508: 9 k of 250 k); routers had rooms of 1.2 and 1.9 at the same time, so levels of 237 k and 490 k; the callers of very hot teams kept one small router busy with refusals. Ruled out: different lists of teams (the logged shares agree), memory. Change: at the door teams above their shares go first; routers use the middle of all rooms; an overloaded router is not ready and closes connections with its answers, so callers go to others; a router ends only after nothing has lain unread for 0.4 s.

--- a/direct/messages.go
+++ b/direct/messages.go
@@ -137,6 +137,7 @@
 
 // Report is what one router tells the others of itself.
 type Report struct {
+	Room  float64 // see Shares
 	Loads []ServerLoad
 	Teams []TeamUse
 }
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -34,6 +34,19 @@
 	}
 }
 
+// commonRoom returns the middle of what the routers that are heard take the
+// room to be: shares that differ between routers would not be even.
+func (m *Machine) commonRoom() float64 {
+	rooms := []float64{max(m.ownRoom, 1)}
+	for _, p := range m.peers {
+		if p.report.Room > 0 {
+			rooms = append(rooms, p.report.Room)
+		}
+	}
+	slices.Sort(rooms)
+	return rooms[(len(rooms)-1)/2]
+}
+
 func (m *Machine) addReport(r Report) {
 	for _, l := range r.Loads {
 		if s := m.byServer[l.Server]; s != nil {
@@ -50,7 +63,7 @@
 
 // Report returns what this router does at the moment, for the others.
 func (m *Machine) Report(now time.Duration) Report {
-	var r Report
+	r := Report{Room: m.ownRoom}
 	for id, s := range m.byServer {
 		if s.running > 0 {
 			r.Loads = append(r.Loads, ServerLoad{Server: id, Running: s.running, Pending: s.pending})
--- a/direct/share.go
+++ b/direct/share.go
@@ -52,13 +52,14 @@
 	}
 	switch {
 	case busy > 1:
-		m.room = max(m.room*roomShrinks, 1)
+		m.ownRoom = max(m.ownRoom*roomShrinks, 1)
 	case busy < roomFrom:
-		m.room = min(max(m.room, 1)*roomGrows, roomMost)
+		m.ownRoom = min(max(m.ownRoom, 1)*roomGrows, roomMost)
 	}
+	m.room = m.commonRoom()
 	m.level = 0
 	if m.limits.TokensPerSecond > 0 {
-		m.level = waterLevel(demands, m.limits.TokensPerSecond*max(m.room, 1))
+		m.level = waterLevel(demands, m.limits.TokensPerSecond*m.room)
 	}
 	m.even = m.evenLevel(now)
 }
@@ -75,6 +76,16 @@
 	return evenWithin * max(least, leastEven*m.level)
 }
 
+// ShareOf returns what a team gets, in parts of its share; 0 where shares are
+// not known.
+func (m *Machine) ShareOf(now time.Duration, team string) float64 {
+	t := m.teams[team]
+	if t == nil || m.level <= 0 {
+		return 0
+	}
+	return t.servedRate(now) / m.level
+}
+
 // TeamShare is what a team asks for and gets, in tokens a second.
 type TeamShare struct {
 	Team            string
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -27,7 +27,8 @@
 	net.Conn
 	callers   *callers
 	once      sync.Once
-	idleSince time.Time // zero while a request is under way
+	active    bool      // a request is under way
+	idleSince time.Time // zero before the first request, and during one
 	closed    bool      // by this router, while it was at rest
 }
 
@@ -86,8 +87,10 @@
 	defer c.mu.Unlock()
 	switch s {
 	case http.StateActive:
+		caller.active = true
 		caller.idleSince = time.Time{}
 	case http.StateIdle:
+		caller.active = false
 		caller.idleSince = time.Now()
 	}
 }
@@ -109,6 +112,19 @@
 	return float64(len(c.places)) > crowdedPart*float64(cap(c.places))
 }
 
+// unread tells whether a request lies unread on a connection at rest, or on a
+// new one.
+func (c *callers) unread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for caller := range c.open {
+		if !caller.active && socket.Look(caller.Conn) == socket.Bytes {
+			return true
+		}
+	}
+	return false
+}
+
 // sweep closes connections that have been at rest longer than rest. One that
 // has bytes to read is not at rest: a late router has not come to read them.
 func (c *callers) sweep(rest time.Duration) {
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -35,6 +35,7 @@
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return socket.Look(late.Conn) == socket.Bytes }, 10*time.Second, time.Millisecond)
 
+	require.True(t, c.unread())
 	c.sweep(time.Nanosecond)
 
 	require.False(t, late.closed)
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -102,6 +102,13 @@
 	return c.machine.Report(c.now())
 }
 
+// shareOf returns what a team gets, in parts of its share.
+func (c *core) shareOf(team string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.ShareOf(c.now(), team)
+}
+
 // shares returns what the machine takes the teams' shares to be.
 func (c *core) shares(n int) direct.Shares {
 	c.mu.Lock()
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -59,13 +59,13 @@
 		f.turnAway(w, r, http.StatusServiceUnavailable, "no_config", noConfigAfter)
 		return
 	}
-	if id := f.dialect.ID(r.Header); f.core.pressure.sheds(id) {
-		f.turnAway(w, r, http.StatusServiceUnavailable, reasonPressure, shedAfter)
-		return
-	}
 	x, status, reason := f.admit(w, r, table, start)
 	if x == nil {
-		f.turnAway(w, r, status, reason, noConfigAfter)
+		after := noConfigAfter
+		if reason == reasonPressure {
+			after = shedAfter
+		}
+		f.turnAway(w, r, status, reason, after)
 		return
 	}
 	held := int64(len(x.body))
@@ -101,6 +101,9 @@
 			x.setTeam(team)
 		}
 	}
+	if f.core.pressure.slow() && f.core.pressure.sheds(envelope.ID, f.core.shareOf(x.team)) {
+		return nil, http.StatusServiceUnavailable, reasonPressure
+	}
 	x.setDeadline()
 	x.body, err = readBody(w, r, max(table.Config.Limits.BodyBytes, 1))
 	if err != nil {
@@ -161,7 +164,7 @@
 // closing asks callers to open new connections elsewhere while this router
 // ends, or holds too many of them.
 func (f *front) closing(w http.ResponseWriter) {
-	if f.draining.Load() || f.callers.crowded() {
+	if f.draining.Load() || f.callers.crowded() || f.core.pressure.overloaded.Load() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,7 +31,8 @@
 	memoryShare  = 0.6 // of the memory, from which the collector works harder
 	acceptFor    = 2500 * time.Millisecond
 	lastMoment   = 300 * time.Millisecond // before the end of the grace
-	drainPoll    = 20 * time.Millisecond
+	drainPoll    = 50 * time.Millisecond
+	drainQuiet   = 8 // polls without a request, before the end
 	defaultGrace = 8 * time.Second
 	// spareDescriptors are left for files, peers and the source.
 	spareDescriptors = 400
@@ -229,6 +230,8 @@
 	switch {
 	case g.front.draining.Load():
 		return errors.New("the router is ending")
+	case g.core.pressure.overloaded.Load():
+		return errors.New("the router has no processor time for more callers")
 	case !g.state.complete():
 		return errors.New("no configuration or no list of servers has come yet")
 	}
@@ -254,8 +257,14 @@
 	}
 	time.Sleep(min(acceptFor, grace/3))
 	g.front.refusing.Store(true)
-	for time.Since(began) < grace-lastMoment && g.front.active.Load() > 0 {
+	// Requests may still lie unread where the router is late: it ends only
+	// after nothing has come for a while.
+	for quiet := 0; quiet < drainQuiet && time.Since(began) < grace-lastMoment; {
 		time.Sleep(drainPoll)
+		quiet++
+		if g.front.active.Load() > 0 || g.front.callers.unread() {
+			quiet = 0
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastMoment/3)
 	defer cancel()
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -12,11 +12,18 @@
 	// judging servers by its own clock.
 	lagSlow = 30 * time.Millisecond
 	// lagShed is where it begins to refuse requests at the door, lagFull where
-	// it refuses them all.
-	lagShed = 40 * time.Millisecond
-	lagFull = 120 * time.Millisecond
+	// it refuses them all. Teams within their shares have lagWithin times that.
+	lagShed   = 40 * time.Millisecond
+	lagFull   = 120 * time.Millisecond
+	lagWithin = 4
 	// lagKept is what remains of the greatest lag after one more tick.
 	lagKept = 0.9
+	// A router that was late for some 40 ticks more than it kept up is
+	// overloaded, and stays so for as many ticks as it has been late.
+	scoreLate = 1.0
+	scoreKept = 0.5
+	scoreFull = 40.0
+	scoreMost = 60.0
 	// shedAfter is when callers that were refused at the door come back: soon,
 	// since they reach another router.
 	shedAfter = 100 * time.Millisecond
@@ -27,21 +34,42 @@
 // processes for the slow ones. The zero value is a process that keeps up.
 type pressure struct {
 	lag atomic.Int64
+	// score rises while the router is late and falls while it keeps up; from
+	// scoreFull on it counts as overloaded, until the score is used up.
+	score      float64
+	overloaded atomic.Bool
 }
 
 // note takes in how late a tick came.
 func (p *pressure) note(late time.Duration) {
 	kept := time.Duration(lagKept * float64(p.lag.Load()))
-	p.lag.Store(int64(max(late, kept, 0)))
+	lag := max(late, kept, 0)
+	p.lag.Store(int64(lag))
+	switch {
+	case lag >= lagFull:
+		p.score = min(p.score+scoreLate, scoreMost)
+	case lag < lagShed:
+		p.score = max(p.score-scoreKept, 0)
+	}
+	switch {
+	case p.score >= scoreFull:
+		p.overloaded.Store(true)
+	case p.score == 0:
+		p.overloaded.Store(false)
+	}
 }
 
 // slow tells whether what this process measures of others says more of itself.
 func (p *pressure) slow() bool { return time.Duration(p.lag.Load()) > lagSlow }
 
-// sheds tells whether a request should be refused at the door. A part of the
-// requests, by id, is refused from lagShed on, all from lagFull on.
-func (p *pressure) sheds(id string) bool {
+// sheds tells whether a request should be refused at the door, by its id and
+// what its team gets, in shares. A part of the requests is refused from lagShed
+// on, all from lagFull on; teams above their shares go first.
+func (p *pressure) sheds(id string, share float64) bool {
 	lag := time.Duration(p.lag.Load())
+	if share < 1 {
+		lag /= lagWithin
+	}
 	if lag < lagShed {
 		return false
 	}
