--- a/cmd/croftvale/main.go
+++ b/cmd/croftvale/main.go
@@ -21,6 +21,7 @@
 type cli struct {
 	Bundle  bundleCmd        `cmd:"" help:"Check, sign, roll and compare bundles."`
 	Keys    keysCmd          `cmd:"" help:"Make keys of operators and teams."`
+	Explain explainCmd       `cmd:"" help:"Tell a request's story from the logs of many routers."`
 	State   stateCmd         `cmd:"" help:"Dump the state of a process."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
--- /dev/null
+++ b/direct/state.go
@@ -0,0 +1,29 @@
+package direct
+
+import "time"
+
+// ServerState is what the machine takes a server to be.
+type ServerState struct {
+	ID, Service, Address, Zone string
+	Slots                      int
+	Usable, Leaving, Probation bool
+	Running                    int     // all routers
+	Pending                    int     // tokens that all routers have there
+	TokensPerMS                float64 // measured; 0: not yet
+	Failures                   float64 // average, 0 to 1
+}
+
+// Servers returns what the machine takes the servers to be, by service and id.
+func (m *Machine) Servers(now time.Duration) []ServerState {
+	var out []ServerState
+	for _, name := range m.poolNames() {
+		for _, s := range m.pools[name].order {
+			out = append(out, ServerState{
+				ID: s.ID, Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots,
+				Usable: s.usable(now), Leaving: s.leaving, Probation: s.probation,
+				Running: s.allRunning(), Pending: s.allPending(), TokensPerMS: s.tokenRate, Failures: s.failures,
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/explain/story.go
@@ -0,0 +1,124 @@
+package explain
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrUnknownRequest says that no log has a line on the request. Ordinary
+// successes are sampled, so that need not be a fault.
+var ErrUnknownRequest = errors.New("no line on this request: ordinary successes are logged for one id in 32 only; give the logs of all routers of the caller's hall")
+
+// longestLine bounds one line of a log.
+const longestLine = 1 << 20
+
+// beliefs are the events that tell what a router takes to be true, by what they
+// are about.
+var beliefs = map[string]string{
+	"config_in_force": "configuration", "servers_listed": "servers", "vitals": "process", "shares": "shares",
+	"start": "life", "reload": "settings",
+}
+
+// Story is all that logs say of one request.
+type Story struct {
+	Request string
+	steps   []step
+}
+
+// step is a line on the request, with what its router believed at the time.
+type step struct {
+	line
+	believed []line
+}
+
+// Read reads logs, in any order, and keeps what tells of the request.
+func Read(request string, logs ...io.Reader) (*Story, error) {
+	var lines []line
+	for _, log := range logs {
+		scanner := bufio.NewScanner(log)
+		scanner.Buffer(make([]byte, 64<<10), longestLine)
+		for scanner.Scan() {
+			if l, ok := parse(scanner.Bytes()); ok {
+				lines = append(lines, l)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return nil, errors.Wrap(err, "reading a log")
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return a.Time.Compare(b.Time) })
+	story := &Story{Request: request}
+	latest := make(map[string]map[string]line) // by process and subject
+	for _, l := range lines {
+		if latest[l.Process] == nil {
+			latest[l.Process] = make(map[string]line)
+		}
+		switch {
+		case l.Request == request:
+			story.steps = append(story.steps, step{line: l, believed: story.believed(l, latest[l.Process])})
+		case l.Request != "":
+		case beliefs[l.Event] != "":
+			latest[l.Process][beliefs[l.Event]] = l
+		case l.Server != "":
+			latest[l.Process]["server "+l.Server] = l
+		case strings.HasPrefix(l.Event, "dependency_"):
+			latest[l.Process]["dependency "+word(l.fields, "dependency")] = l
+		}
+	}
+	if len(story.steps) == 0 {
+		return nil, ErrUnknownRequest
+	}
+	return story, nil
+}
+
+// believed picks what mattered for a line: its router's configuration, servers,
+// shares and process, the server that it names, and what is lost.
+func (s *Story) believed(l line, latest map[string]line) []line {
+	var out []line
+	for _, subject := range slices.Sorted(maps.Keys(latest)) {
+		b := latest[subject]
+		switch {
+		case strings.HasPrefix(subject, "server ") && subject != "server "+l.Server:
+		case strings.HasPrefix(subject, "dependency ") && b.Event != "dependency_lost":
+		default:
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// Write prints the story.
+func (s *Story) Write(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "request %s: %d lines\n", s.Request, len(s.steps))
+	begin := s.steps[0].Time
+	for _, step := range s.steps {
+		if err == nil {
+			_, err = fmt.Fprintf(w, "\n%s (+%s) %s: %s\n    %s\n", step.Time.Format(time.RFC3339Nano),
+				step.Time.Sub(begin).Round(time.Microsecond), step.Process, step.Event, fieldText(step.fields))
+		}
+		for _, b := range step.believed {
+			if err == nil {
+				_, err = fmt.Fprintf(w, "    %s ago: %s %s\n", step.Time.Sub(b.Time).Round(time.Millisecond), b.Event, fieldText(b.fields))
+			}
+		}
+	}
+	return err
+}
+
+// fieldText prints fields by name.
+func fieldText(fields map[string]any) string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		if fields[name] != "" {
+			out = append(out, fmt.Sprintf("%s=%v", name, fields[name]))
+		}
+	}
+	return strings.Join(out, " ")
+}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -116,6 +116,13 @@
 	return c.machine.Shares(c.now(), n)
 }
 
+// servers returns what the machine takes the servers to be.
+func (c *core) servers() []direct.ServerState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Servers(c.now())
+}
+
 // tick lets time pass until ctx ends.
 func (c *core) tick(ctx context.Context) error {
 	ticker := time.NewTicker(direct.TickEvery)
--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"time"
+
+	"github.com/croftvale/croftvale/direct"
 )
 
+// teamsDumped bounds the teams in a dump.
+const teamsDumped = 50
+
 // State is what a router shows of itself.
 type State struct {
 	Name      string
@@ -13,17 +18,21 @@
 	Servers   uint64
 	Active    int64
 	Peers     []string
+	Shares    direct.Shares
+	Engines   []direct.ServerState
 	Dropped   uint64 // log lines
 }
 
 // dump returns the state for the admin server.
 func (g *Gateway) dump(context.Context) (any, error) {
 	config, servers := g.state.versions()
+	shares, engines := g.core.shares(teamsDumped), g.core.servers()
 	g.peers.mu.Lock()
 	defer g.peers.mu.Unlock()
 	s := State{
 		Name: g.settings.Name, Config: config, ConfigAge: g.state.configAge(), Servers: servers,
 		Active: g.front.active.Load(), Dropped: g.journal.dropped.Load(),
+		Shares: shares, Engines: engines,
 	}
 	for address, p := range g.peers.known {
 		if p.live {
