Wait three objectives for a stream's first event before trying elsewhere

Ruled out: no patience at all (dark engines would hold streams to the callers' two seconds). Change: 3.0 objectives instead of 1.6.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -19,7 +19,7 @@
 	// firstPatience is the part of the objective after which a request that may
 	// be repeated is tried elsewhere; streams get streamPatience.
 	firstPatience  = 0.6
-	streamPatience = 1.6
+	streamPatience = 3.0
 	// estimateTimes is the least patience in expected times to a first event.
 	estimateTimes = 3
 	// leastLeft is the shortest time that is worth sending a request for.
