--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -133,6 +133,9 @@
 	switch {
 	case x.headSent:
 		x.abort("timeout")
+	case x.held != nil:
+		x.held.write(x)
+		x.finish("failed", x.held.status, "timeout")
 	case x.attempts == 0:
 		x.refuse("deadline", x.route.Objective)
 	default:
