Engines count as busy by their backlog in parts of objectives

Ruled out: uneven teams (level and even were the limits, at room 1). Change: busy from 0.3 of the requests' mean objective on.

--- a/direct/machine.go
+++ b/direct/machine.go
@@ -147,6 +147,8 @@
 	m.runs[r.ID] = r
 	p := m.pool(r.Service)
 	p.budget.first(msg.Now)
+	objective := float64(r.Objective) / float64(time.Millisecond)
+	p.objective += objectiveStep * (objective - p.objective)
 	m.team(r.Team).offered.add(msg.Now, tokenCost(r.PromptTokens, r.OutputTokens))
 	m.enqueue(msg.Now, p, r)
 }
--- a/direct/share.go
+++ b/direct/share.go
@@ -10,10 +10,12 @@
 const (
 	// shareEvery is how often shares are worked out.
 	shareEvery = 100 * time.Millisecond
-	// busySlots is the part of the slots, and busyWait the backlog, at which
-	// engines count as busy.
+	// busySlots is the part of the slots, and busyWait the backlog in parts of
+	// the requests' objectives, at which engines count as busy.
 	busySlots = 0.55
-	busyWait  = 80 * time.Millisecond
+	busyWait  = 0.3
+	// objectiveStep is the weight of one request in the average objective.
+	objectiveStep = 0.02
 	// roomGrows and roomShrinks change the room that teams get above their
 	// shares while engines are idle, or busy; roomMost bounds it.
 	roomGrows   = 1.03
@@ -132,6 +134,6 @@
 		return 0
 	}
 	bySlots := float64(running) / float64(slots) / busySlots
-	byWait := wait / float64(n) / float64(busyWait/time.Millisecond)
+	byWait := wait / float64(n) / (busyWait * max(p.objective, 1))
 	return max(bySlots, byWait)
 }
