--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,21 +18,24 @@
 )
 
 const (
-	dialTimeout  = 300 * time.Millisecond
-	silentPeer   = 1200 * time.Millisecond
-	maxIdle      = 64
-	sweepEvery   = time.Second
-	vitalsEvery  = 2 * time.Second
-	teamsLogged  = 4
-	headerLimit  = 32 << 10
-	headerWait   = 5 * time.Second
-	idleWait     = 120 * time.Second
-	bodiesShare  = 8   // a part of the memory, for callers' bodies
-	memoryShare  = 0.6 // of the memory, from which the collector works harder
-	acceptFor    = 2500 * time.Millisecond
-	lastMoment   = 300 * time.Millisecond // before the end of the grace
-	drainPoll    = 50 * time.Millisecond
-	drainQuiet   = 8 // polls without a request, before the end
+	dialTimeout = 300 * time.Millisecond
+	silentPeer  = 1200 * time.Millisecond
+	maxIdle     = 64
+	sweepEvery  = time.Second
+	vitalsEvery = 2 * time.Second
+	teamsLogged = 4
+	headerLimit = 32 << 10
+	headerWait  = 5 * time.Second
+	idleWait    = 120 * time.Second
+	bodiesShare = 8   // a part of the memory, for callers' bodies
+	memoryShare = 0.6 // of the memory, from which the collector works harder
+	acceptFor   = 2500 * time.Millisecond
+	lastMoment  = 300 * time.Millisecond // before the end of the grace
+	drainPoll   = 50 * time.Millisecond
+	drainQuiet  = 8 // polls without a request, before the end
+	// drainRest is how long a connection must have been at rest to be closed
+	// once the balancer sends no more: its caller then asks another router.
+	drainRest    = 200 * time.Millisecond
 	defaultGrace = 8 * time.Second
 	// spareDescriptors are left for files, peers and the source.
 	spareDescriptors = 400
@@ -261,6 +264,7 @@
 	// after nothing has come for a while.
 	for quiet := 0; quiet < drainQuiet && time.Since(began) < grace-lastMoment; {
 		time.Sleep(drainPoll)
+		g.front.callers.sweep(drainRest)
 		quiet++
 		if g.front.active.Load() > 0 || g.front.callers.unread() {
 			quiet = 0
