--- a/direct/ending.go
+++ b/direct/ending.go
@@ -19,7 +19,9 @@
 	s := r.at
 	r.at = nil
 	s.release(r)
-	m.refund(msg.Now, r)
+	if msg.Outcome == Unsent || msg.Outcome == NotRun || msg.Outcome == Elsewhere {
+		m.refund(msg.Now, r)
+	}
 	if !msg.Slow || msg.Outcome == Done {
 		m.judge(msg.Now, p, s, msg.Outcome)
 	}
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -18,11 +18,11 @@
 	lagWithin = 4
 	// lagKept is what remains of the greatest lag after one more tick.
 	lagKept = 0.9
-	// A router that was late for some 40 ticks more than it kept up is
+	// A router that was late for some 16 ticks more than it kept up is
 	// overloaded, and stays so for as many ticks as it has been late.
 	scoreLate = 1.0
 	scoreKept = 0.5
-	scoreFull = 40.0
+	scoreFull = 16.0
 	scoreMost = 60.0
 	// shedAfter is when callers that were refused at the door come back: soon,
 	// since they reach another router.
@@ -62,6 +62,9 @@
 // slow tells whether what this process measures of others says more of itself.
 func (p *pressure) slow() bool { return time.Duration(p.lag.Load()) > lagSlow }
 
+// full tells whether the router is too late to serve even teams within their shares.
+func (p *pressure) full() bool { return time.Duration(p.lag.Load()) >= lagWithin*lagFull }
+
 // sheds tells whether a request should be refused at the door, by its id and
 // what its team gets, in shares. A part of the requests is refused from lagShed
 // on, all from lagFull on; teams above their shares go first.
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
@@ -11,6 +12,7 @@
 type stats struct {
 	scope    tally.Scope
 	attempts map[direct.Outcome]tally.Counter
+	counters sync.Map // of counterKey: looking one up by its labels costs more than a refusal
 	wait     tally.Histogram
 	first    tally.Histogram
 	total    tally.Histogram
@@ -33,10 +35,26 @@
 	return s
 }
 
+// counterKey names a counter by its labels.
+type counterKey struct{ name, result, reason string }
+
+// counter returns a counter with labels, both from small fixed sets.
+func (s *stats) counter(k counterKey) tally.Counter {
+	if c, ok := s.counters.Load(k); ok {
+		return c.(tally.Counter)
+	}
+	labels := map[string]string{"reason": k.reason}
+	if k.result != "" {
+		labels["result"] = k.result
+	}
+	c, _ := s.counters.LoadOrStore(k, s.scope.Tagged(labels).Counter(k.name))
+	return c.(tally.Counter)
+}
+
 func (s *stats) attempt(o direct.Outcome) { s.attempts[o].Inc(1) }
 
 func (s *stats) request(x *exchange, result, reason string) {
-	s.scope.Tagged(map[string]string{"result": result, "reason": reason}).Counter("requests").Inc(1)
+	s.counter(counterKey{"requests", result, reason}).Inc(1)
 	now := x.front.core.now()
 	s.total.RecordDuration(now - x.start)
 	if x.attempts > 0 {
@@ -48,5 +66,5 @@
 }
 
 func (s *stats) turnedAway(reason string) {
-	s.scope.Tagged(map[string]string{"reason": reason}).Counter("turned_away").Inc(1)
+	s.counter(counterKey{"turned_away", "", reason}).Inc(1)
 }
