--- /dev/null
+++ b/direct/sending.go
@@ -0,0 +1,58 @@
+package direct
+
+import (
+	"time"
+)
+
+func (m *Machine) send(now time.Duration, p *pool, r *run, c choice) {
+	s := c.server
+	r.waiting = false
+	r.at = s
+	r.sentAt = now
+	r.attempt++
+	r.tried = append(r.tried, s.ID)
+	basis := Basis{
+		Running: s.allRunning(), Pending: s.allPending(), Miss: c.miss,
+		Estimate: c.estimate, Waited: now - r.arrivedAt, Share: r.over,
+	}
+	s.running++
+	if p.engine != nil {
+		r.pending = r.ownTokens() + c.miss
+		r.ahead = s.allPending() + r.pending
+		s.pending += r.pending
+	}
+	m.charge(now, r)
+	for i := 0; i+1 < len(r.Parts); i++ {
+		m.holders.note(now, r.Parts[i].ID, s.ID)
+	}
+	m.emit(SendCmd{ID: r.ID, Server: s.Server, Attempt: r.attempt, Basis: basis})
+}
+
+// charge counts a request for its team when it is sent, so that those sent at
+// one moment count at once; refund takes it off where it certainly did not run.
+func (m *Machine) charge(now time.Duration, r *run) {
+	if !r.charged {
+		r.charged = true
+		m.team(r.Team).served.add(now, tokenCost(r.PromptTokens, r.OutputTokens))
+	}
+}
+
+func (m *Machine) refund(now time.Duration, r *run) {
+	if r.charged && !r.begun {
+		r.charged = false
+		m.team(r.Team).served.take(now, tokenCost(r.PromptTokens, r.OutputTokens), now-r.sentAt)
+	}
+}
+
+// first takes in that an attempt's first event came.
+func (m *Machine) first(msg FirstMsg) {
+	r := m.runs[msg.ID]
+	if r == nil || r.at == nil || r.begun {
+		return
+	}
+	r.begun = true
+	p := m.pool(r.Service)
+	r.at.learnFirst(p, r, msg.Now-r.sentAt)
+	r.at.started(r)
+	m.serve(msg.Now, p)
+}
--- /dev/null
+++ b/gateway/drain.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	acceptFor  = 2500 * time.Millisecond
+	lastMoment = 300 * time.Millisecond // before the end of the grace
+	drainPoll  = 50 * time.Millisecond
+	drainQuiet = 8 // polls without a request, before the end
+	// drainRest is how long a connection must have been at rest to be closed
+	// once the balancer sends no more: its caller then asks another router.
+	drainRest    = 200 * time.Millisecond
+	defaultGrace = 8 * time.Second
+)
+
+// ready tells why the router takes no callers, or nil.
+func (g *Gateway) ready() error {
+	switch {
+	case g.front.draining.Load():
+		return errors.New("the router is ending")
+	case g.core.pressure.overloaded.Load():
+		return errors.New("the router has no processor time for more callers")
+	case !g.state.complete():
+		return errors.New("no configuration or no list of servers has come yet")
+	}
+	return nil
+}
+
+func (g *Gateway) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if err := g.ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+// drain ends the router so that callers lose nothing: not ready at once, new
+// connections served until the balancer has stopped sending them, requests
+// under way to their end within the grace.
+func (g *Gateway) drain() {
+	began := time.Now()
+	g.front.draining.Store(true)
+	g.journal.event("drain").Int64("active", g.front.active.Load()).Msg("")
+	grace := time.Duration(g.grace.Load())
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	time.Sleep(min(acceptFor, grace/3))
+	g.front.refusing.Store(true)
+	// Requests may still lie unread where the router is late: it ends only
+	// after nothing has come for a while.
+	for quiet := 0; quiet < drainQuiet && time.Since(began) < grace-lastMoment; {
+		time.Sleep(drainPoll)
+		g.front.callers.sweep(drainRest)
+		quiet++
+		if g.front.active.Load() > 0 || g.front.callers.unread() {
+			quiet = 0
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lastMoment/3)
+	defer cancel()
+	_ = g.server.Shutdown(ctx)
+}
--- /dev/null
+++ b/gateway/listen.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// spareDescriptors are left for files, peers and the source.
+	spareDescriptors = 400
+	defaultCallers   = 1000
+)
+
+// listenPeers opens the socket of the beats and returns its port.
+func listenPeers(s Settings) (net.PacketConn, int, error) {
+	conn, err := net.ListenPacket("udp4", s.Peers)
+	if err != nil {
+		return nil, 0, errors.Wrapf(err, "settings: the address of peers %q: choose one of this host that is not in use", s.Peers)
+	}
+	_, text, err := net.SplitHostPort(s.Peers)
+	if err != nil {
+		return nil, 0, err
+	}
+	port, err := strconv.Atoi(text)
+	return conn, port, err
+}
+
+// listen opens the addresses that others call.
+func (g *Gateway) listen(life context.Context, failed chan<- error) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+g.dialect.ReadyPath(), g.answerReady)
+	servers := []struct {
+		key, address string
+		server       *http.Server
+	}{
+		{"ready", g.settings.Ready, &http.Server{Handler: mux, ReadHeaderTimeout: headerWait}},
+		{"control", g.settings.Control, &http.Server{Handler: serveState(g.state), ReadHeaderTimeout: headerWait}},
+		{"front", g.settings.Front, g.server},
+	}
+	for _, s := range servers {
+		ln, err := net.Listen("tcp", s.address)
+		if err == nil && s.server == g.server {
+			ln = listener{ln, g.front.callers, &g.core.pressure}
+		}
+		if err != nil {
+			return errors.Wrapf(err, "settings: the %s address %q: choose one of this host that is not in use", s.key, s.address)
+		}
+		go func() {
+			if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	if g.settings.Metrics == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", g.settings.Metrics)
+	if err != nil {
+		return errors.Wrapf(err, "settings: the metrics address %q: choose one of this host that is not in use", g.settings.Metrics)
+	}
+	go func() { _ = g.admin.Serve(life, ln) }()
+	return nil
+}
+
+// callersMost is how many connections of callers are held at once: two thirds
+// of the descriptors, since those that wait for a server need one more.
+func callersMost(descriptors int) int {
+	if descriptors <= 0 {
+		return defaultCallers
+	}
+	return max((descriptors-spareDescriptors)*2/3, 1)
+}
--- /dev/null
+++ b/gateway/reload.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"net"
+	"runtime/debug"
+
+	"github.com/croftvale/croftvale/direct"
+)
+
+// Reload puts changed settings in force. What a process has opened stays open
+// until its end; a changed address of its own is logged.
+func (g *Gateway) Reload(s Settings) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	g.grace.Store(int64(s.Grace))
+	g.core.update(direct.BudgetMsg{Budget: s.Budget})
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			g.peers.add(host)
+		}
+	}
+	moved := s.Front != g.settings.Front || s.Ready != g.settings.Ready || s.Control != g.settings.Control
+	g.journal.event("reload").Bool("restart_needed", moved).Msg("")
+}
+
+// ReloadFailed logs settings that cannot be read; the last good ones stay in
+// force.
+func (g *Gateway) ReloadFailed(err error) {
+	g.journal.event("reload_failed").Err(err).Msg("")
+}
+
+// Unreadable logs an object of the source that cannot be read; what was known
+// before stays in force.
+func (g *Gateway) Unreadable(kind, name string, revision uint64, err error) {
+	g.journal.event("object_unreadable").Str("kind", kind).Str("name", name).Uint64("revision", revision).Err(err).Msg("")
+}
