--- a/direct/share.go
+++ b/direct/share.go
@@ -24,7 +24,7 @@
 	roomFrom    = 0.8 // of busy: below, the room grows
 	// leastEven is the part of its share that a team is held to at the least,
 	// however little another one gets.
-	leastEven = 0.7
+	leastEven = 0.45
 	// wantsFrom is the demand, in shares, from which a team wants more than
 	// its share; evenWithin is how far such teams may be apart.
 	wantsFrom  = 1.1
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -39,20 +39,13 @@
 // listener accepts connections while there is a place for them.
 type listener struct {
 	net.Listener
-	callers  *callers
-	pressure *pressure
+	callers *callers
 }
 
-// Accept waits for a place, and then for a connection. While the router is too
-// late to serve one, connections are closed unread, which costs the least: their
-// callers know that nothing has run, and reach another router at once.
+// Accept waits for a place, and then for a connection.
 func (l listener) Accept() (net.Conn, error) {
 	l.callers.places <- struct{}{}
 	conn, err := l.Listener.Accept()
-	for err == nil && l.pressure.full() {
-		_ = conn.Close()
-		conn, err = l.Listener.Accept()
-	}
 	if err != nil {
 		<-l.callers.places
 		return nil, err
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -22,7 +22,7 @@
 	accept := func() (client net.Conn, server *callerConn) {
 		client, err := net.Dial("tcp", inner.Addr().String())
 		require.NoError(t, err)
-		conn, err := listener{inner, c, &pressure{}}.Accept()
+		conn, err := listener{inner, c}.Accept()
 		require.NoError(t, err)
 		c.state(conn, http.StateIdle)
 		return client, conn.(*callerConn)
@@ -43,33 +43,3 @@
 	require.True(t, atRest.closed)
 	require.Len(t, c.places, 1, "a closed connection gives its place back")
 }
-
-// TestFullRouterClosesUnread has a router that is too late close new connections
-// without reading them, and take them again when it keeps up.
-func TestFullRouterClosesUnread(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer inner.Close()
-	var p pressure
-	p.note(lagWithin * lagFull)
-	l := listener{inner, newCallers(5), &p}
-	accepted := make(chan net.Conn, 1)
-	go func() {
-		conn, err := l.Accept()
-		if err == nil {
-			accepted <- conn
-		}
-	}()
-	first, err := net.Dial("tcp", inner.Addr().String())
-	require.NoError(t, err)
-	defer first.Close()
-	_, err = first.Read(make([]byte, 1))
-	require.Error(t, err, "closed unread")
-	p.lag.Store(0)
-	second, err := net.Dial("tcp", inner.Addr().String())
-	require.NoError(t, err)
-	defer second.Close()
-	conn := <-accepted
-	require.Equal(t, second.LocalAddr().String(), conn.RemoteAddr().String())
-	require.Len(t, l.callers.places, 1)
-}
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -44,7 +44,7 @@
 	for _, s := range servers {
 		ln, err := net.Listen("tcp", s.address)
 		if err == nil && s.server == g.server {
-			ln = listener{ln, g.front.callers, &g.core.pressure}
+			ln = listener{ln, g.front.callers}
 		}
 		if err != nil {
 			return errors.Wrapf(err, "settings: the %s address %q: choose one of this host that is not in use", s.key, s.address)
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -62,9 +62,6 @@
 // slow tells whether what this process measures of others says more of itself.
 func (p *pressure) slow() bool { return time.Duration(p.lag.Load()) > lagSlow }
 
-// full tells whether the router is too late to serve even teams within their shares.
-func (p *pressure) full() bool { return time.Duration(p.lag.Load()) >= lagWithin*lagFull }
-
 // sheds tells whether a request should be refused at the door, by its id and
 // what its team gets, in shares. A part of the requests is refused from lagShed
 // on, all from lagFull on; teams above their shares go first.
