--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -68,7 +68,6 @@
 		if errors.Is(err, backend.ErrUnsent) {
 			return a.lost(direct.Unsent)
 		}
-		// What the server says before it has read everything still counts.
 		return a.lost(direct.Broken)
 	}
 	return a.receive(left)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -109,21 +109,6 @@
 	}
 }
 
-// every is the time between two beats: the more routers there are, the rarer.
-func (p *peers) every() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	targets := min(len(p.known), beatFanout)
-	return max(beatEvery, time.Duration(targets)*time.Second/beatsHeard)
-}
-
-// live is how long a peer counts as there without a beat.
-func (p *peers) live() time.Duration {
-	rounds := max((len(p.known)+beatFanout-1)/beatFanout, 1)
-	each := max(beatEvery, time.Duration(min(len(p.known), beatFanout))*time.Second/beatsHeard)
-	return max(peerLive, time.Duration(rounds*liveBeats)*each)
-}
-
 func (p *peers) beat() {
 	report := p.core.report()
 	config, servers := p.state.versions()
@@ -221,37 +206,3 @@
 		notify(p.behind)
 	}
 }
-
-// watches tells whether this router is one of the few that ask the source
-// often: the others learn of changes from them, and ask rarely.
-func (p *peers) watches() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	before := 0
-	for address, peer := range p.known {
-		if peer.live && address < p.self {
-			before++
-		}
-	}
-	return before < frequentWatchers
-}
-
-// ahead returns the live peers that know something newer.
-func (p *peers) ahead() (config, servers []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	ownConfig, ownServers := p.state.versions()
-	now := p.core.now()
-	for address, peer := range p.known {
-		if peer.heard == 0 || now-peer.heard > p.live() {
-			continue
-		}
-		if peer.config > ownConfig {
-			config = append(config, address)
-		}
-		if peer.servers > ownServers {
-			servers = append(servers, address)
-		}
-	}
-	return config, servers
-}
