A router out of processor time passes requests on before it is late

Cause: requests were refused at the door only from 40 ms of lateness on, by the shares of teams, and came back after 100 ms; meanwhile all that the router served was late (lateness of 60 to 220 ms with 350 streams open). Ruled out: engines (12 of 48 slots taken), other routers (under 1 in 100 refused). Change: a proportional integral controller (after RFC 8033) holds the lateness near 12 ms by the part of new requests that it refuses; teams that fill the router go first; callers come back after 20 ms, at another router.

--- a/direct/machine.go
+++ b/direct/machine.go
@@ -33,14 +33,16 @@
 	teams    map[string]*teamUse
 	level    float64 // most that a team may get, tokens a second
 	even     float64 // what a team may get above its share while others get less
-	ownRoom  float64 // what this router takes the room to be
-	room     float64 // what teams may have together, in parts of what is configured
-	sharedAt time.Duration
-	holders  holders
-	peers    map[string]peerReport
-	routers  int
-	hold     time.Duration
-	out      []Cmd
+	// weightUnit turns what a team asks of this router into its weight.
+	weightUnit float64
+	ownRoom    float64 // what this router takes the room to be
+	room       float64 // what teams may have together, in parts of what is configured
+	sharedAt   time.Duration
+	holders    holders
+	peers      map[string]peerReport
+	routers    int
+	hold       time.Duration
+	out        []Cmd
 	// peersChanged says that the reports must be added up again.
 	peersChanged bool
 }
--- a/direct/share.go
+++ b/direct/share.go
@@ -64,6 +64,7 @@
 		m.level = waterLevel(demands, m.limits.TokensPerSecond*m.room)
 	}
 	m.even = m.evenLevel(now)
+	m.weighTeams(now)
 }
 
 // evenLevel returns what a team may get beyond its share as long as another
@@ -78,14 +79,28 @@
 	return evenWithin * max(least, leastEven*m.level)
 }
 
-// ShareOf returns what a team gets, in parts of its share; 0 where shares are
-// not known.
-func (m *Machine) ShareOf(now time.Duration, team string) float64 {
+// weighTeams adds up what teams ask of this router.
+func (m *Machine) weighTeams(now time.Duration) {
+	sum, squares := 0.0, 0.0
+	for _, t := range m.teams {
+		own := t.offered.decay(now)
+		sum += own
+		squares += own * own
+	}
+	m.weightUnit = 0
+	if squares > 0 {
+		m.weightUnit = sum / squares
+	}
+}
+
+// WeightOf returns how much of what this router is asked for is a team's, so
+// that the average over what it is asked for is 1.
+func (m *Machine) WeightOf(now time.Duration, team string) float64 {
 	t := m.teams[team]
-	if t == nil || m.level <= 0 {
+	if t == nil {
 		return 0
 	}
-	return t.servedRate(now) / m.level
+	return t.offered.decay(now) * m.weightUnit
 }
 
 // TeamShare is what a team asks for and gets, in tokens a second.
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -102,11 +102,11 @@
 	return c.machine.Report(c.now())
 }
 
-// shareOf returns what a team gets, in parts of its share.
-func (c *core) shareOf(team string) float64 {
+// weightOf returns how much of this router's work a team asks for.
+func (c *core) weightOf(team string) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.ShareOf(c.now(), team)
+	return c.machine.WeightOf(c.now(), team)
 }
 
 // shares returns what the machine takes the teams' shares to be.
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -103,7 +103,7 @@
 			x.setTeam(team)
 		}
 	}
-	if f.core.pressure.slow() && f.core.pressure.sheds(envelope.ID, f.core.shareOf(x.team)) {
+	if f.core.pressure.passesOn() && f.core.pressure.sheds(envelope.ID, f.core.weightOf(x.team)) {
 		return nil, http.StatusServiceUnavailable, reasonPressure
 	}
 	x.setDeadline()
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -1,21 +1,19 @@
 package gateway
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// lagSlow is how late the router may do what it planned before it stops
 	// judging servers by its own clock.
 	lagSlow = 30 * time.Millisecond
-	// lagShed is where it begins to refuse requests at the door, lagFull where
-	// it refuses them all. Teams within their shares have lagWithin times that.
-	lagShed   = 40 * time.Millisecond
-	lagFull   = 120 * time.Millisecond
-	lagWithin = 4
+	// lagKeeps is below what a router keeps up, lagFull from where it is
+	// overloaded if that lasts.
+	lagKeeps = 40 * time.Millisecond
+	lagFull  = 120 * time.Millisecond
 	// lagKept is what remains of the greatest lag after one more tick.
 	lagKept = 0.9
 	// A router that was late for some 16 ticks more than it kept up is
@@ -26,7 +24,7 @@
 	scoreMost = 60.0
 	// shedAfter is when callers that were refused at the door come back: soon,
 	// since they reach another router.
-	shedAfter = 100 * time.Millisecond
+	shedAfter = 20 * time.Millisecond
 )
 
 // pressure measures how late this process runs, by a ticker. A router without
@@ -34,6 +32,10 @@
 // processes for the slow ones. The zero value is a process that keeps up.
 type pressure struct {
 	lag atomic.Int64
+	// shed works out the part of the requests that is refused at the door; part
+	// holds its bits.
+	shed shedder
+	part atomic.Uint64
 	// score rises while the router is late and falls while it keeps up; from
 	// scoreFull on it counts as overloaded, until the score is used up.
 	score      float64
@@ -45,10 +47,11 @@
 	kept := time.Duration(lagKept * float64(p.lag.Load()))
 	lag := max(late, kept, 0)
 	p.lag.Store(int64(lag))
+	p.part.Store(math.Float64bits(p.shed.note(late)))
 	switch {
 	case lag >= lagFull:
 		p.score = min(p.score+scoreLate, scoreMost)
-	case lag < lagShed:
+	case lag < lagKeeps:
 		p.score = max(p.score-scoreKept, 0)
 	}
 	switch {
@@ -66,16 +69,10 @@
 func (p *pressure) slow() bool { return time.Duration(p.lag.Load()) > lagSlow }
 
 // sheds tells whether a request should be refused at the door, by its id and
-// what its team gets, in shares. A part of the requests is refused from lagShed
-// on, all from lagFull on; teams above their shares go first.
-func (p *pressure) sheds(id string, share float64) bool {
-	lag := time.Duration(p.lag.Load())
-	if share < 1 {
-		lag /= lagWithin
-	}
-	if lag < lagShed {
-		return false
-	}
-	part := float64(lag-lagShed) / float64(lagFull-lagShed)
-	return float64(xxhash.Sum64String(id))/(1<<64) < max(part, 0.1)
+// its team's weight; see chosen.
+func (p *pressure) sheds(id string, weight float64) bool {
+	return chosen(id, math.Float64frombits(p.part.Load()), weight)
 }
+
+// passesOn tells whether the router refuses some requests at the door.
+func (p *pressure) passesOn() bool { return p.part.Load() != 0 }
