Engines count as busy by a second's average, so that clumps leave teams their room

Cause: what engines have at one moment swings between 0.25 and 2 of busy, since requests come in clumps; each swing above 1 took a tenth of the room that teams have above their shares, which grew by 3 in 100. Ruled out: slots, memory of engines (nothing preempted). Change: an average over a second; room moves by 5 in 100 both ways; logged as busy beside room. Test: TestClumpsLeaveRoom, failed before.

--- a/direct/machine.go
+++ b/direct/machine.go
@@ -37,6 +37,7 @@
 	weightUnit float64
 	ownRoom    float64 // what this router takes the room to be
 	room       float64 // what teams may have together, in parts of what is configured
+	busy       float64 // how busy the busiest pool of engines is
 	sharedAt   time.Duration
 	holders    holders
 	peers      map[string]peerReport
--- a/direct/machine_test.go
+++ b/direct/machine_test.go
@@ -422,3 +422,28 @@
 	}
 	require.InDelta(t, 100000*b.m.room, b.m.level, 1)
 }
+
+// TestClumpsLeaveRoom has engines that are busy for a moment, now and then, keep
+// the room that teams have above their shares: only lasting work takes it.
+func TestClumpsLeaveRoom(t *testing.T) {
+	b := newBench(t, 4)
+	clump := func(pending int) {
+		for _, s := range b.m.byServer {
+			s.pending = pending
+		}
+	}
+	b.m.pool("llm").objective = 400
+	b.pass(10 * time.Second)
+	room := b.m.Shares(b.now, 0).Room
+	require.Greater(t, room, 2.0)
+	for range 10 {
+		clump(9_000)
+		b.pass(4 * shareEvery)
+		clump(0)
+		b.pass(6 * shareEvery)
+	}
+	require.Greater(t, b.m.Shares(b.now, 0).Room, room/2, "clumps")
+	clump(20_000)
+	b.pass(20 * time.Second)
+	require.InDelta(t, 1, b.m.Shares(b.now, 0).Room, 0.01, "lasting work")
+}
--- a/direct/share.go
+++ b/direct/share.go
@@ -14,12 +14,15 @@
 	// the requests' objectives, at which engines count as busy.
 	busySlots = 0.55
 	busyWait  = 0.3
+	// busyStep is the weight of what engines have at one moment in how busy
+	// they count: requests come in clumps, which engines work off.
+	busyStep = 0.1
 	// objectiveStep is the weight of one request in the average objective.
 	objectiveStep = 0.02
 	// roomGrows and roomShrinks change the room that teams get above their
 	// shares while engines are idle, or busy; roomMost bounds it.
-	roomGrows   = 1.03
-	roomShrinks = 0.9
+	roomGrows   = 1.05
+	roomShrinks = 0.95
 	roomMost    = 4.0
 	roomFrom    = 0.8 // of busy: below, the room grows
 	// leastEven is the part of its share that a team is held to at the least,
@@ -52,10 +55,11 @@
 		p.setKeeps(served)
 		busy = max(busy, p.busy(now))
 	}
+	m.busy += busyStep * (busy - m.busy)
 	switch {
-	case busy > 1:
+	case m.busy > 1:
 		m.ownRoom = max(m.ownRoom*roomShrinks, 1)
-	case busy < roomFrom:
+	case m.busy < roomFrom:
 		m.ownRoom = min(max(m.ownRoom, 1)*roomGrows, roomMost)
 	}
 	m.room = m.commonRoom()
@@ -114,12 +118,13 @@
 	Level float64 // most that a team may get while capacity is short
 	Even  float64 // most that a team may get while others get less
 	Room  float64 // what all may have, in parts of what is configured
+	Busy  float64 // how busy the busiest pool of engines is; above 1 there is no room
 	Most  []TeamShare
 }
 
 // Shares returns the shares, with the n teams that ask for most.
 func (m *Machine) Shares(now time.Duration, n int) Shares {
-	s := Shares{Level: m.level, Even: m.even, Room: m.room}
+	s := Shares{Level: m.level, Even: m.even, Room: m.room, Busy: m.busy}
 	for name, t := range m.teams {
 		s.Most = append(s.Most, TeamShare{Team: name, Offered: t.offeredRate(now), Served: t.servedRate(now)})
 	}
--- a/gateway/journal.go
+++ b/gateway/journal.go
@@ -171,7 +171,7 @@
 
 // shares logs what the teams that ask for most get.
 func (j *journal) shares(s direct.Shares) {
-	e := j.event("shares").Float64("level", s.Level).Float64("room", s.Room)
+	e := j.event("shares").Float64("level", s.Level).Float64("room", s.Room).Float64("busy", s.Busy)
 	if !math.IsInf(s.Even, 0) {
 		e.Float64("even", s.Even)
 	}
