What routers have at servers goes through one aggregator a hall, 40 times a second

A trace of every placement set against what really lay ahead of them: late ones believed 2,250 tokens there and had 45,500; by the true backlog the time to a first event is foretold well (37 ms at none, 427 ms from 32,000 on). Beats told loads every 200 ms, a prompt is read in 40. Ruled out: slow engines (late ones are spread over all), a wrong speed of servers, the router's own work. Change: package loads, a pure machine: each router reports what it has to the most powerful router of its hall and gets what all the others have; aggregators exchange sums. Whole lists, soft state, a silent aggregator is avoided for 2 s. Beats carry no loads any more.

--- a/direct/listing.go
+++ b/direct/listing.go
@@ -1,6 +1,10 @@
 package direct
 
-import "time"
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/loads"
+)
 
 // list takes in a newer list of servers.
 func (m *Machine) list(msg ServersMsg) {
@@ -39,7 +43,7 @@
 func (m *Machine) note(now time.Duration, listed Server) bool {
 	s := m.byServer[listed.ID]
 	if s == nil {
-		s = &server{Server: listed}
+		s = &server{Server: listed, key: loads.Key(listed.ID)}
 		m.byServer[listed.ID] = s
 		m.pool(listed.Service).servers[listed.ID] = s
 		if listed.Draining {
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -46,6 +46,7 @@
 	out        []Cmd
 	// peersChanged says that the reports must be added up again.
 	peersChanged bool
+	loadsAt      time.Duration // when the others' loads came
 }
 
 // run is a request that the machine knows.
@@ -114,6 +115,8 @@
 		m.leave(msg)
 	case PeerMsg:
 		m.peer(msg)
+	case LoadsMsg:
+		m.takeLoads(msg)
 	case PeersMsg:
 		m.routers, m.hold = max(msg.Routers, 1), msg.Hold
 	case TickMsg:
@@ -224,6 +227,7 @@
 // tick refuses what has waited too long and drops what is old.
 func (m *Machine) tick(now time.Duration) {
 	m.sumPeers(now)
+	m.dropLoads(now)
 	m.share(now)
 	for _, name := range m.poolNames() {
 		p := m.pools[name]
--- a/direct/machine_test.go
+++ b/direct/machine_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftvale/croftvale/loads"
 	"github.com/stretchr/testify/require"
 )
 
@@ -348,19 +349,24 @@
 	require.True(t, b.m.byServer["e0"].gone)
 }
 
-// TestPeersAddUp counts what other routers have at a server, once each, until
-// their reports are too old.
-func TestPeersAddUp(t *testing.T) {
+// TestOthersLoads counts what other routers have at a server, beside what this
+// one has, until nothing newer has come for too long.
+func TestOthersLoads(t *testing.T) {
 	b := newBench(t, 1)
+	at := b.sent(b.arrive(b.request("red")))
+	require.Equal(t, "e0", at)
 	for range 3 {
-		b.m.Update(PeerMsg{Now: b.now, Peer: "other", Report: Report{Loads: []ServerLoad{{Server: "e0", Running: 7, Pending: 900}}}})
-		b.m.Update(PeerMsg{Now: b.now, Peer: "third", Report: Report{Loads: []ServerLoad{{Server: "e0", Running: 2}}}})
+		b.m.Update(LoadsMsg{Now: b.now, Loads: []loads.Load{{Server: loads.Key("e0"), Running: 9, Pending: 900}, {Server: loads.Key("unknown"), Running: 1}}})
 	}
 	b.pass(TickEvery)
-	require.Equal(t, 9, b.m.byServer["e0"].allRunning())
-	require.Equal(t, 900, b.m.byServer["e0"].allPending())
+	require.Equal(t, 10, b.m.byServer["e0"].allRunning())
+	require.Equal(t, 2900, b.m.byServer["e0"].allPending())
+	require.Equal(t, []loads.Load{{Server: loads.Key("e0"), Running: 1, Pending: 2000}}, b.m.Loads(), "only its own")
+	b.m.Update(LoadsMsg{Now: b.now})
+	require.Equal(t, 1, b.m.byServer["e0"].allRunning(), "the newest list is whole")
+	b.m.Update(LoadsMsg{Now: b.now, Loads: []loads.Load{{Server: loads.Key("e0"), Running: 9}}})
 	b.pass(2 * time.Second)
-	require.Zero(t, b.m.byServer["e0"].allRunning())
+	require.Equal(t, 1, b.m.byServer["e0"].allRunning())
 }
 
 // TestRoomIsCommon has routers that see different engines agree on the room, so
@@ -398,7 +404,6 @@
 	b := newBench(t, 2)
 	hears := func() {
 		b.m.Update(PeerMsg{Now: b.now, Peer: "lost", Report: Report{
-			Loads: []ServerLoad{{Server: "e0", Running: 4}},
 			Teams: []TeamUse{{Team: "far", Offered: 900000, Served: 40000}},
 		}})
 		b.m.Update(PeerMsg{Now: b.now, Peer: "well", Report: Report{Teams: []TeamUse{{Team: "near", Offered: 900000, Served: 40000}}}})
@@ -414,8 +419,7 @@
 		b.pass(shareEvery)
 	}
 	require.InDelta(t, 50000*b.m.room, b.m.level, 1, "the demand of a lost router's callers stays for a while")
-	require.Zero(t, b.m.byServer["e0"].allRunning(), "what it had running does not")
-	require.Zero(t, b.m.team("far").others.Served)
+	require.Zero(t, b.m.team("far").others.Served, "what it got does not")
 	for range 60 {
 		b.m.Update(PeerMsg{Now: b.now, Peer: "well", Report: Report{Teams: []TeamUse{{Team: "near", Offered: 900000, Served: 40000}}}})
 		b.pass(shareEvery)
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -1,6 +1,10 @@
 package direct
 
-import "time"
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/loads"
+)
 
 // RequestID names a request within one life of a router.
 type RequestID uint64
@@ -110,6 +114,12 @@
 	Report Report
 }
 
+// LoadsMsg brings what all other routers have at the servers; see package loads.
+type LoadsMsg struct {
+	Now   time.Duration
+	Loads []loads.Load
+}
+
 // PeersMsg tells how many routers there are, this one included, and how long a
 // report of one holds.
 type PeersMsg struct {
@@ -132,23 +142,16 @@
 func (EndMsg) isMsg()     {}
 func (LeaveMsg) isMsg()   {}
 func (PeerMsg) isMsg()    {}
+func (LoadsMsg) isMsg()   {}
 func (PeersMsg) isMsg()   {}
 func (TickMsg) isMsg()    {}
 
 // Report is what one router tells the others of itself.
 type Report struct {
 	Room  float64 // see Shares
-	Loads []ServerLoad
 	Teams []TeamUse
 }
 
-// ServerLoad is what one router has at a server.
-type ServerLoad struct {
-	Server  string
-	Running int // requests that were sent and have not ended
-	Pending int // tokens of prompts whose first event has not come
-}
-
 // TeamUse is what one router saw of a team lately, in tokens a second.
 type TeamUse struct {
 	Team    string
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -32,9 +32,6 @@
 		return
 	}
 	m.peersChanged = false
-	for _, s := range m.byServer {
-		s.others = ServerLoad{}
-	}
 	for _, t := range m.teams {
 		t.others = TeamUse{}
 	}
@@ -69,12 +66,6 @@
 }
 
 func (m *Machine) addReport(r Report) {
-	for _, l := range r.Loads {
-		if s := m.byServer[l.Server]; s != nil {
-			s.others.Running += l.Running
-			s.others.Pending += l.Pending
-		}
-	}
 	for _, t := range r.Teams {
 		u := m.team(t.Team)
 		u.others.Offered += t.Offered
@@ -85,18 +76,12 @@
 // Report returns what this router does at the moment, for the others.
 func (m *Machine) Report(now time.Duration) Report {
 	r := Report{Room: m.ownRoom}
-	for id, s := range m.byServer {
-		if s.running > 0 {
-			r.Loads = append(r.Loads, ServerLoad{Server: id, Running: s.running, Pending: s.pending})
-		}
-	}
 	for name, t := range m.teams {
 		offered := t.offered.decay(now)
 		if offered > activeRate {
 			r.Teams = append(r.Teams, TeamUse{Team: name, Offered: offered, Served: t.served.decay(now)})
 		}
 	}
-	slices.SortFunc(r.Loads, func(a, b ServerLoad) int { return compareText(a.Server, b.Server) })
 	slices.SortFunc(r.Teams, func(a, b TeamUse) int { return compareText(a.Team, b.Team) })
 	return r
 }
--- a/direct/server.go
+++ b/direct/server.go
@@ -1,6 +1,10 @@
 package direct
 
-import "time"
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/loads"
+)
 
 const (
 	failureStep      = 0.08 // weight of one answer in a server's failure average
@@ -29,9 +33,10 @@
 	leaving   bool
 	gone      bool
 
-	running int // of this router
-	pending int // tokens of this router
-	others  ServerLoad
+	running int        // of this router
+	pending int        // tokens of this router
+	others  loads.Load // of all other routers
+	key     uint32     // of the server in loads
 
 	tokenRate float64 // tokens a millisecond, 0 until measured
 	latency   float64 // milliseconds of a plain answer, 0 until measured
@@ -51,8 +56,8 @@
 	return !s.leaving && now >= s.downUntil && now >= s.ejectedUntil
 }
 
-func (s *server) allRunning() int { return s.running + s.others.Running }
-func (s *server) allPending() int { return s.pending + s.others.Pending }
+func (s *server) allRunning() int { return s.running + int(s.others.Running) }
+func (s *server) allPending() int { return s.pending + int(s.others.Pending) }
 
 // release takes an attempt off the server's load.
 func (s *server) release(r *run) {
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/loads"
 )
 
 // core owns the decisions: one lock around the machine, and a channel to the
@@ -102,6 +103,13 @@
 	return c.machine.Report(c.now())
 }
 
+// loads returns what this router has at the servers.
+func (c *core) loads() []loads.Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Loads()
+}
+
 // weightOf returns how much of this router's work a team asks for.
 func (c *core) weightOf(team string) float64 {
 	c.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,7 @@
 	state    *state
 	front    *front
 	peers    *peers
+	loads    *loadExchange
 	puller   *puller
 	admin    *admin.Server
 	server   *http.Server
@@ -51,11 +52,16 @@
 	g.grace.Store(int64(s.Grace))
 	g.core = newCore(direct.Options{Zone: s.Zone, Budget: s.Budget}, g.journal.belief)
 	g.state = &state{core: g.core, journal: g.journal}
-	conn, port, err := listenPeers(s)
+	conn, port, err := listenDatagrams(s.Peers)
 	if err != nil {
 		return nil, err
 	}
 	g.peers = newPeers(s, port, conn, g.core, g.state, g.journal)
+	if conn, port, err = listenDatagrams(s.Loads); err != nil {
+		return nil, err
+	}
+	g.loads = newLoadExchange(s, port, conn, g.core)
+	g.peers.heard = g.loads.routers
 	g.state.changed = g.peers.changed
 	if g.puller, err = newPuller(s, g.state, g.peers); err != nil {
 		return nil, err
@@ -106,6 +112,8 @@
 		},
 		g.peers.send,
 		g.peers.receive,
+		g.loads.send,
+		g.loads.receive,
 		g.puller.run,
 		g.sweep,
 		g.vitals,
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -15,13 +15,14 @@
 	defaultCallers   = 1000
 )
 
-// listenPeers opens the socket of the beats and returns its port.
-func listenPeers(s Settings) (net.PacketConn, int, error) {
-	conn, err := net.ListenPacket("udp4", s.Peers)
+// listenDatagrams opens a socket for what other routers tell and returns its
+// port.
+func listenDatagrams(address string) (net.PacketConn, int, error) {
+	conn, err := net.ListenPacket("udp4", address)
 	if err != nil {
-		return nil, 0, errors.Wrapf(err, "settings: the address of peers %q: choose one of this host that is not in use", s.Peers)
+		return nil, 0, errors.Wrapf(err, "settings: the address %q for other routers: choose one of this host that is not in use", address)
 	}
-	_, text, err := net.SplitHostPort(s.Peers)
+	_, text, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, 0, err
 	}
--- /dev/null
+++ b/gateway/loads.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/loads"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// loadList is the datagram of one list of loads.
+type loadList struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	From   string
+	Kind   loads.Kind
+	Number uint64
+	Loads  []loads.Load
+}
+
+// loadExchange carries out what the exchange of loads decides.
+type loadExchange struct {
+	self     string
+	port     int
+	conn     net.PacketConn
+	core     *core
+	mu       sync.Mutex
+	exchange *loads.Exchange
+	number   uint64 // of the last list that was sent; begins with the time of the start
+}
+
+func newLoadExchange(s Settings, port int, conn net.PacketConn, c *core) *loadExchange {
+	return &loadExchange{
+		self: s.Address, port: port, conn: conn, core: c, number: uint64(time.Now().UnixNano()),
+		exchange: loads.NewExchange(loads.Router{Address: s.Address, Hall: s.Zone, Power: s.Power}),
+	}
+}
+
+// routers takes in which other routers are there.
+func (l *loadExchange) routers(there []loads.Router) { l.update(loads.RoutersMsg{Routers: there}) }
+
+// send goes through the rounds until ctx ends.
+func (l *loadExchange) send(ctx context.Context) error {
+	ticker := time.NewTicker(loads.Every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.update(loads.TickMsg{Now: l.core.now(), Own: l.core.loads()})
+		}
+	}
+}
+
+// receive takes lists until ctx ends.
+func (l *loadExchange) receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
+	defer stop()
+	buffer := make([]byte, datagram)
+	for {
+		n, _, err := l.conn.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			sleep(ctx, loads.Every)
+			continue
+		}
+		var list loadList
+		if msgpack.Unmarshal(buffer[:n], &list) == nil {
+			l.update(loads.ListMsg{Now: l.core.now(), From: list.From, Kind: list.Kind, Number: list.Number, Loads: list.Loads})
+		}
+	}
+}
+
+// update tells the exchange something and does what it wants done.
+func (l *loadExchange) update(msg loads.Msg) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, cmd := range l.exchange.Update(msg) {
+		switch cmd := cmd.(type) {
+		case loads.SendCmd:
+			l.write(cmd)
+		case loads.OthersCmd:
+			l.core.update(direct.LoadsMsg{Now: l.core.now(), Loads: cmd.Loads})
+		}
+	}
+}
+
+func (l *loadExchange) write(cmd loads.SendCmd) {
+	to, err := netip.ParseAddr(cmd.To)
+	if err != nil {
+		return
+	}
+	l.number++
+	body, err := msgpack.Marshal(&loadList{From: l.self, Kind: cmd.Kind, Number: l.number, Loads: cmd.Loads})
+	if err != nil {
+		return
+	}
+	_, _ = l.conn.WriteTo(body, net.UDPAddrFromAddrPort(netip.AddrPortFrom(to, uint16(l.port))))
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/loads"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -26,7 +27,9 @@
 // beat is what a router tells the others, several times a second.
 type beat struct {
 	Address string // of the sender's host
-	Life    int64  // start of the sender, so that a restart begins anew
+	Hall    string
+	Power   float64 // cores
+	Life    int64   // start of the sender, so that a restart begins anew
 	Seq     uint64
 	Config  uint64 // version
 	Servers uint64 // revision
@@ -37,6 +40,8 @@
 // peer is another router.
 type peer struct {
 	address string
+	hall    string
+	power   float64
 	life    int64
 	seq     uint64
 	heard   time.Duration // 0: never
@@ -49,6 +54,8 @@
 // peers exchanges beats with the other routers.
 type peers struct {
 	self    string
+	hall    string
+	power   float64
 	port    int
 	life    int64
 	conn    net.PacketConn
@@ -59,13 +66,14 @@
 	mu      sync.Mutex
 	known   map[string]*peer
 	seq     uint64
-	behind  chan struct{} // a peer knows something newer
-	poke    chan struct{} // this router has something newer
+	heard   func([]loads.Router) // takes the routers that are there
+	behind  chan struct{}        // a peer knows something newer
+	poke    chan struct{}        // this router has something newer
 }
 
 func newPeers(s Settings, port int, conn net.PacketConn, c *core, st *state, j *journal) *peers {
 	return &peers{
-		self: s.Address, port: port, life: time.Now().UnixNano(), conn: conn, core: c, state: st, journal: j,
+		self: s.Address, hall: s.Zone, power: s.Power, port: port, life: time.Now().UnixNano(), conn: conn, core: c, state: st, journal: j,
 		seeds: len(s.Seeds), known: make(map[string]*peer),
 		behind: make(chan struct{}, 1), poke: make(chan struct{}, 1),
 	}
@@ -115,7 +123,7 @@
 	targets, members := p.round()
 	p.seq++
 	body, err := msgpack.Marshal(beat{
-		Address: p.self, Life: p.life, Seq: p.seq, Config: config, Servers: servers, Report: report, Members: members,
+		Address: p.self, Hall: p.hall, Power: p.power, Life: p.life, Seq: p.seq, Config: config, Servers: servers, Report: report, Members: members,
 	})
 	if err != nil {
 		return
@@ -135,11 +143,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.core.now()
-	live, lasts := 1, p.live()
+	lasts := p.live()
+	var there []loads.Router
 	for address, peer := range p.known {
 		age := now - max(peer.heard, peer.added)
 		if peer.heard > 0 && age < lasts {
-			live++
+			there = append(there, loads.Router{Address: address, Hall: peer.hall, Power: peer.power})
 		} else if peer.live {
 			peer.live = false
 			p.journal.dependency("router "+address, "lost", nil)
@@ -155,7 +164,8 @@
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	targets = targets[:min(len(targets), beatFanout)]
-	p.core.update(direct.PeersMsg{Now: now, Routers: max(live, p.seeds), Hold: lasts})
+	p.heard(there)
+	p.core.update(direct.PeersMsg{Now: now, Routers: max(len(there)+1, p.seeds), Hold: lasts})
 	return targets, members
 }
 
@@ -195,6 +205,7 @@
 	now := p.core.now()
 	peer.life, peer.seq, peer.heard = b.Life, b.Seq, now
 	peer.config, peer.servers = b.Config, b.Servers
+	peer.hall, peer.power = b.Hall, b.Power
 	if !peer.live {
 		peer.live = true
 		p.journal.dependency("router "+b.Address, "regained", nil)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -10,12 +10,14 @@
 type Settings struct {
 	Name    string
 	Zone    string
-	Address string // of this host, without a port
+	Power   float64 // cores that the process may use
+	Address string  // of this host, without a port
 
 	Front   string // callers
 	Ready   string // the balancer's question
 	Control string // other routers' pulls
-	Peers   string // other routers' datagrams
+	Peers   string // other routers' beats, as datagrams
+	Loads   string // other routers' loads, as datagrams
 	Metrics string // empty: not served
 
 	Seeds       []string // control addresses of some routers
--- /dev/null
+++ b/loads/exchange.go
@@ -0,0 +1,233 @@
+package loads
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// Every is the time between two rounds.
+	Every = 25 * time.Millisecond
+	// Hold is how long a list counts that is not renewed.
+	Hold = 300 * time.Millisecond
+	// idleEvery is the time between two reports of a router that has nothing.
+	idleEvery = 250 * time.Millisecond
+	// silence is how long an aggregator may leave reports unanswered; then it is
+	// avoided for some time.
+	silence    = 150 * time.Millisecond
+	avoidedFor = 2 * time.Second
+)
+
+// list is the newest of a kind from one router.
+type list struct {
+	at     time.Duration
+	number uint64
+	loads  []Load
+}
+
+// Exchange decides whom one router tells what it has. Make one with NewExchange.
+type Exchange struct {
+	self    Router
+	routers []Router
+	reports map[string]list // of routers that report to this one
+	sums    map[string]list // of other aggregators
+	digests map[string]list // answers of aggregators
+	own     []Load
+	// unanswered is when the first report was sent that the aggregator has not
+	// answered; 0: there is none.
+	unanswered time.Duration
+	aggregator string
+	avoided    map[string]time.Duration // until when
+	reportedAt time.Duration
+	out        []Cmd
+}
+
+// NewExchange returns the exchange of one router.
+func NewExchange(self Router) *Exchange {
+	return &Exchange{
+		self: self, aggregator: self.Address,
+		reports: make(map[string]list), sums: make(map[string]list),
+		digests: make(map[string]list), avoided: make(map[string]time.Duration),
+	}
+}
+
+// Update takes in what happened and returns what to do. The slice is valid until
+// the next call.
+func (e *Exchange) Update(msg Msg) []Cmd {
+	e.out = e.out[:0]
+	switch msg := msg.(type) {
+	case RoutersMsg:
+		e.routers = msg.Routers
+	case ListMsg:
+		e.take(msg)
+	case TickMsg:
+		e.tick(msg)
+	}
+	return e.out
+}
+
+func (e *Exchange) emit(c Cmd) { e.out = append(e.out, c) }
+
+// Aggregator returns the router that this one reports to; it may be itself.
+func (e *Exchange) Aggregator() string { return e.aggregator }
+
+func (e *Exchange) take(msg ListMsg) {
+	switch msg.Kind {
+	case Report:
+		if renew(e.reports, msg) {
+			e.emit(SendCmd{To: msg.From, Kind: Digest, Loads: e.allBut(msg.Now, msg.From)})
+		}
+	case Sum:
+		renew(e.sums, msg)
+	case Digest:
+		e.takeDigest(msg)
+	}
+}
+
+// renew keeps a list that is newer than the last of its router.
+func renew(lists map[string]list, msg ListMsg) bool {
+	if old, ok := lists[msg.From]; ok && msg.Number <= old.number {
+		return false
+	}
+	lists[msg.From] = list{at: msg.Now, number: msg.Number, loads: msg.Loads}
+	return true
+}
+
+func (e *Exchange) takeDigest(msg ListMsg) {
+	if msg.From != e.aggregator || !renew(e.digests, msg) {
+		return
+	}
+	e.unanswered = 0
+	e.emit(OthersCmd{Loads: msg.Loads})
+}
+
+func (e *Exchange) tick(msg TickMsg) {
+	e.own = msg.Own
+	e.drop(msg.Now)
+	e.choose(msg.Now)
+	if e.aggregator == e.self.Address {
+		e.emit(OthersCmd{Loads: e.allBut(msg.Now, e.self.Address)})
+	} else {
+		e.report(msg.Now)
+	}
+	e.tellAggregators()
+}
+
+// report sends what this router has to its aggregator.
+func (e *Exchange) report(now time.Duration) {
+	if len(e.own) == 0 && now-e.reportedAt < idleEvery {
+		return
+	}
+	e.reportedAt = now
+	if e.unanswered == 0 {
+		e.unanswered = now
+	}
+	e.emit(SendCmd{To: e.aggregator, Kind: Report, Loads: e.own})
+}
+
+// tellAggregators sends the sum of those that report here to the aggregators of
+// the other halls, and to all that send theirs.
+func (e *Exchange) tellAggregators() {
+	if e.aggregator != e.self.Address && len(e.reports) == 0 {
+		return
+	}
+	to := make(map[string]bool)
+	for _, r := range e.leaders() {
+		to[r] = true
+	}
+	for r := range e.sums {
+		to[r] = true
+	}
+	loads := e.reported("")
+	for _, r := range sortedKeys(to) {
+		e.emit(SendCmd{To: r, Kind: Sum, Loads: loads})
+	}
+}
+
+// reported adds up what those have that report here, without one of them. This
+// router counts where it is its own aggregator.
+func (e *Exchange) reported(without string) []Load {
+	var lists [][]Load
+	for _, from := range sortedKeys(e.reports) {
+		if from != without {
+			lists = append(lists, e.reports[from].loads)
+		}
+	}
+	if e.aggregator == e.self.Address && without != e.self.Address {
+		lists = append(lists, e.own)
+	}
+	return sum(lists...)
+}
+
+// allBut adds up what all have but one of those that report here.
+func (e *Exchange) allBut(now time.Duration, without string) []Load {
+	e.drop(now)
+	lists := [][]Load{e.reported(without)}
+	for _, from := range sortedKeys(e.sums) {
+		lists = append(lists, e.sums[from].loads)
+	}
+	return sum(lists...)
+}
+
+// drop forgets what has not been renewed.
+func (e *Exchange) drop(now time.Duration) {
+	for _, lists := range []map[string]list{e.reports, e.sums, e.digests} {
+		for from, l := range lists {
+			if now-l.at > Hold {
+				delete(lists, from)
+			}
+		}
+	}
+}
+
+// choose picks the aggregator: the most powerful router of the hall, but one
+// that does not answer is avoided for a while.
+func (e *Exchange) choose(now time.Duration) {
+	if e.unanswered > 0 && now-e.unanswered > silence {
+		e.avoided[e.aggregator] = now + avoidedFor
+		e.unanswered = 0
+	}
+	best := e.self
+	for _, r := range e.routers {
+		if r.Hall == e.self.Hall && e.avoided[r.Address] <= now && before(r, best) {
+			best = r
+		}
+	}
+	if best.Address != e.aggregator {
+		e.aggregator = best.Address
+		e.unanswered = 0
+	}
+}
+
+// leaders returns the aggregators that the other halls should have.
+func (e *Exchange) leaders() []string {
+	best := make(map[string]Router)
+	for _, r := range e.routers {
+		if r.Hall == e.self.Hall {
+			continue
+		}
+		if old, ok := best[r.Hall]; !ok || before(r, old) {
+			best[r.Hall] = r
+		}
+	}
+	var out []string
+	for _, r := range best {
+		out = append(out, r.Address)
+	}
+	return out
+}
+
+// before tells whether a router is the better aggregator.
+func before(a, b Router) bool {
+	return cmp.Or(-cmp.Compare(a.Power, b.Power), cmp.Compare(a.Address, b.Address)) < 0
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/loads/messages.go
@@ -0,0 +1,63 @@
+package loads
+
+import "time"
+
+// Kind says what a list of loads covers.
+type Kind uint8
+
+// The kinds of lists that routers send each other.
+const (
+	Report Kind = iota + 1 // what the sender has, for its aggregator
+	Digest                 // what all but the receiver have, in answer to a report
+	Sum                    // what those have that report to the sender
+)
+
+// Router is another router that is there.
+type Router struct {
+	Address string
+	Hall    string
+	Power   float64 // cores
+}
+
+// Msg is anything that an Exchange can be told. Now is the time since the
+// process started, on its monotonic clock.
+type Msg interface{ isMsg() }
+
+// RoutersMsg says which other routers are there.
+type RoutersMsg struct{ Routers []Router }
+
+// ListMsg brings a list from another router. Numbers of one router only rise; a
+// list that is not newer than the last of its kind is passed over.
+type ListMsg struct {
+	Now    time.Duration
+	From   string
+	Kind   Kind
+	Number uint64
+	Loads  []Load
+}
+
+// TickMsg lets time pass, and tells what this router has; send it every Every.
+type TickMsg struct {
+	Now time.Duration
+	Own []Load
+}
+
+func (RoutersMsg) isMsg() {}
+func (ListMsg) isMsg()    {}
+func (TickMsg) isMsg()    {}
+
+// Cmd is anything that an Exchange wants done.
+type Cmd interface{ isCmd() }
+
+// SendCmd sends a list to another router.
+type SendCmd struct {
+	To    string
+	Kind  Kind
+	Loads []Load
+}
+
+// OthersCmd says what all the others have.
+type OthersCmd struct{ Loads []Load }
+
+func (SendCmd) isCmd()   {}
+func (OthersCmd) isCmd() {}
