A request looks at a few servers first, which its prompt gives it

Cause: 55 to 64 in 100 of what lay ahead of late requests had been sent by other routers within the last 25 ms: all see the same loads and take the same idle server of a busy pool (21 of 59 requests in 30 ms). Ruled out: trials of servers on probation (none there), ranks that are not even. Change: candidates in the order of the prompt's last shared part, those that keep it first; after each four a request is content with one expected within 0.5 to 0.9 of its objective, less the fewer it has seen.

--- a/direct/listing.go
+++ b/direct/listing.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/croftvale/croftvale/loads"
 )
 
@@ -43,7 +44,7 @@
 func (m *Machine) note(now time.Duration, listed Server) bool {
 	s := m.byServer[listed.ID]
 	if s == nil {
-		s = &server{Server: listed, key: loads.Key(listed.ID)}
+		s = &server{Server: listed, key: loads.Key(listed.ID), hash: xxhash.Sum64String(listed.ID)}
 		m.byServer[listed.ID] = s
 		m.pool(listed.Service).servers[listed.ID] = s
 		if listed.Draining {
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -46,6 +46,7 @@
 	out        []Cmd
 	// peersChanged says that the reports must be added up again.
 	peersChanged bool
+	scratch      []candidate
 	loadsAt      time.Duration // when the others' loads came
 }
 
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -40,6 +40,14 @@
 	return max(n, 0)
 }
 
+// lastShared returns the last part of the prompt that other requests may share.
+func (r *Request) lastShared() (Part, bool) {
+	if len(r.Parts) < 2 {
+		return Part{}, false
+	}
+	return r.Parts[len(r.Parts)-2], true
+}
+
 // Outcome says how an attempt at a server ended.
 type Outcome uint8
 
--- a/direct/place.go
+++ b/direct/place.go
@@ -1,10 +1,10 @@
 package direct
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -39,6 +39,14 @@
 	// trialWorth is what a trial of a server on probation may cost.
 	trialWorth = 500.0
 
+	// lookEach is how many servers a request looks at before it is content with
+	// one that is expected within goodTime of the objective, and laterTime for
+	// each server that it has looked at: where most servers are busy, not all
+	// routers take the one that is not.
+	lookEach  = 4
+	goodTime  = 0.5
+	laterTime = 0.025
+
 	// plainQueue is how many requests a plain server may have beyond its slots.
 	plainQueue = 12
 )
@@ -51,26 +59,32 @@
 	cost     float64
 }
 
-// place picks the server with the least cost among those that would serve the
-// request in time, or returns false.
+// place picks a server among those that would serve the request in time, or
+// returns false.
+//
+// All routers see the same loads, some time late: if each took the cheapest of
+// all servers, they would take the same one at once. So each request looks at a
+// few servers first, which its prompt and chance give it, and at more only where
+// none of those would serve it in good time.
 func (m *Machine) place(now time.Duration, p *pool, r *run) (choice, bool) {
-	best, found := choice{}, false
 	home, _ := m.firstHolder(now, p, r)
-	for _, s := range p.order {
-		if !m.open(now, s, r) {
-			continue
+	candidates := m.candidates(now, p, r)
+	best, found := choice{}, false
+	for i, c := range candidates {
+		if found && i%lookEach == 0 && best.within(r, goodTime+laterTime*float64(i)) {
+			break
 		}
-		c, fits := m.weigh(now, p, s, r, home)
+		weighed, fits := m.weigh(now, p, c.server, r, home)
 		if !fits {
 			continue
 		}
-		if s.probation {
+		if c.server.probation {
 			// Without a trial it would never come back: servers that keep
 			// parts always cost less.
-			c.cost -= trialWorth
+			weighed.cost -= trialWorth
 		}
-		if !found || c.cost < best.cost {
-			best, found = c, true
+		if !found || weighed.cost < best.cost {
+			best, found = weighed, true
 		}
 	}
 	if !found {
@@ -79,6 +93,43 @@
 	return best, true
 }
 
+// within tells whether the first event is expected within a part of the
+// objective.
+func (c choice) within(r *run, part float64) bool {
+	return float64(c.estimate) <= part*float64(r.Objective)
+}
+
+// candidate is a server with its place in a request's order.
+type candidate struct {
+	server *server
+	first  bool // it keeps the request's last shared part, or is on trial
+	weight uint64
+}
+
+// candidates returns the servers that a request may go to, in the order in which
+// it looks at them: those that keep its last shared part, then the others by
+// their rendezvous weight for the part. The slice is valid until the next call.
+func (m *Machine) candidates(now time.Duration, p *pool, r *run) []candidate {
+	out := m.scratch[:0]
+	subject := uint64(r.ID) * 0x9e3779b97f4a7c15
+	part, shared := r.lastShared()
+	if shared {
+		subject = part.ID
+	}
+	for _, s := range p.order {
+		if !m.open(now, s, r) {
+			continue
+		}
+		first := s.probation || (shared && m.holders.has(now, p.keeps, part.ID, s.ID))
+		out = append(out, candidate{server: s, first: first, weight: rank(subject, s)})
+	}
+	slices.SortFunc(out, func(a, b candidate) int {
+		return cmp.Or(compareBool(!a.first, !b.first), cmp.Compare(b.weight, a.weight))
+	})
+	m.scratch = out
+	return out
+}
+
 // open tells whether a request may go to a server now.
 func (m *Machine) open(now time.Duration, s *server, r *run) bool {
 	if !s.usable(now) || now < s.fullUntil || r.wasAt(s.ID) {
@@ -108,10 +159,11 @@
 // highest for it, or, where none is known to keep it, the one that ranks highest
 // of all: every router takes that one first.
 func (m *Machine) firstHolder(now time.Duration, p *pool, r *run) (first *server, held bool) {
-	if len(r.Parts) < 2 {
+	last, shared := r.lastShared()
+	if !shared {
 		return nil, false
 	}
-	part := r.Parts[len(r.Parts)-2].ID
+	part := last.ID
 	var top uint64
 	for _, s := range p.order {
 		if !s.usable(now) || s.probation {
@@ -121,7 +173,7 @@
 		if held && !has {
 			continue
 		}
-		w := rank(part, s.ID)
+		w := rank(part, s)
 		if first == nil || w > top || (has && !held) {
 			first, top, held = s, w, has
 		}
@@ -130,8 +182,8 @@
 }
 
 // rank is the rendezvous weight of a server for a part.
-func rank(part uint64, id string) uint64 {
-	x := xxhash.Sum64String(id) ^ part
+func rank(part uint64, s *server) uint64 {
+	x := s.hash ^ part
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
@@ -214,7 +266,7 @@
 		return copyCost
 	}
 	last := r.Parts[len(r.Parts)-2]
-	w := rank(last.ID, s.ID)
+	w := rank(last.ID, s)
 	return rankCost * missCost * float64(last.Tokens) * (1 - float64(w>>11)/float64(1<<53))
 }
 
--- a/direct/server.go
+++ b/direct/server.go
@@ -37,6 +37,7 @@
 	pending int        // tokens of this router
 	others  loads.Load // of all other routers
 	key     uint32     // of the server in loads
+	hash    uint64     // of its id
 
 	tokenRate float64 // tokens a millisecond, 0 until measured
 	latency   float64 // milliseconds of a plain answer, 0 until measured
