A router that passes requests on asks for fewer callers while half of its hall stays ready

Ruled out: shares (that router refused at the door, not over shares), engines (a third of the slots taken). Change: after half a second of passing on a fifth or more of its new requests a router is not ready and closes kept connections, for 8 s, then twice as long each time that it happens again; at least half of its hall stays ready and one of it must not pass requests on itself. Beats tell both.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -147,7 +147,7 @@
 			// A timer's goroutine runs first. How long it takes to run again
 			// behind all others tells how long requests wait.
 			runtime.Gosched()
-			c.pressure.note(max(late, c.now()-now))
+			c.pressure.note(now, max(late, c.now()-now))
 			c.update(direct.TickMsg{Now: c.now()})
 		}
 	}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -24,7 +24,7 @@
 	switch {
 	case g.front.draining.Load():
 		return errors.New("the router is ending")
-	case g.core.pressure.overloaded.Load():
+	case g.core.pressure.wantsFewer():
 		return errors.New("the router has no processor time for more callers")
 	case !g.state.complete():
 		return errors.New("no configuration or no list of servers has come yet")
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -166,7 +166,7 @@
 // closing asks callers to open new connections elsewhere while this router
 // ends, or holds too many of them.
 func (f *front) closing(w http.ResponseWriter) {
-	if f.draining.Load() || f.callers.crowded() || f.core.pressure.overloaded.Load() {
+	if f.draining.Load() || f.callers.crowded() || f.core.pressure.wantsFewer() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,7 +155,8 @@
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
 		g.journal.event("vitals").Int64("active", g.front.active.Load()).Int64("body_bytes", g.front.bodies.Load()).
-			Dur("lag", time.Duration(g.core.pressure.lag.Load())).Int("goroutines", runtime.NumGoroutine()).
+			Dur("lag", time.Duration(g.core.pressure.lag.Load())).Float64("shed", g.core.pressure.shedPart()).
+			Bool("yields", g.core.pressure.yields.Load()).Int("goroutines", runtime.NumGoroutine()).
 			Uint64("heap_bytes", m.HeapInuse).Uint64("stack_bytes", m.StackInuse).Uint32("collections", m.NumGC).
 			Uint64("lines_dropped", g.journal.dropped.Load()).Msg("")
 		g.journal.shares(g.core.shares(teamsLogged))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -29,6 +29,8 @@
 	Address string // of the sender's host
 	Hall    string
 	Power   float64 // cores
+	Shed    float64 // part of the new requests that it refuses for want of processor time
+	Yields  bool    // it asks for fewer callers
 	Life    int64   // start of the sender, so that a restart begins anew
 	Seq     uint64
 	Config  uint64 // version
@@ -42,6 +44,8 @@
 	address string
 	hall    string
 	power   float64
+	shed    float64
+	yields  bool
 	life    int64
 	seq     uint64
 	heard   time.Duration // 0: never
@@ -123,7 +127,7 @@
 	targets, members := p.round()
 	p.seq++
 	body, err := msgpack.Marshal(beat{
-		Address: p.self, Hall: p.hall, Power: p.power, Life: p.life, Seq: p.seq, Config: config, Servers: servers, Report: report, Members: members,
+		Address: p.self, Hall: p.hall, Power: p.power, Shed: p.core.pressure.shedPart(), Yields: p.core.pressure.yields.Load(), Life: p.life, Seq: p.seq, Config: config, Servers: servers, Report: report, Members: members,
 	})
 	if err != nil {
 		return
@@ -145,10 +149,14 @@
 	now := p.core.now()
 	lasts := p.live()
 	var there []loads.Router
+	var hall hallView
 	for address, peer := range p.known {
 		age := now - max(peer.heard, peer.added)
 		if peer.heard > 0 && age < lasts {
 			there = append(there, loads.Router{Address: address, Hall: peer.hall, Power: peer.power})
+			if peer.hall == p.hall {
+				hall.add(peer)
+			}
 		} else if peer.live {
 			peer.live = false
 			p.journal.dependency("router "+address, "lost", nil)
@@ -165,6 +173,7 @@
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	targets = targets[:min(len(targets), beatFanout)]
 	p.heard(there)
+	p.core.pressure.hall.Store(&hall)
 	p.core.update(direct.PeersMsg{Now: now, Routers: max(len(there)+1, p.seeds), Hold: lasts})
 	return targets, members
 }
@@ -205,7 +214,7 @@
 	now := p.core.now()
 	peer.life, peer.seq, peer.heard = b.Life, b.Seq, now
 	peer.config, peer.servers = b.Config, b.Servers
-	peer.hall, peer.power = b.Hall, b.Power
+	peer.hall, peer.power, peer.shed, peer.yields = b.Hall, b.Power, b.Shed, b.Yields
 	if !peer.live {
 		peer.live = true
 		p.journal.dependency("router "+b.Address, "regained", nil)
--- a/gateway/peerstate.go
+++ b/gateway/peerstate.go
@@ -17,6 +17,17 @@
 	return max(peerLive, time.Duration(rounds*liveBeats)*each)
 }
 
+// add counts another router of the hall.
+func (h *hallView) add(p *peer) {
+	h.routers++
+	switch {
+	case p.yields:
+		h.yielding++
+	case p.shed == 0:
+		h.easy++
+	}
+}
+
 // watches tells whether this router is one of the few that ask the source
 // often: the others learn of changes from them, and ask rarely.
 func (p *peers) watches() bool {
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -40,14 +40,24 @@
 	// scoreFull on it counts as overloaded, until the score is used up.
 	score      float64
 	overloaded atomic.Bool
+	// yield decides when the router asks for fewer callers.
+	yield  yielder
+	yields atomic.Bool
+	hall   atomic.Pointer[hallView]
 }
 
 // note takes in how late a tick came.
-func (p *pressure) note(late time.Duration) {
+func (p *pressure) note(now, late time.Duration) {
 	kept := time.Duration(lagKept * float64(p.lag.Load()))
 	lag := max(late, kept, 0)
 	p.lag.Store(int64(lag))
-	p.part.Store(math.Float64bits(p.shed.note(late)))
+	part := p.shed.note(late)
+	p.part.Store(math.Float64bits(part))
+	var hall hallView
+	if known := p.hall.Load(); known != nil {
+		hall = *known
+	}
+	p.yields.Store(p.yield.note(now, part, hall))
 	switch {
 	case lag >= lagFull:
 		p.score = min(p.score+scoreLate, scoreMost)
@@ -65,14 +75,20 @@
 // late is how late this process runs at the moment.
 func (p *pressure) late() time.Duration { return time.Duration(p.lag.Load()) }
 
+// wantsFewer tells whether callers should go to other routers.
+func (p *pressure) wantsFewer() bool { return p.overloaded.Load() || p.yields.Load() }
+
 // slow tells whether what this process measures of others says more of itself.
 func (p *pressure) slow() bool { return time.Duration(p.lag.Load()) > lagSlow }
 
 // sheds tells whether a request should be refused at the door, by its id and
 // its team's weight; see chosen.
 func (p *pressure) sheds(id string, weight float64) bool {
-	return chosen(id, math.Float64frombits(p.part.Load()), weight)
+	return chosen(id, p.shedPart(), weight)
 }
 
+// shedPart is the part of the new requests that is refused at the door.
+func (p *pressure) shedPart() float64 { return math.Float64frombits(p.part.Load()) }
+
 // passesOn tells whether the router refuses some requests at the door.
 func (p *pressure) passesOn() bool { return p.part.Load() != 0 }
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -26,12 +26,12 @@
 	var p pressure
 	require.Zero(t, shedOf(&p, 1), "a router that keeps up refuses nobody")
 	for range 20 {
-		p.note(lagFull)
+		p.note(0, lagFull)
 	}
 	require.Greater(t, shedOf(&p, 1.1), 700)
 	require.Less(t, shedOf(&p, 0.05), 60)
 	for range 400 {
-		p.note(0)
+		p.note(0, 0)
 	}
 	require.Less(t, shedOf(&p, 1), 5, "pressure passes")
 	require.False(t, p.slow())
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -24,6 +24,8 @@
 	shedAll  = 100 * time.Millisecond
 	// shedEase is what remains of the part after a tick within half the target.
 	shedEase = 0.97
+	// shedLeast is the least part that counts.
+	shedLeast = 0.001
 )
 
 // shedder works out the part of the new requests that a router without processor
@@ -43,6 +45,9 @@
 	if late < shedTarget/2 {
 		s.part *= shedEase
 	}
+	if s.part < shedLeast {
+		s.part = 0
+	}
 	return s.part
 }
 
--- /dev/null
+++ b/gateway/yield_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestYields has a router that passes requests on for a while ask for fewer
+// callers, twice as long each time that it happens again, and be ready at once
+// where it does not.
+func TestYields(t *testing.T) {
+	hall := hallView{routers: 6, easy: 4}
+	now := time.Second
+	var y yielder
+	pass := func(d time.Duration, part float64) (yielding time.Duration) {
+		for end := now + d; now < end; now += 25 * time.Millisecond {
+			if y.note(now, part, hall) {
+				yielding += 25 * time.Millisecond
+			}
+		}
+		return yielding
+	}
+	require.Zero(t, pass(time.Minute, yieldFrom/2))
+	require.Zero(t, pass(yieldAfter, 0.9), "a moment")
+	require.InDelta(t, yieldFirst.Seconds(), pass(yieldFirst, 0.9).Seconds(), 0.1)
+	pass(time.Second, 0.9)
+	require.InDelta(t, 2*yieldFirst.Seconds(), pass(20*time.Second, 0).Seconds(), 1.1)
+	pass(yieldAgain, 0)
+	require.InDelta(t, yieldFirst.Seconds(), pass(9*time.Second, 0.9).Seconds(), 0.6)
+}
+
+// TestHalfStaysReady has no hall end up with less than half of its routers ready,
+// however many of them are out of processor time.
+func TestHalfStaysReady(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := make([]yielder, rapid.IntRange(1, 9).Draw(t, "routers"))
+		yields := make([]bool, len(routers))
+		now := time.Second
+		for range 400 {
+			now += 25 * time.Millisecond
+			for i := range routers {
+				hall := hallView{routers: len(routers) - 1, easy: rapid.IntRange(0, 2).Draw(t, "easy")}
+				for j, other := range yields {
+					if other && j != i {
+						hall.yielding++
+					}
+				}
+				yields[i] = routers[i].note(now, 0.9, hall)
+			}
+			ready := 0
+			for _, y := range yields {
+				if !y {
+					ready++
+				}
+			}
+			require.GreaterOrEqual(t, 2*ready, len(routers))
+		}
+	})
+}
