Four routers follow the store, the others learn from them

Ruled out: retries (no call failed), registration (one each). Change: the first three routers by address that reach the store follow it (four in fleets of more than eight); the others rest, pull from those that know more, and ask the store themselves after knowing less than another for half a second, or when their own last call failed. Lists of routers every 30 s from the third on.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,8 +105,8 @@
 	self := Member{Name: g.settings.Name, Address: g.settings.Address}
 	for _, duty := range []func(context.Context) error{
 		g.core.tick,
-		followConfig(g.source, g.state, g.peers.watches).run,
-		followServers(g.source, g.state, g.peers.watches).run,
+		followConfig(g.source, g.state, role{g.peers, &g.peers.configFails}).run,
+		followServers(g.source, g.state, role{g.peers, &g.peers.serversFail}).run,
 		func(ctx context.Context) error {
 			return followMembers(ctx, g.source, self, func(m Member) { g.peers.add(m.Address) })
 		},
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
@@ -31,12 +32,14 @@
 	Power   float64 // cores
 	Shed    float64 // part of the new requests that it refuses for want of processor time
 	Yields  bool    // it asks for fewer callers
-	Life    int64   // start of the sender, so that a restart begins anew
-	Seq     uint64
-	Config  uint64 // version
-	Servers uint64 // revision
-	Report  direct.Report
-	Members []string // other routers that the sender has heard of
+	// SourceLost says that the sender's last call to the source failed.
+	SourceLost bool
+	Life       int64 // start of the sender, so that a restart begins anew
+	Seq        uint64
+	Config     uint64 // version
+	Servers    uint64 // revision
+	Report     direct.Report
+	Members    []string // other routers that the sender has heard of
 }
 
 // peer is another router.
@@ -47,12 +50,14 @@
 	shed    float64
 	yields  bool
 	life    int64
-	seq     uint64
-	heard   time.Duration // 0: never
-	added   time.Duration
-	config  uint64
-	servers uint64
-	live    bool
+	// sourceLost says that its last call to the source failed.
+	sourceLost bool
+	seq        uint64
+	heard      time.Duration // 0: never
+	added      time.Duration
+	config     uint64
+	servers    uint64
+	live       bool
 }
 
 // peers exchanges beats with the other routers.
@@ -67,12 +72,17 @@
 	state   *state
 	journal *journal
 	seeds   int
-	mu      sync.Mutex
-	known   map[string]*peer
-	seq     uint64
-	heard   func([]loads.Router) // takes the routers that are there
-	behind  chan struct{}        // a peer knows something newer
-	poke    chan struct{}        // this router has something newer
+	// configFails and serversFail say that the last call to the source for them
+	// failed.
+	configFails atomic.Bool
+	serversFail atomic.Bool
+	mu          sync.Mutex
+	behindSince time.Duration // 0: no router is known to know more
+	known       map[string]*peer
+	seq         uint64
+	heard       func([]loads.Router) // takes the routers that are there
+	behind      chan struct{}        // a peer knows something newer
+	poke        chan struct{}        // this router has something newer
 }
 
 func newPeers(s Settings, port int, conn net.PacketConn, c *core, st *state, j *journal) *peers {
@@ -127,7 +137,8 @@
 	targets, members := p.round()
 	p.seq++
 	body, err := msgpack.Marshal(beat{
-		Address: p.self, Hall: p.hall, Power: p.power, Shed: p.core.pressure.shedPart(), Yields: p.core.pressure.yields.Load(), Life: p.life, Seq: p.seq, Config: config, Servers: servers, Report: report, Members: members,
+		Address: p.self, Hall: p.hall, Power: p.power, Shed: p.core.pressure.shedPart(), Yields: p.core.pressure.yields.Load(),
+		SourceLost: p.configFails.Load() || p.serversFail.Load(), Life: p.life, Seq: p.seq, Config: config, Servers: servers, Report: report, Members: members,
 	})
 	if err != nil {
 		return
@@ -214,6 +225,7 @@
 	now := p.core.now()
 	peer.life, peer.seq, peer.heard = b.Life, b.Seq, now
 	peer.config, peer.servers = b.Config, b.Servers
+	peer.sourceLost = b.SourceLost
 	peer.hall, peer.power, peer.shed, peer.yields = b.Hall, b.Power, b.Shed, b.Yields
 	if !peer.live {
 		peer.live = true
--- a/gateway/peerstate.go
+++ b/gateway/peerstate.go
@@ -28,20 +28,6 @@
 	}
 }
 
-// watches tells whether this router is one of the few that ask the source
-// often: the others learn of changes from them, and ask rarely.
-func (p *peers) watches() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	before := 0
-	for address, peer := range p.known {
-		if peer.live && address < p.self {
-			before++
-		}
-	}
-	return before < frequentWatchers
-}
-
 // ahead returns the live peers that know something newer.
 func (p *peers) ahead() (config, servers []string) {
 	p.mu.Lock()
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -13,15 +13,23 @@
 )
 
 const (
-	watchWait = time.Second     // of the few routers that ask often
-	watchLong = 4 * time.Second // of the others
-	// frequentWatchers is how many routers ask often.
-	frequentWatchers = 3
-	watchSlack       = 700 * time.Millisecond // over watchWait, then the call is given up
-	readTimeout      = 1500 * time.Millisecond
-	retryFirst       = 100 * time.Millisecond
-	retryMost        = time.Second
-	membersEach      = 6 * time.Second
+	watchWait = time.Second
+	// watchersLeast is how many routers follow the source, in fleets of more than
+	// smallFleet one more. The others learn of changes from them.
+	watchersLeast = 3
+	smallFleet    = 8
+	// roleEvery is how often a router that does not follow the source looks
+	// whether it should.
+	roleEvery   = 100 * time.Millisecond
+	watchSlack  = 700 * time.Millisecond // over watchWait, then the call is given up
+	readTimeout = 1500 * time.Millisecond
+	retryFirst  = 100 * time.Millisecond
+	retryMost   = time.Second
+	// membersFirst is the time between the first membersOften lists of routers,
+	// membersEach between the later ones: beats name the others by then.
+	membersFirst = 6 * time.Second
+	membersOften = 3
+	membersEach  = 30 * time.Second
 )
 
 // follower keeps one kind of thing up to date from the source.
@@ -32,11 +40,14 @@
 	// read takes everything; watch what changed since a revision.
 	read  func(ctx context.Context) (uint64, error)
 	watch func(ctx context.Context, since uint64, wait time.Duration) (uint64, error)
-	// often tells whether this router is one of those that ask often.
-	often func() bool
+	// failing takes in whether the last call to the source failed.
+	failing func(bool)
+	// follows tells whether this router is one of those that follow the source.
+	follows func() bool
 }
 
-// run reads, then watches, until ctx ends. Every failure leads back to reading.
+// run reads, then watches, until ctx ends. Every failure leads back to reading. A
+// router that does not follow the source reads once, and again after a failure.
 func (f *follower) run(ctx context.Context) error {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = retryFirst
@@ -44,12 +55,12 @@
 	since, known := uint64(0), false
 	for ctx.Err() == nil {
 		var err error
+		if known && !f.follows() {
+			known = f.rest(ctx)
+			continue
+		}
 		if known {
-			wait := watchLong
-			if f.often() {
-				wait = watchWait
-			}
-			since, err = f.bounded(ctx, wait+watchSlack, func(c context.Context) (uint64, error) { return f.watch(c, since, wait) })
+			since, err = f.bounded(ctx, watchWait+watchSlack, func(c context.Context) (uint64, error) { return f.watch(c, since, watchWait) })
 		} else {
 			since, err = f.bounded(ctx, readTimeout, f.read)
 		}
@@ -68,6 +79,15 @@
 	return nil
 }
 
+// rest waits until this router follows the source, or ctx ends. It returns whether
+// what was read before may still be continued: it may not.
+func (f *follower) rest(ctx context.Context) bool {
+	for ctx.Err() == nil && !f.follows() {
+		sleep(ctx, roleEvery)
+	}
+	return false
+}
+
 func (f *follower) bounded(ctx context.Context, limit time.Duration, call func(context.Context) (uint64, error)) (uint64, error) {
 	c, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -76,6 +96,7 @@
 
 // note logs a lost or regained source.
 func (f *follower) note(err error) {
+	f.failing(err != nil && !errors.Is(err, ErrHistoryGone))
 	if err != nil && !errors.Is(err, ErrHistoryGone) {
 		if !f.lost {
 			f.journal.dependency(f.name, "lost", err)
@@ -90,9 +111,9 @@
 }
 
 // followConfig returns the follower of the configuration.
-func followConfig(source Source, s *state, often func() bool) *follower {
+func followConfig(source Source, s *state, r role) *follower {
 	return &follower{
-		name: "source of configuration", journal: s.journal, often: often,
+		name: "source of configuration", journal: s.journal, follows: r.follows, failing: r.failing,
 		read: func(ctx context.Context) (uint64, error) {
 			c, at, err := source.ReadConfig(ctx)
 			if err == nil {
@@ -116,10 +137,10 @@
 }
 
 // followServers returns the follower of the list of servers.
-func followServers(source Source, s *state, often func() bool) *follower {
+func followServers(source Source, s *state, r role) *follower {
 	list := &serverList{}
 	return &follower{
-		name: "source of servers", journal: s.journal, often: often,
+		name: "source of servers", journal: s.journal, follows: r.follows, failing: r.failing,
 		read: func(ctx context.Context) (uint64, error) {
 			servers, at, err := source.ReadServers(ctx)
 			if err != nil {
@@ -159,7 +180,7 @@
 
 // followMembers registers this router and finds the others, until ctx ends.
 func followMembers(ctx context.Context, source Source, self Member, found func(Member)) error {
-	registered := false
+	registered, lists := false, 0
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		if !registered {
@@ -174,7 +195,12 @@
 			sleep(ctx, retryMost)
 			continue
 		}
-		sleep(ctx, membersEach)
+		lists++
+		if lists < membersOften {
+			sleep(ctx, membersFirst)
+		} else {
+			sleep(ctx, membersEach)
+		}
 	}
 	return nil
 }
