--- a/direct/allowance.go
+++ b/direct/allowance.go
@@ -9,6 +9,9 @@
 	// of an even one: callers that change routers are not refused at the new one
 	// until it has seen enough of them.
 	leastPart = 0.5
+	// leastRoom is the least room that a team's rise is bounded by, in parts of
+	// what is configured.
+	leastRoom = 1.6
 )
 
 // allowance is what a router may give a team that asks for more than its share:
@@ -39,16 +42,22 @@
 }
 
 // allow works out what this router may give the teams that ask for more than
-// their share, in proportion to what they ask of it.
-func (m *Machine) allow(now, passed time.Duration) {
+// their share of what is configured, in proportion to what they ask of it: no
+// more than the level, or what the others leave while the level does not bind.
+func (m *Machine) allow(now, passed time.Duration, demand float64) {
 	least := leastPart / float64(max(m.routers, 1))
+	all := m.limits.TokensPerSecond * max(m.room, leastRoom)
 	for _, t := range m.teams {
 		offered := t.offeredRate(now)
-		if m.level <= 0 || offered <= m.level {
+		if m.level <= 0 || offered <= m.base {
 			t.allowance = allowance{}
 			continue
 		}
+		most := min(m.level, m.even)
+		if offered <= m.level {
+			most = max(all-(demand-offered), m.base)
+		}
 		part := max(t.offered.decay(now)/offered, least)
-		t.allowance.refill(min(m.level, m.even)*part, passed)
+		t.allowance.refill(most*part, passed)
 	}
 }
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -187,6 +187,8 @@
 	}
 	kept := p.line.waiting[:0]
 	for _, r := range p.line.waiting {
+		// Those before it may have taken what its team may have.
+		m.rate(now, p, r)
 		c, ok := m.place(now, p, r)
 		if !ok {
 			kept = append(kept, r)
@@ -221,7 +223,7 @@
 func (m *Machine) team(name string) *teamUse {
 	t := m.teams[name]
 	if t == nil {
-		t = &teamUse{}
+		t = newTeamUse()
 		m.teams[name] = t
 	}
 	return t
--- a/direct/share.go
+++ b/direct/share.go
@@ -23,7 +23,7 @@
 	// shares while engines are idle, or busy; roomMost bounds it.
 	roomGrows   = 1.05
 	roomShrinks = 0.95
-	roomMost    = 4.0
+	roomMost    = 3.0
 	roomFrom    = 0.8 // of busy: below, the room grows
 	// wantsFrom is the demand, in shares, from which a team wants more than
 	// its share; evenWithin is how far such teams may be apart.
@@ -41,7 +41,7 @@
 	passed := now - m.sharedAt
 	m.sharedAt = now
 	demands := make([]float64, 0, len(m.teams))
-	served := 0.0
+	served, demand := 0.0, 0.0
 	for _, t := range m.teams {
 		served += t.servedRate(now)
 		if d := t.offeredRate(now); d > activeRate {
@@ -66,8 +66,11 @@
 		m.base = waterLevel(demands, m.limits.TokensPerSecond)
 		m.level = waterLevel(demands, m.limits.TokensPerSecond*m.room)
 	}
+	for _, d := range demands {
+		demand += min(d, m.level)
+	}
 	m.even = m.evenLevel(now)
-	m.allow(now, passed)
+	m.allow(now, passed, demand)
 	m.weighTeams(now)
 }
 
--- a/direct/usage.go
+++ b/direct/usage.go
@@ -6,18 +6,23 @@
 	"time"
 )
 
-// useWindow is the time over which a team's tokens are averaged.
-const useWindow = 3 * time.Second
+// The times over which what a team gets, and what it asks for, are averaged: a
+// flood must be known before it has filled the servers.
+const (
+	servedWindow  = 3 * time.Second
+	offeredWindow = 2 * time.Second
+)
 
 // rate is a decaying rate of tokens a second.
 type rate struct {
-	value float64
-	at    time.Duration
+	window time.Duration
+	value  float64
+	at     time.Duration
 }
 
 func (r *rate) decay(now time.Duration) float64 {
 	if now > r.at {
-		r.value *= math.Exp(-float64(now-r.at) / float64(useWindow))
+		r.value *= math.Exp(-float64(now-r.at) / float64(r.window))
 		r.at = now
 	}
 	return r.value
@@ -25,13 +30,13 @@
 
 func (r *rate) add(now time.Duration, tokens float64) {
 	r.decay(now)
-	r.value += tokens / useWindow.Seconds()
+	r.value += tokens / r.window.Seconds()
 }
 
 // take takes off tokens that were added some time ago.
 func (r *rate) take(now time.Duration, tokens float64, ago time.Duration) {
-	left := tokens * math.Exp(-float64(ago)/float64(useWindow))
-	r.value = max(r.decay(now)-left/useWindow.Seconds(), 0)
+	left := tokens * math.Exp(-float64(ago)/float64(r.window))
+	r.value = max(r.decay(now)-left/r.window.Seconds(), 0)
 }
 
 // teamUse is what a router knows of a team's tokens.
@@ -42,6 +47,10 @@
 	others    TeamUse   // sum over the other routers
 }
 
+func newTeamUse() *teamUse {
+	return &teamUse{offered: rate{window: offeredWindow}, served: rate{window: servedWindow}}
+}
+
 func (u *teamUse) servedRate(now time.Duration) float64 {
 	return u.served.decay(now) + u.others.Served
 }
