A team's allowance goes where its callers are now, and bounds it also where engines have room

Ruled out: the level (the same everywhere), engines (36 in 100 busy). Change: while a team that wants more than its share gets under 0.8 of what it asks, no team gets more than 1.25 times what that one gets, or 2.5 shares of what is configured; allowances are divided by what was asked of each router in the last half second. Tests: TestCallersMoveRouters; it fails with the window of three seconds.

--- a/direct/allowance.go
+++ b/direct/allowance.go
@@ -1,6 +1,9 @@
 package direct
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// allowanceKept is the time over which an allowance that is not used adds up.
@@ -9,9 +12,6 @@
 	// of an even one: callers that change routers are not refused at the new one
 	// until it has seen enough of them.
 	leastPart = 0.5
-	// leastRoom is the least room that a team's rise is bounded by, in parts of
-	// what is configured.
-	leastRoom = 1.6
 )
 
 // allowance is what a router may give a team that asks for more than its share:
@@ -42,22 +42,21 @@
 }
 
 // allow works out what this router may give the teams that ask for more than
-// their share of what is configured, in proportion to what they ask of it: no
-// more than the level, or what the others leave while the level does not bind.
-func (m *Machine) allow(now, passed time.Duration, demand float64) {
+// their share, in proportion to what they ask of it.
+func (m *Machine) allow(now, passed time.Duration) {
 	least := leastPart / float64(max(m.routers, 1))
-	all := m.limits.TokensPerSecond * max(m.room, leastRoom)
 	for _, t := range m.teams {
 		offered := t.offeredRate(now)
 		if m.level <= 0 || offered <= m.base {
 			t.allowance = allowance{}
 			continue
 		}
+		part := max(t.part(now), least)
 		most := min(m.level, m.even)
-		if offered <= m.level {
-			most = max(all-(demand-offered), m.base)
+		if math.IsInf(most, 0) {
+			t.allowance = allowance{}
+			continue
 		}
-		part := max(t.offered.decay(now)/offered, least)
 		t.allowance.refill(most*part, passed)
 	}
 }
--- a/direct/allowance_test.go
+++ b/direct/allowance_test.go
@@ -81,3 +81,43 @@
 		b.m.Update(PeersMsg{Now: b.now, Routers: len(fleet), Hold: time.Second})
 	}
 }
+
+// TestCallersMoveRouters has the callers of a flooding team leave one router for
+// another: within two seconds the new one has the team's share.
+func TestCallersMoveRouters(t *testing.T) {
+	fleet := []*bench{newBench(t, 20), newBench(t, 20)}
+	for _, b := range fleet {
+		b.m.limits.TokensPerSecond = 200_000
+	}
+	flood := func(at *bench, ticks int) {
+		for tick := range ticks {
+			for _, team := range []string{"moving", "other"} {
+				b := at
+				if team == "other" {
+					b = fleet[1]
+				}
+				for range 6 {
+					r := b.request(team)
+					if c, ok := find[SendCmd](b.arrive(r)); ok {
+						b.m.Update(FirstMsg{Now: b.now, ID: c.ID})
+						b.end(c.ID, Done, false)
+					}
+				}
+			}
+			for _, b := range fleet {
+				b.pass(TickEvery)
+			}
+			if tick%8 == 0 {
+				exchange(fleet)
+			}
+		}
+	}
+	flood(fleet[0], 400)
+	before := fleet[1].m.team("moving").allowance.rate
+	flood(fleet[1], 80)
+	after := fleet[1].m.team("moving").allowance.rate
+	most := min(fleet[1].m.level, fleet[1].m.even)
+	require.Less(t, before, most/2)
+	require.Greater(t, after, 0.9*most)
+	require.Less(t, fleet[0].m.team("moving").allowance.rate, 0.5*most)
+}
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -158,7 +158,9 @@
 	p.budget.first(msg.Now)
 	objective := float64(r.Objective) / float64(time.Millisecond)
 	p.objective += objectiveStep * (objective - p.objective)
-	m.team(r.Team).offered.add(msg.Now, tokenCost(r.PromptTokens, r.OutputTokens))
+	team, cost := m.team(r.Team), tokenCost(r.PromptTokens, r.OutputTokens)
+	team.offered.add(msg.Now, cost)
+	team.recent.add(msg.Now, cost)
 	m.enqueue(msg.Now, p, r)
 }
 
--- a/direct/machine_test.go
+++ b/direct/machine_test.go
@@ -439,7 +439,7 @@
 	b.m.pool("llm").objective = 400
 	b.pass(10 * time.Second)
 	room := b.m.Shares(b.now, 0).Room
-	require.Greater(t, room, 1.9)
+	require.Greater(t, room, 2.0)
 	for range 10 {
 		clump(9_000)
 		b.pass(4 * shareEvery)
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -164,5 +164,6 @@
 type TeamUse struct {
 	Team    string
 	Offered float64
+	Recent  float64 // offered in the last half second
 	Served  float64
 }
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -69,6 +69,7 @@
 	for _, t := range r.Teams {
 		u := m.team(t.Team)
 		u.others.Offered += t.Offered
+		u.others.Recent += t.Recent
 		u.others.Served += t.Served
 	}
 }
@@ -79,7 +80,7 @@
 	for name, t := range m.teams {
 		offered := t.offered.decay(now)
 		if offered > activeRate {
-			r.Teams = append(r.Teams, TeamUse{Team: name, Offered: offered, Served: t.served.decay(now)})
+			r.Teams = append(r.Teams, TeamUse{Team: name, Offered: offered, Recent: t.recent.decay(now), Served: t.served.decay(now)})
 		}
 	}
 	slices.SortFunc(r.Teams, func(a, b TeamUse) int { return compareText(a.Team, b.Team) })
--- a/direct/share.go
+++ b/direct/share.go
@@ -23,12 +23,18 @@
 	// shares while engines are idle, or busy; roomMost bounds it.
 	roomGrows   = 1.05
 	roomShrinks = 0.95
-	roomMost    = 3.0
+	roomMost    = 4.0
 	roomFrom    = 0.8 // of busy: below, the room grows
+	// satisfied is the part of what it asks for that a team gets from which it
+	// counts as satisfied.
+	satisfied = 0.8
 	// wantsFrom is the demand, in shares, from which a team wants more than
 	// its share; evenWithin is how far such teams may be apart.
 	wantsFrom  = 1.1
 	evenWithin = 1.25
+	// evenShares is what a team may get in any case, in shares of what is
+	// configured: some of what it gets comes too late to count.
+	evenShares = 2.5
 )
 
 // share works out how much a team may have. What all teams may have together is
@@ -41,7 +47,7 @@
 	passed := now - m.sharedAt
 	m.sharedAt = now
 	demands := make([]float64, 0, len(m.teams))
-	served, demand := 0.0, 0.0
+	served := 0.0
 	for _, t := range m.teams {
 		served += t.servedRate(now)
 		if d := t.offeredRate(now); d > activeRate {
@@ -66,11 +72,8 @@
 		m.base = waterLevel(demands, m.limits.TokensPerSecond)
 		m.level = waterLevel(demands, m.limits.TokensPerSecond*m.room)
 	}
-	for _, d := range demands {
-		demand += min(d, m.level)
-	}
 	m.even = m.evenLevel(now)
-	m.allow(now, passed, demand)
+	m.allow(now, passed)
 	m.weighTeams(now)
 }
 
@@ -80,11 +83,12 @@
 func (m *Machine) evenLevel(now time.Duration) float64 {
 	least := math.Inf(1)
 	for _, t := range m.teams {
-		if t.offeredRate(now) > wantsFrom*m.level {
-			least = min(least, t.servedRate(now))
+		offered, served := t.offeredRate(now), t.servedRate(now)
+		if offered > wantsFrom*m.base && served < satisfied*offered {
+			least = min(least, served)
 		}
 	}
-	return max(evenWithin*least, m.base)
+	return max(evenWithin*least, evenShares*m.base)
 }
 
 // weighTeams adds up what teams ask of this router.
--- a/direct/usage.go
+++ b/direct/usage.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// The times over which what a team gets, and what it asks for, are averaged: a
-// flood must be known before it has filled the servers.
+// The times over which a team's tokens are averaged: all of them, and what it
+// asked for most recently, which tells where its callers are now.
 const (
-	servedWindow  = 3 * time.Second
-	offeredWindow = 2 * time.Second
+	useWindow    = 3 * time.Second
+	recentWindow = 500 * time.Millisecond
 )
 
 // rate is a decaying rate of tokens a second.
@@ -42,13 +42,23 @@
 // teamUse is what a router knows of a team's tokens.
 type teamUse struct {
 	offered   rate
+	recent    rate // offered, most recently
 	served    rate
 	allowance allowance // of this router
 	others    TeamUse   // sum over the other routers
 }
 
 func newTeamUse() *teamUse {
-	return &teamUse{offered: rate{window: offeredWindow}, served: rate{window: servedWindow}}
+	return &teamUse{offered: rate{window: useWindow}, recent: rate{window: recentWindow}, served: rate{window: useWindow}}
+}
+
+// part returns how much of what a team asks for now is asked of this router.
+func (u *teamUse) part(now time.Duration) float64 {
+	own := u.recent.decay(now)
+	if own <= 0 {
+		return 0
+	}
+	return own / (own + u.others.Recent)
 }
 
 func (u *teamUse) servedRate(now time.Duration) float64 {
