--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -30,7 +30,8 @@
 	headSent bool
 	lastID   int64 // of the last event that was passed on
 	firstAt  time.Duration
-	held     *whole // a server's own failure, kept while another is tried
+	passedAt time.Duration // when events were last passed on
+	held     *whole        // a server's own failure, kept while another is tried
 	last     direct.SendCmd
 }
 
@@ -84,11 +85,12 @@
 		x.attempts++
 		x.last = cmd
 		a := attempt{x: x, cmd: cmd}
+		began := x.front.core.now()
 		outcome, ended := a.run()
 		x.front.core.update(direct.EndMsg{
 			Now: x.front.core.now(), ID: x.id, Outcome: outcome, Retry: !ended, Slow: x.front.core.pressure.slow(),
 		})
-		x.front.stats.attempt(outcome)
+		x.front.stats.attempt(outcome, x.front.core.now()-began)
 		if ended {
 			return true
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,7 @@
 	core     *core
 	state    *state
 	front    *front
+	stats    *stats
 	peers    *peers
 	loads    *loadExchange
 	puller   *puller
@@ -51,24 +52,25 @@
 	g := &Gateway{settings: s, source: source, dialect: dialect, journal: newJournal(out, s.Name)}
 	g.grace.Store(int64(s.Grace))
 	g.core = newCore(direct.Options{Zone: s.Zone, Budget: s.Budget}, g.journal.belief)
+	g.admin = admin.New(admin.Source{Ready: g.ready, State: g.dump})
+	g.stats = newStats(g.admin.Scope())
 	g.state = &state{core: g.core, journal: g.journal}
 	conn, port, err := listenDatagrams(s.Peers)
 	if err != nil {
 		return nil, err
 	}
-	g.peers = newPeers(s, port, conn, g.core, g.state, g.journal)
+	g.peers = newPeers(s, port, conn, g.core, g.state, g.journal, g.stats)
 	if conn, port, err = listenDatagrams(s.Loads); err != nil {
 		return nil, err
 	}
-	g.loads = newLoadExchange(s, port, conn, g.core)
+	g.loads = newLoadExchange(s, port, conn, g.core, g.stats)
 	g.peers.heard = g.loads.routers
 	g.state.changed = g.peers.changed
 	if g.puller, err = newPuller(s, g.state, g.peers); err != nil {
 		return nil, err
 	}
-	g.admin = admin.New(admin.Source{Ready: g.ready, State: g.dump})
 	g.front = &front{
-		core: g.core, state: g.state, dialect: dialect, journal: g.journal, stats: newStats(g.admin.Scope()),
+		core: g.core, state: g.state, dialect: dialect, journal: g.journal, stats: g.stats,
 		pool: backend.NewPool(backend.Options{DialTimeout: dialTimeout, SilentPeer: silentPeer, MaxIdle: maxIdle}),
 		most: s.MemoryBytes / bodiesShare, callers: newCallers(callersMost(s.Descriptors)), eventDelay: s.EventDelay,
 	}
@@ -105,8 +107,8 @@
 	self := Member{Name: g.settings.Name, Address: g.settings.Address}
 	for _, duty := range []func(context.Context) error{
 		g.core.tick,
-		followConfig(g.source, g.state, role{g.peers, &g.peers.configFails}).run,
-		followServers(g.source, g.state, role{g.peers, &g.peers.serversFail}).run,
+		followConfig(g.source, g.state, role{g.peers, &g.peers.configFails}, g.stats).run,
+		followServers(g.source, g.state, role{g.peers, &g.peers.serversFail}, g.stats).run,
 		func(ctx context.Context) error {
 			return followMembers(ctx, g.source, self, func(m Member) { g.peers.add(m.Address) })
 		},
@@ -159,6 +161,7 @@
 			Bool("yields", g.core.pressure.yields.Load()).Int("goroutines", runtime.NumGoroutine()).
 			Uint64("heap_bytes", m.HeapInuse).Uint64("stack_bytes", m.StackInuse).Uint32("collections", m.NumGC).
 			Uint64("lines_dropped", g.journal.dropped.Load()).Msg("")
+		g.stats.age.RecordDuration(g.state.configAge())
 		g.journal.shares(g.core.shares(teamsLogged))
 	}
 	return nil
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -28,14 +28,16 @@
 	port     int
 	conn     net.PacketConn
 	core     *core
+	stats    *stats
 	mu       sync.Mutex
 	exchange *loads.Exchange
-	number   uint64 // of the last list that was sent; begins with the time of the start
+	heardAt  time.Duration // when the others' loads came last
+	number   uint64        // of the last list that was sent; begins with the time of the start
 }
 
-func newLoadExchange(s Settings, port int, conn net.PacketConn, c *core) *loadExchange {
+func newLoadExchange(s Settings, port int, conn net.PacketConn, c *core, counts *stats) *loadExchange {
 	return &loadExchange{
-		self: s.Address, port: port, conn: conn, core: c, number: uint64(time.Now().UnixNano()),
+		self: s.Address, port: port, conn: conn, core: c, stats: counts, number: uint64(time.Now().UnixNano()),
 		exchange: loads.NewExchange(loads.Router{Address: s.Address, Hall: s.Zone, Power: s.Power}),
 	}
 }
@@ -87,11 +89,21 @@
 		case loads.SendCmd:
 			l.write(cmd)
 		case loads.OthersCmd:
-			l.core.update(direct.LoadsMsg{Now: l.core.now(), Loads: cmd.Loads})
+			l.take(cmd.Loads)
 		}
 	}
 }
 
+// take tells the machine what the others have.
+func (l *loadExchange) take(others []loads.Load) {
+	now := l.core.now()
+	if l.heardAt > 0 {
+		l.stats.loadsAge.RecordDuration(now - l.heardAt)
+	}
+	l.heardAt = now
+	l.core.update(direct.LoadsMsg{Now: now, Loads: others})
+}
+
 func (l *loadExchange) write(cmd loads.SendCmd) {
 	to, err := netip.ParseAddr(cmd.To)
 	if err != nil {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -71,6 +71,7 @@
 	core    *core
 	state   *state
 	journal *journal
+	stats   *stats
 	seeds   int
 	// configFails and serversFail say that the last call to the source for them
 	// failed.
@@ -85,9 +86,9 @@
 	poke        chan struct{}        // this router has something newer
 }
 
-func newPeers(s Settings, port int, conn net.PacketConn, c *core, st *state, j *journal) *peers {
+func newPeers(s Settings, port int, conn net.PacketConn, c *core, st *state, j *journal, counts *stats) *peers {
 	return &peers{
-		self: s.Address, hall: s.Zone, power: s.Power, port: port, life: time.Now().UnixNano(), conn: conn, core: c, state: st, journal: j,
+		self: s.Address, hall: s.Zone, power: s.Power, port: port, life: time.Now().UnixNano(), conn: conn, core: c, state: st, journal: j, stats: counts,
 		seeds: len(s.Seeds), known: make(map[string]*peer),
 		behind: make(chan struct{}, 1), poke: make(chan struct{}, 1),
 	}
@@ -223,6 +224,9 @@
 		return
 	}
 	now := p.core.now()
+	if peer.heard > 0 {
+		p.stats.silence.RecordDuration(now - peer.heard)
+	}
 	peer.life, peer.seq, peer.heard = b.Life, b.Seq, now
 	peer.config, peer.servers = b.Config, b.Servers
 	peer.sourceLost = b.SourceLost
--- /dev/null
+++ b/gateway/role_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newTestPeers returns what a router knows of others.
+func newTestPeers(self string, others ...*peer) *peers {
+	c := &core{start: time.Now().Add(-time.Minute)}
+	p := &peers{self: self, core: c, state: &state{core: c}, known: make(map[string]*peer)}
+	for _, o := range others {
+		o.live, o.heard = true, c.now()
+		p.known[o.address] = o
+	}
+	return p
+}
+
+// TestFewFollowTheSource has the first routers by address that reach the source
+// follow it, one more in a large fleet, and nobody else.
+func TestFewFollowTheSource(t *testing.T) {
+	for _, fleet := range []struct{ routers, follow int }{{1, 1}, {3, 3}, {5, 3}, {9, 4}, {60, 4}} {
+		follow := 0
+		for i := range fleet.routers {
+			var others []*peer
+			for j := range fleet.routers {
+				if j != i {
+					others = append(others, &peer{address: fmt.Sprintf("10.0.0.%03d", j)})
+				}
+			}
+			if newTestPeers(fmt.Sprintf("10.0.0.%03d", i), others...).watches() {
+				follow++
+			}
+		}
+		require.Equal(t, fleet.follow, follow, "of %d", fleet.routers)
+	}
+}
+
+// TestOthersTakeOver has a router follow the source where those before it have
+// lost it, are away, or know more and can't be asked.
+func TestOthersTakeOver(t *testing.T) {
+	before := func() []*peer {
+		return []*peer{{address: "a"}, {address: "b"}, {address: "c"}}
+	}
+	p := newTestPeers("d", before()...)
+	require.False(t, p.watches())
+	p.known["b"].sourceLost = true
+	require.True(t, p.watches(), "one has lost the source")
+	p = newTestPeers("d", before()...)
+	p.known["a"].live = false
+	require.True(t, p.watches(), "one is away")
+	p = newTestPeers("d", before()...)
+	p.known["c"].servers = 9
+	require.False(t, p.watches(), "it may still pull")
+	p.behindSince -= 2 * stuckAfter
+	require.True(t, p.watches(), "it has known less for too long")
+}
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -16,11 +16,19 @@
 	wait     tally.Histogram
 	first    tally.Histogram
 	total    tally.Histogram
+	pause    tally.Histogram // between events of a stream, as they are passed on
+	server   tally.Histogram // an attempt, from its start to its end
+	silence  tally.Histogram // of another router, when it is heard again
+	loadsAge tally.Histogram // of the others' loads, when newer ones come
+	age      tally.Histogram // of the configuration in force, every few seconds
 }
 
 // durations are the bounds of the histograms.
 var durations = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
 
+// ages are the bounds of histograms of what may be old.
+var ages = tally.MustMakeExponentialDurationBuckets(time.Second, 2, 18)
+
 func newStats(scope tally.Scope) *stats {
 	s := &stats{
 		scope:    scope,
@@ -28,6 +36,11 @@
 		wait:     scope.Histogram("queue_wait", durations),
 		first:    scope.Histogram("first_event", durations),
 		total:    scope.Histogram("request", durations),
+		pause:    scope.Histogram("event_pause", durations),
+		server:   scope.Histogram("server_time", durations),
+		silence:  scope.Histogram("router_silence", durations),
+		loadsAge: scope.Histogram("loads_age", durations),
+		age:      scope.Histogram("config_age", ages),
 	}
 	for o := direct.Done; o <= direct.GivenUp; o++ {
 		s.attempts[o] = scope.Tagged(map[string]string{"outcome": o.String()}).Counter("attempts")
@@ -51,7 +64,10 @@
 	return c.(tally.Counter)
 }
 
-func (s *stats) attempt(o direct.Outcome) { s.attempts[o].Inc(1) }
+func (s *stats) attempt(o direct.Outcome, took time.Duration) {
+	s.attempts[o].Inc(1)
+	s.server.RecordDuration(took)
+}
 
 func (s *stats) request(x *exchange, result, reason string) {
 	s.counter(counterKey{"requests", result, reason}).Inc(1)
@@ -68,3 +84,13 @@
 func (s *stats) turnedAway(reason string) {
 	s.counter(counterKey{"turned_away", "", reason}).Inc(1)
 }
+
+// sourceCall takes in one call to the source.
+func (s *stats) sourceCall(feed string, took time.Duration, err error) {
+	result := "done"
+	if err != nil {
+		result = "failed"
+	}
+	labels := map[string]string{"feed": feed, "result": result}
+	s.scope.Tagged(labels).Histogram("source_call", durations).RecordDuration(took)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -113,6 +113,11 @@
 	if !flush {
 		return nil
 	}
+	now := a.x.front.core.now()
+	if a.x.passedAt > 0 {
+		a.x.front.stats.pause.RecordDuration(now - a.x.passedAt)
+	}
+	a.x.passedAt = now
 	return a.x.front.flush(a.x.w)
 }
 
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -36,6 +36,7 @@
 type follower struct {
 	name    string
 	journal *journal
+	stats   *stats
 	lost    bool
 	// read takes everything; watch what changed since a revision.
 	read  func(ctx context.Context) (uint64, error)
@@ -91,7 +92,10 @@
 func (f *follower) bounded(ctx context.Context, limit time.Duration, call func(context.Context) (uint64, error)) (uint64, error) {
 	c, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return call(c)
+	began := time.Now()
+	at, err := call(c)
+	f.stats.sourceCall(f.name, time.Since(began), err)
+	return at, err
 }
 
 // note logs a lost or regained source.
@@ -111,9 +115,9 @@
 }
 
 // followConfig returns the follower of the configuration.
-func followConfig(source Source, s *state, r role) *follower {
+func followConfig(source Source, s *state, r role, st *stats) *follower {
 	return &follower{
-		name: "source of configuration", journal: s.journal, follows: r.follows, failing: r.failing,
+		name: "source of configuration", journal: s.journal, stats: st, follows: r.follows, failing: r.failing,
 		read: func(ctx context.Context) (uint64, error) {
 			c, at, err := source.ReadConfig(ctx)
 			if err == nil {
@@ -137,10 +141,10 @@
 }
 
 // followServers returns the follower of the list of servers.
-func followServers(source Source, s *state, r role) *follower {
+func followServers(source Source, s *state, r role, st *stats) *follower {
 	list := &serverList{}
 	return &follower{
-		name: "source of servers", journal: s.journal, follows: r.follows, failing: r.failing,
+		name: "source of servers", journal: s.journal, stats: st, follows: r.follows, failing: r.failing,
 		read: func(ctx context.Context) (uint64, error) {
 			servers, at, err := source.ReadServers(ctx)
 			if err != nil {
