Requests that are late already come after new ones

Ruled out: slow servers (8 in 100 of single attempts are late). Change: a route's callers begin with the same time to live; what is missing of it tells how long ago a caller first asked. Requests that can hardly meet their objective come after new ones in line, and get what new ones leave of the allowance of a team above its share. Teams within their share have them served as before.

--- a/direct/allowance.go
+++ b/direct/allowance.go
@@ -8,6 +8,9 @@
 const (
 	// allowanceKept is the time over which an allowance that is not used adds up.
 	allowanceKept = 400 * time.Millisecond
+	// plentyPart is the part of a full allowance from which requests that are late
+	// already have some of it too.
+	plentyPart = 0.7
 	// leastPart is the least part of a team's share that a router has, in parts
 	// of an even one: callers that change routers are not refused at the new one
 	// until it has seen enough of them.
@@ -34,6 +37,11 @@
 // spent tells whether nothing is left.
 func (a *allowance) spent() bool { return a.rate > 0 && a.tokens <= 0 }
 
+// plenty tells whether more is left than new requests seem to need.
+func (a *allowance) plenty() bool {
+	return a.rate == 0 || a.tokens > plentyPart*a.rate*allowanceKept.Seconds()
+}
+
 // take takes tokens off; less than 0 gives them back.
 func (a *allowance) take(tokens float64) {
 	if a.rate > 0 {
--- a/direct/allowance_test.go
+++ b/direct/allowance_test.go
@@ -121,3 +121,42 @@
 	require.Greater(t, after, 0.9*most)
 	require.Less(t, fleet[0].m.team("moving").allowance.rate, 0.5*most)
 }
+
+// TestNewRequestsFirst gives what a team above its share may have to requests that
+// can still meet their objective before those that are late already; a team
+// within its share has both served.
+func TestNewRequestsFirst(t *testing.T) {
+	b := newBench(t, 20)
+	b.m.limits.TokensPerSecond = 100_000
+	sent := map[bool]int{}
+	late := map[RequestID]bool{}
+	run := func(cmds []Cmd) {
+		for _, c := range cmds {
+			if c, ok := c.(SendCmd); ok {
+				sent[late[c.ID]]++
+				b.m.Update(FirstMsg{Now: b.now, ID: c.ID})
+				b.end(c.ID, Done, false)
+			}
+		}
+	}
+	ask := func(team string, age time.Duration) {
+		r := b.request(team)
+		r.Age = age
+		late[r.ID] = age > 0
+		run(b.arrive(r))
+	}
+	for range 400 {
+		for range 4 {
+			ask("flood", 0)
+			ask("flood", 2*time.Second)
+		}
+		run(b.pass(TickEvery))
+	}
+	require.Greater(t, sent[false], 10*sent[true])
+	clear(sent)
+	for range 20 {
+		ask("small", 2*time.Second)
+		run(b.pass(TickEvery))
+	}
+	require.Equal(t, 20, sent[true])
+}
--- a/direct/line.go
+++ b/direct/line.go
@@ -30,14 +30,15 @@
 }
 
 // sort puts first who is served first: requests that were sent before, then
-// higher priority, teams within their share, the team that got least, the
-// oldest.
+// higher priority, teams within their share, those that are not late already, the
+// team that got least, the oldest.
 func (l *line) sort() {
 	slices.SortStableFunc(l.waiting, func(a, b *run) int {
 		return cmp.Or(
 			-cmp.Compare(min(a.attempt, 1), min(b.attempt, 1)),
 			cmp.Compare(a.Priority, b.Priority),
 			compareBool(a.over > 1, b.over > 1),
+			compareBool(a.late, b.late),
 			cmp.Compare(a.served, b.served),
 			cmp.Compare(a.arrivedAt, b.arrivedAt),
 			cmp.Compare(a.ID, b.ID),
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -8,6 +8,9 @@
 const (
 	// activeRate is the tokens a second from which a team counts as active.
 	activeRate = 1.0
+	// lateAge is the part of its objective after which a request that comes back
+	// can hardly meet it.
+	lateAge = 0.6
 	// goneMemory is how long a server that left is remembered.
 	goneMemory = 10 * time.Second
 	// unsentTries bounds the servers that a request may fail to reach.
@@ -68,6 +71,7 @@
 	begun     bool
 	charged   bool    // counted for its team
 	over      float64 // what its team gets, in shares of what is configured
+	late      bool    // its caller has asked before, too long ago for its objective
 	above     bool    // this router has given its team all that it may
 	served    float64 // rate of its team, for the order of the line
 }
@@ -153,6 +157,7 @@
 // arrive takes a request in and tries to place it.
 func (m *Machine) arrive(msg ArriveMsg) {
 	r := &run{Request: msg.Request, arrivedAt: msg.Now}
+	r.late = float64(r.Age) > lateAge*float64(r.Objective)
 	m.runs[r.ID] = r
 	p := m.pool(r.Service)
 	p.budget.first(msg.Now)
@@ -209,7 +214,7 @@
 	r.over, r.above = 0, false
 	if p.engine != nil && m.level > 0 {
 		r.over = r.served / m.base
-		r.above = team.allowance.spent()
+		r.above = team.allowance.spent() || (r.late && !team.allowance.plenty())
 	}
 }
 
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -25,6 +25,7 @@
 	Attempts     int // servers that it may be sent to
 	Priority     int
 	Objective    time.Duration
+	Age          time.Duration // since its caller first asked, as far as is known
 	Deadline     time.Duration // when the caller or the route gives it up
 	PromptTokens int           // of the whole prompt
 	OutputTokens int           // expected
--- a/direct/table.go
+++ b/direct/table.go
@@ -12,6 +12,7 @@
 	hosts    map[string]map[string]*Route // by host, then prefix
 	teams    map[string]*Team             // by key
 	services map[string]*Service
+	routes   map[string]bool // by name
 }
 
 // NewTable indexes a configuration.
@@ -21,9 +22,11 @@
 		hosts:    make(map[string]map[string]*Route),
 		teams:    make(map[string]*Team),
 		services: make(map[string]*Service, len(c.Services)),
+		routes:   make(map[string]bool, len(c.Routes)),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		t.routes[r.Name] = true
 		if t.hosts[r.Host] == nil {
 			t.hosts[r.Host] = make(map[string]*Route)
 		}
@@ -40,6 +43,9 @@
 	return t
 }
 
+// HasRoute tells whether there is a route of a name.
+func (t *Table) HasRoute(name string) bool { return t.routes[name] }
+
 // Route returns the route of a host whose prefix begins the path and is
 // longest, or nil. It looks up one prefix for each slash of the path.
 func (t *Table) Route(host, path string) *Route {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -23,6 +23,7 @@
 	priority int
 	body     []byte
 	start    time.Duration
+	age      time.Duration // since its caller first asked, as far as is known
 	deadline time.Duration
 
 	id       direct.RequestID
@@ -45,6 +46,7 @@
 		Attempts:     max(x.route.Attempts, 1),
 		Priority:     x.priority,
 		Objective:    x.route.Objective,
+		Age:          x.age,
 		Deadline:     x.deadline,
 		PromptTokens: x.envelope.PromptTokens,
 		OutputTokens: x.envelope.OutputTokens,
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -40,6 +40,7 @@
 	refusing atomic.Bool  // new requests are refused
 	active   atomic.Int64
 	callers  *callers
+	ages     callerAges
 	// eventDelay is the most that an event may take to reach its caller.
 	eventDelay time.Duration
 }
@@ -107,6 +108,7 @@
 		return nil, http.StatusServiceUnavailable, reasonPressure
 	}
 	x.setDeadline()
+	x.age = f.ages.of(start, route.Name, envelope.Left)
 	x.body, err = readBody(w, r, max(table.Config.Limits.BodyBytes, 1))
 	if err != nil {
 		return nil, bodyStatus(err), "body"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,6 +134,9 @@
 				wanted[s.Address] = true
 			}
 		}
+		if table := g.state.table.Load(); table != nil {
+			g.front.ages.keep(table.HasRoute)
+		}
 		g.front.callers.sweep(g.restTime())
 		g.front.pool.Sweep(func(address string) bool { return wanted[address] })
 	}
