Beyond its share a team is held to the same backlog for all its requests

Ruled out: allowances (a request of any size passes while something is left). Change: a backlog of at most 0.2 of the average objective, and the usual bound on the first event.

--- a/direct/place.go
+++ b/direct/place.go
@@ -13,11 +13,10 @@
 	fitWithin  = 0.85
 	waitWithin = 0.4
 	// A team that gets more than its share of what is configured has only what
-	// others leave: servers where the first event is expected within overFirst of
-	// the objective, with at most overWait of backlog, and which keep its prompt
-	// where any does.
-	overFirst = 0.6
-	overWait  = 0.15
+	// others leave: servers with a backlog of at most overWait of the average
+	// objective, the same for all its requests, and which keep its prompt where
+	// any does.
+	overWait = 0.2
 
 	// The costs of a choice, in milliseconds.
 	lateCost = 200.0 // for being late for certain
@@ -208,7 +207,7 @@
 	own := float64(r.ownTokens()+miss) / perMS
 	first := float64(firstEventBase/time.Millisecond) + wait + own
 	objective := float64(r.Objective) / float64(time.Millisecond)
-	if !fits(r, first/objective, wait/objective) || (r.over > 1 && r.attempt == 0 && held && miss > 0) {
+	if !fits(r, first/objective, wait/objective, p.objective) || (r.over > 1 && r.attempt == 0 && held && miss > 0) {
 		return choice{}, false
 	}
 	late := min(max((first/objective-certainFrom)/(certainTo-certainFrom), 0), 1)
@@ -221,15 +220,16 @@
 }
 
 // fits tells whether a server would serve a request in time. first and wait are
-// the expected first event and the backlog, in parts of the objective.
-func fits(r *run, first, wait float64) bool {
+// the expected first event and the backlog, in parts of the objective; average is
+// the objective of all requests, in milliseconds.
+func fits(r *run, first, wait, average float64) bool {
 	switch {
 	case r.attempt > 0:
 		return first <= 1 || wait <= 1
 	case r.above:
 		return false
 	case r.over > 1:
-		return first <= overFirst && wait <= overWait
+		return first <= fitWithin && wait*float64(r.Objective) <= overWait*average*float64(time.Millisecond)
 	}
 	return first <= fitWithin || wait <= waitWithin
 }
