What a router refuses for want of processor time counts as asked for; teams within 1.6 of one another

Change: ShedMsg counts what is refused at the door; no team gets more than 1.6 times what an unsatisfied one gets, or 1.6 shares. Tests: TestShedTeamsAreUnsatisfied (does not build before). TestNewRequestsFirst floods with more, since room is no longer bounded by 2.5 shares there.

--- a/direct/machine.go
+++ b/direct/machine.go
@@ -113,6 +113,8 @@
 		m.list(msg)
 	case ArriveMsg:
 		m.arrive(msg)
+	case ShedMsg:
+		m.team(msg.Team).offered.add(msg.Now, tokenCost(msg.PromptTokens, msg.OutputTokens))
 	case FirstMsg:
 		m.first(msg)
 	case EndMsg:
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -94,6 +94,15 @@
 	Request Request
 }
 
+// ShedMsg says that the router refused a request at the door, for want of
+// processor time: its team asked for it all the same.
+type ShedMsg struct {
+	Now          time.Duration
+	Team         string
+	PromptTokens int
+	OutputTokens int
+}
+
 // FirstMsg says that the first event of an attempt, or its whole answer, came.
 type FirstMsg struct {
 	Now time.Duration
@@ -147,6 +156,7 @@
 func (BudgetMsg) isMsg()  {}
 func (ServersMsg) isMsg() {}
 func (ArriveMsg) isMsg()  {}
+func (ShedMsg) isMsg()    {}
 func (FirstMsg) isMsg()   {}
 func (EndMsg) isMsg()     {}
 func (LeaveMsg) isMsg()   {}
--- a/direct/share.go
+++ b/direct/share.go
@@ -31,10 +31,10 @@
 	// wantsFrom is the demand, in shares, from which a team wants more than
 	// its share; evenWithin is how far such teams may be apart.
 	wantsFrom  = 1.1
-	evenWithin = 1.25
+	evenWithin = 1.6
 	// evenShares is what a team may get in any case, in shares of what is
 	// configured: some of what it gets comes too late to count.
-	evenShares = 2.5
+	evenShares = 1.6
 )
 
 // share works out how much a team may have. What all teams may have together is
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -105,6 +105,7 @@
 		}
 	}
 	if f.core.pressure.passesOn() && f.core.pressure.sheds(envelope.ID, f.core.weightOf(x.team)) {
+		f.core.update(direct.ShedMsg{Now: start, Team: x.team, PromptTokens: envelope.PromptTokens, OutputTokens: envelope.OutputTokens})
 		return nil, http.StatusServiceUnavailable, reasonPressure
 	}
 	x.setDeadline()
