A router that is seconds late keeps what it knew of its hall and is overloaded at once

Change: a late router does not renew its view of the hall; a late tick counts for the time that it was late; callers' connections get no keep-alive probes (four system calls each). Test: TestStuckRouterIsNotReady, failed before.

--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -43,7 +43,7 @@
 		{"front", g.settings.Front, g.server},
 	}
 	for _, s := range servers {
-		ln, err := net.Listen("tcp", s.address)
+		ln, err := listenTCP(life, s.address)
 		if err == nil && s.server == g.server {
 			ln = listener{ln, g.front.callers}
 		}
@@ -67,6 +67,13 @@
 	return nil
 }
 
+// listenTCP opens an address for short calls. Probes for dead peers are off: they
+// cost four system calls a connection, and what is at rest is swept anyway.
+func listenTCP(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: false}, KeepAlive: -1}
+	return config.Listen(ctx, "tcp", address)
+}
+
 // callersMost is how many connections of callers are held at once: two thirds
 // of the descriptors, since those that wait for a server need one more.
 func callersMost(descriptors int) int {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -187,7 +187,10 @@
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	targets = targets[:min(len(targets), beatFanout)]
 	p.heard(there)
-	p.core.pressure.hall.Store(&hall)
+	// A late router has not read what the others said: it keeps what it knew.
+	if !p.core.pressure.slow() {
+		p.core.pressure.hall.Store(&hall)
+	}
 	p.core.update(direct.PeersMsg{Now: now, Routers: max(len(there)+1, p.seeds), Hold: lasts})
 	return targets, members
 }
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"github.com/croftvale/croftvale/direct"
 )
 
 const (
@@ -16,7 +18,7 @@
 	lagFull  = 120 * time.Millisecond
 	// lagKept is what remains of the greatest lag after one more tick.
 	lagKept = 0.9
-	// A router that was late for some 16 ticks more than it kept up is
+	// A router that was late for the time of some 16 ticks more than it kept up is
 	// overloaded, and stays so for as many ticks as it has been late.
 	scoreLate = 1.0
 	scoreKept = 0.5
@@ -60,7 +62,7 @@
 	p.yields.Store(p.yield.note(now, part, hall))
 	switch {
 	case lag >= lagFull:
-		p.score = min(p.score+scoreLate, scoreMost)
+		p.score = min(p.score+scoreLate*max(1, float64(late)/float64(direct.TickEvery)), scoreMost)
 	case lag < lagKeeps:
 		p.score = max(p.score-scoreKept, 0)
 	}
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -58,3 +58,11 @@
 		}
 	})
 }
+
+// TestStuckRouterIsNotReady has a router whose ticks come once a second be
+// overloaded at once, not after as many ticks as one that is late by moments.
+func TestStuckRouterIsNotReady(t *testing.T) {
+	var p pressure
+	p.note(0, time.Second)
+	require.True(t, p.wantsFewer())
+}
