A late router knows it while it waits, and takes no connections that it cannot read in time

Also: what ended before its first event counted as got (274 k tokens/s where 142 k began), so that a flooded router's team did not bound the others; late requests of teams below their share waited for plenty; a flooded router's part of an allowance went unused. Change: a wait that has not ended counts by its length so far; a router 100 ms late leaves new connections in a short queue of its socket; only what began counts as got; teams that get under half of what they may get up to twice their part; bounds between teams of 1.3 and 1.5.

--- a/direct/allowance.go
+++ b/direct/allowance.go
@@ -11,6 +11,9 @@
 	// plentyPart is the part of a full allowance from which requests that are late
 	// already have some of it too.
 	plentyPart = 0.7
+	// behindPart is how much more a team may get at once that gets much less than
+	// it may: what routers without processor time don't use of it, others give.
+	behindPart = 2.0
 	// leastPart is the least part of a team's share that a router has, in parts
 	// of an even one: callers that change routers are not refused at the new one
 	// until it has seen enough of them.
@@ -60,7 +63,12 @@
 			continue
 		}
 		part := max(t.part(now), least)
-		most := min(m.level, m.even)
+		even := m.even
+		if t.servedRate(now) < m.even/behindPart {
+			// It is one of those that hold the others back.
+			even *= behindPart
+		}
+		most := min(m.level, even)
 		if math.IsInf(most, 0) {
 			t.allowance = allowance{}
 			continue
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -19,9 +19,7 @@
 	s := r.at
 	r.at = nil
 	s.release(r)
-	if msg.Outcome == Unsent || msg.Outcome == NotRun || msg.Outcome == Elsewhere {
-		m.refund(msg.Now, r)
-	}
+	m.refund(msg.Now, r, msg.Outcome)
 	if !msg.Slow || msg.Outcome == Done {
 		m.judge(msg.Now, p, s, msg.Outcome)
 	}
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -29,21 +29,28 @@
 }
 
 // charge counts a request for its team when it is sent, so that those sent at
-// one moment count at once; refund takes it off where it certainly did not run.
+// one moment count at once.
 func (m *Machine) charge(now time.Duration, r *run) {
-	if !r.charged {
-		r.charged = true
-		cost, team := tokenCost(r.PromptTokens, r.OutputTokens), m.team(r.Team)
-		team.served.add(now, cost)
-		team.allowance.take(cost)
+	if r.charged {
+		return
 	}
+	r.charged = true
+	cost, team := tokenCost(r.PromptTokens, r.OutputTokens), m.team(r.Team)
+	team.served.add(now, cost)
+	team.allowance.take(cost)
 }
 
-func (m *Machine) refund(now time.Duration, r *run) {
-	if r.charged && !r.begun {
-		r.charged = false
-		cost, team := tokenCost(r.PromptTokens, r.OutputTokens), m.team(r.Team)
-		team.served.take(now, cost, now-r.sentAt)
+// refund takes a request off again that ended before its first event: its team
+// got nothing. Where a server may have begun to read it, the team's allowance
+// stays charged with the work.
+func (m *Machine) refund(now time.Duration, r *run, o Outcome) {
+	if !r.charged || r.begun || o == Done || o == Failed {
+		return
+	}
+	r.charged = false
+	cost, team := tokenCost(r.PromptTokens, r.OutputTokens), m.team(r.Team)
+	team.served.take(now, cost, now-r.sentAt)
+	if o == Unsent || o == NotRun || o == Elsewhere {
 		team.allowance.take(-cost)
 	}
 }
--- a/direct/share.go
+++ b/direct/share.go
@@ -28,13 +28,17 @@
 	// satisfied is the part of what it asks for that a team gets from which it
 	// counts as satisfied.
 	satisfied = 0.8
-	// wantsFrom is the demand, in shares, from which a team wants more than
-	// its share; evenWithin is how far such teams may be apart.
-	wantsFrom  = 1.1
-	evenWithin = 1.6
-	// evenShares is what a team may get in any case, in shares of what is
-	// configured: some of what it gets comes too late to count.
-	evenShares = 1.6
+	// wantsFrom is the demand, in shares, from which a team wants more than its
+	// share.
+	wantsFrom = 1.1
+	// While a team wants more and gets less, others get at most evenWithin times
+	// what it gets; up to evenShares of their share, since some of what they get
+	// comes too late to count, shareWithin times. It counts as getting leastEven
+	// of its share at the least.
+	evenWithin  = 1.3
+	evenShares  = 1.3
+	shareWithin = 1.5
+	leastEven   = 0.45
 )
 
 // share works out how much a team may have. What all teams may have together is
@@ -78,8 +82,7 @@
 }
 
 // evenLevel returns what a team may get as long as another team that wants more
-// than its share gets less: not much more than the least that those get, but its
-// share of what is configured in any case.
+// than its share gets less: not much more than the least that those get.
 func (m *Machine) evenLevel(now time.Duration) float64 {
 	least := math.Inf(1)
 	for _, t := range m.teams {
@@ -88,7 +91,8 @@
 			least = min(least, served)
 		}
 	}
-	return max(evenWithin*least, evenShares*m.base)
+	least = max(least, leastEven*m.base)
+	return max(evenWithin*least, min(evenShares*m.base, shareWithin*least))
 }
 
 // weighTeams adds up what teams ask of this router.
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -36,14 +36,28 @@
 	return &callers{places: make(chan struct{}, most), open: make(map[*callerConn]bool)}
 }
 
-// listener accepts connections while there is a place for them.
+// listener accepts connections while there is a place for them, and while the
+// process is not stuck.
 type listener struct {
 	net.Listener
 	callers *callers
+	stuck   func() bool
 }
 
-// Accept waits for a place, and then for a connection.
+const (
+	// stuckPoll is the time between two looks whether the process is still stuck,
+	// stuckMost the longest time that it takes no connections for that.
+	stuckPoll = 5 * time.Millisecond
+	stuckMost = 250 * time.Millisecond
+)
+
+// Accept waits for a place, and then for a connection. A process that is stuck
+// leaves new connections in the short queue of its socket: their callers go to
+// other routers, while those taken in would be read too late to be of use.
 func (l listener) Accept() (net.Conn, error) {
+	for waited := time.Duration(0); l.stuck() && waited < stuckMost; waited += stuckPoll {
+		time.Sleep(stuckPoll)
+	}
 	l.callers.places <- struct{}{}
 	conn, err := l.Listener.Accept()
 	if err != nil {
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime"
 	"sync"
 	"time"
 
@@ -136,6 +135,7 @@
 	ticker := time.NewTicker(direct.TickEvery)
 	defer ticker.Stop()
 	last := c.now()
+	waits := probe{now: c.now}
 	for {
 		select {
 		case <-ctx.Done():
@@ -144,10 +144,8 @@
 			now := c.now()
 			late := now - last - direct.TickEvery
 			last = now
-			// A timer's goroutine runs first. How long it takes to run again
-			// behind all others tells how long requests wait.
-			runtime.Gosched()
-			c.pressure.note(now, max(late, c.now()-now))
+			// A timer's goroutine runs before most others; requests wait longer.
+			c.pressure.note(now, max(late, waits.late()))
 			c.update(direct.TickMsg{Now: c.now()})
 		}
 	}
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -45,7 +47,8 @@
 	for _, s := range servers {
 		ln, err := listenTCP(life, s.address)
 		if err == nil && s.server == g.server {
-			ln = listener{ln, g.front.callers}
+			boundQueue(ln, g.settings.Power)
+			ln = listener{ln, g.front.callers, g.core.pressure.stuck}
 		}
 		if err != nil {
 			return errors.Wrapf(err, "settings: the %s address %q: choose one of this host that is not in use", s.key, s.address)
@@ -74,6 +77,28 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
+const (
+	// queuePerCore is how many new connections a core can take in, and refuse, in
+	// about a fifth of a second.
+	queuePerCore = 1700
+	queueLeast   = 128
+)
+
+// boundQueue shortens the queue of new connections of a socket, so that none waits
+// there for much longer than its caller does. It is a matter of degree: a socket
+// that does not allow it keeps its queue.
+func boundQueue(ln net.Listener, power float64) {
+	system, ok := ln.(syscall.Conn)
+	if !ok || power <= 0 {
+		return
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), max(int(queuePerCore*power), queueLeast)) })
+}
+
 // callersMost is how many connections of callers are held at once: two thirds
 // of the descriptors, since those that wait for a server need one more.
 func callersMost(descriptors int) int {
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -34,6 +34,8 @@
 // processes for the slow ones. The zero value is a process that keeps up.
 type pressure struct {
 	lag atomic.Int64
+	// now is how late the last tick came.
+	now atomic.Int64
 	// shed works out the part of the requests that is refused at the door; part
 	// holds its bits.
 	shed shedder
@@ -53,6 +55,7 @@
 	kept := time.Duration(lagKept * float64(p.lag.Load()))
 	lag := max(late, kept, 0)
 	p.lag.Store(int64(lag))
+	p.now.Store(int64(late))
 	part := p.shed.note(late)
 	p.part.Store(math.Float64bits(part))
 	var hall hallView
@@ -80,6 +83,10 @@
 // wantsFewer tells whether callers should go to other routers.
 func (p *pressure) wantsFewer() bool { return p.overloaded.Load() || p.yields.Load() }
 
+// stuck tells whether the process is so late that callers give up what it takes
+// in now before it comes to read it.
+func (p *pressure) stuck() bool { return time.Duration(p.now.Load()) >= shedAll }
+
 // slow tells whether what this process measures of others says more of itself.
 func (p *pressure) slow() bool { return time.Duration(p.lag.Load()) > lagSlow }
 
--- /dev/null
+++ b/gateway/probe.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"runtime"
+	"sync/atomic"
+	"time"
+)
+
+// probe measures how long a goroutine of this process waits behind all that are
+// runnable: that is how long requests wait. While one such wait lasts, its length
+// so far counts, since behind enough others it may last for seconds.
+type probe struct {
+	now   func() time.Duration
+	began atomic.Int64 // of the wait under way; 0: none
+	last  atomic.Int64 // length of the last whole wait
+}
+
+// late returns how long a goroutine waits at the moment, and begins another
+// measurement where none is under way.
+func (p *probe) late() time.Duration {
+	now := p.now()
+	began := time.Duration(p.began.Load())
+	if began > 0 {
+		return max(now-began, time.Duration(p.last.Load()))
+	}
+	p.began.Store(int64(max(now, 1)))
+	go p.wait()
+	return time.Duration(p.last.Load())
+}
+
+// wait lets all others run once.
+func (p *probe) wait() {
+	runtime.Gosched()
+	p.last.Store(int64(p.now()) - p.began.Load())
+	p.began.Store(0)
+}
--- /dev/null
+++ b/gateway/probe_test.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestProbeCountsWhileItWaits has a wait that has not ended count by its length so
+// far: a router whose goroutines wait for seconds knows it meanwhile.
+func TestProbeCountsWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		p := probe{now: func() time.Duration { return time.Since(start) }}
+		time.Sleep(time.Second)
+		require.Zero(t, p.late())
+		synctest.Wait()
+		require.Zero(t, p.began.Load(), "the wait has ended")
+		p.began.Store(int64(p.now()))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 3*time.Second, p.late(), "it has not")
+	})
+}
