--- a/direct/commands.go
+++ b/direct/commands.go
@@ -72,6 +72,7 @@
 const (
 	BeliefListed  Belief = "listed"
 	BeliefGone    Belief = "gone"
+	BeliefLapsed  Belief = "lapsed" // its entry went with many others; used a little longer
 	BeliefDrain   Belief = "draining"
 	BeliefEjected Belief = "ejected"
 	BeliefBack    Belief = "back"
--- /dev/null
+++ b/direct/lapse.go
@@ -0,0 +1,65 @@
+package direct
+
+import "time"
+
+// dropUnlisted takes out the servers that a newer list does not hold. Where many
+// of a service go at once, it is their entries that lapsed while the source was
+// away: those that live are back within moments, so they are used a little
+// longer, and taken for gone if they are not.
+func (m *Machine) dropUnlisted(now time.Duration, listed map[string]bool) {
+	for _, p := range m.pools {
+		unlisted := p.unlisted(listed)
+		lapsed := len(unlisted) >= lapseLeast && float64(len(unlisted)) >= lapseShare*float64(p.present())
+		for _, s := range unlisted {
+			switch {
+			case !lapsed || s.Draining:
+				m.dropServer(now, s, "not listed")
+			case s.lapsedAt == 0:
+				s.lapsedAt = now
+				m.emit(BeliefCmd{Server: s.Server, Belief: BeliefLapsed, Cause: "not listed, with many others", For: lapseHold})
+			}
+		}
+	}
+}
+
+// dropLapsed takes out the servers whose entries have not come back.
+func (m *Machine) dropLapsed(now time.Duration) {
+	for _, s := range m.byServer {
+		if s.lapsedAt > 0 && now-s.lapsedAt >= lapseHold {
+			m.dropServer(now, s, "not listed again")
+		}
+	}
+}
+
+func (m *Machine) dropServer(now time.Duration, s *server, cause string) {
+	s.gone = true
+	s.leave(now)
+	if s.lapsedAt > 0 {
+		// It has been leaving since then: it is no last resort for longer.
+		s.leavingAt, s.lapsedAt = s.lapsedAt, 0
+	}
+	m.emit(BeliefCmd{Server: s.Server, Belief: BeliefGone, Cause: cause})
+}
+
+// unlisted returns the servers that are known and not listed, but for those that
+// have lapsed already.
+func (p *pool) unlisted(listed map[string]bool) []*server {
+	var out []*server
+	for _, s := range p.order {
+		if !listed[s.ID] && !s.gone && s.lapsedAt == 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// present counts the servers that are not gone.
+func (p *pool) present() int {
+	n := 0
+	for _, s := range p.order {
+		if !s.gone {
+			n++
+		}
+	}
+	return n
+}
--- a/direct/listing.go
+++ b/direct/listing.go
@@ -21,13 +21,7 @@
 			changed[m.pool(s.Service)] = true
 		}
 	}
-	for id, s := range m.byServer {
-		if !listed[id] && !s.gone {
-			s.gone = true
-			s.leave(msg.Now)
-			m.emit(BeliefCmd{Server: s.Server, Belief: BeliefGone, Cause: "not listed"})
-		}
-	}
+	m.dropUnlisted(msg.Now, listed)
 	for _, name := range m.poolNames() {
 		p := m.pools[name]
 		if changed[p] {
@@ -53,6 +47,7 @@
 		m.emit(BeliefCmd{Server: listed, Belief: BeliefListed, Cause: "listed"})
 		return true
 	}
+	s.lapsedAt = 0
 	wasDraining := s.Draining
 	s.Server = listed
 	s.gone = false
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -242,6 +242,7 @@
 func (m *Machine) tick(now time.Duration) {
 	m.sumPeers(now)
 	m.dropLoads(now)
+	m.dropLapsed(now)
 	m.share(now)
 	for _, name := range m.poolNames() {
 		p := m.pools[name]
--- a/direct/server.go
+++ b/direct/server.go
@@ -16,6 +16,9 @@
 	ejectLongest     = 5 * time.Second
 	downShortest     = 250 * time.Millisecond
 	downLongest      = 2 * time.Second
+	lapseHold        = 1200 * time.Millisecond // less than a server that leaves goes on serving
+	lapseShare       = 0.3                     // of a service's servers, that go at once
+	lapseLeast       = 2
 	lastResortTime   = 800 * time.Millisecond // a leaving server is used so long where no other is there
 	fullPause        = 60 * time.Millisecond  // after a server turned a request away
 	learnStep        = 0.1
@@ -32,6 +35,9 @@
 	leavingAt time.Duration // when it was first known to drain or to be gone
 	leaving   bool
 	gone      bool
+	// lapsedAt is when the server's entry went together with many others; it is
+	// still used for lapseHold. 0: it did not.
+	lapsedAt time.Duration
 
 	running int        // of this router
 	pending int        // tokens of this router
