--- a/gateway/front.go
+++ b/gateway/front.go
@@ -85,7 +85,7 @@
 func (f *front) admit(w http.ResponseWriter, r *http.Request, table *direct.Table, start time.Duration) (*exchange, int, string) {
 	route := table.Route(r.Host, pathOf(r.RequestURI))
 	if route == nil {
-		return nil, http.StatusNotFound, "no_route"
+		return f.unknown(http.StatusNotFound, "no_route")
 	}
 	envelope, err := f.dialect.Envelope(r.Header)
 	if err != nil {
@@ -98,7 +98,7 @@
 	if table.HasTeams() {
 		team := table.Team(envelope.Key)
 		if team == nil && !route.Anonymous {
-			return nil, http.StatusUnauthorized, "unknown_key"
+			return f.unknown(http.StatusUnauthorized, "unknown_key")
 		}
 		if team != nil {
 			x.setTeam(team)
@@ -117,6 +117,15 @@
 	return x, 0, ""
 }
 
+// unknown refuses what the configuration does not hold. A router that is late may
+// not have come to read a newer one: its caller asks another.
+func (f *front) unknown(status int, reason string) (*exchange, int, string) {
+	if f.core.pressure.late() >= shedAll {
+		return nil, http.StatusServiceUnavailable, reasonPressure
+	}
+	return nil, status, reason
+}
+
 func (x *exchange) setTeam(t *direct.Team) {
 	x.team = t.Name
 	if t.Priority != nil {
