--- a/gateway/datagram.go
+++ b/gateway/datagram.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"context"
+	"net"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -22,3 +25,25 @@
 
 // decode reads a datagram into a message.
 func decode(body []byte, message any) error { return msgpack.Unmarshal(body, message) }
+
+// receivePause is the time after a failed read.
+const receivePause = 100 * time.Millisecond
+
+// receive hands each datagram to take until ctx ends. What take gets is valid
+// until it returns.
+func receive(ctx context.Context, conn net.PacketConn, take func(body []byte)) error {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	buffer := make([]byte, datagram)
+	for {
+		n, _, err := conn.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			sleep(ctx, receivePause)
+			continue
+		}
+		take(buffer[:n])
+	}
+}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -58,23 +58,12 @@
 
 // receive takes lists until ctx ends.
 func (l *loadExchange) receive(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
-	defer stop()
-	buffer := make([]byte, datagram)
-	for {
-		n, _, err := l.conn.ReadFrom(buffer)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			sleep(ctx, loads.Every)
-			continue
-		}
+	return receive(ctx, l.conn, func(body []byte) {
 		var list loadList
-		if decode(buffer[:n], &list) == nil {
+		if decode(body, &list) == nil {
 			l.update(loads.ListMsg{Now: l.core.now(), From: list.From, Kind: list.Kind, Number: list.Number, Loads: list.Loads})
 		}
-	}
+	})
 }
 
 // update tells the exchange something and does what it wants done.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -197,23 +197,12 @@
 
 // receive takes beats until ctx ends.
 func (p *peers) receive(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
-	defer stop()
-	buffer := make([]byte, datagram)
-	for {
-		n, _, err := p.conn.ReadFrom(buffer)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			sleep(ctx, beatEvery)
-			continue
-		}
+	return receive(ctx, p.conn, func(body []byte) {
 		var b beat
-		if decode(buffer[:n], &b) == nil {
+		if decode(body, &b) == nil {
 			p.hear(b)
 		}
-	}
+	})
 }
 
 // hear takes one beat in.
