--- /dev/null
+++ b/standin/cmd/experiment/play.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// play is one day of one variant with one seed.
+type play struct {
+	Variant string `json:"variant"`
+	Site    string `json:"site"`
+	Day     string `json:"day"`
+	Seed    uint64 `json:"seed"`
+	Again   bool   `json:"again"` // the second play of the baseline
+
+	result
+}
+
+// result is what the bench says of a play.
+type result struct {
+	Worth  float64            `json:"worth"`  // credit less prices, in parts of what was owed
+	Served float64            `json:"served"` // credit of the whole day, before prices
+	Broken []string           `json:"broken"` // rules, and faults of the processes
+	Parts  map[string]float64 `json:"parts"`
+	Prices map[string]float64 `json:"prices"`
+}
+
+// benchReport is what is read of the bench's own report.
+type benchReport struct {
+	Worth  float64           `json:"G"`
+	Served float64           `json:"served"`
+	Fault  *string           `json:"fault"`
+	First  []json.RawMessage `json:"first"`  // the first breach of each rule
+	Parts  [][]any           `json:"parts"`  // name, weight, value
+	Prices [][]any           `json:"prices"` // name, amount, worth taken off
+}
+
+// run plays a day in the variant's copy and reads the report.
+func (p *play) run(ctx context.Context, bench, dir, reports string) error {
+	report := filepath.Join(reports, fmt.Sprintf("%s-%s-%s-%d-%t.json", p.Variant, filepath.Base(p.Site), p.Day, p.Seed, p.Again))
+	cmd := exec.CommandContext(ctx, bench, "run", p.Site, p.Day, "--seed", fmt.Sprint(p.Seed), "--report", report,
+		"--why", fmt.Sprintf("experiment: variant %s on %s", p.Variant, p.Day))
+	cmd.Dir = dir
+	out, err := cmd.CombinedOutput()
+	body, readErr := os.ReadFile(report)
+	if readErr != nil {
+		return errors.Newf("%s, %s, seed %d: no report (%v): %s", p.Variant, p.Day, p.Seed, err, out)
+	}
+	return p.read(body)
+}
+
+// read takes over what the bench reported.
+func (p *play) read(body []byte) error {
+	var r benchReport
+	if err := json.Unmarshal(body, &r); err != nil {
+		return errors.Wrap(err, "report of the bench")
+	}
+	p.Worth, p.Served = r.Worth, r.Served
+	if r.Fault != nil {
+		p.Broken = append(p.Broken, *r.Fault)
+	}
+	for _, breach := range r.First {
+		p.Broken = append(p.Broken, string(breach))
+	}
+	p.Parts = named(r.Parts)
+	p.Prices = named(r.Prices)
+	return nil
+}
+
+// A row of the report is a name, an amount or weight, and a value.
+const (
+	rowName  = 0
+	rowValue = 2
+	rowCells = 3
+)
+
+// named turns rows of the report into values by name.
+func named(rows [][]any) map[string]float64 {
+	out := make(map[string]float64, len(rows))
+	for _, row := range rows {
+		if len(row) < rowCells {
+			continue
+		}
+		name, okName := row[rowName].(string)
+		value, okValue := row[rowValue].(float64)
+		if okName && okValue {
+			out[name] = value
+		}
+	}
+	return out
+}
