--- a/cmd/croftvaled/gateway.go
+++ b/cmd/croftvaled/gateway.go
@@ -7,10 +7,16 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway"
 	"github.com/croftvale/croftvale/platform"
 )
 
+// withoutVariable is the environment variable in which experiments name the
+// mechanisms of the router that are switched off.
+const withoutVariable = "CROFTVALE_WITHOUT"
+
 type gatewayCmd struct {
 	Settings string `type:"path" help:"TOML settings file; by default the one that the platform names."`
 }
@@ -25,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Gateway.Without, err = direct.ParseWithout(os.Getenv(withoutVariable)); err != nil {
+		return errors.Wrap(err, withoutVariable)
+	}
 	store := platform.NewStore(s.Store, s.Gateway.Name)
 	g, err := gateway.New(s.Gateway, store, platform.Headers{}, os.Stdout)
 	if err != nil {
--- a/direct/allowance.go
+++ b/direct/allowance.go
@@ -58,7 +58,7 @@
 	least := leastPart / float64(max(m.routers, 1))
 	for _, t := range m.teams {
 		offered := t.offeredRate(now)
-		if m.level <= 0 || offered <= m.base {
+		if m.level <= 0 || offered <= m.base || !m.uses(Allowances) {
 			t.allowance = allowance{}
 			continue
 		}
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -51,7 +51,7 @@
 }
 
 func (m *Machine) failed(now time.Duration, p *pool, s *server, weight int, o Outcome) {
-	if !s.failed(weight, p.medianFailures()) || p.mostEjected(now) {
+	if !s.failed(weight, p.medianFailures()) || p.mostEjected(now) || !m.uses(Ejection) {
 		return
 	}
 	m.emit(BeliefCmd{Server: s.Server, Belief: BeliefEjected, Cause: o.String(), For: s.eject(now)})
--- a/direct/lapse.go
+++ b/direct/lapse.go
@@ -9,7 +9,7 @@
 func (m *Machine) dropUnlisted(now time.Duration, listed map[string]bool) {
 	for _, p := range m.pools {
 		unlisted := p.unlisted(listed)
-		lapsed := len(unlisted) >= lapseLeast && float64(len(unlisted)) >= lapseShare*float64(p.present())
+		lapsed := m.uses(LapseHold) && len(unlisted) >= lapseLeast && float64(len(unlisted)) >= lapseShare*float64(p.present())
 		for _, s := range unlisted {
 			switch {
 			case !lapsed || s.Draining:
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -19,8 +19,9 @@
 
 // Options are what a machine is told once.
 type Options struct {
-	Zone   string
-	Budget BudgetOptions
+	Zone    string
+	Budget  BudgetOptions
+	Without Without // mechanisms that are switched off in experiments
 }
 
 // Machine decides for the requests of one router. Its zero value is not of use;
@@ -100,7 +101,9 @@
 	case PeerMsg:
 		m.peer(msg)
 	case LoadsMsg:
-		m.takeLoads(msg)
+		if m.uses(Loads) {
+			m.takeLoads(msg)
+		}
 	case PeersMsg:
 		m.routers, m.hold = max(msg.Routers, 1), msg.Hold
 	case TickMsg:
@@ -109,6 +112,9 @@
 	return m.out
 }
 
+// uses tells whether a mechanism is not switched off.
+func (m *Machine) uses(w Mechanism) bool { return m.options.Without.Uses(w) }
+
 func (m *Machine) emit(c Cmd) { m.out = append(m.out, c) }
 
 func (m *Machine) configure(msg ConfigMsg) {
@@ -135,7 +141,7 @@
 // arrive takes a request in and tries to place it.
 func (m *Machine) arrive(msg ArriveMsg) {
 	r := &run{Request: msg.Request, arrivedAt: msg.Now}
-	r.late = float64(r.Age) > lateAge*float64(r.Objective)
+	r.late = m.uses(NewFirst) && float64(r.Age) > lateAge*float64(r.Objective)
 	m.runs[r.ID] = r
 	p := m.pool(r.Service)
 	p.budget.first(msg.Now)
--- a/direct/place.go
+++ b/direct/place.go
@@ -65,7 +65,7 @@
 	candidates := m.candidates(now, p, r)
 	best, found := choice{}, false
 	for i, c := range candidates {
-		if found && i%lookEach == 0 && best.within(r, goodTime+laterTime*float64(i)) {
+		if found && m.uses(FewCandidates) && i%lookEach == 0 && best.within(r, goodTime+laterTime*float64(i)) {
 			break
 		}
 		weighed, fits := m.weigh(now, p, c.server, r, home, held)
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -22,7 +22,7 @@
 		s.pending += r.pending
 	}
 	m.charge(now, r)
-	for i := 0; i+1 < len(r.Parts); i++ {
+	for i := 0; i+1 < len(r.Parts) && m.uses(Locality); i++ {
 		m.holders.note(now, r.Parts[i].ID, s.ID)
 	}
 	m.emit(SendCmd{ID: r.ID, Server: s.Server, Attempt: r.attempt, Basis: basis})
--- a/direct/share.go
+++ b/direct/share.go
@@ -65,6 +65,8 @@
 	}
 	m.busy += busyStep * (busy - m.busy)
 	switch {
+	case !m.uses(Headroom):
+		m.ownRoom = 1
 	case m.busy > 1:
 		m.ownRoom = max(m.ownRoom*roomShrinks, 1)
 	case m.busy < roomFrom:
@@ -76,7 +78,10 @@
 		m.base = waterLevel(demands, m.limits.TokensPerSecond)
 		m.level = waterLevel(demands, m.limits.TokensPerSecond*m.room)
 	}
-	m.even = m.evenLevel(now)
+	m.even = math.Inf(1)
+	if m.uses(EvenBound) {
+		m.even = m.evenLevel(now)
+	}
 	m.allow(now, passed)
 	m.weighTeams(now)
 }
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -20,14 +20,17 @@
 	belief  func(direct.BeliefCmd)
 	// pressure tells how late this process runs.
 	pressure pressure
+	without  direct.Without // mechanisms that are switched off
 }
 
 func newCore(o direct.Options, belief func(direct.BeliefCmd)) *core {
 	return &core{
-		machine: direct.NewMachine(o),
-		waiters: make(map[direct.RequestID]chan direct.Cmd),
-		start:   time.Now(),
-		belief:  belief,
+		machine:  direct.NewMachine(o),
+		waiters:  make(map[direct.RequestID]chan direct.Cmd),
+		start:    time.Now(),
+		belief:   belief,
+		without:  o.Without,
+		pressure: pressure{without: o.Without},
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,7 +51,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g := &Gateway{settings: s, source: source, dialect: dialect, journal: newJournal(out, s.Name)}
 	g.grace.Store(int64(s.Grace))
-	g.core = newCore(direct.Options{Zone: s.Zone, Budget: s.Budget}, g.journal.belief)
+	g.core = newCore(direct.Options{Zone: s.Zone, Budget: s.Budget, Without: s.Without}, g.journal.belief)
 	g.admin = admin.New(admin.Source{Ready: g.ready, State: g.dump})
 	g.stats = newStats(g.admin.Scope())
 	g.state = &state{core: g.core, journal: g.journal}
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -48,6 +48,8 @@
 	yield  yielder
 	yields atomic.Bool
 	hall   atomic.Pointer[hallView]
+	// without are the mechanisms that are switched off.
+	without direct.Without
 }
 
 // note takes in how late a tick came.
@@ -56,13 +58,16 @@
 	lag := max(late, kept, 0)
 	p.lag.Store(int64(lag))
 	p.now.Store(int64(late))
-	part := p.shed.note(late)
+	part := 0.0
+	if p.without.Uses(direct.Shedding) {
+		part = p.shed.note(late)
+	}
 	p.part.Store(math.Float64bits(part))
 	var hall hallView
 	if known := p.hall.Load(); known != nil {
 		hall = *known
 	}
-	p.yields.Store(p.yield.note(now, part, hall))
+	p.yields.Store(p.without.Uses(direct.Yielding) && p.yield.note(now, part, hall))
 	switch {
 	case lag >= lagFull:
 		p.score = min(p.score+scoreLate*max(1, float64(late)/float64(direct.TickEvery)), scoreMost)
--- a/gateway/role.go
+++ b/gateway/role.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/croftvale/croftvale/direct"
 )
 
 // stuckAfter is how long a router may know less than another one before it asks
@@ -28,7 +30,7 @@
 // watches tells whether this router is one of the few that follow the source, or
 // knows less than another for too long.
 func (p *peers) watches() bool {
-	if p.stuck() {
+	if p.stuck() || !p.core.without.Uses(direct.Followers) {
 		return true
 	}
 	p.mu.Lock()
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -26,4 +26,5 @@
 	Grace       time.Duration // from the request to end until the end
 	EventDelay  time.Duration // most that a stream's event may take to reach its caller; 0: unknown
 	Budget      direct.BudgetOptions
+	Without     direct.Without // mechanisms that are switched off in experiments
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -54,7 +54,7 @@
 			a.x.finish("caller_left", http.StatusOK, "")
 			return direct.GivenUp, true
 		}
-		if last {
+		if last && a.x.front.core.without.Uses(direct.Gathering) {
 			time.Sleep(gatherFor(a.x.front.core.now(), a.x.front.core.pressure.late(), a.x.front.eventDelay))
 		}
 	}
