--- a/standin/cmd/experiment/compare_test.go
+++ b/standin/cmd/experiment/compare_test.go
@@ -26,10 +26,10 @@
 // TestReadReport reads the parts of a report that are compared.
 func TestReadReport(t *testing.T) {
 	var p play
-	require.NoError(t, p.read([]byte(`{"G":0.8,"served":0.9,"fault":null,"first":[["FAIR","at 3 s"]],
+	require.NoError(t, p.read([]byte(`{"G":0.8,"served":0.9,"fault":null,"first":[{"rule":"FAIR","at_s":3},{"rule":"FAIR","at_s":4}],
 		"parts":[["whole day",0.45,0.9]],"prices":[["machine-seconds",270,0.01]]}`)))
 	require.Equal(t, 0.8, p.Worth)
-	require.Len(t, p.Broken, 1)
+	require.Equal(t, []string{"FAIR"}, p.Broken)
 	require.Equal(t, map[string]float64{"whole day": 0.9}, p.Parts)
 	require.Equal(t, map[string]float64{"machine-seconds": 0.01}, p.Prices)
 }
--- a/standin/cmd/experiment/play.go
+++ b/standin/cmd/experiment/play.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -33,12 +34,17 @@
 
 // benchReport is what is read of the bench's own report.
 type benchReport struct {
-	Worth  float64           `json:"G"`
-	Served float64           `json:"served"`
-	Fault  *string           `json:"fault"`
-	First  []json.RawMessage `json:"first"`  // the first breach of each rule
-	Parts  [][]any           `json:"parts"`  // name, weight, value
-	Prices [][]any           `json:"prices"` // name, amount, worth taken off
+	Worth  float64  `json:"G"`
+	Served float64  `json:"served"`
+	Fault  *string  `json:"fault"`
+	First  []breach `json:"first"`  // the first breaches of each rule
+	Parts  [][]any  `json:"parts"`  // name, weight, value
+	Prices [][]any  `json:"prices"` // name, amount, worth taken off
+}
+
+// breach is one case of a broken rule.
+type breach struct {
+	Rule string `json:"rule"`
 }
 
 // run plays a day in the variant's copy and reads the report.
@@ -65,8 +71,10 @@
 	if r.Fault != nil {
 		p.Broken = append(p.Broken, *r.Fault)
 	}
-	for _, breach := range r.First {
-		p.Broken = append(p.Broken, string(breach))
+	for _, b := range r.First {
+		if !slices.Contains(p.Broken, b.Rule) {
+			p.Broken = append(p.Broken, b.Rule)
+		}
 	}
 	p.Parts = named(r.Parts)
 	p.Prices = named(r.Prices)
