What a team's allowance cannot cover is refused at once

Cause: requests of a team far above its share waited a fifth of their objective in line although its allowance could not cover them in that time: held in vain, priced as given up late, and worked on at every tick.

--- a/direct/allowance.go
+++ b/direct/allowance.go
@@ -45,6 +45,12 @@
 	return a.rate == 0 || a.tokens > plentyPart*a.rate*allowanceKept.Seconds()
 }
 
+// covers tells whether the allowance will have room for one more request within a
+// time, after those of its team that wait already.
+func (a *allowance) covers(waiting float64, within time.Duration) bool {
+	return a.rate == 0 || a.tokens+a.rate*within.Seconds() > waiting
+}
+
 // take takes tokens off; less than 0 gives them back.
 func (a *allowance) take(tokens float64) {
 	if a.rate > 0 {
--- a/direct/allowance_test.go
+++ b/direct/allowance_test.go
@@ -181,3 +181,44 @@
 	require.Greater(t, b.m.team("shed").offeredRate(b.now), 1e6)
 	require.LessOrEqual(t, b.m.even, max(evenWithin*41_000, evenShares*b.m.base))
 }
+
+// TestSpentAllowanceRefusesAtOnce has a team ask for far more than it may have.
+// What its allowance cannot cover within the time that a request may wait is
+// refused when it comes; what it can cover waits and is sent.
+func TestSpentAllowanceRefusesAtOnce(t *testing.T) {
+	b := newBench(t, 8)
+	refused, waited, sentLater := 0, 0, 0
+	later := func(cmds []Cmd) {
+		for _, c := range cmds {
+			if s, ok := c.(SendCmd); ok {
+				if s.Basis.Waited > 0 {
+					sentLater++
+				}
+				b.m.Update(FirstMsg{Now: b.now, ID: s.ID})
+				b.end(s.ID, Done, false)
+			}
+		}
+	}
+	for range 200 {
+		for range 10 {
+			r := b.request("flood")
+			cmds := b.arrive(r)
+			later(cmds)
+			if c, ok := find[RefuseCmd](cmds); ok && c.ID == r.ID {
+				require.Equal(t, ReasonShare, c.Reason)
+				require.Positive(t, c.After)
+				refused++
+			}
+		}
+		cmds := b.pass(TickEvery)
+		later(cmds)
+		for _, c := range cmds {
+			if _, ok := c.(RefuseCmd); ok {
+				waited++
+			}
+		}
+	}
+	require.Greater(t, refused, 1000, "of 2,000")
+	require.Less(t, waited, refused/20, "few wait in vain")
+	require.Positive(t, sentLater, "the allowance covers those that wait")
+}
--- a/direct/line.go
+++ b/direct/line.go
@@ -22,6 +22,17 @@
 // add puts a request in line.
 func (l *line) add(r *run) { l.waiting = append(l.waiting, r) }
 
+// asked returns the tokens that the requests of a team in line ask for.
+func (l *line) asked(team string) float64 {
+	sum := 0.0
+	for _, r := range l.waiting {
+		if r.Team == team {
+			sum += tokenCost(r.PromptTokens, r.OutputTokens)
+		}
+	}
+	return sum
+}
+
 // remove takes a request out.
 func (l *line) remove(r *run) {
 	if i := slices.Index(l.waiting, r); i >= 0 {
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -161,6 +161,11 @@
 	if m.trySend(now, p, r) {
 		return
 	}
+	if r.attempt == 0 && r.above && !m.team(r.Team).allowance.covers(p.line.asked(r.Team), r.waitUntil-now) {
+		// Waiting would only hold its caller up.
+		m.giveUp(now, p, r, ReasonShare)
+		return
+	}
 	r.waiting = true
 	p.line.add(r)
 	if len(p.line.waiting) > maxLine {
--- a/standin/cmd/experiment/table.go
+++ b/standin/cmd/experiment/table.go
@@ -24,6 +24,8 @@
 			}
 			if v.Name == variants[0].Name {
 				verdict = "-"
+			} else if len(again) == 0 {
+				verdict = "noise not measured"
 			}
 			fmt.Fprintf(w, "| %s | %s | %d | %d | %.3f | %.3f to %.3f | %+.4f | %.4f | %s |\n",
 				siteName(site), c.Variant, c.Plays, c.Broken, c.Median, c.Least, c.Most, c.Difference, c.Noise, verdict)
