Floods are refused at the door, before their bodies are read

Now the router asks the decisions before it reads a body (DoorMsg): what a team's allowance cannot cover is refused there with a time to come back, and counts as asked for; what it covers enters and is weighed for shedding by what entered. Results of admission are one typed value (refusal). Tests: TestDoorRefusesWhatTheAllowanceCannotCover, TestFloodIsRefusedUnread (its body fails the test when read, as it did before the door was asked).

--- a/direct/allowance_test.go
+++ b/direct/allowance_test.go
@@ -222,3 +222,49 @@
 	require.Less(t, waited, refused/20, "few wait in vain")
 	require.Positive(t, sentLater, "the allowance covers those that wait")
 }
+
+// TestDoorRefusesWhatTheAllowanceCannotCover asks at the door for a team that
+// floods: what would be refused as soon as it came is refused there, counted as
+// asked for and named over_share; teams within their share are let in, and a
+// question that is not answered by a refusal counts nothing.
+func TestDoorRefusesWhatTheAllowanceCannotCover(t *testing.T) {
+	b := newBench(t, 8)
+	door := func(team string) (RefuseCmd, bool) {
+		return find[RefuseCmd](b.m.Update(DoorMsg{Now: b.now, Request: b.request(team)}))
+	}
+	_, refused := door("flood")
+	require.False(t, refused, "nothing is known of the team yet")
+	require.Zero(t, b.m.team("flood").offeredRate(b.now))
+	finish := func(cmds []Cmd) {
+		for _, c := range cmds {
+			if s, ok := c.(SendCmd); ok {
+				b.m.Update(FirstMsg{Now: b.now, ID: s.ID})
+				b.end(s.ID, Done, false)
+			}
+		}
+	}
+	for range 600 {
+		for range 10 {
+			if _, refused := door("flood"); !refused {
+				finish(b.arrive(b.request("flood")))
+			}
+		}
+		finish(b.arrive(b.request("small")))
+		finish(b.pass(TickEvery))
+	}
+	cmd, refused := door("flood")
+	for range 20 {
+		if !refused {
+			finish(b.arrive(b.request("flood")))
+			cmd, refused = door("flood")
+		}
+	}
+	require.True(t, refused)
+	require.Equal(t, ReasonShare, cmd.Reason)
+	require.Positive(t, cmd.After)
+	_, refused = door("small")
+	require.False(t, refused)
+	offered := b.m.team("flood").offeredRate(b.now)
+	require.InDelta(t, 10*40*2200, offered, 0.15*10*40*2200, "what is refused at the door is asked for all the same")
+	require.Less(t, b.m.WeightOf(b.now, "flood"), 6*b.m.WeightOf(b.now, "small"), "it fills the router only with what enters, not with ten times as much")
+}
--- a/direct/line.go
+++ b/direct/line.go
@@ -19,6 +19,9 @@
 	waiting []*run
 }
 
+// waitTime is how long a request may wait in line.
+func waitTime(r *run) time.Duration { return time.Duration(waitShare * float64(r.Objective)) }
+
 // add puts a request in line.
 func (l *line) add(r *run) { l.waiting = append(l.waiting, r) }
 
@@ -27,7 +30,7 @@
 	sum := 0.0
 	for _, r := range l.waiting {
 		if r.Team == team {
-			sum += tokenCost(r.PromptTokens, r.OutputTokens)
+			sum += r.cost()
 		}
 	}
 	return sum
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -90,8 +90,12 @@
 		m.list(msg)
 	case ArriveMsg:
 		m.arrive(msg)
+	case DoorMsg:
+		m.door(msg)
 	case ShedMsg:
-		m.team(msg.Team).offered.add(msg.Now, tokenCost(msg.PromptTokens, msg.OutputTokens))
+		team, cost := m.team(msg.Team), tokenCost(msg.PromptTokens, msg.OutputTokens)
+		team.offered.add(msg.Now, cost)
+		team.entered.add(msg.Now, cost)
 	case FirstMsg:
 		m.first(msg)
 	case EndMsg:
@@ -140,28 +144,58 @@
 
 // arrive takes a request in and tries to place it.
 func (m *Machine) arrive(msg ArriveMsg) {
-	r := &run{Request: msg.Request, arrivedAt: msg.Now}
-	r.late = m.uses(NewFirst) && float64(r.Age) > lateAge*float64(r.Objective)
+	r := m.newRun(msg.Now, msg.Request)
 	m.runs[r.ID] = r
 	p := m.pool(r.Service)
-	p.budget.first(msg.Now)
+	m.count(msg.Now, p, r)
+	m.team(r.Team).entered.add(msg.Now, r.cost())
+	m.enqueue(msg.Now, p, r)
+}
+
+func (m *Machine) newRun(now time.Duration, request Request) *run {
+	r := &run{Request: request, arrivedAt: now}
+	r.late = m.uses(NewFirst) && float64(r.Age) > lateAge*float64(r.Objective)
+	return r
+}
+
+// count takes in that a request was asked for.
+func (m *Machine) count(now time.Duration, p *pool, r *run) {
+	p.budget.first(now)
 	objective := float64(r.Objective) / float64(time.Millisecond)
 	p.objective += objectiveStep * (objective - p.objective)
-	team, cost := m.team(r.Team), tokenCost(r.PromptTokens, r.OutputTokens)
-	team.offered.add(msg.Now, cost)
-	team.recent.add(msg.Now, cost)
-	m.enqueue(msg.Now, p, r)
+	team := m.team(r.Team)
+	team.offered.add(now, r.cost())
+	team.recent.add(now, r.cost())
+}
+
+// door refuses a request that would be refused as soon as it arrived.
+func (m *Machine) door(msg DoorMsg) {
+	r := m.newRun(msg.Now, msg.Request)
+	p := m.pool(r.Service)
+	m.rate(msg.Now, p, r)
+	r.waitUntil = msg.Now + waitTime(r)
+	if !m.hopeless(msg.Now, p, r) {
+		return
+	}
+	m.count(msg.Now, p, r)
+	m.giveUp(msg.Now, p, r, ReasonShare)
+}
+
+// hopeless tells whether a request of a team above its share waits in vain: the
+// team's allowance cannot cover it in time.
+func (m *Machine) hopeless(now time.Duration, p *pool, r *run) bool {
+	return r.attempt == 0 && r.above && !m.team(r.Team).allowance.covers(p.line.asked(r.Team), r.waitUntil-now)
 }
 
 // enqueue sends a request, or puts it in line. The others in line are not looked
 // at: none of them could be sent a moment ago, and a request that comes frees no
 // server.
 func (m *Machine) enqueue(now time.Duration, p *pool, r *run) {
-	r.waitUntil = now + time.Duration(waitShare*float64(r.Objective))
+	r.waitUntil = now + waitTime(r)
 	if m.trySend(now, p, r) {
 		return
 	}
-	if r.attempt == 0 && r.above && !m.team(r.Team).allowance.covers(p.line.asked(r.Team), r.waitUntil-now) {
+	if m.hopeless(now, p, r) {
 		// Waiting would only hold its caller up.
 		m.giveUp(now, p, r, ReasonShare)
 		return
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -94,6 +94,14 @@
 	Request Request
 }
 
+// DoorMsg asks whether a request would be refused as soon as it came, before its
+// router has read the body. A RefuseCmd says so, and the request has been counted;
+// without one it has not, and comes as an ArriveMsg.
+type DoorMsg struct {
+	Now     time.Duration
+	Request Request
+}
+
 // ShedMsg says that the router refused a request at the door, for want of
 // processor time: its team asked for it all the same.
 type ShedMsg struct {
@@ -156,6 +164,7 @@
 func (BudgetMsg) isMsg()  {}
 func (ServersMsg) isMsg() {}
 func (ArriveMsg) isMsg()  {}
+func (DoorMsg) isMsg()    {}
 func (ShedMsg) isMsg()    {}
 func (FirstMsg) isMsg()   {}
 func (EndMsg) isMsg()     {}
--- a/direct/run.go
+++ b/direct/run.go
@@ -27,4 +27,7 @@
 	served    float64 // rate of its team, for the order of the line
 }
 
+// cost is what the request takes of the engines, in tokens.
+func (r *run) cost() float64 { return tokenCost(r.PromptTokens, r.OutputTokens) }
+
 func (r *run) wasAt(id string) bool { return slices.Contains(r.tried, id) }
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -35,7 +35,7 @@
 		return
 	}
 	r.charged = true
-	cost, team := tokenCost(r.PromptTokens, r.OutputTokens), m.team(r.Team)
+	cost, team := r.cost(), m.team(r.Team)
 	team.served.add(now, cost)
 	team.allowance.take(cost)
 }
@@ -48,7 +48,7 @@
 		return
 	}
 	r.charged = false
-	cost, team := tokenCost(r.PromptTokens, r.OutputTokens), m.team(r.Team)
+	cost, team := r.cost(), m.team(r.Team)
 	team.served.take(now, cost, now-r.sentAt)
 	if o == Unsent || o == NotRun || o == Elsewhere {
 		team.allowance.take(-cost)
--- a/direct/share.go
+++ b/direct/share.go
@@ -100,11 +100,12 @@
 	return max(evenWithin*least, min(evenShares*m.base, shareWithin*least))
 }
 
-// weighTeams adds up what teams ask of this router.
+// weighTeams adds up what teams ask of this router, but for what costs it hardly
+// any processor time.
 func (m *Machine) weighTeams(now time.Duration) {
 	sum, squares := 0.0, 0.0
 	for _, t := range m.teams {
-		own := t.offered.decay(now)
+		own := t.entered.decay(now)
 		sum += own
 		squares += own * own
 	}
@@ -121,7 +122,7 @@
 	if t == nil {
 		return 0
 	}
-	return t.offered.decay(now) * m.weightUnit
+	return t.entered.decay(now) * m.weightUnit
 }
 
 // TeamShare is what a team asks for and gets, in tokens a second.
--- a/direct/usage.go
+++ b/direct/usage.go
@@ -43,13 +43,17 @@
 type teamUse struct {
 	offered   rate
 	recent    rate // offered, most recently
+	entered   rate // offered, less what was refused before its body was read
 	served    rate
 	allowance allowance // of this router
 	others    TeamUse   // sum over the other routers
 }
 
 func newTeamUse() *teamUse {
-	return &teamUse{offered: rate{window: useWindow}, recent: rate{window: recentWindow}, served: rate{window: useWindow}}
+	return &teamUse{
+		offered: rate{window: useWindow}, recent: rate{window: recentWindow},
+		entered: rate{window: useWindow}, served: rate{window: useWindow},
+	}
 }
 
 // part returns how much of what a team asks for now is asked of this router.
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -77,6 +77,20 @@
 	return r.ID, commands
 }
 
+// door asks whether a request would be refused as soon as it came.
+func (c *core) door(r direct.Request) (direct.RefuseCmd, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	r.ID = c.next
+	for _, cmd := range c.machine.Update(direct.DoorMsg{Now: c.now(), Request: r}) {
+		if refuse, ok := cmd.(direct.RefuseCmd); ok {
+			return refuse, true
+		}
+	}
+	return direct.RefuseCmd{}, false
+}
+
 // done ends the channel of a request.
 func (c *core) done(id direct.RequestID) {
 	c.mu.Lock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -161,6 +161,15 @@
 	x.front.journal.request(x, result, status, reason)
 }
 
+// readBody reads the caller's body, of at most most bytes.
+func (x *exchange) readBody(most int) *refusal {
+	var err error
+	if x.body, err = readBody(x.w, x.r, most); err != nil {
+		return &refusal{bodyStatus(err), "body", 0}
+	}
+	return nil
+}
+
 // pathOf returns the path of a request target, as the caller wrote it.
 func pathOf(target string) string {
 	path, _, _ := strings.Cut(target, "?")
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -56,40 +56,55 @@
 	table := f.state.table.Load()
 	switch {
 	case f.refusing.Load():
-		f.turnAway(w, r, http.StatusServiceUnavailable, "draining", drainAfter)
+		f.turnAway(w, r, refusal{http.StatusServiceUnavailable, "draining", drainAfter})
 		return
 	case table == nil || f.state.directory.Load() == nil:
-		f.turnAway(w, r, http.StatusServiceUnavailable, "no_config", noConfigAfter)
+		f.turnAway(w, r, refusal{http.StatusServiceUnavailable, "no_config", noConfigAfter})
 		return
 	}
-	x, status, reason := f.admit(w, r, table, start)
-	if x == nil {
-		after := noConfigAfter
-		if reason == reasonPressure {
-			after = shedAfter
-		}
-		f.turnAway(w, r, status, reason, after)
+	x, refused := f.admit(w, r, table, start)
+	if refused != nil {
+		f.turnAway(w, r, *refused)
+		return
+	}
+	if cmd, hopeless := f.core.door(x.request()); hopeless {
+		x.last.Basis.Share = cmd.Share
+		x.refuse(string(cmd.Reason), cmd.After)
+		return
+	}
+	if refused = f.shed(x); refused == nil {
+		refused = x.readBody(max(table.Config.Limits.BodyBytes, 1))
+	}
+	if refused != nil {
+		f.turnAway(w, r, *refused)
 		return
 	}
 	held := int64(len(x.body))
 	if f.bodies.Add(held) > f.most {
 		f.bodies.Add(-held)
-		f.turnAway(w, r, http.StatusServiceUnavailable, "memory", noConfigAfter)
+		f.turnAway(w, r, refusal{http.StatusServiceUnavailable, "memory", noConfigAfter})
 		return
 	}
 	defer f.bodies.Add(-held)
 	x.run()
 }
 
-// admit checks a request at the door.
-func (f *front) admit(w http.ResponseWriter, r *http.Request, table *direct.Table, start time.Duration) (*exchange, int, string) {
+// refusal is an answer of the router's own to a request that was not admitted.
+type refusal struct {
+	status int
+	reason string
+	after  time.Duration // when to come back; it counts with 503 only
+}
+
+// admit finds the route and the team of a request.
+func (f *front) admit(w http.ResponseWriter, r *http.Request, table *direct.Table, start time.Duration) (*exchange, *refusal) {
 	route := table.Route(r.Host, pathOf(r.RequestURI))
 	if route == nil {
-		return f.unknown(http.StatusNotFound, "no_route")
+		return nil, f.unknown(http.StatusNotFound, "no_route")
 	}
 	envelope, err := f.dialect.Envelope(r.Header)
 	if err != nil {
-		return nil, http.StatusBadRequest, "bad_header"
+		return nil, &refusal{http.StatusBadRequest, "bad_header", 0}
 	}
 	x := &exchange{
 		front: f, w: w, r: r, ctx: r.Context(), envelope: envelope, route: route,
@@ -98,32 +113,35 @@
 	if table.HasTeams() {
 		team := table.Team(envelope.Key)
 		if team == nil && !route.Anonymous {
-			return f.unknown(http.StatusUnauthorized, "unknown_key")
+			return nil, f.unknown(http.StatusUnauthorized, "unknown_key")
 		}
 		if team != nil {
 			x.setTeam(team)
 		}
 	}
-	if f.core.pressure.passesOn() && f.core.pressure.sheds(envelope.ID, f.core.weightOf(x.team)) {
-		f.core.update(direct.ShedMsg{Now: start, Team: x.team, PromptTokens: envelope.PromptTokens, OutputTokens: envelope.OutputTokens})
-		return nil, http.StatusServiceUnavailable, reasonPressure
-	}
 	x.setDeadline()
 	x.age = f.ages.of(start, route.Name, envelope.Left)
-	x.body, err = readBody(w, r, max(table.Config.Limits.BodyBytes, 1))
-	if err != nil {
-		return nil, bodyStatus(err), "body"
-	}
-	return x, 0, ""
+	return x, nil
+}
+
+// shed refuses a request for which a late router has no processor time.
+func (f *front) shed(x *exchange) *refusal {
+	if !f.core.pressure.passesOn() || !f.core.pressure.sheds(x.envelope.ID, f.core.weightOf(x.team)) {
+		return nil
+	}
+	f.core.update(direct.ShedMsg{
+		Now: x.start, Team: x.team, PromptTokens: x.envelope.PromptTokens, OutputTokens: x.envelope.OutputTokens,
+	})
+	return &refusal{http.StatusServiceUnavailable, reasonPressure, shedAfter}
 }
 
 // unknown refuses what the configuration does not hold. A router that is late may
 // not have come to read a newer one: its caller asks another.
-func (f *front) unknown(status int, reason string) (*exchange, int, string) {
+func (f *front) unknown(status int, reason string) *refusal {
 	if f.core.pressure.late() >= shedAll {
-		return nil, http.StatusServiceUnavailable, reasonPressure
+		return &refusal{http.StatusServiceUnavailable, reasonPressure, shedAfter}
 	}
-	return nil, status, reason
+	return &refusal{status: status, reason: reason}
 }
 
 func (x *exchange) setTeam(t *direct.Team) {
@@ -154,13 +172,14 @@
 }
 
 // turnAway answers a request that was not admitted.
-func (f *front) turnAway(w http.ResponseWriter, r *http.Request, status int, reason string, after time.Duration) {
-	if status != http.StatusServiceUnavailable {
+func (f *front) turnAway(w http.ResponseWriter, r *http.Request, refused refusal) {
+	after := refused.after
+	if refused.status != http.StatusServiceUnavailable {
 		after = 0
 	}
-	f.refuse(w, status, reason, after)
-	f.stats.turnedAway(reason)
-	f.journal.turnedAway(f, r, status, reason)
+	f.refuse(w, refused.status, refused.reason, after)
+	f.stats.turnedAway(refused.reason)
+	f.journal.turnedAway(f, r, refused.status, refused.reason)
 }
 
 // refuse writes an answer of the router's own.
--- a/gateway/front_test.go
+++ b/gateway/front_test.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/croftvale/croftvale/direct"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 )
 
 // TestLateRouterDisownsNothing has a router that is too late to have read the
@@ -13,11 +17,65 @@
 // route or key. Found on a grown site as CONFIG.
 func TestLateRouterDisownsNothing(t *testing.T) {
 	f := &front{core: &core{}}
-	_, status, reason := f.unknown(http.StatusNotFound, "no_route")
-	require.Equal(t, http.StatusNotFound, status)
-	require.Equal(t, "no_route", reason)
+	refused := f.unknown(http.StatusNotFound, "no_route")
+	require.Equal(t, http.StatusNotFound, refused.status)
+	require.Equal(t, "no_route", refused.reason)
 	f.core.pressure.note(0, time.Second)
-	_, status, reason = f.unknown(http.StatusNotFound, "no_route")
-	require.Equal(t, http.StatusServiceUnavailable, status)
-	require.Equal(t, reasonPressure, reason)
+	refused = f.unknown(http.StatusNotFound, "no_route")
+	require.Equal(t, http.StatusServiceUnavailable, refused.status)
+	require.Equal(t, reasonPressure, refused.reason)
+	require.Positive(t, refused.after)
+}
+
+// unreadBody fails the test when it is read.
+type unreadBody struct{ t *testing.T }
+
+func (b unreadBody) Read([]byte) (int, error) {
+	b.t.Error("the body of a request that is refused at the door was read")
+	return 0, io.EOF
+}
+
+func (unreadBody) Close() error { return nil }
+
+// plainDialect is a dialect without any headers.
+type plainDialect struct{ Dialect }
+
+func (plainDialect) Envelope(http.Header) (Envelope, error) {
+	return Envelope{ID: "a", Left: time.Second, Key: "key", PromptTokens: 5000, OutputTokens: 100}, nil
+}
+
+func (plainDialect) ID(http.Header) string { return "a" }
+
+func (plainDialect) ComeBack(h http.Header, after time.Duration) { h.Set("Come-Back", after.String()) }
+
+// TestFloodIsRefusedUnread has a team ask for far more than its share: its
+// requests are refused with a time to come back, and their bodies are not read.
+func TestFloodIsRefusedUnread(t *testing.T) {
+	j := newJournal(io.Discard, "test")
+	defer j.close()
+	c := newCore(direct.Options{}, func(direct.BeliefCmd) {})
+	st := &state{core: c, journal: j, changed: func() {}}
+	f := &front{
+		core: c, state: st, journal: j, stats: newStats(tally.NoopScope), dialect: plainDialect{},
+		most: 1 << 20, callers: newCallers(10),
+	}
+	st.offerConfig(&direct.Config{
+		Version:  1,
+		Routes:   []direct.Route{{Name: "r", Host: "h", Prefix: "/", Kind: direct.Stream, Split: []direct.Weighted{{Service: "llm", Weight: 1}}, Objective: time.Second}},
+		Services: []direct.Service{{Name: "llm", Engine: &direct.Engine{Slots: 8, KVTokens: 100000}}},
+		Teams:    []direct.Team{{Name: "flood", Keys: []string{"key"}}},
+		Limits:   direct.Limits{TokensPerSecond: 100},
+	}, "test")
+	st.directory.Store(&direct.Directory{})
+	c.update(direct.ServersMsg{Directory: direct.Directory{Servers: []direct.Server{{ID: "i-1", Service: "llm", Slots: 8}}}})
+	request := direct.Request{Team: "flood", Service: "llm", Objective: time.Second, PromptTokens: 5000}
+	first, _ := c.arrive(request)
+	c.update(direct.FirstMsg{Now: c.now(), ID: first})
+	c.update(direct.TickMsg{Now: 150 * time.Millisecond}) // works the shares out
+	c.arrive(request)
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, &http.Request{Method: http.MethodPost, Host: "h", RequestURI: "/x", Header: http.Header{}, Body: unreadBody{t}, ContentLength: 5000})
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, "over_share\n", w.Body.String())
+	require.NotEmpty(t, w.Header().Get("Come-Back"))
 }
