--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -44,7 +44,7 @@
 func (g *Gateway) drain() {
 	began := time.Now()
 	g.front.draining.Store(true)
-	g.journal.event("drain").Int64("active", g.front.active.Load()).Msg("")
+	g.log.event("drain").Int64("active", g.front.active.Load()).Msg("")
 	grace := time.Duration(g.grace.Load())
 	if grace <= 0 {
 		grace = defaultGrace
--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -31,7 +31,7 @@
 	defer g.peers.mu.Unlock()
 	s := State{
 		Name: g.settings.Name, Config: config, ConfigAge: g.state.configAge(), Servers: servers,
-		Active: g.front.active.Load(), Dropped: g.journal.dropped.Load(),
+		Active: g.front.active.Load(), Dropped: g.log.dropped.Load(),
 		Shares: shares, Engines: engines,
 	}
 	for address, p := range g.peers.known {
--- a/gateway/journal.go
+++ b/gateway/eventlog.go
@@ -14,16 +14,16 @@
 )
 
 const (
-	journalLines = 2048 // that wait to be written
+	queuedLines  = 2048 // that wait to be written
 	sampleOneIn  = 32   // ordinary successes; the same ids on every host
 	failureLines = 60   // a second, failures and refusals of requests
 	beliefLines  = 40   // a second
 )
 
-// journal writes JSON lines: one for each decision that touches a request or
+// eventLog writes JSON lines: one for each decision that touches a request or
 // changes what the router believes. It never blocks; what does not fit is
 // counted and dropped.
-type journal struct {
+type eventLog struct {
 	logger   log.Logger
 	lines    chan []byte
 	dropped  atomic.Uint64
@@ -33,43 +33,43 @@
 	done     chan struct{} // closed when it is
 }
 
-func newJournal(out io.Writer, process string) *journal {
-	j := &journal{
-		lines:    make(chan []byte, journalLines),
+func newEventLog(out io.Writer, process string) *eventLog {
+	l := &eventLog{
+		lines:    make(chan []byte, queuedLines),
 		failures: rate.NewLimiter(failureLines, failureLines),
 		beliefs:  rate.NewLimiter(beliefLines, 4*beliefLines),
 		end:      make(chan struct{}),
 		done:     make(chan struct{}),
 	}
-	j.logger = log.Logger{
+	l.logger = log.Logger{
 		Level:      log.InfoLevel,
 		TimeFormat: time.RFC3339Nano,
 		Context:    log.NewContext(nil).Str("process", process).Value(),
-		Writer:     &log.IOWriter{Writer: j},
+		Writer:     &log.IOWriter{Writer: l},
 	}
-	go j.write(out)
-	return j
+	go l.write(out)
+	return l
 }
 
 // Write takes one line, or drops it.
-func (j *journal) Write(line []byte) (int, error) {
+func (l *eventLog) Write(line []byte) (int, error) {
 	select {
-	case j.lines <- append([]byte(nil), line...):
+	case l.lines <- append([]byte(nil), line...):
 	default:
-		j.dropped.Add(1)
+		l.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
-func (j *journal) write(out io.Writer) {
-	defer close(j.done)
+func (l *eventLog) write(out io.Writer) {
+	defer close(l.done)
 	for {
 		select {
-		case line := <-j.lines:
+		case line := <-l.lines:
 			_, _ = out.Write(line)
-		case <-j.end:
-			for len(j.lines) > 0 {
-				_, _ = out.Write(<-j.lines)
+		case <-l.end:
+			for len(l.lines) > 0 {
+				_, _ = out.Write(<-l.lines)
 			}
 			return
 		}
@@ -77,38 +77,38 @@
 }
 
 // close writes what is left. What is logged after it is not written.
-func (j *journal) close() {
-	if n := j.dropped.Load(); n > 0 {
-		j.logger.Warn().Str("event", "log_dropped").Uint64("lines", n).Msg("")
+func (l *eventLog) close() {
+	if n := l.dropped.Load(); n > 0 {
+		l.logger.Warn().Str("event", "log_dropped").Uint64("lines", n).Msg("")
 	}
-	close(j.end)
-	<-j.done
+	close(l.end)
+	<-l.done
 }
 
-func (j *journal) event(name string) *log.Entry {
-	return j.logger.Info().Str("event", name)
+func (l *eventLog) event(name string) *log.Entry {
+	return l.logger.Info().Str("event", name)
 }
 
-func (j *journal) config(c *direct.Config, from string) {
-	j.event("config_in_force").Uint64("version", c.Version).Str("from", from).
+func (l *eventLog) config(c *direct.Config, from string) {
+	l.event("config_in_force").Uint64("version", c.Version).Str("from", from).
 		Dur("idle_timeout", c.Limits.IdleTimeout).Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Msg("")
 }
 
-func (j *journal) servers(d *direct.Directory, from string) {
-	if j.beliefs.Allow() {
-		j.event("servers_listed").Uint64("revision", d.Revision).Str("from", from).Int("servers", len(d.Servers)).Msg("")
+func (l *eventLog) servers(d *direct.Directory, from string) {
+	if l.beliefs.Allow() {
+		l.event("servers_listed").Uint64("revision", d.Revision).Str("from", from).Int("servers", len(d.Servers)).Msg("")
 	}
 }
 
-func (j *journal) belief(b direct.BeliefCmd) {
-	if j.beliefs.Allow() {
-		j.event("server_"+string(b.Belief)).Str("server", b.Server.ID).Str("service", b.Server.Service).
+func (l *eventLog) belief(b direct.BeliefCmd) {
+	if l.beliefs.Allow() {
+		l.event("server_"+string(b.Belief)).Str("server", b.Server.ID).Str("service", b.Server.Service).
 			Str("address", b.Server.Address).Str("cause", b.Cause).Dur("for", b.For).Msg("")
 	}
 }
 
-func (j *journal) dependency(name, what string, err error) {
-	j.event("dependency_"+what).Str("dependency", name).Err(err).Msg("")
+func (l *eventLog) dependency(name, what string, err error) {
+	l.event("dependency_"+what).Str("dependency", name).Err(err).Msg("")
 }
 
 // sampled tells whether an ordinary request is logged.
@@ -116,17 +116,17 @@
 
 // request logs how a request ended: failures and refusals up to a rate,
 // ordinary successes by a sample of ids.
-func (j *journal) request(x *exchange, result string, status int, reason string) {
+func (l *eventLog) request(x *exchange, result string, status int, reason string) {
 	if result == "served" {
 		if !sampled(x.envelope.ID) {
 			return
 		}
-	} else if !j.failures.Allow() {
-		j.dropped.Add(1)
+	} else if !l.failures.Allow() {
+		l.dropped.Add(1)
 		return
 	}
 	now := x.front.core.now()
-	e := x.describe(j.event("request_"+result)).Int("status", status).Str("reason", reason).Dur("took", now-x.start)
+	e := x.describe(l.event("request_"+result)).Int("status", status).Str("reason", reason).Dur("took", now-x.start)
 	if x.firstAt > 0 {
 		e.Dur("first_after", x.firstAt-x.start)
 	}
@@ -134,12 +134,12 @@
 }
 
 // retry logs an attempt that led to another decision.
-func (j *journal) retry(x *exchange, o direct.Outcome) {
-	if !j.failures.Allow() {
-		j.dropped.Add(1)
+func (l *eventLog) retry(x *exchange, o direct.Outcome) {
+	if !l.failures.Allow() {
+		l.dropped.Add(1)
 		return
 	}
-	x.describe(j.event("attempt_ended")).Str("outcome", o.String()).Dur("after", x.front.core.now()-x.start).Msg("")
+	x.describe(l.event("attempt_ended")).Str("outcome", o.String()).Dur("after", x.front.core.now()-x.start).Msg("")
 }
 
 // describe adds what every line on a request has: who, where, and what decided
@@ -157,21 +157,21 @@
 	return e
 }
 
-// turnedAway logs a request that was not admitted.
-func (j *journal) turnedAway(f *front, r *http.Request, status int, reason string) {
+// rejected logs a request that was not admitted.
+func (l *eventLog) rejected(f *front, r *http.Request, status int, reason string) {
 	// Under pressure there are too many to be told one by one.
-	if (reason == reasonPressure && !sampled(f.dialect.ID(r.Header))) || !j.failures.Allow() {
-		j.dropped.Add(1)
+	if (reason == reasonPressure && !sampled(f.dialect.ID(r.Header))) || !l.failures.Allow() {
+		l.dropped.Add(1)
 		return
 	}
 	config, _ := f.state.versions()
-	j.event("request_turned_away").Str("request", f.dialect.ID(r.Header)).Str("host", r.Host).Str("path", pathOf(r.RequestURI)).
+	l.event("request_rejected").Str("request", f.dialect.ID(r.Header)).Str("host", r.Host).Str("path", pathOf(r.RequestURI)).
 		Int("status", status).Str("reason", reason).Uint64("config", config).Msg("")
 }
 
 // shares logs what the teams that ask for most get.
-func (j *journal) shares(s direct.Shares) {
-	e := j.event("shares").Float64("level", s.Level).Float64("room", s.Room).Float64("busy", s.Busy)
+func (l *eventLog) shares(s direct.Shares) {
+	e := l.event("shares").Float64("level", s.Level).Float64("room", s.Room).Float64("busy", s.Busy)
 	if !math.IsInf(s.Even, 0) {
 		e.Float64("even", s.Even)
 	}
--- a/gateway/journal_test.go
+++ b/gateway/eventlog_test.go
@@ -18,11 +18,11 @@
 // does not fit is counted.
 func TestBlockedOutput(t *testing.T) {
 	out := blocked{release: make(chan struct{})}
-	j := newJournal(out, "router")
-	for range 3 * journalLines {
+	j := newEventLog(out, "router")
+	for range 3 * queuedLines {
 		j.event("vitals").Msg("")
 	}
-	require.GreaterOrEqual(t, j.dropped.Load(), uint64(2*journalLines-1))
+	require.GreaterOrEqual(t, j.dropped.Load(), uint64(2*queuedLines-1))
 	close(out.release)
 	j.close()
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -96,7 +96,7 @@
 		if ended {
 			return true
 		}
-		x.front.journal.retry(x, outcome)
+		x.front.log.retry(x, outcome)
 	case direct.RefuseCmd:
 		x.last.Basis.Share = cmd.Share
 		x.refuse(string(cmd.Reason), cmd.After)
@@ -158,7 +158,7 @@
 // finish logs and counts how the request ended.
 func (x *exchange) finish(result string, status int, reason string) {
 	x.front.stats.request(x, result, reason)
-	x.front.journal.request(x, result, status, reason)
+	x.front.log.request(x, result, status, reason)
 }
 
 // readBody reads the caller's body, of at most most bytes.
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -32,7 +32,7 @@
 	state    *state
 	pool     *backend.Pool
 	dialect  Dialect
-	journal  *journal
+	log      *eventLog
 	stats    *stats
 	bodies   atomic.Int64 // bytes of bodies that are held
 	most     int64        // bytes of bodies that may be held
@@ -56,15 +56,15 @@
 	table := f.state.table.Load()
 	switch {
 	case f.refusing.Load():
-		f.turnAway(w, r, refusal{http.StatusServiceUnavailable, "draining", drainAfter})
+		f.reject(w, r, refusal{http.StatusServiceUnavailable, "draining", drainAfter})
 		return
 	case table == nil || f.state.directory.Load() == nil:
-		f.turnAway(w, r, refusal{http.StatusServiceUnavailable, "no_config", noConfigAfter})
+		f.reject(w, r, refusal{http.StatusServiceUnavailable, "no_config", noConfigAfter})
 		return
 	}
 	x, refused := f.admit(w, r, table, start)
 	if refused != nil {
-		f.turnAway(w, r, *refused)
+		f.reject(w, r, *refused)
 		return
 	}
 	if cmd, hopeless := f.core.door(x.request()); hopeless {
@@ -76,13 +76,13 @@
 		refused = x.readBody(max(table.Config.Limits.BodyBytes, 1))
 	}
 	if refused != nil {
-		f.turnAway(w, r, *refused)
+		f.reject(w, r, *refused)
 		return
 	}
 	held := int64(len(x.body))
 	if f.bodies.Add(held) > f.most {
 		f.bodies.Add(-held)
-		f.turnAway(w, r, refusal{http.StatusServiceUnavailable, "memory", noConfigAfter})
+		f.reject(w, r, refusal{http.StatusServiceUnavailable, "memory", noConfigAfter})
 		return
 	}
 	defer f.bodies.Add(-held)
@@ -171,15 +171,15 @@
 	return http.StatusBadRequest
 }
 
-// turnAway answers a request that was not admitted.
-func (f *front) turnAway(w http.ResponseWriter, r *http.Request, refused refusal) {
+// reject answers a request that was not admitted.
+func (f *front) reject(w http.ResponseWriter, r *http.Request, refused refusal) {
 	after := refused.after
 	if refused.status != http.StatusServiceUnavailable {
 		after = 0
 	}
 	f.refuse(w, refused.status, refused.reason, after)
-	f.stats.turnedAway(refused.reason)
-	f.journal.turnedAway(f, r, refused.status, refused.reason)
+	f.stats.rejected(refused.reason)
+	f.log.rejected(f, r, refused.status, refused.reason)
 }
 
 // refuse writes an answer of the router's own.
--- a/gateway/front_test.go
+++ b/gateway/front_test.go
@@ -51,12 +51,12 @@
 // TestFloodIsRefusedUnread has a team ask for far more than its share: its
 // requests are refused with a time to come back, and their bodies are not read.
 func TestFloodIsRefusedUnread(t *testing.T) {
-	j := newJournal(io.Discard, "test")
+	j := newEventLog(io.Discard, "test")
 	defer j.close()
 	c := newCore(direct.Options{}, func(direct.BeliefCmd) {})
-	st := &state{core: c, journal: j, changed: func() {}}
+	st := &state{core: c, log: j, changed: func() {}}
 	f := &front{
-		core: c, state: st, journal: j, stats: newStats(tally.NoopScope), dialect: plainDialect{},
+		core: c, state: st, log: j, stats: newStats(tally.NoopScope), dialect: plainDialect{},
 		most: 1 << 20, callers: newCallers(10),
 	}
 	st.offerConfig(&direct.Config{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,7 @@
 	settings Settings
 	source   Source
 	dialect  Dialect
-	journal  *journal
+	log      *eventLog
 	core     *core
 	state    *state
 	front    *front
@@ -49,17 +49,17 @@
 // New returns a gateway that logs to out.
 func New(s Settings, source Source, dialect Dialect, out io.Writer) (*Gateway, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	g := &Gateway{settings: s, source: source, dialect: dialect, journal: newJournal(out, s.Name)}
+	g := &Gateway{settings: s, source: source, dialect: dialect, log: newEventLog(out, s.Name)}
 	g.grace.Store(int64(s.Grace))
-	g.core = newCore(direct.Options{Zone: s.Zone, Budget: s.Budget, Without: s.Without}, g.journal.belief)
+	g.core = newCore(direct.Options{Zone: s.Zone, Budget: s.Budget, Without: s.Without}, g.log.belief)
 	g.admin = admin.New(admin.Source{Ready: g.ready, State: g.dump})
 	g.stats = newStats(g.admin.Scope())
-	g.state = &state{core: g.core, journal: g.journal}
+	g.state = &state{core: g.core, log: g.log}
 	conn, port, err := listenDatagrams(s.Peers)
 	if err != nil {
 		return nil, err
 	}
-	g.peers = newPeers(s, port, conn, g.core, g.state, g.journal, g.stats)
+	g.peers = newPeers(s, port, conn, g.core, g.state, g.log, g.stats)
 	if conn, port, err = listenDatagrams(s.Loads); err != nil {
 		return nil, err
 	}
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	g.front = &front{
-		core: g.core, state: g.state, dialect: dialect, journal: g.journal, stats: g.stats,
+		core: g.core, state: g.state, dialect: dialect, log: g.log, stats: g.stats,
 		pool: backend.NewPool(backend.Options{DialTimeout: dialTimeout, SilentPeer: silentPeer, MaxIdle: maxIdle}),
 		most: s.MemoryBytes / bodiesShare, callers: newCallers(callersMost(s.Descriptors)), eventDelay: s.EventDelay,
 	}
@@ -83,8 +83,8 @@
 
 // Run serves until ctx ends, and then for the grace that callers are given.
 func (g *Gateway) Run(ctx context.Context) error {
-	defer g.journal.close()
-	g.journal.event("start").Str("zone", g.settings.Zone).Str("address", g.settings.Address).Msg("")
+	defer g.log.close()
+	g.log.event("start").Str("zone", g.settings.Zone).Str("address", g.settings.Address).Msg("")
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	failed := make(chan error, 8)
@@ -98,7 +98,7 @@
 	case <-ctx.Done():
 	}
 	g.drain()
-	g.journal.event("stop").Int64("cut", g.front.active.Load()).Msg("")
+	g.log.event("stop").Int64("cut", g.front.active.Load()).Msg("")
 	return nil
 }
 
@@ -159,13 +159,13 @@
 		sleep(ctx, vitalsEvery)
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
-		g.journal.event("vitals").Int64("active", g.front.active.Load()).Int64("body_bytes", g.front.bodies.Load()).
+		g.log.event("vitals").Int64("active", g.front.active.Load()).Int64("body_bytes", g.front.bodies.Load()).
 			Dur("lag", time.Duration(g.core.pressure.lag.Load())).Float64("shed", g.core.pressure.shedPart()).
 			Bool("yields", g.core.pressure.yields.Load()).Int("goroutines", runtime.NumGoroutine()).
 			Uint64("heap_bytes", m.HeapInuse).Uint64("stack_bytes", m.StackInuse).Uint32("collections", m.NumGC).
-			Uint64("lines_dropped", g.journal.dropped.Load()).Msg("")
+			Uint64("lines_dropped", g.log.dropped.Load()).Msg("")
 		g.stats.age.RecordDuration(g.state.configAge())
-		g.journal.shares(g.core.shares(teamsLogged))
+		g.log.shares(g.core.shares(teamsLogged))
 	}
 	return nil
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -14,18 +14,18 @@
 )
 
 const (
-	beatEvery   = 100 * time.Millisecond // at the least
-	beatsHeard  = 100                    // a second, that a router should hear
-	beatFanout  = 24                     // peers that one beat goes to
-	beatMembers = 16                     // peers named in one beat
-	membersIn   = 8                      // one beat in so many names peers
-	peerLive    = time.Second            // without a beat a peer counts as away
-	liveBeats   = 5                      // beats that may be missed, where they are rarer
-	peerForget  = 60 * time.Second
+	heartbeatEvery   = 100 * time.Millisecond // at the least
+	heartbeatsHeard  = 100                    // a second, that a router should hear
+	heartbeatFanout  = 24                     // peers that one heartbeat goes to
+	heartbeatMembers = 16                     // peers named in one heartbeat
+	membersIn        = 8                      // one heartbeat in so many names peers
+	peerLive         = time.Second            // without a heartbeat a peer counts as away
+	heartbeatsMissed = 5                      // heartbeats that may be missed, where they are rarer
+	peerForget       = 60 * time.Second
 )
 
-// beat is what a router tells the others, several times a second.
-type beat struct {
+// heartbeat is what a router tells the others, several times a second.
+type heartbeat struct {
 	Address string // of the sender's host
 	Hall    string
 	Power   float64 // cores
@@ -59,19 +59,19 @@
 	live       bool
 }
 
-// peers exchanges beats with the other routers.
+// peers exchanges heartbeats with the other routers.
 type peers struct {
-	self    string
-	hall    string
-	power   float64
-	port    int
-	life    int64
-	conn    net.PacketConn
-	core    *core
-	state   *state
-	journal *journal
-	stats   *stats
-	seeds   int
+	self  string
+	hall  string
+	power float64
+	port  int
+	life  int64
+	conn  net.PacketConn
+	core  *core
+	state *state
+	log   *eventLog
+	stats *stats
+	seeds int
 	// configFails and serversFail say that the last call to the source for them
 	// failed.
 	configFails atomic.Bool
@@ -85,9 +85,9 @@
 	poke        chan struct{}        // this router has something newer
 }
 
-func newPeers(s Settings, port int, conn net.PacketConn, c *core, st *state, j *journal, counts *stats) *peers {
+func newPeers(s Settings, port int, conn net.PacketConn, c *core, st *state, j *eventLog, counts *stats) *peers {
 	return &peers{
-		self: s.Address, hall: s.Zone, power: s.Power, port: port, life: time.Now().UnixNano(), conn: conn, core: c, state: st, journal: j, stats: counts,
+		self: s.Address, hall: s.Zone, power: s.Power, port: port, life: time.Now().UnixNano(), conn: conn, core: c, state: st, log: j, stats: counts,
 		seeds: len(s.Seeds), known: make(map[string]*peer),
 		behind: make(chan struct{}, 1), poke: make(chan struct{}, 1),
 	}
@@ -115,9 +115,9 @@
 	}
 }
 
-// send beats until ctx ends.
+// send heartbeats until ctx ends.
 func (p *peers) send(ctx context.Context) error {
-	ticker := time.NewTicker(beatEvery)
+	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -126,12 +126,12 @@
 		case <-ticker.C:
 		case <-p.poke:
 		}
-		p.beat()
+		p.heartbeat()
 		ticker.Reset(p.every())
 	}
 }
 
-func (p *peers) beat() {
+func (p *peers) heartbeat() {
 	report := p.core.report()
 	config, servers := p.state.versions()
 	targets, members := p.round()
@@ -139,7 +139,7 @@
 	if p.seq%membersIn != 1 {
 		members = nil
 	}
-	body, err := encode(beat{
+	body, err := encode(heartbeat{
 		Address: p.self, Hall: p.hall, Power: p.power, Shed: p.core.pressure.shedPart(), Yields: p.core.pressure.yields.Load(),
 		SourceLost: p.configFails.Load() || p.serversFail.Load(), Life: p.life, Seq: p.seq, Config: config, Servers: servers, Report: report, Members: members,
 	})
@@ -155,7 +155,7 @@
 	}
 }
 
-// round picks whom a beat goes to, and tells the machine how many routers
+// round picks whom a heartbeat goes to, and tells the machine how many routers
 // there are.
 func (p *peers) round() (targets, members []string) {
 	p.mu.Lock()
@@ -173,19 +173,19 @@
 			}
 		} else if peer.live {
 			peer.live = false
-			p.journal.dependency("router "+address, "lost", nil)
+			p.log.dependency("router "+address, "lost", nil)
 		}
 		if age > peerForget {
 			delete(p.known, address)
 			continue
 		}
 		targets = append(targets, address)
-		if peer.live && len(members) < beatMembers {
+		if peer.live && len(members) < heartbeatMembers {
 			members = append(members, address)
 		}
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	targets = targets[:min(len(targets), beatFanout)]
+	targets = targets[:min(len(targets), heartbeatFanout)]
 	p.heard(there)
 	// A late router has not read what the others said: it keeps what it knew.
 	if !p.core.pressure.slow() {
@@ -195,18 +195,18 @@
 	return targets, members
 }
 
-// receive takes beats until ctx ends.
+// receive takes heartbeats until ctx ends.
 func (p *peers) receive(ctx context.Context) error {
 	return receive(ctx, p.conn, func(body []byte) {
-		var b beat
+		var b heartbeat
 		if decode(body, &b) == nil {
 			p.hear(b)
 		}
 	})
 }
 
-// hear takes one beat in.
-func (p *peers) hear(b beat) {
+// hear takes one heartbeat in.
+func (p *peers) hear(b heartbeat) {
 	p.add(b.Address)
 	for _, m := range b.Members {
 		p.add(m)
@@ -227,7 +227,7 @@
 	peer.hall, peer.power, peer.shed, peer.yields = b.Hall, b.Power, b.Shed, b.Yields
 	if !peer.live {
 		peer.live = true
-		p.journal.dependency("router "+b.Address, "regained", nil)
+		p.log.dependency("router "+b.Address, "regained", nil)
 	}
 	p.mu.Unlock()
 	p.core.update(direct.PeerMsg{Now: now, Peer: b.Address, Report: b.Report})
--- a/gateway/peerstate.go
+++ b/gateway/peerstate.go
@@ -2,19 +2,19 @@
 
 import "time"
 
-// every is the time between two beats: the more routers there are, the rarer.
+// every is the time between two heartbeats: the more routers there are, the rarer.
 func (p *peers) every() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	targets := min(len(p.known), beatFanout)
-	return max(beatEvery, time.Duration(targets)*time.Second/beatsHeard)
+	targets := min(len(p.known), heartbeatFanout)
+	return max(heartbeatEvery, time.Duration(targets)*time.Second/heartbeatsHeard)
 }
 
-// live is how long a peer counts as there without a beat.
+// live is how long a peer counts as there without a heartbeat.
 func (p *peers) live() time.Duration {
-	rounds := max((len(p.known)+beatFanout-1)/beatFanout, 1)
-	each := max(beatEvery, time.Duration(min(len(p.known), beatFanout))*time.Second/beatsHeard)
-	return max(peerLive, time.Duration(rounds*liveBeats)*each)
+	rounds := max((len(p.known)+heartbeatFanout-1)/heartbeatFanout, 1)
+	each := max(heartbeatEvery, time.Duration(min(len(p.known), heartbeatFanout))*time.Second/heartbeatsHeard)
+	return max(peerLive, time.Duration(rounds*heartbeatsMissed)*each)
 }
 
 // add counts another router of the hall.
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -19,17 +19,17 @@
 		}
 	}
 	moved := s.Front != g.settings.Front || s.Ready != g.settings.Ready || s.Control != g.settings.Control
-	g.journal.event("reload").Bool("restart_needed", moved).Msg("")
+	g.log.event("reload").Bool("restart_needed", moved).Msg("")
 }
 
 // ReloadFailed logs settings that cannot be read; the last good ones stay in
 // force.
 func (g *Gateway) ReloadFailed(err error) {
-	g.journal.event("reload_failed").Err(err).Msg("")
+	g.log.event("reload_failed").Err(err).Msg("")
 }
 
 // Unreadable logs an object of the source that cannot be read; what was known
 // before stays in force.
 func (g *Gateway) Unreadable(kind, name string, revision uint64, err error) {
-	g.journal.event("object_unreadable").Str("kind", kind).Str("name", name).Uint64("revision", revision).Err(err).Msg("")
+	g.log.event("object_unreadable").Str("kind", kind).Str("name", name).Uint64("revision", revision).Err(err).Msg("")
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -16,7 +16,7 @@
 	Front   string // callers
 	Ready   string // the balancer's question
 	Control string // other routers' pulls
-	Peers   string // other routers' beats, as datagrams
+	Peers   string // other routers' heartbeats, as datagrams
 	Loads   string // other routers' loads, as datagrams
 	Metrics string // empty: not served
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -16,7 +16,7 @@
 	tableAt   atomic.Int64 // when it came into force, on the core's clock
 	directory atomic.Pointer[direct.Directory]
 	core      *core
-	journal   *journal
+	log       *eventLog
 	changed   func()
 }
 
@@ -32,7 +32,7 @@
 	s.core.update(direct.ConfigMsg{Now: now, Config: *c})
 	s.tableAt.Store(int64(now))
 	s.table.Store(direct.NewTable(*c))
-	s.journal.config(c, from)
+	s.log.config(c, from)
 	s.changed()
 }
 
@@ -46,7 +46,7 @@
 	}
 	s.core.update(direct.ServersMsg{Now: s.core.now(), Directory: *d})
 	s.directory.Store(d)
-	s.journal.servers(d, from)
+	s.log.servers(d, from)
 	s.changed()
 }
 
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -81,8 +81,8 @@
 	}
 }
 
-func (s *stats) turnedAway(reason string) {
-	s.counter(counterKey{"turned_away", "", reason}).Inc(1)
+func (s *stats) rejected(reason string) {
+	s.counter(counterKey{"rejected", "", reason}).Inc(1)
 }
 
 // sourceCall takes in one call to the source.
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -26,7 +26,7 @@
 	retryFirst  = 100 * time.Millisecond
 	retryMost   = time.Second
 	// membersFirst is the time between the first membersOften lists of routers,
-	// membersEach between the later ones: beats name the others by then.
+	// membersEach between the later ones: heartbeats name the others by then.
 	membersFirst = 6 * time.Second
 	membersOften = 3
 	membersEach  = 30 * time.Second
@@ -34,10 +34,10 @@
 
 // follower keeps one kind of thing up to date from the source.
 type follower struct {
-	name    string
-	journal *journal
-	stats   *stats
-	lost    bool
+	name  string
+	log   *eventLog
+	stats *stats
+	lost  bool
 	// read takes everything; watch what changed since a revision.
 	read  func(ctx context.Context) (uint64, error)
 	watch func(ctx context.Context, since uint64, wait time.Duration) (uint64, error)
@@ -103,13 +103,13 @@
 	f.failing(err != nil && !errors.Is(err, ErrHistoryGone))
 	if err != nil && !errors.Is(err, ErrHistoryGone) {
 		if !f.lost {
-			f.journal.dependency(f.name, "lost", err)
+			f.log.dependency(f.name, "lost", err)
 		}
 		f.lost = true
 		return
 	}
 	if f.lost {
-		f.journal.dependency(f.name, "regained", nil)
+		f.log.dependency(f.name, "regained", nil)
 	}
 	f.lost = false
 }
@@ -117,7 +117,7 @@
 // followConfig returns the follower of the configuration.
 func followConfig(source Source, s *state, r role, st *stats) *follower {
 	return &follower{
-		name: "source of configuration", journal: s.journal, stats: st, follows: r.follows, failing: r.failing,
+		name: "source of configuration", log: s.log, stats: st, follows: r.follows, failing: r.failing,
 		read: func(ctx context.Context) (uint64, error) {
 			c, at, err := source.ReadConfig(ctx)
 			if err == nil {
@@ -144,7 +144,7 @@
 func followServers(source Source, s *state, r role, st *stats) *follower {
 	list := &serverList{}
 	return &follower{
-		name: "source of servers", journal: s.journal, stats: st, follows: r.follows, failing: r.failing,
+		name: "source of servers", log: s.log, stats: st, follows: r.follows, failing: r.failing,
 		read: func(ctx context.Context) (uint64, error) {
 			servers, at, err := source.ReadServers(ctx)
 			if err != nil {
