What a team gets beyond its share reads no shared part again

The rule that nothing is read again beyond the share held only for parts that this router knew of; now the first server in the part's order is taken to keep it. Test: TestSurplusReadsNothingAgain; it failed before on the second half.

--- a/direct/allowance_test.go
+++ b/direct/allowance_test.go
@@ -268,3 +268,26 @@
 	require.InDelta(t, 10*40*2200, offered, 0.15*10*40*2200, "what is refused at the door is asked for all the same")
 	require.Less(t, b.m.WeightOf(b.now, "flood"), 6*b.m.WeightOf(b.now, "small"), "it fills the router only with what enters, not with ten times as much")
 }
+
+// TestSurplusReadsNothingAgain has a team above its share ask for a prompt whose
+// first server has too much to do: it is not sent to another server, which would
+// have to read the prompt's shared part, also where this router does not know who
+// keeps it. A team within its share is.
+func TestSurplusReadsNothingAgain(t *testing.T) {
+	shared, own := Part{ID: 7, Tokens: 2000}, Part{ID: 8, Tokens: 500}
+	busy := func(over float64) (*bench, *run, string) {
+		b := newBench(t, 4)
+		p := b.m.pool("llm")
+		r := &run{Request: b.request("red", shared, own), over: over}
+		home := b.m.firstHolder(b.now, p, r)
+		home.others.Pending = 1_000_000
+		return b, r, home.ID
+	}
+	b, r, home := busy(0.5)
+	c, ok := b.m.place(b.now, b.m.pool("llm"), r)
+	require.True(t, ok)
+	require.NotEqual(t, home, c.server.ID)
+	b, r, _ = busy(1.2)
+	_, ok = b.m.place(b.now, b.m.pool("llm"), r)
+	require.False(t, ok)
+}
--- a/direct/candidates.go
+++ b/direct/candidates.go
@@ -46,14 +46,16 @@
 // firstHolder returns the server that keeps the request's last shared part and ranks
 // highest for it, or, where none is known to keep it, the one that ranks highest
 // of all: every router takes that one first.
-func (m *Machine) firstHolder(now time.Duration, p *pool, r *run) (first *server, held bool) {
+func (m *Machine) firstHolder(now time.Duration, p *pool, r *run) *server {
 	last, shared := r.lastShared()
 	if !shared {
-		return nil, false
+		return nil
 	}
 	part := last.ID
 	keepers := m.holders.of(part)
+	var first *server
 	var top uint64
+	held := false
 	for _, s := range p.order {
 		if !s.usable(now) || s.probation {
 			continue
@@ -67,7 +69,7 @@
 			first, top, held = s, w, has
 		}
 	}
-	return first, held
+	return first
 }
 
 // rank is the rendezvous weight of a server for a part.
--- a/direct/place.go
+++ b/direct/place.go
@@ -61,14 +61,14 @@
 // few servers first, which its prompt and chance give it, and at more only where
 // none of those would serve it in good time.
 func (m *Machine) place(now time.Duration, p *pool, r *run) (choice, bool) {
-	home, held := m.firstHolder(now, p, r)
+	home := m.firstHolder(now, p, r)
 	candidates := m.candidates(now, p, r)
 	best, found := choice{}, false
 	for i, c := range candidates {
 		if found && m.uses(FewCandidates) && i%lookEach == 0 && best.within(r, goodTime+laterTime*float64(i)) {
 			break
 		}
-		weighed, fits := m.weigh(now, p, c.server, r, home, held)
+		weighed, fits := m.weigh(now, p, c.server, r, home)
 		if !fits {
 			continue
 		}
@@ -120,7 +120,7 @@
 
 // weigh estimates what a request would cost at a server, and tells whether the
 // server would serve it in time.
-func (m *Machine) weigh(now time.Duration, p *pool, s *server, r *run, home *server, held bool) (choice, bool) {
+func (m *Machine) weigh(now time.Duration, p *pool, s *server, r *run, home *server) (choice, bool) {
 	if p.engine == nil {
 		return m.weighPlain(s, r)
 	}
@@ -136,7 +136,9 @@
 	own := float64(r.ownTokens()+miss) / perMS
 	first := float64(firstEventBase/time.Millisecond) + wait + own
 	objective := float64(r.Objective) / float64(time.Millisecond)
-	if !fits(r, first/objective, wait/objective, p.objective) || (r.over > 1 && r.attempt == 0 && held && miss > 0) {
+	// What a team gets beyond its share is not worth reading a part again: where no
+	// server is known to keep it, the first in its order is taken to.
+	if !fits(r, first/objective, wait/objective, p.objective) || (r.over > 1 && r.attempt == 0 && miss > 0) {
 		return choice{}, false
 	}
 	late := min(max((first/objective-certainFrom)/(certainTo-certainFrom), 0), 1)
