--- a/direct/mechanism.go
+++ b/direct/mechanism.go
@@ -16,7 +16,9 @@
 	Loads         Mechanism = "loads"          // routers count what the others have at the servers
 	FewCandidates Mechanism = "few-candidates" // a request looks at a few servers first
 	Locality      Mechanism = "locality"       // servers that keep a prompt's parts are preferred
+	SurplusReads  Mechanism = "surplus-reads"  // what a team gets beyond its share reads no shared part again
 	Allowances    Mechanism = "allowances"     // a team above its share gets so many tokens at each router
+	Door          Mechanism = "door"           // what an allowance cannot cover is refused before its body is read
 	EvenBound     Mechanism = "even-bound"     // no team gets much more than one that wants more and gets less
 	Headroom      Mechanism = "headroom"       // teams get more than what is configured while servers are idle
 	NewFirst      Mechanism = "new-first"      // requests that are late already come after the others
@@ -30,7 +32,7 @@
 )
 
 var mechanisms = []Mechanism{
-	Loads, FewCandidates, Locality, Allowances, EvenBound, Headroom, NewFirst, Ejection, LapseHold,
+	Loads, FewCandidates, Locality, SurplusReads, Allowances, Door, EvenBound, Headroom, NewFirst, Ejection, LapseHold,
 	Patience, Shedding, Yielding, Gathering, Followers,
 }
 
--- a/direct/place.go
+++ b/direct/place.go
@@ -138,7 +138,8 @@
 	objective := float64(r.Objective) / float64(time.Millisecond)
 	// What a team gets beyond its share is not worth reading a part again: where no
 	// server is known to keep it, the first in its order is taken to.
-	if !fits(r, first/objective, wait/objective, p.objective) || (r.over > 1 && r.attempt == 0 && miss > 0) {
+	surplus := r.over > 1 && r.attempt == 0 && m.uses(SurplusReads)
+	if !fits(r, first/objective, wait/objective, p.objective) || (surplus && miss > 0) {
 		return choice{}, false
 	}
 	late := min(max((first/objective-certainFrom)/(certainTo-certainFrom), 0), 1)
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -79,6 +79,9 @@
 
 // door asks whether a request would be refused as soon as it came.
 func (c *core) door(r direct.Request) (direct.RefuseCmd, bool) {
+	if !c.without.Uses(direct.Door) {
+		return direct.RefuseCmd{}, false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next++
