Routers take lists of routers that may be stale, but for the first

A list of the registered routers may be some seconds old: heartbeats name those that came since. The first list is fresh, and is asked for until it has come. Not measured yet.

--- a/gateway/source.go
+++ b/gateway/source.go
@@ -39,6 +39,7 @@
 	WatchServers(ctx context.Context, since uint64, wait time.Duration) ([]ServerChange, uint64, error)
 	// Register makes a router known to others.
 	Register(ctx context.Context, m Member) error
-	// Members returns the routers that registered, some of which may be gone.
-	Members(ctx context.Context) ([]Member, error)
+	// Members returns the routers that registered, some of which may be gone. A
+	// stale list may be seconds old and costs the source less.
+	Members(ctx context.Context, stale bool) ([]Member, error)
 }
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -190,7 +190,9 @@
 		if !registered {
 			registered = source.Register(call, self) == nil
 		}
-		members, err := source.Members(call)
+		// Heartbeats name the routers that came since; the first list is what a
+		// router starts from where its seeds are away.
+		members, err := source.Members(call, lists > 0)
 		cancel()
 		for _, m := range members {
 			found(m)
