Late requests wait behind new ones also in a team below its share

A request that comes back after a refusal earns less than a new one, whatever its team got so far; a team that asks for more than its share has new ones to serve. The order held only while the team was above its share. Test: TestNewRequestsFirstWithinTheShare (the second case failed before, by the condition r.over > 1).

--- a/direct/allowance_test.go
+++ b/direct/allowance_test.go
@@ -291,3 +291,22 @@
 	_, ok = b.m.place(b.now, b.m.pool("llm"), r)
 	require.False(t, ok)
 }
+
+// TestNewRequestsFirstWithinTheShare has a team whose other routers serve it less
+// than its share: also then an allowance goes to new requests before those that are
+// late already.
+func TestNewRequestsFirstWithinTheShare(t *testing.T) {
+	b := newBench(t, 4)
+	team := b.m.team("red")
+	team.allowance = allowance{rate: 1000, tokens: 10}
+	b.m.base, b.m.level = 100_000, 100_000
+	p := b.m.pool("llm")
+	fresh, late := &run{Request: b.request("red")}, &run{Request: b.request("red"), late: true}
+	b.m.rate(b.now, p, fresh)
+	b.m.rate(b.now, p, late)
+	require.False(t, fresh.above)
+	require.True(t, late.above)
+	team.allowance.tokens = 1000
+	b.m.rate(b.now, p, late)
+	require.False(t, late.above, "the allowance holds more than new requests need")
+}
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -262,7 +262,7 @@
 	r.over, r.above = 0, false
 	if p.engine != nil && m.level > 0 {
 		r.over = r.served / m.base
-		r.above = team.allowance.spent() || (r.late && r.over > 1 && !team.allowance.plenty())
+		r.above = team.allowance.spent() || (r.late && !team.allowance.plenty())
 	}
 }
 
