Of one team, the request that may wait least is served first

The line now serves by the end of the wait, and what an allowance must cover first counts only what is served earlier. Test: TestShortestWaitFirst.

--- a/direct/allowance_test.go
+++ b/direct/allowance_test.go
@@ -310,3 +310,18 @@
 	b.m.rate(b.now, p, late)
 	require.False(t, late.above, "the allowance holds more than new requests need")
 }
+
+// TestShortestWaitFirst has a team wait with a request that may wait long and one
+// that may not: what its allowance covers goes to the second first, though it came
+// later, and the first does not count against it.
+func TestShortestWaitFirst(t *testing.T) {
+	var l line
+	patient := &run{Request: Request{ID: 1, Team: "red", PromptTokens: 5000}, waitUntil: 120 * time.Millisecond}
+	urgent := &run{Request: Request{ID: 2, Team: "red", PromptTokens: 1000}, arrivedAt: time.Millisecond, waitUntil: 60 * time.Millisecond}
+	l.add(patient)
+	require.Zero(t, l.asked("red", urgent.waitUntil))
+	require.Equal(t, 5000.0, l.asked("red", patient.waitUntil))
+	l.add(urgent)
+	l.sort()
+	require.Equal(t, []*run{urgent, patient}, l.waiting)
+}
--- a/direct/line.go
+++ b/direct/line.go
@@ -25,11 +25,12 @@
 // add puts a request in line.
 func (l *line) add(r *run) { l.waiting = append(l.waiting, r) }
 
-// asked returns the tokens that the requests of a team in line ask for.
-func (l *line) asked(team string) float64 {
+// asked returns the tokens that the requests of a team in line ask for which are
+// served before one that may wait until a time.
+func (l *line) asked(team string, until time.Duration) float64 {
 	sum := 0.0
 	for _, r := range l.waiting {
-		if r.Team == team {
+		if r.Team == team && r.waitUntil <= until {
 			sum += r.cost()
 		}
 	}
@@ -45,7 +46,7 @@
 
 // sort puts first who is served first: requests that were sent before, then
 // higher priority, teams within their share, those that are not late already, the
-// team that got least, the oldest.
+// team that got least, the one that can wait least.
 func (l *line) sort() {
 	slices.SortStableFunc(l.waiting, func(a, b *run) int {
 		return cmp.Or(
@@ -54,7 +55,7 @@
 			compareBool(a.over > 1, b.over > 1),
 			compareBool(a.late, b.late),
 			cmp.Compare(a.served, b.served),
-			cmp.Compare(a.arrivedAt, b.arrivedAt),
+			cmp.Compare(a.waitUntil, b.waitUntil),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -184,7 +184,7 @@
 // hopeless tells whether a request of a team above its share waits in vain: the
 // team's allowance cannot cover it in time.
 func (m *Machine) hopeless(now time.Duration, p *pool, r *run) bool {
-	return r.attempt == 0 && r.above && !m.team(r.Team).allowance.covers(p.line.asked(r.Team), r.waitUntil-now)
+	return r.attempt == 0 && r.above && !m.team(r.Team).allowance.covers(p.line.asked(r.Team, r.waitUntil), r.waitUntil-now)
 }
 
 // enqueue sends a request, or puts it in line. The others in line are not looked
