--- a/direct/listing.go
+++ b/direct/listing.go
@@ -40,6 +40,7 @@
 	if s == nil {
 		s = &server{Server: listed, key: loads.Key(listed.ID), hash: xxhash.Sum64String(listed.ID)}
 		m.byServer[listed.ID] = s
+		m.byKey[s.key] = s
 		m.pool(listed.Service).servers[listed.ID] = s
 		if listed.Draining {
 			s.leave(now)
@@ -76,6 +77,7 @@
 		if s.gone && s.running == 0 && now-s.leavingAt > goneMemory {
 			delete(p.servers, id)
 			delete(m.byServer, id)
+			delete(m.byKey, s.key)
 			dropped = true
 		}
 	}
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -32,6 +32,7 @@
 	services map[string]Service
 	pools    map[string]*pool
 	byServer map[string]*server
+	byKey    map[uint32]*server // see loads.Key
 	revision uint64
 	runs     map[RequestID]*run
 	teams    map[string]*teamUse
@@ -45,6 +46,7 @@
 	busy       float64 // how busy the busiest pool of engines is
 	sharedAt   time.Duration
 	holders    holders
+	copies     copies // made through this router, to be told
 	peers      map[string]peerReport
 	routers    int
 	hold       time.Duration
@@ -69,6 +71,7 @@
 		services: make(map[string]Service),
 		pools:    make(map[string]*pool),
 		byServer: make(map[string]*server),
+		byKey:    make(map[uint32]*server),
 		runs:     make(map[RequestID]*run),
 		teams:    make(map[string]*teamUse),
 		peers:    make(map[string]peerReport),
--- a/direct/mechanism.go
+++ b/direct/mechanism.go
@@ -17,6 +17,7 @@
 	FewCandidates Mechanism = "few-candidates" // a request looks at a few servers first
 	Locality      Mechanism = "locality"       // servers that keep a prompt's parts are preferred
 	SurplusReads  Mechanism = "surplus-reads"  // what a team gets beyond its share reads no shared part again
+	Copies        Mechanism = "copies"         // routers tell one another of copies of a prompt's parts
 	Allowances    Mechanism = "allowances"     // a team above its share gets so many tokens at each router
 	Door          Mechanism = "door"           // what an allowance cannot cover is refused before its body is read
 	EvenBound     Mechanism = "even-bound"     // no team gets much more than one that wants more and gets less
@@ -32,7 +33,7 @@
 )
 
 var mechanisms = []Mechanism{
-	Loads, FewCandidates, Locality, SurplusReads, Allowances, Door, EvenBound, Headroom, NewFirst, Ejection, LapseHold,
+	Loads, FewCandidates, Locality, Copies, SurplusReads, Allowances, Door, EvenBound, Headroom, NewFirst, Ejection, LapseHold,
 	Patience, Shedding, Yielding, Gathering, Followers,
 }
 
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -13,6 +13,7 @@
 func (m *Machine) peer(msg PeerMsg) {
 	m.peers[msg.Peer] = peerReport{at: msg.Now, report: msg.Report}
 	m.peersChanged = true
+	m.hearCopies(msg.Now, msg.Report.Copies)
 }
 
 // sumPeers adds up the reports that still hold.
@@ -76,7 +77,7 @@
 
 // Report returns what this router does at the moment, for the others.
 func (m *Machine) Report(now time.Duration) Report {
-	r := Report{Room: m.ownRoom}
+	r := Report{Room: m.ownRoom, Copies: m.copies.list(now)}
 	for name, t := range m.teams {
 		offered := t.offered.decay(now)
 		if offered > activeRate {
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -22,6 +22,9 @@
 		s.pending += r.pending
 	}
 	m.charge(now, r)
+	if p.engine != nil && c.miss > 0 && m.uses(Copies) {
+		m.tellCopies(now, p, r, s)
+	}
 	for i := 0; i+1 < len(r.Parts) && m.uses(Locality); i++ {
 		m.holders.note(now, r.Parts[i].ID, s.ID)
 	}
