--- a/direct/allowance_test.go
+++ b/direct/allowance_test.go
@@ -315,13 +315,13 @@
 // that may not: what its allowance covers goes to the second first, though it came
 // later, and the first does not count against it.
 func TestShortestWaitFirst(t *testing.T) {
-	var l line
+	var q queue
 	patient := &run{Request: Request{ID: 1, Team: "red", PromptTokens: 5000}, waitUntil: 120 * time.Millisecond}
 	urgent := &run{Request: Request{ID: 2, Team: "red", PromptTokens: 1000}, arrivedAt: time.Millisecond, waitUntil: 60 * time.Millisecond}
-	l.add(patient)
-	require.Zero(t, l.asked("red", urgent.waitUntil))
-	require.Equal(t, 5000.0, l.asked("red", patient.waitUntil))
-	l.add(urgent)
-	l.sort()
-	require.Equal(t, []*run{urgent, patient}, l.waiting)
+	q.add(patient)
+	require.Zero(t, q.asked("red", urgent.waitUntil))
+	require.Equal(t, 5000.0, q.asked("red", patient.waitUntil))
+	q.add(urgent)
+	q.sort()
+	require.Equal(t, []*run{urgent, patient}, q.waiting)
 }
--- a/direct/commands.go
+++ b/direct/commands.go
@@ -19,7 +19,7 @@
 	Pending  int           // tokens ahead, all routers
 	Miss     int           // tokens of shared parts that the server must read again
 	Estimate time.Duration // expected time to the first event
-	Waited   time.Duration // in the line
+	Waited   time.Duration // in the queue
 	Share    float64       // what the team gets, in parts of its share
 }
 
--- a/direct/doc.go
+++ b/direct/doc.go
@@ -4,7 +4,7 @@
 // A Machine is a pure state machine: it is told what happened, with the time in
 // the message, and returns commands for its router to carry out. It admits a
 // request to a server while the server's backlog lets the request meet its
-// objective, keeps a short fair line for the rest, refuses what cannot be served
+// objective, keeps a short fair queue for the rest, refuses what cannot be served
 // in time, and decides on retries within one budget for the fleet.
 //
 //	m := direct.NewMachine(direct.Options{Zone: "hall-a"})
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -92,7 +92,7 @@
 
 // turnAway ends a request that waits.
 func (m *Machine) turnAway(now time.Duration, p *pool, r *run) {
-	p.line.remove(r)
+	p.queue.remove(r)
 	reason := ReasonOverload
 	switch {
 	case len(p.order) == 0:
--- a/direct/listing.go
+++ b/direct/listing.go
@@ -30,7 +30,7 @@
 		if service, ok := m.services[name]; ok {
 			p.configure(&service, m.limits)
 		}
-		m.serve(msg.Now, p, maxLine)
+		m.serve(msg.Now, p, maxQueued)
 	}
 }
 
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -187,10 +187,10 @@
 // hopeless tells whether a request of a team above its share waits in vain: the
 // team's allowance cannot cover it in time.
 func (m *Machine) hopeless(now time.Duration, p *pool, r *run) bool {
-	return r.attempt == 0 && r.above && !m.team(r.Team).allowance.covers(p.line.asked(r.Team, r.waitUntil), r.waitUntil-now)
+	return r.attempt == 0 && r.above && !m.team(r.Team).allowance.covers(p.queue.asked(r.Team, r.waitUntil), r.waitUntil-now)
 }
 
-// enqueue sends a request, or puts it in line. The others in line are not looked
+// enqueue sends a request, or puts it in the queue. The others in the queue are not looked
 // at: none of them could be sent a moment ago, and a request that comes frees no
 // server.
 func (m *Machine) enqueue(now time.Duration, p *pool, r *run) {
@@ -204,10 +204,10 @@
 		return
 	}
 	r.waiting = true
-	p.line.add(r)
-	if len(p.line.waiting) > maxLine {
+	p.queue.add(r)
+	if len(p.queue.waiting) > maxQueued {
 		m.order(now, p)
-		m.turnAway(now, p, p.line.waiting[len(p.line.waiting)-1])
+		m.turnAway(now, p, p.queue.waiting[len(p.queue.waiting)-1])
 	}
 }
 
@@ -225,37 +225,37 @@
 	return ok
 }
 
-// order rates the requests in line and sorts them.
+// order rates the requests in the queue and sorts them.
 func (m *Machine) order(now time.Duration, p *pool) {
-	for _, r := range p.line.waiting {
+	for _, r := range p.queue.waiting {
 		m.rate(now, p, r)
 	}
-	if len(p.line.waiting) > 1 {
-		p.line.sort()
+	if len(p.queue.waiting) > 1 {
+		p.queue.sort()
 	}
 }
 
-// serveEach bounds the requests of a line that are looked at when a server has
-// begun or ended one: it has room for one more, and the rest of the line is looked
+// serveEach bounds the requests of a queue that are looked at when a server has
+// begun or ended one: it has room for one more, and the rest of the queue is looked
 // at with the next tick.
 const serveEach = 4
 
-// serve places what can be placed of the first most requests of a line, in its
+// serve places what can be placed of the first most requests of a queue, in its
 // order.
 func (m *Machine) serve(now time.Duration, p *pool, most int) {
-	if len(p.line.waiting) == 0 {
+	if len(p.queue.waiting) == 0 {
 		return
 	}
 	m.order(now, p)
-	kept := p.line.waiting[:0]
-	for i, r := range p.line.waiting {
+	kept := p.queue.waiting[:0]
+	for i, r := range p.queue.waiting {
 		// Those before it may have taken what its team may have.
 		if i >= most || !m.trySend(now, p, r) {
 			kept = append(kept, r)
 		}
 	}
-	clear(p.line.waiting[len(kept):])
-	p.line.waiting = kept
+	clear(p.queue.waiting[len(kept):])
+	p.queue.waiting = kept
 }
 
 // rate sets where a request's team stands.
@@ -274,7 +274,7 @@
 	if r == nil || !r.waiting {
 		return
 	}
-	m.pool(r.Service).line.remove(r)
+	m.pool(r.Service).queue.remove(r)
 	delete(m.runs, msg.ID)
 }
 
@@ -295,8 +295,8 @@
 	m.share(now)
 	for _, name := range m.poolNames() {
 		p := m.pools[name]
-		m.serve(now, p, maxLine)
-		for _, r := range p.line.expired(now) {
+		m.serve(now, p, maxQueued)
+		for _, r := range p.queue.expired(now) {
 			m.turnAway(now, p, r)
 		}
 		m.forgetGone(now, p)
--- a/direct/pool.go
+++ b/direct/pool.go
@@ -14,7 +14,7 @@
 	tokenRate float64       // tokens a millisecond of a server, averaged
 	keeps     time.Duration // how long a server keeps a part of a prompt unused
 	objective float64       // milliseconds, averaged over requests
-	line      line
+	queue     queue
 	budget    budget
 }
 
--- a/direct/line.go
+++ b/direct/queue.go
@@ -7,29 +7,29 @@
 )
 
 const (
-	// waitShare is the part of its objective that a request may wait in line
+	// waitShare is the part of its objective that a request may wait in the queue
 	// before it is refused.
 	waitShare = 0.2
-	// maxLine bounds the waiting requests of a service at one router.
-	maxLine = 64
+	// maxQueued bounds the waiting requests of a service at one router.
+	maxQueued = 64
 )
 
-// line holds the requests of one service that wait for a server.
-type line struct {
+// queue holds the requests of one service that wait for a server.
+type queue struct {
 	waiting []*run
 }
 
-// waitTime is how long a request may wait in line.
+// waitTime is how long a request may wait in the queue.
 func waitTime(r *run) time.Duration { return time.Duration(waitShare * float64(r.Objective)) }
 
-// add puts a request in line.
-func (l *line) add(r *run) { l.waiting = append(l.waiting, r) }
+// add puts a request in the queue.
+func (q *queue) add(r *run) { q.waiting = append(q.waiting, r) }
 
-// asked returns the tokens that the requests of a team in line ask for which are
+// asked returns the tokens that the requests of a team in the queue ask for which are
 // served before one that may wait until a time.
-func (l *line) asked(team string, until time.Duration) float64 {
+func (q *queue) asked(team string, until time.Duration) float64 {
 	sum := 0.0
-	for _, r := range l.waiting {
+	for _, r := range q.waiting {
 		if r.Team == team && r.waitUntil <= until {
 			sum += r.cost()
 		}
@@ -38,17 +38,17 @@
 }
 
 // remove takes a request out.
-func (l *line) remove(r *run) {
-	if i := slices.Index(l.waiting, r); i >= 0 {
-		l.waiting = slices.Delete(l.waiting, i, i+1)
+func (q *queue) remove(r *run) {
+	if i := slices.Index(q.waiting, r); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
 }
 
 // sort puts first who is served first: requests that were sent before, then
 // higher priority, teams within their share, those that are not late already, the
 // team that got least, the one that can wait least.
-func (l *line) sort() {
-	slices.SortStableFunc(l.waiting, func(a, b *run) int {
+func (q *queue) sort() {
+	slices.SortStableFunc(q.waiting, func(a, b *run) int {
 		return cmp.Or(
 			-cmp.Compare(min(a.attempt, 1), min(b.attempt, 1)),
 			cmp.Compare(a.Priority, b.Priority),
@@ -62,9 +62,9 @@
 }
 
 // expired returns the requests that have waited as long as they may.
-func (l *line) expired(now time.Duration) []*run {
+func (q *queue) expired(now time.Duration) []*run {
 	var out []*run
-	for _, r := range l.waiting {
+	for _, r := range q.waiting {
 		if now >= r.waitUntil {
 			out = append(out, r)
 		}
--- a/direct/run.go
+++ b/direct/run.go
@@ -24,7 +24,7 @@
 	over      float64 // what its team gets, in shares of what is configured
 	late      bool    // its caller has asked before, too long ago for its objective
 	above     bool    // this router has given its team all that it may
-	served    float64 // rate of its team, for the order of the line
+	served    float64 // rate of its team, for the order of the queue
 }
 
 // cost is what the request takes of the engines, in tokens.
