--- a/direct/allowance_test.go
+++ b/direct/allowance_test.go
@@ -170,7 +170,7 @@
 	b.m.Update(PeersMsg{Now: b.now, Routers: 2, Hold: time.Second})
 	for range 400 {
 		b.m.Update(PeerMsg{Now: b.now, Peer: "other", Report: Report{
-			Room: 3, Teams: []TeamUse{{Team: "elsewhere", Offered: 2e6, Recent: 2e6, Served: 250_000}},
+			Headroom: 3, Teams: []TeamUse{{Team: "elsewhere", Offered: 2e6, Recent: 2e6, Served: 250_000}},
 		}})
 		for range 20 {
 			b.m.Update(ShedMsg{Now: b.now, Team: "shed", PromptTokens: 2000})
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -40,17 +40,17 @@
 	level    float64 // most that a team may get, tokens a second
 	even     float64 // what a team may get above its share while others get less
 	// weightUnit turns what a team asks of this router into its weight.
-	weightUnit float64
-	ownRoom    float64 // what this router takes the room to be
-	room       float64 // what teams may have together, in parts of what is configured
-	busy       float64 // how busy the busiest pool of engines is
-	sharedAt   time.Duration
-	holders    holders
-	copies     copies // made through this router, to be told
-	peers      map[string]peerReport
-	routers    int
-	hold       time.Duration
-	out        []Cmd
+	weightUnit  float64
+	ownHeadroom float64 // what this router takes the headroom to be
+	headroom    float64 // what teams may have together, in parts of what is configured
+	busy        float64 // how busy the busiest pool of engines is
+	sharedAt    time.Duration
+	holders     holders
+	copies      copies // made through this router, to be told
+	peers       map[string]peerReport
+	routers     int
+	hold        time.Duration
+	out         []Cmd
 	// peersChanged says that the reports must be added up again.
 	peersChanged bool
 	scratch      []candidate
--- a/direct/machine_test.go
+++ b/direct/machine_test.go
@@ -371,14 +371,14 @@
 	require.Equal(t, 1, b.m.byServer["e0"].allRunning())
 }
 
-// TestRoomIsCommon has routers that see different engines agree on the room, so
+// TestHeadroomIsCommon has routers that see different engines agree on the headroom, so
 // that shares are the same everywhere. Found on the grown sites as FAIR.
-func TestRoomIsCommon(t *testing.T) {
+func TestHeadroomIsCommon(t *testing.T) {
 	b := newBench(t, 1)
-	b.m.ownRoom = 3
-	b.m.Update(PeerMsg{Now: b.now, Peer: "x", Report: Report{Room: 1.2}})
-	b.m.Update(PeerMsg{Now: b.now, Peer: "y", Report: Report{Room: 1.4}})
-	require.InDelta(t, 1.4, b.m.commonRoom(), 0.001)
+	b.m.ownHeadroom = 3
+	b.m.Update(PeerMsg{Now: b.now, Peer: "x", Report: Report{Headroom: 1.2}})
+	b.m.Update(PeerMsg{Now: b.now, Peer: "y", Report: Report{Headroom: 1.4}})
+	require.InDelta(t, 1.4, b.m.commonHeadroom(), 0.001)
 }
 
 // TestOnlyWhatRanIsCharged counts for a team what began: a request that ended
@@ -426,22 +426,22 @@
 		hears()
 	}
 	level := b.m.level
-	require.InDelta(t, 50000*b.m.room, level, 1)
+	require.InDelta(t, 50000*b.m.headroom, level, 1)
 	for range 20 {
 		b.m.Update(PeerMsg{Now: b.now, Peer: "well", Report: Report{Teams: []TeamUse{{Team: "near", Offered: 900000, Served: 40000}}}})
 		b.pass(shareEvery)
 	}
-	require.InDelta(t, 50000*b.m.room, b.m.level, 1, "the demand of a lost router's callers stays for a while")
+	require.InDelta(t, 50000*b.m.headroom, b.m.level, 1, "the demand of a lost router's callers stays for a while")
 	require.Zero(t, b.m.team("far").others.Served, "what it got does not")
 	for range 60 {
 		b.m.Update(PeerMsg{Now: b.now, Peer: "well", Report: Report{Teams: []TeamUse{{Team: "near", Offered: 900000, Served: 40000}}}})
 		b.pass(shareEvery)
 	}
-	require.InDelta(t, 100000*b.m.room, b.m.level, 1)
+	require.InDelta(t, 100000*b.m.headroom, b.m.level, 1)
 }
 
 // TestClumpsLeaveRoom has engines that are busy for a moment, now and then, keep
-// the room that teams have above their shares: only lasting work takes it.
+// the headroom that teams have above their shares: only lasting work takes it.
 func TestClumpsLeaveRoom(t *testing.T) {
 	b := newBench(t, 4)
 	clump := func(pending int) {
@@ -451,7 +451,7 @@
 	}
 	b.m.pool("llm").objective = 400
 	b.pass(10 * time.Second)
-	room := b.m.Shares(b.now, 0).Room
+	room := b.m.Shares(b.now, 0).Headroom
 	require.Greater(t, room, 2.0)
 	for range 10 {
 		clump(9_000)
@@ -459,10 +459,10 @@
 		clump(0)
 		b.pass(6 * shareEvery)
 	}
-	require.Greater(t, b.m.Shares(b.now, 0).Room, room/2, "clumps")
+	require.Greater(t, b.m.Shares(b.now, 0).Headroom, room/2, "clumps")
 	clump(20_000)
 	b.pass(20 * time.Second)
-	require.InDelta(t, 1, b.m.Shares(b.now, 0).Room, 0.01, "lasting work")
+	require.InDelta(t, 1, b.m.Shares(b.now, 0).Headroom, 0.01, "lasting work")
 }
 
 // TestLapsedEntries has the entries of most servers lapse while the source was
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -176,9 +176,9 @@
 
 // Report is what one router tells the others of itself.
 type Report struct {
-	Room   float64 // see Shares
-	Teams  []TeamUse
-	Copies []Copy
+	Headroom float64 // see Shares
+	Teams    []TeamUse
+	Copies   []Copy
 }
 
 // TeamUse is what one router saw of a team lately, in tokens a second.
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -45,17 +45,17 @@
 	}
 }
 
-// commonRoom returns the middle of what the routers that are heard take the
-// room to be: shares that differ between routers would not be even.
-func (m *Machine) commonRoom() float64 {
-	rooms := []float64{max(m.ownRoom, 1)}
+// commonHeadroom returns the middle of what the routers that are heard take the
+// headroom to be: shares that differ between routers would not be even.
+func (m *Machine) commonHeadroom() float64 {
+	headrooms := []float64{max(m.ownHeadroom, 1)}
 	for _, p := range m.peers {
-		if p.report.Room > 0 && !p.lost {
-			rooms = append(rooms, p.report.Room)
+		if p.report.Headroom > 0 && !p.lost {
+			headrooms = append(headrooms, p.report.Headroom)
 		}
 	}
-	slices.Sort(rooms)
-	return rooms[(len(rooms)-1)/2]
+	slices.Sort(headrooms)
+	return headrooms[(len(headrooms)-1)/2]
 }
 
 // addDemand adds up what a lost router's callers asked for: they are about to
@@ -77,7 +77,7 @@
 
 // Report returns what this router does at the moment, for the others.
 func (m *Machine) Report(now time.Duration) Report {
-	r := Report{Room: m.ownRoom, Copies: m.copies.list(now)}
+	r := Report{Headroom: m.ownHeadroom, Copies: m.copies.list(now)}
 	for name, t := range m.teams {
 		offered := t.offered.decay(now)
 		if offered > activeRate {
--- a/direct/share.go
+++ b/direct/share.go
@@ -19,12 +19,12 @@
 	busyStep = 0.1
 	// objectiveStep is the weight of one request in the average objective.
 	objectiveStep = 0.02
-	// roomGrows and roomShrinks change the room that teams get above their
-	// shares while engines are idle, or busy; roomMost bounds it.
-	roomGrows   = 1.05
-	roomShrinks = 0.95
-	roomMost    = 4.0
-	roomFrom    = 0.8 // of busy: below, the room grows
+	// headroomGrows and headroomShrinks change the headroom that teams get above their
+	// shares while engines are idle, or busy; headroomMost bounds it.
+	headroomGrows   = 1.05
+	headroomShrinks = 0.95
+	headroomMost    = 4.0
+	headroomFrom    = 0.8 // of busy: below, the headroom grows
 	// satisfied is the part of what it asks for that a team gets from which it
 	// counts as satisfied.
 	satisfied = 0.8
@@ -66,17 +66,17 @@
 	m.busy += busyStep * (busy - m.busy)
 	switch {
 	case !m.uses(Headroom):
-		m.ownRoom = 1
+		m.ownHeadroom = 1
 	case m.busy > 1:
-		m.ownRoom = max(m.ownRoom*roomShrinks, 1)
-	case m.busy < roomFrom:
-		m.ownRoom = min(max(m.ownRoom, 1)*roomGrows, roomMost)
+		m.ownHeadroom = max(m.ownHeadroom*headroomShrinks, 1)
+	case m.busy < headroomFrom:
+		m.ownHeadroom = min(max(m.ownHeadroom, 1)*headroomGrows, headroomMost)
 	}
-	m.room = m.commonRoom()
+	m.headroom = m.commonHeadroom()
 	m.level = 0
 	if m.limits.TokensPerSecond > 0 {
 		m.base = waterLevel(demands, m.limits.TokensPerSecond)
-		m.level = waterLevel(demands, m.limits.TokensPerSecond*m.room)
+		m.level = waterLevel(demands, m.limits.TokensPerSecond*m.headroom)
 	}
 	m.even = math.Inf(1)
 	if m.uses(EvenBound) {
@@ -133,16 +133,16 @@
 
 // Shares is what the machine takes the teams' shares to be.
 type Shares struct {
-	Level float64 // most that a team may get while capacity is short
-	Even  float64 // most that a team may get while others get less
-	Room  float64 // what all may have, in parts of what is configured
-	Busy  float64 // how busy the busiest pool of engines is; above 1 there is no room
-	Most  []TeamShare
+	Level    float64 // most that a team may get while capacity is short
+	Even     float64 // most that a team may get while others get less
+	Headroom float64 // what all may have, in parts of what is configured
+	Busy     float64 // how busy the busiest pool of engines is; above 1 there is no room
+	Most     []TeamShare
 }
 
 // Shares returns the shares, with the n teams that ask for most.
 func (m *Machine) Shares(now time.Duration, n int) Shares {
-	s := Shares{Level: m.level, Even: m.even, Room: m.room, Busy: m.busy}
+	s := Shares{Level: m.level, Even: m.even, Headroom: m.headroom, Busy: m.busy}
 	for name, t := range m.teams {
 		s.Most = append(s.Most, TeamShare{Team: name, Offered: t.offeredRate(now), Served: t.servedRate(now)})
 	}
--- a/gateway/eventlog.go
+++ b/gateway/eventlog.go
@@ -171,7 +171,7 @@
 
 // shares logs what the teams that ask for most get.
 func (l *eventLog) shares(s direct.Shares) {
-	e := l.event("shares").Float64("level", s.Level).Float64("room", s.Room).Float64("busy", s.Busy)
+	e := l.event("shares").Float64("level", s.Level).Float64("headroom", s.Headroom).Float64("busy", s.Busy)
 	if !math.IsInf(s.Even, 0) {
 		e.Float64("even", s.Even)
 	}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -126,7 +126,7 @@
 
 // shed refuses a request for which a late router has no processor time.
 func (f *front) shed(x *exchange) *refusal {
-	if !f.core.pressure.passesOn() || !f.core.pressure.sheds(x.envelope.ID, f.core.weightOf(x.team)) {
+	if !f.core.pressure.sheddingNow() || !f.core.pressure.sheds(x.envelope.ID, f.core.weightOf(x.team)) {
 		return nil
 	}
 	f.core.update(direct.ShedMsg{
--- a/gateway/pressure.go
+++ b/gateway/pressure.go
@@ -104,5 +104,5 @@
 // shedPart is the part of the new requests that is refused at the door.
 func (p *pressure) shedPart() float64 { return math.Float64frombits(p.part.Load()) }
 
-// passesOn tells whether the router refuses some requests at the door.
-func (p *pressure) passesOn() bool { return p.part.Load() != 0 }
+// sheddingNow tells whether the router refuses some requests at the door.
+func (p *pressure) sheddingNow() bool { return p.part.Load() != 0 }
--- a/gateway/pressure_test.go
+++ b/gateway/pressure_test.go
@@ -20,7 +20,7 @@
 	return n
 }
 
-// TestPressureSpares has a router without processor time pass on the team that
+// TestPressureSpares has a router without processor time shed the team that
 // fills it: a small team whose callers all reach it is still served.
 func TestPressureSpares(t *testing.T) {
 	var p pressure
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -53,7 +53,7 @@
 
 // chosen tells whether a request is among those that are shed, by its id. weight
 // is how much of the router's work its team asks for, in parts of the average
-// over requests: teams that fill the router are passed on first.
+// over requests: teams that fill the router are shed first.
 func chosen(id string, part, weight float64) bool {
 	return float64(xxhash.Sum64String(id))/(1<<64) < part*weight
 }
--- a/gateway/yield.go
+++ b/gateway/yield.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// A router that passes on yieldFrom of its new requests or more for yieldAfter
+	// A router that sheds yieldFrom of its new requests or more for yieldAfter
 	// asks the balancer to send its callers elsewhere.
 	yieldFrom  = 0.2
 	yieldAfter = 500 * time.Millisecond
@@ -31,7 +31,7 @@
 	lasts        time.Duration // of the last such time
 }
 
-// note takes in the part of the new requests that is passed on, and tells
+// note takes in the part of the new requests that is shed, and tells
 // whether the router yields.
 func (y *yielder) note(now time.Duration, part float64, hall hallView) bool {
 	if now < y.until {
