A request sorts the few servers that it looks at, not all

BenchmarkFlood now runs at 54, 1,000 and 10,000 servers. The order is the same: TestCandidatesInOrder compares it with a full sort.

--- a/direct/candidates.go
+++ b/direct/candidates.go
@@ -17,9 +17,10 @@
 // firstBit is the bit of a candidate's order that puts it before the others.
 const firstBit = 1 << 63
 
-// candidates returns the servers that a request may go to, in the order in which
-// it looks at them: those that keep its last shared part, then the others by
-// their rendezvous weight for the part. The slice is valid until the next call.
+// candidates returns the servers that a request may go to. The first lookEach are
+// in the order in which it looks at them: those that keep its last shared part,
+// then the others by their rendezvous weight for the part; the rest is not sorted,
+// since few requests look at it. The slice is valid until the next call.
 func (m *Machine) candidates(now time.Duration, p *pool, r *run) []candidate {
 	out := m.scratch[:0]
 	subject := uint64(r.ID) * 0x9e3779b97f4a7c15
@@ -38,11 +39,29 @@
 		}
 		out = append(out, candidate{server: s, order: order})
 	}
-	slices.SortFunc(out, func(a, b candidate) int { return cmp.Compare(b.order, a.order) })
+	sortFirst(out)
 	m.scratch = out
 	return out
 }
 
+// sortFirst brings the first lookEach candidates to the front, in their order.
+func sortFirst(all []candidate) {
+	for i := range min(lookEach, len(all)) {
+		first := i
+		for j := i + 1; j < len(all); j++ {
+			if all[j].order > all[first].order {
+				first = j
+			}
+		}
+		all[i], all[first] = all[first], all[i]
+	}
+}
+
+// sortRest sorts the candidates behind the first lookEach.
+func sortRest(all []candidate) {
+	slices.SortFunc(all[lookEach:], func(a, b candidate) int { return cmp.Compare(b.order, a.order) })
+}
+
 // firstHolder returns the server that keeps the request's last shared part and ranks
 // highest for it, or, where none is known to keep it, the one that ranks highest
 // of all: every router takes that one first.
--- a/direct/flood_bench_test.go
+++ b/direct/flood_bench_test.go
@@ -8,10 +8,15 @@
 
 // BenchmarkFlood measures what a router's decisions cost while one team asks for
 // twenty times its share and another asks for little: arrivals, ticks and
-// answers of what was sent.
+// answers of what was sent, by the number of servers.
 func BenchmarkFlood(b *testing.B) {
+	for _, servers := range []int{54, 1000, 10_000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) { flood(b, servers) })
+	}
+}
+
+func flood(b *testing.B, servers int) {
 	const (
-		servers  = 54
 		perTick  = 20 // requests of the flood in one tick
 		answered = 100 * time.Millisecond
 	)
--- a/direct/machine_test.go
+++ b/direct/machine_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -508,3 +509,22 @@
 	list(7, "e3", "e4", "e5")
 	require.Equal(t, 5, usable(), "one was leaving")
 }
+
+// TestCandidatesInOrder compares the order in which a request looks at servers with
+// that of a full sort.
+func TestCandidatesInOrder(t *testing.T) {
+	for n := range 12 {
+		all := make([]candidate, n)
+		for i := range all {
+			all[i].order = uint64(i*7919%13)<<8 | uint64(i)
+		}
+		want := slices.Clone(all)
+		slices.SortFunc(want, func(a, b candidate) int { return cmp.Compare(b.order, a.order) })
+		sortFirst(all)
+		require.Equal(t, want[:min(n, lookEach)], all[:min(n, lookEach)])
+		if n > lookEach {
+			sortRest(all)
+		}
+		require.Equal(t, want, all)
+	}
+}
--- a/direct/place.go
+++ b/direct/place.go
@@ -64,10 +64,14 @@
 	home := m.firstHolder(now, p, r)
 	candidates := m.candidates(now, p, r)
 	best, found := choice{}, false
-	for i, c := range candidates {
+	for i := range candidates {
 		if found && m.uses(FewCandidates) && i%lookEach == 0 && best.within(r, goodTime+laterTime*float64(i)) {
 			break
 		}
+		if i == lookEach {
+			sortRest(candidates)
+		}
+		c := candidates[i]
 		weighed, fits := m.weigh(now, p, c.server, r, home)
 		if !fits {
 			continue
