--- a/gateway/datagram.go
+++ b/gateway/datagram.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -23,6 +24,24 @@
 	return out.Bytes(), err
 }
 
+// sender sends datagrams to a port of other routers. Any of them may be lost, so a
+// failure is counted and nothing more.
+type sender struct {
+	conn  net.PacketConn
+	port  int
+	stats *stats
+}
+
+func (s sender) send(address string, body []byte) {
+	to, err := netip.ParseAddr(address)
+	if err == nil {
+		_, err = s.conn.WriteTo(body, net.UDPAddrFromAddrPort(netip.AddrPortFrom(to, uint16(s.port))))
+	}
+	if err != nil {
+		s.stats.datagramFailed()
+	}
+}
+
 // decode reads a datagram into a message.
 func decode(body []byte, message any) error { return msgpack.Unmarshal(body, message) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,7 +120,11 @@
 		g.sweep,
 		g.vitals,
 	} {
-		go func() { _ = duty(life) }()
+		go func() {
+			if err := duty(life); err != nil {
+				g.log.event("duty_ended").Err(err).Msg("")
+			}
+		}()
 	}
 }
 
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -66,7 +66,11 @@
 	if err != nil {
 		return errors.Wrapf(err, "settings: the metrics address %q: choose one of this host that is not in use", g.settings.Metrics)
 	}
-	go func() { _ = g.admin.Serve(life, ln) }()
+	go func() {
+		if err := g.admin.Serve(life, ln); err != nil {
+			g.log.event("duty_ended").Err(err).Msg("")
+		}
+	}()
 	return nil
 }
 
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -22,8 +21,8 @@
 // loadExchange carries out what the exchange of loads decides.
 type loadExchange struct {
 	self     string
-	port     int
 	conn     net.PacketConn
+	out      sender
 	core     *core
 	stats    *stats
 	mu       sync.Mutex
@@ -34,7 +33,7 @@
 
 func newLoadExchange(s Settings, port int, conn net.PacketConn, c *core, counts *stats) *loadExchange {
 	return &loadExchange{
-		self: s.Address, port: port, conn: conn, core: c, stats: counts, number: uint64(time.Now().UnixNano()),
+		self: s.Address, conn: conn, out: sender{conn, port, counts}, core: c, stats: counts, number: uint64(time.Now().UnixNano()),
 		exchange: loads.NewExchange(loads.Router{Address: s.Address, Hall: s.Zone, Power: s.Power}),
 	}
 }
@@ -91,14 +90,11 @@
 }
 
 func (l *loadExchange) write(cmd loads.SendCmd) {
-	to, err := netip.ParseAddr(cmd.To)
-	if err != nil {
-		return
-	}
 	l.number++
 	body, err := encode(&loadList{From: l.self, Kind: cmd.Kind, Number: l.number, Loads: cmd.Loads})
 	if err != nil {
+		l.stats.datagramFailed()
 		return
 	}
-	_, _ = l.conn.WriteTo(body, net.UDPAddrFromAddrPort(netip.AddrPortFrom(to, uint16(l.port))))
+	l.out.send(cmd.To, body)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,7 +63,7 @@
 	self  string
 	hall  string
 	power float64
-	port  int
+	out   sender
 	life  int64
 	conn  net.PacketConn
 	core  *core
@@ -87,7 +86,7 @@
 
 func newPeers(s Settings, port int, conn net.PacketConn, c *core, st *state, j *eventLog, counts *stats) *peers {
 	return &peers{
-		self: s.Address, hall: s.Zone, power: s.Power, port: port, life: time.Now().UnixNano(), conn: conn, core: c, state: st, log: j, stats: counts,
+		self: s.Address, hall: s.Zone, power: s.Power, out: sender{conn, port, counts}, life: time.Now().UnixNano(), conn: conn, core: c, state: st, log: j, stats: counts,
 		seeds: len(s.Seeds), known: make(map[string]*peer),
 		behind: make(chan struct{}, 1), poke: make(chan struct{}, 1),
 	}
@@ -144,14 +143,11 @@
 		SourceLost: p.configFails.Load() || p.serversFail.Load(), Life: p.life, Seq: p.seq, Config: config, Servers: servers, Report: report, Members: members,
 	})
 	if err != nil {
+		p.stats.datagramFailed()
 		return
 	}
 	for _, address := range targets {
-		to, err := netip.ParseAddr(address)
-		if err != nil {
-			continue
-		}
-		_, _ = p.conn.WriteTo(body, net.UDPAddrFromAddrPort(netip.AddrPortFrom(to, uint16(p.port))))
+		p.out.send(address, body)
 	}
 }
 
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -85,6 +85,9 @@
 	s.counter(counterKey{"rejected", "", reason}).Inc(1)
 }
 
+// datagramFailed counts a datagram that could not be sent to another router.
+func (s *stats) datagramFailed() { s.counter(counterKey{"datagrams_failed", "", ""}).Inc(1) }
+
 // sourceCall takes in one call to the source.
 func (s *stats) sourceCall(feed string, took time.Duration, err error) {
 	result := "done"
