--- a/gateway/sync_test.go
+++ b/gateway/sync_test.go
@@ -36,6 +36,7 @@
 		found := 0
 		go func() { _ = followMembers(ctx, source, Member{Name: "self"}, func(Member) { found++ }) }()
 		time.Sleep(retryMost + retryMost/2)
+		synctest.Wait()
 		source.down = false
 		time.Sleep(3 * membersFirst)
 		cancel()
