--- a/gateway/sync_test.go
+++ b/gateway/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,7 +14,7 @@
 // memberSource lists routers and remembers which lists could be stale.
 type memberSource struct {
 	Source
-	down  bool
+	down  atomic.Bool
 	stale []bool
 }
 
@@ -21,7 +22,7 @@
 
 func (s *memberSource) Members(_ context.Context, stale bool) ([]Member, error) {
 	s.stale = append(s.stale, stale)
-	if s.down {
+	if s.down.Load() {
 		return nil, errors.New("the source is down")
 	}
 	return []Member{{Name: "other", Address: "10.0.0.2"}}, nil
@@ -32,12 +33,12 @@
 func TestMembersAreListedFreshFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		source := &memberSource{down: true}
+		source := &memberSource{}
+		source.down.Store(true)
 		found := 0
 		go func() { _ = followMembers(ctx, source, Member{Name: "self"}, func(Member) { found++ }) }()
 		time.Sleep(retryMost + retryMost/2)
-		synctest.Wait()
-		source.down = false
+		source.down.Store(false)
 		time.Sleep(3 * membersFirst)
 		cancel()
 		synctest.Wait()
