--- a/direct/ending.go
+++ b/direct/ending.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// turnAway ends a request that waits.
-func (m *Machine) turnAway(now time.Duration, p *pool, r *run) {
+// refuse ends a request that waits.
+func (m *Machine) refuse(now time.Duration, p *pool, r *run) {
 	p.queue.remove(r)
 	reason := ReasonOverload
 	switch {
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -13,6 +13,10 @@
 	lateAge = 0.6
 	// goneMemory is how long a server that left is remembered.
 	goneMemory = 10 * time.Second
+	// serveEach bounds the waiting requests that are looked at when a server has
+	// begun or ended one: it has room for one more, and a few at the front may not
+	// fit there. The next tick looks at all.
+	serveEach = 4
 	// unsentTries bounds the servers that a request may fail to reach.
 	unsentTries = 4
 )
@@ -171,7 +175,8 @@
 	team.recent.add(now, r.cost())
 }
 
-// door refuses a request that would be refused as soon as it arrived.
+// door refuses a request whose team has no allowance left for it. The router asks
+// before it reads the body, so that a flood costs it little.
 func (m *Machine) door(msg DoorMsg) {
 	r := m.newRun(msg.Now, msg.Request)
 	p := m.pool(r.Service)
@@ -184,15 +189,14 @@
 	m.giveUp(msg.Now, p, r, ReasonShare)
 }
 
-// hopeless tells whether a request of a team above its share waits in vain: the
-// team's allowance cannot cover it in time.
+// hopeless tells whether a request would wait in vain: its team's allowance cannot
+// cover it before its time in the queue is over.
 func (m *Machine) hopeless(now time.Duration, p *pool, r *run) bool {
 	return r.attempt == 0 && r.above && !m.team(r.Team).allowance.covers(p.queue.asked(r.Team, r.waitUntil), r.waitUntil-now)
 }
 
-// enqueue sends a request, or puts it in the queue. The others in the queue are not looked
-// at: none of them could be sent a moment ago, and a request that comes frees no
-// server.
+// enqueue sends a request, or puts it in the queue. It does not look at those that
+// wait already: none could be sent a moment ago, and an arrival frees no server.
 func (m *Machine) enqueue(now time.Duration, p *pool, r *run) {
 	r.waitUntil = now + waitTime(r)
 	if m.trySend(now, p, r) {
@@ -207,7 +211,7 @@
 	p.queue.add(r)
 	if len(p.queue.waiting) > maxQueued {
 		m.order(now, p)
-		m.turnAway(now, p, p.queue.waiting[len(p.queue.waiting)-1])
+		m.refuse(now, p, p.queue.waiting[len(p.queue.waiting)-1])
 	}
 }
 
@@ -235,11 +239,6 @@
 	}
 }
 
-// serveEach bounds the requests of a queue that are looked at when a server has
-// begun or ended one: it has room for one more, and the rest of the queue is looked
-// at with the next tick.
-const serveEach = 4
-
 // serve places what can be placed of the first most requests of a queue, in its
 // order.
 func (m *Machine) serve(now time.Duration, p *pool, most int) {
@@ -297,7 +296,7 @@
 		p := m.pools[name]
 		m.serve(now, p, maxQueued)
 		for _, r := range p.queue.expired(now) {
-			m.turnAway(now, p, r)
+			m.refuse(now, p, r)
 		}
 		m.forgetGone(now, p)
 	}
--- a/direct/place.go
+++ b/direct/place.go
@@ -140,8 +140,8 @@
 	own := float64(r.ownTokens()+miss) / perMS
 	first := float64(firstEventBase/time.Millisecond) + wait + own
 	objective := float64(r.Objective) / float64(time.Millisecond)
-	// What a team gets beyond its share is not worth reading a part again: where no
-	// server is known to keep it, the first in its order is taken to.
+	// A request beyond its team's share goes only where no shared part must be read
+	// again. Where no server is known to keep the part, home is assumed to keep it.
 	surplus := r.over > 1 && r.attempt == 0 && m.uses(SurplusReads)
 	if !fits(r, first/objective, wait/objective, p.objective) || (surplus && miss > 0) {
 		return choice{}, false
--- a/direct/share.go
+++ b/direct/share.go
@@ -100,8 +100,8 @@
 	return max(evenWithin*least, min(evenShares*m.base, shareWithin*least))
 }
 
-// weighTeams adds up what teams ask of this router, but for what costs it hardly
-// any processor time.
+// weighTeams adds up what teams ask of this router. What is refused at the door
+// does not count, since it takes little processor time.
 func (m *Machine) weighTeams(now time.Duration) {
 	sum, squares := 0.0, 0.0
 	for _, t := range m.teams {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -114,7 +114,7 @@
 	}
 }
 
-// send heartbeats until ctx ends.
+// send sends heartbeats until ctx ends.
 func (p *peers) send(ctx context.Context) error {
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
