--- /dev/null
+++ b/direct/serve.go
@@ -0,0 +1,76 @@
+package direct
+
+import "time"
+
+// enqueue sends a request, or puts it in the queue. It does not look at those that
+// wait already: none could be sent a moment ago, and an arrival frees no server.
+func (m *Machine) enqueue(now time.Duration, p *pool, r *run) {
+	r.waitUntil = now + waitTime(r)
+	if m.trySend(now, p, r) {
+		return
+	}
+	if m.hopeless(now, p, r) {
+		// Waiting would only hold its caller up.
+		m.giveUp(now, p, r, ReasonShare)
+		return
+	}
+	r.waiting = true
+	p.queue.add(r)
+	if len(p.queue.waiting) > maxQueued {
+		m.order(now, p)
+		m.refuse(now, p, p.queue.waiting[len(p.queue.waiting)-1])
+	}
+}
+
+// trySend sends a request if its team may have more and a server would serve it
+// in time.
+func (m *Machine) trySend(now time.Duration, p *pool, r *run) bool {
+	m.rate(now, p, r)
+	if r.above && r.attempt == 0 {
+		return false
+	}
+	c, ok := m.place(now, p, r)
+	if ok {
+		m.send(now, p, r, c)
+	}
+	return ok
+}
+
+// order rates the requests in the queue and sorts them.
+func (m *Machine) order(now time.Duration, p *pool) {
+	for _, r := range p.queue.waiting {
+		m.rate(now, p, r)
+	}
+	if len(p.queue.waiting) > 1 {
+		p.queue.sort()
+	}
+}
+
+// serve places what can be placed of the first most requests of a queue, in its
+// order.
+func (m *Machine) serve(now time.Duration, p *pool, most int) {
+	if len(p.queue.waiting) == 0 {
+		return
+	}
+	m.order(now, p)
+	kept := p.queue.waiting[:0]
+	for i, r := range p.queue.waiting {
+		// Those before it may have taken what its team may have.
+		if i >= most || !m.trySend(now, p, r) {
+			kept = append(kept, r)
+		}
+	}
+	clear(p.queue.waiting[len(kept):])
+	p.queue.waiting = kept
+}
+
+// rate sets where a request's team stands.
+func (m *Machine) rate(now time.Duration, p *pool, r *run) {
+	team := m.team(r.Team)
+	r.served = team.servedRate(now)
+	r.over, r.above = 0, false
+	if p.engine != nil && m.level > 0 {
+		r.over = r.served / m.base
+		r.above = team.allowance.spent() || (r.late && !team.allowance.plenty())
+	}
+}
