--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -73,6 +73,9 @@
 	seeds int
 	// isSeed says that routers which start ask this one, or that it has no others to ask.
 	isSeed bool
+	// patience is how long this router waits, as it starts, for others to bring what
+	// it would read from the source.
+	patience time.Duration
 	// configFails and serversFail say that the last call to the source for them
 	// failed.
 	configFails atomic.Bool
@@ -91,7 +94,7 @@
 func newPeers(s Settings, port int, conn net.PacketConn, c *core, st *state, j *eventLog, counts *stats) *peers {
 	return &peers{
 		self: s.Address, hall: s.Zone, power: s.Power, out: sender{conn, port, counts}, life: time.Now().UnixNano(), conn: conn, core: c, state: st, log: j, stats: counts,
-		seeds: len(s.Seeds), isSeed: amongSeeds(s), known: make(map[string]*peer),
+		seeds: len(s.Seeds), isSeed: amongSeeds(s), patience: patienceOf(s), known: make(map[string]*peer),
 		behind: make(chan struct{}, 1), poke: make(chan struct{}, 1),
 	}
 }
--- a/gateway/pull.go
+++ b/gateway/pull.go
@@ -19,9 +19,12 @@
 	// it is pulled from a peer.
 	pullPatience = 100 * time.Millisecond
 	pullTimeout  = 500 * time.Millisecond
-	pullMost     = 32 << 20
-	pathConfig   = "/v1/config"
-	pathServers  = "/v1/servers"
+	// pullDial bounds opening a connection: a host without power says nothing, and
+	// between regions a connection takes some 40 ms.
+	pullDial    = 100 * time.Millisecond
+	pullMost    = 32 << 20
+	pathConfig  = "/v1/config"
+	pathServers = "/v1/servers"
 )
 
 // serveState answers the pulls of other routers. A router that has no list of
@@ -73,7 +76,7 @@
 		return nil, errors.Wrapf(err, "settings: the control address %q: give host:port", s.Control)
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: pullTimeout / 2}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: pullDial}).DialContext,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     5 * time.Second,
 	}
--- a/gateway/role.go
+++ b/gateway/role.go
@@ -17,10 +17,22 @@
 	// seeds: until then it has not heard of enough others to know who is first.
 	settleTime = 1500 * time.Millisecond
 	// bringPatience is how long a router that starts waits for another to bring the
-	// list of servers, before it reads it from the source.
-	bringPatience = 400 * time.Millisecond
+	// list of servers, before it reads it from the source: some calls to a seed that
+	// is there. Its callers wait too.
+	bringPatience = 50 * time.Millisecond
+	// firstStartPatience is the same where the whole fleet starts for the first time: it
+	// has no callers yet, and hosts start within 0.3 s of one another.
+	firstStartPatience = 400 * time.Millisecond
 )
 
+// patienceOf returns how long a router waits for another to bring the servers.
+func patienceOf(s Settings) time.Duration {
+	if s.FirstStart {
+		return firstStartPatience
+	}
+	return bringPatience
+}
+
 // role decides whether a router follows one feed of the source: a few do, and
 // tell the others. The routers that follow are the first by address of those
 // that are there and reach the source.
@@ -44,7 +56,7 @@
 	if r.peers.isSeed || !r.peers.core.without.Uses(direct.Followers) {
 		return false
 	}
-	return r.peers.state.awaitServers(ctx, bringPatience)
+	return r.peers.state.awaitServers(ctx, r.peers.patience)
 }
 
 // watches tells whether this router is one of the few that follow the source, or
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -21,6 +21,7 @@
 	Metrics string // empty: not served
 
 	Seeds       []string // control addresses of some routers
+	FirstStart  bool     // the whole fleet starts for the first time
 	MemoryBytes int64
 	Descriptors int
 	Grace       time.Duration // from the request to end until the end
--- a/gateway/sync_test.go
+++ b/gateway/sync_test.go
@@ -74,6 +74,7 @@
 	j := newEventLog(io.Discard, "test")
 	p := newTestPeers("d", &peer{address: "a"}, &peer{address: "b"}, &peer{address: "c"})
 	p.core = newCore(direct.Options{}, func(direct.BeliefCmd) {})
+	p.patience = bringPatience
 	p.state = &state{core: p.core, log: j, changed: func() {}, listed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
