A router registers once, not at every start

Cause: after a power loss each of 103 routers wrote its object anew, two calls each (the store says that it is there, and takes it again), though it had not changed. Change: only where the whole fleet starts for the first time a router registers at once; later it looks at the first list of routers, which it reads anyway, and registers where that lacks it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,7 +109,10 @@
 		g.core.tick,
 		followConfig(g.source, g.state, role{g.peers, &g.peers.configFails}, g.stats).run,
 		followServers(g.source, g.state, role{g.peers, &g.peers.serversFail}, g.stats).run,
-		members{source: g.source, self: self, found: func(m Member) { g.peers.add(m.Address) }, heard: g.peers.heardAny}.follow,
+		members{
+			source: g.source, self: self, found: func(m Member) { g.peers.add(m.Address) },
+			heard: g.peers.heardAny, firstStart: g.settings.FirstStart,
+		}.follow,
 		g.peers.send,
 		g.peers.receive,
 		g.loads.send,
--- a/gateway/sync.go
+++ b/gateway/sync.go
@@ -202,17 +202,20 @@
 	found  func(Member)
 	// heard tells whether another router has been heard of already.
 	heard func() bool
+	// firstStart says that the whole fleet starts for the first time, so that this
+	// router is not registered yet.
+	firstStart bool
 }
 
 // follow registers this router and finds the others, until ctx ends.
 func (m members) follow(ctx context.Context) error {
-	registered, lists := m.register(ctx), 0
+	registered, lists := m.firstStart && m.register(ctx), 0
 	sleep(ctx, membersWait)
 	for ctx.Err() == nil {
-		registered = registered || m.register(ctx)
 		// Heartbeats name the routers that came since. Only a router that has heard
 		// of none, since its seeds are away, needs a list that is up to date.
-		err := m.list(ctx, lists > 0 || m.heard())
+		listed, err := m.list(ctx, lists > 0 || m.heard())
+		registered = registered || listed || m.register(ctx)
 		if err != nil || !registered {
 			sleep(ctx, retryMost)
 			continue
@@ -235,15 +238,16 @@
 	return m.source.Register(call, m.self) == nil
 }
 
-// list makes the routers known that the source lists.
-func (m members) list(ctx context.Context, stale bool) error {
+// list makes the routers known that the source lists, and tells whether this one is
+// among them.
+func (m members) list(ctx context.Context, stale bool) (bool, error) {
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	there, err := m.source.Members(call, stale)
 	for _, one := range there {
 		m.found(one)
 	}
-	return err
+	return slices.Contains(there, m.self), err
 }
 
 // sleep waits, or returns when ctx ends.
