A caller that half-closes its connection is never told of a success

Cause, from reading: when a caller left, the handler returned without an answer, and net/http then wrote an empty 200, or the end mark of a stream that had been cut short. A caller that is gone does not read it; one that has closed only its side of the connection, which HTTP allows, takes it for the whole answer. Change: the connection is broken off instead, as for every other answer that must not look whole. Test: TestHalfClosedCallerGetsNoSuccess; before the change it read 'HTTP/1.1 200 OK, Content-Length: 0'.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -139,7 +139,7 @@
 func (a *attempt) lost(o direct.Outcome) (direct.Outcome, bool) {
 	switch {
 	case a.x.ctx.Err() != nil:
-		a.x.finish("caller_left", 0, "")
+		a.x.callerLeft(0)
 		return direct.GivenUp, true
 	case a.x.front.core.now()+leastLeft >= a.x.deadline:
 		if o != direct.Unsent {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,6 +34,7 @@
 	passedAt time.Duration // when events were last passed on
 	held     *whole        // a server's own failure, kept while another is tried
 	last     direct.SendCmd
+	left     bool // its caller has left; nothing may be written any more
 }
 
 // request is what the decisions need to know.
@@ -70,7 +71,7 @@
 			}
 		case <-x.ctx.Done():
 			core.leave(id, commands)
-			x.finish("caller_left", 0, "")
+			x.callerLeft(0)
 			return
 		case <-timer.C:
 			core.leave(id, commands)
@@ -155,6 +156,13 @@
 	panic(http.ErrAbortHandler)
 }
 
+// callerLeft ends a request whose caller has left; status is what it was told, 0 for
+// nothing.
+func (x *exchange) callerLeft(status int) {
+	x.left = true
+	x.finish("caller_left", status, "")
+}
+
 // finish logs and counts how the request ended.
 func (x *exchange) finish(result string, status int, reason string) {
 	x.front.stats.request(x, result, reason)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -82,8 +82,8 @@
 	if f.core.pressure.sheddingNow() && f.callers.left(x.ctx) {
 		// A late router reads what its caller may have given up. To send it on would
 		// use up its team's allowance for nobody.
-		x.finish("caller_left", 0, "")
-		return
+		x.callerLeft(0)
+		panic(http.ErrAbortHandler)
 	}
 	held := int64(len(x.body))
 	if f.bodies.Add(held) > f.most {
@@ -93,6 +93,11 @@
 	}
 	defer f.bodies.Add(-held)
 	x.run()
+	if x.left {
+		// net/http would answer with an empty success, which a caller that has closed
+		// only its side of the connection would read.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // refusal is an answer of the router's own to a request that was not admitted.
--- a/gateway/front_test.go
+++ b/gateway/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -41,7 +42,7 @@
 type plainDialect struct{ Dialect }
 
 func (plainDialect) Envelope(http.Header) (Envelope, error) {
-	return Envelope{ID: "a", Left: time.Second, Key: "key", PromptTokens: 5000, OutputTokens: 100}, nil
+	return Envelope{ID: "a", Left: time.Minute, Key: "key", PromptTokens: 5000, OutputTokens: 100}, nil
 }
 
 func (plainDialect) ID(http.Header) string { return "a" }
@@ -86,3 +87,29 @@
 	require.Equal(t, "over_share\n", w.Body.String())
 	require.NotEmpty(t, w.Header().Get("Come-Back"))
 }
+
+// TestHalfClosedCallerGetsNoSuccess has a caller close its side of the connection
+// while its request waits: the router takes it for gone, and must not answer with the
+// empty success that net/http writes for a handler which wrote nothing.
+func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
+	f := floodedFront(t)
+	// Without a configured total there are no shares; the only place is taken.
+	f.state.offerConfig(&direct.Config{
+		Version:  2,
+		Routes:   []direct.Route{{Name: "r", Host: "h", Prefix: "/", Kind: direct.Stream, Split: []direct.Weighted{{Service: "llm", Weight: 1}}, Objective: time.Hour}},
+		Services: []direct.Service{{Name: "llm", Engine: &direct.Engine{Slots: 1, KVTokens: 100000}}},
+		Teams:    []direct.Team{{Name: "flood", Keys: []string{"key"}}},
+		Limits:   direct.Limits{BodyBytes: 100},
+	}, "test")
+	f.core.update(direct.ServersMsg{Directory: direct.Directory{Revision: 2, Servers: []direct.Server{{ID: "i-1", Service: "llm", Slots: 1}}}})
+	server := httptest.NewServer(f)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"))
+	require.NoError(t, err)
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	answer, _ := io.ReadAll(conn)
+	require.Empty(t, string(answer))
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,7 +51,7 @@
 		last := !events.another()
 		if a.pass(answer, event, last) != nil {
 			a.conn.Close()
-			a.x.finish("caller_left", http.StatusOK, "")
+			a.x.callerLeft(http.StatusOK)
 			return direct.GivenUp, true
 		}
 		if last && a.x.front.core.without.Uses(direct.Gathering) {
