explain tells the story in a sentence first, figures with units, and says what was dropped

The first line says how the request ended, where, after how long and why; each figure has its unit and no more digits than it is worth; teams' rates read as a sentence; at the end stands how many lines the router had dropped. Tests: TestStoryIsPlain, TestEveryReasonIsExplained; TestStory holds the new first line and units. Routers are not touched.

--- /dev/null
+++ b/explain/fields.go
@@ -0,0 +1,75 @@
+package explain
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// durations are the fields that hold a number of milliseconds.
+var durations = map[string]bool{
+	"took": true, "first_after": true, "waited": true, "estimate": true, "after": true,
+	"config_age": true, "lag": true, "for": true, "idle_timeout": true,
+}
+
+// units are the units of other fields.
+var units = map[string]string{
+	"pending_tokens": " tokens", "miss_tokens": " tokens",
+	"level": " tokens/s", "even": " tokens/s", "body_bytes": " bytes", "heap_bytes": " bytes", "stack_bytes": " bytes",
+}
+
+// fieldText prints fields by name, with their units.
+func fieldText(fields map[string]any) string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		if fields[name] != "" {
+			out = append(out, name+"="+valueText(name, fields[name]))
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func valueText(name string, value any) string {
+	switch value := value.(type) {
+	case float64:
+		if durations[name] {
+			return milliseconds(value)
+		}
+		return numberText(value) + units[name]
+	case []any:
+		items := make([]string, len(value))
+		for i, item := range value {
+			items[i] = itemText(item)
+		}
+		return "[" + strings.Join(items, ", ") + "]"
+	}
+	return fmt.Sprint(value)
+}
+
+// itemText prints an item of a list: a team's rates, or a plain value.
+func itemText(item any) string {
+	team, ok := item.(map[string]any)
+	if !ok {
+		return fmt.Sprint(item)
+	}
+	offered, _ := team["Offered"].(float64)
+	served, _ := team["Served"].(float64)
+	return fmt.Sprintf("%v asks for %s, gets %s tokens/s", team["Team"], numberText(offered), numberText(served))
+}
+
+const (
+	// wholeFrom is the figure from which decimals tell nothing.
+	wholeFrom = 100
+	decimals  = 3
+)
+
+// numberText prints a figure with no more digits than it is worth.
+func numberText(number float64) string {
+	if math.Abs(number) >= wholeFrom || number == math.Trunc(number) {
+		return strconv.FormatFloat(number, 'f', 0, 64)
+	}
+	return strconv.FormatFloat(number, 'f', decimals, 64)
+}
--- a/explain/story.go
+++ b/explain/story.go
@@ -30,6 +30,8 @@
 type Story struct {
 	Request string
 	steps   []step
+	// dropped is how many lines each router had dropped by the end of its log.
+	dropped map[string]float64
 }
 
 // step is a line on the request, with what its router believed at the time.
@@ -54,9 +56,12 @@
 		}
 	}
 	slices.SortStableFunc(lines, func(a, b line) int { return a.Time.Compare(b.Time) })
-	story := &Story{Request: request}
+	story := &Story{Request: request, dropped: make(map[string]float64)}
 	latest := make(map[string]map[string]line) // by process and subject
 	for _, l := range lines {
+		if dropped, ok := l.fields["lines_dropped"].(float64); ok {
+			story.dropped[l.Process] = dropped
+		}
 		if latest[l.Process] == nil {
 			latest[l.Process] = make(map[string]line)
 		}
@@ -97,9 +102,9 @@
 	return out
 }
 
-// Write prints the story.
+// Write prints the story: in a sentence, then line by line, then what may be missing.
 func (s *Story) Write(w io.Writer) error {
-	_, err := fmt.Fprintf(w, "request %s: %d lines\n", s.Request, len(s.steps))
+	_, err := fmt.Fprintf(w, "%s\nlines on it: %d\n", s.summary(), len(s.steps))
 	begin := s.steps[0].Time
 	for _, step := range s.steps {
 		if err == nil {
@@ -112,16 +117,10 @@
 			}
 		}
 	}
-	return err
-}
-
-// fieldText prints fields by name.
-func fieldText(fields map[string]any) string {
-	var out []string
-	for _, name := range slices.Sorted(maps.Keys(fields)) {
-		if fields[name] != "" {
-			out = append(out, fmt.Sprintf("%s=%v", name, fields[name]))
+	for _, doubt := range s.doubts() {
+		if err == nil {
+			_, err = fmt.Fprintf(w, "\n%s\n", doubt)
 		}
 	}
-	return strings.Join(out, " ")
+	return err
 }
--- a/explain/story_test.go
+++ b/explain/story_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"github.com/croftvale/croftvale/direct"
 	"github.com/stretchr/testify/require"
 )
 
@@ -26,10 +27,10 @@
 	var out strings.Builder
 	require.NoError(t, story.Write(&out))
 	text := out.String()
-	require.Contains(t, text, "request abc: 2 lines")
+	require.True(t, strings.HasPrefix(text, "request abc was refused and has not run at edge-1: its team had had what it may have for the moment.\nlines on it: 2\n"), text)
 	require.Less(t, strings.Index(text, "edge-2: attempt_ended"), strings.Index(text, "edge-1: request_refused"), "in order of time")
 	require.Contains(t, text, "400ms ago: config_in_force from=source version=7")
-	require.Contains(t, text, "300ms ago: server_ejected cause=hung for=1000 server=i-2")
+	require.Contains(t, text, "300ms ago: server_ejected cause=hung for=1s server=i-2")
 	require.Contains(t, text, "50ms ago: dependency_lost dependency=source of servers")
 	require.Contains(t, text, "40ms ago: routers_lost count=3")
 	require.NotContains(t, text, "i-3")
@@ -40,3 +41,35 @@
 	_, err := Read("nobody", strings.NewReader(oneHost))
 	require.ErrorIs(t, err, ErrUnknownRequest)
 }
+
+const longStory = `{"time":"2026-03-23T10:33:08.000Z","level":"info","process":"edge-1","event":"vitals","lag":0.76,"lines_dropped":4}
+{"time":"2026-03-23T10:33:08.400Z","level":"info","process":"edge-1","event":"request_failed","request":"abc","server":"i-2","reason":"timeout","took":399.87214,"estimate":46.8,"pending_tokens":4234,"share":1.0191234}
+{"time":"2026-03-23T10:33:08.300Z","level":"info","process":"edge-1","event":"shares","headroom":1,"even":566340.3,"most":[{"Team":"red","Offered":1849088.4,"Served":12.5}]}
+{"time":"2026-03-23T10:33:10.000Z","level":"info","process":"edge-1","event":"vitals","lag":0.76,"lines_dropped":21}
+`
+
+// TestStoryIsPlain begins with what happened and why, gives figures with their units,
+// and says that lines were dropped.
+func TestStoryIsPlain(t *testing.T) {
+	story, err := Read("abc", strings.NewReader(longStory))
+	require.NoError(t, err)
+	var out strings.Builder
+	require.NoError(t, story.Write(&out))
+	text := out.String()
+	require.True(t, strings.HasPrefix(text,
+		"request abc failed and may have run at edge-1, 399.87ms after it came: its time was over before a server had answered.\n"), text)
+	require.Contains(t, text, "estimate=46.8ms pending_tokens=4234 tokens reason=timeout server=i-2 share=1.019 took=399.87ms")
+	require.Contains(t, text, "shares even=566340 tokens/s headroom=1 most=[red asks for 1849088, gets 12.500 tokens/s]")
+	require.Contains(t, text, "lag=760\u00b5s")
+	require.Contains(t, text, "edge-1 had dropped 21 lines by the end of its log")
+}
+
+// TestEveryReasonIsExplained has a sentence for each reason of the decisions.
+func TestEveryReasonIsExplained(t *testing.T) {
+	for _, reason := range []direct.Reason{
+		direct.ReasonNoServers, direct.ReasonOverload, direct.ReasonShare, direct.ReasonAttempts,
+		direct.ReasonBudget, direct.ReasonOnce, direct.ReasonDeadline,
+	} {
+		require.NotEmpty(t, reasons[string(reason)], reason)
+	}
+}
