--- /dev/null
+++ b/gateway/heartbeat.go
@@ -0,0 +1,28 @@
+package gateway
+
+import "time"
+
+const (
+	heartbeatEvery   = 100 * time.Millisecond // at the least
+	heartbeatsHeard  = 100                    // a second, that a router should hear
+	heartbeatFanout  = 24                     // peers that one heartbeat goes to
+	heartbeatMembers = 16                     // peers named in one heartbeat
+	membersIn        = 8                      // one heartbeat in so many names peers
+)
+
+// heartbeat is what a router tells the others, several times a second.
+type heartbeat struct {
+	Address string // of the sender's host
+	Hall    string
+	Power   float64 // cores
+	Shed    float64 // part of the new requests that it refuses for want of processor time
+	Yields  bool    // it asks for fewer callers
+	// SourceLost says that the sender's last call to the source failed.
+	SourceLost bool
+	Life       int64 // start of the sender, so that a restart begins anew
+	Seq        uint64
+	Config     uint64 // version
+	Servers    uint64 // revision
+	Report     report
+	Members    []string // other routers that the sender has heard of
+}
--- /dev/null
+++ b/gateway/members.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+const (
+	// membersWait is the time from the start to the first list of routers: by then
+	// the heartbeats of some have come, where there are any.
+	membersWait = 500 * time.Millisecond
+	// membersFirst is the time between the first membersOften lists of routers,
+	// membersEach between the later ones: heartbeats name the others by then.
+	membersFirst = 6 * time.Second
+	membersOften = 3
+	membersEach  = 30 * time.Second
+)
+
+// members registers a router and finds the others through the source.
+type members struct {
+	source Source
+	self   Member
+	found  func(Member)
+	// heard tells whether another router has been heard of already.
+	heard func() bool
+	// firstStart says that the whole fleet starts for the first time, so that this
+	// router is not registered yet.
+	firstStart bool
+}
+
+// follow registers this router and finds the others, until ctx ends.
+func (m members) follow(ctx context.Context) error {
+	registered, lists := m.firstStart && m.register(ctx), 0
+	sleep(ctx, membersWait)
+	for ctx.Err() == nil {
+		// Heartbeats name the routers that came since. Only a router that has heard
+		// of none, since its seeds are away, needs a list that is up to date.
+		listed, err := m.list(ctx, lists > 0 || m.heard())
+		registered = registered || listed || m.register(ctx)
+		if err != nil || !registered {
+			sleep(ctx, retryMost)
+			continue
+		}
+		lists++
+		if lists < membersOften {
+			sleep(ctx, membersFirst)
+		} else {
+			sleep(ctx, membersEach)
+		}
+	}
+	return nil
+}
+
+// register makes this router known to others, and tells whether the source has
+// taken that.
+func (m members) register(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return m.source.Register(call, m.self) == nil
+}
+
+// list makes the routers known that the source lists, and tells whether this one is
+// among them.
+func (m members) list(ctx context.Context, stale bool) (bool, error) {
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	there, err := m.source.Members(call, stale)
+	for _, one := range there {
+		m.found(one)
+	}
+	return slices.Contains(there, m.self), err
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,33 +13,11 @@
 )
 
 const (
-	heartbeatEvery   = 100 * time.Millisecond // at the least
-	heartbeatsHeard  = 100                    // a second, that a router should hear
-	heartbeatFanout  = 24                     // peers that one heartbeat goes to
-	heartbeatMembers = 16                     // peers named in one heartbeat
-	membersIn        = 8                      // one heartbeat in so many names peers
-	peerLive         = time.Second            // without a heartbeat a peer counts as away
-	heartbeatsMissed = 5                      // heartbeats that may be missed, where they are rarer
+	peerLive         = time.Second // without a heartbeat a peer counts as away
+	heartbeatsMissed = 5           // heartbeats that may be missed, where they are rarer
 	peerForget       = 60 * time.Second
 )
 
-// heartbeat is what a router tells the others, several times a second.
-type heartbeat struct {
-	Address string // of the sender's host
-	Hall    string
-	Power   float64 // cores
-	Shed    float64 // part of the new requests that it refuses for want of processor time
-	Yields  bool    // it asks for fewer callers
-	// SourceLost says that the sender's last call to the source failed.
-	SourceLost bool
-	Life       int64 // start of the sender, so that a restart begins anew
-	Seq        uint64
-	Config     uint64 // version
-	Servers    uint64 // revision
-	Report     report
-	Members    []string // other routers that the sender has heard of
-}
-
 // peer is another router.
 type peer struct {
 	address string
@@ -99,28 +77,6 @@
 	}
 }
 
-// amongSeeds tells whether a router is one of its own seeds, or has none.
-func amongSeeds(s Settings) bool {
-	for _, seed := range s.Seeds {
-		if host, _, err := net.SplitHostPort(seed); err == nil && host == s.Address {
-			return true
-		}
-	}
-	return len(s.Seeds) == 0
-}
-
-// heardAny tells whether another router has been heard of.
-func (p *peers) heardAny() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, peer := range p.known {
-		if peer.live {
-			return true
-		}
-	}
-	return false
-}
-
 // add makes a router known.
 func (p *peers) add(address string) {
 	if address == p.self || address == "" {
--- a/gateway/role.go
+++ b/gateway/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,28 @@
 	return r.peers.state.awaitServers(ctx, r.peers.patience)
 }
 
+// amongSeeds tells whether a router is one of its own seeds, or has none.
+func amongSeeds(s Settings) bool {
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil && host == s.Address {
+			return true
+		}
+	}
+	return len(s.Seeds) == 0
+}
+
+// heardAny tells whether another router has been heard of.
+func (p *peers) heardAny() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.known {
+		if peer.live {
+			return true
+		}
+	}
+	return false
+}
+
 // watches tells whether this router is one of the few that follow the source, or
 // knows less than another for too long.
 func (p *peers) watches() bool {
