--- a/direct/commands.go
+++ b/direct/commands.go
@@ -1,6 +1,10 @@
 package direct
 
-import "time"
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/rollout"
+)
 
 // Cmd is something that a router has to do.
 type Cmd interface{ isCmd() }
@@ -68,6 +72,16 @@
 // ProbeMsg tells how it ended.
 type ProbeCmd struct{ Server Server }
 
+// AnswerCmd tells of an answer from a server of a service that is being rolled out, for
+// the judging of its version.
+type AnswerCmd struct{ Answer rollout.AnswerMsg }
+
+// MoveCmd breaks off a stream that runs at a server of an old version, so that it goes on
+// at one of the target's. An EndMsg with the outcome Moved follows.
+type MoveCmd struct{ ID RequestID }
+
+func (AnswerCmd) isCmd() {}
+func (MoveCmd) isCmd()   {}
 func (ReachCmd) isCmd()  {}
 func (ProbeCmd) isCmd()  {}
 func (HallCmd) isCmd()   {}
@@ -88,6 +102,7 @@
 	ReasonBudget    Reason = "budget"     // the budget for retries is spent
 	ReasonOnce      Reason = "at_most_once"
 	ReasonDeadline  Reason = "deadline"
+	ReasonRegion    Reason = "region" // no server of the regions that the request may be served in may get requests
 )
 
 // Belief is what the machine takes a server to be.
--- a/direct/config.go
+++ b/direct/config.go
@@ -33,6 +33,7 @@
 	Anonymous bool          // needs no key
 	Resumable bool          // a broken stream may go on at another server
 	Sticky    bool          // requests name the parts of their prompts
+	Regions   []string      // that its requests may be served in; empty: all
 }
 
 // MayRepeat tells whether a request of the route may run more than once.
@@ -59,7 +60,8 @@
 type Team struct {
 	Name     string
 	Keys     []string
-	Priority *int // takes the place of the route's, where it is set
+	Priority *int     // takes the place of the route's, where it is set
+	Regions  []string // that its requests may be served in; empty: all
 }
 
 // Limits bound what a caller may send.
@@ -86,6 +88,7 @@
 	Service  string
 	Address  string
 	Zone     string
+	Version  string // of its software
 	Slots    int
 	Draining bool
 	// ColdFor is how much longer the server is cold, counted from when the list was
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -24,9 +24,11 @@
 
 // Options are what a machine is told once.
 type Options struct {
-	Zone    string
-	Budget  BudgetOptions
-	Without Without // mechanisms that are switched off in experiments
+	Zone        string
+	Region      string            // of this router
+	HallRegions map[string]string // the region of each data hall that is known
+	Budget      BudgetOptions
+	Without     Without // mechanisms that are switched off in experiments
 }
 
 // Machine decides for the requests of one router. Its zero value is not of use;
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/loads"
+	"github.com/croftvale/croftvale/rollout"
 )
 
 // RequestID names a request within one life of a router.
@@ -19,7 +20,9 @@
 type Request struct {
 	ID           RequestID
 	Team         string
+	Route        string
 	Service      string
+	Regions      Regions // that it may be served in
 	Kind         Kind
 	MayRepeat    bool
 	Attempts     int // servers that it may be sent to
@@ -62,11 +65,12 @@
 	Broken                   // sent; no whole answer came
 	Hung                     // sent; nothing came in good time, and it was cut
 	GivenUp                  // the caller or the route's timeout ended it
+	Moved                    // it was broken off to go on at a server of another version
 )
 
 // String names the outcome for logs.
 func (o Outcome) String() string {
-	return [...]string{"done", "unsent", "not_run", "elsewhere", "failed", "broken", "hung", "given_up"}[o]
+	return [...]string{"done", "unsent", "not_run", "elsewhere", "failed", "broken", "hung", "given_up", "moved"}[o]
 }
 
 // Msg is anything that a Machine can be told. Now is the time since the process
@@ -94,6 +98,12 @@
 	Evacuations Evacuations
 }
 
+// GateMsg says which of a service's servers may get requests, by their version.
+type GateMsg struct {
+	Now  time.Duration
+	Gate rollout.Gate
+}
+
 // ArriveMsg brings a request.
 type ArriveMsg struct {
 	Now     time.Duration
@@ -189,6 +199,7 @@
 func (BudgetMsg) isMsg()      {}
 func (ServersMsg) isMsg()     {}
 func (EvacuationsMsg) isMsg() {}
+func (GateMsg) isMsg()        {}
 func (ArriveMsg) isMsg()      {}
 func (DoorMsg) isMsg()        {}
 func (ShedMsg) isMsg()        {}
--- /dev/null
+++ b/direct/region.go
@@ -0,0 +1,32 @@
+package direct
+
+import "slices"
+
+// Regions are those that a request may be served in. Its zero value allows all.
+type Regions struct {
+	bound   bool
+	allowed []string // sorted; empty where bound: none
+}
+
+// RegionsOf returns the regions that are allowed by each of several lists, such as those of
+// a route and of a team. An empty list allows all.
+func RegionsOf(lists ...[]string) Regions {
+	var r Regions
+	for _, list := range lists {
+		if len(list) == 0 {
+			continue
+		}
+		if !r.bound {
+			r = Regions{bound: true, allowed: slices.Sorted(slices.Values(list))}
+			continue
+		}
+		r.allowed = slices.DeleteFunc(r.allowed, func(region string) bool { return !slices.Contains(list, region) })
+	}
+	return r
+}
+
+// Allow tells whether a region is among them. An unknown region, the empty one, is outside
+// wherever a request is bound.
+func (r Regions) Allow(region string) bool {
+	return !r.bound || (region != "" && slices.Contains(r.allowed, region))
+}
--- a/loads/messages.go
+++ b/loads/messages.go
@@ -1,6 +1,10 @@
 package loads
 
-import "time"
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/rollout"
+)
 
 // Kind says what a list of loads covers.
 type Kind uint8
@@ -16,6 +20,7 @@
 type Router struct {
 	Address string
 	Hall    string
+	Region  string
 	Power   float64 // cores
 }
 
@@ -38,6 +43,8 @@
 	// HasTeams says that the list tells of teams too, as one in some does.
 	HasTeams bool
 	Teams    []TeamUse
+	Rollouts []rollout.Report // as Teams
+	Copies   []Copy
 }
 
 // TickMsg lets time pass, and tells what this router has; send it every Every, and with
@@ -46,7 +53,9 @@
 	Now      time.Duration
 	Own      []Load
 	HasTeams bool
-	Teams    []TeamUse // as this router sees them
+	Teams    []TeamUse        // as this router sees them
+	Rollouts []rollout.Report // as this router reports them; only with teams
+	Copies   []Copy           // that this router has made since the last round
 }
 
 func (RoutersMsg) isMsg() {}
@@ -63,6 +72,8 @@
 	Loads    []Load
 	HasTeams bool
 	Teams    []TeamUse
+	Rollouts []rollout.Report // only with teams
+	Copies   []Copy
 }
 
 // OthersCmd says what all the others have, and now and then what they see of teams.
@@ -70,6 +81,8 @@
 	Loads    []Load
 	HasTeams bool
 	Teams    []TeamUse
+	Rollouts []rollout.Report // of all others; only with teams
+	Copies   []Copy           // that others have made, each told once or a few times
 }
 
 func (SendCmd) isCmd()   {}
--- /dev/null
+++ b/rollout/messages.go
@@ -0,0 +1,77 @@
+package rollout
+
+import "time"
+
+// Msg is anything that a Machine can be told. Now is the time since the process
+// started, on its monotonic clock.
+type Msg interface{ isMsg() }
+
+// OrdersMsg brings all orders that are in the store.
+type OrdersMsg struct {
+	Now    time.Duration
+	Orders []Order
+}
+
+// RecordsMsg brings all records that are in the store.
+type RecordsMsg struct {
+	Now time.Duration
+	// Wall is the time of day, which tells how long ago a record was written.
+	Wall    time.Time
+	Records []Record
+}
+
+// VersionsMsg tells which versions the listed servers of each service have.
+type VersionsMsg struct {
+	Now      time.Duration
+	Services map[string][]string // sorted
+}
+
+// AnswerMsg tells of one answer, or of one that ended, of a server of a service that is
+// being rolled out.
+type AnswerMsg struct {
+	Now     time.Duration
+	Service string
+	Route   string
+	Cohort  string
+	Target  bool // of the target's servers
+	Later   bool // see Cell
+	Bad     bool
+}
+
+// OthersMsg tells what all other routers report, added up.
+type OthersMsg struct {
+	Now     time.Duration
+	Reports []Report
+}
+
+// WrittenMsg tells how a WriteCmd ended.
+type WrittenMsg struct {
+	Now     time.Duration
+	Service string
+	Kind    WriteKind
+	Result  WriteResult
+}
+
+// TickMsg lets time pass; send it every TickEvery.
+type TickMsg struct {
+	Now  time.Duration
+	Wall time.Time
+	// Leads says that this router is the one that raises stages and writes.
+	Leads bool
+	// Routers counts the routers that are there, this one included.
+	Routers int
+	// OldRunning counts, by service, this router's requests at servers that are not of
+	// the target's version.
+	OldRunning map[string]int
+}
+
+// TickEvery is the time between two ticks.
+const TickEvery = 100 * time.Millisecond
+
+func (OrdersMsg) isMsg()   {}
+func (RecordsMsg) isMsg()  {}
+func (VersionsMsg) isMsg() {}
+func (AnswerMsg) isMsg()   {}
+func (OthersMsg) isMsg()   {}
+func (WrittenMsg) isMsg()  {}
+func (TickMsg) isMsg()     {}
--- /dev/null
+++ b/rollout/report.go
@@ -0,0 +1,29 @@
+package rollout
+
+import "time"
+
+// Report is what one router, or several together, tell of the roll-out of one service.
+type Report struct {
+	Service string
+	Order   uint64 // see Order.Key
+	Routers uint32 // that tell this
+	// Known is the highest stage that any of them knows, InForce the lowest that any has
+	// in force.
+	Known, InForce Stage
+	// Age is the greatest time since the order that any of them knows.
+	Age time.Duration
+	// OldRunning counts the requests that run at servers of old versions.
+	OldRunning uint32
+	// Cells are the evidence since the order.
+	Cells []Cell
+}
+
+// Cell counts answers of one route from the servers of one cohort.
+type Cell struct {
+	Route  string
+	Cohort string // servers that may fail together for reasons of their own: a data hall
+	Target bool   // of the target's servers; of the old ones else
+	Later  bool   // of how an answer went on after its first event; of how it began else
+	Good   uint32
+	Bad    uint32
+}
