--- /dev/null
+++ b/rollout/bounds.go
@@ -0,0 +1,18 @@
+package rollout
+
+import "time"
+
+// Bounds are what a bad version may do before it is stopped.
+type Bounds struct {
+	// Share is the most that it may get of all requests of its service from the order to
+	// the deadline, in parts of 1; Slack is how many requests may come on top. 0: nothing
+	// is bounded, and roll-outs are not on.
+	Share float64
+	Slack float64
+	// Stop is the most that may pass between a bad answer that shows it and the last
+	// request that it gets.
+	Stop time.Duration
+}
+
+// On tells whether roll-outs are bounded, and with that on.
+func (b Bounds) On() bool { return b.Share > 0 }
