Bind requests to regions in decisions and shares

Placement: first tries, retries, trials, last resorts and the first holder of a part look only at servers of the allowed regions. A bound request that no server may get is refused at once, also while it waits. Distance has three tiers; where one region is known it is as before.

Shares: teams that the configuration binds alike form a group with its own levels; where nobody is bound there are no groups and waterLevel divides as before. The even bound holds back only teams that share a region, in parts of their own shares.

A region's capacity goes by slots, not by measured rates: routers must agree on it. A route's regions don't count for a team's share, since they bind single requests.

--- a/direct/allowance.go
+++ b/direct/allowance.go
@@ -64,11 +64,12 @@
 	least := leastPart / float64(max(m.routers, 1))
 	for _, t := range m.teams {
 		offered := t.offeredRate(now)
-		if m.level <= 0 || offered <= m.base || !m.uses(Allowances) {
+		bounds := m.boundsOf(t)
+		if bounds.level <= 0 || offered <= bounds.base || !m.uses(Allowances) {
 			t.allowance = allowance{}
 			continue
 		}
-		most := min(m.level, m.even)
+		most := min(bounds.level, bounds.even)
 		if math.IsInf(most, 0) {
 			t.allowance = allowance{}
 			continue
--- a/direct/arrive.go
+++ b/direct/arrive.go
@@ -28,14 +28,19 @@
 	team.recent.add(now, r.cost())
 }
 
-// door refuses a request whose team has no allowance left for it. The router asks
-// before it reads the body, so that a flood costs it little.
+// door refuses a request whose team has no allowance left for it, or that may run nowhere.
+// The router asks before it reads the body, so that a flood costs it little.
 func (m *Machine) door(msg DoorMsg) {
 	r := m.newRun(msg.Now, msg.Request)
 	p := m.pool(r.Service)
+	if r.Regions.None() {
+		m.count(msg.Now, p, r)
+		m.giveUp(msg.Now, p, r, ReasonRegion)
+		return
+	}
 	m.rate(msg.Now, p, r)
 	r.waitUntil = msg.Now + waitTime(r)
-	if !m.hopeless(msg.Now, p, r) {
+	if p.stranded(msg.Now, r) || !m.hopeless(msg.Now, p, r) {
 		return
 	}
 	m.count(msg.Now, p, r)
--- a/direct/candidates.go
+++ b/direct/candidates.go
@@ -76,7 +76,7 @@
 	var top uint64
 	held := false
 	for _, s := range p.order {
-		if !s.usable(now) || s.probation {
+		if !s.takes(now, r.Regions) || s.probation {
 			continue
 		}
 		has := keeps(keepers, now, p.keeps, s.ID)
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -134,7 +134,7 @@
 func (m *Machine) comeBack(now time.Duration, p *pool, r *run, reason Reason) time.Duration {
 	backlog, n := 0.0, 0
 	for _, s := range p.order {
-		if !s.usable(now) {
+		if !s.takes(now, r.Regions) {
 			continue
 		}
 		if p.engine != nil {
@@ -159,7 +159,8 @@
 // and not got: a caller that comes back sooner finds others of its team before it.
 func (m *Machine) overdue(now time.Duration, name string) time.Duration {
 	t := m.team(name)
-	most := min(m.level, m.even)
+	bounds := m.boundsOf(t)
+	most := min(bounds.level, bounds.even)
 	if most <= 0 || math.IsInf(most, 0) {
 		return overdueLeast
 	}
--- a/direct/listing.go
+++ b/direct/listing.go
@@ -41,6 +41,7 @@
 		s = &server{Server: listed, key: loads.Key(listed.ID), hash: xxhash.Sum64String(listed.ID)}
 		m.byServer[listed.ID] = s
 		m.byKey[s.key] = s
+		s.region = m.geography.regionOf(listed.Zone)
 		m.pool(listed.Service).servers[listed.ID] = s
 		if listed.Draining {
 			s.leave(now)
@@ -54,6 +55,7 @@
 	s.lapsedAt = 0
 	wasDraining := s.Draining
 	s.Server = listed
+	s.region = m.geography.regionOf(listed.Zone)
 	s.gone = false
 	s.evacuated = m.evacuated[listed.Zone]
 	m.noteCold(now, s, listed.ColdFor, "listed as cold")
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -34,23 +34,24 @@
 // Machine decides for the requests of one router. Its zero value is not of use;
 // make one with NewMachine.
 type Machine struct {
-	options  Options
-	limits   Limits
-	services map[string]Service
-	pools    map[string]*pool
-	byServer map[string]*server
-	byKey    map[uint32]*server // see loads.Key
-	revision uint64
-	runs     map[RequestID]*run
-	teams    map[string]*teamUse
+	options   Options
+	geography geography
+	limits    Limits
+	services  map[string]Service
+	pools     map[string]*pool
+	byServer  map[string]*server
+	byKey     map[uint32]*server // see loads.Key
+	revision  uint64
+	runs      map[RequestID]*run
+	teams     map[string]*teamUse
+	bound     map[string]Regions // of the teams that are bound to some
+	groups    []*teamGroup       // of the teams, where some are bound
 	// evacuated are the data halls whose servers get nothing, at evacuationsAt.
 	evacuated     map[string]bool
 	evacuationsAt uint64
 	pacing        coldPacing
 	reach         map[string]*hallReach // by data hall
-	base          float64               // most that a team may get of what is configured, tokens a second
-	level         float64               // most that a team may get, tokens a second
-	even          float64               // what a team may get above its share while others get less
+	bounds                              // of the teams that are not bound to regions
 	// weightUnit turns what a team asks of this router into its weight.
 	weightUnit  float64
 	ownHeadroom float64 // what this router takes the headroom to be
@@ -78,6 +79,7 @@
 func NewMachine(o Options) *Machine {
 	return &Machine{
 		options:   o,
+		geography: newGeography(o.Region, o.Zone, o.HallRegions),
 		services:  make(map[string]Service),
 		pools:     make(map[string]*pool),
 		byServer:  make(map[string]*server),
@@ -103,6 +105,8 @@
 		m.options.Budget = msg.Budget
 	case ServersMsg:
 		m.list(msg)
+	case RegionsMsg:
+		m.placeHalls(msg)
 	case EvacuationsMsg:
 		m.evacuate(msg)
 	case ArriveMsg:
@@ -151,6 +155,7 @@
 		m.services[s.Name] = s
 		m.pool(s.Name).configure(&s, m.limits)
 	}
+	m.bindTeams(msg.Config.Teams)
 }
 
 func (m *Machine) pool(name string) *pool {
@@ -178,6 +183,7 @@
 	t := m.teams[name]
 	if t == nil {
 		t = newTeamUse()
+		t.regions = m.bound[name]
 		m.teams[name] = t
 	}
 	return t
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -92,6 +92,12 @@
 	Directory Directory
 }
 
+// RegionsMsg says in which region each data hall lies that is known.
+type RegionsMsg struct {
+	Now   time.Duration
+	Halls map[string]string
+}
+
 // EvacuationsMsg brings a newer set of evacuated data halls.
 type EvacuationsMsg struct {
 	Now         time.Duration
@@ -198,6 +204,7 @@
 func (ConfigMsg) isMsg()      {}
 func (BudgetMsg) isMsg()      {}
 func (ServersMsg) isMsg()     {}
+func (RegionsMsg) isMsg()     {}
 func (EvacuationsMsg) isMsg() {}
 func (GateMsg) isMsg()        {}
 func (ArriveMsg) isMsg()      {}
--- a/direct/place.go
+++ b/direct/place.go
@@ -20,7 +20,10 @@
 	waitCost = 0.1   // for each millisecond of backlog
 	slotCost = 0.5   // for each request that runs there
 	zoneCost = 4.0   // for a server of another zone
-	copyCost = 25.0  // for a server that is not the first to keep the part
+	// regionCost is for a server of another region: several milliseconds more each way
+	// than within one, and bytes at several times the price.
+	regionCost = 12.0
+	copyCost   = 25.0 // for a server that is not the first to keep the part
 	// rankCost is the part of the cost of reading a part that tells servers
 	// apart which do not keep it, so that all routers copy it to the same one.
 	rankCost = 0.25
@@ -99,16 +102,20 @@
 
 // open tells whether a request may go to a server now.
 func (m *Machine) open(now time.Duration, p *pool, s *server, r *run) bool {
-	if !s.usable(now) || now < s.fullUntil || r.wasAt(s.ID) || !m.coldReady(now, p, s) {
+	if !s.takes(now, r.Regions) || now < s.fullUntil || r.wasAt(s.ID) || !m.coldReady(now, p, s) {
 		return false
 	}
 	return !s.probation || (r.MayRepeat && r.attempt+1 < r.Attempts && s.running == 0)
 }
 
-// lastResort picks a server that is leaving, where no other is known.
+// lastResort picks a server that is leaving, where no other that the request may go to is
+// known.
 func (m *Machine) lastResort(now time.Duration, p *pool, r *run) (choice, bool) {
 	var best *server
 	for _, s := range p.order {
+		if !r.Regions.Allow(s.region) {
+			continue
+		}
 		if !s.leaving {
 			return choice{}, false
 		}
@@ -185,12 +192,15 @@
 	return choice{server: s, estimate: milliseconds(first), cost: cost}, fits
 }
 
-// distance is the cost of a server in another zone.
+// distance is the cost of a server in another zone or region.
 func (m *Machine) distance(s *server) float64 {
-	if s.Zone == m.options.Zone {
+	switch {
+	case s.Zone == m.options.Zone:
 		return 0
+	case m.geography.near(s.region):
+		return zoneCost
 	}
-	return zoneCost
+	return regionCost
 }
 
 // spread tells apart the servers other than the first that keeps a part: by the
--- a/direct/pool.go
+++ b/direct/pool.go
@@ -77,9 +77,9 @@
 	return all[(len(all)-1)/2]
 }
 
-// anyUsable tells whether some server may get new requests.
-func (p *pool) anyUsable(now time.Duration) bool {
-	return slices.ContainsFunc(p.order, func(s *server) bool { return s.usable(now) })
+// anyUsable tells whether some server of some regions may get new requests.
+func (p *pool) anyUsable(now time.Duration, regions Regions) bool {
+	return slices.ContainsFunc(p.order, func(s *server) bool { return s.takes(now, regions) })
 }
 
 // mostEjected tells whether one more ejection would leave less than half of
--- a/direct/region.go
+++ b/direct/region.go
@@ -30,3 +30,12 @@
 func (r Regions) Allow(region string) bool {
 	return !r.bound || (region != "" && slices.Contains(r.allowed, region))
 }
+
+// Bound tells whether not all regions are allowed.
+func (r Regions) Bound() bool { return r.bound }
+
+// None tells whether no region is allowed.
+func (r Regions) None() bool { return r.bound && len(r.allowed) == 0 }
+
+// Names returns the allowed regions in order; nil where all are.
+func (r Regions) Names() []string { return slices.Clone(r.allowed) }
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -9,12 +9,16 @@
 	if m.trySend(now, p, r) {
 		return
 	}
+	if p.stranded(now, r) {
+		m.giveUp(now, p, r, p.reasonOutside(now, r))
+		return
+	}
 	if m.hopeless(now, p, r) {
 		// Waiting would only hold its caller up.
 		m.giveUp(now, p, r, ReasonShare)
 		return
 	}
-	if !p.anyUsable(now) {
+	if !p.anyUsable(now, r.Regions) {
 		m.giveUp(now, p, r, ReasonNoServers)
 		return
 	}
@@ -50,8 +54,24 @@
 	}
 }
 
+// stranded tells whether a request is bound to regions of which no server may get new
+// requests.
+func (p *pool) stranded(now time.Duration, r *run) bool {
+	return r.Regions.Bound() && !p.anyUsable(now, r.Regions)
+}
+
+// reasonOutside says why a bound request is refused that no server may get: either no
+// server at all may get requests, or none of its regions.
+func (p *pool) reasonOutside(now time.Duration, r *run) Reason {
+	if r.Regions.None() || p.anyUsable(now, Regions{}) {
+		return ReasonRegion
+	}
+	return ReasonNoServers
+}
+
 // serve places what can be placed of the first most requests of a queue, in its
-// order.
+// order. Bound requests whose last server has gone are refused: other regions don't
+// take their place.
 func (m *Machine) serve(now time.Duration, p *pool, most int) {
 	if len(p.queue.waiting) == 0 {
 		return
@@ -59,8 +79,14 @@
 	m.order(now, p)
 	kept := p.queue.waiting[:0]
 	for i, r := range p.queue.waiting {
-		// Those before it may have taken what its team may have.
-		if i >= most || !m.trySend(now, p, r) {
+		switch {
+		case i >= most:
+			kept = append(kept, r)
+		case m.trySend(now, p, r):
+			// Those before it may have taken what its team may have.
+		case p.stranded(now, r):
+			m.giveUp(now, p, r, p.reasonOutside(now, r))
+		default:
 			kept = append(kept, r)
 		}
 	}
@@ -73,8 +99,8 @@
 	team := m.team(r.Team)
 	r.served = team.servedRate(now)
 	r.over, r.above = 0, false
-	if p.engine != nil && m.level > 0 {
-		r.over = r.served / m.base
+	if bounds := m.boundsOf(team); p.engine != nil && bounds.level > 0 {
+		r.over = r.served / bounds.base
 		r.above = team.allowance.spent() || (r.late && !team.allowance.plenty())
 	}
 }
--- a/direct/server.go
+++ b/direct/server.go
@@ -32,6 +32,7 @@
 // server is what the machine knows of one backend server.
 type server struct {
 	Server
+	region    string        // of its data hall; empty: not known
 	leavingAt time.Duration // when it was first known to drain or to be gone
 	leaving   bool
 	gone      bool
@@ -67,6 +68,11 @@
 	return !s.leaving && !s.evacuated && !s.hallLost && now >= s.downUntil && now >= s.ejectedUntil
 }
 
+// takes tells whether new requests that may be served in some regions may go to a server.
+func (s *server) takes(now time.Duration, regions Regions) bool {
+	return s.usable(now) && regions.Allow(s.region)
+}
+
 func (s *server) allRunning() int { return s.running + int(s.others.Running) }
 func (s *server) allPending() int { return s.pending + int(s.others.Pending) }
 
--- a/direct/share.go
+++ b/direct/share.go
@@ -50,14 +50,8 @@
 	}
 	passed := now - m.sharedAt
 	m.sharedAt = now
-	demands := make([]float64, 0, len(m.teams))
-	served := 0.0
-	for _, t := range m.teams {
-		served += t.servedRate(now)
-		if d := t.offeredRate(now); d > activeRate {
-			demands = append(demands, d)
-		}
-	}
+	m.group()
+	demands, served := m.demands(now)
 	busy := 0.0
 	for _, p := range m.pools {
 		p.setKeeps(served)
@@ -73,31 +67,97 @@
 		m.ownHeadroom = min(max(m.ownHeadroom, 1)*headroomGrows, headroomMost)
 	}
 	m.headroom = m.commonHeadroom()
+	m.fill(demands)
+	m.boundEven(now)
+	m.allow(now, passed)
+	m.weighTeams(now)
+}
+
+// fill works out the levels up to which teams may get what they ask for; demands are those
+// of the teams that are not bound.
+func (m *Machine) fill(demands []float64) {
 	m.level = 0
-	if m.limits.TokensPerSecond > 0 {
+	switch {
+	case m.limits.TokensPerSecond <= 0:
+	case len(m.groups) > 0:
+		m.fillGroups(demands)
+	default:
 		m.base = waterLevel(demands, m.limits.TokensPerSecond)
 		m.level = waterLevel(demands, m.limits.TokensPerSecond*m.headroom)
 	}
+}
+
+// demands notes with each group what its active teams ask for, and returns that of the
+// teams that are not bound, and what all teams get.
+func (m *Machine) demands(now time.Duration) (free []float64, served float64) {
+	free = make([]float64, 0, len(m.teams))
+	for _, t := range m.teams {
+		served += t.servedRate(now)
+		d := t.offeredRate(now)
+		switch {
+		case d <= activeRate:
+		case t.group == nil:
+			free = append(free, d)
+		default:
+			t.group.demands = append(t.group.demands, d)
+		}
+	}
+	return free, served
+}
+
+// boundEven works out what teams may get above their shares while others get less.
+func (m *Machine) boundEven(now time.Duration) {
 	m.even = math.Inf(1)
-	if m.uses(EvenBound) {
-		m.even = m.evenLevel(now)
+	if !m.uses(EvenBound) {
+		return
+	}
+	free := m.leastServed(now)
+	m.even = m.evenLevel(nil, m.base, free)
+	for _, g := range m.groups {
+		g.even = m.evenLevel(g, g.base, free)
 	}
-	m.allow(now, passed)
-	m.weighTeams(now)
 }
 
-// evenLevel returns what a team may get as long as another team that wants more
-// than its share gets less: not much more than the least that those get.
-func (m *Machine) evenLevel(now time.Duration) float64 {
-	least := math.Inf(1)
+// leastServed notes with each group the least that one of its teams gets that wants more
+// than its share and gets less, and returns that of the teams that are not bound.
+func (m *Machine) leastServed(now time.Duration) float64 {
+	free := math.Inf(1)
 	for _, t := range m.teams {
 		offered, served := t.offeredRate(now), t.servedRate(now)
-		if offered > wantsFrom*m.base && served < satisfied*offered {
-			least = min(least, served)
+		switch {
+		case offered <= wantsFrom*m.boundsOf(t).base || served >= satisfied*offered:
+		case t.group == nil:
+			free = min(free, served)
+		default:
+			t.group.least = min(t.group.least, served)
+		}
+	}
+	return free
+}
+
+// evenLevel returns what a team of a group may get as long as another team that draws on
+// the same regions wants more than its share and gets less: not much more, in parts of its
+// own share, than the least that those get.
+func (m *Machine) evenLevel(group *teamGroup, base, free float64) float64 {
+	if math.IsInf(base, 1) {
+		return base
+	}
+	least := inShares(free, m.base, base)
+	for _, g := range m.groups {
+		if group.meets(g) {
+			least = min(least, inShares(g.least, g.base, base))
 		}
 	}
-	least = max(least, leastEven*m.base)
-	return max(evenWithin*least, min(evenShares*m.base, shareWithin*least))
+	least = max(least, leastEven*base)
+	return max(evenWithin*least, min(evenShares*base, shareWithin*least))
+}
+
+// inShares returns the same part of a share as some tokens are of another share.
+func inShares(tokens, of, share float64) float64 {
+	if of == share || math.IsInf(tokens, 1) {
+		return tokens
+	}
+	return tokens * (share / of)
 }
 
 // weighTeams adds up what teams ask of this router. What is refused at the door
@@ -131,18 +191,30 @@
 	Offered, Served float64
 }
 
+// BoundShare is what a team may get that is bound to some regions.
+type BoundShare struct {
+	Regions     []string
+	Level, Even float64 // as in Shares
+}
+
 // Shares is what the machine takes the teams' shares to be.
 type Shares struct {
-	Level    float64 // most that a team may get while capacity is short
-	Even     float64 // most that a team may get while others get less
-	Headroom float64 // what all may have, in parts of what is configured
-	Busy     float64 // how busy the busiest pool of engines is; above 1 there is no room
+	Level    float64      // most that a team may get while capacity is short
+	Even     float64      // most that a team may get while others get less
+	Headroom float64      // what all may have, in parts of what is configured
+	Busy     float64      // how busy the busiest pool of engines is; above 1 there is no room
+	Bound    []BoundShare `json:",omitempty"` // where they differ for teams that are bound to some regions
 	Most     []TeamShare
 }
 
 // Shares returns the shares, with the n teams that ask for most.
 func (m *Machine) Shares(now time.Duration, n int) Shares {
 	s := Shares{Level: m.level, Even: m.even, Headroom: m.headroom, Busy: m.busy}
+	for _, g := range m.groups {
+		if g.level != m.level || g.even != m.even {
+			s.Bound = append(s.Bound, BoundShare{Regions: g.regions.Names(), Level: g.level, Even: g.even})
+		}
+	}
 	for name, t := range m.teams {
 		s.Most = append(s.Most, TeamShare{Team: name, Offered: t.offeredRate(now), Served: t.servedRate(now)})
 	}
--- a/direct/usage.go
+++ b/direct/usage.go
@@ -47,6 +47,8 @@
 	recent    rate // offered, most recently
 	entered   rate // offered, less what was refused before its body was read
 	served    rate
+	regions   Regions       // that the configuration binds it to
+	group     *teamGroup    // of the teams bound like it; nil: it may use all regions
 	allowance allowance     // of this router
 	others    loads.TeamUse // sum over the other routers
 }
