Read regions from settings and configuration

The platform names the region of the machine and of each zone in the settings, and what binds routes and teams in the configuration. A reload may name more halls.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -33,6 +33,7 @@
 	route    *direct.Route
 	service  string
 	team     string
+	regions  direct.Regions // that the route and the team allow
 	priority int
 	body     []byte
 	start    time.Duration
@@ -55,6 +56,7 @@
 	return direct.Request{
 		Team:         x.team,
 		Service:      x.service,
+		Regions:      x.regions,
 		Kind:         x.route.Kind,
 		MayRepeat:    x.route.MayRepeat(),
 		Attempts:     max(x.route.Attempts, 1),
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -122,7 +122,7 @@
 	}
 	x := &exchange{
 		front: f, w: w, r: r, ctx: r.Context(), envelope: envelope, route: route,
-		service: table.Service(route, envelope.ID), priority: route.Priority, start: start,
+		service: table.Service(route, envelope.ID), regions: direct.RegionsOf(route.Regions), priority: route.Priority, start: start,
 	}
 	if table.HasTeams() {
 		team := table.Team(envelope.Key)
@@ -160,6 +160,7 @@
 
 func (x *exchange) setTeam(t *direct.Team) {
 	x.team = t.Name
+	x.regions = direct.RegionsOf(x.route.Regions, t.Regions)
 	if t.Priority != nil {
 		x.priority = *t.Priority
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,7 +52,9 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g := &Gateway{settings: s, source: source, dialect: dialect, log: newEventLog(out, s.Name)}
 	g.grace.Store(int64(s.Grace))
-	g.core = newCore(direct.Options{Zone: s.Zone, Budget: s.Budget, Without: s.Without}, g.log)
+	g.core = newCore(direct.Options{
+		Zone: s.Zone, Region: s.Region, HallRegions: s.HallRegions, Budget: s.Budget, Without: s.Without,
+	}, g.log)
 	g.admin = admin.New(admin.Source{Ready: g.ready, State: g.dump})
 	g.stats = newStats(g.admin.Scope())
 	g.state = &state{core: g.core, log: g.log, listed: make(chan struct{}), hallsListed: make(chan struct{}), followsHalls: s.Evacuate > 0}
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -13,6 +13,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g.grace.Store(int64(s.Grace))
 	g.core.update(direct.BudgetMsg{Budget: s.Budget})
+	g.core.update(direct.RegionsMsg{Now: g.core.now(), Halls: s.HallRegions})
 	for _, seed := range s.Seeds {
 		if host, _, err := net.SplitHostPort(seed); err == nil {
 			g.peers.add(host)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -10,6 +10,7 @@
 type Settings struct {
 	Name    string
 	Zone    string
+	Region  string  // empty: unknown
 	Power   float64 // cores that the process may use
 	Address string  // of this host, without a port
 
@@ -29,6 +30,8 @@
 	// Evacuate is the most that may pass between the word that a data hall is
 	// evacuated and the last request to its servers; 0: no hall is ever evacuated.
 	Evacuate time.Duration
-	Budget   direct.BudgetOptions
-	Without  direct.Without // mechanisms that are switched off in experiments
+	// HallRegions is the region of each data hall that is known.
+	HallRegions map[string]string
+	Budget      direct.BudgetOptions
+	Without     direct.Without // mechanisms that are switched off in experiments
 }
