--- a/direct/teamgroup_test.go
+++ b/direct/teamgroup_test.go
@@ -229,3 +229,18 @@
 		})
 	}
 }
+
+// TestRegionIndexBeyondItsSize numbers more regions than a set tells apart: the last ones
+// share a number, and what they have is not lost.
+func TestRegionIndexBeyondItsSize(t *testing.T) {
+	var names []string
+	for i := range regionsMost + 10 {
+		names = append(names, fmt.Sprintf("region%03d", i))
+	}
+	index := newRegionIndex([]*teamGroup{{regions: RegionsOf(names)}})
+	require.Equal(t, regionsMost, index.size())
+	require.Equal(t, 1, index.numberOf(names[0]))
+	require.Equal(t, regionsMost-1, index.numberOf(names[len(names)-1]))
+	require.Zero(t, index.numberOf("elsewhere"))
+	require.Equal(t, ^regionSet(1), index.setOf(RegionsOf(names)))
+}
