--- a/gateway/accounts.go
+++ b/gateway/accounts.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/croftvale/croftvale/gateway/eventlog"
 )
 
 // Account counts what callers got, as callers value it: whether the first try was
@@ -97,3 +99,10 @@
 	a.teams, a.routes = nil, nil
 	return teams, routes
 }
+
+// log logs what was counted since the last such line.
+func (a *accounts) log(l *eventlog.Log) {
+	if teams, routes := a.take(); len(teams) > 0 {
+		l.Event(AccountsEvent).Any("teams", teams).Any("routes", routes).Msg("")
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/traffic"
 )
 
 const (
@@ -37,16 +38,16 @@
 	stop func() bool // ends the watch on the caller
 	// begun says that the first event of a stream has been forwarded.
 	begun bool
-	path  trafficPath
+	path  traffic.Path
 }
 
 // count counts bytes that go to the server or come from it.
-func (a *attempt) count(n int) { a.x.front.traffic.add(trafficRequests, a.path, n) }
+func (a *attempt) count(n int) { a.x.front.traffic.Add(a.path, n) }
 
 // run sends the request and passes the answer on. It returns how the attempt
 // ended and whether the caller's request has ended with it.
 func (a *attempt) run() (direct.Outcome, bool) {
-	left := a.x.deadline - a.x.front.core.now()
+	left := a.x.deadline - a.x.front.core.Now()
 	if left < leastLeft {
 		a.endLate(direct.GivenUp)
 		return direct.GivenUp, true
@@ -58,9 +59,9 @@
 	a.conn = conn
 	a.stop = context.AfterFunc(a.x.ctx, func() { conn.Close() })
 	defer a.stop()
-	left = a.x.deadline - a.x.front.core.now()
+	left = a.x.deadline - a.x.front.core.Now()
 	_ = conn.SetDeadline(time.Now().Add(left))
-	a.path = pathTo(a.x.front.hall, a.cmd.Server.Zone)
+	a.path = traffic.PathTo(a.x.front.hall, a.cmd.Server.Zone)
 	a.count(len(a.x.body))
 	err = conn.Send(&backend.Request{
 		Method: a.x.r.Method,
@@ -112,7 +113,7 @@
 	case a.isStream(answer):
 		return a.stream(answer, verdict)
 	}
-	_ = a.conn.SetReadDeadline(time.Now().Add(a.x.deadline - a.x.front.core.now()))
+	_ = a.conn.SetReadDeadline(time.Now().Add(a.x.deadline - a.x.front.core.Now()))
 	return a.whole(answer, verdict)
 }
 
@@ -147,7 +148,7 @@
 	case a.x.ctx.Err() != nil:
 		a.x.callerLeft(0)
 		return direct.GivenUp, true
-	case a.x.front.core.now()+leastLeft >= a.x.deadline:
+	case a.x.front.core.Now()+leastLeft >= a.x.deadline:
 		if o != direct.Unsent {
 			o = direct.GivenUp
 		}
@@ -168,7 +169,7 @@
 
 // closeRun tells the machine that the attempt ended, before a panic.
 func (a *attempt) closeRun(o direct.Outcome) {
-	a.x.front.core.update(direct.EndMsg{Now: a.x.front.core.now(), ID: a.x.id, Outcome: o})
+	a.x.front.core.Update(direct.EndMsg{Now: a.x.front.core.Now(), ID: a.x.id, Outcome: o})
 }
 
 // discard drops an answer of which only the head counts.
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/croftvale/croftvale/gateway/pressure"
 	"github.com/croftvale/croftvale/internal/socket"
 )
 
@@ -27,7 +28,7 @@
 	places chan struct{}
 	mu     sync.Mutex
 	open   map[*callerConn]bool
-	fresh  fresh
+	fresh  pressure.Fresh
 	kept   int // connections that are kept while the router runs late; 0: all
 	// unserved counts the connections that were closed before they were accepted.
 	unserved atomic.Int64
@@ -36,13 +37,12 @@
 // callerConn is one connection of a caller.
 type callerConn struct {
 	net.Conn
-	callers    *callers
-	once       sync.Once
-	acceptedAt time.Time
-	isFresh    bool      // counted by fresh
-	active     bool      // a request is under way
-	idleSince  time.Time // zero before the first request, and during one
-	closed     bool      // by this router, while it was at rest
+	callers   *callers
+	once      sync.Once
+	arrival   pressure.Arrival
+	active    bool      // a request is under way
+	idleSince time.Time // zero before the first request, and during one
+	closed    bool      // by this router, while it was at rest
 }
 
 // newCallers returns the account of a router that may hold most connections, and has
@@ -50,17 +50,17 @@
 func newCallers(most int, cores float64) *callers {
 	return &callers{
 		places: make(chan struct{}, most), open: make(map[*callerConn]bool),
-		fresh: newFresh(cores), kept: int(keptPerCore * cores),
+		fresh: pressure.NewFresh(cores), kept: int(keptPerCore * cores),
 	}
 }
 
 // take begins the account of a new connection, which has a place.
 func (c *callers) take(conn net.Conn) *callerConn {
-	caller := &callerConn{Conn: conn, callers: c, acceptedAt: time.Now()}
+	caller := &callerConn{Conn: conn, callers: c, arrival: pressure.Arrival{At: time.Now()}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[caller] = true
-	c.fresh.add(caller)
+	c.fresh.Add(&caller.arrival)
 	return caller
 }
 
@@ -72,7 +72,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.fresh.full(time.Now())
+	return c.fresh.Full(time.Now())
 }
 
 // Close gives the place back.
@@ -81,7 +81,7 @@
 	c.once.Do(func() {
 		c.callers.mu.Lock()
 		delete(c.callers.open, c)
-		c.callers.fresh.remove(c)
+		c.callers.fresh.Remove(&c.arrival)
 		c.callers.mu.Unlock()
 		<-c.callers.places
 	})
@@ -107,7 +107,7 @@
 	switch s {
 	case http.StateActive:
 		caller.active = true
-		c.fresh.remove(caller)
+		c.fresh.Remove(&caller.arrival)
 		caller.idleSince = time.Time{}
 	case http.StateIdle:
 		caller.active = false
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftvale/croftvale/gateway/pressure"
 	"github.com/croftvale/croftvale/internal/socket"
 	"github.com/stretchr/testify/require"
 )
@@ -96,7 +97,7 @@
 		pauses++
 		c.state(taken[0], http.StateActive)
 	}}
-	for range freshLeast + 1 {
+	for range pressure.FreshLeast + 1 {
 		conn, err := net.Dial("tcp", inner.Addr().String())
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = conn.Close() })
@@ -105,7 +106,7 @@
 		taken = append(taken, accepted)
 	}
 	require.Equal(t, 1, pauses)
-	require.Equal(t, freshLeast, c.fresh.count)
+	require.Equal(t, pressure.FreshLeast, c.fresh.Count())
 }
 
 // TestLateRouterKeepsFewConnections has a router close some connections while it runs
--- /dev/null
+++ b/gateway/cluster/cluster.go
@@ -0,0 +1,59 @@
+package cluster
+
+import (
+	"context"
+
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/pressure"
+	"github.com/croftvale/croftvale/gateway/stats"
+	"github.com/croftvale/croftvale/gateway/traffic"
+)
+
+// Parts are what a Cluster stands on.
+type Parts struct {
+	Decisions Decisions
+	Feeds     *feed.Set
+	Pressure  *pressure.Gauge
+	Registry  Registry
+	Log       *eventlog.Log
+	Stats     *stats.Stats
+	Traffic   *traffic.Counter
+}
+
+// Cluster is a router's part in the fleet.
+type Cluster struct {
+	Peers      *Peers
+	heartbeats *heartbeats
+	loads      *loadExchange
+	members    members
+}
+
+// New opens the sockets for what other routers tell. Newer content of the feeds is told to
+// others from now on.
+func New(s Settings, parts Parts) (*Cluster, error) {
+	forBeats, err := openSocket(s.Peers)
+	if err != nil {
+		return nil, err
+	}
+	forLoads, err := openSocket(s.Loads)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{Peers: newPeers(s, parts), loads: newLoadExchange(s, forLoads, parts)}
+	c.Peers.heard = c.loads.routers
+	c.heartbeats = newHeartbeats(s, forBeats, c.Peers, parts)
+	c.members = members{
+		registry: parts.Registry, self: s.Self, found: func(m Member) { c.Peers.Add(m.Address) },
+		heard: c.Peers.heardAny, firstStart: s.FirstStart,
+	}
+	parts.Feeds.Changed = c.heartbeats.changed
+	return c, nil
+}
+
+// Duties returns what goes on until a context ends.
+func (c *Cluster) Duties() []func(context.Context) error {
+	return []func(context.Context) error{
+		c.members.follow, c.heartbeats.send, c.heartbeats.receive, c.loads.send, c.loads.receive,
+	}
+}
--- a/gateway/datagram_test.go
+++ b/gateway/cluster/datagram_test.go
@@ -1,9 +1,10 @@
-package gateway
+package cluster
 
 import (
 	"testing"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/feed"
 	"github.com/croftvale/croftvale/loads"
 	"github.com/stretchr/testify/require"
 )
@@ -12,7 +13,7 @@
 // a server costs 12 bytes at the most; for teams see TestReportIsSmall.
 func TestDatagrams(t *testing.T) {
 	said := heartbeat{
-		Address: "10.1.0.33", Hall: "a", Power: 0.3, Shed: 0.25, Yields: true, SourceLost: true, Life: 1 << 60, Seq: 7, Knows: versions{Config: 3, Servers: 9, Evacuations: 11},
+		Address: "10.1.0.33", Hall: "a", Power: 0.3, Shed: 0.25, Yields: true, SourceLost: true, Life: 1 << 60, Seq: 7, Knows: feed.Versions{3, 9, 11},
 		Headroom: 1.5, Copies: []direct.Copy{{Part: 1 << 60, Server: 7}},
 		Members: []string{"10.2.0.1"},
 	}
--- /dev/null
+++ b/gateway/cluster/followevacuations_test.go
@@ -0,0 +1,116 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/internal/wait"
+	"github.com/stretchr/testify/require"
+)
+
+// hallSource tells which data halls are evacuated, or fails.
+type hallSource struct {
+	feed.Source
+	mu       sync.Mutex
+	down     bool
+	revision uint64
+	halls    []string
+	changes  []feed.HallChange
+	calls    int
+}
+
+var errDown = errors.New("the source is down")
+
+func (s *hallSource) ReadEvacuations(context.Context) ([]string, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	s.changes = nil
+	if s.down {
+		return nil, 0, errDown
+	}
+	return s.halls, s.revision, nil
+}
+
+func (s *hallSource) WatchEvacuations(ctx context.Context, _ uint64, most time.Duration) ([]feed.HallChange, uint64, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; wait.Sleep(ctx, 10*time.Millisecond) {
+		s.mu.Lock()
+		changes, at, down := s.changes, s.revision, s.down
+		s.changes = nil
+		s.mu.Unlock()
+		if down {
+			return nil, 0, errDown
+		}
+		if len(changes) > 0 {
+			return changes, at, nil
+		}
+	}
+	return nil, s.revision, ctx.Err()
+}
+
+func (s *hallSource) set(revision uint64, change feed.HallChange, halls ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.halls = revision, halls
+	s.changes = append(s.changes, change)
+}
+
+func (s *hallSource) fail(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// startHalls starts the follower of evacuations of a router that has no others.
+func startHalls(t *testing.T, source feed.Source) *feed.Evacuations {
+	p := newTestPeers("d")
+	p.isSeed = true
+	p.parts.Decisions = newTestMachine()
+	p.parts.Feeds = newTestFeeds(source, p.parts.Decisions)
+	follow(t, p, p.parts.Feeds.Evacuations)
+	return p.parts.Feeds.Evacuations
+}
+
+// TestEvacuationsAreFollowed evacuates a hall, takes it back while the source is away, and
+// sees the change within the bound once the source is there again.
+func TestEvacuationsAreFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &hallSource{revision: 3}
+		halls := startHalls(t, source)
+		time.Sleep(time.Second)
+		require.EqualValues(t, 3, halls.Newest().Revision)
+		require.Empty(t, halls.Newest().Halls)
+		source.set(5, feed.HallChange{Hall: "b", Evacuated: true}, "b")
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, []string{"b"}, halls.Newest().Halls)
+		source.fail(true)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []string{"b"}, halls.Newest().Halls, "what was known holds while the source is away")
+		source.set(8, feed.HallChange{Hall: "b"})
+		source.fail(false)
+		time.Sleep(2 * time.Second)
+		require.Empty(t, halls.Newest().Halls)
+		require.EqualValues(t, 8, halls.Revision())
+	})
+}
+
+// TestEvacuationsCostFewCalls counts the calls of a router that follows while nothing
+// changes: one in two seconds.
+func TestEvacuationsCostFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &hallSource{revision: 3}
+		startHalls(t, source)
+		time.Sleep(time.Minute)
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		require.LessOrEqual(t, source.calls, 32)
+	})
+}
--- a/gateway/follow_servers_test.go
+++ b/gateway/cluster/followservers_test.go
@@ -1,21 +1,21 @@
-package gateway
+package cluster
 
 import (
 	"context"
-	"io"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/internal/wait"
 	"github.com/stretchr/testify/require"
-	"github.com/uber-go/tally/v4"
 )
 
 // serverSource lists servers and counts how often it is asked.
 type serverSource struct {
-	Source
+	feed.Source
 	reads, watches atomic.Int64
 }
 
@@ -24,32 +24,21 @@
 	return []direct.Server{{ID: "i-1", Service: "llm"}}, 7, nil
 }
 
-func (s *serverSource) WatchServers(ctx context.Context, since uint64, wait time.Duration) ([]ServerChange, uint64, error) {
+func (s *serverSource) WatchServers(ctx context.Context, since uint64, most time.Duration) ([]feed.ServerChange, uint64, error) {
 	s.watches.Add(1)
-	sleep(ctx, wait)
+	wait.Sleep(ctx, most)
 	return nil, since, nil
 }
 
 // startServers starts the follower of servers of a router that has just begun and
 // knows three others.
-func startServers(t *testing.T, source Source) (*state, *peers) {
-	j := newEventLog(io.Discard, "test")
+func startServers(t *testing.T, source feed.Source) (*feed.Servers, *Peers) {
 	p := newTestPeers("d", &peer{address: "a"}, &peer{address: "b"}, &peer{address: "c"})
-	p.core = newTestCore(t)
+	p.parts.Decisions = newTestMachine()
 	p.patience = bringPatience
-	p.state = &state{core: p.core, log: j, changed: func() {}, listed: make(chan struct{})}
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = followServers(source, p.state, role{p, &p.serversFail}, newStats(tally.NoopScope)).run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-		j.close()
-	})
-	return p.state, p
+	p.parts.Feeds = newTestFeeds(source, p.parts.Decisions)
+	follow(t, p, p.parts.Feeds.Servers)
+	return p.parts.Feeds.Servers, p
 }
 
 // TestServersAreBrought has a router start beside others: it takes the list of
@@ -58,9 +47,9 @@
 func TestServersAreBrought(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &serverSource{}
-		state, _ := startServers(t, source)
+		servers, _ := startServers(t, source)
 		time.Sleep(bringPatience / 2)
-		state.offerServers(&direct.Directory{Revision: 7}, "a")
+		servers.OfferAll(&direct.Directory{Revision: 7}, "a")
 		time.Sleep(20 * settleTime)
 		require.Zero(t, source.reads.Load())
 		require.Zero(t, source.watches.Load())
@@ -82,7 +71,7 @@
 		peers.mu.Lock()
 		peers.known["a"].sourceLost = true
 		peers.mu.Unlock()
-		time.Sleep(4 * watchWait)
+		time.Sleep(4 * time.Second)
 		require.EqualValues(t, 1, source.reads.Load(), "it goes on from what it read")
 		require.Positive(t, source.watches.Load())
 	})
--- a/gateway/heartbeat.go
+++ b/gateway/cluster/heartbeat.go
@@ -1,9 +1,10 @@
-package gateway
+package cluster
 
 import (
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/feed"
 )
 
 const (
@@ -25,7 +26,7 @@
 	SourceLost bool
 	Life       int64 // start of the sender, so that a restart begins anew
 	Seq        uint64
-	Knows      versions
+	Knows      feed.Versions
 	Headroom   float32 // see direct.Shares
 	Copies     []direct.Copy
 	Members    []string // other routers that the sender has heard of
--- /dev/null
+++ b/gateway/cluster/heartbeats.go
@@ -0,0 +1,84 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftvale/croftvale/gateway/traffic"
+)
+
+// heartbeats are sent to the other routers and taken from them.
+type heartbeats struct {
+	peers *Peers
+	parts Parts
+	out   sender
+	power float64
+	life  int64
+	seq   uint64
+	poke  chan struct{} // this router has something newer
+}
+
+func newHeartbeats(s Settings, on socket, p *Peers, parts Parts) *heartbeats {
+	return &heartbeats{
+		peers: p, parts: parts, out: sender{on, parts.Stats, parts.Traffic.Of(traffic.Heartbeats)},
+		power: s.Power, life: time.Now().UnixNano(), poke: make(chan struct{}, 1),
+	}
+}
+
+// changed tells the peers at once that this router has something newer.
+func (h *heartbeats) changed() { notify(h.poke) }
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// send sends heartbeats until ctx ends.
+func (h *heartbeats) send(ctx context.Context) error {
+	ticker := time.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-h.poke:
+		}
+		h.beat()
+		ticker.Reset(h.peers.every())
+	}
+}
+
+// beat sends one heartbeat.
+func (h *heartbeats) beat() {
+	said := h.parts.Decisions.Report()
+	targets, members := h.peers.round()
+	h.seq++
+	if h.seq%membersIn != 1 {
+		members = nil
+	}
+	body, err := encode(heartbeat{
+		Address: h.peers.self, Hall: h.peers.hall, Power: h.power, Shed: h.parts.Pressure.ShedPart(), Yields: h.parts.Pressure.Yields(),
+		SourceLost: h.parts.Feeds.SourceFails(), Life: h.life, Seq: h.seq, Knows: h.parts.Feeds.Versions(),
+		Headroom: float32(said.Headroom), Copies: said.Copies, Members: members,
+	})
+	if err != nil {
+		h.parts.Stats.DatagramFailed()
+		return
+	}
+	for _, address := range targets {
+		h.out.send(address, h.peers.PathTo(address), body)
+	}
+}
+
+// receive takes heartbeats until ctx ends.
+func (h *heartbeats) receive(ctx context.Context) error {
+	return h.out.receive(ctx, func(body []byte) {
+		var b heartbeat
+		if decode(body, &b) == nil {
+			h.peers.hear(b)
+		}
+	})
+}
--- a/gateway/loads.go
+++ b/gateway/cluster/loads.go
@@ -1,12 +1,12 @@
-package gateway
+package cluster
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/traffic"
 	"github.com/croftvale/croftvale/loads"
 )
 
@@ -26,22 +26,19 @@
 type loadExchange struct {
 	self     string
 	hall     string
-	conn     net.PacketConn
 	out      sender
-	core     *core
-	stats    *stats
+	parts    Parts
 	mu       sync.Mutex
 	exchange *loads.Exchange
 	heardAt  time.Duration // when the others' loads came last
 	number   uint64        // of the last list that was sent; begins with the time of the start
 }
 
-func newLoadExchange(s Settings, port int, conn net.PacketConn, c *core, counts *stats, bytes *traffic) *loadExchange {
+func newLoadExchange(s Settings, on socket, parts Parts) *loadExchange {
 	return &loadExchange{
-		self: s.Address, hall: s.Zone, number: uint64(time.Now().UnixNano()),
-		conn: conn, out: sender{conn, port, trafficLoads, counts, bytes},
-		core: c, stats: counts,
-		exchange: loads.NewExchange(loads.Router{Address: s.Address, Hall: s.Zone, Power: s.Power}),
+		self: s.Self.Address, hall: s.Hall, number: uint64(time.Now().UnixNano()), parts: parts,
+		out:      sender{on, parts.Stats, parts.Traffic.Of(traffic.Loads)},
+		exchange: loads.NewExchange(loads.Router{Address: s.Self.Address, Hall: s.Hall, Power: s.Power}),
 	}
 }
 
@@ -58,10 +55,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			tick := loads.TickMsg{Now: l.core.now(), Own: l.core.loads()}
+			tick := loads.TickMsg{Now: l.parts.Decisions.Now(), Own: l.parts.Decisions.Loads()}
 			if tick.Now-toldAt >= loads.TeamsEvery-loads.Every/2 {
 				toldAt = tick.Now
-				tick.HasTeams, tick.Teams = true, l.core.teams()
+				tick.HasTeams, tick.Teams = true, l.parts.Decisions.Teams()
 			}
 			l.update(tick)
 		}
@@ -70,11 +67,11 @@
 
 // receive takes lists until ctx ends.
 func (l *loadExchange) receive(ctx context.Context) error {
-	return receive(ctx, l.conn, func(body []byte) {
+	return l.out.receive(ctx, func(body []byte) {
 		var list loadList
 		if decode(body, &list) == nil {
 			l.update(loads.ListMsg{
-				Now: l.core.now(), From: list.From, Hall: list.Hall, Kind: list.Kind, Number: list.Number, Loads: list.Loads,
+				Now: l.parts.Decisions.Now(), From: list.From, Hall: list.Hall, Kind: list.Kind, Number: list.Number, Loads: list.Loads,
 				HasTeams: list.HasTeams, Teams: unpackTeams(list.Teams),
 			})
 		}
@@ -97,14 +94,14 @@
 
 // take tells the machine what the others have.
 func (l *loadExchange) take(others loads.OthersCmd) {
-	now := l.core.now()
+	now := l.parts.Decisions.Now()
 	if l.heardAt > 0 {
-		l.stats.loadsAge.RecordDuration(now - l.heardAt)
+		l.parts.Stats.LoadsAge.RecordDuration(now - l.heardAt)
 	}
 	l.heardAt = now
-	l.core.update(direct.LoadsMsg{Now: now, Loads: others.Loads})
+	l.parts.Decisions.Update(direct.LoadsMsg{Now: now, Loads: others.Loads})
 	if others.HasTeams {
-		l.core.update(direct.TeamsMsg{Now: now, Teams: others.Teams})
+		l.parts.Decisions.Update(direct.TeamsMsg{Now: now, Teams: others.Teams})
 	}
 }
 
@@ -116,13 +113,13 @@
 	}
 	body, err := encode(&list)
 	if err != nil {
-		l.stats.datagramFailed()
+		l.parts.Stats.DatagramFailed()
 		return
 	}
 	// Aggregators tell those of other halls; all else stays within the hall.
-	path := withinHall
+	path := traffic.WithinHall
 	if cmd.Kind == loads.Sum {
-		path = betweenHalls
+		path = traffic.BetweenHalls
 	}
 	l.out.send(cmd.To, path, body)
 }
--- a/gateway/members.go
+++ b/gateway/cluster/members.go
@@ -1,9 +1,11 @@
-package gateway
+package cluster
 
 import (
 	"context"
 	"slices"
 	"time"
+
+	"github.com/croftvale/croftvale/internal/wait"
 )
 
 const (
@@ -15,13 +17,17 @@
 	membersFirst = 6 * time.Second
 	membersOften = 3
 	membersEach  = 30 * time.Second
+	// registryTimeout bounds one call to the registry, registryRetry is the time until
+	// the next where one failed.
+	registryTimeout = 1500 * time.Millisecond
+	registryRetry   = time.Second
 )
 
-// members registers a router and finds the others through the source.
+// members registers a router and finds the others through the registry.
 type members struct {
-	source Source
-	self   Member
-	found  func(Member)
+	registry Registry
+	self     Member
+	found    func(Member)
 	// heard tells whether another router has been heard of already.
 	heard func() bool
 	// firstStart says that the whole fleet starts for the first time, so that this
@@ -32,40 +38,40 @@
 // follow registers this router and finds the others, until ctx ends.
 func (m members) follow(ctx context.Context) error {
 	registered, lists := m.firstStart && m.register(ctx), 0
-	sleep(ctx, membersWait)
+	wait.Sleep(ctx, membersWait)
 	for ctx.Err() == nil {
 		// Heartbeats name the routers that came since. Only a router that has heard
 		// of none, since its seeds are away, needs a list that is up to date.
 		listed, err := m.list(ctx, lists > 0 || m.heard())
 		registered = registered || listed || m.register(ctx)
 		if err != nil || !registered {
-			sleep(ctx, retryMost)
+			wait.Sleep(ctx, registryRetry)
 			continue
 		}
 		lists++
 		if lists < membersOften {
-			sleep(ctx, membersFirst)
+			wait.Sleep(ctx, membersFirst)
 		} else {
-			sleep(ctx, membersEach)
+			wait.Sleep(ctx, membersEach)
 		}
 	}
 	return nil
 }
 
-// register makes this router known to others, and tells whether the source has
+// register makes this router known to others, and tells whether the registry has
 // taken that.
 func (m members) register(ctx context.Context) bool {
-	call, cancel := context.WithTimeout(ctx, readTimeout)
+	call, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
-	return m.source.Register(call, m.self) == nil
+	return m.registry.Register(call, m.self) == nil
 }
 
-// list makes the routers known that the source lists, and tells whether this one is
+// list makes the routers known that the registry lists, and tells whether this one is
 // among them.
 func (m members) list(ctx context.Context, stale bool) (bool, error) {
-	call, cancel := context.WithTimeout(ctx, readTimeout)
+	call, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
-	there, err := m.source.Members(call, stale)
+	there, err := m.registry.Members(call, stale)
 	for _, one := range there {
 		m.found(one)
 	}
--- a/gateway/members_test.go
+++ b/gateway/cluster/members_test.go
@@ -1,4 +1,4 @@
-package gateway
+package cluster
 
 import (
 	"context"
@@ -13,7 +13,6 @@
 
 // memberSource lists routers and remembers which lists could be stale.
 type memberSource struct {
-	Source
 	down       atomic.Bool
 	stale      []bool
 	registered []Member
@@ -40,14 +39,14 @@
 		source := &memberSource{}
 		source.down.Store(true)
 		found := 0
-		m := members{source: source, self: Member{Name: "self"}, heard: func() bool { return false }}
+		m := members{registry: source, self: Member{Name: "self"}, heard: func() bool { return false }}
 		m.found = func(one Member) {
 			if one.Name == "other" {
 				found++
 			}
 		}
 		go func() { _ = m.follow(ctx) }()
-		time.Sleep(retryMost + retryMost/2 + membersWait)
+		time.Sleep(registryRetry + registryRetry/2 + membersWait)
 		source.down.Store(false)
 		time.Sleep(3 * membersFirst)
 		cancel()
@@ -65,7 +64,7 @@
 		start := func(address string, firstStart bool) {
 			ctx, cancel := context.WithCancel(t.Context())
 			m := members{
-				source: source, self: Member{Name: "self", Address: address}, found: func(Member) {},
+				registry: source, self: Member{Name: "self", Address: address}, found: func(Member) {},
 				heard: func() bool { return true }, firstStart: firstStart,
 			}
 			go func() { _ = m.follow(ctx) }()
--- /dev/null
+++ b/gateway/cluster/peers.go
@@ -0,0 +1,170 @@
+package cluster
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/pressure"
+	"github.com/croftvale/croftvale/loads"
+)
+
+const (
+	peerLive         = time.Second // without a heartbeat a peer counts as away
+	heartbeatsMissed = 5           // heartbeats that may be missed, where they are rarer
+	peerForget       = 60 * time.Second
+)
+
+// peer is another router.
+type peer struct {
+	address string
+	hall    string
+	power   float64
+	shed    float64
+	yields  bool
+	life    int64
+	// sourceLost says that its last call to the source failed.
+	sourceLost bool
+	seq        uint64
+	heard      time.Duration // 0: never
+	added      time.Duration
+	knows      feed.Versions
+	live       bool
+}
+
+// Peers is what a router knows of the other routers.
+type Peers struct {
+	self  string
+	hall  string
+	parts Parts
+	seeds int
+	// isSeed says that routers which start ask this one, or that it has no others to ask.
+	isSeed bool
+	// patience is how long this router waits, as it starts, for others to bring what
+	// it would read from the source.
+	patience    time.Duration
+	without     direct.Without // mechanisms that are switched off
+	mu          sync.Mutex
+	wanted      feed.Versions // newest that others knew at behindSince
+	behindSince time.Duration // when this router was last known to know no less
+	known       map[string]*peer
+	appeared    []string             // routers that were not there before, since the last round
+	heard       func([]loads.Router) // takes the routers that are there
+	behind      chan struct{}        // a peer knows something newer
+}
+
+func newPeers(s Settings, parts Parts) *Peers {
+	return &Peers{
+		self: s.Self.Address, hall: s.Hall, parts: parts, without: s.Without,
+		seeds: len(s.Seeds), isSeed: s.amongSeeds(), patience: s.patience(), known: make(map[string]*peer),
+		behind: make(chan struct{}, 1),
+	}
+}
+
+// Live returns the addresses of the routers that are there.
+func (p *Peers) Live() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for address, peer := range p.known {
+		if peer.live {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// Behind is sent on when another router knows something newer.
+func (p *Peers) Behind() <-chan struct{} { return p.behind }
+
+// Add makes a router known.
+func (p *Peers) Add(address string) {
+	if address == p.self || address == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.known[address] == nil {
+		p.known[address] = &peer{address: address, added: p.parts.Decisions.Now()}
+	}
+}
+
+// round picks whom a heartbeat goes to, and tells the machine how many routers
+// there are.
+func (p *Peers) round() (targets, members []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.parts.Decisions.Now()
+	lasts := p.live()
+	var lost []string
+	var there []loads.Router
+	var hall pressure.Hall
+	for address, peer := range p.known {
+		age := now - max(peer.heard, peer.added)
+		if peer.heard > 0 && age < lasts {
+			there = append(there, loads.Router{Address: address, Hall: peer.hall, Power: peer.power})
+			if peer.hall == p.hall {
+				addTo(&hall, peer)
+			}
+		} else if peer.live {
+			peer.live = false
+			lost = append(lost, address)
+		}
+		if age > peerForget {
+			delete(p.known, address)
+			continue
+		}
+		targets = append(targets, address)
+		if peer.live && len(members) < heartbeatMembers {
+			members = append(members, address)
+		}
+	}
+	p.parts.Log.Routers("routers_lost", lost)
+	p.parts.Log.Routers("routers_heard", p.appeared)
+	p.appeared = nil
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	targets = targets[:min(len(targets), heartbeatFanout)]
+	p.heard(there)
+	// A late router has not read what the others said: it keeps what it knew.
+	if !p.parts.Pressure.Slow() {
+		p.parts.Pressure.SetHall(hall)
+	}
+	p.parts.Decisions.Update(direct.PeersMsg{
+		Now: now, Routers: max(len(there)+1, p.seeds), Hold: lasts,
+		Known: len(p.known) + 1, Rank: p.rank(), Quiet: p.quietHalls(now),
+	})
+	return targets, members
+}
+
+// hear takes one heartbeat in.
+func (p *Peers) hear(b heartbeat) {
+	p.Add(b.Address)
+	for _, m := range b.Members {
+		p.Add(m)
+	}
+	p.mu.Lock()
+	peer := p.known[b.Address]
+	if peer == nil || b.Life < peer.life || (b.Life == peer.life && b.Seq <= peer.seq) {
+		p.mu.Unlock()
+		return
+	}
+	now := p.parts.Decisions.Now()
+	if peer.heard > 0 {
+		p.parts.Stats.Silence.RecordDuration(now - peer.heard)
+	}
+	peer.life, peer.seq, peer.heard = b.Life, b.Seq, now
+	peer.knows = b.Knows
+	peer.sourceLost = b.SourceLost
+	peer.hall, peer.power, peer.shed, peer.yields = b.Hall, b.Power, b.Shed, b.Yields
+	if !peer.live {
+		peer.live = true
+		p.appeared = append(p.appeared, b.Address)
+	}
+	p.mu.Unlock()
+	p.parts.Decisions.Update(direct.PeerMsg{Now: now, Peer: b.Address, Report: direct.Report{Headroom: float64(b.Headroom), Copies: b.Copies}})
+	if !p.parts.Feeds.Versions().Reaches(b.Knows) {
+		notify(p.behind)
+	}
+}
--- /dev/null
+++ b/gateway/cluster/peers_test.go
@@ -0,0 +1,80 @@
+package cluster
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/pressure"
+	"github.com/croftvale/croftvale/gateway/stats"
+	"github.com/croftvale/croftvale/loads"
+	"github.com/uber-go/tally/v4"
+)
+
+// quietLog is for tests that make many routers; it is never closed.
+var quietLog = eventlog.New(io.Discard, "test")
+
+// testMachine is the decisions of a router under test.
+type testMachine struct {
+	mu      sync.Mutex
+	machine *direct.Machine
+	start   time.Time
+}
+
+// newTestMachine returns the decisions of a router that has just begun.
+func newTestMachine() *testMachine {
+	return &testMachine{machine: direct.NewMachine(direct.Options{}), start: time.Now()}
+}
+
+func (m *testMachine) Now() time.Duration { return time.Since(m.start) }
+
+func (m *testMachine) Update(msg direct.Msg) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.machine.Update(msg)
+}
+
+func (m *testMachine) Report() direct.Report  { return direct.Report{} }
+func (m *testMachine) Loads() []loads.Load    { return nil }
+func (m *testMachine) Teams() []loads.TeamUse { return nil }
+
+// newTestFeeds returns the feeds of a fleet whose halls may be evacuated.
+func newTestFeeds(source feed.Source, d Decisions) *feed.Set {
+	return feed.NewSet(feed.Options{
+		Source: source, Decisions: d, Log: quietLog, Stats: stats.New(tally.NoopScope), Evacuate: 5 * time.Second,
+	})
+}
+
+// newTestPeers returns what a router that began a minute ago knows of others.
+func newTestPeers(self string, others ...*peer) *Peers {
+	m := newTestMachine()
+	m.start = m.start.Add(-time.Minute)
+	p := &Peers{
+		self: self, known: make(map[string]*peer),
+		parts: Parts{Decisions: m, Feeds: newTestFeeds(nil, m), Pressure: &pressure.Gauge{}},
+	}
+	for _, o := range others {
+		o.live, o.heard = true, m.Now()
+		p.known[o.address] = o
+	}
+	return p
+}
+
+// follow follows one feed until the test ends.
+func follow(t *testing.T, p *Peers, one feed.Feed) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = p.parts.Feeds.Follow(ctx, one, p)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+}
--- a/gateway/peerstate.go
+++ b/gateway/cluster/peerstate.go
@@ -1,12 +1,16 @@
-package gateway
+package cluster
 
 import (
 	"slices"
 	"time"
+
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/pressure"
+	"github.com/croftvale/croftvale/gateway/traffic"
 )
 
 // every is the time between two heartbeats: the more routers there are, the rarer.
-func (p *peers) every() time.Duration {
+func (p *Peers) every() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	targets := min(len(p.known), heartbeatFanout)
@@ -14,25 +18,25 @@
 }
 
 // live is how long a peer counts as there without a heartbeat.
-func (p *peers) live() time.Duration {
+func (p *Peers) live() time.Duration {
 	rounds := max((len(p.known)+heartbeatFanout-1)/heartbeatFanout, 1)
 	each := max(heartbeatEvery, time.Duration(min(len(p.known), heartbeatFanout))*time.Second/heartbeatsHeard)
 	return max(peerLive, time.Duration(rounds*heartbeatsMissed)*each)
 }
 
-// pathTo returns the path to another router; one that has not been heard of counts as
+// PathTo returns the path to another router; one that has not been heard of counts as
 // being in another hall.
-func (p *peers) pathTo(address string) trafficPath {
+func (p *Peers) PathTo(address string) traffic.Path {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if peer := p.known[address]; peer != nil {
-		return pathTo(p.hall, peer.hall)
+		return traffic.PathTo(p.hall, peer.hall)
 	}
-	return betweenHalls
+	return traffic.BetweenHalls
 }
 
 // rank returns this router's place by address among all that it knows.
-func (p *peers) rank() int {
+func (p *Peers) rank() int {
 	before := 0
 	for address := range p.known {
 		if address < p.self {
@@ -42,59 +46,36 @@
 	return before
 }
 
-// add counts another router of the hall.
-func (h *hallView) add(p *peer) {
-	h.routers++
+// addTo counts another router of the hall.
+func addTo(h *pressure.Hall, p *peer) {
+	h.Routers++
 	switch {
 	case p.yields:
-		h.yielding++
+		h.Yielding++
 	case p.shed == 0:
-		h.easy++
+		h.Easy++
 	}
 }
 
-// aheadOf are the live peers that know something newer, by what they know; those of this
-// router's hall come first.
-type aheadOf struct {
-	config, servers, evacuations []string
-	// onlyElsewhere says that no router of this hall knows the newest configuration yet.
-	onlyElsewhere bool
-}
-
-// ahead returns the live peers that know something newer.
-func (p *peers) ahead() aheadOf {
-	var out aheadOf
+// Lead tells which live routers know something newer.
+func (p *Peers) Lead() feed.Lead {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	own := p.state.versions()
-	now := p.core.now()
+	own := p.parts.Feeds.Versions()
+	out := feed.NewLead(own)
+	now := p.parts.Decisions.Now()
 	lasts := p.live()
-	for _, path := range []trafficPath{withinHall, betweenHalls} {
-		for address, peer := range p.known {
-			if peer.heard == 0 || now-peer.heard > lasts || pathTo(p.hall, peer.hall) != path {
-				continue
-			}
-			if peer.knows.Config > own.Config {
-				out.config = append(out.config, address)
-			}
-			if peer.knows.Servers > own.Servers {
-				out.servers = append(out.servers, address)
-			}
-			if peer.knows.Evacuations > own.Evacuations {
-				out.evacuations = append(out.evacuations, address)
-			}
-		}
-		if path == withinHall {
-			out.onlyElsewhere = len(out.config) == 0
+	for address, peer := range p.known {
+		if peer.heard > 0 && now-peer.heard <= lasts {
+			out.Add(own, address, traffic.PathTo(p.hall, peer.hall), peer.knows)
 		}
 	}
-	out.onlyElsewhere = out.onlyElsewhere && len(out.config) > 0
 	return out
 }
 
-// firstOfHall tells whether this router is the first of its hall by address, among those
+// FirstOfHall tells whether this router is the first of its hall by address, among those
 // that are there.
-func (p *peers) firstOfHall() bool {
+func (p *Peers) FirstOfHall() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, peer := range p.known {
@@ -111,8 +92,8 @@
 
 // quietHalls returns the data halls of which routers were heard lately and none any
 // more, while others are. A late router has not read what it was told.
-func (p *peers) quietHalls(now time.Duration) []string {
-	if p.core.pressure.slow() {
+func (p *Peers) quietHalls(now time.Duration) []string {
+	if p.parts.Pressure.Slow() {
 		return nil
 	}
 	last := make(map[string]time.Duration)
--- a/gateway/peerstate_test.go
+++ b/gateway/cluster/peerstate_test.go
@@ -1,15 +1,16 @@
-package gateway
+package cluster
 
 import (
 	"testing"
 
+	"github.com/croftvale/croftvale/gateway/feed"
 	"github.com/stretchr/testify/require"
 )
 
 // TestQuietHalls has the routers of one hall fall silent, those of all halls, and none.
 func TestQuietHalls(t *testing.T) {
 	p := newTestPeers("a1", &peer{address: "a2", hall: "a"}, &peer{address: "b1", hall: "b"}, &peer{address: "b2", hall: "b"}, &peer{address: "c1", hall: "c"})
-	now := p.core.now()
+	now := p.parts.Decisions.Now()
 	require.Empty(t, p.quietHalls(now))
 	p.known["b1"].heard = now - 2*quietAfter
 	require.Empty(t, p.quietHalls(now), "another router of the hall is heard")
@@ -28,12 +29,15 @@
 func TestOwnHallFirst(t *testing.T) {
 	p := newTestPeers("a2", &peer{address: "a1", hall: "a"}, &peer{address: "b1", hall: "b"}, &peer{address: "c1", hall: "c"})
 	p.hall = "a"
-	require.False(t, p.firstOfHall())
-	require.Equal(t, aheadOf{}, p.ahead())
-	p.known["b1"].knows.Config = 3
-	require.Equal(t, aheadOf{config: []string{"b1"}, onlyElsewhere: true}, p.ahead())
-	p.known["a1"].knows.Config = 3
-	require.Equal(t, aheadOf{config: []string{"a1", "b1"}}, p.ahead())
+	require.False(t, p.FirstOfHall())
+	require.Equal(t, make(feed.Lead, 3), p.Lead())
+	p.known["b1"].knows = feed.Versions{3}
+	require.Equal(t, feed.Lead{{OtherHalls: []string{"b1"}}, {}, {}}, p.Lead())
+	require.True(t, p.Lead()[0].Elsewhere())
+	p.known["a1"].knows = feed.Versions{3}
+	require.Equal(t, feed.Lead{{OwnHall: []string{"a1"}, OtherHalls: []string{"b1"}}, {}, {}}, p.Lead())
+	require.False(t, p.Lead()[0].Elsewhere())
+	require.Equal(t, []string{"a1", "b1"}, p.Lead()[0].All())
 	p.known["a1"].live = false
-	require.True(t, p.firstOfHall(), "the first is away")
+	require.True(t, p.FirstOfHall(), "the first is away")
 }
--- /dev/null
+++ b/gateway/cluster/role.go
@@ -0,0 +1,108 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/feed"
+)
+
+const (
+	// watchersLeast is how many routers follow the source, in fleets of more than
+	// smallFleet one more. The others learn of changes from them.
+	watchersLeast = 3
+	smallFleet    = 8
+)
+
+// stuckAfter is how long a router may know less than another one before it asks
+// the source itself.
+const stuckAfter = 500 * time.Millisecond
+
+const (
+	// settleTime is how long after its start a router leaves following to the
+	// seeds: until then it has not heard of enough others to know who is first.
+	settleTime = 1500 * time.Millisecond
+	// bringPatience is how long a router that starts waits for another to bring the
+	// list of servers, before it reads it from the source: some calls to a seed that
+	// is there. Its callers wait too.
+	bringPatience = 50 * time.Millisecond
+	// firstStartPatience is the same where the whole fleet starts for the first time: it
+	// has no callers yet, and hosts start within 0.3 s of one another.
+	firstStartPatience = 400 * time.Millisecond
+)
+
+// Patience is how long this router waits, as it starts, for others to bring what it would
+// read from the source. Seeds read themselves, so that those that start together read a
+// few times and not once each.
+func (p *Peers) Patience() time.Duration {
+	if p.isSeed || !p.without.Uses(direct.Followers) {
+		return 0
+	}
+	return p.patience
+}
+
+// heardAny tells whether another router has been heard of.
+func (p *Peers) heardAny() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.known {
+		if peer.live {
+			return true
+		}
+	}
+	return false
+}
+
+// Follows tells whether this router is one of the few that follow the source, or
+// knows less than another for too long.
+func (p *Peers) Follows() bool {
+	if p.stuck() || !p.without.Uses(direct.Followers) {
+		return true
+	}
+	if p.parts.Decisions.Now() < settleTime {
+		return p.isSeed
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before, live := 0, 0
+	for address, peer := range p.known {
+		if !peer.live {
+			continue
+		}
+		live++
+		if address < p.self && !peer.sourceLost {
+			before++
+		}
+	}
+	if live >= smallFleet {
+		return before < watchersLeast+1
+	}
+	return before < watchersLeast
+}
+
+// stuck tells whether this router has known less than another one for too long:
+// what that one knew at the beginning, since where things change all the time
+// somebody always knows more.
+func (p *Peers) stuck() bool {
+	now := p.parts.Decisions.Now()
+	knows := p.parts.Feeds.Versions()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if knows.Reaches(p.wanted) {
+		p.wanted = p.newest(now)
+		p.behindSince = now
+	}
+	return !knows.Reaches(p.wanted) && now-p.behindSince > stuckAfter
+}
+
+// newest returns the newest versions that live routers know.
+func (p *Peers) newest(now time.Duration) feed.Versions {
+	var v feed.Versions
+	lasts := p.live()
+	for _, peer := range p.known {
+		if peer.heard > 0 && now-peer.heard <= lasts {
+			v = v.Newest(peer.knows)
+		}
+	}
+	return v
+}
--- a/gateway/role_test.go
+++ b/gateway/cluster/role_test.go
@@ -1,33 +1,14 @@
-package gateway
+package cluster
 
 import (
 	"fmt"
-	"io"
 	"testing"
-	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/feed"
 	"github.com/stretchr/testify/require"
 )
 
-// newTestCore returns a core that logs nothing.
-func newTestCore(t testing.TB) *core {
-	l := newEventLog(io.Discard, "test")
-	t.Cleanup(l.close)
-	return newCore(direct.Options{}, l)
-}
-
-// newTestPeers returns what a router knows of others.
-func newTestPeers(self string, others ...*peer) *peers {
-	c := &core{start: time.Now().Add(-time.Minute)}
-	p := &peers{self: self, core: c, state: &state{core: c}, known: make(map[string]*peer)}
-	for _, o := range others {
-		o.live, o.heard = true, c.now()
-		p.known[o.address] = o
-	}
-	return p
-}
-
 // TestFewFollowTheSource has the first routers by address that reach the source
 // follow it, one more in a large fleet, and nobody else.
 func TestFewFollowTheSource(t *testing.T) {
@@ -40,7 +21,7 @@
 					others = append(others, &peer{address: fmt.Sprintf("10.0.0.%03d", j)})
 				}
 			}
-			if newTestPeers(fmt.Sprintf("10.0.0.%03d", i), others...).watches() {
+			if newTestPeers(fmt.Sprintf("10.0.0.%03d", i), others...).Follows() {
 				follow++
 			}
 		}
@@ -55,17 +36,17 @@
 		return []*peer{{address: "a"}, {address: "b"}, {address: "c"}}
 	}
 	p := newTestPeers("d", before()...)
-	require.False(t, p.watches())
+	require.False(t, p.Follows())
 	p.known["b"].sourceLost = true
-	require.True(t, p.watches(), "one has lost the source")
+	require.True(t, p.Follows(), "one has lost the source")
 	p = newTestPeers("d", before()...)
 	p.known["a"].live = false
-	require.True(t, p.watches(), "one is away")
+	require.True(t, p.Follows(), "one is away")
 	p = newTestPeers("d", before()...)
-	p.known["c"].knows.Servers = 9
-	require.False(t, p.watches(), "it may still pull")
+	p.known["c"].knows = feed.Versions{0, 9, 0}
+	require.False(t, p.Follows(), "it may still pull")
 	p.behindSince -= 2 * stuckAfter
-	require.True(t, p.watches(), "it has known less for too long")
+	require.True(t, p.Follows(), "it has known less for too long")
 }
 
 // TestChangesAreNotStuck has the servers change all the time: a router that learns
@@ -74,14 +55,11 @@
 func TestChangesAreNotStuck(t *testing.T) {
 	p := newTestPeers("d", &peer{address: "a"}, &peer{address: "b"}, &peer{address: "c"})
 	for revision := uint64(1); revision < 20; revision++ {
-		p.known["a"].knows.Servers = revision + 1
-		p.state.directory.Store(&listing{Directory: direct.Directory{Revision: revision}})
-		require.False(t, p.watches(), "at revision %d", revision)
+		p.known["a"].knows = feed.Versions{0, revision + 1, 0}
+		p.parts.Feeds.Servers.OfferAll(&direct.Directory{Revision: revision}, "a")
+		require.False(t, p.Follows(), "at revision %d", revision)
 		p.behindSince -= stuckAfter / 3
 	}
 	p.behindSince -= 2 * stuckAfter
-	require.True(t, p.watches(), "it learns of nothing any more")
+	require.True(t, p.Follows(), "it learns of nothing any more")
 }
-
-// quietLog is for tests that make many states; it is never closed.
-var quietLog = newEventLog(io.Discard, "test")
--- /dev/null
+++ b/gateway/cluster/settings.go
@@ -0,0 +1,39 @@
+package cluster
+
+import (
+	"net"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+)
+
+// Settings are what a router takes part in the fleet with.
+type Settings struct {
+	Self       Member
+	Hall       string
+	Power      float64  // cores that the process may use
+	Peers      string   // other routers' heartbeats, as datagrams
+	Loads      string   // other routers' loads, as datagrams
+	Seeds      []string // control addresses of some routers
+	FirstStart bool     // the whole fleet starts for the first time
+	Without    direct.Without
+}
+
+// patience returns how long a router that starts waits for others to bring what it would
+// read from the source.
+func (s Settings) patience() time.Duration {
+	if s.FirstStart {
+		return firstStartPatience
+	}
+	return bringPatience
+}
+
+// amongSeeds tells whether a router is one of its own seeds, or has none.
+func (s Settings) amongSeeds() bool {
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil && host == s.Self.Address {
+			return true
+		}
+	}
+	return len(s.Seeds) == 0
+}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/gateway/pressure"
 	"github.com/croftvale/croftvale/loads"
 )
 
@@ -17,14 +19,14 @@
 	waiters map[direct.RequestID]chan direct.Cmd
 	next    direct.RequestID
 	start   time.Time
-	log     *eventLog
+	log     *eventlog.Log
 	probe   func(direct.ProbeCmd) // must not block
 	// pressure tells how late this process runs.
-	pressure pressure
+	pressure pressure.Gauge
 	without  direct.Without // mechanisms that are switched off
 }
 
-func newCore(o direct.Options, l *eventLog) *core {
+func newCore(o direct.Options, l *eventlog.Log) *core {
 	return &core{
 		machine:  direct.NewMachine(o),
 		waiters:  make(map[direct.RequestID]chan direct.Cmd),
@@ -32,15 +34,15 @@
 		log:      l,
 		probe:    func(direct.ProbeCmd) {},
 		without:  o.Without,
-		pressure: pressure{without: o.Without},
+		pressure: pressure.Gauge{Without: o.Without},
 	}
 }
 
-// now is the time since the start, on the monotonic clock.
-func (c *core) now() time.Duration { return time.Since(c.start) }
+// Now is the time since the start, on the monotonic clock.
+func (c *core) Now() time.Duration { return time.Since(c.start) }
 
-// update tells the machine something and hands its commands out.
-func (c *core) update(msg direct.Msg) {
+// Update tells the machine something and hands its commands out.
+func (c *core) Update(msg direct.Msg) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.locked(msg)
@@ -56,11 +58,11 @@
 		case direct.FailCmd:
 			c.deliver(cmd.ID, cmd)
 		case direct.BeliefCmd:
-			c.log.belief(cmd)
+			c.log.Belief(cmd)
 		case direct.HallCmd:
-			c.log.hall(cmd)
+			c.log.Hall(cmd)
 		case direct.ReachCmd:
-			c.log.reach(cmd)
+			c.log.Reach(cmd)
 		case direct.ProbeCmd:
 			c.probe(cmd)
 		}
@@ -81,7 +83,7 @@
 	r.ID = c.next
 	commands := make(chan direct.Cmd, 2)
 	c.waiters[r.ID] = commands
-	c.locked(direct.ArriveMsg{Now: c.now(), Request: r})
+	c.locked(direct.ArriveMsg{Now: c.Now(), Request: r})
 	return r.ID, commands
 }
 
@@ -94,7 +96,7 @@
 	defer c.mu.Unlock()
 	c.next++
 	r.ID = c.next
-	for _, cmd := range c.machine.Update(direct.DoorMsg{Now: c.now(), Request: r}) {
+	for _, cmd := range c.machine.Update(direct.DoorMsg{Now: c.Now(), Request: r}) {
 		if refuse, ok := cmd.(direct.RefuseCmd); ok {
 			return refuse, true
 		}
@@ -114,7 +116,7 @@
 func (c *core) leave(id direct.RequestID, commands <-chan direct.Cmd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
+	now := c.Now()
 	c.locked(direct.LeaveMsg{Now: now, ID: id})
 	select {
 	case <-commands:
@@ -123,65 +125,65 @@
 	}
 }
 
-// report returns what this router does at the moment.
-func (c *core) report() direct.Report {
+// Report returns what this router does at the moment.
+func (c *core) Report() direct.Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.Report(c.now())
+	return c.machine.Report(c.Now())
 }
 
-// loads returns what this router has at the servers.
-func (c *core) loads() []loads.Load {
+// Loads returns what this router has at the servers.
+func (c *core) Loads() []loads.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.machine.Loads()
 }
 
-// teams returns what this router sees of teams.
-func (c *core) teams() []loads.TeamUse {
+// Teams returns what this router sees of teams.
+func (c *core) Teams() []loads.TeamUse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.Teams(c.now())
+	return c.machine.Teams(c.Now())
 }
 
 // weightOf returns how much of this router's work a team asks for.
 func (c *core) weightOf(team string) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.WeightOf(c.now(), team)
+	return c.machine.WeightOf(c.Now(), team)
 }
 
 // shares returns what the machine takes the teams' shares to be.
 func (c *core) shares(n int) direct.Shares {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.Shares(c.now(), n)
+	return c.machine.Shares(c.Now(), n)
 }
 
 // servers returns what the machine takes the servers to be.
 func (c *core) servers() []direct.ServerState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.Servers(c.now())
+	return c.machine.Servers(c.Now())
 }
 
 // tick lets time pass until ctx ends.
 func (c *core) tick(ctx context.Context) error {
 	ticker := time.NewTicker(direct.TickEvery)
 	defer ticker.Stop()
-	last := c.now()
-	waits := probe{now: c.now}
+	last := c.Now()
+	waits := pressure.NewProbe(c.Now)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			now := c.now()
+			now := c.Now()
 			late := now - last - direct.TickEvery
 			last = now
 			// A timer's goroutine runs before most others; requests wait longer.
-			c.pressure.note(now, max(late, waits.late()))
-			c.update(direct.TickMsg{Now: c.now()})
+			c.pressure.Note(now, max(late, waits.Late()))
+			c.Update(direct.TickMsg{Now: c.Now()})
 		}
 	}
 }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -24,9 +24,9 @@
 	switch {
 	case g.front.draining.Load():
 		return errors.New("the router is ending")
-	case g.core.pressure.wantsFewer():
+	case g.core.pressure.WantsFewer():
 		return errors.New("the router has no processor time for more callers")
-	case !g.state.complete():
+	case !g.feeds.Complete():
 		return errors.New("no configuration or no list of servers has come yet")
 	}
 	return nil
@@ -44,7 +44,7 @@
 func (g *Gateway) drain() {
 	began := time.Now()
 	g.front.draining.Store(true)
-	g.log.event("drain").Int64("active", g.front.active.Load()).Msg("")
+	g.log.Event("drain").Int64("active", g.front.active.Load()).Msg("")
 	grace := time.Duration(g.grace.Load())
 	if grace <= 0 {
 		grace = defaultGrace
--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/traffic"
 )
 
 // teamsDumped bounds the teams in a dump.
@@ -25,27 +26,20 @@
 	Engines        []direct.ServerState
 	Dropped        uint64 // log lines
 	// Traffic is the bytes sent and read since the start, by kind.
-	Traffic map[string]Traffic
+	Traffic map[string]traffic.Sum
 }
 
 // dump returns the state for the admin server.
 func (g *Gateway) dump(context.Context) (any, error) {
-	known := g.state.versions()
-	shares, engines := g.core.shares(teamsDumped), g.core.servers()
-	g.peers.mu.Lock()
-	defer g.peers.mu.Unlock()
+	feeds := g.feeds
 	s := State{
-		Name: g.settings.Name, Config: known.Config, ConfigAge: g.state.configAge(), Servers: known.Servers, Evacuations: known.Evacuations,
-		Active: g.front.active.Load(), Dropped: g.log.dropped.Load(),
-		Shares: shares, Engines: engines, Traffic: g.traffic.sums(),
+		Name: g.settings.Name, Config: feeds.Config.Revision(), ConfigAge: feeds.Config.Age(),
+		Servers: feeds.Servers.Revision(), Evacuations: feeds.Evacuations.Revision(),
+		Active: g.front.active.Load(), Dropped: g.log.Dropped(), Peers: g.cluster.Peers.Live(),
+		Shares: g.core.shares(teamsDumped), Engines: g.core.servers(), Traffic: g.traffic.Sums(),
 	}
-	if e := g.state.evacuations.Load(); e != nil {
+	if e := feeds.Evacuations.Newest(); e != nil {
 		s.EvacuatedHalls = e.Halls
 	}
-	for address, p := range g.peers.known {
-		if p.live {
-			s.Peers = append(s.Peers, address)
-		}
-	}
 	return s, nil
 }
--- a/gateway/eventlog_test.go
+++ b/gateway/eventlog/log_test.go
@@ -1,4 +1,4 @@
-package gateway
+package eventlog
 
 import (
 	"testing"
@@ -18,11 +18,11 @@
 // does not fit is counted.
 func TestBlockedOutput(t *testing.T) {
 	out := blocked{release: make(chan struct{})}
-	j := newEventLog(out, "router")
+	j := New(out, "router")
 	for range 3 * queuedLines {
-		j.event("vitals").Msg("")
+		j.Event("vitals").Msg("")
 	}
-	require.GreaterOrEqual(t, j.dropped.Load(), uint64(2*queuedLines-1))
+	require.GreaterOrEqual(t, j.Dropped(), uint64(2*queuedLines-1))
 	close(out.release)
-	j.close()
+	j.Close()
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -74,7 +74,7 @@
 	id, commands := core.arrive(x.request())
 	x.id = id
 	defer core.done(id)
-	timer := time.NewTimer(x.deadline - core.now())
+	timer := time.NewTimer(x.deadline - core.Now())
 	defer timer.Stop()
 	for {
 		select {
@@ -101,16 +101,16 @@
 		x.attempts++
 		x.last = cmd
 		a := attempt{x: x, cmd: cmd}
-		began := x.front.core.now()
+		began := x.front.core.Now()
 		outcome, ended := a.run()
-		x.front.core.update(direct.EndMsg{
-			Now: x.front.core.now(), ID: x.id, Outcome: outcome, Retry: !ended, Slow: x.front.core.pressure.slow(),
+		x.front.core.Update(direct.EndMsg{
+			Now: x.front.core.Now(), ID: x.id, Outcome: outcome, Retry: !ended, Slow: x.front.core.pressure.Slow(),
 		})
-		x.front.stats.attempt(outcome, x.front.core.now()-began)
+		x.front.stats.Attempt(outcome, x.front.core.Now()-began)
 		if ended {
 			return true
 		}
-		x.front.log.retry(x, outcome)
+		x.logRetry(outcome)
 	case direct.RefuseCmd:
 		x.last.Basis.Share = cmd.Share
 		x.refuse(string(cmd.Reason), cmd.After)
@@ -178,12 +178,25 @@
 
 // finish logs and counts how the request ended.
 func (x *exchange) finish(result string, status int, reason string) {
-	x.front.stats.request(x, result, reason)
+	x.count(result, reason)
 	if result == resultServed && x.last.Basis.Share < withinShare {
 		x.front.ages.learn(x.route.Name, x.envelope.Left)
 	}
-	x.front.accounts.note(x, result, x.front.core.now())
-	x.front.log.request(x, result, status, reason)
+	x.front.accounts.note(x, result, x.front.core.Now())
+	x.log(result, status, reason)
+}
+
+// count counts how the request ended.
+func (x *exchange) count(result, reason string) {
+	stats := x.front.stats
+	stats.Request(result, reason)
+	stats.Total.RecordDuration(x.front.core.Now() - x.start)
+	if x.attempts > 0 {
+		stats.Wait.RecordDuration(x.last.Basis.Waited)
+	}
+	if x.firstAt > 0 {
+		stats.First.RecordDuration(x.firstAt - x.start)
+	}
 }
 
 // readBody reads the caller's body, of at most most bytes.
--- /dev/null
+++ b/gateway/feed/config.go
@@ -0,0 +1,79 @@
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+)
+
+// ConfigSource is where the configuration is found.
+type ConfigSource interface {
+	// ReadConfig returns the configuration, nil where there is none yet, and the
+	// source's revision.
+	ReadConfig(ctx context.Context) (*direct.Config, uint64, error)
+	// WatchConfig waits for a change after a revision; it returns nil where
+	// there was none.
+	WatchConfig(ctx context.Context, since uint64, wait time.Duration) (*direct.Config, uint64, error)
+}
+
+// Config is the feed of the configuration. Its revision is the configuration's version.
+type Config struct {
+	Content[direct.Config]
+	o     Options
+	table atomic.Pointer[direct.Table]
+	at    atomic.Int64 // when the configuration came into force, on the router's clock
+}
+
+func newConfig(o Options, changed func()) *Config {
+	c := &Config{o: o}
+	c.init(kind[direct.Config]{
+		revision: func(config *direct.Config) uint64 { return config.Version },
+		accept:   c.accept,
+		log:      c.log,
+	}, changed)
+	return c
+}
+
+// About returns what is particular to the configuration: it has some 200 kB with 1,400
+// routes.
+func (c *Config) About() About {
+	return About{Name: "config", SourceName: "source of configuration", On: true, Large: true}
+}
+
+// Table returns the configuration in force as requests look it up, nil where there is none.
+func (c *Config) Table() *direct.Table { return c.table.Load() }
+
+// Age is how long the configuration has been in force.
+func (c *Config) Age() time.Duration { return c.o.Decisions.Now() - time.Duration(c.at.Load()) }
+
+// Read reads the configuration.
+func (c *Config) Read(ctx context.Context) (uint64, error) {
+	config, at, err := c.o.Source.ReadConfig(ctx)
+	if err == nil {
+		c.Offer(config, fromSource)
+	}
+	return at, err
+}
+
+// Watch waits for another configuration.
+func (c *Config) Watch(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
+	config, at, err := c.o.Source.WatchConfig(ctx, since, wait)
+	if err == nil {
+		c.Offer(config, fromSource)
+	}
+	return at, err
+}
+
+func (c *Config) accept(config *direct.Config) {
+	now := c.o.Decisions.Now()
+	c.o.Decisions.Update(direct.ConfigMsg{Now: now, Config: *config})
+	c.at.Store(int64(now))
+	c.table.Store(direct.NewTable(*config))
+}
+
+func (c *Config) log(config *direct.Config, from string) {
+	c.o.Log.Event("config_in_force").Uint64("version", config.Version).Str("from", from).
+		Dur("idle_timeout", config.Limits.IdleTimeout).Int("routes", len(config.Routes)).Int("teams", len(config.Teams)).Msg("")
+}
--- /dev/null
+++ b/gateway/feed/decisions.go
@@ -0,0 +1,15 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+)
+
+// Decisions is the state machine that is told of newer content.
+type Decisions interface {
+	// Now is the time since the router's start.
+	Now() time.Duration
+	// Update tells the machine something.
+	Update(msg direct.Msg)
+}
--- /dev/null
+++ b/gateway/feed/evacuations.go
@@ -0,0 +1,101 @@
+package feed
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+)
+
+const (
+	// evacuationsWait is the most that one call waits for a change of the evacuated
+	// data halls: halls are evacuated seldom, and each call costs the source the same.
+	evacuationsWait = 2 * time.Second
+	// evacuationsPart is the part of the time until an evacuation must be in force that
+	// one call may take, so that one which goes unanswered leaves time for another.
+	evacuationsPart = 0.4
+)
+
+// HallChange says that a data hall is evacuated, or no longer.
+type HallChange struct {
+	Hall      string
+	Evacuated bool
+}
+
+// EvacuationSource is where the evacuated data halls are found.
+type EvacuationSource interface {
+	// ReadEvacuations returns the data halls whose servers must get no requests.
+	ReadEvacuations(ctx context.Context) ([]string, uint64, error)
+	// WatchEvacuations waits for changes after a revision.
+	WatchEvacuations(ctx context.Context, since uint64, wait time.Duration) ([]HallChange, uint64, error)
+}
+
+// Evacuations is the feed of the evacuated data halls: without knowing them, a router would
+// send requests into one.
+type Evacuations struct {
+	Content[direct.Evacuations]
+	o     Options
+	halls map[string]bool // as the source alone tells them
+}
+
+func newEvacuations(o Options, changed func()) *Evacuations {
+	e := &Evacuations{o: o, halls: make(map[string]bool)}
+	e.init(kind[direct.Evacuations]{
+		revision: func(set *direct.Evacuations) uint64 { return set.Revision },
+		accept: func(set *direct.Evacuations) {
+			o.Decisions.Update(direct.EvacuationsMsg{Now: o.Decisions.Now(), Evacuations: *set})
+		},
+		log: func(set *direct.Evacuations, from string) {
+			o.Log.Event("evacuations_listed").Uint64("revision", set.Revision).Str("from", from).Strs("halls", set.Halls).Msg("")
+		},
+	}, changed)
+	return e
+}
+
+// About returns what is particular to the evacuated data halls, which must be out of use
+// within a time.
+func (e *Evacuations) About() About {
+	return About{
+		Name: "evacuations", SourceName: "source of evacuations", On: e.o.Evacuate > 0, Brought: true,
+		Wait: min(evacuationsWait, time.Duration(evacuationsPart*float64(e.o.Evacuate))),
+	}
+}
+
+// Read reads which halls are evacuated.
+func (e *Evacuations) Read(ctx context.Context) (uint64, error) {
+	listed, at, err := e.o.Source.ReadEvacuations(ctx)
+	if err != nil {
+		return 0, err
+	}
+	clear(e.halls)
+	for _, hall := range listed {
+		e.halls[hall] = true
+	}
+	e.offerHalls(at)
+	return at, nil
+}
+
+// Watch waits for a hall that is evacuated, or no longer.
+func (e *Evacuations) Watch(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
+	changes, at, err := e.o.Source.WatchEvacuations(ctx, since, wait)
+	if err != nil {
+		return 0, err
+	}
+	for _, c := range changes {
+		if c.Evacuated {
+			e.halls[c.Hall] = true
+		} else {
+			delete(e.halls, c.Hall)
+		}
+	}
+	if len(changes) > 0 {
+		e.offerHalls(at)
+	}
+	return at, nil
+}
+
+func (e *Evacuations) offerHalls(at uint64) {
+	e.Offer(&direct.Evacuations{Revision: at, Halls: slices.Sorted(maps.Keys(e.halls))}, fromSource)
+}
--- /dev/null
+++ b/gateway/feed/follower.go
@@ -0,0 +1,122 @@
+package feed
+
+import (
+	"cmp"
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/gateway/stats"
+	"github.com/croftvale/croftvale/internal/wait"
+)
+
+const (
+	watchWait = time.Second
+	// roleEvery is how often a router that does not follow the source looks
+	// whether it should.
+	roleEvery   = 100 * time.Millisecond
+	watchSlack  = 700 * time.Millisecond // over watchWait, then the call is given up
+	readTimeout = 1500 * time.Millisecond
+	retryFirst  = 100 * time.Millisecond
+	retryMost   = time.Second
+)
+
+// follower keeps one feed up to date from the source.
+type follower struct {
+	feed  Feed
+	about About
+	log   *eventlog.Log
+	stats *stats.Stats
+	lost  bool
+	fails atomic.Bool // the last call to the source failed
+}
+
+// run reads, then watches, until ctx ends. Every failure leads back to reading. A
+// router that does not follow the source reads at most once, and again after a
+// failure; when it comes to follow, it goes on from what it read.
+func (f *follower) run(ctx context.Context, r Role) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = retryFirst
+	pause.MaxInterval = retryMost
+	since, known := uint64(0), false
+	if f.brought(ctx, r) {
+		f.rest(ctx, r)
+	}
+	for ctx.Err() == nil {
+		if known && !f.follows(r) {
+			f.rest(ctx, r)
+			continue
+		}
+		at, err := f.call(ctx, since, known)
+		f.note(err)
+		if err == nil {
+			since, known = at, true
+			pause.Reset()
+			continue
+		}
+		known = false
+		if errors.Is(err, ErrHistoryGone) {
+			continue
+		}
+		wait.Sleep(ctx, pause.NextBackOff())
+	}
+	return nil
+}
+
+// brought waits a moment, as the router starts, for others to bring what it would read
+// from the source, and tells whether they have.
+func (f *follower) brought(ctx context.Context, r Role) bool {
+	if !f.about.Brought {
+		return false
+	}
+	patience := r.Patience()
+	return patience > 0 && f.feed.Await(ctx, patience)
+}
+
+// follows tells whether this router follows the source: one whose last call failed goes on
+// until one succeeds.
+func (f *follower) follows(r Role) bool { return f.fails.Load() || r.Follows() }
+
+// rest waits until this router follows the source, or ctx ends.
+func (f *follower) rest(ctx context.Context, r Role) {
+	for ctx.Err() == nil && !f.follows(r) {
+		wait.Sleep(ctx, roleEvery)
+	}
+}
+
+// call watches the source where its revision is known, and else reads everything.
+func (f *follower) call(ctx context.Context, since uint64, known bool) (uint64, error) {
+	if !known {
+		return f.bounded(ctx, readTimeout, f.feed.Read)
+	}
+	most := cmp.Or(f.about.Wait, watchWait)
+	return f.bounded(ctx, most+watchSlack, func(c context.Context) (uint64, error) { return f.feed.Watch(c, since, most) })
+}
+
+func (f *follower) bounded(ctx context.Context, limit time.Duration, call func(context.Context) (uint64, error)) (uint64, error) {
+	c, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	began := time.Now()
+	at, err := call(c)
+	f.stats.SourceCall(f.about.SourceName, time.Since(began), err)
+	return at, err
+}
+
+// note logs a lost or regained source.
+func (f *follower) note(err error) {
+	f.fails.Store(err != nil && !errors.Is(err, ErrHistoryGone))
+	if err != nil && !errors.Is(err, ErrHistoryGone) {
+		if !f.lost {
+			f.log.Dependency(f.about.SourceName, "lost", err)
+		}
+		f.lost = true
+		return
+	}
+	if f.lost {
+		f.log.Dependency(f.about.SourceName, "regained", nil)
+	}
+	f.lost = false
+}
--- /dev/null
+++ b/gateway/feed/lead.go
@@ -0,0 +1,39 @@
+package feed
+
+import (
+	"slices"
+
+	"github.com/croftvale/croftvale/gateway/traffic"
+)
+
+// Ahead are the addresses of the routers that know something newer of one feed.
+type Ahead struct {
+	OwnHall    []string
+	OtherHalls []string
+}
+
+// All returns all of them, those of this router's hall first.
+func (a Ahead) All() []string { return slices.Concat(a.OwnHall, a.OtherHalls) }
+
+// Elsewhere tells whether only routers of other halls know it.
+func (a Ahead) Elsewhere() bool { return len(a.OwnHall) == 0 && len(a.OtherHalls) > 0 }
+
+// Lead tells for each feed which routers know something newer.
+type Lead []Ahead
+
+// NewLead returns the lead of nobody, over a router that knows some versions.
+func NewLead(own Versions) Lead { return make(Lead, len(own)) }
+
+// Add takes in what another router knows, and whether it is in this router's hall.
+func (l Lead) Add(own Versions, address string, path traffic.Path, knows Versions) {
+	for i := range l {
+		if knows.of(i) <= own.of(i) {
+			continue
+		}
+		if path == traffic.WithinHall {
+			l[i].OwnHall = append(l[i].OwnHall, address)
+		} else {
+			l[i].OtherHalls = append(l[i].OtherHalls, address)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/feed/serve.go
@@ -0,0 +1,40 @@
+package feed
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// querySince is the revision that the caller knows of a feed which tells what has changed.
+const querySince = "since"
+
+// Handler answers the pulls of other routers.
+func (s *Set) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for _, f := range s.feeds {
+		mux.HandleFunc("GET "+f.About().path(), func(w http.ResponseWriter, r *http.Request) { serve(f, w, r) })
+	}
+	return mux
+}
+
+func serve(f Feed, w http.ResponseWriter, r *http.Request) {
+	known := f.Known()
+	if f.About().Awaited {
+		known = f.Await(r.Context(), pullTimeout/2)
+	}
+	if !known {
+		http.Error(w, "no "+f.About().Name+" yet", http.StatusServiceUnavailable)
+		return
+	}
+	// Without a revision, or with one that is no number, everything is told.
+	since, _ := strconv.ParseUint(r.URL.Query().Get(querySince), 10, 64)
+	body, err := msgpack.Marshal(f.Tell(since))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/gateway/feed/serve_test.go
@@ -0,0 +1,48 @@
+package feed
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/serverlist"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// TestNotCompleteWithoutEvacuations has a router that knows everything else serve nobody
+// until it knows which halls are evacuated.
+func TestNotCompleteWithoutEvacuations(t *testing.T) {
+	s := newTestSet()
+	s.Config.Offer(&direct.Config{Version: 1}, "a")
+	s.Servers.OfferAll(&direct.Directory{}, "a")
+	require.False(t, s.Complete())
+	s.Evacuations.Offer(&direct.Evacuations{Revision: 4}, "a")
+	require.True(t, s.Complete())
+	s.Evacuations.Offer(&direct.Evacuations{Revision: 4, Halls: []string{"b"}}, "b")
+	s.Evacuations.Offer(&direct.Evacuations{Revision: 3, Halls: []string{"b"}}, "b")
+	require.Empty(t, s.Evacuations.Newest().Halls, "only a newer set is taken")
+}
+
+// TestListsAgeBeforeTheyArePulled has a router hand on a list of servers some time after it
+// came: a server is cold for so much less.
+func TestListsAgeBeforeTheyArePulled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestSet()
+		s.Servers.OfferAll(&direct.Directory{Revision: 1, Servers: []direct.Server{
+			{ID: "i-1", ColdFor: 3 * time.Second}, {ID: "i-2", ColdFor: time.Second}, {ID: "i-3"},
+		}}, "source")
+		time.Sleep(2 * time.Second)
+		answer := httptest.NewRecorder()
+		s.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, s.Servers.About().path(), strings.NewReader("")))
+		var pulled serverlist.Update
+		require.NoError(t, msgpack.Unmarshal(answer.Body.Bytes(), &pulled))
+		require.Equal(t, time.Second, pulled.Servers[0].ColdFor)
+		require.Zero(t, pulled.Servers[1].ColdFor)
+		require.Zero(t, pulled.Servers[2].ColdFor)
+	})
+}
--- a/gateway/serverlist_test.go
+++ b/gateway/feed/servers_test.go
@@ -1,12 +1,15 @@
-package gateway
+package feed
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"testing"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/serverlist"
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 )
 
@@ -50,12 +53,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var source storeOfServers
 		source.change(t)
-		routers := make([]*state, 3)
+		routers := make([]*Servers, 3)
 		for i := range routers {
-			routers[i] = &state{core: &core{machine: direct.NewMachine(direct.Options{}), log: quietLog}, log: quietLog, changed: func() {}}
+			routers[i] = newTestSet().Servers
 		}
 		watched := make([]int, len(routers)) // how many lists each has seen by watching; 0: it reads
-		var late []serverUpdate
+		var late []serverlist.Update
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(routers)-1).Draw(t, "router")
 			one := routers[i]
@@ -65,19 +68,19 @@
 			case 2:
 				d := source.lists[len(source.lists)-1]
 				if watched[i] == 0 {
-					one.offerServers(&d, "source")
+					one.OfferAll(&d, "source")
 				} else {
-					one.offerChanged(&d, source.touched[watched[i]:], "source")
+					one.OfferChanged(&d, source.touched[watched[i]:], "source")
 				}
 				watched[i] = len(source.lists)
 			case 5:
 				watched[i] = 0
 			case 3:
 				other := rapid.SampledFrom(routers).Draw(t, "other")
-				if other.directory.Load() == nil {
+				if !other.Known() {
 					continue
 				}
-				u := other.serversSince(one.versions().Servers)
+				u := other.since(one.Revision())
 				late = append(late, u)
 				if rapid.Bool().Draw(t, "arrives") {
 					one.offerUpdate(&u, "other")
@@ -96,8 +99,8 @@
 }
 
 // holds requires that a router's list is the source's at its revision.
-func (s *storeOfServers) holds(t *rapid.T, r *state) {
-	known := r.directory.Load()
+func (s *storeOfServers) holds(t *rapid.T, r *Servers) {
+	known := r.Newest()
 	if known == nil {
 		return
 	}
@@ -108,36 +111,23 @@
 
 // TestUpdatesAreSmall changes one of 3,000 servers: what another router pulls is that one.
 func TestUpdatesAreSmall(t *testing.T) {
-	s := &state{core: newTestCore(t), log: quietLog, changed: func() {}}
+	s := newTestSet().Servers
 	d := direct.Directory{Revision: 1}
 	for i := range 3000 {
 		d.Servers = append(d.Servers, direct.Server{ID: fmt.Sprintf("i-%04d", i), Service: "llm", Address: "10.128.0.9:8080", Zone: "hall-a", Slots: 64})
 	}
-	s.offerServers(&d, "source")
+	s.OfferAll(&d, "source")
 	next := direct.Directory{Revision: 2, Servers: slices.Clone(d.Servers)}
 	next.Servers[7].Draining = true
-	s.offerChanged(&next, []string{next.Servers[7].ID}, "source")
+	s.OfferChanged(&next, []string{next.Servers[7].ID}, "source")
 	size := func(since uint64) int {
-		body, err := encode(s.serversSince(since))
-		require.NoError(t, err)
-		return len(body)
+		var body bytes.Buffer
+		encoder := msgpack.NewEncoder(&body)
+		encoder.UseArrayEncodedStructs(true)
+		encoder.UseCompactInts(true)
+		require.NoError(t, encoder.Encode(s.Tell(since)))
+		return body.Len()
 	}
 	require.Less(t, size(1), 100)
 	require.Greater(t, size(0), 100000, "the whole list, to a router that knows none")
 }
-
-// TestHistoryIsBounded has a router that is far behind get the whole list.
-func TestHistoryIsBounded(t *testing.T) {
-	var h serverHistory
-	for i := uint64(1); i < 3*historyLength; i++ {
-		h.note(i, []string{"i-1"})
-	}
-	require.Len(t, h.steps, historyLength)
-	now := &direct.Directory{Revision: 3 * historyLength}
-	_, known := h.since(5, now)
-	require.False(t, known)
-	u, known := h.since(3*historyLength-1, now)
-	require.True(t, known)
-	require.EqualValues(t, 3*historyLength-1, u.From)
-	require.Equal(t, []string{"i-1"}, u.Gone)
-}
--- /dev/null
+++ b/gateway/feed/set.go
@@ -0,0 +1,84 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/gateway/stats"
+)
+
+// fromSource says in logs that content came from the source, not from another router.
+const fromSource = "source"
+
+// Options are what feeds stand on.
+type Options struct {
+	Source    Source
+	Decisions Decisions
+	Log       *eventlog.Log
+	Stats     *stats.Stats
+	// Evacuate is the most that may pass between the word that a data hall is
+	// evacuated and the last request to its servers; 0: no hall is ever evacuated.
+	Evacuate time.Duration
+}
+
+// Set is the feeds of a router: what it takes to be true of the fleet.
+type Set struct {
+	Config      *Config
+	Servers     *Servers
+	Evacuations *Evacuations
+	// Changed is called when newer content is in force; set it before the feeds are used.
+	Changed   func()
+	log       *eventlog.Log
+	feeds     []Feed // in the order of Versions: new ones come last
+	followers []*follower
+}
+
+// NewSet returns feeds without content.
+func NewSet(o Options) *Set {
+	s := &Set{log: o.Log, Changed: func() {}}
+	changed := func() { s.Changed() }
+	s.Config = newConfig(o, changed)
+	s.Servers = newServers(o, changed)
+	s.Evacuations = newEvacuations(o, changed)
+	s.feeds = []Feed{s.Config, s.Servers, s.Evacuations}
+	for _, f := range s.feeds {
+		s.followers = append(s.followers, &follower{feed: f, about: f.About(), log: o.Log, stats: o.Stats})
+	}
+	return s
+}
+
+// Versions returns how new what this router knows is.
+func (s *Set) Versions() Versions {
+	out := make(Versions, len(s.feeds))
+	for i, f := range s.feeds {
+		out[i] = f.Revision()
+	}
+	return out
+}
+
+// Complete tells whether enough is known to serve requests at all.
+func (s *Set) Complete() bool {
+	for _, f := range s.followers {
+		if f.about.On && !f.feed.Known() {
+			return false
+		}
+	}
+	return true
+}
+
+// SourceFails tells whether the last call to the source for any feed failed.
+func (s *Set) SourceFails() bool {
+	return slices.ContainsFunc(s.followers, func(f *follower) bool { return f.fails.Load() })
+}
+
+// Followed returns the feeds that are kept up to date from the source.
+func (s *Set) Followed() []Feed {
+	return slices.DeleteFunc(slices.Clone(s.feeds), func(f Feed) bool { return !f.About().On })
+}
+
+// Follow keeps one feed of the set up to date from the source until ctx ends.
+func (s *Set) Follow(ctx context.Context, one Feed, r Role) error {
+	return s.followers[slices.Index(s.feeds, one)].run(ctx, r)
+}
--- /dev/null
+++ b/gateway/feed/set_test.go
@@ -0,0 +1,38 @@
+package feed
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/gateway/stats"
+	"github.com/uber-go/tally/v4"
+)
+
+// quietLog is for tests that make many sets; it is never closed.
+var quietLog = eventlog.New(io.Discard, "test")
+
+// lockedMachine is decisions that tests tell of newer content.
+type lockedMachine struct {
+	mu      sync.Mutex
+	machine *direct.Machine
+	start   time.Time
+}
+
+func (m *lockedMachine) Now() time.Duration { return time.Since(m.start) }
+
+func (m *lockedMachine) Update(msg direct.Msg) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.machine.Update(msg)
+}
+
+// newTestSet returns feeds without a source, of a fleet whose halls may be evacuated.
+func newTestSet() *Set {
+	return NewSet(Options{
+		Decisions: &lockedMachine{machine: direct.NewMachine(direct.Options{}), start: time.Now()},
+		Log:       quietLog, Stats: stats.New(tally.NoopScope), Evacuate: 5 * time.Second,
+	})
+}
--- /dev/null
+++ b/gateway/feed/sourcelist.go
@@ -0,0 +1,59 @@
+package feed
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+)
+
+// sourceList is the list of servers as the source alone tells it.
+type sourceList struct {
+	servers map[string]listedServer
+}
+
+// listedServer is a server and when it ceases to be cold. Its entry counts from its
+// last heartbeat, a list of servers from when the list was made.
+type listedServer struct {
+	direct.Server
+	coldUntil time.Time
+}
+
+// reset begins anew with a whole list.
+func (l *sourceList) reset(servers []direct.Server) {
+	l.servers = make(map[string]listedServer, len(servers))
+	for _, s := range servers {
+		l.set(s)
+	}
+}
+
+// apply takes changes in, and returns the servers that they name.
+func (l *sourceList) apply(changes []ServerChange) []string {
+	ids := make([]string, 0, len(changes))
+	for _, c := range changes {
+		ids = append(ids, c.Server.ID)
+		if c.Gone {
+			delete(l.servers, c.Server.ID)
+		} else {
+			l.set(c.Server)
+		}
+	}
+	return ids
+}
+
+// set takes in a server's entry that has just been read.
+func (l *sourceList) set(s direct.Server) {
+	l.servers[s.ID] = listedServer{Server: s, coldUntil: time.Now().Add(s.ColdFor)}
+}
+
+// directory returns the list as it is now, by id.
+func (l *sourceList) directory(at uint64) *direct.Directory {
+	d := &direct.Directory{Revision: at, Servers: make([]direct.Server, 0, len(l.servers))}
+	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
+		entry := l.servers[id]
+		entry.Server.ColdFor = max(time.Until(entry.coldUntil), 0)
+		d.Servers = append(d.Servers, entry.Server)
+	}
+	return d
+}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -8,6 +8,10 @@
 
 	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/stats"
+	"github.com/croftvale/croftvale/gateway/traffic"
 )
 
 // reasonPressure says that the router had no processor time for a request.
@@ -22,6 +26,9 @@
 	drainAfter = 50 * time.Millisecond
 	// defaultHold bounds a request whose route and caller set no time.
 	defaultHold = 60 * time.Second
+	// shedAfter is when callers that were refused at the door come back: soon,
+	// since they reach another router.
+	shedAfter = 20 * time.Millisecond
 	// writeSlack is how long a caller may take for what is written last.
 	writeSlack = 2 * time.Second
 )
@@ -29,11 +36,11 @@
 // front serves callers.
 type front struct {
 	core     *core
-	state    *state
+	feeds    *feed.Set
 	pool     *backend.Pool
 	dialect  Dialect
-	log      *eventLog
-	stats    *stats
+	log      *eventlog.Log
+	stats    *stats.Stats
 	bodies   atomic.Int64 // bytes of bodies that are held
 	most     int64        // bytes of bodies that may be held
 	draining atomic.Bool  // answers close their connections
@@ -42,8 +49,8 @@
 	callers  *callers
 	ages     callerAges
 	accounts accounts
-	hall     string // of this router
-	traffic  *traffic
+	hall     string         // of this router
+	traffic  *traffic.Meter // of requests
 	// eventDelay is the most that an event may take to reach its caller.
 	eventDelay time.Duration
 }
@@ -55,13 +62,13 @@
 	if f.callers.lost(r.Context()) {
 		panic(http.ErrAbortHandler)
 	}
-	start := f.core.now()
-	table := f.state.table.Load()
+	start := f.core.Now()
+	table := f.feeds.Config.Table()
 	switch {
 	case f.refusing.Load():
 		f.reject(w, r, refusal{http.StatusServiceUnavailable, "draining", drainAfter})
 		return
-	case !f.state.complete():
+	case !f.feeds.Complete():
 		f.reject(w, r, refusal{http.StatusServiceUnavailable, "no_config", noConfigAfter})
 		return
 	}
@@ -82,7 +89,7 @@
 		f.reject(w, r, *refused)
 		return
 	}
-	if f.core.pressure.sheddingNow() && f.callers.left(x.ctx) {
+	if f.core.pressure.SheddingNow() && f.callers.left(x.ctx) {
 		// A late router reads what its caller may have given up. To send it on would
 		// use up its team's allowance for nobody.
 		x.callerLeft(0)
@@ -140,10 +147,10 @@
 
 // shed refuses a request for which a late router has no processor time.
 func (f *front) shed(x *exchange) *refusal {
-	if !f.core.pressure.sheddingNow() || !f.core.pressure.sheds(x.envelope.ID, f.core.weightOf(x.team)) {
+	if !f.core.pressure.SheddingNow() || !f.core.pressure.Sheds(x.envelope.ID, f.core.weightOf(x.team)) {
 		return nil
 	}
-	f.core.update(direct.ShedMsg{
+	f.core.Update(direct.ShedMsg{
 		Now: x.start, Team: x.team, PromptTokens: x.envelope.PromptTokens, OutputTokens: x.envelope.OutputTokens,
 	})
 	return &refusal{http.StatusServiceUnavailable, reasonPressure, shedAfter}
@@ -152,7 +159,7 @@
 // unknown refuses what the configuration does not hold. A router that is late may
 // not have come to read a newer one: its caller asks another.
 func (f *front) unknown(status int, reason string) *refusal {
-	if f.core.pressure.late() >= shedAll {
+	if f.core.pressure.ReadsInVain() {
 		return &refusal{http.StatusServiceUnavailable, reasonPressure, shedAfter}
 	}
 	return &refusal{status: status, reason: reason}
@@ -192,8 +199,8 @@
 		after = 0
 	}
 	f.refuse(w, refused.status, refused.reason, after)
-	f.stats.rejected(refused.reason)
-	f.log.rejected(f, r, refused.status, refused.reason)
+	f.stats.Rejected(refused.reason)
+	f.logRejected(r, refused)
 }
 
 // refuse writes an answer of the router's own.
@@ -213,7 +220,7 @@
 // use each again when it has answered, so they ask no faster than it answers, and a
 // new connection costs it twice what a request on an old one does.
 func (f *front) closing(w http.ResponseWriter) {
-	if f.draining.Load() || f.callers.crowded(f.core.pressure.lateForMore()) {
+	if f.draining.Load() || f.callers.crowded(f.core.pressure.LateForMore()) {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/gateway/front_test.go
+++ b/gateway/front_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/stats"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 )
@@ -21,7 +24,7 @@
 	refused := f.unknown(http.StatusNotFound, "no_route")
 	require.Equal(t, http.StatusNotFound, refused.status)
 	require.Equal(t, "no_route", refused.reason)
-	f.core.pressure.note(0, time.Second)
+	f.core.pressure.Note(0, time.Second)
 	refused = f.unknown(http.StatusNotFound, "no_route")
 	require.Equal(t, http.StatusServiceUnavailable, refused.status)
 	require.Equal(t, reasonPressure, refused.reason)
@@ -52,27 +55,27 @@
 // floodedFront returns a front whose only team has used its allowance up, so that
 // all requests are refused at the door.
 func floodedFront(tb testing.TB) *front {
-	j := newEventLog(io.Discard, "bench")
-	tb.Cleanup(j.close)
-	c := newTestCore(tb)
-	st := &state{core: c, log: j, changed: func() {}}
+	j := eventlog.New(io.Discard, "bench")
+	tb.Cleanup(j.Close)
+	c := newCore(direct.Options{}, j)
+	counts := stats.New(tally.NoopScope)
+	feeds := feed.NewSet(feed.Options{Decisions: c, Log: j, Stats: counts})
 	f := &front{
-		core: c, state: st, log: j, stats: newStats(tally.NoopScope), dialect: plainDialect{},
+		core: c, feeds: feeds, log: j, stats: counts, dialect: plainDialect{},
 		most: 1 << 20, callers: newCallers(1000, 0),
 	}
-	st.offerConfig(&direct.Config{
+	feeds.Config.Offer(&direct.Config{
 		Version:  1,
 		Routes:   []direct.Route{{Name: "r", Host: "h", Prefix: "/", Kind: direct.Stream, Split: []direct.Weighted{{Service: "llm", Weight: 1}}, Objective: time.Second}},
 		Services: []direct.Service{{Name: "llm", Engine: &direct.Engine{Slots: 8, KVTokens: 100000}}},
 		Teams:    []direct.Team{{Name: "flood", Keys: []string{"key"}}},
 		Limits:   direct.Limits{TokensPerSecond: 100},
 	}, "bench")
-	st.directory.Store(&listing{})
-	c.update(direct.ServersMsg{Directory: direct.Directory{Servers: []direct.Server{{ID: "i-1", Service: "llm", Slots: 8}}}})
+	feeds.Servers.OfferAll(&direct.Directory{Servers: []direct.Server{{ID: "i-1", Service: "llm", Slots: 8}}}, "bench")
 	request := direct.Request{Team: "flood", Service: "llm", Objective: time.Second, PromptTokens: 5000}
 	first, _ := c.arrive(request)
-	c.update(direct.FirstMsg{Now: c.now(), ID: first})
-	c.update(direct.TickMsg{Now: 150 * time.Millisecond})
+	c.Update(direct.FirstMsg{Now: c.Now(), ID: first})
+	c.Update(direct.TickMsg{Now: 150 * time.Millisecond})
 	c.arrive(request)
 	return f
 }
@@ -94,14 +97,14 @@
 func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
 	f := floodedFront(t)
 	// Without a configured total there are no shares; the only place is taken.
-	f.state.offerConfig(&direct.Config{
+	f.feeds.Config.Offer(&direct.Config{
 		Version:  2,
 		Routes:   []direct.Route{{Name: "r", Host: "h", Prefix: "/", Kind: direct.Stream, Split: []direct.Weighted{{Service: "llm", Weight: 1}}, Objective: time.Hour}},
 		Services: []direct.Service{{Name: "llm", Engine: &direct.Engine{Slots: 1, KVTokens: 100000}}},
 		Teams:    []direct.Team{{Name: "flood", Keys: []string{"key"}}},
 		Limits:   direct.Limits{BodyBytes: 100},
 	}, "test")
-	f.core.update(direct.ServersMsg{Directory: direct.Directory{Revision: 2, Servers: []direct.Server{{ID: "i-1", Service: "llm", Slots: 1}}}})
+	f.core.Update(direct.ServersMsg{Directory: direct.Directory{Revision: 2, Servers: []direct.Server{{ID: "i-1", Service: "llm", Slots: 1}}}})
 	server := httptest.NewServer(f)
 	defer server.Close()
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,12 @@
 	"github.com/croftvale/croftvale/admin"
 	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/cluster"
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/stats"
+	"github.com/croftvale/croftvale/gateway/traffic"
+	"github.com/croftvale/croftvale/internal/wait"
 )
 
 const (
@@ -33,15 +39,14 @@
 	settings Settings
 	source   Source
 	dialect  Dialect
-	log      *eventLog
+	log      *eventlog.Log
 	core     *core
-	state    *state
+	feeds    *feed.Set
 	front    *front
-	stats    *stats
-	traffic  traffic
-	peers    *peers
-	loads    *loadExchange
-	puller   *puller
+	stats    *stats.Stats
+	traffic  *traffic.Counter
+	cluster  *cluster.Cluster
+	puller   *feed.Puller
 	admin    *admin.Server
 	server   *http.Server
 	grace    atomic.Int64 // nanoseconds; changes with the settings
@@ -50,32 +55,20 @@
 // New returns a gateway that logs to out.
 func New(s Settings, source Source, dialect Dialect, out io.Writer) (*Gateway, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	g := &Gateway{settings: s, source: source, dialect: dialect, log: newEventLog(out, s.Name)}
+	g := &Gateway{settings: s, source: source, dialect: dialect, log: eventlog.New(out, s.Name)}
 	g.grace.Store(int64(s.Grace))
 	g.core = newCore(direct.Options{Zone: s.Zone, Budget: s.Budget, Without: s.Without}, g.log)
 	g.admin = admin.New(admin.Source{Ready: g.ready, State: g.dump})
-	g.stats = newStats(g.admin.Scope())
-	g.state = &state{core: g.core, log: g.log, listed: make(chan struct{}), hallsListed: make(chan struct{}), followsHalls: s.Evacuate > 0}
-	conn, port, err := listenDatagrams(s.Peers)
-	if err != nil {
-		return nil, err
-	}
-	g.traffic.meter(g.admin.Scope())
-	g.peers = newPeers(s, port, conn, g.core, g.state, g.log, g.stats, &g.traffic)
-	if conn, port, err = listenDatagrams(s.Loads); err != nil {
-		return nil, err
-	}
-	g.loads = newLoadExchange(s, port, conn, g.core, g.stats, &g.traffic)
-	g.peers.heard = g.loads.routers
-	g.state.changed = g.peers.changed
-	if g.puller, err = newPuller(s, g.state, g.peers, &g.traffic); err != nil {
+	g.stats = stats.New(g.admin.Scope())
+	g.traffic = traffic.NewCounter(g.admin.Scope())
+	if err := g.join(); err != nil {
 		return nil, err
 	}
 	g.front = &front{
-		core: g.core, state: g.state, dialect: dialect, log: g.log, stats: g.stats,
+		core: g.core, feeds: g.feeds, dialect: dialect, log: g.log, stats: g.stats,
 		pool: backend.NewPool(backend.Options{DialTimeout: dialTimeout, SilentPeer: silentPeer, MaxIdle: maxIdle}),
 		most: s.MemoryBytes / bodiesShare, callers: newCallers(callersMost(s.Descriptors), s.Power), eventDelay: s.EventDelay,
-		hall: s.Zone, traffic: &g.traffic,
+		hall: s.Zone, traffic: g.traffic.Of(traffic.Requests),
 	}
 	g.core.probe = (&prober{core: g.core, pool: g.front.pool}).probe
 	g.server = &http.Server{
@@ -85,10 +78,28 @@
 	return g, nil
 }
 
+// join sets up what the router shares with the others.
+func (g *Gateway) join() error {
+	s := g.settings
+	g.feeds = feed.NewSet(feed.Options{Source: g.source, Decisions: g.core, Log: g.log, Stats: g.stats, Evacuate: s.Evacuate})
+	var err error
+	g.cluster, err = cluster.New(s.cluster(), cluster.Parts{
+		Decisions: g.core, Feeds: g.feeds, Pressure: &g.core.pressure, Registry: g.source,
+		Log: g.log, Stats: g.stats, Traffic: g.traffic,
+	})
+	if err != nil {
+		return err
+	}
+	g.puller, err = feed.NewPuller(g.feeds, feed.PullOptions{
+		Address: s.Address, Control: s.Control, Seeds: s.Seeds, Peers: g.cluster.Peers, Traffic: g.traffic,
+	})
+	return err
+}
+
 // Run serves until ctx ends, and then for the grace that callers are given.
 func (g *Gateway) Run(ctx context.Context) error {
-	defer g.log.close()
-	g.log.event("start").Str("zone", g.settings.Zone).Str("address", g.settings.Address).Msg("")
+	defer g.log.Close()
+	g.log.Event("start").Str("zone", g.settings.Zone).Str("address", g.settings.Address).Msg("")
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	failed := make(chan error, 8)
@@ -102,37 +113,20 @@
 	case <-ctx.Done():
 	}
 	g.drain()
-	g.log.event("stop").Int64("cut", g.front.active.Load()).Msg("")
+	g.log.Event("stop").Int64("cut", g.front.active.Load()).Msg("")
 	return nil
 }
 
 // duties starts what goes on beside the requests.
 func (g *Gateway) duties(life context.Context) {
-	self := Member{Name: g.settings.Name, Address: g.settings.Address}
-	duties := []func(context.Context) error{
-		g.core.tick,
-		followConfig(g.source, g.state, role{g.peers, &g.peers.configFails}, g.stats).run,
-		followServers(g.source, g.state, role{g.peers, &g.peers.serversFail}, g.stats).run,
-		members{
-			source: g.source, self: self, found: func(m Member) { g.peers.add(m.Address) },
-			heard: g.peers.heardAny, firstStart: g.settings.FirstStart,
-		}.follow,
-		g.peers.send,
-		g.peers.receive,
-		g.loads.send,
-		g.loads.receive,
-		g.puller.run,
-		g.sweep,
-		g.vitals,
-	}
-	if g.settings.Evacuate > 0 {
-		follower := followEvacuations(g.source, g.state, role{g.peers, &g.peers.evacuationsFail}, g.stats, g.settings.Evacuate)
-		duties = append(duties, follower.run)
+	duties := append(g.cluster.Duties(), g.core.tick, g.puller.Run, g.sweep, g.vitals)
+	for _, f := range g.feeds.Followed() {
+		duties = append(duties, func(ctx context.Context) error { return g.feeds.Follow(ctx, f, g.cluster.Peers) })
 	}
 	for _, duty := range duties {
 		go func() {
 			if err := duty(life); err != nil {
-				g.log.event("duty_ended").Err(err).Msg("")
+				g.log.Event("duty_ended").Err(err).Msg("")
 			}
 		}()
 	}
@@ -141,14 +135,14 @@
 // sweep closes connections that are of no more use.
 func (g *Gateway) sweep(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, sweepEvery)
+		wait.Sleep(ctx, sweepEvery)
 		wanted := make(map[string]bool)
-		if d := g.state.directory.Load(); d != nil {
+		if d := g.feeds.Servers.Newest(); d != nil {
 			for _, s := range d.Servers {
 				wanted[s.Address] = true
 			}
 		}
-		if table := g.state.table.Load(); table != nil {
+		if table := g.feeds.Config.Table(); table != nil {
 			g.front.ages.keep(table.HasRoute)
 		}
 		g.front.callers.sweep(g.restTime())
@@ -160,7 +154,7 @@
 // restTime is how long a caller's connection may be at rest: somewhat longer
 // than callers are told, since they may resume one until then.
 func (g *Gateway) restTime() time.Duration {
-	t := g.state.table.Load()
+	t := g.feeds.Config.Table()
 	if t == nil {
 		return idleWait
 	}
@@ -170,19 +164,19 @@
 // vitals logs how the process itself does, every few seconds.
 func (g *Gateway) vitals(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, vitalsEvery)
+		wait.Sleep(ctx, vitalsEvery)
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
-		g.log.event("vitals").Int64("active", g.front.active.Load()).Int64("body_bytes", g.front.bodies.Load()).
-			Dur("lag", time.Duration(g.core.pressure.lag.Load())).Float64("shed", g.core.pressure.shedPart()).
-			Bool("yields", g.core.pressure.yields.Load()).Int("goroutines", runtime.NumGoroutine()).
+		g.log.Event("vitals").Int64("active", g.front.active.Load()).Int64("body_bytes", g.front.bodies.Load()).
+			Dur("lag", g.core.pressure.Late()).Float64("shed", g.core.pressure.ShedPart()).
+			Bool("yields", g.core.pressure.Yields()).Int("goroutines", runtime.NumGoroutine()).
 			Uint64("heap_bytes", m.HeapInuse).Uint64("stack_bytes", m.StackInuse).Uint32("collections", m.NumGC).
 			Int("connections", len(g.front.callers.places)).
-			Int64("connections_unserved", g.front.callers.unserved.Load()).Uint64("lines_dropped", g.log.dropped.Load()).Msg("")
-		g.stats.age.RecordDuration(g.state.configAge())
-		g.log.shares(g.core.shares(teamsLogged))
-		g.log.accounts(g.front.accounts.take())
-		g.log.traffic(g.traffic.sums())
+			Int64("connections_unserved", g.front.callers.unserved.Load()).Uint64("lines_dropped", g.log.Dropped()).Msg("")
+		g.stats.ConfigAge.RecordDuration(g.feeds.Config.Age())
+		g.log.Shares(g.core.shares(teamsLogged))
+		g.front.accounts.log(g.log)
+		g.log.Event("traffic").Any("bytes", g.traffic.Sums()).Msg("")
 	}
 	return nil
 }
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -18,21 +17,6 @@
 	defaultCallers   = 1000
 )
 
-// listenDatagrams opens a socket for what other routers tell and returns its
-// port.
-func listenDatagrams(address string) (net.PacketConn, int, error) {
-	conn, err := net.ListenPacket("udp4", address)
-	if err != nil {
-		return nil, 0, errors.Wrapf(err, "settings: the address %q for other routers: choose one of this host that is not in use", address)
-	}
-	_, text, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, 0, err
-	}
-	port, err := strconv.Atoi(text)
-	return conn, port, err
-}
-
 // listen opens the addresses that others call.
 func (g *Gateway) listen(life context.Context, failed chan<- error) error {
 	mux := http.NewServeMux()
@@ -42,14 +26,14 @@
 		server       *http.Server
 	}{
 		{"ready", g.settings.Ready, &http.Server{Handler: mux, ReadHeaderTimeout: headerWait}},
-		{"control", g.settings.Control, &http.Server{Handler: serveState(g.state), ReadHeaderTimeout: headerWait}},
+		{"control", g.settings.Control, &http.Server{Handler: g.feeds.Handler(), ReadHeaderTimeout: headerWait}},
 		{"front", g.settings.Front, g.server},
 	}
 	for _, s := range servers {
 		ln, err := listenTCP(life, s.address)
 		if err == nil && s.server == g.server {
 			boundQueue(ln, g.settings.Power)
-			ln = listener{ln, g.front.callers, g.core.pressure.lateForMore, time.Sleep}
+			ln = listener{ln, g.front.callers, g.core.pressure.LateForMore, time.Sleep}
 		}
 		if err != nil {
 			return errors.Wrapf(err, "settings: the %s address %q: choose one of this host that is not in use", s.key, s.address)
@@ -69,7 +53,7 @@
 	}
 	go func() {
 		if err := g.admin.Serve(life, ln); err != nil {
-			g.log.event("duty_ended").Err(err).Msg("")
+			g.log.Event("duty_ended").Err(err).Msg("")
 		}
 	}()
 	return nil
@@ -84,7 +68,7 @@
 
 const (
 	// queuePerCore is how many new connections a core can take in, and refuse, in
-	// about 50 ms; see freshPerCore. queueLeast is enough for callers that come back
+	// about 50 ms; see pressure.NewFresh. queueLeast is enough for callers that come back
 	// together to a small host.
 	queuePerCore = 340
 	queueLeast   = 64
--- /dev/null
+++ b/gateway/pressure/fresh.go
@@ -0,0 +1,69 @@
+package pressure
+
+import "time"
+
+const (
+	// freshPerCore is how many new connections a core reads and refuses in some 50
+	// milliseconds (a refusal on a new connection takes 70 us of a core at
+	// BenchmarkRefusal, and about twice that under the users' accounting).
+	freshPerCore = 300
+	// FreshLeast is the least bound: callers that come together to a small host.
+	FreshLeast = 16
+	// freshLasts is how long a connection counts that is not read: by then its caller
+	// has not sent anything, and nothing waits.
+	freshLasts = 250 * time.Millisecond
+)
+
+// Arrival is a connection that was accepted.
+type Arrival struct {
+	At      time.Time
+	counted bool // by Fresh
+}
+
+// Fresh counts the connections that were accepted and whose first request has not
+// been read: they wait for processor time. The zero value counts and is never full.
+type Fresh struct {
+	most  int // 0: without bounds
+	count int
+	queue []*Arrival // in the order in which they were accepted
+}
+
+// NewFresh returns the count of a router with so many cores; 0: unknown.
+func NewFresh(cores float64) Fresh {
+	if cores <= 0 {
+		return Fresh{}
+	}
+	return Fresh{most: max(int(freshPerCore*cores), FreshLeast)}
+}
+
+// Add begins to count a connection.
+func (f *Fresh) Add(a *Arrival) {
+	a.counted = true
+	f.count++
+	f.queue = append(f.queue, a)
+}
+
+// Remove ends counting a connection, whose first request is read or which is closed.
+func (f *Fresh) Remove(a *Arrival) {
+	if a.counted {
+		a.counted = false
+		f.count--
+	}
+}
+
+// Count returns how many connections wait.
+func (f *Fresh) Count() int { return f.count }
+
+// Full tells whether as many connections wait as the router reads in good time.
+func (f *Fresh) Full(now time.Time) bool {
+	for len(f.queue) > 0 {
+		oldest := f.queue[0]
+		if oldest.counted && now.Sub(oldest.At) < freshLasts {
+			break
+		}
+		f.Remove(oldest)
+		f.queue[0] = nil
+		f.queue = f.queue[1:]
+	}
+	return f.most > 0 && f.count >= f.most
+}
--- a/gateway/fresh_test.go
+++ b/gateway/pressure/fresh_test.go
@@ -1,4 +1,4 @@
-package gateway
+package pressure
 
 import (
 	"testing"
@@ -10,30 +10,30 @@
 // TestFreshCountsWhatWaits counts connections until they are read, closed, or have
 // been quiet for too long to be waiting.
 func TestFreshCountsWhatWaits(t *testing.T) {
-	f := newFresh(0.144)
+	f := NewFresh(0.144)
 	at := time.Now()
-	conns := make([]*callerConn, f.most)
+	conns := make([]*Arrival, f.most)
 	for i := range conns {
-		require.False(t, f.full(at))
-		conns[i] = &callerConn{acceptedAt: at}
-		f.add(conns[i])
+		require.False(t, f.Full(at))
+		conns[i] = &Arrival{At: at}
+		f.Add(conns[i])
 	}
-	require.True(t, f.full(at))
-	f.remove(conns[3])
-	f.remove(conns[3])
-	require.False(t, f.full(at))
+	require.True(t, f.Full(at))
+	f.Remove(conns[3])
+	f.Remove(conns[3])
+	require.False(t, f.Full(at))
 	require.Equal(t, len(conns)-1, f.count, "a connection counts once")
-	f.add(&callerConn{acceptedAt: at.Add(freshLasts / 2)})
-	require.True(t, f.full(at))
-	require.False(t, f.full(at.Add(freshLasts)), "quiet connections do not wait")
+	f.Add(&Arrival{At: at.Add(freshLasts / 2)})
+	require.True(t, f.Full(at))
+	require.False(t, f.Full(at.Add(freshLasts)), "quiet connections do not wait")
 	require.Equal(t, 1, f.count)
 }
 
 // TestFreshWithoutPower has no bound where the power of the host is not known.
 func TestFreshWithoutPower(t *testing.T) {
-	var f fresh
+	var f Fresh
 	for range 10000 {
-		f.add(&callerConn{acceptedAt: time.Now()})
+		f.Add(&Arrival{At: time.Now()})
 	}
-	require.False(t, f.full(time.Now()))
+	require.False(t, f.Full(time.Now()))
 }
--- a/gateway/pressure.go
+++ b/gateway/pressure/gauge.go
@@ -1,4 +1,4 @@
-package gateway
+package pressure
 
 import (
 	"math"
@@ -27,15 +27,12 @@
 	// intakeLate is how late a router may run while it takes in new connections: a
 	// little more than the lateness that shedding aims at.
 	intakeLate = 15 * time.Millisecond
-	// shedAfter is when callers that were refused at the door come back: soon,
-	// since they reach another router.
-	shedAfter = 20 * time.Millisecond
 )
 
-// pressure measures how late this process runs, by a ticker. A router without
+// Gauge measures how late this process runs, by a ticker. A router without
 // processor time must neither take more work than it can do nor hold other
 // processes for the slow ones. The zero value is a process that keeps up.
-type pressure struct {
+type Gauge struct {
 	lag atomic.Int64
 	// now is how late the last tick came.
 	now atomic.Int64
@@ -50,27 +47,27 @@
 	// yield decides when the router says that it is not ready, so that the balancer sends callers elsewhere.
 	yield  yielder
 	yields atomic.Bool
-	hall   atomic.Pointer[hallView]
-	// without are the mechanisms that are switched off.
-	without direct.Without
+	hall   atomic.Pointer[Hall]
+	// Without are the mechanisms that are switched off.
+	Without direct.Without
 }
 
-// note takes in how late a tick came.
-func (p *pressure) note(now, late time.Duration) {
+// Note takes in how late a tick came.
+func (p *Gauge) Note(now, late time.Duration) {
 	kept := time.Duration(lagKept * float64(p.lag.Load()))
 	lag := max(late, kept, 0)
 	p.lag.Store(int64(lag))
 	p.now.Store(int64(late))
 	part := 0.0
-	if p.without.Uses(direct.Shedding) {
+	if p.Without.Uses(direct.Shedding) {
 		part = p.shed.note(late)
 	}
 	p.part.Store(math.Float64bits(part))
-	var hall hallView
+	var hall Hall
 	if known := p.hall.Load(); known != nil {
 		hall = *known
 	}
-	p.yields.Store(p.without.Uses(direct.Yielding) && p.yield.note(now, part, hall))
+	p.yields.Store(p.Without.Uses(direct.Yielding) && p.yield.note(now, part, hall))
 	switch {
 	case lag >= lagFull:
 		p.score = min(p.score+scoreLate*max(1, float64(late)/float64(direct.TickEvery)), scoreMost)
@@ -85,27 +82,36 @@
 	}
 }
 
-// late is how late this process runs at the moment.
-func (p *pressure) late() time.Duration { return time.Duration(p.lag.Load()) }
+// Late is how late this process runs at the moment.
+func (p *Gauge) Late() time.Duration { return time.Duration(p.lag.Load()) }
 
-// wantsFewer tells whether callers should go to other routers.
-func (p *pressure) wantsFewer() bool { return p.overloaded.Load() || p.yields.Load() }
+// WantsFewer tells whether callers should go to other routers.
+func (p *Gauge) WantsFewer() bool { return p.overloaded.Load() || p.yields.Load() }
 
-// lateForMore tells whether the process runs so late that it should not take in new
+// LateForMore tells whether the process runs so late that it should not take in new
 // connections.
-func (p *pressure) lateForMore() bool { return time.Duration(p.now.Load()) >= intakeLate }
+func (p *Gauge) LateForMore() bool { return time.Duration(p.now.Load()) >= intakeLate }
 
-// slow tells whether what this process measures of others says more of itself.
-func (p *pressure) slow() bool { return time.Duration(p.lag.Load()) > lagSlow }
+// ReadsInVain tells whether the process runs so late that what it reads is read in vain.
+func (p *Gauge) ReadsInVain() bool { return p.Late() >= shedAll }
 
-// sheds tells whether a request should be refused at the door, by its id and
+// Yields tells whether the balancer should send callers to the others of the hall.
+func (p *Gauge) Yields() bool { return p.yields.Load() }
+
+// SetHall takes in what is known of the other routers of the hall.
+func (p *Gauge) SetHall(h Hall) { p.hall.Store(&h) }
+
+// Slow tells whether what this process measures of others says more of itself.
+func (p *Gauge) Slow() bool { return time.Duration(p.lag.Load()) > lagSlow }
+
+// Sheds tells whether a request should be refused at the door, by its id and
 // its team's weight; see chosen.
-func (p *pressure) sheds(id string, weight float64) bool {
-	return chosen(id, p.shedPart(), weight)
+func (p *Gauge) Sheds(id string, weight float64) bool {
+	return chosen(id, p.ShedPart(), weight)
 }
 
-// shedPart is the part of the new requests that is refused at the door.
-func (p *pressure) shedPart() float64 { return math.Float64frombits(p.part.Load()) }
+// ShedPart is the part of the new requests that is refused at the door.
+func (p *Gauge) ShedPart() float64 { return math.Float64frombits(p.part.Load()) }
 
-// sheddingNow tells whether the router refuses some requests at the door.
-func (p *pressure) sheddingNow() bool { return p.part.Load() != 0 }
+// SheddingNow tells whether the router refuses some requests at the door.
+func (p *Gauge) SheddingNow() bool { return p.part.Load() != 0 }
--- a/gateway/pressure_test.go
+++ b/gateway/pressure/gauge_test.go
@@ -1,4 +1,4 @@
-package gateway
+package pressure
 
 import (
 	"strconv"
@@ -10,10 +10,10 @@
 )
 
 // shedOf counts the requests of a team that are refused at the door, of 1,000.
-func shedOf(p *pressure, weight float64) int {
+func shedOf(p *Gauge, weight float64) int {
 	n := 0
 	for i := range 1000 {
-		if p.sheds(strconv.Itoa(i), weight) {
+		if p.Sheds(strconv.Itoa(i), weight) {
 			n++
 		}
 	}
@@ -23,18 +23,18 @@
 // TestPressureSpares has a router without processor time shed the team that
 // fills it: a small team whose callers all reach it is still served.
 func TestPressureSpares(t *testing.T) {
-	var p pressure
+	var p Gauge
 	require.Zero(t, shedOf(&p, 1), "a router that keeps up refuses nobody")
 	for range 20 {
-		p.note(0, lagFull)
+		p.Note(0, lagFull)
 	}
 	require.Greater(t, shedOf(&p, 1.1), 700)
 	require.Less(t, shedOf(&p, 0.05), 60)
 	for range 400 {
-		p.note(0, 0)
+		p.Note(0, 0)
 	}
 	require.Less(t, shedOf(&p, 1), 5, "pressure passes")
-	require.False(t, p.slow())
+	require.False(t, p.Slow())
 	require.Less(t, time.Duration(p.lag.Load()), lagKeeps)
 }
 
@@ -62,7 +62,7 @@
 // TestStuckRouterIsNotReady has a router whose ticks come once a second be
 // overloaded at once, not after as many ticks as one that is late by moments.
 func TestStuckRouterIsNotReady(t *testing.T) {
-	var p pressure
-	p.note(0, time.Second)
-	require.True(t, p.wantsFewer())
+	var p Gauge
+	p.Note(0, time.Second)
+	require.True(t, p.WantsFewer())
 }
--- a/gateway/probe.go
+++ b/gateway/pressure/probe.go
@@ -1,4 +1,4 @@
-package gateway
+package pressure
 
 import (
 	"runtime"
@@ -6,18 +6,21 @@
 	"time"
 )
 
-// probe measures how long a goroutine of this process waits behind all that are
+// Probe measures how long a goroutine of this process waits behind all that are
 // runnable: that is how long requests wait. While one such wait lasts, its length
 // so far counts, since behind enough others it may last for seconds.
-type probe struct {
-	now   func() time.Duration
-	began atomic.Int64 // of the wait under way; 0: none
-	last  atomic.Int64 // length of the last whole wait
+type Probe struct {
+	now   func() time.Duration // since the start
+	began atomic.Int64         // of the wait under way; 0: none
+	last  atomic.Int64         // length of the last whole wait
 }
 
-// late returns how long a goroutine waits at the moment, and begins another
+// NewProbe returns a probe on a clock that tells the time since the start.
+func NewProbe(now func() time.Duration) *Probe { return &Probe{now: now} }
+
+// Late returns how long a goroutine waits at the moment, and begins another
 // measurement where none is under way.
-func (p *probe) late() time.Duration {
+func (p *Probe) Late() time.Duration {
 	now := p.now()
 	began := time.Duration(p.began.Load())
 	if began > 0 {
@@ -29,7 +32,7 @@
 }
 
 // wait lets all others run once.
-func (p *probe) wait() {
+func (p *Probe) wait() {
 	runtime.Gosched()
 	p.last.Store(int64(p.now()) - p.began.Load())
 	p.began.Store(0)
--- a/gateway/probe_test.go
+++ b/gateway/pressure/probe_test.go
@@ -1,4 +1,4 @@
-package gateway
+package pressure
 
 import (
 	"testing"
@@ -13,13 +13,13 @@
 func TestProbeCountsWhileItWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
-		p := probe{now: func() time.Duration { return time.Since(start) }}
+		p := Probe{now: func() time.Duration { return time.Since(start) }}
 		time.Sleep(time.Second)
-		require.Zero(t, p.late())
+		require.Zero(t, p.Late())
 		synctest.Wait()
 		require.Zero(t, p.began.Load(), "the wait has ended")
 		p.began.Store(int64(p.now()))
 		time.Sleep(3 * time.Second)
-		require.Equal(t, 3*time.Second, p.late(), "it has not")
+		require.Equal(t, 3*time.Second, p.Late(), "it has not")
 	})
 }
--- a/gateway/yield.go
+++ b/gateway/pressure/yield.go
@@ -1,4 +1,4 @@
-package gateway
+package pressure
 
 import "time"
 
@@ -14,11 +14,11 @@
 	yieldLongest = 48 * time.Second
 )
 
-// hallView is what a router knows of the others of its hall.
-type hallView struct {
-	routers  int // that are there
-	yielding int // of these
-	easy     int // of these, neither yield nor pass requests on
+// Hall is what a router knows of the others of its hall.
+type Hall struct {
+	Routers  int // that are there
+	Yielding int // of these
+	Easy     int // of these, neither yield nor pass requests on
 }
 
 // yielder decides when a router without processor time is not ready, so that the
@@ -33,7 +33,7 @@
 
 // note takes in the part of the new requests that is shed, and tells
 // whether the router yields.
-func (y *yielder) note(now time.Duration, part float64, hall hallView) bool {
+func (y *yielder) note(now time.Duration, part float64, hall Hall) bool {
 	if now < y.until {
 		return true
 	}
@@ -61,6 +61,6 @@
 }
 
 // spares tells whether the hall can do with one ready router less.
-func (h hallView) spares() bool {
-	return h.easy > 0 && 2*(h.yielding+1) <= h.routers+1
+func (h Hall) spares() bool {
+	return h.Easy > 0 && 2*(h.Yielding+1) <= h.Routers+1
 }
--- a/gateway/yield_test.go
+++ b/gateway/pressure/yield_test.go
@@ -1,4 +1,4 @@
-package gateway
+package pressure
 
 import (
 	"testing"
@@ -12,7 +12,7 @@
 // callers, twice as long each time that it happens again, and be ready at once
 // where it does not.
 func TestYields(t *testing.T) {
-	hall := hallView{routers: 6, easy: 4}
+	hall := Hall{Routers: 6, Easy: 4}
 	now := time.Second
 	var y yielder
 	pass := func(d time.Duration, part float64) (yielding time.Duration) {
@@ -42,10 +42,10 @@
 		for range 400 {
 			now += 25 * time.Millisecond
 			for i := range routers {
-				hall := hallView{routers: len(routers) - 1, easy: rapid.IntRange(0, 2).Draw(t, "easy")}
+				hall := Hall{Routers: len(routers) - 1, Easy: rapid.IntRange(0, 2).Draw(t, "easy")}
 				for j, other := range yields {
 					if other && j != i {
-						hall.yielding++
+						hall.Yielding++
 					}
 				}
 				yields[i] = routers[i].note(now, 0.9, hall)
--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -20,6 +20,6 @@
 		if err == nil {
 			conn.Close()
 		}
-		p.core.update(direct.ProbeMsg{Now: p.core.now(), Server: cmd.Server.ID, Reached: err == nil, Slow: p.core.pressure.slow()})
+		p.core.Update(direct.ProbeMsg{Now: p.core.Now(), Server: cmd.Server.ID, Reached: err == nil, Slow: p.core.pressure.Slow()})
 	}()
 }
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -12,24 +12,24 @@
 func (g *Gateway) Reload(s Settings) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g.grace.Store(int64(s.Grace))
-	g.core.update(direct.BudgetMsg{Budget: s.Budget})
+	g.core.Update(direct.BudgetMsg{Budget: s.Budget})
 	for _, seed := range s.Seeds {
 		if host, _, err := net.SplitHostPort(seed); err == nil {
-			g.peers.add(host)
+			g.cluster.Peers.Add(host)
 		}
 	}
 	moved := s.Front != g.settings.Front || s.Ready != g.settings.Ready || s.Control != g.settings.Control
-	g.log.event("reload").Bool("restart_needed", moved).Msg("")
+	g.log.Event("reload").Bool("restart_needed", moved).Msg("")
 }
 
 // ReloadFailed logs settings that cannot be read; the last good ones stay in
 // force.
 func (g *Gateway) ReloadFailed(err error) {
-	g.log.event("reload_failed").Err(err).Msg("")
+	g.log.Event("reload_failed").Err(err).Msg("")
 }
 
 // Unreadable logs an object of the source that cannot be read; what was known
 // before stays in force.
 func (g *Gateway) Unreadable(kind, name string, revision uint64, err error) {
-	g.log.event("object_unreadable").Str("kind", kind).Str("name", name).Uint64("revision", revision).Err(err).Msg("")
+	g.log.Event("object_unreadable").Str("kind", kind).Str("name", name).Uint64("revision", revision).Err(err).Msg("")
 }
--- /dev/null
+++ b/gateway/serverlist/history_test.go
@@ -0,0 +1,24 @@
+package serverlist
+
+import (
+	"testing"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/stretchr/testify/require"
+)
+
+// TestHistoryIsBounded has a router that is far behind get the whole list.
+func TestHistoryIsBounded(t *testing.T) {
+	var h History
+	for i := uint64(1); i < 3*historyLength; i++ {
+		h.Note(i, []string{"i-1"})
+	}
+	require.Len(t, h.steps, historyLength)
+	now := &direct.Directory{Revision: 3 * historyLength}
+	_, known := h.Since(5, now)
+	require.False(t, known)
+	u, known := h.Since(3*historyLength-1, now)
+	require.True(t, known)
+	require.EqualValues(t, 3*historyLength-1, u.From)
+	require.Equal(t, []string{"i-1"}, u.Gone)
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/cluster"
 )
 
 // Settings are what a router is started with.
@@ -32,3 +33,11 @@
 	Budget   direct.BudgetOptions
 	Without  direct.Without // mechanisms that are switched off in experiments
 }
+
+// cluster returns what the router takes part in the fleet with.
+func (s Settings) cluster() cluster.Settings {
+	return cluster.Settings{
+		Self: cluster.Member{Name: s.Name, Address: s.Address}, Hall: s.Zone, Power: s.Power,
+		Peers: s.Peers, Loads: s.Loads, Seeds: s.Seeds, FirstStart: s.FirstStart, Without: s.Without,
+	}
+}
--- /dev/null
+++ b/gateway/stats/doc.go
@@ -0,0 +1,2 @@
+// Package stats is a router's metrics. Labels come from small fixed sets.
+package stats
--- /dev/null
+++ b/gateway/stats/stats.go
@@ -0,0 +1,95 @@
+package stats
+
+import (
+	"sync"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/uber-go/tally/v4"
+)
+
+// Stats is the metrics of one router.
+type Stats struct {
+	scope     tally.Scope
+	attempts  map[direct.Outcome]tally.Counter
+	counters  sync.Map        // of counterKey: looking one up by its labels costs more than a refusal
+	Wait      tally.Histogram // in the queue, of a request that was sent
+	First     tally.Histogram // event of an answer, from the start of its request
+	Total     tally.Histogram // a request, from its start to its end
+	Pause     tally.Histogram // between events of a stream, as they are forwarded
+	server    tally.Histogram // an attempt, from its start to its end
+	Silence   tally.Histogram // of another router, when it is heard again
+	LoadsAge  tally.Histogram // of the others' loads, when newer ones come
+	ConfigAge tally.Histogram // of the configuration in force, every few seconds
+}
+
+// durations are the bounds of the histograms.
+var durations = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+// ages are the bounds of histograms of what may be old.
+var ages = tally.MustMakeExponentialDurationBuckets(time.Second, 2, 18)
+
+// New returns metrics that are registered at a scope.
+func New(scope tally.Scope) *Stats {
+	s := &Stats{
+		scope:     scope,
+		attempts:  make(map[direct.Outcome]tally.Counter),
+		Wait:      scope.Histogram("queue_wait", durations),
+		First:     scope.Histogram("first_event", durations),
+		Total:     scope.Histogram("request", durations),
+		Pause:     scope.Histogram("event_pause", durations),
+		server:    scope.Histogram("server_time", durations),
+		Silence:   scope.Histogram("router_silence", durations),
+		LoadsAge:  scope.Histogram("loads_age", durations),
+		ConfigAge: scope.Histogram("config_age", ages),
+	}
+	for o := direct.Done; o <= direct.GivenUp; o++ {
+		s.attempts[o] = scope.Tagged(map[string]string{"outcome": o.String()}).Counter("attempts")
+	}
+	return s
+}
+
+// counterKey names a counter by its labels.
+type counterKey struct{ name, result, reason string }
+
+// counter returns a counter with labels, both from small fixed sets.
+func (s *Stats) counter(k counterKey) tally.Counter {
+	if c, ok := s.counters.Load(k); ok {
+		return c.(tally.Counter)
+	}
+	labels := map[string]string{"reason": k.reason}
+	if k.result != "" {
+		labels["result"] = k.result
+	}
+	c, _ := s.counters.LoadOrStore(k, s.scope.Tagged(labels).Counter(k.name))
+	return c.(tally.Counter)
+}
+
+// Attempt takes in one attempt at a server.
+func (s *Stats) Attempt(o direct.Outcome, took time.Duration) {
+	s.attempts[o].Inc(1)
+	s.server.RecordDuration(took)
+}
+
+// Request counts a request that ended.
+func (s *Stats) Request(result, reason string) {
+	s.counter(counterKey{"requests", result, reason}).Inc(1)
+}
+
+// Rejected counts a request that was not admitted.
+func (s *Stats) Rejected(reason string) {
+	s.counter(counterKey{"rejected", "", reason}).Inc(1)
+}
+
+// DatagramFailed counts a datagram that could not be sent to another router.
+func (s *Stats) DatagramFailed() { s.counter(counterKey{"datagrams_failed", "", ""}).Inc(1) }
+
+// SourceCall takes in one call to the source.
+func (s *Stats) SourceCall(feed string, took time.Duration, err error) {
+	result := "done"
+	if err != nil {
+		result = "failed"
+	}
+	labels := map[string]string{"feed": feed, "result": result}
+	s.scope.Tagged(labels).Histogram("source_call", durations).RecordDuration(took)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/pressure"
 )
 
 // eventMost bounds one event of a stream.
@@ -55,7 +56,7 @@
 			return direct.GivenUp, true
 		}
 		if last && a.x.front.core.without.Uses(direct.Gathering) {
-			time.Sleep(gatherFor(a.x.front.core.now(), a.x.front.core.pressure.late(), a.x.front.eventDelay))
+			time.Sleep(pressure.GatherFor(a.x.front.core.Now(), a.x.front.core.pressure.Late(), a.x.front.eventDelay))
 		}
 	}
 }
@@ -65,7 +66,7 @@
 
 // bound sets how long the server may say nothing.
 func (a *attempt) bound() {
-	left := a.x.deadline - a.x.front.core.now()
+	left := a.x.deadline - a.x.front.core.Now()
 	if a.mayGoOn() && a.x.headSent {
 		left = min(left, max(streamSilence, pauseSilence*a.x.route.Pause))
 	} else if patience, bounded := a.patience(left); bounded && !a.x.headSent {
@@ -114,9 +115,9 @@
 	if !flush {
 		return nil
 	}
-	now := a.x.front.core.now()
+	now := a.x.front.core.Now()
 	if a.x.passedAt > 0 {
-		a.x.front.stats.pause.RecordDuration(now - a.x.passedAt)
+		a.x.front.stats.Pause.RecordDuration(now - a.x.passedAt)
 	}
 	a.x.passedAt = now
 	return a.x.front.flush(a.x.w)
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -69,11 +69,11 @@
 
 // first tells the machine that the server has answered.
 func (a *attempt) first() {
-	now := a.x.front.core.now()
+	now := a.x.front.core.Now()
 	if a.x.firstAt == 0 {
 		a.x.firstAt = now
 	}
-	a.x.front.core.update(direct.FirstMsg{Now: now, ID: a.x.id})
+	a.x.front.core.Update(direct.FirstMsg{Now: now, ID: a.x.id})
 }
 
 // sound tells whether an answer may be forwarded: a success must be vouched
