--- a/gateway/cluster/cluster.go
+++ b/gateway/cluster/cluster.go
@@ -32,17 +32,17 @@
 // New opens the sockets for what other routers tell. Newer content of the feeds is told to
 // others from now on.
 func New(s Settings, parts Parts) (*Cluster, error) {
-	forBeats, err := openSocket(s.Peers)
+	beats, err := openTransport(s.Peers, traffic.Heartbeats, parts)
 	if err != nil {
 		return nil, err
 	}
-	forLoads, err := openSocket(s.Loads)
+	lists, err := openTransport(s.Loads, traffic.Loads, parts)
 	if err != nil {
 		return nil, err
 	}
-	c := &Cluster{Peers: newPeers(s, parts), loads: newLoadExchange(s, forLoads, parts)}
+	c := &Cluster{Peers: newPeers(s, parts), loads: newLoadExchange(s, lists, parts)}
 	c.Peers.heard = c.loads.routers
-	c.heartbeats = newHeartbeats(s, forBeats, c.Peers, parts)
+	c.heartbeats = newHeartbeats(s, beats, c.Peers, parts)
 	c.members = members{
 		registry: parts.Registry, self: s.Self, found: func(m Member) { c.Peers.Add(m.Address) },
 		heard: c.Peers.heardAny, firstStart: s.FirstStart,
--- a/gateway/cluster/heartbeats.go
+++ b/gateway/cluster/heartbeats.go
@@ -3,24 +3,22 @@
 import (
 	"context"
 	"time"
-
-	"github.com/croftvale/croftvale/gateway/traffic"
 )
 
 // heartbeats are sent to the other routers and taken from them.
 type heartbeats struct {
 	peers *Peers
 	parts Parts
-	out   sender
+	over  *transport
 	power float64
 	life  int64
 	seq   uint64
 	poke  chan struct{} // this router has something newer
 }
 
-func newHeartbeats(s Settings, on socket, p *Peers, parts Parts) *heartbeats {
+func newHeartbeats(s Settings, over *transport, p *Peers, parts Parts) *heartbeats {
 	return &heartbeats{
-		peers: p, parts: parts, out: sender{on, parts.Stats, parts.Traffic.Of(traffic.Heartbeats)},
+		peers: p, parts: parts, over: over,
 		power: s.Power, life: time.Now().UnixNano(), poke: make(chan struct{}, 1),
 	}
 }
@@ -69,13 +67,13 @@
 		return
 	}
 	for _, address := range targets {
-		h.out.send(address, h.peers.PathTo(address), body)
+		h.over.send(address, h.peers.PathTo(address), body)
 	}
 }
 
 // receive takes heartbeats until ctx ends.
 func (h *heartbeats) receive(ctx context.Context) error {
-	return h.out.receive(ctx, func(body []byte) {
+	return h.over.receive(ctx, func(body []byte) {
 		var b heartbeat
 		if decode(body, &b) == nil {
 			h.peers.hear(b)
--- a/gateway/cluster/loads.go
+++ b/gateway/cluster/loads.go
@@ -26,7 +26,7 @@
 type loadExchange struct {
 	self     string
 	hall     string
-	out      sender
+	over     *transport
 	parts    Parts
 	mu       sync.Mutex
 	exchange *loads.Exchange
@@ -34,10 +34,10 @@
 	number   uint64        // of the last list that was sent; begins with the time of the start
 }
 
-func newLoadExchange(s Settings, on socket, parts Parts) *loadExchange {
+func newLoadExchange(s Settings, over *transport, parts Parts) *loadExchange {
 	return &loadExchange{
 		self: s.Self.Address, hall: s.Hall, number: uint64(time.Now().UnixNano()), parts: parts,
-		out:      sender{on, parts.Stats, parts.Traffic.Of(traffic.Loads)},
+		over:     over,
 		exchange: loads.NewExchange(loads.Router{Address: s.Self.Address, Hall: s.Hall, Power: s.Power}),
 	}
 }
@@ -67,7 +67,7 @@
 
 // receive takes lists until ctx ends.
 func (l *loadExchange) receive(ctx context.Context) error {
-	return l.out.receive(ctx, func(body []byte) {
+	return l.over.receive(ctx, func(body []byte) {
 		var list loadList
 		if decode(body, &list) == nil {
 			l.update(loads.ListMsg{
@@ -121,5 +121,5 @@
 	if cmd.Kind == loads.Sum {
 		path = traffic.BetweenHalls
 	}
-	l.out.send(cmd.To, path, body)
+	l.over.send(cmd.To, path, body)
 }
--- /dev/null
+++ b/gateway/cluster/peer.go
@@ -0,0 +1,24 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/croftvale/croftvale/gateway/feed"
+)
+
+// peer is another router.
+type peer struct {
+	address string
+	hall    string
+	power   float64
+	shed    float64
+	yields  bool
+	life    int64
+	// sourceLost says that its last call to the source failed.
+	sourceLost bool
+	seq        uint64
+	heard      time.Duration // 0: never
+	added      time.Duration
+	knows      feed.Versions
+	live       bool
+}
--- a/gateway/cluster/peers.go
+++ b/gateway/cluster/peers.go
@@ -11,28 +11,8 @@
 	"github.com/croftvale/croftvale/loads"
 )
 
-const (
-	peerLive         = time.Second // without a heartbeat a peer counts as away
-	heartbeatsMissed = 5           // heartbeats that may be missed, where they are rarer
-	peerForget       = 60 * time.Second
-)
-
-// peer is another router.
-type peer struct {
-	address string
-	hall    string
-	power   float64
-	shed    float64
-	yields  bool
-	life    int64
-	// sourceLost says that its last call to the source failed.
-	sourceLost bool
-	seq        uint64
-	heard      time.Duration // 0: never
-	added      time.Duration
-	knows      feed.Versions
-	live       bool
-}
+// peerForget is how long a peer is remembered that is not heard of.
+const peerForget = 60 * time.Second
 
 // Peers is what a router knows of the other routers.
 type Peers struct {
@@ -168,3 +148,14 @@
 		notify(p.behind)
 	}
 }
+
+// rank returns this router's place by address among all that it knows.
+func (p *Peers) rank() int {
+	before := 0
+	for address := range p.known {
+		if address < p.self {
+			before++
+		}
+	}
+	return before
+}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -1,8 +1,9 @@
 // Package gateway is the router that calls backend servers itself, without an
-// agent beside each: it serves callers on an entry host, takes configuration and
-// servers from a Source, and shares what it does with the other routers.
+// agent beside each: it takes callers' requests on an entry host to their answers.
 //
-// It decides nothing about requests: package direct does. What it knows of a
+// It decides nothing about requests: package direct does. What all routers agree on
+// comes through package feed, what they tell each other through package cluster, and
+// package pressure is how the router behaves without processor time. What it knows of a
 // deployment's names (headers, objects, settings) stands behind Source and
 // Dialect, which a translating package brings.
 //
