Take the configuration after asking whether there is one

A request that came while the first configuration did could look the table up before it was there, pass the question whether the router is complete, and panic on the missing table. No test shows it: the moment lies between two statements.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -63,7 +63,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	start := f.core.Now()
-	table := f.feeds.Config.Table()
 	switch {
 	case f.refusing.Load():
 		f.reject(w, r, refusal{http.StatusServiceUnavailable, "draining", drainAfter})
@@ -72,6 +71,7 @@
 		f.reject(w, r, refusal{http.StatusServiceUnavailable, "no_config", noConfigAfter})
 		return
 	}
+	table := f.feeds.Config.Table()
 	x, refused := f.admit(w, r, table, start)
 	if refused != nil {
 		f.reject(w, r, *refused)
