--- a/gateway/feed/pull_test.go
+++ b/gateway/feed/pull_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -37,3 +38,42 @@
 	require.Equal(t, []string{"b"}, pulls.Evacuations.Newest().Halls)
 	require.Equal(t, "i-1", pulls.Servers.Newest().Servers[0].ID)
 }
+
+// TestPullsOnTheWire has a router ask another for each feed: only for the list of servers
+// does it say what it knows.
+func TestPullsOnTheWire(t *testing.T) {
+	var asked []string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = append(asked, r.RequestURI)
+		http.Error(w, "nothing yet", http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	set := newTestSet()
+	set.Config.Offer(&direct.Config{Version: 3}, fromSource)
+	set.Servers.OfferAll(&direct.Directory{Revision: 9}, fromSource)
+	p, err := NewPuller(set, PullOptions{Control: "127.0.0.1:1", Peers: farPeers{}, Traffic: traffic.NewCounter(tally.NoopScope)})
+	require.NoError(t, err)
+	for i := range set.feeds {
+		require.Error(t, p.pull(t.Context(), i, server.Listener.Addr().String()))
+	}
+	require.Equal(t, []string{"/v1/config", "/v1/servers?since=9", "/v1/evacuations"}, asked)
+}
+
+// TestWhatIsFollowed has a fleet whose halls are never evacuated follow the configuration
+// and the servers alone, and serve without knowing of evacuations.
+func TestWhatIsFollowed(t *testing.T) {
+	names := func(s *Set) (out []string) {
+		for _, f := range s.Followed() {
+			out = append(out, f.About().Name)
+		}
+		return out
+	}
+	set := newTestSet()
+	require.Equal(t, []string{"config", "servers", "evacuations"}, names(set))
+	set = NewSet(Options{Decisions: set.Config.o.Decisions, Log: quietLog})
+	require.Equal(t, []string{"config", "servers"}, names(set))
+	set.Servers.OfferAll(&direct.Directory{Revision: 9}, fromSource)
+	require.False(t, set.Complete())
+	set.Config.Offer(&direct.Config{Version: 3}, fromSource)
+	require.True(t, set.Complete())
+}
