--- a/direct/commands.go
+++ b/direct/commands.go
@@ -25,6 +25,8 @@
 	Estimate time.Duration // expected time to the first event
 	Waited   time.Duration // in the queue
 	Share    float64       // what the team gets, in parts of its share
+	Target   bool          // the server is of the version that the service moves to
+	Side     Side          // why; empty: the service does not move
 }
 
 // RefuseCmd ends a request that has not run.
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -28,6 +28,8 @@
 	r.at = nil
 	s.release(r)
 	m.refund(msg.Now, r, msg.Outcome)
+	m.sawEnd(p, msg, r, s)
+	p.disembark(r, s, msg.Outcome)
 	if !msg.Slow || msg.Outcome == Done {
 		m.judge(msg.Now, p, s, msg.Outcome)
 	}
@@ -65,7 +67,8 @@
 }
 
 func (m *Machine) failed(now time.Duration, p *pool, s *server, weight int, o Outcome) {
-	if !s.failed(weight, p.medianFailures()) || p.mostEjected(now) || !m.uses(Ejection) {
+	alike := p.alike(s)
+	if !s.failed(weight, medianFailures(alike)) || mostEjected(now, alike) || !m.uses(Ejection) {
 		return
 	}
 	m.emit(BeliefCmd{Server: s.Server, Belief: BeliefEjected, Cause: o.String(), For: s.eject(now)})
@@ -97,6 +100,8 @@
 		m.giveUp(now, p, r, ReasonDeadline)
 	case r.attempt >= r.Attempts:
 		m.giveUp(now, p, r, ReasonAttempts)
+	case o == Moved && r.course.moving: // the budget was charged with the move
+		m.enqueue(now, p, r)
 	case !p.budget.spend(now, m.options.Budget, m.routers):
 		m.giveUp(now, p, r, ReasonBudget)
 	default:
--- a/direct/evacuation.go
+++ b/direct/evacuation.go
@@ -23,12 +23,13 @@
 	m.tellHalls(was)
 	for _, name := range m.poolNames() {
 		p := m.pools[name]
-		for _, s := range p.order {
+		for _, s := range p.all {
 			s.evacuated = halls[s.Zone]
 			if was[s.Zone] && !s.evacuated {
 				m.returned(msg.Now, p, s)
 			}
 		}
+		p.admit()
 		m.serve(msg.Now, p, maxQueued)
 	}
 }
--- /dev/null
+++ b/direct/evidence_test.go
@@ -0,0 +1,273 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/rollout"
+	"github.com/stretchr/testify/require"
+)
+
+// answers returns what commands say of versions.
+func answers(cmds []Cmd) []rollout.AnswerMsg {
+	var out []rollout.AnswerMsg
+	for _, c := range cmds {
+		if a, ok := c.(AnswerCmd); ok {
+			out = append(out, a.Answer)
+		}
+	}
+	return out
+}
+
+// tally counts evidence.
+type tally struct{ good, bad int }
+
+func (t *tally) add(bad bool) {
+	if bad {
+		t.bad++
+		return
+	}
+	t.good++
+}
+
+// speeds says how many times slower than usual servers read and write.
+type speeds struct{ old, target float64 }
+
+// stream runs one request to its end at a server that reads 60 tokens a millisecond and
+// writes one token in 5, times its slowness, and returns the evidence.
+func (b *bench) stream(r Request, slow speeds, anew int) []rollout.AnswerMsg {
+	cmds := b.arrive(r)
+	c, ok := find[SendCmd](cmds)
+	require.True(b.t, ok)
+	times, read := slow.old, r.ownTokens()
+	if c.Basis.Target {
+		times = slow.target
+		read += anew
+	}
+	b.now += milliseconds(times * (10 + float64(read)/60))
+	cmds = append(cmds, b.m.Update(FirstMsg{Now: b.now, ID: r.ID})...)
+	cmds = append(cmds, b.pass(milliseconds(times*5*float64(r.OutputTokens)))...)
+	return answers(append(cmds, b.end(r.ID, Done, false)...))
+}
+
+// streams runs requests one after the other and counts the evidence on the target.
+func (b *bench) streams(n int, slow speeds) (begun, later, old tally) {
+	for range n {
+		for _, a := range b.stream(b.one("chat"), slow, 0) {
+			switch {
+			case !a.Target:
+				old.add(a.Bad)
+			case a.Later:
+				later.add(a.Bad)
+			default:
+				begun.add(a.Bad)
+			}
+		}
+	}
+	return begun, later, old
+}
+
+// TestRolloutEvidenceOfSlowVersions speaks against a target that is four times slower, and
+// not where old and new servers are slow alike.
+func TestRolloutEvidenceOfSlowVersions(t *testing.T) {
+	b := newMove(t, trial(0.5))
+	_, _, old := b.streams(60, speeds{1, 1})
+	require.Zero(t, old.bad)
+	begun, later, old := b.streams(100, speeds{1, 4})
+	require.Zero(t, begun.good)
+	require.Zero(t, later.good)
+	require.Greater(t, begun.bad, 30)
+	require.Equal(t, begun.bad, later.bad)
+	require.Zero(t, old.bad)
+
+	b = newMove(t, trial(0.5))
+	b.streams(60, speeds{1, 1})
+	b.streams(200, speeds{4, 4})
+	begun, later, _ = b.streams(100, speeds{4, 4})
+	require.Greater(t, begun.good, 30)
+	require.Zero(t, begun.bad)
+	require.Zero(t, later.bad)
+}
+
+// TestRolloutEvidenceOfSlowPlainServers speaks against plain servers of the target that
+// are four times slower, and not against those that are as fast.
+func TestRolloutEvidenceOfSlowPlainServers(t *testing.T) {
+	for _, times := range []time.Duration{1, 4} {
+		g := trial(0.5)
+		g.Service = "app"
+		b := newMove(t, g)
+		d := versions(2, 6, "v1", "v2")
+		for i := range d.Servers {
+			d.Servers[i].Service = "app"
+			d.Servers[i].ID += "-app"
+		}
+		b.m.Update(ServersMsg{Now: b.now, Directory: d})
+		b.pass(2 * settleTime)
+		var got tally
+		for range 200 {
+			r := b.one("stock")
+			r.Service, r.Kind = "app", Once
+			c, ok := find[SendCmd](b.arrive(r))
+			require.True(t, ok)
+			took := 60 * time.Millisecond
+			if c.Basis.Target {
+				took *= times
+			}
+			b.now += took
+			for _, a := range answers(b.answer(r.ID)) {
+				require.False(t, a.Later)
+				if a.Target {
+					got.add(a.Bad)
+				}
+			}
+		}
+		require.Greater(t, got.good+got.bad, 60)
+		slow := float64(got.bad) / float64(got.good+got.bad)
+		require.InDelta(t, float64((times-1)/3), slow, 0.1)
+	}
+}
+
+// TestRolloutEvidenceAllowsForReading does not speak against servers that must read anew
+// what old ones keep.
+func TestRolloutEvidenceAllowsForReading(t *testing.T) {
+	const shared = 12000
+	b := newMove(t, trial(0))
+	request := func(i int) Request {
+		r := b.request("red", Part{ID: uint64(i + 1), Tokens: shared}, Part{ID: uint64(b.next) << 32, Tokens: 500})
+		r.PromptTokens = shared + 500
+		return r
+	}
+	for range 3 {
+		for i := range 30 {
+			b.stream(request(i), speeds{1, 1}, 0)
+		}
+	}
+	b.gate(trial(1))
+	var target tally
+	for i := range 30 {
+		for _, a := range b.stream(request(i), speeds{1, 1}, shared) {
+			target.add(a.Bad)
+		}
+	}
+	require.Equal(t, tally{good: 60}, target)
+}
+
+// TestRolloutEvidenceOfOutcomes says which outcomes speak for or against a version.
+func TestRolloutEvidenceOfOutcomes(t *testing.T) {
+	for outcome, want := range map[Outcome][]bool{
+		Done: {false}, Failed: {true}, Unsent: nil, NotRun: nil, Elsewhere: nil, Broken: nil, Hung: nil, GivenUp: nil, Moved: nil,
+	} {
+		b := newMove(t, trial(1))
+		r := b.one("chat")
+		r.Kind = Repeatable
+		b.sent(b.arrive(r))
+		var got []bool
+		for _, a := range answers(b.end(r.ID, outcome, false)) {
+			require.False(t, a.Later)
+			require.True(t, a.Target)
+			got = append(got, a.Bad)
+		}
+		require.Equal(t, want, got, outcome.String())
+	}
+}
+
+// TestRolloutEvidenceOfFailures tells a failure that comes as a whole answer from one
+// that ends a stream.
+func TestRolloutEvidenceOfFailures(t *testing.T) {
+	b := newMove(t, trial(1))
+	whole := b.one("chat")
+	b.sent(b.arrive(whole))
+	b.m.Update(FirstMsg{Now: b.now, ID: whole.ID})
+	got := answers(b.end(whole.ID, Failed, false))
+	require.Len(t, got, 1)
+	require.False(t, got[0].Later)
+	require.True(t, got[0].Bad)
+
+	stream := b.one("chat")
+	b.sent(b.arrive(stream))
+	b.m.Update(FirstMsg{Now: b.now, ID: stream.ID})
+	got = append(answers(b.pass(TickEvery)), answers(b.end(stream.ID, Failed, false))...)
+	require.Len(t, got, 2)
+	require.Equal(t, []bool{false, true}, []bool{got[0].Bad, got[1].Bad})
+	require.Equal(t, []bool{false, true}, []bool{got[0].Later, got[1].Later})
+}
+
+// TestRolloutEvidenceOfSilence counts a silence as slow only where the server answers
+// others meanwhile.
+func TestRolloutEvidenceOfSilence(t *testing.T) {
+	for _, answering := range []bool{false, true} {
+		b := newMove(t, trial(1))
+		b.m.Update(ServersMsg{Now: b.now, Directory: versions(2, 1, "v2")})
+		b.pass(2 * lapseHold)
+		silent, other := b.one("chat"), b.one("chat")
+		b.sent(b.arrive(silent))
+		b.sent(b.arrive(other))
+		b.pass(time.Second)
+		if answering {
+			b.answer(other.ID)
+		}
+		got := answers(b.end(silent.ID, Hung, false))
+		require.Equal(t, answering, len(got) == 1 && got[0].Bad && !got[0].Later)
+	}
+}
+
+// TestRolloutEvidenceOfUnsettledServers takes nothing from cold servers and from those
+// that are new.
+func TestRolloutEvidenceOfUnsettledServers(t *testing.T) {
+	b := newMove(t, trial(1))
+	d := versions(2, 7, "v1", "v2")
+	for i := range d.Servers {
+		d.Servers[i].ColdFor = time.Minute
+	}
+	b.m.Update(ServersMsg{Now: b.now, Directory: d})
+	r := b.one("chat")
+	b.sent(b.arrive(r))
+	require.Empty(t, answers(b.end(r.ID, Failed, false)), "cold")
+
+	g := trial(1)
+	b = newMove(t, g)
+	b.m.Update(ServersMsg{Now: b.now, Directory: versions(2, 6, "v1", "v2", "v3")})
+	g.Target = "v3"
+	b.gate(g)
+	r = b.one("chat")
+	b.sent(b.arrive(r))
+	require.Empty(t, answers(b.end(r.ID, Failed, false)), "new")
+}
+
+// TestRolloutEvidenceOnlyUnderWay says nothing while no service moves.
+func TestRolloutEvidenceOnlyUnderWay(t *testing.T) {
+	b := newMove(t, rollout.Gate{Service: "llm", InUse: []string{"v1"}})
+	begun, later, old := b.streams(20, speeds{1, 1})
+	require.Equal(t, []tally{{}, {}, {}}, []tally{begun, later, old})
+}
+
+// TestRolloutCohorts are the halls; where the target is in one hall only, its servers
+// are told apart.
+func TestRolloutCohorts(t *testing.T) {
+	cohorts := func(b *bench) map[string]bool {
+		out := make(map[string]bool)
+		for range 200 {
+			for _, a := range b.stream(b.one("chat"), speeds{1, 1}, 0) {
+				if a.Target {
+					out[a.Cohort] = true
+				}
+			}
+		}
+		return out
+	}
+	require.Equal(t, map[string]bool{"a": true, "b": true, "c": true}, cohorts(newMove(t, trial(1))))
+
+	g := trial(1)
+	g.Servers = 0.05
+	b := newMove(t, g)
+	d := versions(2, 30, "v1", "v2")
+	for i := range d.Servers {
+		if d.Servers[i].Version == "v2" {
+			d.Servers[i].Zone = "a"
+		}
+	}
+	b.m.Update(ServersMsg{Now: b.now, Directory: d})
+	b.pass(2 * settleTime)
+	require.Len(t, b.taking(), trialLeast)
+	require.Len(t, cohorts(b), cohortsInHall)
+}
--- a/direct/flood_bench_test.go
+++ b/direct/flood_bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/croftvale/croftvale/rollout"
 )
 
 // BenchmarkFlood measures what a router's decisions cost while one team asks for
@@ -11,11 +13,20 @@
 // answers of what was sent, by the number of servers.
 func BenchmarkFlood(b *testing.B) {
 	for _, servers := range []int{54, 1000, 10_000} {
-		b.Run(fmt.Sprint(servers), func(b *testing.B) { flood(b, servers) })
+		b.Run(fmt.Sprint(servers), func(b *testing.B) { flood(b, servers, nil) })
+	}
+}
+
+// BenchmarkRolloutFlood measures the same while a tenth of the requests goes to another
+// version, which half of the servers are of.
+func BenchmarkRolloutFlood(b *testing.B) {
+	for _, servers := range []int{54, 1000, 10_000} {
+		gate := &rollout.Gate{Service: "llm", InUse: []string{"v0"}, Target: "v1", Part: 0.1, Limit: 0.1, Servers: 0.1}
+		b.Run(fmt.Sprint(servers), func(b *testing.B) { flood(b, servers, gate) })
 	}
 }
 
-func flood(b *testing.B, servers int) {
+func flood(b *testing.B, servers int, gate *rollout.Gate) {
 	const (
 		perTick  = 20 // requests of the flood in one tick
 		answered = 100 * time.Millisecond
@@ -29,9 +40,12 @@
 	}})
 	dir := Directory{Revision: 1}
 	for i := range servers {
-		dir.Servers = append(dir.Servers, Server{ID: fmt.Sprint("e", i), Service: "llm", Zone: "a", Slots: 32})
+		dir.Servers = append(dir.Servers, Server{ID: fmt.Sprint("e", i), Service: "llm", Zone: "a", Version: fmt.Sprint("v", i%2), Slots: 32})
 	}
 	m.Update(ServersMsg{Now: now, Directory: dir})
+	if gate != nil {
+		m.Update(GateMsg{Now: now, Gate: *gate})
+	}
 	type sent struct {
 		id RequestID
 		at time.Duration
--- /dev/null
+++ b/direct/gate_oracle_test.go
@@ -0,0 +1,366 @@
+package direct
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/rollout"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// site is several routers that share servers of three versions: v1 is in use, v2 is being
+// moved to, and v3 was never ordered. It counts what the servers themselves see.
+type site struct {
+	t        *rapid.T
+	now      time.Duration
+	gate     rollout.Gate
+	routers  []*siteRouter
+	revision uint64
+	halls    []string // evacuated
+
+	all, target int             // requests that came to servers
+	parts       map[uint64]span // by shared part
+	next        uint64          // of requests without a shared part
+}
+
+// span is at which parts of the gate requests of one shared part went to old servers, and
+// to the target's, by their side.
+type span struct{ old, target float64 }
+
+// siteRouter is one router, in one life.
+type siteRouter struct {
+	m       *Machine
+	gate    rollout.Gate // in force
+	cut     bool         // it hears nothing new
+	next    RequestID
+	running []*siteRequest
+	waiting map[RequestID]Request
+}
+
+// siteRequest is a running attempt.
+type siteRequest struct {
+	Request
+	version   string
+	reached   bool
+	begun     bool
+	moved     bool
+	attempted int
+}
+
+// TestRolloutRules plays random days of several routers against their servers' own
+// counts. By hand: go test ./direct -run TestRolloutRules -rapid.checks=3000 -rapid.steps=200
+func TestRolloutRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &site{t: t, now: time.Second, parts: make(map[uint64]span), gate: rollout.Gate{
+			Service: "llm", InUse: []string{"v1"}, Target: "v2", Servers: 0.3,
+			Part:  rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "part"),
+			Limit: rapid.SampledFrom([]float64{0.02, 0.05, 0.3}).Draw(t, "limit"),
+		}}
+		for range 3 {
+			s.start()
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive":   func(*rapid.T) { s.arrive() },
+			"flood":    func(*rapid.T) { s.flood() },
+			"first":    func(*rapid.T) { s.first() },
+			"end":      func(*rapid.T) { s.end() },
+			"tick":     func(*rapid.T) { s.tick() },
+			"list":     func(*rapid.T) { s.list() },
+			"evacuate": func(*rapid.T) { s.evacuate() },
+			"restart":  func(*rapid.T) { s.restart() },
+			"cut":      func(*rapid.T) { r := s.any(); r.cut = !r.cut },
+			"stage":    func(*rapid.T) { s.stage() },
+			"":         func(*rapid.T) { s.check() },
+		})
+	})
+}
+
+// start adds a router; it knows the gate, or hears of it later.
+func (s *site) start() {
+	r := &siteRouter{waiting: make(map[RequestID]Request), m: NewMachine(Options{
+		Zone: "a", Gated: true, Budget: BudgetOptions{Ratio: 0.5, Slack: 50, Window: 10 * time.Second},
+	})}
+	s.routers = append(s.routers, r)
+	s.update(r, ConfigMsg{Now: s.now, Config: Config{Version: 1, Limits: Limits{TokensPerSecond: 1e6}, Services: []Service{{
+		Name: "llm", Engine: &Engine{Slots: 8, KVTokens: 100000}, Cold: ColdLimit{PerSecond: 20, Lasts: time.Second},
+	}}}})
+	s.update(r, ServersMsg{Now: s.now, Directory: s.directory()})
+	if rapid.Bool().Draw(s.t, "knows") {
+		s.tell(r)
+	}
+}
+
+func (s *site) tell(r *siteRouter) {
+	r.gate = s.gate
+	s.update(r, GateMsg{Now: s.now, Gate: s.gate})
+}
+
+func (s *site) any() *siteRouter {
+	return s.routers[rapid.IntRange(0, len(s.routers)-1).Draw(s.t, "router")]
+}
+
+func (s *site) directory() Directory {
+	s.revision++
+	d := Directory{Revision: s.revision}
+	for _, version := range []string{"v1", "v2", "v3"} {
+		for i := range 6 {
+			state := rapid.IntRange(0, 9).Draw(s.t, "state")
+			if state == 0 {
+				continue
+			}
+			listed := Server{
+				ID: fmt.Sprint(version, "-", i), Service: "llm", Version: version, Zone: [...]string{"a", "b", "c"}[i%3], Slots: 8, Draining: state == 1,
+			}
+			if state == 2 {
+				listed.ColdFor = time.Second
+			}
+			d.Servers = append(d.Servers, listed)
+		}
+	}
+	return d
+}
+
+func (s *site) list() {
+	d := s.directory()
+	for _, r := range s.routers {
+		if !r.cut {
+			s.update(r, ServersMsg{Now: s.now, Directory: d})
+		}
+	}
+}
+
+func (s *site) evacuate() {
+	s.revision++
+	halls := rapid.SampledFrom([][]string{nil, {"a"}, {"b", "c"}}).Draw(s.t, "halls")
+	for _, r := range s.routers {
+		if !r.cut {
+			s.update(r, EvacuationsMsg{Now: s.now, Evacuations: Evacuations{Revision: s.revision, Halls: halls}})
+		}
+	}
+}
+
+func (s *site) restart() {
+	i := rapid.IntRange(0, len(s.routers)-1).Draw(s.t, "restarts")
+	if rapid.Bool().Draw(s.t, "stays") && len(s.routers) > 2 {
+		s.routers = append(s.routers[:i], s.routers[i+1:]...)
+	}
+	s.start()
+}
+
+// stage moves the gate on; routers that are not cut learn of it one by one.
+func (s *site) stage() {
+	switch rapid.IntRange(0, 5).Draw(s.t, "stage") {
+	case 0:
+		s.gate.Part = max(s.gate.Part, rapid.SampledFrom([]float64{0.2, 0.6, 1}).Draw(s.t, "part"))
+	case 1:
+		s.gate.Part, s.gate.OldClosed, s.gate.Move = 1, true, true
+	}
+	for _, r := range s.routers {
+		if !r.cut && rapid.Bool().Draw(s.t, "hears") {
+			s.tell(r)
+		}
+	}
+}
+
+func (s *site) arrive() { s.arriveAt(s.any(), rapid.Bool().Draw(s.t, "shared")) }
+
+// flood has many requests come to one router, and answers them.
+func (s *site) flood() {
+	r := s.any()
+	for range 30 {
+		s.arriveAt(r, true)
+		for len(r.running) > 0 {
+			s.endOf(r, 0, Done, false)
+		}
+		s.now += TickEvery
+		s.update(r, TickMsg{Now: s.now})
+	}
+}
+
+func (s *site) arriveAt(r *siteRouter, shared bool) {
+	r.next++
+	request := Request{
+		ID: r.next, Team: "red", Service: "llm", Kind: Stream, Route: rapid.SampledFrom([]string{"chat", "tag"}).Draw(s.t, "route"),
+		MayRepeat: rapid.Bool().Draw(s.t, "repeat"), Attempts: rapid.IntRange(1, 3).Draw(s.t, "attempts"),
+		Objective: 300 * time.Millisecond, Deadline: s.now + 5*time.Second, PromptTokens: 600, OutputTokens: 50,
+	}
+	if shared {
+		// The first of them is hot.
+		part := max(rapid.IntRange(-6, 12).Draw(s.t, "part"), 1)
+		request.Parts = []Part{{ID: uint64(part), Tokens: 500}, {ID: uint64(request.ID) << 32, Tokens: 100}}
+	}
+	r.waiting[request.ID] = request
+	s.update(r, ArriveMsg{Now: s.now, Request: request})
+}
+
+func (s *site) update(r *siteRouter, msg Msg) {
+	for _, c := range r.m.Update(msg) {
+		switch c := c.(type) {
+		case SendCmd:
+			s.send(r, c)
+		case RefuseCmd:
+			delete(r.waiting, c.ID)
+		case FailCmd:
+			delete(r.waiting, c.ID)
+		case MoveCmd:
+			s.move(r, c)
+		case AnswerCmd:
+			require.NotEqual(s.t, c.Answer.Cohort, "", "evidence of no cohort")
+		}
+	}
+}
+
+func (s *site) send(r *siteRouter, c SendCmd) {
+	require.NotEqual(s.t, "v3", c.Server.Version, "a version that was never ordered gets a request")
+	require.NotEmpty(s.t, r.gate.Service, "sent without a gate")
+	target := c.Server.Version == "v2"
+	require.Equal(s.t, target, c.Basis.Target)
+	require.False(s.t, target && r.gate.Part == 0, "no part of the requests is the target's")
+	require.False(s.t, !target && r.gate.OldClosed, "old versions are closed")
+	request := r.waiting[c.ID]
+	if part, shared := request.lastShared(); shared {
+		seen := s.parts[part.ID]
+		switch {
+		case c.Basis.Side == SideOld:
+			seen.old = max(seen.old, r.gate.Part)
+		case c.Basis.Side == SideTarget && c.Attempt == 1 && (seen.target == 0 || r.gate.Part < seen.target):
+			seen.target = r.gate.Part
+		}
+		s.parts[part.ID] = seen
+		require.False(s.t, seen.target > 0 && seen.old >= seen.target, "part %d is on both sides: %v", part.ID, seen)
+	}
+	reached := rapid.IntRange(0, 5).Draw(s.t, "reaches") > 0
+	if reached {
+		s.all++
+		if target {
+			s.target++
+		}
+	}
+	r.running = append(r.running, &siteRequest{Request: request, version: c.Server.Version, reached: reached, attempted: c.Attempt})
+}
+
+func (s *site) move(r *siteRouter, c MoveCmd) {
+	for _, q := range r.running {
+		if q.ID == c.ID {
+			require.Equal(s.t, "v1", q.version)
+			require.True(s.t, q.MayRepeat && q.attempted < q.Attempts, "it may not go on elsewhere")
+			require.False(s.t, q.moved, "moved twice")
+			q.moved = true
+			return
+		}
+	}
+	require.Fail(s.t, "what is moved does not run")
+}
+
+func (s *site) first() {
+	r := s.any()
+	for _, q := range r.running {
+		if q.reached && !q.begun {
+			q.begun = true
+			s.update(r, FirstMsg{Now: s.now, ID: q.ID})
+			return
+		}
+	}
+}
+
+func (s *site) end() {
+	r := s.any()
+	if len(r.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(r.running)-1).Draw(s.t, "running")
+	q := r.running[i]
+	outcomes := []Outcome{Unsent, Elsewhere, Broken, Hung, GivenUp}
+	switch {
+	case q.begun:
+		outcomes = []Outcome{Done, Failed, Broken, Hung, GivenUp}
+	case q.reached:
+		outcomes = []Outcome{Done, Failed, NotRun, Broken, Hung, GivenUp}
+	}
+	if q.moved {
+		outcomes = append(outcomes, Moved, Moved, Moved)
+	}
+	o := rapid.SampledFrom(outcomes).Draw(s.t, "outcome")
+	s.endOf(r, i, o, o != Done && o != GivenUp && rapid.Bool().Draw(s.t, "retry"))
+}
+
+func (s *site) endOf(r *siteRouter, i int, o Outcome, retry bool) {
+	q := r.running[i]
+	if !q.reached && o == Done {
+		o = Broken
+	}
+	r.running = append(r.running[:i:i], r.running[i+1:]...)
+	s.update(r, EndMsg{Now: s.now, ID: q.ID, Outcome: o, Retry: retry})
+}
+
+func (s *site) tick() {
+	for range rapid.IntRange(1, 20).Draw(s.t, "ticks") {
+		s.now += TickEvery
+		for _, r := range s.routers {
+			s.update(r, TickMsg{Now: s.now})
+		}
+	}
+}
+
+// check holds what must be so at any moment.
+func (s *site) check() {
+	require.LessOrEqual(s.t, float64(s.target), s.gate.Limit*float64(s.all), "the target got %d of %d", s.target, s.all)
+	for _, r := range s.routers {
+		old := 0
+		for _, q := range r.running {
+			if q.version != "v2" {
+				old++
+			}
+		}
+		if r.gate.Target != "" {
+			require.Equal(s.t, old, r.m.OldRunning("llm"))
+		}
+	}
+}
+
+// TestRolloutGateWithOneVersionIsNoGate plays random days against two routers, one with a
+// gate that lets the only version through: both decide alike.
+func TestRolloutGateWithOneVersionIsNoGate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := BudgetOptions{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+		plain, gated := NewMachine(Options{Zone: "a", Budget: budget}), NewMachine(Options{Zone: "a", Budget: budget, Gated: true})
+		update := func(msg Msg) []Cmd {
+			cmds := append([]Cmd(nil), plain.Update(msg)...)
+			require.Equal(t, cmds, append([]Cmd(nil), gated.Update(msg)...))
+			return cmds
+		}
+		now, next := time.Second, RequestID(0)
+		update(ConfigMsg{Now: now, Config: Config{Version: 1, Limits: Limits{TokensPerSecond: 50000},
+			Services: []Service{{Name: "llm", Engine: &Engine{Slots: 8, KVTokens: 100000}}}}})
+		gated.Update(GateMsg{Now: now, Gate: rollout.Gate{Service: "llm", InUse: []string{"v1"}}})
+		update(ServersMsg{Now: now, Directory: versions(1, 5, "v1")})
+		var running []RequestID
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			var cmds []Cmd
+			switch step := rapid.IntRange(0, 5).Draw(t, "step"); {
+			case step < 3:
+				next++
+				cmds = update(ArriveMsg{Now: now, Request: Request{
+					ID: next, Team: "red", Service: "llm", Kind: Stream, MayRepeat: true, Attempts: 2, Objective: 300 * time.Millisecond,
+					Deadline: now + 5*time.Second, PromptTokens: 5000, OutputTokens: 50, Parts: []Part{{ID: uint64(next % 9), Tokens: 500}, {ID: uint64(next) + 100, Tokens: 10}},
+				}})
+			case step == 3 && len(running) > 0:
+				id := running[0]
+				running = running[1:]
+				update(FirstMsg{Now: now, ID: id})
+				o := rapid.SampledFrom([]Outcome{Done, Failed, Broken, NotRun, Unsent}).Draw(t, "outcome")
+				cmds = update(EndMsg{Now: now, ID: id, Outcome: o, Retry: o != Done})
+			default:
+				now += TickEvery
+				cmds = update(TickMsg{Now: now})
+			}
+			for _, c := range cmds {
+				if c, ok := c.(SendCmd); ok {
+					running = append(running, c.ID)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/direct/gate_test.go
@@ -0,0 +1,328 @@
+package direct
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/loads"
+	"github.com/croftvale/croftvale/rollout"
+	"github.com/stretchr/testify/require"
+)
+
+// newMove returns a bench with six old and six new servers in three halls, whose service
+// moves from v1 to v2 by the gate, and which has run long enough for them to settle.
+func newMove(t *testing.T, g rollout.Gate) *bench {
+	b := &bench{t: t, m: NewMachine(Options{Zone: "a", Gated: true, Budget: BudgetOptions{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}}), now: time.Second}
+	b.m.Update(ConfigMsg{Now: b.now, Config: Config{
+		Version:  1,
+		Services: []Service{{Name: "llm", Engine: &Engine{Slots: 48, KVTokens: 900000}}},
+		Limits:   Limits{TokensPerSecond: 1e6},
+	}})
+	b.m.Update(ServersMsg{Now: b.now, Directory: versions(1, 6, "v1", "v2")})
+	b.gate(g)
+	b.pass(2 * settleTime)
+	return b
+}
+
+// versions lists some servers of each version, spread over three halls.
+func versions(revision uint64, each int, names ...string) Directory {
+	d := Directory{Revision: revision}
+	for _, name := range names {
+		for i := range each {
+			zone := [...]string{"a", "b", "c"}[i%3]
+			d.Servers = append(d.Servers, Server{ID: fmt.Sprint(name, "-", i), Service: "llm", Zone: zone, Version: name, Slots: 48})
+		}
+	}
+	return d
+}
+
+// trial is a gate that lets a part through, without bounds on the count.
+func trial(part float64) rollout.Gate {
+	return rollout.Gate{Service: "llm", InUse: []string{"v1"}, Target: "v2", Part: part, Limit: 1, Servers: 1}
+}
+
+func (b *bench) gate(g rollout.Gate) []Cmd {
+	return append([]Cmd(nil), b.m.Update(GateMsg{Now: b.now, Gate: g})...)
+}
+
+// one returns a request of a route with a shared part of its own.
+func (b *bench) one(route string) Request {
+	r := b.request("red", Part{ID: uint64(b.next)*7919 + 1, Tokens: 100}, Part{ID: uint64(b.next) << 32, Tokens: 100})
+	r.Route = route
+	return r
+}
+
+// answer lets a running request end well.
+func (b *bench) answer(id RequestID) []Cmd {
+	out := append([]Cmd(nil), b.m.Update(FirstMsg{Now: b.now, ID: id})...)
+	return append(out, b.end(id, Done, false)...)
+}
+
+// byVersion sends requests of a route one by one and counts them by version; none
+// counts those that were not sent.
+func (b *bench) byVersion(route string, n int) map[string]int {
+	counts := make(map[string]int)
+	for range n {
+		r := b.one(route)
+		if c, ok := find[SendCmd](b.arrive(r)); ok {
+			counts[c.Server.Version]++
+			b.answer(r.ID)
+		} else {
+			counts["none"]++
+			b.m.Update(LeaveMsg{Now: b.now, ID: r.ID})
+		}
+		b.pass(TickEvery)
+	}
+	return counts
+}
+
+// TestRolloutGatedWithoutAGate serves nobody while nothing is known of the service, and
+// holds nobody up.
+func TestRolloutGatedWithoutAGate(t *testing.T) {
+	b := newMove(t, rollout.Gate{Service: "llm"})
+	refused, ok := find[RefuseCmd](b.arrive(b.one("chat")))
+	require.True(t, ok)
+	require.Equal(t, ReasonNoServers, refused.Reason)
+}
+
+// TestRolloutOnlyVersionsInUse sends nothing to others, also where no server in use is
+// left.
+func TestRolloutOnlyVersionsInUse(t *testing.T) {
+	b := newMove(t, rollout.Gate{Service: "llm", InUse: []string{"v1"}})
+	require.Equal(t, map[string]int{"v1": 100}, b.byVersion("chat", 100))
+	b.m.Update(ServersMsg{Now: b.now, Directory: versions(2, 6, "v2")})
+	b.pass(2 * lapseHold)
+	require.Equal(t, map[string]int{"none": 20}, b.byVersion("chat", 20))
+}
+
+// TestRolloutOthersAreInNoAverage lists servers of another version beside those in use:
+// what the machine takes its own load to be stays as it is without them.
+func TestRolloutOthersAreInNoAverage(t *testing.T) {
+	busy := func(names ...string) (float64, float64, time.Duration) {
+		b := newMove(t, rollout.Gate{Service: "llm", InUse: []string{"v1"}})
+		b.m.Update(ServersMsg{Now: b.now, Directory: versions(2, 6, names...)})
+		for range 150 {
+			b.arrive(b.one("chat"))
+		}
+		b.pass(time.Second)
+		p := b.m.pool("llm")
+		return b.m.Shares(b.now, 0).Busy, b.m.Shares(b.now, 0).Headroom, b.m.comeBack(b.now, p, &run{Request: Request{Team: "red"}}, ReasonOverload)
+	}
+	aloneBusy, aloneHeadroom, aloneAfter := busy("v1")
+	besideBusy, besideHeadroom, besideAfter := busy("v1", "v3")
+	require.NotZero(t, aloneBusy)
+	require.Equal(t, []any{aloneBusy, aloneHeadroom, aloneAfter}, []any{besideBusy, besideHeadroom, besideAfter})
+}
+
+// TestRolloutOthersHoldNoLapse has all entries of a version that gets nothing go at once
+// with one that is in use: they are no reason to take that for a lapse.
+func TestRolloutOthersHoldNoLapse(t *testing.T) {
+	b := newMove(t, rollout.Gate{Service: "llm", InUse: []string{"v1"}})
+	d := versions(2, 6, "v1")
+	d.Servers = d.Servers[1:]
+	cmds := b.m.Update(ServersMsg{Now: b.now, Directory: d})
+	for _, c := range cmds {
+		if belief, ok := c.(BeliefCmd); ok {
+			require.Equal(t, BeliefGone, belief.Belief, belief.Server.ID)
+		}
+	}
+	require.Len(t, b.m.pool("llm").order, 6, "gone servers are forgotten later")
+	require.False(t, b.m.byServer["v1-0"].usable(b.now))
+}
+
+// TestRolloutStates says of each server its version and whether it gets nothing.
+func TestRolloutStates(t *testing.T) {
+	b := newMove(t, rollout.Gate{Service: "llm", InUse: []string{"v1"}})
+	states := b.m.Servers(b.now)
+	require.Len(t, states, 12)
+	for _, s := range states {
+		require.Equal(t, s.Version != "v1", s.Barred, s.ID)
+	}
+}
+
+// TestRolloutCrossSection has each route in the trial with about its part of the
+// requests.
+func TestRolloutCrossSection(t *testing.T) {
+	b := newMove(t, trial(0.1))
+	for _, route := range []string{"chat", "tag", "plan"} {
+		require.InDelta(t, 200, b.byVersion(route, 2000)["v2"], 45, route)
+	}
+}
+
+// TestRolloutPartZero sends nothing to the target.
+func TestRolloutPartZero(t *testing.T) {
+	b := newMove(t, trial(0))
+	require.Equal(t, map[string]int{"v1": 200}, b.byVersion("chat", 200))
+}
+
+// TestRolloutLimit bounds by count what goes to the target, for each route by itself, from
+// the first request on.
+func TestRolloutLimit(t *testing.T) {
+	g := trial(0.5)
+	g.Limit = 0.05
+	b := newMove(t, g)
+	require.InDelta(t, 19, b.byVersion("chat", 400)["v2"], 1)
+	require.Zero(t, b.byVersion("tag", 19)["v2"], "nothing in advance")
+	require.Equal(t, 1, b.byVersion("tag", 20)["v2"])
+}
+
+// TestRolloutLimitIsKeptThroughGates keeps the counts while the target stays, and begins
+// anew with another.
+func TestRolloutLimitIsKeptThroughGates(t *testing.T) {
+	g := trial(1)
+	g.Limit = 0.1
+	b := newMove(t, g)
+	require.Equal(t, 10, b.byVersion("chat", 100)["v2"])
+	g.Part = 0.9
+	b.gate(g)
+	require.Equal(t, 1, b.byVersion("chat", 10)["v2"])
+	g.InUse, g.Target, g.Part = []string{"v2"}, "v1", 1
+	b.gate(g)
+	require.Zero(t, b.byVersion("chat", 9)["v1"])
+}
+
+// TestRolloutLimitCountsWhatArrives doesn't count attempts that never reached a server.
+func TestRolloutLimitCountsWhatArrives(t *testing.T) {
+	g := trial(1)
+	g.Limit = 0.5
+	b := newMove(t, g)
+	for range 40 {
+		r := b.one("chat")
+		r.Attempts = 1
+		c, ok := find[SendCmd](b.arrive(r))
+		if ok {
+			require.Equal(t, "v1", c.Server.Version)
+			b.end(r.ID, Hung, false)
+		}
+		b.pass(TickEvery)
+	}
+}
+
+// TestRolloutFullTargetFallsBack sends to old servers what finds no place at the target,
+// as long as they are open.
+func TestRolloutFullTargetFallsBack(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		g := trial(1)
+		g.OldClosed = closed
+		b := newMove(t, g)
+		var full []loads.Load
+		for i := range 6 {
+			full = append(full, loads.Load{Server: loads.Key(fmt.Sprint("v2-", i)), Running: 48})
+		}
+		b.m.Update(LoadsMsg{Now: b.now, Loads: full})
+		c, sent := find[SendCmd](b.arrive(b.one("chat")))
+		require.Equal(t, !closed, sent)
+		if sent {
+			require.Equal(t, "v1", c.Server.Version)
+			require.Equal(t, SideFull, c.Basis.Side)
+		}
+	}
+}
+
+// TestRolloutShutSideIsRefusedAtOnce holds up no request whose side has no servers.
+func TestRolloutShutSideIsRefusedAtOnce(t *testing.T) {
+	b := newMove(t, trial(1e-9))
+	d := versions(2, 6, "v1", "v2")
+	for i := range d.Servers {
+		d.Servers[i].Draining = d.Servers[i].Version == "v1"
+	}
+	b.m.Update(ServersMsg{Now: b.now, Directory: d})
+	b.pass(2 * lastResortTime)
+	require.Len(t, b.taking(), 6, "there are servers, for others")
+	refused, ok := find[RefuseCmd](b.arrive(b.one("chat")))
+	require.True(t, ok)
+	require.Equal(t, ReasonNoServers, refused.Reason)
+}
+
+// TestRolloutRetryGoesToOldServers repeats at an old server what failed at the target.
+func TestRolloutRetryGoesToOldServers(t *testing.T) {
+	b := newMove(t, trial(1))
+	r := b.one("chat")
+	c, _ := find[SendCmd](b.arrive(r))
+	require.Equal(t, "v2", c.Server.Version)
+	require.True(t, c.Basis.Target)
+	require.Equal(t, SideTarget, c.Basis.Side)
+	c, ok := find[SendCmd](b.end(r.ID, Failed, true))
+	require.True(t, ok)
+	require.Equal(t, "v1", c.Server.Version)
+	require.False(t, c.Basis.Target)
+	require.Equal(t, SideRetry, c.Basis.Side)
+}
+
+// TestRolloutRetryWithOldClosed repeats at the target where old servers are closed.
+func TestRolloutRetryWithOldClosed(t *testing.T) {
+	g := trial(1)
+	g.OldClosed = true
+	b := newMove(t, g)
+	r := b.one("chat")
+	b.arrive(r)
+	c, ok := find[SendCmd](b.end(r.ID, Failed, true))
+	require.True(t, ok)
+	require.Equal(t, "v2", c.Server.Version)
+}
+
+// taking returns the target's servers that get requests.
+func (b *bench) taking() []string {
+	var out []string
+	for _, s := range b.m.Servers(b.now) {
+		if s.Version == "v2" && !s.Barred {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
+
+// TestRolloutTrialServers chooses a few servers, one in each hall, the same in all
+// routers; those that get nothing are passed over.
+func TestRolloutTrialServers(t *testing.T) {
+	g := trial(0.02)
+	g.Servers = 0.02
+	b, other := newMove(t, g), newMove(t, g)
+	for _, router := range []*bench{b, other} {
+		router.m.Update(ServersMsg{Now: b.now, Directory: versions(2, 60, "v1", "v2")})
+	}
+	chosen := b.taking()
+	require.Len(t, chosen, trialLeast)
+	require.Equal(t, chosen, other.taking())
+	halls := make(map[string]bool)
+	for _, id := range chosen {
+		halls[b.m.byServer[id].Zone] = true
+	}
+	require.Len(t, halls, 3)
+	b.evacuate(2, "a")
+	require.Len(t, b.taking(), trialLeast)
+	for _, id := range b.taking() {
+		require.NotEqual(t, "a", b.m.byServer[id].Zone)
+	}
+	g.Servers = 0.1
+	b.evacuate(3)
+	b.gate(g)
+	require.Len(t, b.taking(), 6)
+}
+
+// TestRolloutEjectionLeavesSomeOfTheTarget has each answer of the target fail: at least
+// half of its servers in the trial go on, so that the version can be judged.
+func TestRolloutEjectionLeavesSomeOfTheTarget(t *testing.T) {
+	g := trial(1)
+	g.Servers = 0.5
+	b := newMove(t, g)
+	for range 200 {
+		r := b.one("chat")
+		c, ok := find[SendCmd](b.arrive(r))
+		require.True(t, ok)
+		if c.Basis.Target {
+			b.end(r.ID, Failed, false)
+		} else {
+			b.answer(r.ID)
+		}
+		b.now += time.Millisecond
+		usable := 0
+		for _, s := range b.m.pool("llm").gate.target {
+			if s.usable(b.now) {
+				usable++
+			}
+		}
+		require.GreaterOrEqual(t, usable, 2)
+	}
+}
--- a/direct/lapse.go
+++ b/direct/lapse.go
@@ -9,10 +9,11 @@
 func (m *Machine) dropUnlisted(now time.Duration, listed map[string]bool) {
 	for _, p := range m.pools {
 		unlisted := p.unlisted(listed)
-		lapsed := m.uses(LapseHold) && len(unlisted) >= lapseLeast && float64(len(unlisted)) >= lapseShare*float64(p.present())
+		went := serving(unlisted)
+		lapsed := m.uses(LapseHold) && went >= lapseLeast && float64(went) >= lapseShare*float64(p.present())
 		for _, s := range unlisted {
 			switch {
-			case !lapsed || s.Draining:
+			case !lapsed || s.Draining || s.barred:
 				m.dropServer(now, s, "not listed")
 			case s.lapsedAt == 0:
 				s.lapsedAt = now
@@ -24,11 +25,16 @@
 
 // dropLapsed takes out the servers whose entries have not come back.
 func (m *Machine) dropLapsed(now time.Duration) {
+	dropped := false
 	for _, s := range m.byServer {
 		if s.lapsedAt > 0 && now-s.lapsedAt >= lapseHold {
 			m.dropServer(now, s, "not listed again")
+			dropped = true
 		}
 	}
+	if dropped {
+		m.admitAll()
+	}
 }
 
 func (m *Machine) dropServer(now time.Duration, s *server, cause string) {
@@ -45,7 +51,7 @@
 // have lapsed already.
 func (p *pool) unlisted(listed map[string]bool) []*server {
 	var out []*server
-	for _, s := range p.order {
+	for _, s := range p.all {
 		if !listed[s.ID] && !s.gone && s.lapsedAt == 0 {
 			out = append(out, s)
 		}
@@ -53,6 +59,17 @@
 	return out
 }
 
+// serving counts the servers of a list that may get requests.
+func serving(servers []*server) int {
+	n := 0
+	for _, s := range servers {
+		if !s.barred {
+			n++
+		}
+	}
+	return n
+}
+
 // present counts the servers that are not gone.
 func (p *pool) present() int {
 	n := 0
--- a/direct/listing.go
+++ b/direct/listing.go
@@ -26,6 +26,8 @@
 		p := m.pools[name]
 		if changed[p] {
 			p.reorder()
+		} else {
+			p.admit()
 		}
 		if service, ok := m.services[name]; ok {
 			p.configure(&service, m.limits)
@@ -38,7 +40,7 @@
 func (m *Machine) note(now time.Duration, listed Server) bool {
 	s := m.byServer[listed.ID]
 	if s == nil {
-		s = &server{Server: listed, key: loads.Key(listed.ID), hash: xxhash.Sum64String(listed.ID)}
+		s = &server{Server: listed, key: loads.Key(listed.ID), hash: xxhash.Sum64String(listed.ID), listedAt: now}
 		m.byServer[listed.ID] = s
 		m.byKey[s.key] = s
 		m.pool(listed.Service).servers[listed.ID] = s
@@ -63,6 +65,7 @@
 		m.emit(BeliefCmd{Server: listed, Belief: BeliefDrain, Cause: "listed as draining"})
 	case !listed.Draining && s.leaving:
 		s.leaving = false
+		s.listedAt = now
 		m.emit(BeliefCmd{Server: listed, Belief: BeliefListed, Cause: "listed again"})
 	}
 	return false
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -28,6 +28,7 @@
 	Region      string            // of this router
 	HallRegions map[string]string // the region of each data hall that is known
 	Budget      BudgetOptions
+	Gated       bool    // services without a GateMsg serve nobody
 	Without     Without // mechanisms that are switched off in experiments
 }
 
@@ -66,6 +67,7 @@
 	teamsAt     time.Duration // when the others' use of teams came; 0: it has been forgotten
 	scratch     []candidate
 	loadsAt     time.Duration // when the others' loads came
+	begun       []*run        // whose first events came since the last tick, for the judging of versions
 }
 
 // peerReport is the last report of another router.
@@ -105,6 +107,8 @@
 		m.list(msg)
 	case EvacuationsMsg:
 		m.evacuate(msg)
+	case GateMsg:
+		m.takeGate(msg)
 	case ArriveMsg:
 		m.arrive(msg)
 	case DoorMsg:
@@ -157,6 +161,9 @@
 	p := m.pools[name]
 	if p == nil {
 		p = newPool(name)
+		if m.options.Gated {
+			p.gate = &gate{}
+		}
 		if s, ok := m.services[name]; ok {
 			p.configure(&s, m.limits)
 		}
@@ -190,9 +197,11 @@
 	m.dropLoads(now)
 	m.dropLapsed(now)
 	m.probeHalls(now)
+	m.tellBegun(now)
 	m.share(now)
 	for _, name := range m.poolNames() {
 		p := m.pools[name]
+		m.move(now, p)
 		m.serve(now, p, maxQueued)
 		for _, r := range p.queue.expired(now) {
 			m.refuse(now, p, r)
--- /dev/null
+++ b/direct/move.go
@@ -0,0 +1,88 @@
+package direct
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// movesPart and movesLeast spread moves of streams over about a second: in each tick
+	// a part of those that are left, and some at the least. The prompts of streams that
+	// move are read anew, and callers wait behind them.
+	movesPart  = 0.125
+	movesLeast = 4
+)
+
+// move breaks off streams that run at old servers and may go on at the target's, a few
+// at a time. Each takes a retry from the budget; where there is none left, or no room at
+// the target's servers, they run on and are tried again later.
+func (m *Machine) move(now time.Duration, p *pool) {
+	g := p.gate
+	if g == nil || !g.moveable || g.Target == "" {
+		return
+	}
+	left := m.movable(p)
+	most := max(int(movesPart*float64(len(left))), movesLeast)
+	most = min(most, len(left), g.room(now))
+	for _, r := range left[:most] {
+		if !p.budget.spend(now, m.options.Budget, m.routers) {
+			return
+		}
+		r.course.moving = true
+		m.emit(MoveCmd{ID: r.ID})
+	}
+}
+
+// movable returns the requests at old servers that may go on elsewhere, by id.
+func (m *Machine) movable(p *pool) []*run {
+	var out []*run
+	for _, r := range m.runs {
+		if r.at == nil || r.Service != p.name || r.at.target || r.course.moving {
+			continue
+		}
+		if r.MayRepeat && r.attempt < r.Attempts {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *run) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// room counts the free slots of the target's servers.
+func (g *gate) room(now time.Duration) int {
+	room := 0
+	for _, s := range g.target {
+		if s.usable(now) && !s.probation {
+			room += max(s.Slots-s.allRunning(), 0)
+		}
+	}
+	return room
+}
+
+// OldRunning counts this router's running requests of a service at servers of versions
+// other than the one that it moves to; 0 where it does not move.
+func (m *Machine) OldRunning(service string) int {
+	p := m.pools[service]
+	if p == nil || p.gate == nil || p.gate.Target == "" {
+		return 0
+	}
+	running := 0
+	for _, s := range p.all {
+		if !s.target {
+			running += s.running
+		}
+	}
+	return running
+}
+
+// AllOldRunning returns OldRunning of each service that moves to another version.
+func (m *Machine) AllOldRunning() map[string]int {
+	out := make(map[string]int)
+	for name, p := range m.pools {
+		if p.gate != nil && p.gate.Target != "" {
+			out[name] = m.OldRunning(name)
+		}
+	}
+	return out
+}
--- a/direct/place.go
+++ b/direct/place.go
@@ -108,7 +108,7 @@
 // lastResort picks a server that is leaving, where no other is known.
 func (m *Machine) lastResort(now time.Duration, p *pool, r *run) (choice, bool) {
 	var best *server
-	for _, s := range p.order {
+	for _, s := range p.reachable(r) {
 		if !s.leaving {
 			return choice{}, false
 		}
--- a/direct/pool.go
+++ b/direct/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -10,7 +11,10 @@
 	name      string
 	engine    *Engine
 	servers   map[string]*server
-	order     []*server     // by id
+	all       []*server     // by id
+	order     []*server     // those that may get requests, by id; see admit
+	gate      *gate         // nil: every version may get requests
+	baseline  baseline      // of the versions in use
 	tokenRate float64       // tokens a millisecond of a server, averaged
 	keeps     time.Duration // how long a server keeps a part of a prompt unused
 	objective float64       // milliseconds, averaged over requests
@@ -52,25 +56,25 @@
 // reorder sorts the servers after a change, so that choices depend on no map
 // order.
 func (p *pool) reorder() {
-	p.order = p.order[:0]
+	p.all = p.all[:0]
 	for _, s := range p.servers {
-		p.order = append(p.order, s)
+		p.all = append(p.all, s)
 	}
-	slices.SortFunc(p.order, func(a, b *server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	sortByID(p.all)
+	p.admit()
+}
+
+func sortByID(servers []*server) {
+	slices.SortFunc(servers, func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
 }
 
-// medianFailures returns the failure average of the middle server.
-func (p *pool) medianFailures() float64 {
-	if len(p.order) == 0 {
+// medianFailures returns the failure average of the middle one of some servers.
+func medianFailures(servers []*server) float64 {
+	if len(servers) == 0 {
 		return 0
 	}
-	all := make([]float64, 0, len(p.order))
-	for _, s := range p.order {
+	all := make([]float64, 0, len(servers))
+	for _, s := range servers {
 		all = append(all, s.failures)
 	}
 	slices.Sort(all)
@@ -83,10 +87,10 @@
 }
 
 // mostEjected tells whether one more ejection would leave less than half of
-// the servers.
-func (p *pool) mostEjected(now time.Duration) bool {
+// some servers.
+func mostEjected(now time.Duration, servers []*server) bool {
 	in, all := 0, 0
-	for _, s := range p.order {
+	for _, s := range servers {
 		if s.leaving || s.evacuated || s.hallLost {
 			continue
 		}
--- a/direct/reach.go
+++ b/direct/reach.go
@@ -85,7 +85,7 @@
 func (m *Machine) serversIn(hall string) int {
 	n := 0
 	for _, s := range m.byServer {
-		if s.Zone == hall && !s.gone {
+		if s.Zone == hall && !s.gone && !s.barred {
 			n++
 		}
 	}
@@ -104,6 +104,7 @@
 			servers++
 		}
 	}
+	m.admitAll()
 	m.emit(ReachCmd{Hall: hall, Lost: lost, Unreached: len(h.unreached), Servers: servers})
 }
 
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -5,6 +5,7 @@
 )
 
 func (m *Machine) send(now time.Duration, p *pool, r *run, c choice) {
+	c = m.embark(now, p, r, c)
 	s := c.server
 	r.waiting = false
 	r.at = s
@@ -14,6 +15,7 @@
 	basis := Basis{
 		Running: s.allRunning(), Pending: s.allPending(), Miss: c.miss,
 		Estimate: c.estimate, Waited: now - r.arrivedAt, Share: r.over,
+		Target: s.target, Side: r.course.side,
 	}
 	s.running++
 	m.coldSent(now, p, s)
@@ -22,6 +24,7 @@
 		r.ahead = s.allPending() + r.pending
 		s.pending += r.pending
 	}
+	m.watch(now, p, r, s)
 	m.charge(now, r)
 	if p.engine != nil && c.miss > 0 && m.uses(Copies) {
 		m.tellCopies(now, p, r, s)
@@ -62,11 +65,15 @@
 // first takes in that an attempt's first event came.
 func (m *Machine) first(msg FirstMsg) {
 	r := m.runs[msg.ID]
-	if r == nil || r.at == nil || r.begun {
+	if r == nil || r.at == nil {
 		return
 	}
-	r.begun = true
 	p := m.pool(r.Service)
+	m.sawFirst(msg.Now, p, r)
+	if r.begun {
+		return
+	}
+	r.begun = true
 	m.answered(msg.Now, r.at)
 	r.at.learnFirst(p, r, msg.Now-r.sentAt)
 	r.at.started(r)
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -14,7 +14,7 @@
 		m.giveUp(now, p, r, ReasonShare)
 		return
 	}
-	if !p.anyUsable(now) {
+	if !p.anyUsable(now) || p.shut(now, r) {
 		m.giveUp(now, p, r, ReasonNoServers)
 		return
 	}
@@ -33,7 +33,7 @@
 	if r.above && r.attempt == 0 {
 		return false
 	}
-	c, ok := m.place(now, p, r)
+	c, ok := m.placeBySide(now, p, r)
 	if ok {
 		m.send(now, p, r, c)
 	}
--- a/direct/server.go
+++ b/direct/server.go
@@ -43,6 +43,12 @@
 	hallLost  bool // no server of its data hall can be reached; see hallReach
 	cold      coldState
 
+	listedAt   time.Duration // when it was first listed, or listed again
+	answeredAt time.Duration // when it last answered this router
+	target     bool          // of the version that its service moves to
+	barred     bool          // its version gets nothing at present; see admit
+	cohort     string        // that its answers count for; see cohortOf
+
 	running int        // of this router
 	pending int        // tokens of this router
 	others  loads.Load // of all other routers
@@ -92,12 +98,17 @@
 	if r.ahead < learnFromTokens {
 		return
 	}
-	spent := max(ms-float64(firstEventBase/time.Millisecond), 1)
-	seen := min(max(float64(r.ahead)/spent, slowestRate), fastestRate)
+	seen := readingRate(r.ahead, ms)
 	s.tokenRate = average(s.tokenRate, seen, p.tokenRate)
 	p.tokenRate += learnStep / 4 * (seen - p.tokenRate)
 }
 
+// readingRate is how fast a server read some tokens, in tokens a millisecond.
+func readingRate(tokens int, elapsed float64) float64 {
+	spent := max(elapsed-float64(firstEventBase/time.Millisecond), 1)
+	return min(max(float64(tokens)/spent, slowestRate), fastestRate)
+}
+
 // average moves an average, which starts at first, towards a value.
 func average(old, value, first float64) float64 {
 	if old == 0 {
--- a/direct/state.go
+++ b/direct/state.go
@@ -5,9 +5,11 @@
 // ServerState is what the machine takes a server to be.
 type ServerState struct {
 	ID, Service, Address, Zone string
+	Version                    string
 	Slots                      int
 	Usable, Leaving, Probation bool
 	Evacuated, HallLost        bool
+	Barred                     bool          // servers of its version get nothing at present, or it takes no part in a trial
 	ColdFor                    time.Duration // how much longer it bears only few requests; 0: it is not cold
 	Running                    int           // all routers
 	Pending                    int           // tokens that all routers have there
@@ -19,11 +21,11 @@
 func (m *Machine) Servers(now time.Duration) []ServerState {
 	var out []ServerState
 	for _, name := range m.poolNames() {
-		for _, s := range m.pools[name].order {
+		for _, s := range m.pools[name].all {
 			out = append(out, ServerState{
-				ID: s.ID, Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: s.Slots,
+				ID: s.ID, Service: s.Service, Address: s.Address, Zone: s.Zone, Version: s.Version, Slots: s.Slots,
 				Usable: s.usable(now), Leaving: s.leaving, Probation: s.probation,
-				Evacuated: s.evacuated, HallLost: s.hallLost, ColdFor: max(s.cold.until-now, 0),
+				Evacuated: s.evacuated, HallLost: s.hallLost, Barred: s.barred, ColdFor: max(s.cold.until-now, 0),
 				Running: s.allRunning(), Pending: s.allPending(), TokensPerMS: s.tokenRate, Failures: s.failures,
 			})
 		}
--- /dev/null
+++ b/direct/trial.go
@@ -0,0 +1,100 @@
+package direct
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+const (
+	// trialLeast is the least number of servers in a trial: one may be faulty by itself,
+	// and of three the other two still tell of the version.
+	trialLeast = 3
+	// trialPart marks the rendezvous weights by which servers are chosen for a trial, so
+	// that they differ from those of any part of a prompt.
+	trialPart = 0x7452_6961_6c53_6964
+	// cohortsInHall is in how many cohorts the servers of one hall are told apart where
+	// the target has no other: leaving out one of three leaves enough evidence.
+	cohortsInHall = 3
+)
+
+// taking returns the target's servers that take requests at the present stage, by id.
+// All routers choose the same by the servers' ids. Servers that leave are a last resort
+// only where old ones can't take what is the target's.
+func (g *gate) taking(all []*server) []*server {
+	var out []*server
+	if g.Part <= 0 {
+		return nil
+	}
+	for _, s := range all {
+		if s.target && (g.closed() || s.present()) {
+			out = append(out, s)
+		}
+	}
+	most := max(int(math.Ceil(g.Servers*float64(len(out)))), trialLeast)
+	if g.Servers >= 1 || most >= len(out) {
+		return out
+	}
+	slices.SortFunc(out, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(rank(trialPart, b), rank(trialPart, a)), cmp.Compare(a.ID, b.ID))
+	})
+	out = spreadOut(out)[:most]
+	sortByID(out)
+	return out
+}
+
+// present tells whether nothing keeps a server from new requests for long. A server that
+// is ejected stays in the trial: what it answered is evidence.
+func (s *server) present() bool { return !s.leaving && !s.evacuated && !s.hallLost }
+
+// spreadOut puts the first server of each cohort before all others.
+func spreadOut(all []*server) []*server {
+	single := inOneHall(all)
+	seen := make(map[string]bool)
+	var firsts, rest []*server
+	for _, s := range all {
+		c := cohortOf(s, single)
+		if seen[c] {
+			rest = append(rest, s)
+			continue
+		}
+		seen[c] = true
+		firsts = append(firsts, s)
+	}
+	return append(firsts, rest...)
+}
+
+// nameCohorts names for each server of a pool the cohort that its answers count for:
+// servers that may fail together, and for reasons of their own.
+func (p *pool) nameCohorts() {
+	var present []*server
+	for _, s := range p.all {
+		if s.target && s.present() {
+			present = append(present, s)
+		}
+	}
+	single := inOneHall(present)
+	for _, s := range p.all {
+		s.cohort = cohortOf(s, single)
+	}
+}
+
+// cohortOf returns the hall of a server, or, where the target has servers in a single
+// hall only, a part of that hall's.
+func cohortOf(s *server, single bool) string {
+	if !single {
+		return s.Zone
+	}
+	return fmt.Sprintf("%s/%d", s.Zone, s.key%cohortsInHall)
+}
+
+// inOneHall tells whether there are servers, all of them in one data hall.
+func inOneHall(all []*server) bool {
+	for _, s := range all {
+		if s.Zone != all[0].Zone {
+			return false
+		}
+	}
+	return len(all) > 0
+}
