--- a/direct/gate_oracle_test.go
+++ b/direct/gate_oracle_test.go
@@ -18,11 +18,9 @@
 	gate     rollout.Gate
 	routers  []*siteRouter
 	revision uint64
-	halls    []string // evacuated
 
 	all, target int             // requests that came to servers
 	parts       map[uint64]span // by shared part
-	next        uint64          // of requests without a shared part
 }
 
 // span is at which parts of the gate requests of one shared part went to old servers, and
