--- a/direct/doc.go
+++ b/direct/doc.go
@@ -7,6 +7,10 @@
 // objective, keeps a short fair queue for the rest, refuses what cannot be served
 // in time, and decides on retries within one budget for the fleet.
 //
+// While a service moves to another version, a gate says which servers get what, and
+// the machine tells how answers of the new version compare with those of the old
+// ones; package rollout decides on the move.
+//
 //	m := direct.NewMachine(direct.Options{Zone: "hall-a"})
 //	m.Update(direct.ConfigMsg{Now: now, Config: cfg})
 //	m.Update(direct.ServersMsg{Now: now, Directory: dir})
--- a/direct/trial.go
+++ b/direct/trial.go
@@ -28,7 +28,7 @@
 		return nil
 	}
 	for _, s := range all {
-		if s.target && (g.closed() || s.present()) {
+		if s.target && (g.closed() || s.available()) {
 			out = append(out, s)
 		}
 	}
@@ -44,9 +44,9 @@
 	return out
 }
 
-// present tells whether nothing keeps a server from new requests for long. A server that
+// available tells whether nothing keeps a server from new requests for long. A server that
 // is ejected stays in the trial: what it answered is evidence.
-func (s *server) present() bool { return !s.leaving && !s.evacuated && !s.hallLost }
+func (s *server) available() bool { return !s.leaving && !s.evacuated && !s.hallLost }
 
 // spreadOut puts the first server of each cohort before all others.
 func spreadOut(all []*server) []*server {
@@ -70,7 +70,7 @@
 func (p *pool) nameCohorts() {
 	var present []*server
 	for _, s := range p.all {
-		if s.target && s.present() {
+		if s.target && s.available() {
 			present = append(present, s)
 		}
 	}
