--- a/direct/place.go
+++ b/direct/place.go
@@ -112,7 +112,7 @@
 // known.
 func (m *Machine) lastResort(now time.Duration, p *pool, r *run) (choice, bool) {
 	var best *server
-	for _, s := range p.order {
+	for _, s := range p.reachable(r) {
 		if !r.Regions.Allow(s.region) {
 			continue
 		}
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -18,7 +18,7 @@
 		m.giveUp(now, p, r, ReasonShare)
 		return
 	}
-	if !p.anyUsable(now, r.Regions) {
+	if !p.anyUsable(now, r.Regions) || p.shut(now, r) {
 		m.giveUp(now, p, r, ReasonNoServers)
 		return
 	}
@@ -37,7 +37,7 @@
 	if r.above && r.attempt == 0 {
 		return false
 	}
-	c, ok := m.place(now, p, r)
+	c, ok := m.placeBySide(now, p, r)
 	if ok {
 		m.send(now, p, r, c)
 	}
