loads: regions, reports of roll-outs, and copies of prompts' parts

Aggregators of all halls told each other sums 40 times a second, so bytes between halls grew with the square of the halls, and between regions they cost four times as much. Now one router of a region tells one of each other what its region has, ten times a second, and each region hands that down. Lists of one region cover the same routers whoever sends them, so a router counts one of them and never two; where the first router asked does not answer, two more are told at once. With one region, or none, all is as it was.

Reports of roll-outs go with the lists of teams, merged on the way. Copies of prompts' parts go with the lists in place of heartbeats, each in three lists to each receiver, newest first within a budget, and not between regions.

Weighed: sums of other regions within digests (four times as many bytes within halls), and one list for all other regions (a router of each region that is cut off one way from one other would hide the rest).

Tests were seen to fail with one router told only, no answers, every list of a region counted, no sum to a region's aggregator that its hall avoids, one repeat, and sums retold.

--- a/loads/aggregator.go
+++ b/loads/aggregator.go
@@ -24,25 +24,42 @@
 	}
 }
 
-// leaders returns the aggregators that the other halls should have.
-func (e *Exchange) leaders() []string {
+// neighbours returns the other aggregators of the region: those that the other halls
+// should have, and all that send their sums.
+func (e *Exchange) neighbours() []string {
+	to := make(map[string]bool)
+	for hall, r := range e.hallLeaders() {
+		if r.Region == e.self.Region && (hall != e.self.Hall || e.owesRegion(r)) {
+			to[r.Address] = true
+		}
+	}
+	for r := range e.sums {
+		to[r] = true
+	}
+	return sortedKeys(to)
+}
+
+// owesRegion tells whether the best router of this one's hall tells other regions what this
+// one has, though this one avoids it: it would miss the sum of its own hall.
+func (e *Exchange) owesRegion(best Router) bool {
+	return e.aggregator == e.self.Address && before(best, e.self) && len(e.otherRegions()) > 0
+}
+
+// hallLeaders returns the best router of each hall, this one aside.
+func (e *Exchange) hallLeaders() map[string]Router {
 	best := make(map[string]Router)
 	for _, r := range e.routers {
-		if r.Hall == e.self.Hall {
-			continue
-		}
 		if old, ok := best[r.Hall]; !ok || before(r, old) {
 			best[r.Hall] = r
 		}
 	}
-	var out []string
-	for _, r := range best {
-		out = append(out, r.Address)
-	}
-	return out
+	return best
 }
 
 // before tells whether a router is the better aggregator.
-func before(a, b Router) bool {
-	return cmp.Or(-cmp.Compare(a.Power, b.Power), cmp.Compare(a.Address, b.Address)) < 0
+func before(a, b Router) bool { return compare(a, b) < 0 }
+
+// compare orders routers, the better aggregators first.
+func compare(a, b Router) int {
+	return cmp.Or(-cmp.Compare(a.Power, b.Power), cmp.Compare(a.Address, b.Address))
 }
--- /dev/null
+++ b/loads/copies_test.go
@@ -0,0 +1,121 @@
+package loads
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// sentCopy is one copy in the lists from one router to another.
+type sentCopy struct {
+	from, to string
+	copy     Copy
+}
+
+// countCopies counts the lists, each once, that tell of each copy.
+func (s *storm) countCopies() map[sentCopy]map[uint64]bool {
+	lists := make(map[sentCopy]map[uint64]bool)
+	s.sent = func(from string, f flight) {
+		for _, c := range f.msg.Copies {
+			one := sentCopy{from, f.to, c}
+			if lists[one] == nil {
+				lists[one] = make(map[uint64]bool)
+			}
+			lists[one][f.msg.Number] = true
+		}
+	}
+	return lists
+}
+
+// makeCopies has each router make a copy in each of some rounds, and returns who made which.
+func (s *storm) makeCopies(rounds int) map[Copy]Router {
+	made := make(map[Copy]Router)
+	for range rounds {
+		for i, r := range s.routers {
+			one := Copy{Part: uint64(len(made)), Server: uint32(i)}
+			made[one] = r
+			s.made[r.Address] = append(s.made[r.Address], one)
+		}
+		s.run(1, nil)
+	}
+	return made
+}
+
+// arrived counts the routers of the makers' regions that were told of each copy, and those
+// that should have been; none is told twice, nor of its own or another region's copies.
+func (s *storm) arrived(t *testing.T, made map[Copy]Router) (told, all int) {
+	for one, maker := range made {
+		for _, r := range s.routers {
+			if r.Region != maker.Region || r.Address == maker.Address {
+				require.Zero(t, s.copies[r.Address][one], "%s is told of a copy of %s", r.Address, maker.Address)
+				continue
+			}
+			all++
+			told += s.copies[r.Address][one]
+			require.LessOrEqual(t, s.copies[r.Address][one], 1)
+		}
+	}
+	return told, all
+}
+
+// TestCopiesArriveSoon has every router of a region know of a copy 100 ms after it was made.
+func TestCopiesArriveSoon(t *testing.T) {
+	s := newStorm(1, "north/a", "north/a", "north/a", "north/b", "north/b", "north/c", "south/d")
+	s.run(20, nil)
+	made := s.makeCopies(1)
+	s.run(3, nil)
+	told, all := s.arrived(t, made)
+	require.Equal(t, all, told)
+}
+
+// TestCopiesUnderLoss has all but one in a hundred copies arrive where a tenth of all lists
+// is lost, and none be in more than three lists from one router to another.
+func TestCopiesUnderLoss(t *testing.T) {
+	s := newStorm(1, append(threeRegions, "north/f", "north/f")...)
+	s.run(20, nil)
+	s.loss = 0.1
+	lists := s.countCopies()
+	made := s.makeCopies(100)
+	s.run(20, nil)
+	told, all := s.arrived(t, made)
+	require.Greater(t, told, all*99/100, "of %d", all)
+	for one, numbers := range lists {
+		require.LessOrEqual(t, len(numbers), copyRepeats, "%+v", one)
+		if from := s.hallOf(one.from); from != s.hallOf(one.to) {
+			require.Equal(t, from, made[one.copy].Hall, "each hall tells others of its own copies")
+		}
+	}
+}
+
+// TestCopiesWithinBudget makes more copies than lists may hold: each list holds no more than
+// it may, and tells the newest.
+func TestCopiesWithinBudget(t *testing.T) {
+	s := newStorm(1, "north/a", "north/a", "north/a", "north/b", "north/b")
+	s.run(20, nil)
+	s.sent = func(_ string, f flight) { require.LessOrEqual(t, len(f.msg.Copies), copiesMost) }
+	var last Copy
+	for part := range 40 * copiesMost {
+		last = Copy{Part: uint64(part), Server: 1}
+		s.made["r0"] = append(s.made["r0"], last)
+		if part%copiesMost == 0 {
+			s.run(1, nil)
+		}
+	}
+	s.run(4, nil)
+	for _, r := range s.routers[1:] {
+		require.Equal(t, 1, s.copies[r.Address][last], r.Address)
+	}
+}
+
+// TestOldCopiesAreForgotten has a copy that is made again later be told again.
+func TestOldCopiesAreForgotten(t *testing.T) {
+	s := newStorm(1, "north/a", "north/b")
+	s.run(20, nil)
+	one := Copy{Part: 1, Server: 1}
+	for range 2 {
+		s.made["r0"] = []Copy{one}
+		s.run(2*int(copyFor/Every), nil)
+	}
+	require.Equal(t, 2, s.copies["r1"][one])
+	require.Empty(t, s.exchanges["r1"].copies.entries)
+}
--- a/loads/doc.go
+++ b/loads/doc.go
@@ -8,7 +8,19 @@
 //
 // The same lists tell what routers see of teams, ten times a second: a router learns
 // what a team gets through all others from one of them, in place of hearing each. What
-// the routers of another hall see crosses between halls once for the hall.
+// the routers of another hall see crosses between halls once for the hall. Reports of
+// roll-outs go with them.
+//
+// Halls lie in regions. The best router of a region tells one of each other region, with
+// the lists that tell of teams, what its whole region has; that one passes it on to its
+// halls' aggregators, and they to their routers. So a byte between regions is sent once for
+// a region, and as loads of far servers matter only where near ones are full, a tenth of a
+// second late. Lists of one region cover the same routers whoever sends them: each router
+// counts one list of each other region, never two.
+//
+// Copies of prompts' parts go with the lists within a region, each in a few lists to each
+// receiver. They do not cross between regions: a request goes to a far server only when its
+// own region is full, and then where there is room rather than where its prompt is kept.
 //
 // Nothing is agreed on and nothing is kept: reports are whole, each replaces the
 // last, and what has not been renewed is dropped. Where routers differ about the
--- a/loads/exchange.go
+++ b/loads/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/croftvale/croftvale/rollout"
 )
 
 const (
@@ -29,14 +31,22 @@
 type Exchange struct {
 	self    Router
 	routers []Router
-	reports map[string]list // of routers that report to this one
-	sums    map[string]list // of other aggregators
-	digests map[string]list // answers of aggregators
+	there   map[string]Router // the same by address
+	reports map[string]list   // of routers that report to this one
+	sums    map[string]list   // of other aggregators
+	digests map[string]list   // answers of aggregators
 	own     []Load
 	// teamReports and teamSums are the lists of teams that came with reports and sums.
 	teamReports map[string]teamList
 	teamSums    map[string]teamList
 	ownTeams    []TeamUse
+	ownRollouts []rollout.Report
+	regions     map[regionKey]regionList // what other regions have
+	// asked are the routers of other regions that this one tells, and since when.
+	asked       map[string]time.Duration
+	copies      copyLog
+	newCopies   []Copy // that this router has not been told yet
+	copyReaders map[listKey]*copyReader
 	// unanswered is when the first report was sent that the aggregator has not
 	// answered; 0: there is none.
 	unanswered time.Duration
@@ -53,6 +63,8 @@
 		reports: make(map[string]list), sums: make(map[string]list),
 		digests: make(map[string]list), avoided: make(map[string]time.Duration),
 		teamReports: make(map[string]teamList), teamSums: make(map[string]teamList),
+		regions: make(map[regionKey]regionList), asked: make(map[string]time.Duration),
+		copyReaders: make(map[listKey]*copyReader),
 	}
 }
 
@@ -62,7 +74,7 @@
 	e.out = e.out[:0]
 	switch msg := msg.(type) {
 	case RoutersMsg:
-		e.routers = msg.Routers
+		e.takeRouters(msg)
 	case ListMsg:
 		e.take(msg)
 	case TickMsg:
@@ -76,19 +88,31 @@
 // Aggregator returns the router that this one reports to; it may be itself.
 func (e *Exchange) Aggregator() string { return e.aggregator }
 
+func (e *Exchange) takeRouters(msg RoutersMsg) {
+	e.routers = msg.Routers
+	e.there = make(map[string]Router, len(msg.Routers))
+	for _, r := range msg.Routers {
+		e.there[r.Address] = r
+	}
+}
+
 func (e *Exchange) take(msg ListMsg) {
 	switch msg.Kind {
 	case Report:
 		if renew(e.reports, msg) {
 			takeTeams(e.teamReports, msg)
+			e.newCopies = append(e.newCopies, e.takeCopies(msg.Now, msg.Copies, fromReport, msg.From)...)
 			e.answer(msg)
 		}
 	case Sum:
 		if renew(e.sums, msg) {
 			takeTeams(e.teamSums, msg)
+			e.newCopies = append(e.newCopies, e.takeCopies(msg.Now, msg.Copies, fromSum, msg.From)...)
 		}
 	case Digest:
 		e.takeDigest(msg)
+	case RegionSum, RegionAnswer, Passed, FarDigest:
+		e.takeRegion(msg)
 	}
 }
 
@@ -106,14 +130,23 @@
 		return
 	}
 	e.unanswered = 0
-	e.emit(OthersCmd{Loads: msg.Loads, HasTeams: msg.HasTeams, Teams: msg.Teams})
+	e.newCopies = append(e.newCopies, e.takeCopies(msg.Now, msg.Copies, fromDigest, msg.From)...)
+	e.tellSelf(msg.Now, OthersCmd{Loads: msg.Loads, HasTeams: msg.HasTeams, Teams: msg.Teams, Rollouts: msg.Rollouts})
 }
 
-// answer tells a router that has reported what all the others have.
+// tellSelf says what all the others have, those of other regions too.
+func (e *Exchange) tellSelf(now time.Duration, near OthersCmd) {
+	others := e.others(now, near)
+	others.Copies, e.newCopies = e.newCopies, nil
+	e.emit(others)
+}
+
+// answer tells a router that has reported what all the others of the region have.
 func (e *Exchange) answer(report ListMsg) {
-	digest := SendCmd{To: report.From, Kind: Digest, Loads: e.allBut(report.Now, report.From), HasTeams: report.HasTeams}
+	now, to := report.Now, report.From
+	digest := SendCmd{To: to, Kind: Digest, Loads: e.allBut(now, to), HasTeams: report.HasTeams, Copies: e.copiesFor(now, to, Digest)}
 	if report.HasTeams {
-		digest.Teams = e.teamsBut(report.Now, report.From)
+		digest.Teams, digest.Rollouts = e.teamsBut(now, to), e.rolloutsBut(now, to)
 	}
 	e.emit(digest)
 }
@@ -121,56 +154,66 @@
 func (e *Exchange) tick(msg TickMsg) {
 	e.own = msg.Own
 	if msg.HasTeams {
-		e.ownTeams = msg.Teams
+		e.ownTeams, e.ownRollouts = msg.Teams, msg.Rollouts
 	}
-	e.drop(msg.Now)
-	e.dropTeams(msg.Now)
+	e.forget(msg.Now)
 	e.choose(msg.Now)
+	e.takeCopies(msg.Now, msg.Copies, fromSelf, "")
 	if e.aggregator == e.self.Address {
-		others := OthersCmd{Loads: e.allBut(msg.Now, e.self.Address), HasTeams: msg.HasTeams}
-		if msg.HasTeams {
-			others.Teams = e.teamsBut(msg.Now, e.self.Address)
-		}
-		e.emit(others)
+		e.tellSelf(msg.Now, e.near(msg))
 	} else {
 		e.report(msg)
 	}
 	e.tellAggregators(msg)
+	if msg.HasTeams {
+		e.tellRegions(msg.Now)
+	}
+}
+
+// forget drops all that has not been renewed.
+func (e *Exchange) forget(now time.Duration) {
+	e.drop(now)
+	e.dropTeams(now)
+	e.dropRegions(now)
+	e.dropCopies(now)
+}
+
+// near is what all the others of the region have, as this aggregator knows it.
+func (e *Exchange) near(msg TickMsg) OthersCmd {
+	others := OthersCmd{Loads: e.allBut(msg.Now, e.self.Address), HasTeams: msg.HasTeams}
+	if msg.HasTeams {
+		others.Teams, others.Rollouts = e.teamsBut(msg.Now, e.self.Address), e.rolloutsBut(msg.Now, e.self.Address)
+	}
+	return others
 }
 
 // report sends what this router has to its aggregator.
 func (e *Exchange) report(msg TickMsg) {
 	now := msg.Now
-	if len(e.own) == 0 && !msg.HasTeams && now-e.reportedAt < idleEvery {
+	copies := e.copiesFor(now, e.aggregator, Report)
+	if len(e.own) == 0 && len(copies) == 0 && !msg.HasTeams && now-e.reportedAt < idleEvery {
 		return
 	}
 	e.reportedAt = now
 	if e.unanswered == 0 {
 		e.unanswered = now
 	}
-	e.emit(SendCmd{To: e.aggregator, Kind: Report, Loads: e.own, HasTeams: msg.HasTeams, Teams: msg.Teams})
+	e.emit(SendCmd{To: e.aggregator, Kind: Report, Loads: e.own, HasTeams: msg.HasTeams, Teams: msg.Teams, Rollouts: msg.Rollouts, Copies: copies})
 }
 
 // tellAggregators sends the sum of those that report here to the aggregators of
-// the other halls, and to all that send theirs.
+// the region's other halls, and to all that send theirs.
 func (e *Exchange) tellAggregators(msg TickMsg) {
-	if e.aggregator != e.self.Address && len(e.reports) == 0 {
+	if !e.gathers() {
 		return
 	}
-	to := make(map[string]bool)
-	for _, r := range e.leaders() {
-		to[r] = true
-	}
-	for r := range e.sums {
-		to[r] = true
-	}
-	loads := e.reported("")
-	var teams []TeamUse
+	cmd := SendCmd{Kind: Sum, Loads: e.reported(""), HasTeams: msg.HasTeams}
 	if msg.HasTeams {
-		teams = e.reportedTeams(msg.Now, "")
+		cmd.Teams, cmd.Rollouts = e.reportedTeams(msg.Now, ""), e.reportedRollouts(msg.Now, "")
 	}
-	for _, r := range sortedKeys(to) {
-		e.emit(SendCmd{To: r, Kind: Sum, Loads: loads, HasTeams: msg.HasTeams, Teams: teams})
+	for _, cmd.To = range e.neighbours() {
+		cmd.Copies = e.copiesFor(msg.Now, cmd.To, Sum)
+		e.emit(cmd)
 	}
 }
 
@@ -189,7 +232,7 @@
 	return sum(lists...)
 }
 
-// allBut adds up what all have but one of those that report here.
+// allBut adds up what all routers of the region have but one of those that report here.
 func (e *Exchange) allBut(now time.Duration, without string) []Load {
 	e.drop(now)
 	lists := [][]Load{e.reported(without)}
--- a/loads/exchange_test.go
+++ b/loads/exchange_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftvale/croftvale/rollout"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -18,7 +19,9 @@
 	own       map[string][]Load
 	others    map[string][]Load // the last that each was told
 	teams     map[string][]TeamUse
-	off       map[string]bool // without power
+	rollouts  map[string][]rollout.Report
+	copies    map[string]map[Copy]int // how often each was told of a copy
+	off       map[string]bool         // without power
 	flying    []flight
 }
 
@@ -31,7 +34,8 @@
 // its number.
 func newNetwork(halls ...string) *network {
 	n := &network{exchanges: make(map[string]*Exchange), own: make(map[string][]Load), others: make(map[string][]Load), now: time.Second,
-		teams: make(map[string][]TeamUse), off: make(map[string]bool)}
+		teams: make(map[string][]TeamUse), off: make(map[string]bool),
+		rollouts: make(map[string][]rollout.Report), copies: make(map[string]map[Copy]int)}
 	for i, hall := range halls {
 		r := Router{Address: fmt.Sprint("r", i), Hall: hall, Power: float64(1 + i%2)}
 		n.routers = append(n.routers, r)
@@ -65,16 +69,27 @@
 			n.number++
 			n.flying = append(n.flying, flight{to: cmd.To, msg: ListMsg{
 				From: address, Hall: n.hallOf(address), Kind: cmd.Kind, Number: n.number, Loads: cmd.Loads, HasTeams: cmd.HasTeams, Teams: cmd.Teams,
+				Region: cmd.Region, Rollouts: cmd.Rollouts, Copies: cmd.Copies,
 			}})
 		case OthersCmd:
 			n.others[address] = cmd.Loads
 			if cmd.HasTeams {
-				n.teams[address] = cmd.Teams
+				n.teams[address], n.rollouts[address] = cmd.Teams, cmd.Rollouts
 			}
+			n.tellCopies(address, cmd.Copies)
 		}
 	}
 }
 
+func (n *network) tellCopies(address string, told []Copy) {
+	for _, c := range told {
+		if n.copies[address] == nil {
+			n.copies[address] = make(map[Copy]int)
+		}
+		n.copies[address][c]++
+	}
+}
+
 func (n *network) hallOf(address string) string {
 	for _, r := range n.routers {
 		if r.Address == address {
--- a/loads/messages.go
+++ b/loads/messages.go
@@ -14,6 +14,11 @@
 	Report Kind = iota + 1 // what the sender has, for its aggregator
 	Digest                 // what all but the receiver have, in answer to a report
 	Sum                    // what those have that report to the sender
+	// The others cover all routers of one region.
+	RegionSum    // from the aggregator of the region to one of another, which tells its own
+	RegionAnswer // the same, in answer to a RegionSum
+	Passed       // passed on to the aggregators of another region's halls
+	FarDigest    // passed on to the routers of such a hall
 )
 
 // Router is another router that is there.
@@ -37,6 +42,7 @@
 	Now    time.Duration
 	From   string
 	Hall   string // of the sender; only where the list tells of teams
+	Region string // that the list covers; only where its kind covers one
 	Kind   Kind
 	Number uint64
 	Loads  []Load
@@ -69,6 +75,7 @@
 type SendCmd struct {
 	To       string
 	Kind     Kind
+	Region   string // that the list covers; only where its kind covers one
 	Loads    []Load
 	HasTeams bool
 	Teams    []TeamUse
--- /dev/null
+++ b/loads/regions_test.go
@@ -0,0 +1,399 @@
+package loads
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/rollout"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// heartbeatsHold is how long the routers of a storm count one as there that they do not hear.
+const heartbeatsHold = time.Second
+
+// storm is a network with regions whose lists are lost, late, out of order and repeated.
+type storm struct {
+	*network
+	random *rand.Rand
+	loss   float64            // part of the lists that are lost, late or repeated
+	cut    map[[2]string]bool // from, to: nothing passes
+	mute   map[[2]string]bool // from, to: only heartbeats pass
+	heard  map[[2]string]time.Duration
+	late   map[time.Duration][]flight
+	rounds int
+	made   map[string][]Copy // for the next tick
+	sent   func(from string, f flight)
+}
+
+// newStorm makes routers at places like "north/a": a region and a hall.
+func newStorm(seed uint64, places ...string) *storm {
+	s := &storm{
+		network: newNetwork(places...), random: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]string]bool),
+		heard: make(map[[2]string]time.Duration), late: make(map[time.Duration][]flight), made: make(map[string][]Copy),
+		mute: make(map[[2]string]bool),
+	}
+	for i := range s.routers {
+		s.routers[i].Region, _, _ = strings.Cut(places[i], "/")
+		s.restart(s.routers[i])
+	}
+	return s
+}
+
+func (s *storm) restart(r Router) { s.exchanges[r.Address] = NewExchange(r) }
+
+func (s *storm) passes(from, to string) bool {
+	return !s.off[from] && !s.off[to] && !s.cut[[2]string{from, to}]
+}
+
+// hear lets the routers hear of each other what passes between them.
+func (s *storm) hear(r Router) {
+	s.knows(r.Address, func(other Router) bool {
+		pair := [2]string{other.Address, r.Address}
+		if s.passes(pair[0], pair[1]) {
+			s.heard[pair] = s.now
+		}
+		return s.heard[pair] > 0 && s.now-s.heard[pair] <= heartbeatsHold
+	})
+}
+
+// run goes through some rounds and checks after each.
+func (s *storm) run(rounds int, check func()) {
+	for range rounds {
+		s.now += Every
+		s.rounds++
+		for _, r := range s.routers {
+			if !s.off[r.Address] {
+				s.hear(r)
+				s.tell(r.Address, s.tick(r))
+			}
+		}
+		s.flying = append(s.flying, s.late[s.now]...)
+		delete(s.late, s.now)
+		for i := 0; i < len(s.flying); i++ {
+			s.fly(i)
+		}
+		s.flying = s.flying[:0]
+		if check != nil {
+			check()
+		}
+	}
+}
+
+func (s *storm) tick(r Router) TickMsg {
+	tick := TickMsg{Now: s.now, Own: s.own[r.Address], Copies: s.made[r.Address]}
+	delete(s.made, r.Address)
+	if s.rounds%int(TeamsEvery/Every) == 0 {
+		tick.HasTeams, tick.Teams, tick.Rollouts = true, teamsOf(r), rolloutsOf(r)
+	}
+	return tick
+}
+
+// rolloutsOf returns what a router reports: r2 has the lowest stage in force.
+func rolloutsOf(r Router) []rollout.Report {
+	report := rollout.Report{Service: "chat", Order: 7, Routers: 1, Known: rollout.Half, InForce: rollout.Half, Age: time.Second, OldRunning: 3}
+	if r.Address == "r2" {
+		report.InForce = rollout.Trial
+	}
+	report.Cells = []rollout.Cell{{Route: "route", Cohort: "hall", Target: true, Good: 5, Bad: 1}}
+	return []rollout.Report{report}
+}
+
+// fly delivers one list, if it is not lost, late, or cut off.
+func (s *storm) fly(i int) {
+	f := s.flying[i]
+	if s.sent != nil {
+		s.sent(f.msg.From, f)
+	}
+	if !s.passes(f.msg.From, f.to) || s.mute[[2]string{f.msg.From, f.to}] {
+		return
+	}
+	switch p := s.random.Float64(); {
+	case p < s.loss:
+		return
+	case p < 1.5*s.loss:
+		s.delay(f)
+		return
+	case p < 2*s.loss:
+		s.delay(f)
+	}
+	s.deliver(i)
+}
+
+func (s *storm) delay(f flight) {
+	due := s.now + Every*time.Duration(1+s.random.IntN(3))
+	s.late[due] = append(s.late[due], f)
+}
+
+// atMost holds that no router counts another more often than that, nor itself more than
+// once less.
+func (s *storm) atMost(t require.TestingT, times int32) {
+	for i, r := range s.routers {
+		for _, l := range s.others[r.Address] {
+			if l.Server == 999 || s.off[r.Address] {
+				continue
+			}
+			most := times * int32(10+l.Server)
+			if l.Server == uint32(i) {
+				most -= int32(10 + l.Server)
+			}
+			require.LessOrEqual(t, l.Running, most, "%s counts r%d", r.Address, l.Server)
+		}
+	}
+}
+
+// quiet ends all trouble and waits until routers that were avoided are tried again, and
+// what was told meanwhile no longer holds.
+func (s *storm) quiet() {
+	clear(s.cut)
+	clear(s.off)
+	clear(s.mute)
+	s.loss = 0
+	s.run(int((heartbeatsHold+avoidedFor+RegionHold+regionSilence)/Every), nil)
+}
+
+// merged holds that each router is told of all others' roll-outs, each once.
+func (s *storm) merged(t require.TestingT) {
+	for _, r := range s.routers {
+		var want []rollout.Report
+		for _, other := range s.routers {
+			if other.Address != r.Address && !s.off[other.Address] {
+				want = mergeRollouts(want, rolloutsOf(other))
+			}
+		}
+		if !s.off[r.Address] {
+			require.Equal(t, want, s.rollouts[r.Address], "what %s knows", r.Address)
+		}
+	}
+}
+
+var threeRegions = []string{
+	"north/a", "north/a", "north/a", "north/b", "north/b",
+	"east/c", "east/c", "east/d", "south/e", "south/e",
+}
+
+// TestRegionsAllKnowAll has routers of three regions know what all others have, each
+// counted once: loads, teams and roll-outs.
+func TestRegionsAllKnowAll(t *testing.T) {
+	s := newStorm(1, threeRegions...)
+	s.run(24, func() { s.atMost(t, 1) })
+	s.settled(t)
+	s.merged(t)
+	for _, r := range s.routers {
+		require.EqualValues(t, 900, s.seen(r.Address, "all").Offered)
+	}
+}
+
+// TestRegionListsAreFew has one router of each region send to one of each other, ten times
+// a second.
+func TestRegionListsAreFew(t *testing.T) {
+	s := newStorm(1, threeRegions...)
+	s.run(40, nil)
+	sent := make(map[string]int)
+	s.sent = func(from string, f flight) {
+		if s.region(from) != s.region(f.to) {
+			require.Equal(t, RegionSum, f.msg.Kind)
+			sent[from]++
+		}
+	}
+	s.run(40, nil)
+	require.Equal(t, map[string]int{"r1": 20, "r5": 20, "r9": 20}, sent)
+}
+
+func (s *storm) region(address string) string {
+	for _, r := range s.routers {
+		if r.Address == address {
+			return r.Region
+		}
+	}
+	return ""
+}
+
+// TestRegionOfAllIsNoRegion has routers that are all in one region send what they send
+// without any.
+func TestRegionOfAllIsNoRegion(t *testing.T) {
+	var all [2][]string
+	for i, region := range []string{"", "north"} {
+		s := newStorm(1, region+"/a", region+"/a", region+"/b", region+"/b", region+"/c")
+		for j := range s.routers {
+			s.routers[j].Hall = strings.TrimPrefix(s.routers[j].Hall, region)
+			s.restart(s.routers[j])
+		}
+		s.loss = 0.1
+		s.sent = func(from string, f flight) { all[i] = append(all[i], fmt.Sprint(from, f)) }
+		s.run(100, nil)
+	}
+	require.Equal(t, all[0], all[1])
+}
+
+// TestRegionAggregatorLost takes the power from the aggregators of a region and of its
+// halls: its routers are known again, each once, before the others have missed a heartbeat.
+func TestRegionAggregatorLost(t *testing.T) {
+	for _, lost := range []string{"r1", "r3", "r5", "r7", "r9"} {
+		s := newStorm(1, threeRegions...)
+		s.run(20, nil)
+		s.off[lost] = true
+		delete(s.own, lost)
+		s.run(int((RegionHold+regionSilence)/Every), func() { s.atMost(t, 2) })
+		for _, r := range s.routers {
+			if !s.off[r.Address] {
+				s.knowsAll(t, r)
+			}
+		}
+		s.merged(t)
+	}
+}
+
+// knowsAll holds that a router knows exactly what all the others have.
+func (s *storm) knowsAll(t require.TestingT, r Router) {
+	var lists [][]Load
+	for _, other := range s.routers {
+		if other.Address != r.Address {
+			lists = append(lists, s.own[other.Address])
+		}
+	}
+	require.Equal(t, sum(lists...), s.others[r.Address], "what %s knows", r.Address)
+}
+
+// TestRegionsCutOneWay cuts, for good, the lists of one region's aggregator to another's,
+// and all that it hears: the regions learn of each other through the next ones.
+func TestRegionsCutOneWay(t *testing.T) {
+	for name, cut := range map[string]func(from, to string) bool{
+		"to another": func(from, to string) bool { return from == "r1" && to == "r5" },
+		"of a hall":  func(from, to string) bool { return from < "r3" && to > "r4" },
+		"deaf":       func(_, to string) bool { return to == "r1" },
+	} {
+		s := newStorm(1, threeRegions...)
+		s.run(20, nil)
+		for _, a := range s.routers {
+			for _, b := range s.routers {
+				s.cut[[2]string{a.Address, b.Address}] = cut(a.Address, b.Address)
+			}
+		}
+		s.run(int((heartbeatsHold+RegionHold+regionSilence)/Every), func() { s.atMost(t, 2) })
+		s.run(200, func() {
+			s.atMost(t, 1)
+			require.Contains(t, s.others["r9"], Load{Server: 4, Running: 14}, name)
+			if name != "deaf" { // the next in its hall now and then tries the deaf one again
+				require.Contains(t, s.others["r9"], Load{Server: 0, Running: 10}, name)
+			}
+			require.Contains(t, s.others["r6"], Load{Server: 4, Running: 14}, name)
+			require.Contains(t, s.others["r4"], Load{Server: 6, Running: 16}, name)
+		})
+	}
+}
+
+// TestRegionsEveryLoss goes through all ways in which three regions of a router each may
+// lose the lists of two rounds between regions, six times in turn: meanwhile nobody counts anybody twice, and
+// afterwards all is known.
+func TestRegionsEveryLoss(t *testing.T) {
+	const decisions = 12 // six lists in each of two rounds, taken in turn
+	for pattern := range 1 << decisions {
+		s := newStorm(1, "north/a", "east/b", "south/c")
+		used := 0
+		lose := func(f flight) bool {
+			used++
+			return pattern>>(used%decisions)&1 == 1
+		}
+		for range 12 {
+			s.lossyRound(lose)
+			s.atMost(t, 1)
+		}
+		s.run(2*int(TeamsEvery/Every), func() { s.atMost(t, 1) })
+		s.settled(t)
+	}
+}
+
+// TestRegionOfOneCutOneWay cuts the lists of one region of a single router to another: those
+// the other way still come.
+func TestRegionOfOneCutOneWay(t *testing.T) {
+	s := newStorm(1, "north/a", "east/b")
+	s.run(20, nil)
+	s.mute[[2]string{"r1", "r0"}] = true
+	s.run(200, func() {
+		require.Equal(t, s.own["r0"], s.others["r1"])
+	})
+	require.Empty(t, s.others["r0"])
+}
+
+// TestRegionKnowsHallThatTurned has a region's aggregator not answer its own hall, which
+// turns to another: other regions still know of the hall.
+func TestRegionKnowsHallThatTurned(t *testing.T) {
+	s := newStorm(1, threeRegions...)
+	s.run(20, nil)
+	s.mute[[2]string{"r1", "r0"}], s.mute[[2]string{"r1", "r2"}] = true, true
+	s.run(200, func() {
+		s.atMost(t, 2)
+		require.Equal(t, uint32(0), s.others["r9"][0].Server)
+		require.Equal(t, uint32(2), s.others["r9"][2].Server)
+	})
+}
+
+// lossyRound is a round in which all tell of teams, and lists arrive as chosen.
+func (s *storm) lossyRound(arrives func(flight) bool) {
+	s.now += TeamsEvery
+	for _, r := range s.routers {
+		s.hear(r)
+		s.tell(r.Address, TickMsg{Now: s.now, Own: s.own[r.Address], HasTeams: true})
+	}
+	for i := 0; i < len(s.flying); i++ {
+		if arrives(s.flying[i]) {
+			s.deliver(i)
+		}
+	}
+	s.flying = s.flying[:0]
+}
+
+// TestRegionsUnderAnyTrouble cuts routers off one way, kills and restarts them, each time
+// after none is avoided any more for the last trouble, while a tenth of all lists is lost and
+// as many are late or repeated: no router counts more than twice at any time, and each
+// exactly once after all is quiet. One that hears nothing counts up to four times: it turns
+// from one aggregator to the next while what it told the first, late lists included, holds.
+func TestRegionsUnderAnyTrouble(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		places := rapid.SliceOfN(rapid.SampledFrom(threeRegions), 3, 10).Draw(t, "places")
+		s := newStorm(rapid.Uint64().Draw(t, "seed"), places...)
+		s.run(20, nil)
+		s.loss = 0.1
+		for range rapid.IntRange(1, 3).Draw(t, "troubles") {
+			one := rapid.SampledFrom(s.routers).Draw(t, "one").Address
+			other := rapid.SampledFrom(s.routers).Draw(t, "other").Address
+			most := int32(2)
+			switch rapid.IntRange(0, 3).Draw(t, "trouble") {
+			case 0:
+				s.cut[[2]string{one, other}] = true
+			case 1:
+				for _, r := range s.routers {
+					s.cut[[2]string{one, r.Address}] = true
+				}
+			case 2:
+				most = 4
+				for _, r := range s.routers {
+					s.cut[[2]string{r.Address, one}] = true
+				}
+			case 3:
+				s.off[one] = true
+			}
+			s.run(rapid.IntRange(1, 80).Draw(t, "rounds"), func() { s.atMost(t, most) })
+			s.end(one)
+			s.run(int((avoidedFor+RegionHold)/Every), func() { s.atMost(t, most) })
+		}
+		s.quiet()
+		s.settled(t)
+		s.merged(t)
+	})
+}
+
+// end ends a trouble; a router that was without power starts anew.
+func (s *storm) end(one string) {
+	clear(s.cut)
+	for _, r := range s.routers {
+		if r.Address == one && s.off[one] {
+			s.restart(r)
+		}
+	}
+	clear(s.off)
+}
--- /dev/null
+++ b/loads/rollouts.go
@@ -0,0 +1,58 @@
+package loads
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/croftvale/croftvale/rollout"
+)
+
+// RolloutHold is how long a list of roll-outs counts without a newer one. A report that is
+// missing holds a roll-out back for a moment, one that counts twice could hide a router
+// that has not told yet: so it is shorter than that of teams.
+const RolloutHold = 350 * time.Millisecond
+
+// reportedRollouts merges what the routers that report to this one, and this one where it
+// reports to itself, tell of roll-outs; but for one.
+func (e *Exchange) reportedRollouts(now time.Duration, without string) []rollout.Report {
+	var lists [][]rollout.Report
+	for from, l := range e.teamReports {
+		if from != without && now-l.at <= RolloutHold {
+			lists = append(lists, l.rollouts)
+		}
+	}
+	if e.aggregator == e.self.Address && without != e.self.Address {
+		lists = append(lists, e.ownRollouts)
+	}
+	return mergeRollouts(lists...)
+}
+
+// rolloutsBut merges what all routers of the region but one tell of roll-outs.
+func (e *Exchange) rolloutsBut(now time.Duration, without string) []rollout.Report {
+	lists := [][]rollout.Report{e.reportedRollouts(now, without)}
+	for _, l := range e.teamSums {
+		if now-l.at <= RolloutHold {
+			lists = append(lists, l.rollouts)
+		}
+	}
+	return mergeRollouts(lists...)
+}
+
+// mergeRollouts merges the reports of each order, in the order of services. Merging does
+// not depend on the order of the lists.
+func mergeRollouts(lists ...[]rollout.Report) []rollout.Report {
+	all := slices.Concat(lists...)
+	slices.SortFunc(all, func(a, b rollout.Report) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Order, b.Order))
+	})
+	out := all[:0]
+	for _, r := range all {
+		if n := len(out); n > 0 && out[n-1].Service == r.Service && out[n-1].Order == r.Order {
+			out[n-1] = rollout.Merge(out[n-1], r)
+			continue
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/loads/teams.go
+++ b/loads/teams.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/croftvale/croftvale/rollout"
 )
 
 const (
@@ -29,15 +31,16 @@
 
 // teamList is the newest list of teams of one router.
 type teamList struct {
-	at   time.Duration
-	hall string
-	uses []TeamUse
+	at       time.Duration
+	hall     string
+	uses     []TeamUse
+	rollouts []rollout.Report
 }
 
 // takeTeams takes in what a router tells of teams.
 func takeTeams(lists map[string]teamList, msg ListMsg) {
 	if msg.HasTeams {
-		lists[msg.From] = teamList{at: msg.Now, hall: msg.Hall, uses: msg.Teams}
+		lists[msg.From] = teamList{at: msg.Now, hall: msg.Hall, uses: msg.Teams, rollouts: msg.Rollouts}
 	}
 }
 
@@ -56,7 +59,7 @@
 	return sumTeams(lists...)
 }
 
-// teamsBut returns what all routers but one see of teams.
+// teamsBut returns what all routers of the region but one see of teams.
 func (e *Exchange) teamsBut(now time.Duration, without string) []TeamUse {
 	lists := [][]TeamUse{e.reportedTeams(now, without)}
 	for _, from := range sortedKeys(e.teamSums) {
@@ -77,8 +80,13 @@
 	if replaced || e.isThere(from) {
 		return nil
 	}
-	out := make([]TeamUse, 0, len(l.uses))
-	for _, u := range l.uses {
+	return demandOf(l.uses)
+}
+
+// demandOf returns what the callers of teams ask for, without what they get.
+func demandOf(uses []TeamUse) []TeamUse {
+	out := make([]TeamUse, 0, len(uses))
+	for _, u := range uses {
 		out = append(out, TeamUse{Team: u.Team, Offered: u.Offered})
 	}
 	return out
