rollout: machine, judge and their merge of reports

Cause: the parts that send and store need one place which decides. Weighed: windows of two and five seconds beside all evidence; a sum that restarts whenever it favours the version (Page) covers every stretch of time with one bound instead of three.

--- /dev/null
+++ b/rollout/baseline.go
@@ -0,0 +1,74 @@
+package rollout
+
+const (
+	// firstGuess is the rate of bad answers that old servers are taken to have before
+	// any is known: servers that are well stay below it.
+	firstGuess = 0.05
+	// firstWeight is how many answers the first guess counts for: a second's answers of
+	// a small service outweigh it.
+	firstWeight = 10
+	// shrinkWeight is how many answers the wider rate (of the route, of the seconds
+	// before) counts for against a cell's own: with fewer, chance decides the cell's.
+	shrinkWeight = 15
+	// keepOfSecond is what of the earlier answers' weight is left after another slice:
+	// a flood of a few seconds is then not compared with the calm before it.
+	keepOfSecond = 0.8
+	// leastRate bounds the rate of old servers from below: at a rate of nearly nothing
+	// a single bad answer would decide.
+	leastRate = 0.03
+	// mostRate bounds it from above, to leave room for a worse one.
+	mostRate = 0.75
+)
+
+// routeKind names the answers of one route, of one kind.
+type routeKind struct {
+	Route string
+	Later bool
+}
+
+// share is a count of bad answers among all, with weights.
+type share struct{ bad, all float64 }
+
+func (s share) rate(prior, weight float64) float64 {
+	return (s.bad + prior*weight) / (s.all + weight)
+}
+
+// baseline remembers how often answers of old servers were bad of late.
+type baseline map[routeKind]share
+
+// learn takes in the old servers' answers of a slice. Where there were none the memory
+// stays, as in a roll-out's last stage nothing goes to old servers.
+func (b baseline) learn(slice cells) {
+	for rk, s := range oldByRoute(slice) {
+		if s.all == 0 {
+			continue
+		}
+		before := b[rk]
+		b[rk] = share{before.bad*keepOfSecond + s.bad, before.all*keepOfSecond + s.all}
+	}
+}
+
+// expected returns the rate of bad answers that a good version has in a cell's cohort,
+// by the old servers in the same slice of time.
+func (b baseline) expected(slice cells, routes map[routeKind]share, k cellKey) float64 {
+	rk := routeKind{k.Route, k.Later}
+	before := b[rk].rate(firstGuess, firstWeight)
+	route := routes[rk].rate(before, shrinkWeight)
+	k.Target = false
+	old := slice[k]
+	cell := share{float64(old.Bad), old.answers()}.rate(route, shrinkWeight)
+	return min(max(cell, leastRate), mostRate)
+}
+
+func oldByRoute(slice cells) map[routeKind]share {
+	routes := map[routeKind]share{}
+	for k, t := range slice {
+		if k.Target {
+			continue
+		}
+		rk := routeKind{k.Route, k.Later}
+		s := routes[rk]
+		routes[rk] = share{s.bad + float64(t.Bad), s.all + t.answers()}
+	}
+	return routes
+}
--- /dev/null
+++ b/rollout/evidence.go
@@ -0,0 +1,109 @@
+package rollout
+
+import "slices"
+
+// leastOthers is the part of a test's answers that must come from other cohorts before
+// one may be left out: a tenth still finds a bad version, if more slowly.
+const leastOthers = 0.1
+
+// evidence is the running sum of one test. Each sum is of log likelihood ratios, bad
+// version against good, and is never below 0: so it is that of the stretch of time, up
+// to now, that speaks most against the target.
+type evidence struct {
+	all     float64
+	cohorts []cohortEvidence
+	// fit sums the same ratios from above: how much speaks for the target of late.
+	fit float64
+}
+
+// cohortEvidence is what a test knows of one cohort.
+type cohortEvidence struct {
+	cohort  string
+	without float64 // the test's sum with this cohort left out
+	answers float64
+}
+
+func (e *evidence) clone() *evidence {
+	c := *e
+	c.cohorts = slices.Clone(e.cohorts)
+	return &c
+}
+
+// ratio is the log likelihood ratio of a slice of time in one cohort.
+type ratio struct {
+	cohort  string
+	ratio   float64
+	answers float64
+}
+
+type ratios []ratio
+
+func (r ratios) of(cohort string) float64 {
+	i := slices.IndexFunc(r, func(x ratio) bool { return x.cohort == cohort })
+	if i < 0 {
+		return 0
+	}
+	return r[i].ratio
+}
+
+func (r ratios) plus(add ratio) ratios {
+	i := slices.IndexFunc(r, func(x ratio) bool { return x.cohort == add.cohort })
+	if i < 0 {
+		return append(r, add)
+	}
+	r[i].ratio += add.ratio
+	r[i].answers += add.answers
+	return r
+}
+
+func (e *evidence) add(slice ratios) {
+	sum, most := 0.0, 0.0
+	for _, r := range slice {
+		sum += r.ratio
+		most = max(most, r.ratio)
+		e.cohort(r.cohort).answers += r.answers
+	}
+	for i := range e.cohorts {
+		c := &e.cohorts[i]
+		c.without = max(0, c.without+sum-slice.of(c.cohort))
+	}
+	e.all = max(0, e.all+sum)
+	e.fit = min(0, e.fit+sum-most)
+}
+
+// cohort finds or adds a cohort. What was known before did not depend on it.
+func (e *evidence) cohort(name string) *cohortEvidence {
+	i := slices.IndexFunc(e.cohorts, func(c cohortEvidence) bool { return c.cohort == name })
+	if i < 0 {
+		i = len(e.cohorts)
+		e.cohorts = append(e.cohorts, cohortEvidence{cohort: name, without: e.all})
+	}
+	return &e.cohorts[i]
+}
+
+// against returns how much speaks against the target, leaving out the cohort that does
+// most.
+func (e *evidence) against() float64 {
+	total := 0.0
+	for _, c := range e.cohorts {
+		total += c.answers
+	}
+	least, found := e.all, false
+	for _, c := range e.cohorts {
+		if total-c.answers < leastOthers*total {
+			continue
+		}
+		if !found || c.without < least {
+			least, found = c.without, true
+		}
+	}
+	return least
+}
+
+// relax lowers what speaks against the target.
+func (e *evidence) relax(to float64) {
+	e.all = min(e.all, to)
+	for i := range e.cohorts {
+		e.cohorts[i].without = min(e.cohorts[i].without, to)
+	}
+}
--- /dev/null
+++ b/rollout/gates.go
@@ -0,0 +1,46 @@
+package rollout
+
+import "slices"
+
+const (
+	// trialPart of the bound on exposure is what the trial may use; the rest is for what
+	// is on its way when the version turns out bad, and for the ramp.
+	trialPart = 0.5
+	// rampSlack lets a router send a little more than the ramp's part, by count: prompts
+	// do not divide evenly.
+	rampSlack   = 1.2
+	quarterPart = 0.25
+	halfPart    = 0.5
+)
+
+// gate is what has to be in force for a service.
+func (s *service) gate(share float64) Gate {
+	g := Gate{Service: s.name, InUse: s.inUse}
+	if s.roll == nil || s.inUse == nil {
+		return g
+	}
+	r := s.roll
+	g.Target = r.order.Target
+	switch r.inForce() {
+	case Waiting:
+	case Trial:
+		g.Part = share * trialPart
+		g.Limit = share * trialPart
+		g.Servers = g.Part
+	case Quarter:
+		g.Part, g.Limit, g.Servers = quarterPart, quarterPart*rampSlack, quarterPart
+	case Half:
+		g.Part, g.Limit, g.Servers = halfPart, halfPart*rampSlack, halfPart
+	case All:
+		g.Part, g.Limit, g.Servers = 1, 1, 1
+		g.OldClosed = true
+		g.Move = r.age >= r.plan.move
+	}
+	return g
+}
+
+func sameGate(a, b Gate) bool {
+	inUse := slices.Equal(a.InUse, b.InUse) && (a.InUse == nil) == (b.InUse == nil)
+	return inUse && a.Target == b.Target && a.Part == b.Part && a.Limit == b.Limit &&
+		a.Servers == b.Servers && a.OldClosed == b.OldClosed && a.Move == b.Move
+}
--- /dev/null
+++ b/rollout/judge_test.go
@@ -0,0 +1,230 @@
+package rollout
+
+import (
+	"maps"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// judged is how a simulated fleet does: rates of bad answers, and what the judge said.
+type judged struct {
+	perSecond float64 // of the target, in the trial
+	seconds   float64 // until the ramp
+	// bad returns the rate of bad answers at a time.
+	bad func(at float64, route, cohort, server int, target bool) float64
+	// later: the bad answers begin well and go on slowly.
+	later bool
+}
+
+const (
+	simRoutes  = 3
+	simCohorts = 3
+	simServers = 2 // of each cohort that take requests
+	simOld     = 19
+)
+
+// run returns the verdict, when it was Bad and how many bad answers the target gave.
+func (s judged) run(seed int64) (Verdict, float64, int) {
+	rng := rand.New(rand.NewSource(seed))
+	judge := NewJudge()
+	counts := cells{}
+	bads := 0
+	verdict := Undecided
+	for tick := 1; float64(tick)/10 <= s.seconds; tick++ {
+		at := float64(tick) / 10
+		bads += s.answers(rng, at, true, counts)
+		s.answers(rng, at, false, counts)
+		verdict = judge.look(time.Duration(tick)*TickEvery, maps.Clone(counts))
+		if verdict == Bad {
+			return Bad, at, bads
+		}
+	}
+	return verdict, s.seconds, bads
+}
+
+func (s judged) answers(rng *rand.Rand, at float64, target bool, counts cells) int {
+	mean := s.perSecond / 10
+	if !target {
+		mean *= simOld
+	}
+	n := int(mean)
+	if rng.Float64() < mean-float64(n) {
+		n++
+	}
+	bads := 0
+	for range n {
+		route, cohort, server := rng.Intn(simRoutes), rng.Intn(simCohorts), rng.Intn(simServers)
+		if rng.Float64() < 0.5 {
+			route = 0 // one route has most of the load
+		}
+		k := cellKey{Route: string(rune('a' + route)), Cohort: string(rune('x' + cohort)), Target: target}
+		bad := rng.Float64() < s.bad(at, route, cohort, server, target)
+		switch {
+		case !bad:
+			counts.count(k, Tally{Good: 1})
+		case s.later:
+			counts.count(k, Tally{Good: 1})
+		default:
+			counts.count(k, Tally{Bad: 1})
+		}
+		if bad {
+			bads++
+		}
+		if s.later || !bad {
+			k.Later = true
+			t := Tally{Good: 1}
+			if bad {
+				t = Tally{Bad: 1}
+			}
+			counts.count(k, t)
+		}
+	}
+	return bads
+}
+
+type badRate = func(at float64, route, cohort, server int, target bool) float64
+
+const simBase = 0.01
+
+func either(a, b float64) float64 { return 1 - (1-a)*(1-b) }
+
+func plain(float64, int, int, int, bool) float64 { return simBase }
+
+func goodCases() map[string]badRate {
+	return map[string]badRate{
+		"plain": plain,
+		"beside a grey server of the target": func(_ float64, _, cohort, server int, target bool) float64 {
+			if target && cohort == 0 && server == 0 {
+				return 0.4
+			}
+			return simBase
+		},
+		"beside a grey old server": func(_ float64, _, cohort, server int, target bool) float64 {
+			if !target && cohort == 0 && server == 0 {
+				return 0.4
+			}
+			return simBase
+		},
+		"beside a lossy hall": func(_ float64, _, cohort, _ int, _ bool) float64 {
+			if cohort == 1 {
+				return 0.4
+			}
+			return simBase
+		},
+		"in a flood": func(float64, int, int, int, bool) float64 { return 0.4 },
+		"as a flood begins and ends": func(at float64, _, _, _ int, _ bool) float64 {
+			if at > 5.3 && at < 12.7 {
+				return 0.4
+			}
+			return simBase
+		},
+	}
+}
+
+func worse(extra float64, when func(at float64, route int) bool) badRate {
+	return func(at float64, route, _, _ int, target bool) float64 {
+		if target && when(at, route) {
+			return either(simBase, extra)
+		}
+		return simBase
+	}
+}
+
+func atOnce(float64, int) bool               { return true }
+func afterTenSeconds(at float64, _ int) bool { return at > 10 }
+func inWaves(at float64, _ int) bool         { return int(at)%6 < 3 }
+func onOneRoute(_ float64, route int) bool   { return route == 1 }
+
+type badCase struct {
+	bad    badRate
+	later  bool
+	atOnce bool // on all routes: nearly all are to be found before the ramp
+	own    bool // all its bad answers are the version's own doing
+}
+
+func badCases() map[string]badCase {
+	return map[string]badCase{
+		"30% at once":       {worse(0.3, atOnce), false, true, true},
+		"40% at once":       {worse(0.4, atOnce), false, true, true},
+		"30% slow at once":  {worse(0.3, atOnce), true, true, true},
+		"30% later":         {worse(0.3, afterTenSeconds), false, false, true},
+		"35% under load":    {worse(0.35, inWaves), false, false, true},
+		"35% on one route":  {worse(0.35, onOneRoute), false, false, true},
+		"35% slow, a route": {worse(0.35, onOneRoute), true, false, true},
+		"40% in a flood": {func(_ float64, _, _, _ int, target bool) float64 {
+			if target {
+				return either(0.4, 0.4)
+			}
+			return 0.4
+		}, false, false, false},
+	}
+}
+
+const (
+	simSeeds   = 1000
+	simSeconds = 25
+)
+
+// TestRolloutJudgeSpares shows how seldom a good version is judged bad, and that nearly
+// all are judged good before the ramp.
+func TestRolloutJudgeSpares(t *testing.T) {
+	t.Parallel()
+	for name, bad := range goodCases() {
+		for _, rate := range []float64{25, 6} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				alarms, passed := 0, 0
+				for seed := range int64(simSeeds) {
+					verdict, _, _ := judged{perSecond: rate, seconds: simSeconds, bad: bad}.run(seed)
+					if verdict == Bad {
+						alarms++
+					}
+					if verdict == Good {
+						passed++
+					}
+				}
+				t.Logf("%s, %g a second: %d of %d judged bad, %d good", name, rate, alarms, simSeeds, passed)
+				require.LessOrEqual(t, alarms, simSeeds/200)
+			})
+		}
+	}
+}
+
+// TestRolloutJudgeFinds shows how many bad versions are missed before the ramp, and how
+// many bad answers the others gave until they were found.
+func TestRolloutJudgeFinds(t *testing.T) {
+	t.Parallel()
+	for name, c := range badCases() {
+		for _, rate := range []float64{25, 6} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				missed, many, most, sum, took := 0, 0, 0, 0, 0.0
+				for seed := range int64(simSeeds) {
+					verdict, at, bads := judged{rate, simSeconds, c.bad, c.later}.run(seed)
+					if verdict != Bad {
+						missed++
+						continue
+					}
+					if bads >= 50 {
+						many++
+					}
+					most = max(most, bads)
+					sum += bads
+					took += at
+				}
+				found := max(1, simSeeds-missed)
+				t.Logf("%s, %g a second: %d of %d missed; bad answers until found: mean %.1f, most %d, 50 or more in %d; mean time %.2f s",
+					name, rate, missed, simSeeds, float64(sum)/float64(found), most, many, took/float64(found))
+				if c.atOnce && missed > simSeeds/100 {
+					require.Fail(t, "missed too often")
+				}
+				if c.own {
+					require.LessOrEqual(t, many, simSeeds/100)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/rollout/machine.go
@@ -0,0 +1,199 @@
+package rollout
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Machine decides on the roll-outs of all services, in one router.
+type Machine struct {
+	opt      Options
+	services map[string]*service
+	// orders and records tell whether the store has shown them.
+	orders, records bool
+	leads           bool
+	routers         int
+	wall            time.Time
+	cmds            []Cmd
+}
+
+// NewMachine returns a machine that knows nothing yet.
+func NewMachine(opt Options) *Machine {
+	return &Machine{opt: opt, services: map[string]*service{}, routers: 1}
+}
+
+// Update tells the machine what happened and returns what is to be done.
+func (m *Machine) Update(msg Msg) []Cmd {
+	if m.opt.Share <= 0 {
+		return nil
+	}
+	m.cmds = nil
+	switch msg := msg.(type) {
+	case OrdersMsg:
+		m.takeOrders(msg)
+		m.reconcile(msg.Now)
+	case RecordsMsg:
+		m.takeRecords(msg)
+		m.reconcile(msg.Now)
+	case VersionsMsg:
+		m.takeVersions(msg)
+		m.reconcile(msg.Now)
+	case AnswerMsg:
+		m.count(msg)
+	case OthersMsg:
+		m.hear(msg)
+	case WrittenMsg:
+		m.written(msg)
+		m.reconcile(msg.Now)
+	case TickMsg:
+		m.tick(msg)
+	}
+	m.tellGates()
+	return m.cmds
+}
+
+// Reports returns what this router tells the others, by service.
+func (m *Machine) Reports() []Report {
+	var reports []Report
+	for _, s := range m.sorted() {
+		if s.roll != nil {
+			reports = append(reports, s.roll.report())
+		}
+	}
+	return reports
+}
+
+func (m *Machine) service(name string) *service {
+	s := m.services[name]
+	if s == nil {
+		s = &service{name: name}
+		m.services[name] = s
+	}
+	return s
+}
+
+// sorted lists services in a fixed order, so that commands do not depend on a map's.
+func (m *Machine) sorted() []*service {
+	var list []*service
+	for _, name := range slices.Sorted(maps.Keys(m.services)) {
+		list = append(list, m.services[name])
+	}
+	return list
+}
+
+func (m *Machine) takeOrders(msg OrdersMsg) {
+	m.orders = true
+	seen := map[string]bool{}
+	for _, o := range msg.Orders {
+		seen[o.Service] = true
+		m.service(o.Service).takeOrder(o)
+	}
+	for _, s := range m.sorted() {
+		if s.order != nil && !seen[s.name] {
+			s.dropOrder()
+		}
+	}
+}
+
+func (m *Machine) takeRecords(msg RecordsMsg) {
+	m.records = true
+	m.wall = msg.Wall
+	seen := map[string]bool{}
+	for _, r := range msg.Records {
+		seen[r.Service] = true
+		m.service(r.Service).takeRecord(r)
+	}
+	for _, s := range m.sorted() {
+		if !seen[s.name] {
+			s.record = Record{}
+		}
+	}
+}
+
+func (m *Machine) takeVersions(msg VersionsMsg) {
+	for name, versions := range msg.Services {
+		m.service(name).versions = slices.Clone(versions)
+	}
+	for _, s := range m.services {
+		if _, listed := msg.Services[s.name]; !listed {
+			s.versions = nil
+		}
+	}
+}
+
+func (m *Machine) count(msg AnswerMsg) {
+	s := m.services[msg.Service]
+	if s == nil || s.roll == nil {
+		return
+	}
+	t := Tally{Good: 1}
+	if msg.Bad {
+		t = Tally{Bad: 1}
+	}
+	s.roll.own.count(cellKey{msg.Route, msg.Cohort, msg.Target, msg.Later}, t)
+}
+
+func (m *Machine) hear(msg OthersMsg) {
+	told := map[string]Report{}
+	for _, r := range msg.Reports {
+		told[r.Service] = r
+	}
+	for _, s := range m.sorted() {
+		if s.roll == nil {
+			continue
+		}
+		others := told[s.name]
+		if others.Order != s.roll.key {
+			others = Report{}
+		}
+		s.roll.hear(others, msg.Now)
+		m.follow(s)
+	}
+}
+
+// follow takes over the stage that others know.
+func (m *Machine) follow(s *service) {
+	r := s.roll
+	if r.others.Routers == 0 {
+		return
+	}
+	if r.others.Rejected && r.reject(causeTold) {
+		m.step(s, StepRejected, causeTold)
+	}
+	if r.others.Known > r.stage {
+		m.raise(s, r.others.Known, causePeers)
+	}
+}
+
+func (m *Machine) raise(s *service, stage Stage, cause string) {
+	s.roll.stage = stage
+	s.roll.raisedAt = s.roll.age
+	m.step(s, StepRaised, cause)
+}
+
+func (m *Machine) tellGates() {
+	for _, s := range m.sorted() {
+		g := s.gate(m.opt.Share)
+		if s.gated && sameGate(g, s.inForce) || !s.gated && s.inUse == nil {
+			continue
+		}
+		s.inForce, s.gated = g, true
+		g.InUse = slices.Clone(g.InUse)
+		m.cmds = append(m.cmds, GateCmd{g})
+	}
+}
+
+func (m *Machine) step(s *service, name, cause string) {
+	c := StepCmd{Service: s.name, Step: name, Cause: cause, Leads: m.leads, Routers: 1}
+	if s.order != nil {
+		c.Target = s.order.Target
+	}
+	if r := s.roll; r != nil {
+		c.Target = r.order.Target
+		c.Stage, c.Age, c.Within = r.stage, r.age, r.order.Within
+		c.Routers += int(r.others.Routers)
+		c.New, c.Old = r.all.total(true), r.all.total(false)
+	}
+	m.cmds = append(m.cmds, c)
+}
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Order is an operator's order to move a service's traffic to another version.
 type Order struct {
@@ -17,6 +21,22 @@
 	StateTarget string
 }
 
+// Key is the same at all routers for the same order, and differs for another.
+func (o *Order) Key() uint64 {
+	return xxhash.Sum64String(o.Service + "\x00" + o.Target + "\x00" + o.Made)
+}
+
+// status is the state that holds for the order's own target.
+func (o *Order) status() State {
+	if o.StateTarget != o.Target {
+		return Ordered
+	}
+	return o.State
+}
+
+// sensible tells whether the order can be carried out at all.
+func (o *Order) sensible() bool { return o.Target != "" && o.Within > 0 }
+
 // State is the word that the store has on an order.
 type State uint8
 
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -14,6 +14,8 @@
 	Age time.Duration
 	// OldRunning counts the requests that run at servers of old versions.
 	OldRunning uint32
+	// Rejected says that a leader among them has found the target bad: it stays closed.
+	Rejected bool
 	// Cells are the evidence since the order.
 	Cells []Cell
 }
--- /dev/null
+++ b/rollout/steps.go
@@ -0,0 +1,34 @@
+package rollout
+
+// The steps that are logged.
+const (
+	StepBegan      = "began"       // a roll-out is under way, as this router sees it
+	StepRaised     = "raised"      // the stage has risen here
+	StepHeld       = "held"        // this router has stopped sending to the target for a time
+	StepReleased   = "released"    // it goes on
+	StepRejected   = "rejected"    // the target is bad or late: it is to be rolled back
+	StepConfirmed  = "confirmed"   // all is done: it is to be completed
+	StepCompleted  = "completed"   // the order's status says so
+	StepRolledBack = "rolled_back" // the order's status says so
+	StepAbandoned  = "abandoned"   // the order was replaced or deleted
+	StepSenseless  = "senseless"   // the order can't be carried out as it stands
+	StepUnordered  = "unordered"   // a version has servers that nobody ordered
+)
+
+// The causes of steps.
+const (
+	causeOrder    = "order"
+	causeTime     = "time"
+	causePeers    = "heard from other routers"
+	causeEvidence = "evidence against the target"
+	causeDeadline = "not done at the last moment"
+	causeNoProof  = "too little evidence for the target"
+	causeServers  = "no servers of the target"
+	causeIdle     = "nothing runs at old servers"
+	causeCurrent  = "target is the version in use"
+	causeReplaced = "replaced"
+	causeDeleted  = "deleted"
+	causeAgain    = "seen again after it was deleted"
+	causeStatus   = "status in the store"
+	causeTold     = "a leader has rejected it"
+)
--- /dev/null
+++ b/rollout/tick.go
@@ -0,0 +1,97 @@
+package rollout
+
+import "time"
+
+// tick lets time pass for every service.
+func (m *Machine) tick(msg TickMsg) {
+	m.leads, m.routers, m.wall = msg.Leads, msg.Routers, msg.Wall
+	if !m.orders || !m.records {
+		return
+	}
+	for _, s := range m.sorted() {
+		if s.roll != nil {
+			s.roll.oldRunning = uint32(max(0, msg.OldRunning[s.name]))
+			m.advance(s, msg.Now)
+		}
+		if m.leads {
+			m.write(s, msg.Now, msg.Wall)
+		}
+	}
+}
+
+// advance judges and moves one roll-out on.
+func (m *Machine) advance(s *service, now time.Duration) {
+	r := s.roll
+	r.pass(now)
+	m.stop(s, r.look(now), now)
+	m.follow(s)
+	if !m.leads {
+		return
+	}
+	m.giveUp(s, now)
+	if next, due := r.next(); due && (next <= Trial || r.proven(now)) {
+		m.raise(s, next, causeTime)
+	}
+	m.confirm(s, now)
+}
+
+// stop closes the target where the evidence says so: for a time, or for good where this
+// router leads.
+func (m *Machine) stop(s *service, verdict Verdict, now time.Duration) {
+	r := s.roll
+	if verdict == Bad && m.leads {
+		m.reject(s, causeEvidence)
+		return
+	}
+	if r.hold.on && now >= r.hold.until {
+		r.hold.on = false
+		r.judge.Relax()
+		m.step(s, StepReleased, causeTime)
+		return
+	}
+	if verdict == Bad && !r.hold.on && !r.rejected {
+		r.hold.begin(now)
+		m.step(s, StepHeld, causeEvidence)
+	}
+}
+
+func (m *Machine) reject(s *service, cause string) {
+	if s.roll.reject(cause) {
+		m.step(s, StepRejected, cause)
+	}
+}
+
+// giveUp rejects a target that can't be done in time.
+func (m *Machine) giveUp(s *service, now time.Duration) {
+	r := s.roll
+	if r.age >= r.plan.lastRamp && r.stage <= Trial && !r.proven(now) {
+		m.reject(s, causeNoProof)
+	}
+	if r.age >= r.plan.lastRamp && r.stage <= Trial && !r.serversThere {
+		m.reject(s, causeServers)
+	}
+	if r.stage == All && !r.serversThere && now-r.serversGone >= goneFor {
+		m.reject(s, causeServers)
+	}
+	if r.age >= r.plan.giveUp && !r.everywhere() {
+		m.reject(s, causeDeadline)
+	}
+}
+
+// confirm finds that the roll-out is done.
+func (m *Machine) confirm(s *service, now time.Duration) {
+	r := s.roll
+	settled := r.settled(now, m.routers)
+	if r.confirmed || r.stopped() || r.stage != All {
+		return
+	}
+	if settled {
+		r.confirmed = true
+		m.step(s, StepConfirmed, causeIdle)
+		return
+	}
+	if r.age >= r.plan.write && r.everywhere() {
+		r.confirmed = true
+		m.step(s, StepConfirmed, causeDeadline)
+	}
+}
--- /dev/null
+++ b/rollout/write.go
@@ -0,0 +1,78 @@
+package rollout
+
+import "time"
+
+// write sends the write that is due, one at a time. A final status comes first; the
+// record of a roll-out comes before the word that it is under way, as only the record
+// tells a router that knows nothing how old the order is.
+func (m *Machine) write(s *service, now time.Duration, wall time.Time) {
+	if !s.writer.ready(now) {
+		return
+	}
+	if state := s.finalDue(); state.Final() {
+		m.writeStatus(s, state, now)
+		return
+	}
+	if want := s.wanted(wall); len(want.InUse) > 0 && !s.recordStands(want) {
+		c := WriteCmd{Kind: WriteRecord, Service: s.name, Record: want}
+		m.cmds = append(m.cmds, s.writer.send(c, s.key(), now))
+		return
+	}
+	if s.roll != nil && s.order.status() == Ordered && s.order.Target != "" {
+		m.writeStatus(s, InProgress, now)
+	}
+}
+
+func (m *Machine) writeStatus(s *service, state State, now time.Duration) {
+	status := Status{State: state, Target: s.order.Target, Revision: s.order.Revision}
+	c := WriteCmd{Kind: WriteStatus, Service: s.name, Status: status}
+	m.cmds = append(m.cmds, s.writer.send(c, s.key(), now))
+}
+
+// finalDue is the final status that is to be written now; Ordered: none.
+func (s *service) finalDue() State {
+	r := s.roll
+	if r == nil || r.order.Target == "" {
+		return Ordered
+	}
+	if r.rejected {
+		return RolledBack
+	}
+	if r.confirmed && !r.stopped() && r.everywhere() {
+		return Completed
+	}
+	return Ordered
+}
+
+func (s *service) key() uint64 {
+	if s.order == nil {
+		return 0
+	}
+	return s.order.Key()
+}
+
+// written takes the end of a write. What the store holds now may have been told before;
+// where it wasn't, what was written stands until it is.
+func (m *Machine) written(msg WrittenMsg) {
+	s := m.services[msg.Service]
+	if s == nil {
+		return
+	}
+	out := s.writer.ended(msg)
+	if out == nil || msg.Result != Written {
+		return
+	}
+	if out.Kind == WriteRecord {
+		s.recordWritten(out.Record)
+		return
+	}
+	if s.order != nil && s.writer.key == s.order.Key() && s.order.Revision == out.Status.Revision {
+		s.order.State, s.order.StateTarget = out.Status.State, out.Status.Target
+	}
+}
+
+func (s *service) recordWritten(r Record) {
+	if s.record.Revision == r.Revision {
+		s.record = r
+	}
+}
