Run roll-outs in the router: feeds of orders and records, runner, reports, moves

The machine on roll-outs has to be told of orders, records, versions, answers and the other routers, and its gates, writes and steps carried out. Orders and records are feeds as the others; what this router writes is known to its machine at once, and to the others by those that follow the store. Answers never wait for the machine. A MoveCmd ends an attempt by closing its connection, which leads on as a broken one.

Without bounds no feed is added and nothing else changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +40,9 @@
 	// begun says that the first event of a stream has been forwarded.
 	begun bool
 	path  traffic.Path
+	// moved says that the attempt was broken off to go on at another version's server.
+	moved     atomic.Bool
+	breakable bool
 }
 
 // count counts bytes that go to the server or come from it.
@@ -59,6 +63,8 @@
 	a.conn = conn
 	a.stop = context.AfterFunc(a.x.ctx, func() { conn.Close() })
 	defer a.stop()
+	a.letMove()
+	defer a.keep()
 	left = a.x.deadline - a.x.front.core.Now()
 	_ = conn.SetDeadline(time.Now().Add(left))
 	a.path = traffic.PathTo(a.x.front.hall, a.cmd.Server.Zone)
@@ -144,6 +150,9 @@
 // lost ends an attempt without an answer. The request has ended too where the
 // caller left or its time is over.
 func (a *attempt) lost(o direct.Outcome) (direct.Outcome, bool) {
+	if a.moved.Load() && (o == direct.Broken || o == direct.Hung) {
+		o = direct.Moved
+	}
 	switch {
 	case a.x.ctx.Err() != nil:
 		a.x.callerLeft(0)
@@ -184,6 +193,7 @@
 // release keeps the connection for other requests. Once the caller's leaving
 // may close it, it is this request's alone.
 func (a *attempt) release() {
+	a.keep()
 	if !a.stop() {
 		a.conn.Close()
 		return
--- a/gateway/cluster/cluster.go
+++ b/gateway/cluster/cluster.go
@@ -14,6 +14,7 @@
 type Parts struct {
 	Decisions Decisions
 	Feeds     *feed.Set
+	Rollouts  Rollouts // nil: they are not on
 	Pressure  *pressure.Gauge
 	Registry  Registry
 	Log       *eventlog.Log
--- a/gateway/cluster/loads.go
+++ b/gateway/cluster/loads.go
@@ -8,6 +8,7 @@
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/traffic"
 	"github.com/croftvale/croftvale/loads"
+	"github.com/croftvale/croftvale/rollout"
 )
 
 // loadList is the datagram of one list of loads.
@@ -20,6 +21,8 @@
 	// HasTeams says that the list tells of teams.
 	HasTeams bool
 	Teams    []teamRow
+	// Rollouts come with teams, where roll-outs are on.
+	Rollouts []rollout.Report
 }
 
 // loadExchange carries out what the exchange of loads decides.
@@ -59,6 +62,9 @@
 			if tick.Now-toldAt >= loads.TeamsEvery-loads.Every/2 {
 				toldAt = tick.Now
 				tick.HasTeams, tick.Teams = true, l.parts.Decisions.Teams()
+				if l.parts.Rollouts != nil {
+					tick.Rollouts = l.parts.Rollouts.Reports()
+				}
 			}
 			l.update(tick)
 		}
@@ -72,7 +78,7 @@
 		if decode(body, &list) == nil {
 			l.update(loads.ListMsg{
 				Now: l.parts.Decisions.Now(), From: list.From, Hall: list.Hall, Kind: list.Kind, Number: list.Number, Loads: list.Loads,
-				HasTeams: list.HasTeams, Teams: unpackTeams(list.Teams),
+				HasTeams: list.HasTeams, Teams: unpackTeams(list.Teams), Rollouts: list.Rollouts,
 			})
 		}
 	})
@@ -102,6 +108,9 @@
 	l.parts.Decisions.Update(direct.LoadsMsg{Now: now, Loads: others.Loads})
 	if others.HasTeams {
 		l.parts.Decisions.Update(direct.TeamsMsg{Now: now, Teams: others.Teams})
+		if l.parts.Rollouts != nil {
+			l.parts.Rollouts.Tell(rollout.OthersMsg{Now: now, Reports: others.Rollouts})
+		}
 	}
 }
 
@@ -109,7 +118,7 @@
 	l.number++
 	list := loadList{From: l.self, Kind: cmd.Kind, Number: l.number, Loads: cmd.Loads, HasTeams: cmd.HasTeams}
 	if cmd.HasTeams {
-		list.Hall, list.Teams = l.hall, packTeams(cmd.Teams)
+		list.Hall, list.Teams, list.Rollouts = l.hall, packTeams(cmd.Teams), cmd.Rollouts
 	}
 	body, err := encode(&list)
 	if err != nil {
--- /dev/null
+++ b/gateway/cluster/rollouts.go
@@ -0,0 +1,32 @@
+package cluster
+
+import "github.com/croftvale/croftvale/rollout"
+
+// Rollouts is the decisions on roll-outs, which tell the other routers of those under way
+// and are told by them.
+type Rollouts interface {
+	// Reports returns what this router tells.
+	Reports() []rollout.Report
+	// Tell tells the decisions something. It must not block.
+	Tell(msg rollout.Msg)
+}
+
+// Leads tells whether this router is the one that moves roll-outs on and writes to the
+// source: the first by address of those that are there and reach it. A router that has
+// just started has not heard enough of the others to know.
+func (p *Peers) Leads() bool {
+	if p.parts.Decisions.Now() < settleTime || p.parts.Feeds.SourceFails() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, peer := range p.known {
+		if peer.live && address < p.self && !peer.sourceLost {
+			return false
+		}
+	}
+	return true
+}
+
+// Routers counts the routers that are there, this one included.
+func (p *Peers) Routers() int { return len(p.Live()) + 1 }
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -9,6 +9,7 @@
 	"github.com/croftvale/croftvale/gateway/eventlog"
 	"github.com/croftvale/croftvale/gateway/pressure"
 	"github.com/croftvale/croftvale/loads"
+	"github.com/croftvale/croftvale/rollout"
 )
 
 // core owns the decisions: one lock around the machine, and a channel to the
@@ -16,11 +17,12 @@
 type core struct {
 	mu      sync.Mutex
 	machine *direct.Machine
-	waiters map[direct.RequestID]chan direct.Cmd
+	waiters map[direct.RequestID]*waiter
 	next    direct.RequestID
 	start   time.Time
 	log     *eventlog.Log
 	probe   func(direct.ProbeCmd) // must not block
+	answers func(rollout.Msg)     // must not block
 	// pressure tells how late this process runs.
 	pressure pressure.Gauge
 	without  direct.Without // mechanisms that are switched off
@@ -29,10 +31,11 @@
 func newCore(o direct.Options, l *eventlog.Log) *core {
 	return &core{
 		machine:  direct.NewMachine(o),
-		waiters:  make(map[direct.RequestID]chan direct.Cmd),
+		waiters:  make(map[direct.RequestID]*waiter),
 		start:    time.Now(),
 		log:      l,
 		probe:    func(direct.ProbeCmd) {},
+		answers:  func(rollout.Msg) {},
 		without:  o.Without,
 		pressure: pressure.Gauge{Without: o.Without},
 	}
@@ -65,13 +68,17 @@
 			c.log.Reach(cmd)
 		case direct.ProbeCmd:
 			c.probe(cmd)
+		case direct.AnswerCmd:
+			c.answers(cmd.Answer)
+		case direct.MoveCmd:
+			c.waiters[cmd.ID].move()
 		}
 	}
 }
 
 func (c *core) deliver(id direct.RequestID, cmd direct.Cmd) {
 	if w := c.waiters[id]; w != nil {
-		w <- cmd
+		w.commands <- cmd
 	}
 }
 
@@ -81,10 +88,10 @@
 	defer c.mu.Unlock()
 	c.next++
 	r.ID = c.next
-	commands := make(chan direct.Cmd, 2)
-	c.waiters[r.ID] = commands
+	w := &waiter{commands: make(chan direct.Cmd, 2)}
+	c.waiters[r.ID] = w
 	c.locked(direct.ArriveMsg{Now: c.Now(), Request: r})
-	return r.ID, commands
+	return r.ID, w.commands
 }
 
 // door asks whether a request would be refused as soon as it came.
@@ -160,6 +167,13 @@
 	return c.machine.Shares(c.Now(), n)
 }
 
+// AllOldRunning counts the requests at servers of old versions, by service.
+func (c *core) AllOldRunning() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.AllOldRunning()
+}
+
 // servers returns what the machine takes the servers to be.
 func (c *core) servers() []direct.ServerState {
 	c.mu.Lock()
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -28,6 +28,8 @@
 		return errors.New("the router has no processor time for more callers")
 	case !g.feeds.Complete():
 		return errors.New("no configuration or no list of servers has come yet")
+	case g.rollouts != nil && !g.rollouts.Complete():
+		return errors.New("it is not known yet which versions of each service are in use")
 	}
 	return nil
 }
--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -25,6 +25,10 @@
 	Shares         direct.Shares
 	Engines        []direct.ServerState
 	Dropped        uint64 // log lines
+	// Orders and Versions are the revisions of what Rollouts stand on; nil and 0 where
+	// roll-outs are not on.
+	Orders, Versions uint64
+	Rollouts         []RolloutState
 	// Traffic is the bytes sent and read since the start, by kind.
 	Traffic map[string]traffic.Sum
 }
@@ -41,5 +45,9 @@
 	if e := feeds.Evacuations.Newest(); e != nil {
 		s.EvacuatedHalls = e.Halls
 	}
+	if g.rollouts != nil {
+		s.Orders, s.Versions = feeds.Orders.Revision(), feeds.Records.Revision()
+		s.Rollouts = rolloutStates(g.rollouts.Standings())
+	}
 	return s, nil
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -55,6 +55,7 @@
 func (x *exchange) request() direct.Request {
 	return direct.Request{
 		Team:         x.team,
+		Route:        x.route.Name,
 		Service:      x.service,
 		Regions:      x.regions,
 		Kind:         x.route.Kind,
--- /dev/null
+++ b/gateway/feed/listing.go
@@ -0,0 +1,109 @@
+package feed
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/serverlist"
+	"github.com/croftvale/croftvale/rollout"
+)
+
+// Listing is all objects of one kind at one revision of their source.
+type Listing[T any] struct {
+	Revision uint64
+	All      []T // by service
+}
+
+// Rollouts is told what roll-outs are decided on. Its methods must not block.
+type Rollouts interface {
+	// TakeOrders brings newer orders, TakeRecords newer records.
+	TakeOrders(Listing[rollout.Order])
+	TakeRecords(Listing[rollout.Record])
+	// TakeVersions tells which versions the listed servers of each service have, sorted.
+	TakeVersions(map[string][]string)
+}
+
+// byService is the feed of a kind of which there is one object for each service.
+type byService[T any] struct {
+	Content[Listing[T]]
+	about  About
+	source sourceOf[T]
+	known  map[string]T // by service, as the source alone tells it
+}
+
+// sourceOf is how the objects of a kind are read and watched.
+type sourceOf[T any] struct {
+	read func(ctx context.Context) ([]T, uint64, error)
+	// watch takes changes into what is known, and tells whether there were any.
+	watch   func(ctx context.Context, known map[string]T, since uint64, wait time.Duration) (changed bool, at uint64, err error)
+	service func(T) string
+}
+
+func newByService[T any](o Options, about About, source sourceOf[T], take func(Listing[T]), changed func()) *byService[T] {
+	b := &byService[T]{about: about, source: source, known: make(map[string]T)}
+	b.init(kind[Listing[T]]{
+		revision: func(l *Listing[T]) uint64 { return l.Revision },
+		accept:   func(l *Listing[T]) { take(*l) },
+		log: func(l *Listing[T], from string) {
+			o.Log.Event(about.Name+"_listed").Uint64("revision", l.Revision).Str("from", from).Int("services", len(l.All)).Msg("")
+		},
+	}, changed)
+	return b
+}
+
+// About returns what is particular to the kind.
+func (b *byService[T]) About() About { return b.about }
+
+// Read reads all objects.
+func (b *byService[T]) Read(ctx context.Context) (uint64, error) {
+	all, at, err := b.source.read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	clear(b.known)
+	for _, one := range all {
+		b.known[b.source.service(one)] = one
+	}
+	b.offerKnown(at)
+	return at, nil
+}
+
+// Watch waits for changed objects.
+func (b *byService[T]) Watch(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
+	changed, at, err := b.source.watch(ctx, b.known, since, wait)
+	if err != nil {
+		return 0, err
+	}
+	if changed {
+		b.offerKnown(at)
+	}
+	return at, nil
+}
+
+func (b *byService[T]) offerKnown(at uint64) {
+	l := &Listing[T]{Revision: at}
+	for _, service := range slices.Sorted(maps.Keys(b.known)) {
+		l.All = append(l.All, b.known[service])
+	}
+	b.Offer(l, fromSource)
+}
+
+// versionsOf returns the versions of each service's servers, sorted.
+func versionsOf(list *serverlist.List) map[string][]string {
+	out := make(map[string][]string)
+	for _, s := range list.Servers {
+		out[s.Service] = insert(out[s.Service], s)
+	}
+	return out
+}
+
+func insert(versions []string, s direct.Server) []string {
+	at, found := slices.BinarySearch(versions, s.Version)
+	if found {
+		return versions
+	}
+	return slices.Insert(versions, at, s.Version)
+}
--- /dev/null
+++ b/gateway/feed/orders.go
@@ -0,0 +1,45 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftvale/croftvale/rollout"
+)
+
+// ordersWait is the most that one call waits for a change of the orders. A change ends the
+// wait at once; but a call that goes unanswered must not take long out of an order's time.
+const ordersWait = 2 * time.Second
+
+// OrderSource is where the orders of roll-outs are found.
+type OrderSource interface {
+	// ReadOrders returns all orders.
+	ReadOrders(ctx context.Context) ([]rollout.Order, uint64, error)
+	// WatchOrders waits for changes after a revision.
+	WatchOrders(ctx context.Context, since uint64, wait time.Duration) ([]rollout.OrderChange, uint64, error)
+}
+
+// Orders is the feed of the orders of roll-outs, with what has become of them: without
+// knowing them, a router could send requests to a version that was rolled back.
+type Orders struct{ *byService[rollout.Order] }
+
+func newOrders(o Options, changed func()) *Orders {
+	about := About{Name: "orders", SourceName: "source of orders", On: true, Brought: true, Wait: ordersWait}
+	return &Orders{newByService(o, about, sourceOf[rollout.Order]{
+		read:    o.Source.ReadOrders,
+		watch:   o.watchOrders,
+		service: func(order rollout.Order) string { return order.Service },
+	}, o.Rollouts.TakeOrders, changed)}
+}
+
+func (o Options) watchOrders(ctx context.Context, known map[string]rollout.Order, since uint64, wait time.Duration) (bool, uint64, error) {
+	changes, at, err := o.Source.WatchOrders(ctx, since, wait)
+	for _, c := range changes {
+		if c.Gone {
+			delete(known, c.Order.Service)
+		} else {
+			known[c.Order.Service] = c.Order
+		}
+	}
+	return len(changes) > 0, at, err
+}
--- a/gateway/feed/servers.go
+++ b/gateway/feed/servers.go
@@ -136,6 +136,9 @@
 
 func (s *Servers) accept(list *serverlist.List) {
 	s.o.Decisions.Update(direct.ServersMsg{Now: list.At, Directory: list.Directory})
+	if s.o.Rollouts != nil {
+		s.o.Rollouts.TakeVersions(versionsOf(list))
+	}
 }
 
 func (s *Servers) log(list *serverlist.List, from string) {
--- a/gateway/feed/set.go
+++ b/gateway/feed/set.go
@@ -21,6 +21,8 @@
 	// Evacuate is the most that may pass between the word that a data hall is
 	// evacuated and the last request to its servers; 0: no hall is ever evacuated.
 	Evacuate time.Duration
+	// Rollouts decides on roll-outs; nil: they are not on, and of no concern.
+	Rollouts Rollouts
 }
 
 // Set is the feeds of a router: what it takes to be true of the fleet.
@@ -28,6 +30,9 @@
 	Config      *Config
 	Servers     *Servers
 	Evacuations *Evacuations
+	// Orders and Records are nil where roll-outs are not on.
+	Orders  *Orders
+	Records *Records
 	// Changed is called when newer content is in force; set it before the feeds are used.
 	Changed   func()
 	log       *eventlog.Log
@@ -43,6 +48,10 @@
 	s.Servers = newServers(o, changed)
 	s.Evacuations = newEvacuations(o, changed)
 	s.feeds = []Feed{s.Config, s.Servers, s.Evacuations}
+	if o.Rollouts != nil {
+		s.Orders, s.Records = newOrders(o, changed), newRecords(o, changed)
+		s.feeds = append(s.feeds, s.Orders, s.Records)
+	}
 	for _, f := range s.feeds {
 		s.followers = append(s.followers, &follower{feed: f, about: f.About(), log: o.Log, stats: o.Stats})
 	}
--- a/gateway/feed/source.go
+++ b/gateway/feed/source.go
@@ -12,4 +12,6 @@
 	ConfigSource
 	ServerSource
 	EvacuationSource
+	OrderSource
+	RecordSource
 }
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -50,6 +50,7 @@
 	ages     callerAges
 	accounts accounts
 	hall     string         // of this router
+	movable  bool           // requests may move to servers of another version while they run
 	traffic  *traffic.Meter // of requests
 	// eventDelay is the most that an event may take to reach its caller.
 	eventDelay time.Duration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/croftvale/croftvale/gateway/cluster"
 	"github.com/croftvale/croftvale/gateway/eventlog"
 	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/rollouts"
 	"github.com/croftvale/croftvale/gateway/stats"
 	"github.com/croftvale/croftvale/gateway/traffic"
 	"github.com/croftvale/croftvale/internal/wait"
@@ -42,6 +43,7 @@
 	log      *eventlog.Log
 	core     *core
 	feeds    *feed.Set
+	rollouts *rollouts.Runner // nil: they are not on
 	front    *front
 	stats    *stats.Stats
 	traffic  *traffic.Counter
@@ -59,6 +61,7 @@
 	g.grace.Store(int64(s.Grace))
 	g.core = newCore(direct.Options{
 		Zone: s.Zone, Region: s.Region, HallRegions: s.HallRegions, Budget: s.Budget, Without: s.Without,
+		Gated: s.Rollout.On(),
 	}, g.log)
 	g.admin = admin.New(admin.Source{Ready: g.ready, State: g.dump})
 	g.stats = stats.New(g.admin.Scope())
@@ -70,7 +73,7 @@
 		core: g.core, feeds: g.feeds, dialect: dialect, log: g.log, stats: g.stats,
 		pool: backend.NewPool(backend.Options{DialTimeout: dialTimeout, SilentPeer: silentPeer, MaxIdle: maxIdle}),
 		most: s.MemoryBytes / bodiesShare, callers: newCallers(callersMost(s.Descriptors), s.Power), eventDelay: s.EventDelay,
-		hall: s.Zone, traffic: g.traffic.Of(traffic.Requests),
+		hall: s.Zone, traffic: g.traffic.Of(traffic.Requests), movable: s.Rollout.On(),
 	}
 	g.core.probe = (&prober{core: g.core, pool: g.front.pool}).probe
 	g.server = &http.Server{
@@ -83,12 +86,21 @@
 // join sets up what the router shares with the others.
 func (g *Gateway) join() error {
 	s := g.settings
-	g.feeds = feed.NewSet(feed.Options{Source: g.source, Decisions: g.core, Log: g.log, Stats: g.stats, Evacuate: s.Evacuate})
+	feeds := feed.Options{Source: g.source, Decisions: g.core, Log: g.log, Stats: g.stats, Evacuate: s.Evacuate}
+	parts := cluster.Parts{
+		Decisions: g.core, Pressure: &g.core.pressure, Registry: g.source, Log: g.log, Stats: g.stats, Traffic: g.traffic,
+	}
+	if s.Rollout.On() {
+		g.rollouts = rollouts.NewRunner(rollouts.Options{
+			Bounds: s.Rollout, Core: g.core, Store: g.source, Log: g.log, Stats: g.stats,
+		})
+		g.core.answers = g.rollouts.Tell
+		feeds.Rollouts, parts.Rollouts = g.rollouts, g.rollouts
+	}
+	g.feeds = feed.NewSet(feeds)
+	parts.Feeds = g.feeds
 	var err error
-	g.cluster, err = cluster.New(s.cluster(), cluster.Parts{
-		Decisions: g.core, Feeds: g.feeds, Pressure: &g.core.pressure, Registry: g.source,
-		Log: g.log, Stats: g.stats, Traffic: g.traffic,
-	})
+	g.cluster, err = cluster.New(s.cluster(), parts)
 	if err != nil {
 		return err
 	}
@@ -125,6 +137,9 @@
 	for _, f := range g.feeds.Followed() {
 		duties = append(duties, func(ctx context.Context) error { return g.feeds.Follow(ctx, f, g.cluster.Peers) })
 	}
+	if g.rollouts != nil {
+		duties = append(duties, func(ctx context.Context) error { return g.rollouts.Run(ctx, g.cluster.Peers) })
+	}
 	for _, duty := range duties {
 		go func() {
 			if err := duty(life); err != nil {
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -8,7 +8,8 @@
 )
 
 // Reload puts changed settings in force. What a process has opened stays open
-// until its end; a changed address of its own is logged.
+// until its end; a changed address of its own is logged. Bounds of roll-outs are taken at
+// the start alone: what is under way was begun with them.
 func (g *Gateway) Reload(s Settings) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g.grace.Store(int64(s.Grace))
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -44,6 +44,9 @@
 		b := x.last.Basis
 		e.Str("server", x.last.Server.ID).Int("running", b.Running).Int("pending_tokens", b.Pending).
 			Int("miss_tokens", b.Miss).Dur("estimate", b.Estimate).Dur("waited", b.Waited)
+		if b.Side != "" {
+			e.Str("version", x.last.Server.Version).Str("side", string(b.Side))
+		}
 	}
 	return e
 }
--- /dev/null
+++ b/gateway/rollouts/runner.go
@@ -0,0 +1,174 @@
+package rollouts
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/stats"
+	"github.com/croftvale/croftvale/rollout"
+	"golang.org/x/time/rate"
+)
+
+// droppedEvery is the time between two lines on answers that were dropped.
+const droppedEvery = time.Second
+
+// Core is the decisions on requests.
+type Core interface {
+	// Now is the time since the router's start.
+	Now() time.Duration
+	// Update tells them something.
+	Update(msg direct.Msg)
+	// AllOldRunning counts the requests at servers of old versions, by service.
+	AllOldRunning() map[string]int
+}
+
+// Peers are the other routers.
+type Peers interface {
+	// Leads tells whether this router is the one that raises stages and writes.
+	Leads() bool
+	// Routers counts the routers that are there, this one included.
+	Routers() int
+}
+
+// Options are what a Runner stands on.
+type Options struct {
+	Bounds rollout.Bounds
+	Core   Core
+	Store  Store
+	Log    *eventlog.Log
+	Stats  *stats.Stats
+}
+
+// Runner runs the decisions on roll-outs. It takes what feeds bring; its machine is told
+// of things by one goroutine alone.
+type Runner struct {
+	o    Options
+	mail *mailbox
+	// mu guards the machine, and orders and records together with the order in which
+	// they are put into the mailbox.
+	mu      sync.Mutex
+	machine *rollout.Machine
+	orders  known[rollout.Order]
+	records known[rollout.Record]
+	start   start
+	dropped int64         // answers, since the last line
+	lines   *rate.Limiter // on dropped answers
+	// complete says that each service which had servers has had a gate.
+	complete atomic.Bool
+}
+
+// NewRunner returns a runner that knows nothing yet.
+func NewRunner(o Options) *Runner {
+	return &Runner{
+		o: o, mail: newMailbox(),
+		machine: rollout.NewMachine(rollout.Options{Share: o.Bounds.Share, Slack: int(o.Bounds.Slack)}),
+		orders: known[rollout.Order]{
+			service: func(order rollout.Order) string { return order.Service },
+			version: func(order rollout.Order) uint64 { return order.Revision },
+		},
+		records: known[rollout.Record]{
+			service: func(record rollout.Record) string { return record.Service },
+			version: func(record rollout.Record) uint64 { return record.Revision },
+		},
+		lines: rate.NewLimiter(rate.Every(droppedEvery), 1),
+	}
+}
+
+// Tell tells the machine something. It never waits.
+func (r *Runner) Tell(msg rollout.Msg) { r.mail.put(msg) }
+
+// TakeOrders takes newer orders in.
+func (r *Runner) TakeOrders(l feed.Listing[rollout.Order]) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mail.put(rollout.OrdersMsg{Now: r.o.Core.Now(), Orders: r.orders.list(l)})
+}
+
+// TakeRecords takes newer records in.
+func (r *Runner) TakeRecords(l feed.Listing[rollout.Record]) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mail.put(rollout.RecordsMsg{Now: r.o.Core.Now(), Wall: time.Now(), Records: r.records.list(l)})
+}
+
+// TakeVersions takes in which versions the listed servers have.
+func (r *Runner) TakeVersions(services map[string][]string) {
+	r.mail.put(rollout.VersionsMsg{Now: r.o.Core.Now(), Services: services})
+}
+
+// Complete tells whether every service that had servers when this router came to know
+// orders and records has had a gate: before that, some would serve nobody.
+func (r *Runner) Complete() bool { return r.complete.Load() }
+
+// Reports returns what this router tells the others of roll-outs under way.
+func (r *Runner) Reports() []rollout.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Reports()
+}
+
+// Standings returns what this router knows of versions and roll-outs, for dumps.
+func (r *Runner) Standings() []rollout.Standing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Standings()
+}
+
+// Run tells the machine of what comes and of time, until ctx ends.
+func (r *Runner) Run(ctx context.Context, peers Peers) error {
+	ticker := time.NewTicker(rollout.TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.mail.wake:
+			r.takeMail(ctx)
+		case <-ticker.C:
+			r.takeMail(ctx)
+			r.update(ctx, rollout.TickMsg{
+				Now: r.o.Core.Now(), Wall: time.Now(), Leads: peers.Leads(), Routers: peers.Routers(),
+				OldRunning: r.o.Core.AllOldRunning(),
+			})
+		}
+	}
+}
+
+func (r *Runner) takeMail(ctx context.Context) {
+	waiting, dropped := r.mail.take()
+	for _, msg := range waiting {
+		if answer, ok := msg.(rollout.AnswerMsg); ok {
+			r.o.Stats.RolloutAnswer(answer.Target, answer.Bad)
+		}
+		r.update(ctx, msg)
+	}
+	r.noteDropped(dropped)
+}
+
+// update tells the machine something and does what it wants done.
+func (r *Runner) update(ctx context.Context, msg rollout.Msg) {
+	r.mu.Lock()
+	cmds := r.machine.Update(msg)
+	r.mu.Unlock()
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case rollout.GateCmd:
+			r.o.Core.Update(direct.GateMsg{Now: r.o.Core.Now(), Gate: cmd.Gate})
+			r.start.gate(cmd.Gate.Service)
+		case rollout.WriteCmd:
+			go r.write(ctx, cmd)
+		case rollout.StepCmd:
+			r.o.Stats.RolloutStep(cmd.Step)
+			r.logStep(cmd)
+		}
+	}
+	r.start.note(msg)
+	if !r.complete.Load() && r.start.complete() {
+		r.complete.Store(true)
+	}
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/cluster"
+	"github.com/croftvale/croftvale/rollout"
 )
 
 // Settings are what a router is started with.
@@ -34,6 +35,7 @@
 	// HallRegions is the region of each data hall that is known.
 	HallRegions map[string]string
 	Budget      direct.BudgetOptions
+	Rollout     rollout.Bounds // of roll-outs, which are on where there are any
 	Without     direct.Without // mechanisms that are switched off in experiments
 }
 
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -43,7 +43,7 @@
 		LoadsAge:  scope.Histogram("loads_age", durations),
 		ConfigAge: scope.Histogram("config_age", ages),
 	}
-	for o := direct.Done; o <= direct.GivenUp; o++ {
+	for o := direct.Done; o <= direct.Moved; o++ {
 		s.attempts[o] = scope.Tagged(map[string]string{"outcome": o.String()}).Counter("attempts")
 	}
 	return s
@@ -81,6 +81,27 @@
 	s.counter(counterKey{"rejected", "", reason}).Inc(1)
 }
 
+// RolloutStep counts a step of a roll-out, by what happened.
+func (s *Stats) RolloutStep(step string) { s.counter(counterKey{"rollout_steps", "", step}).Inc(1) }
+
+// RolloutAnswer counts an answer that says something of a version, by the side of its
+// server and whether it was bad.
+func (s *Stats) RolloutAnswer(target, bad bool) {
+	side, result := "old", "good"
+	if target {
+		side = "target"
+	}
+	if bad {
+		result = "bad"
+	}
+	s.counter(counterKey{"rollout_answers", result, side}).Inc(1)
+}
+
+// RolloutAnswersDropped counts answers that nobody came to judge.
+func (s *Stats) RolloutAnswersDropped(n int64) {
+	s.counter(counterKey{"rollout_answers_dropped", "", ""}).Inc(n)
+}
+
 // DatagramFailed counts a datagram that could not be sent to another router.
 func (s *Stats) DatagramFailed() { s.counter(counterKey{"datagrams_failed", "", ""}).Inc(1) }
 
