--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -136,7 +136,8 @@
 // broken ends an attempt whose stream broke off. Where it cannot go on
 // elsewhere, the caller's connection is broken off too.
 func (a *attempt) broken(o direct.Outcome) (direct.Outcome, bool) {
-	if o, ended := a.lost(o); ended {
+	o, ended := a.lost(o)
+	if ended {
 		return o, true
 	}
 	if a.x.headSent && !a.x.route.MayRepeat() {
