--- /dev/null
+++ b/rollout/exposure_test.go
@@ -0,0 +1,59 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRolloutExposure shows how much a bad version gets, by when it turns bad: of the
+// requests until the deadline, and after its 50th bad answer.
+func TestRolloutExposure(t *testing.T) {
+	t.Parallel()
+	const mostBad, seeds = 50, 40
+	plan := newTimeline(simWithin)
+	for _, c := range []struct {
+		name string
+		at   time.Duration
+	}{{"at once", 0}, {"midway", simWithin / 2}, {"in the ramp", plan.due(Half)}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			most, longest := 0.0, time.Duration(0)
+			for seed := range int64(seeds) {
+				part, after := exposed(t, seed, c.at, mostBad)
+				most, longest = max(most, part), max(longest, after)
+			}
+			t.Logf("bad %s: at most %.3f of the requests; %s after %d bad answers", c.name, most, longest, mostBad)
+			require.LessOrEqual(t, most, 0.1)
+			require.LessOrEqual(t, longest, time.Second)
+		})
+	}
+}
+
+// exposed returns the part of the requests that a version got which turned bad, and how
+// long it got any after so many bad answers.
+func exposed(t *testing.T, seed int64, at time.Duration, mostBad int) (float64, time.Duration) {
+	s := begun(seed, 0, simWithin)
+	s.run(at)
+	s.badRate[newVersion] = 0.35
+	before := s.bads[newVersion]
+	many, last := time.Duration(0), time.Duration(0)
+	for s.now < s.orderAt+simWithin && s.fault == "" {
+		sent := s.sent[newVersion]
+		s.tick()
+		if s.sent[newVersion] > sent {
+			last = s.now
+		}
+		if many == 0 && s.bads[newVersion]-before >= mostBad {
+			many = s.now
+		}
+	}
+	require.Empty(t, s.fault)
+	require.Equal(t, RolledBack, s.status())
+	all := s.sent[newVersion] + s.sent[oldVersion]
+	if many == 0 {
+		many = last
+	}
+	return float64(s.sent[newVersion]) / float64(all), last - many
+}
--- /dev/null
+++ b/rollout/fleet_fuzz_test.go
@@ -0,0 +1,156 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// disturbed is a fleet to which things happen until the last third of an order's time.
+type disturbed struct {
+	*sim
+	marks int
+	// moved: the wall clock was set; lost: routers were. Only both together can make
+	// the fleet mistake an order's age.
+	moved, lost bool
+	bad         bool
+}
+
+func (d *disturbed) router(t *rapid.T) *simRouter {
+	return rapid.SampledFrom(d.routers).Draw(t, "router")
+}
+
+func (d *disturbed) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) {
+			require.Empty(t, d.fault)
+		},
+		"time": func(t *rapid.T) {
+			d.run(time.Duration(rapid.IntRange(1, 20).Draw(t, "ticks")) * TickEvery)
+		},
+		"more time": func(t *rapid.T) {
+			d.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * TickEvery)
+		},
+		"pause": func(t *rapid.T) {
+			r := d.router(t)
+			r.paused = !r.paused
+		},
+		"cut": func(t *rapid.T) {
+			r := d.router(t)
+			r.cut = !r.cut
+		},
+		"a second leader": func(t *rapid.T) {
+			r := d.router(t)
+			r.leads = !r.leads
+		},
+		"restart": func(t *rapid.T) {
+			i := rapid.IntRange(0, len(d.routers)-1).Draw(t, "router")
+			d.routers[i] = d.fresh()
+			d.lost = true
+		},
+		"restart all": func(t *rapid.T) {
+			for i := range d.routers {
+				d.routers[i] = d.fresh()
+			}
+			d.lost = true
+		},
+		"store down":     func(t *rapid.T) { d.store.down = !d.store.down },
+		"answers lost":   func(t *rapid.T) { d.store.lossy = !d.store.lossy },
+		"writes late":    func(t *rapid.T) { d.store.slow = !d.store.slow },
+		"late writes":    func(t *rapid.T) { d.store.doLate() },
+		"wall clock":     d.stepWall,
+		"never ordered":  func(t *rapid.T) { d.versions = append(d.versions, "never") },
+		"order replaced": func(t *rapid.T) { d.reorder(t, "m") },
+		"order deleted":  func(t *rapid.T) { d.store.order = nil },
+		"order anew": func(t *rapid.T) {
+			d.store.order = nil
+			d.tick()
+			d.marks++
+			d.reorder(t, "m")
+		},
+	}
+}
+
+func (d *disturbed) stepWall(t *rapid.T) {
+	step := time.Duration(rapid.IntRange(-60, 5).Draw(t, "seconds")) * time.Second
+	d.wall += step
+	d.moved = true
+}
+
+func (d *disturbed) reorder(t *rapid.T, mark string) {
+	target := rapid.SampledFrom([]string{newVersion, "v3", "v4"}).Draw(t, "target")
+	if d.store.order != nil && d.store.order.Target == target {
+		return
+	}
+	d.seen(target, fmt.Sprint(mark, d.marks))
+}
+
+// seen makes an order, and lets some router see it and record it: what no router has ever
+// known has no age.
+func (d *disturbed) seen(target, mark string) {
+	was := *d.store
+	d.store.down, d.store.lossy, d.store.slow = false, false, false
+	d.routers[0].paused, d.routers[0].cut = false, false
+	d.order(target, mark, simWithin)
+	d.run(3 * time.Second)
+	d.store.down, d.store.lossy, d.store.slow = was.down, was.lossy, was.slow
+}
+
+func (d *disturbed) calm() {
+	d.store.down, d.store.lossy, d.store.slow = false, false, false
+	for _, r := range d.routers {
+		r.paused, r.cut, r.leads = false, false, false
+	}
+}
+
+// TestRolloutFleetFuzz lets anything happen to routers, store, clocks and order, and then
+// leaves the last third of the order's time in peace: no rule may be broken, a good
+// version is completed in time and a bad one is rolled back.
+func TestRolloutFleetFuzz(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		d := &disturbed{sim: newSim(rapid.IntRange(1, 4).Draw(t, "routers"), 1)}
+		d.bad = rapid.Bool().Draw(t, "bad")
+		if d.bad {
+			for _, v := range []string{newVersion, "v3", "v4"} {
+				d.badRate[v] = 0.4
+			}
+		}
+		d.run(500 * time.Millisecond)
+		d.seen(newVersion, "m")
+		t.Repeat(d.actions())
+		calmAt := d.orderAt + simWithin*2/3
+		late := d.now > calmAt
+		if !late {
+			d.run(calmAt - d.now)
+		}
+		d.calm()
+		require.Empty(t, d.fault)
+		if d.store.order == nil {
+			return
+		}
+		d.store.doLate()
+		again := d.store.order.status() == RolledBack
+		d.run(max(0, d.orderAt+simWithin-d.now))
+		require.Empty(t, d.fault)
+		mistaken := d.moved && d.lost
+		if !d.bad && !mistaken && !late && !again {
+			require.Equal(t, Completed, d.status())
+		}
+		d.run(3 * time.Second)
+		if mistaken {
+			d.run(simWithin)
+		}
+		require.Empty(t, d.fault)
+		if d.bad {
+			require.Equal(t, RolledBack, d.status())
+		}
+		require.True(t, d.status().Final())
+		for _, r := range d.routers {
+			require.Empty(t, r.gate.Target)
+		}
+	})
+}
--- /dev/null
+++ b/rollout/interleaving_test.go
@@ -0,0 +1,83 @@
+package rollout
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// move is one step of an interleaving.
+type move struct {
+	name string
+	do   func(s *sim)
+}
+
+func interleavingMoves() []move {
+	return []move{
+		{"first leader's turn", func(s *sim) { s.turn(0) }},
+		{"second leader's turn", func(s *sim) { s.turn(1) }},
+		{"store is slow from here", func(s *sim) { s.store.slow = true }},
+		{"late write is done", func(s *sim) { s.store.slow = false; s.store.doLate() }},
+		{"version turns bad", func(s *sim) { s.badRate[newVersion] = 0.9; s.load = 5000 }},
+	}
+}
+
+// turn gives one router the time of two ticks.
+func (s *sim) turn(i int) {
+	s.now += 2 * TickEvery
+	s.tickRouter(i, s.routers[i])
+	if s.store.fault != "" {
+		s.fault = s.store.fault
+	}
+}
+
+// TestRolloutTwoLeadersInterleaved tries every order of turns of two leaders, of a store
+// that becomes slow and of its late write, around the final status.
+func TestRolloutTwoLeadersInterleaved(t *testing.T) {
+	t.Parallel()
+	const depth = 5
+	moves := interleavingMoves()
+	tried := 0
+	var explore func(path []int)
+	explore = func(path []int) {
+		if len(path) < depth {
+			for i := range moves {
+				explore(append(path[:len(path):len(path)], i))
+			}
+			return
+		}
+		tried++
+		s := beforeTheEnd()
+		var names []string
+		for _, i := range path {
+			moves[i].do(s)
+			names = append(names, moves[i].name)
+		}
+		s.store.slow = false
+		s.store.doLate()
+		s.run(6 * time.Second)
+		require.Empty(t, s.fault, strings.Join(names, ", "))
+		require.True(t, s.status().Final(), strings.Join(names, ", "))
+		for _, r := range s.routers {
+			require.Empty(t, r.gate.Target, strings.Join(names, ", "))
+			require.Equal(t, s.store.record.InUse, r.gate.InUse, strings.Join(names, ", "))
+		}
+	}
+	explore(nil)
+	t.Logf("%d interleavings", tried)
+}
+
+// beforeTheEnd is a fleet of two leaders a moment before they find the roll-out done. The
+// order is a short one, as it is built for every interleaving.
+func beforeTheEnd() *sim {
+	const within = 6 * time.Second
+	s := newSim(2, 1)
+	s.routers[1].leads = true
+	s.load = 150
+	s.run(TickEvery)
+	s.order(newVersion, "m1", within)
+	s.run(newTimeline(within).due(All) + 900*time.Millisecond)
+	return s
+}
--- /dev/null
+++ b/rollout/killed_test.go
@@ -0,0 +1,49 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRolloutKilledAnywhere loses all routers at each tick of a roll-out in turn; those
+// that come after go on with what the store holds and are done by the deadline.
+func TestRolloutKilledAnywhere(t *testing.T) {
+	t.Parallel()
+	within := 20 * time.Second
+	late := newTimeline(within).ramp - 3*time.Second
+	for at := time.Duration(0); at < within; at += TickEvery {
+		for _, bad := range []float64{0, 0.4} {
+			s := begun(1, bad, within)
+			s.run(at)
+			for i := range s.routers {
+				s.routers[i] = s.fresh()
+			}
+			s.run(within - at)
+			require.Empty(t, s.fault, "killed at %s", at)
+			require.True(t, s.status().Final(), "killed at %s: %s", at, s.status())
+			if bad > 0 {
+				require.Equal(t, RolledBack, s.status(), "killed at %s", at)
+			}
+			if bad == 0 && at < late {
+				require.Equal(t, Completed, s.status(), "killed at %s", at)
+			}
+		}
+	}
+}
+
+// TestRolloutLeaderKilledAnywhere loses the leader at each tick in turn: the next goes on,
+// and a good version is completed in time wherever that happens.
+func TestRolloutLeaderKilledAnywhere(t *testing.T) {
+	t.Parallel()
+	within := 20 * time.Second
+	for at := time.Duration(0); at < within-newTimeline(within).end/10; at += TickEvery {
+		s := begun(1, 0, within)
+		s.run(at)
+		s.routers = s.routers[1:]
+		s.run(within - at)
+		require.Empty(t, s.fault, "killed at %s", at)
+		require.Equal(t, Completed, s.status(), "killed at %s", at)
+	}
+}
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -49,8 +49,7 @@
 	case TickMsg:
 		m.tick(msg)
 	}
-	m.tellGates()
-	return m.cmds
+	return append(m.gates(), m.cmds...)
 }
 
 // Reports returns what this router tells the others, by service.
@@ -172,7 +171,10 @@
 	m.step(s, StepRaised, cause)
 }
 
-func (m *Machine) tellGates() {
+// gates returns those that have changed. They come before other commands: a gate is in
+// force before a write tells the world.
+func (m *Machine) gates() []Cmd {
+	var changed []Cmd
 	for _, s := range m.sorted() {
 		g := s.gate(m.opt.Share)
 		if s.gated && sameGate(g, s.inForce) || !s.gated && s.inUse == nil {
@@ -180,8 +182,9 @@
 		}
 		s.inForce, s.gated = g, true
 		g.InUse = slices.Clone(g.InUse)
-		m.cmds = append(m.cmds, GateCmd{g})
+		changed = append(changed, GateCmd{g})
 	}
+	return changed
 }
 
 func (m *Machine) step(s *service, name, cause string) {
--- /dev/null
+++ b/rollout/order_test.go
@@ -0,0 +1,174 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const simWithin = 30 * time.Second
+
+// TestRolloutOfTheOrder shows how roll-outs end, by what is wrong or right with the order
+// itself.
+func TestRolloutOfTheOrder(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		act   func(s *sim)
+		state State
+		inUse []string
+	}{
+		{"good version", func(*sim) {}, Completed, []string{newVersion}},
+		{"bad version", func(s *sim) { s.badRate[newVersion] = 0.4 }, RolledBack, []string{oldVersion}},
+		{"turns bad midway", func(s *sim) {
+			s.run(simWithin / 2)
+			s.badRate[newVersion] = 0.4
+		}, RolledBack, []string{oldVersion}},
+		{"turns bad in the ramp", func(s *sim) {
+			s.run(newTimeline(simWithin).due(Half))
+			s.badRate[newVersion] = 0.4
+		}, RolledBack, []string{oldVersion}},
+		{"no server ever comes", func(s *sim) { s.versions = []string{oldVersion} }, RolledBack, []string{oldVersion}},
+		{"servers vanish in the trial", func(s *sim) {
+			s.run(simWithin / 3)
+			s.versions = []string{oldVersion}
+		}, RolledBack, []string{oldVersion}},
+		{"servers vanish at the end", func(s *sim) {
+			s.run(newTimeline(simWithin).due(All) + 200*time.Millisecond)
+			s.oldEnds = false
+			s.versions = []string{oldVersion}
+		}, RolledBack, []string{oldVersion}},
+		{"service leaves the lists", func(s *sim) {
+			s.run(simWithin / 3)
+			s.versions = nil
+		}, RolledBack, []string{oldVersion}},
+		{"nobody calls", func(s *sim) { s.load = 0 }, Completed, []string{newVersion}},
+		{"few call", func(s *sim) { s.load = 1 }, Completed, []string{newVersion}},
+		{"old streams never end", func(s *sim) { s.oldEnds = false }, Completed, []string{newVersion}},
+		{"repeated with another time", func(s *sim) {
+			s.run(simWithin / 3)
+			s.store.put(newVersion, "m1", simWithin+5*time.Second)
+		}, Completed, []string{newVersion}},
+		{"replaced midway", func(s *sim) {
+			s.run(simWithin / 2)
+			s.order("v3", "m1", simWithin)
+		}, Completed, []string{"v3"}},
+		{"replaced by the version in use", func(s *sim) {
+			s.run(simWithin / 2)
+			s.order(oldVersion, "m1", simWithin)
+		}, Completed, []string{oldVersion}},
+		{"replaced and put back", func(s *sim) {
+			s.run(simWithin / 3)
+			s.order("v3", "m1", simWithin)
+			s.run(simWithin / 3)
+			s.order(newVersion, "m1", simWithin)
+		}, Completed, []string{newVersion}},
+		{"replaced after it was completed", func(s *sim) {
+			s.run(simWithin)
+			s.order("v3", "m1", simWithin)
+		}, Completed, []string{"v3"}},
+		{"deleted midway", func(s *sim) {
+			s.run(simWithin / 2)
+			s.store.order = nil
+		}, Ordered, []string{oldVersion}},
+		{"deleted midway, made anew", func(s *sim) {
+			s.run(simWithin / 2)
+			s.store.order = nil
+			s.run(time.Second)
+			s.order(newVersion, "m2", simWithin)
+		}, Completed, []string{newVersion}},
+		{"deleted midway, the old one seen again", func(s *sim) {
+			s.run(simWithin / 2)
+			order := s.store.order
+			s.store.order = nil
+			s.run(time.Second)
+			s.store.order = order
+		}, RolledBack, []string{oldVersion}},
+		{"rolled back, made anew when mended", func(s *sim) {
+			s.badRate[newVersion] = 0.4
+			s.run(simWithin)
+			s.badRate[newVersion] = 0
+			s.order(newVersion, "m2", simWithin)
+		}, Completed, []string{newVersion}},
+		{"no time", func(s *sim) { s.store.put(newVersion, "m1", 0) }, RolledBack, []string{oldVersion}},
+		{"time below nothing", func(s *sim) { s.store.put(newVersion, "m1", -time.Second) }, RolledBack, []string{oldVersion}},
+		{"no target", func(s *sim) { s.store.put("", "m1", simWithin) }, Ordered, []string{oldVersion}},
+		{"short", func(s *sim) { s.store.put(newVersion, "m1", 6*time.Second) }, Completed, []string{newVersion}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := begun(1, 0, simWithin)
+			c.act(s)
+			left := simWithin + 10*time.Second
+			if s.store.order != nil && c.state == Completed {
+				left = s.store.order.Within - (s.now - s.orderAt)
+			}
+			s.run(left)
+			require.Empty(t, s.fault)
+			s.run(2 * time.Second)
+			require.Equal(t, c.state, s.status())
+			for _, r := range s.routers {
+				require.Equal(t, c.inUse, r.gate.InUse)
+			}
+			require.Equal(t, c.inUse, s.store.record.InUse)
+		})
+	}
+}
+
+// TestRolloutOfOneVersionInUse shows that an order for the only version in use, and for
+// one of several, is completed soon and without a trial.
+func TestRolloutOfOneVersionInUse(t *testing.T) {
+	t.Parallel()
+	s := newSim(3, 1)
+	s.versions = []string{oldVersion, newVersion}
+	s.run(time.Second)
+	s.order(newVersion, "m1", simWithin)
+	s.run(3 * time.Second)
+	require.Equal(t, Completed, s.status())
+	s.order(newVersion, "m2", simWithin)
+	s.run(3 * time.Second)
+	require.Equal(t, Completed, s.status())
+}
+
+// TestRolloutOrderSeenLate shows that an older view of an order takes nothing back.
+func TestRolloutOrderSeenLate(t *testing.T) {
+	t.Parallel()
+	s := begun(1, 0, simWithin)
+	s.run(time.Second)
+	older := *s.store.order
+	s.run(simWithin)
+	require.Equal(t, Completed, s.status())
+	r := s.routers[0]
+	commands := r.machine.Update(OrdersMsg{Now: s.now, Orders: []Order{older}})
+	require.Empty(t, commands)
+	require.Empty(t, r.machine.Reports())
+}
+
+// TestRolloutUnorderedVersion shows that servers which nobody ordered get nothing, and
+// that this is logged once.
+func TestRolloutUnorderedVersion(t *testing.T) {
+	t.Parallel()
+	s := begun(1, 0, simWithin)
+	s.versions = append(s.versions, "never")
+	s.run(simWithin)
+	require.Empty(t, s.fault)
+	told := 0
+	for _, step := range s.routers[0].steps {
+		if step.Step == StepUnordered && step.Cause == "never" {
+			told++
+		}
+	}
+	require.Equal(t, 1, told)
+}
+
+// TestRolloutOff shows that without a bound on exposure nothing is done.
+func TestRolloutOff(t *testing.T) {
+	t.Parallel()
+	m := NewMachine(Options{})
+	require.Empty(t, m.Update(OrdersMsg{Orders: []Order{{Service: simService, Target: newVersion}}}))
+	require.Empty(t, m.Update(RecordsMsg{}))
+	require.Empty(t, m.Update(VersionsMsg{Services: map[string][]string{simService: {oldVersion}}}))
+	require.Empty(t, m.Reports())
+}
--- a/rollout/roll.go
+++ b/rollout/roll.go
@@ -65,13 +65,18 @@
 		r.age += now - r.agedAt
 		r.agedAt = now
 	}
-	if r.recorded > 0 && r.others.Routers > 0 {
-		r.recorded = 0
-	}
 	if r.recorded > 0 && now-r.seenAt >= hearFor {
-		r.raiseAge(r.recorded + now - r.seenAt)
-		r.recorded = 0
+		r.useRecorded(now - r.seenAt)
+	}
+}
+
+// useRecorded takes the record's age, unless another router has told of a time before
+// this one began.
+func (r *roll) useRecorded(watched time.Duration) {
+	if r.age < watched+hearFor/2 {
+		r.raiseAge(r.recorded + watched)
 	}
+	r.recorded = 0
 }
 
 func (r *roll) raiseAge(age time.Duration) {
