Let a trial have some requests of quiet routes and of routes with few parts

A route with one request a second at a router had its first at the target after twenty seconds, and one whose requests share a few parts perhaps none before the ramp: its faults would show too late. The service's total still has nothing in advance.

--- a/direct/exposure.go
+++ b/direct/exposure.go
@@ -1,9 +1,22 @@
 package direct
 
+const (
+	// routeAhead is how many requests of a route may go to the target before as many of
+	// it have reached servers as the limit asks for. The service's total has nothing in
+	// advance; without this, a route with one request a second at a router would wait
+	// twenty seconds for its first at a limit of a twentieth.
+	routeAhead = 1
+	// behindFrom is how many requests a route must be allowed to have sent to the target
+	// before it can count as behind, behindPart the part of them below which it does.
+	behindFrom = 2
+	behindPart = 0.5
+)
+
 // exposure counts what this router has sent for a service since the target of its gate
 // was set. Each router grants itself only a part of what it has seen reach servers, and
 // nothing in advance: so the sum over all routers keeps to the same part, whatever
-// routers restart, join or are cut off.
+// routers restart, join or are cut off. Within that, each route keeps to about the same
+// part, so that a trial is a cross-section of the service's requests.
 type exposure struct {
 	total  exposed
 	routes map[string]*exposed
@@ -33,11 +46,20 @@
 
 // allows tells whether one more request of a route may go to the target.
 func (e *exposure) allows(route string, limit float64) bool {
-	return limit >= 1 || (e.route(route).allows(limit) && e.total.allows(limit))
+	return limit >= 1 || (e.route(route).allows(limit, routeAhead) && e.total.allows(limit, 0))
+}
+
+// allows tells whether one more may go to the target where some may be ahead of the limit.
+func (e exposed) allows(limit float64, ahead int) bool {
+	return float64(e.target+1-ahead) <= limit*float64(e.reached+1)
 }
 
-func (e exposed) allows(limit float64) bool {
-	return float64(e.target+1) <= limit*float64(e.reached+1)
+// behind tells whether much less of a route goes to the target than the limit allows: of a
+// few parts of prompts that most of its requests share, none may have moved yet.
+func (e *exposure) behind(route string, limit float64) bool {
+	one := e.route(route)
+	allowed := limit * float64(one.reached)
+	return limit < 1 && allowed >= behindFrom && float64(one.target) < behindPart*allowed
 }
 
 // sent counts an attempt at a server of the target.
--- a/direct/side.go
+++ b/direct/side.go
@@ -10,6 +10,7 @@
 const (
 	SideOld    Side = "old"          // its part has not moved yet
 	SideTarget Side = "target"       // its part has moved
+	SideSample Side = "sample"       // its part has not moved, and too few of its route have
 	SideLimit  Side = "limit"        // its part has moved; this router may not send more to the target now
 	SideFull   Side = "no_place"     // its part has moved; no server of the target would serve it in time
 	SideRetry  Side = "after_target" // an attempt at the target brought no answer
@@ -38,6 +39,7 @@
 var (
 	wishesOld    = []wish{{false, SideOld}}
 	wishesTarget = []wish{{true, SideTarget}, {false, SideFull}}
+	wishesSample = []wish{{true, SideSample}, {false, SideOld}}
 	wishesRetry  = []wish{{false, SideRetry}, {true, SideTarget}}
 	wishesMoved  = []wish{{true, SideMoved}, {false, SideFull}}
 )
@@ -51,6 +53,8 @@
 		return wishesMoved
 	case g.closed() || position(r) < g.Part:
 		return wishesTarget
+	case g.exposure.behind(r.Route, g.Limit) && chance(uint64(r.ID)) < g.Part:
+		return wishesSample
 	}
 	return wishesOld
 }
@@ -58,13 +62,15 @@
 // position is a request's place in the order in which parts move to another version,
 // from 0 to 1. It is the same in all routers.
 func position(r *run) float64 {
-	x := uint64(r.ID)
 	if part, shared := r.lastShared(); shared {
-		x = part.ID
+		return chance(part.ID)
 	}
-	return float64(scramble(x)>>11) / (1 << 53)
+	return chance(uint64(r.ID))
 }
 
+// chance is a number from 0 to 1 that a name always gives.
+func chance(x uint64) float64 { return float64(scramble(x)>>11) / (1 << 53) }
+
 // scramble spreads numbers that lie close together over all numbers.
 func scramble(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
