--- a/gateway/cluster/loads.go
+++ b/gateway/cluster/loads.go
@@ -22,7 +22,7 @@
 	HasTeams bool
 	Teams    []teamRow
 	// Rollouts come with teams, where roll-outs are on.
-	Rollouts []rollout.Report
+	Rollouts []rolloutRow
 }
 
 // loadExchange carries out what the exchange of loads decides.
@@ -78,7 +78,7 @@
 		if decode(body, &list) == nil {
 			l.update(loads.ListMsg{
 				Now: l.parts.Decisions.Now(), From: list.From, Hall: list.Hall, Kind: list.Kind, Number: list.Number, Loads: list.Loads,
-				HasTeams: list.HasTeams, Teams: unpackTeams(list.Teams), Rollouts: list.Rollouts,
+				HasTeams: list.HasTeams, Teams: unpackTeams(list.Teams), Rollouts: unpackRollouts(list.Rollouts),
 			})
 		}
 	})
@@ -118,7 +118,7 @@
 	l.number++
 	list := loadList{From: l.self, Kind: cmd.Kind, Number: l.number, Loads: cmd.Loads, HasTeams: cmd.HasTeams}
 	if cmd.HasTeams {
-		list.Hall, list.Teams, list.Rollouts = l.hall, packTeams(cmd.Teams), cmd.Rollouts
+		list.Hall, list.Teams, list.Rollouts = l.hall, packTeams(cmd.Teams), packRollouts(cmd.Rollouts)
 	}
 	body, err := encode(&list)
 	if err != nil {
--- /dev/null
+++ b/gateway/cluster/rolloutrow.go
@@ -0,0 +1,82 @@
+package cluster
+
+import (
+	"slices"
+	"time"
+
+	"github.com/croftvale/croftvale/rollout"
+)
+
+// rolloutRow is a rollout.Report in a datagram. The names of routes and cohorts come once
+// each, since they would be most of it.
+type rolloutRow struct {
+	Service        string
+	Order          uint64
+	Routers        uint32
+	Known, InForce rollout.Stage
+	Age            time.Duration
+	OldRunning     uint32
+	Rejected       bool
+	Routes         []string
+	Cohorts        []string
+	Cells          []cellRow
+}
+
+// cellRow is a rollout.Cell; its names are given by their places.
+type cellRow struct {
+	Route, Cohort int
+	Target, Later bool
+	Good, Bad     uint32
+}
+
+func packRollouts(reports []rollout.Report) []rolloutRow {
+	var rows []rolloutRow
+	for _, r := range reports {
+		row := rolloutRow{
+			Service: r.Service, Order: r.Order, Routers: r.Routers, Known: r.Known, InForce: r.InForce,
+			Age: r.Age, OldRunning: r.OldRunning, Rejected: r.Rejected,
+		}
+		for _, c := range r.Cells {
+			cell := cellRow{Target: c.Target, Later: c.Later, Good: c.Good, Bad: c.Bad}
+			row.Routes, cell.Route = place(row.Routes, c.Route)
+			row.Cohorts, cell.Cohort = place(row.Cohorts, c.Cohort)
+			row.Cells = append(row.Cells, cell)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// place returns a name's place in a list, at the end of which it is added where it is not
+// there. Cells come sorted, so that a route is most often the last of the list.
+func place(names []string, name string) ([]string, int) {
+	if n := len(names); n > 0 && names[n-1] == name {
+		return names, n - 1
+	}
+	if i := slices.Index(names, name); i >= 0 {
+		return names, i
+	}
+	return append(names, name), len(names)
+}
+
+func unpackRollouts(rows []rolloutRow) []rollout.Report {
+	var reports []rollout.Report
+	for _, row := range rows {
+		r := rollout.Report{
+			Service: row.Service, Order: row.Order, Routers: row.Routers, Known: row.Known, InForce: row.InForce,
+			Age: row.Age, OldRunning: row.OldRunning, Rejected: row.Rejected,
+		}
+		for _, c := range row.Cells {
+			if !among(row.Routes, c.Route) || !among(row.Cohorts, c.Cohort) {
+				continue
+			}
+			r.Cells = append(r.Cells, rollout.Cell{
+				Route: row.Routes[c.Route], Cohort: row.Cohorts[c.Cohort], Target: c.Target, Later: c.Later, Good: c.Good, Bad: c.Bad,
+			})
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+func among(names []string, i int) bool { return i >= 0 && i < len(names) }
--- /dev/null
+++ b/gateway/feed/listing_test.go
@@ -0,0 +1,103 @@
+package feed
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/traffic"
+	"github.com/croftvale/croftvale/rollout"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+)
+
+// toldRollouts keeps what feeds tell last.
+type toldRollouts struct {
+	orders   Listing[rollout.Order]
+	records  Listing[rollout.Record]
+	versions map[string][]string
+}
+
+func (r *toldRollouts) TakeOrders(l Listing[rollout.Order])   { r.orders = l }
+func (r *toldRollouts) TakeRecords(l Listing[rollout.Record]) { r.records = l }
+func (r *toldRollouts) TakeVersions(told map[string][]string) { r.versions = told }
+
+// orderSource has two orders, of which one goes and one changes.
+type orderSource struct{ Source }
+
+func (orderSource) ReadOrders(context.Context) ([]rollout.Order, uint64, error) {
+	return []rollout.Order{{Service: "llm", Target: "v2", Revision: 4}, {Service: "app", Target: "v5", Revision: 3}}, 7, nil
+}
+
+func (orderSource) WatchOrders(_ context.Context, since uint64, _ time.Duration) ([]rollout.OrderChange, uint64, error) {
+	if since == 7 {
+		return []rollout.OrderChange{
+			{Order: rollout.Order{Service: "app"}, Gone: true},
+			{Order: rollout.Order{Service: "llm", Target: "v3", Revision: 9}},
+		}, 9, nil
+	}
+	return nil, since + 1, nil
+}
+
+func (orderSource) ReadRecords(context.Context) ([]rollout.Record, uint64, error) {
+	return []rollout.Record{{Service: "llm", InUse: []string{"v1"}, Revision: 2}}, 7, nil
+}
+
+func newRolloutSet(source Source) (*Set, *toldRollouts) {
+	told := &toldRollouts{}
+	o := newTestSet().Config.o
+	o.Source, o.Rollouts = source, told
+	return NewSet(o), told
+}
+
+// TestRolloutFeeds has orders and records read and watched where roll-outs are on: changes
+// are told as the whole that they lead to, and a router knows both before it serves.
+func TestRolloutFeeds(t *testing.T) {
+	s, told := newRolloutSet(orderSource{})
+	s.Config.Offer(&direct.Config{Version: 1}, fromSource)
+	s.Evacuations.Offer(&direct.Evacuations{Revision: 1}, fromSource)
+	s.Servers.OfferAll(&direct.Directory{Revision: 1, Servers: []direct.Server{
+		{ID: "i-1", Service: "llm", Version: "v2"}, {ID: "i-2", Service: "llm", Version: "v1"}, {ID: "i-3", Service: "llm", Version: "v2"}, {ID: "i-4", Service: "app"},
+	}}, fromSource)
+	require.Equal(t, map[string][]string{"llm": {"v1", "v2"}, "app": {""}}, told.versions)
+	at, err := s.Orders.Read(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, []rollout.Order{{Service: "app", Target: "v5", Revision: 3}, {Service: "llm", Target: "v2", Revision: 4}}, told.orders.All)
+	require.False(t, s.Complete(), "the records are not known")
+	_, err = s.Records.Read(t.Context())
+	require.NoError(t, err)
+	require.True(t, s.Complete())
+	at, err = s.Orders.Watch(t.Context(), at, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, Listing[rollout.Order]{Revision: 9, All: []rollout.Order{{Service: "llm", Target: "v3", Revision: 9}}}, told.orders)
+	_, err = s.Orders.Watch(t.Context(), at, time.Second)
+	require.NoError(t, err)
+	require.EqualValues(t, 9, s.Orders.Revision(), "nothing has changed")
+}
+
+// TestRolloutFeedsArePulled has a router bring orders and records from another one, which
+// counts as traffic of their own.
+func TestRolloutFeedsArePulled(t *testing.T) {
+	knows, _ := newRolloutSet(orderSource{})
+	order := rollout.Order{Service: "llm", Target: "v2", Within: time.Minute, Made: "3", Revision: 4, State: rollout.Completed, StateTarget: "v2"}
+	knows.Orders.Offer(&Listing[rollout.Order]{Revision: 7, All: []rollout.Order{order}}, fromSource)
+	record := rollout.Record{Service: "llm", Revision: 2, InUse: []string{"v1"}, Stage: rollout.Half, Age: time.Second, Wall: time.UnixMilli(5)}
+	knows.Records.Offer(&Listing[rollout.Record]{Revision: 8, All: []rollout.Record{record}}, fromSource)
+	server := httptest.NewServer(knows.Handler())
+	defer server.Close()
+	pulls, told := newRolloutSet(orderSource{})
+	counter := traffic.NewCounter(tally.NoopScope)
+	p, err := NewPuller(pulls, PullOptions{Control: "127.0.0.1:1", Peers: farPeers{}, Traffic: counter})
+	require.NoError(t, err)
+	for i, f := range pulls.feeds[3:] {
+		require.NoError(t, p.pull(t.Context(), 3+i, server.Listener.Addr().String()))
+		require.Positive(t, counter.Sums()[f.About().Name].BetweenHalls)
+	}
+	require.Equal(t, Versions{0, 0, 0, 7, 8}, pulls.Versions())
+	require.Equal(t, order, told.orders.All[0])
+	require.True(t, record.Wall.Equal(told.records.All[0].Wall))
+	told.records.All[0].Wall = record.Wall
+	require.Equal(t, record, told.records.All[0])
+}
--- /dev/null
+++ b/gateway/rollouts/known_test.go
@@ -0,0 +1,76 @@
+package rollouts
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/rollout"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func newKnown() known[rollout.Order] {
+	return known[rollout.Order]{
+		service: func(o rollout.Order) string { return o.Service },
+		version: func(o rollout.Order) uint64 { return o.Revision },
+	}
+}
+
+// TestRolloutKnown plays a store whose objects change, come and go, and tells listings in
+// their order and written objects late and twice: of what was told, the newest state of
+// each service is known, and no object comes back that a newer listing lacks.
+func TestRolloutKnown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := newKnown()
+		revision, listed := uint64(0), uint64(0)
+		now := map[string]rollout.Order{} // in the store
+		told := map[string]rollout.Order{}
+		var written []rollout.Order
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			service := fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "service"))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				revision++
+				now[service] = rollout.Order{Service: service, Revision: revision}
+				written = append(written, now[service])
+			case 1:
+				revision++
+				delete(now, service)
+			case 2:
+				listed = revision
+				clear(told)
+				l := feed.Listing[rollout.Order]{Revision: revision}
+				for name, o := range now {
+					told[name] = o
+					l.All = append(l.All, o)
+				}
+				require.Equal(t, sortedOrders(told), sorted(k.list(l)))
+			case 3:
+				if len(written) == 0 {
+					continue
+				}
+				o := rapid.SampledFrom(written).Draw(t, "written")
+				if o.Revision > listed && o.Revision > told[o.Service].Revision {
+					told[o.Service] = o
+				}
+				require.Equal(t, sortedOrders(told), sorted(k.write(o)))
+			}
+		}
+	})
+}
+
+func sortedOrders(m map[string]rollout.Order) []rollout.Order {
+	out := make([]rollout.Order, 0, len(m))
+	for _, o := range m {
+		out = append(out, o)
+	}
+	return sorted(out)
+}
+
+func sorted(orders []rollout.Order) []rollout.Order {
+	slices.SortFunc(orders, func(a, b rollout.Order) int { return cmp.Compare(a.Service, b.Service) })
+	return orders
+}
--- /dev/null
+++ b/gateway/rollouts/mailbox_test.go
@@ -0,0 +1,28 @@
+package rollouts
+
+import (
+	"testing"
+
+	"github.com/croftvale/croftvale/rollout"
+	"github.com/stretchr/testify/require"
+)
+
+// TestRolloutMailbox fills a mailbox with answers: it drops and counts what finds no room,
+// and still takes other messages, for which alone its owner is woken.
+func TestRolloutMailbox(t *testing.T) {
+	b := newMailbox()
+	for range answersMost + 3 {
+		b.put(rollout.AnswerMsg{})
+	}
+	require.Empty(t, b.wake)
+	b.put(rollout.OrdersMsg{})
+	require.Len(t, b.wake, 1)
+	waiting, dropped := b.take()
+	require.Len(t, waiting, answersMost+1)
+	require.Equal(t, rollout.OrdersMsg{}, waiting[answersMost])
+	require.EqualValues(t, 3, dropped)
+	b.put(rollout.AnswerMsg{})
+	waiting, dropped = b.take()
+	require.Len(t, waiting, 1)
+	require.Zero(t, dropped)
+}
--- /dev/null
+++ b/gateway/rollouts/start_test.go
@@ -0,0 +1,27 @@
+package rollouts
+
+import (
+	"testing"
+
+	"github.com/croftvale/croftvale/rollout"
+	"github.com/stretchr/testify/require"
+)
+
+// TestRolloutStart has a router that starts lack something until orders, records and
+// servers have come and each service with servers has a gate.
+func TestRolloutStart(t *testing.T) {
+	var s start
+	for _, msg := range []rollout.Msg{
+		rollout.VersionsMsg{Services: map[string][]string{"llm": {"v1"}, "app": {"v1"}}}, rollout.OrdersMsg{}, rollout.RecordsMsg{},
+	} {
+		require.False(t, s.complete())
+		s.note(msg)
+	}
+	s.gate("llm")
+	s.gate("other")
+	require.False(t, s.complete(), "a service has servers and no gate")
+	s.gate("app")
+	require.True(t, s.complete())
+	s.note(rollout.VersionsMsg{Services: map[string][]string{"llm": {"v1"}}})
+	require.True(t, s.complete())
+}
