Keep old servers until a list has those of a completed order

A router that had been out of touch heard that an order is completed before it heard of the new servers, and refused all requests of the service for the time between. The gate in force now stays until a list has servers for the next one, unless what it lets through is rejected.

--- /dev/null
+++ b/rollout/early_test.go
@@ -0,0 +1,41 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRolloutEarlyGate has a router that was out of touch hear that an order is completed
+// before it hears of the new servers: the old ones get its requests until then. A version
+// that is rejected is not kept so.
+func TestRolloutEarlyGate(t *testing.T) {
+	known := func(inUse ...string) *Machine {
+		m := NewMachine(Options{Share: 0.1})
+		m.Update(VersionsMsg{Services: map[string][]string{"s": {oldVersion}}})
+		m.Update(OrdersMsg{})
+		m.Update(RecordsMsg{Records: []Record{{Service: "s", Revision: 1, InUse: inUse}}})
+		return m
+	}
+	order := Order{Service: "s", Target: newVersion, Within: time.Minute, Made: "1", Revision: 2, State: Completed, StateTarget: newVersion}
+	m := known(oldVersion)
+	require.Empty(t, gatesOf(m.Update(OrdersMsg{Orders: []Order{order}})))
+	got := gatesOf(m.Update(VersionsMsg{Services: map[string][]string{"s": {newVersion, oldVersion}}}))
+	require.Equal(t, []Gate{{Service: "s", InUse: []string{newVersion}}}, got)
+
+	m = known(newVersion, oldVersion)
+	order.Target, order.State, order.StateTarget = oldVersion, RolledBack, oldVersion
+	got = gatesOf(m.Update(OrdersMsg{Orders: []Order{order}}))
+	require.Equal(t, []Gate{{Service: "s", InUse: []string{newVersion}}}, got)
+}
+
+func gatesOf(cmds []Cmd) []Gate {
+	var out []Gate
+	for _, c := range cmds {
+		if g, ok := c.(GateCmd); ok {
+			out = append(out, g.Gate)
+		}
+	}
+	return out
+}
--- a/rollout/gates.go
+++ b/rollout/gates.go
@@ -44,3 +44,17 @@
 	return inUse && a.Target == b.Target && a.Part == b.Part && a.Limit == b.Limit &&
 		a.Servers == b.Servers && a.OldClosed == b.OldClosed && a.Move == b.Move
 }
+
+// early tells whether a gate has to wait for a list of servers: beside a roll-out it lets
+// none through that is listed, where the one in force does. So it is at a router that was
+// out of touch and hears that an order is completed before it hears of the new servers.
+func (s *service) early(g Gate) bool {
+	if g.Target != "" || slices.ContainsFunc(g.InUse, s.lists) {
+		return false
+	}
+	return slices.ContainsFunc(s.inForce.InUse, func(version string) bool {
+		return s.lists(version) && !slices.Contains(s.rejected, version)
+	})
+}
+
+func (s *service) lists(version string) bool { return slices.Contains(s.versions, version) }
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -177,7 +177,7 @@
 	var changed []Cmd
 	for _, s := range m.sorted() {
 		g := s.gate(m.opt.Share)
-		if s.gated && sameGate(g, s.inForce) || !s.gated && s.inUse == nil {
+		if s.gated && (sameGate(g, s.inForce) || s.early(g)) || !s.gated && s.inUse == nil {
 			continue
 		}
 		s.inForce, s.gated = g, true
