--- /dev/null
+++ b/rollout/confirm_test.go
@@ -0,0 +1,41 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRolloutConfirmedWaitsForAll shows that a roll-out which was found done is not
+// written as completed while a router that is heard of late is not in the last stage.
+func TestRolloutConfirmedWaitsForAll(t *testing.T) {
+	t.Parallel()
+	s := newSim(1, 1)
+	s.run(time.Second)
+	s.order(newVersion, "m1", simWithin)
+	s.run(newTimeline(simWithin).due(All))
+	s.store.down = true
+	s.run(2 * time.Second)
+	m := s.routers[0].machine
+	require.Equal(t, WaitStatus, m.Standings()[0].WaitsFor)
+	require.False(t, completes(s, m, Half))
+	require.True(t, completes(s, m, All))
+}
+
+// completes tells whether a machine writes `completed` within a long pause while another
+// router has a stage in force.
+func completes(s *sim, m *Machine, inForce Stage) bool {
+	other := m.Reports()[0]
+	other.InForce = inForce
+	for end := s.now + mostPause; s.now < end; {
+		s.now += TickEvery
+		m.Update(OthersMsg{Now: s.now, Reports: []Report{other}})
+		for _, c := range m.Update(TickMsg{Now: s.now, Wall: s.wallTime(), Leads: true, Routers: 2}) {
+			if w, is := c.(WriteCmd); is && w.Kind == WriteStatus && w.Status.State == Completed {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -202,11 +202,14 @@
 		for _, rate := range []float64{25, 6} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
-				missed, many, most, sum, took := 0, 0, 0, 0, 0.0
+				missed, passed, many, most, sum, took := 0, 0, 0, 0, 0, 0.0
 				for seed := range int64(simSeeds) {
 					verdict, at, bads := judged{rate, simSeconds, c.bad, c.later}.run(seed)
 					if verdict != Bad {
 						missed++
+						if verdict == Good {
+							passed++
+						}
 						continue
 					}
 					if bads >= 50 {
@@ -217,8 +220,8 @@
 					took += at
 				}
 				found := max(1, simSeeds-missed)
-				t.Logf("%s, %g a second: %d of %d missed; bad answers until found: mean %.1f, most %d, 50 or more in %d; mean time %.2f s",
-					name, rate, missed, simSeeds, float64(sum)/float64(found), most, many, took/float64(found))
+				t.Logf("%s, %g a second: %d of %d missed (%d judged good); bad answers until found: mean %.1f, most %d, 50 or more in %d; mean time %.2f s",
+					name, rate, missed, simSeeds, passed, float64(sum)/float64(found), most, many, took/float64(found))
 				if c.atOnce && missed > simSeeds/100 {
 					require.Fail(t, "missed too often")
 				}
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -134,17 +134,15 @@
 }
 
 func (m *Machine) hear(msg OthersMsg) {
-	told := map[string]Report{}
-	for _, r := range msg.Reports {
-		told[r.Service] = r
-	}
 	for _, s := range m.sorted() {
 		if s.roll == nil {
 			continue
 		}
-		others := told[s.name]
-		if others.Order != s.roll.key {
-			others = Report{}
+		others := Report{}
+		for _, r := range msg.Reports {
+			if r.Service == s.name && r.Order == s.roll.key {
+				others = Merge(others, r)
+			}
 		}
 		s.roll.hear(others, msg.Now)
 		m.follow(s)
--- a/rollout/messages.go
+++ b/rollout/messages.go
@@ -38,7 +38,8 @@
 	Bad     bool
 }
 
-// OthersMsg tells what all other routers report, added up.
+// OthersMsg tells what all other routers report, added up. While an order is being
+// replaced there may be two reports of a service, of different orders.
 type OthersMsg struct {
 	Now     time.Duration
 	Reports []Report
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -132,6 +132,24 @@
 	require.Equal(t, Completed, s.status())
 }
 
+// TestRolloutOrderGoneWhileAllWereLost shows what becomes of a roll-out of which only the
+// record is left: completed where only servers of its target are there, rejected else.
+func TestRolloutOrderGoneWhileAllWereLost(t *testing.T) {
+	t.Parallel()
+	for _, versions := range [][]string{{newVersion}, {oldVersion, newVersion}} {
+		s := begun(1, 0, simWithin)
+		s.run(simWithin / 2)
+		s.store.order = nil
+		s.versions = versions
+		for i := range s.routers {
+			s.routers[i] = s.fresh()
+		}
+		s.run(time.Second)
+		require.Equal(t, versions[:1], s.routers[0].gate.InUse)
+		require.Equal(t, versions[:1], s.store.record.InUse)
+	}
+}
+
 // TestRolloutOrderSeenLate shows that an older view of an order takes nothing back.
 func TestRolloutOrderSeenLate(t *testing.T) {
 	t.Parallel()
--- a/rollout/reconcile.go
+++ b/rollout/reconcile.go
@@ -69,7 +69,7 @@
 		s.inUse = s.firstVersions()
 	}
 	if target := s.leftOver(); target != "" {
-		s.reject(target)
+		s.apply(target, s.endOf(target))
 	}
 }
 
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -168,3 +168,14 @@
 	}
 	return r.Target
 }
+
+// endOf tells how a roll-out ended of which only the record is left. Old servers stop
+// when it is completed: where only those of its target are listed it was, and to reject
+// the target would leave nobody to serve.
+func (s *service) endOf(target string) State {
+	listed := func(version string) bool { return slices.Contains(s.versions, version) }
+	if listed(target) && !slices.ContainsFunc(s.inUse, listed) {
+		return Completed
+	}
+	return RolledBack
+}
