--- a/rollout/confirm_test.go
+++ b/rollout/confirm_test.go
@@ -39,3 +39,28 @@
 	}
 	return false
 }
+
+// TestRolloutSettledNeedsAllRouters shows that `completed` isn't written early while a
+// router is there that has told nothing.
+func TestRolloutSettledNeedsAllRouters(t *testing.T) {
+	t.Parallel()
+	s := newSim(1, 1)
+	s.run(time.Second)
+	s.order(newVersion, "m1", simWithin)
+	s.run(newTimeline(simWithin).due(All))
+	require.False(t, settles(s, 2))
+	require.True(t, settles(s, 1))
+}
+
+// settles tells whether a router finds the roll-out done soon, with so many routers there.
+func settles(s *sim, routers int) bool {
+	m := s.routers[0].machine
+	for end := s.now + 2*idleFor; s.now < end; {
+		s.now += TickEvery
+		m.Update(TickMsg{Now: s.now, Wall: s.wallTime(), Leads: true, Routers: routers})
+		if m.Standings()[0].WaitsFor == WaitStatus {
+			return true
+		}
+	}
+	return false
+}
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -129,6 +129,7 @@
 	load float64
 	// oldEnds: what runs at old servers ends once nothing is sent there.
 	oldEnds bool
+	mute    string         // a version whose servers never answer
 	sent    map[string]int // requests, by version
 	bads    map[string]int // bad answers, by version
 	rng     *rand.Rand
@@ -271,7 +272,7 @@
 	if s.rng.Float64() < mean-float64(n) {
 		n++
 	}
-	if target && !slices.Contains(s.versions, version) {
+	if version == s.mute || target && !slices.Contains(s.versions, version) {
 		return
 	}
 	for range n {
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -43,6 +43,7 @@
 			s.run(simWithin / 3)
 			s.versions = nil
 		}, RolledBack, []string{oldVersion}},
+		{"target never answers", func(s *sim) { s.mute = newVersion }, RolledBack, []string{oldVersion}},
 		{"nobody calls", func(s *sim) { s.load = 0 }, Completed, []string{newVersion}},
 		{"few call", func(s *sim) { s.load = 1 }, Completed, []string{newVersion}},
 		{"old streams never end", func(s *sim) { s.oldEnds = false }, Completed, []string{newVersion}},
@@ -164,6 +165,84 @@
 	require.Empty(t, r.machine.Reports())
 }
 
+// TestRolloutOrderSeenLateMidway shows that an older view of an order under way leads to
+// no other write.
+func TestRolloutOrderSeenLateMidway(t *testing.T) {
+	t.Parallel()
+	s := begun(1, 0, simWithin)
+	older := *s.store.order
+	s.run(time.Second)
+	r := s.routers[0]
+	require.Empty(t, r.machine.Update(OrdersMsg{Now: s.now, Orders: []Order{older}}))
+	tick := TickMsg{Now: s.now, Wall: s.wallTime(), Leads: true, Routers: 3}
+	require.Empty(t, r.machine.Update(tick))
+}
+
+// TestRolloutOrderWithMarkOfEarlierOne shows that an order which was followed by another
+// of its own mark is not taken up again when it is seen late.
+func TestRolloutOrderWithMarkOfEarlierOne(t *testing.T) {
+	t.Parallel()
+	s := begun(1, 0, simWithin)
+	s.run(time.Second)
+	earlier := *s.store.order
+	s.order("v3", "m2", simWithin)
+	s.run(time.Second)
+	r := s.routers[0]
+	require.Empty(t, r.machine.Update(OrdersMsg{Now: s.now, Orders: []Order{earlier}}))
+	require.Equal(t, "v3", r.machine.Standings()[0].Target)
+}
+
+// TestRolloutOrderAfterOneThatWasNotRecorded shows that the status of the order before
+// tells which version is in use, where the record was not brought up to it.
+func TestRolloutOrderAfterOneThatWasNotRecorded(t *testing.T) {
+	t.Parallel()
+	s := begun(1, 0, simWithin)
+	s.run(simWithin / 2)
+	s.store.order.State = Completed
+	s.order("v3", "m1", simWithin)
+	s.routers = []*simRouter{s.fresh()}
+	s.run(TickEvery)
+	require.Equal(t, []string{newVersion}, s.routers[0].gate.InUse)
+	require.Equal(t, "v3", s.routers[0].gate.Target)
+}
+
+// TestRolloutOrderDeletedRejects shows that the target of an order which was deleted
+// midway is among the versions that were rejected.
+func TestRolloutOrderDeletedRejects(t *testing.T) {
+	t.Parallel()
+	s := begun(1, 0, simWithin)
+	s.run(simWithin / 2)
+	s.store.order = nil
+	s.run(time.Second)
+	require.Equal(t, []string{newVersion}, s.store.record.Rejected)
+	require.Empty(t, s.store.record.Target)
+}
+
+// TestRolloutAgeIsHeard shows that a router which begins late knows the order's age from
+// the others, before it trusts the record.
+func TestRolloutAgeIsHeard(t *testing.T) {
+	t.Parallel()
+	s := begun(1, 0, simWithin)
+	s.run(simWithin / 2)
+	s.routers[2] = s.fresh()
+	s.run(2 * TickEvery)
+	age := s.routers[2].machine.Reports()[0].Age
+	require.InDelta(t, simWithin/2, age, float64(time.Second))
+}
+
+// TestRolloutGivenUpWithoutProof shows that a target which nothing is known of gets no
+// more than the trial, and is rolled back as soon as the rest can't be done in time.
+func TestRolloutGivenUpWithoutProof(t *testing.T) {
+	t.Parallel()
+	s := begun(1, 0, simWithin)
+	s.mute = newVersion
+	s.run(newTimeline(simWithin).lastRamp + time.Second)
+	require.Equal(t, RolledBack, s.status())
+	for _, step := range s.routers[0].steps {
+		require.LessOrEqual(t, step.Stage, Trial)
+	}
+}
+
 // TestRolloutUnorderedVersion shows that servers which nobody ordered get nothing, and
 // that this is logged once.
 func TestRolloutUnorderedVersion(t *testing.T) {
