A router that hears less than half of the fleet doesn't lead a roll-out

It could write completed while routers that it doesn't hear still send to old servers, which then stop at once. Weighed: waiting for all known ones (a lost host would hold a roll-out up for a minute). TestRolloutLeaderCutOff failed before.

--- a/gateway/cluster/rollouts.go
+++ b/gateway/cluster/rollouts.go
@@ -20,12 +20,19 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	live := 1
 	for address, peer := range p.known {
-		if peer.live && address < p.self && !peer.sourceLost {
+		if !peer.live {
+			continue
+		}
+		if address < p.self && !peer.sourceLost {
 			return false
 		}
+		live++
 	}
-	return true
+	// One that hears only a few of the routers that were there lately may be cut off from
+	// the rest: it would complete a roll-out while they still use the old servers.
+	return 2*live >= len(p.known)+1
 }
 
 // Routers counts the routers that are there, this one included.
--- a/gateway/cluster/rollouts_test.go
+++ b/gateway/cluster/rollouts_test.go
@@ -22,3 +22,13 @@
 	require.False(t, p.Leads(), "it has just started")
 	require.True(t, newTestPeers("a", &peer{address: "b"}).Leads())
 }
+
+// TestRolloutLeaderCutOff has no router lead that hears less than half of those that were
+// there lately: it can't know what the others send to old servers.
+func TestRolloutLeaderCutOff(t *testing.T) {
+	p := newTestPeers("a", &peer{address: "b"}, &peer{address: "c"}, &peer{address: "d"})
+	p.known["b"].live, p.known["c"].live = false, false
+	require.True(t, p.Leads(), "two of four")
+	p.known["d"].live = false
+	require.False(t, p.Leads(), "one of four")
+}
