--- a/gateway/cluster/rollouts.go
+++ b/gateway/cluster/rollouts.go
@@ -20,8 +20,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	live := 1
+	live, heard := 1, 1
 	for address, peer := range p.known {
+		if peer.heard > 0 {
+			heard++
+		}
 		if !peer.live {
 			continue
 		}
@@ -30,9 +33,10 @@
 		}
 		live++
 	}
-	// One that hears only a few of the routers that were there lately may be cut off from
-	// the rest: it would complete a roll-out while they still use the old servers.
-	return 2*live >= len(p.known)+1
+	// One that hears only a few of the routers that it heard lately may be cut off from
+	// the rest: it would complete a roll-out while they still use the old servers. Those
+	// that are only listed may have been replaced long ago.
+	return 2*live >= heard
 }
 
 // Routers counts the routers that are there, this one included.
--- a/gateway/cluster/rollouts_test.go
+++ b/gateway/cluster/rollouts_test.go
@@ -31,4 +31,8 @@
 	require.True(t, p.Leads(), "two of four")
 	p.known["d"].live = false
 	require.False(t, p.Leads(), "one of four")
+	for _, one := range p.known {
+		one.heard = 0
+	}
+	require.True(t, p.Leads(), "the others are only listed")
 }
