loads: a router that loses all others does not turn at once either

A router that hears nothing turned to itself when it counted the others as lost, while what it had told the last two aggregators still held: it counted three times (found by the stateful test after 609 checks). It now stays with the one it chose lately, there or not.

TestRegionCountsTheDeafBackTwiceAtMost was seen to fail without the stay, though it does not find this case by itself.

--- a/loads/aggregator.go
+++ b/loads/aggregator.go
@@ -33,11 +33,10 @@
 	}
 }
 
-// stays tells whether the aggregator was chosen too lately to turn to another.
+// stays tells whether the aggregator was chosen too lately to turn to another, though it may
+// be lost meanwhile.
 func (e *Exchange) stays(now time.Duration) bool {
-	_, there := e.there[e.aggregator]
-	there = there || e.aggregator == e.self.Address
-	return there && e.chosenAt > 0 && now-e.chosenAt < stay && len(e.otherRegions()) > 0
+	return e.regional && e.chosenAt > 0 && now-e.chosenAt < stay
 }
 
 // neighbours returns the other aggregators of the region: those that the other halls
--- a/loads/exchange.go
+++ b/loads/exchange.go
@@ -54,6 +54,7 @@
 	unanswered time.Duration
 	aggregator string
 	chosenAt   time.Duration
+	regional   bool                     // there are other regions, or were
 	avoided    map[string]time.Duration // until when
 	reportedAt time.Duration
 	out        []Cmd
@@ -96,6 +97,7 @@
 	e.there = make(map[string]Router, len(msg.Routers))
 	for _, r := range msg.Routers {
 		e.there[r.Address] = r
+		e.regional = e.regional || r.Region != e.self.Region
 	}
 }
 
--- a/loads/regions_test.go
+++ b/loads/regions_test.go
@@ -335,7 +335,7 @@
 // TestRegionCountsTheDeafTwiceAtMost has a router of a large hall hear none of the answers to
 // its reports, so that it turns from one aggregator to the next.
 func TestRegionCountsTheDeafTwiceAtMost(t *testing.T) {
-	s := newStorm(1, "north/a", "north/a", "north/a", "north/a", "north/a", "north/a", "north/b", "south/c")
+	s := newStorm(1, largeHall...)
 	s.run(20, nil)
 	for _, r := range s.routers {
 		s.mute[[2]string{r.Address, "r0"}] = true
@@ -343,6 +343,25 @@
 	s.run(200, func() { s.atMost(t, 2) })
 }
 
+// TestRegionCountsTheDeafBackTwiceAtMost has such a router hear nothing at all, and all again
+// after each time up to two seconds.
+func TestRegionCountsTheDeafBackTwiceAtMost(t *testing.T) {
+	for rounds := range int(2 * time.Second / Every) {
+		s := newStorm(uint64(rounds), largeHall...)
+		s.run(20, nil)
+		s.loss = 0.1
+		for _, r := range s.routers {
+			s.cut[[2]string{r.Address, "r0"}] = true
+		}
+		s.run(rounds, func() { s.atMost(t, 2) })
+		clear(s.cut)
+		s.run(40, func() { s.atMost(t, 2) })
+	}
+}
+
+// largeHall is places with a hall that has many routers to turn to.
+var largeHall = []string{"north/a", "north/a", "north/a", "north/a", "north/a", "north/a", "north/b", "south/c"}
+
 // lossyRound is a round in which all tell of teams, and lists arrive as chosen.
 func (s *storm) lossyRound(arrives func(flight) bool) {
 	s.now += TeamsEvery
