Tell copies by the lists of loads; regions in the exchange; bytes by three tiers

Copies of prompts' parts went in each heartbeat for 0.7 s, to 24 routers at a time: up to 64 copies of 15 bytes, a hundred times a second. They now go with the lists of loads, which tell each receiver three times. Routers of a fleet are upgraded together, so heartbeats have no place for copies any more. The decisions hand over each copy once and the exchange repeats it.

A router says its region in its heartbeats: the settings of others might name another one while they are being changed, and all have to take it to lie in the same. Empty: not known, a region of its own; a fleet without regions is one. What a router says is as at its start. Lists carry the region they cover, the base of changes, and copies. Pulls and a starting router's seeds go by distance in three tiers, and so do the counters of bytes; where lists go is taken from the routers that are there, since the exchange runs while peers may be locked.

TestCopiesAreTold and its like take copies from the machine in place of a report: told once rather than for a time, which is now tried in package loads. TestCopiesAreBounded bounds what is kept in place of what a report held. TestDatagrams has copies in lists. TestListsBetweenRegions was seen to fail without the own region, TestListsComeAsSent without copies.

--- a/direct/commands.go
+++ b/direct/commands.go
@@ -13,7 +13,8 @@
 type SendCmd struct {
 	ID      RequestID
 	Server  Server
-	Attempt int // 1 for the first
+	Far     bool // the server is in another region
+	Attempt int  // 1 for the first
 	Basis   Basis
 }
 
--- a/direct/copies.go
+++ b/direct/copies.go
@@ -3,53 +3,36 @@
 import (
 	"slices"
 	"time"
-)
 
-const (
-	// copyToldFor is how long a copy is told to the other routers: two or three
-	// heartbeats, since datagrams may be lost.
-	copyToldFor = 700 * time.Millisecond
-	// copiesMost bounds the copies in one report; older ones are dropped.
-	copiesMost = 64
+	"github.com/croftvale/croftvale/loads"
 )
 
-// Copy says that a server keeps a shared part of a prompt. Routers tell one
-// another of copies that the rendezvous order does not give away: made at another
-// server than the one that all routers try first.
-type Copy struct {
-	Part   uint64
-	Server uint32 // see loads.Key
-}
-
-// toldCopy is a copy that is told to the others for some time.
-type toldCopy struct {
-	Copy
-	at time.Duration
-}
+// copiesMost bounds the copies between two rounds of the lists that tell them; older ones
+// are dropped. Lists hold fewer, and rounds come forty times a second.
+const copiesMost = 64
 
-// copies holds what a router has lately to tell of copies. The zero value is
+// copies holds the copies of prompts' parts that were made through a router since they were
+// last taken. Routers tell one another of copies that the rendezvous order does not give
+// away: made at another server than the one that all routers try first. The zero value is
 // ready.
-type copies struct{ told []toldCopy }
+type copies struct{ made []loads.Copy }
 
-// add begins to tell that a server keeps a part.
-func (c *copies) add(now time.Duration, part uint64, s *server) {
-	one := Copy{Part: part, Server: s.key}
-	c.told = slices.DeleteFunc(c.told, func(t toldCopy) bool { return t.Copy == one || now-t.at > copyToldFor })
-	if len(c.told) >= copiesMost {
-		c.told = slices.Delete(c.told, 0, 1)
+// add notes that a server keeps a part.
+func (c *copies) add(part uint64, s *server) {
+	one := loads.Copy{Part: part, Server: s.key}
+	c.made = slices.DeleteFunc(c.made, func(other loads.Copy) bool { return other == one })
+	if len(c.made) >= copiesMost {
+		c.made = slices.Delete(c.made, 0, 1)
 	}
-	c.told = append(c.told, toldCopy{Copy: one, at: now})
+	c.made = append(c.made, one)
 }
 
-// list returns what is to be told now.
-func (c *copies) list(now time.Duration) []Copy {
-	var out []Copy
-	for _, t := range c.told {
-		if now-t.at <= copyToldFor {
-			out = append(out, t.Copy)
-		}
-	}
-	return out
+// TakeCopies returns the copies that were made through this router since the last call;
+// each is told once.
+func (m *Machine) TakeCopies() []loads.Copy {
+	made := m.copies.made
+	m.copies.made = nil
+	return made
 }
 
 // tellCopies tells the others of the parts that a server reads for a request. The
@@ -64,18 +47,18 @@
 		}
 		for _, h := range keepers {
 			if keeper := m.byServer[h.server]; keeper != nil && now-h.at < p.keeps {
-				m.copies.add(now, part, keeper)
+				m.copies.add(part, keeper)
 			}
 		}
-		m.copies.add(now, part, s)
+		m.copies.add(part, s)
 	}
 }
 
-// hearCopies takes in what another router tells of copies.
-func (m *Machine) hearCopies(now time.Duration, told []Copy) {
-	for _, c := range told {
+// hearCopies takes in what other routers tell of copies.
+func (m *Machine) hearCopies(msg CopiesMsg) {
+	for _, c := range msg.Copies {
 		if s := m.byKey[c.Server]; s != nil {
-			m.holders.note(now, c.Part, s.ID)
+			m.holders.note(msg.Now, c.Part, s.ID)
 		}
 	}
 }
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -137,6 +137,8 @@
 		}
 	case TeamsMsg:
 		m.takeTeams(msg)
+	case CopiesMsg:
+		m.hearCopies(msg)
 	case PeersMsg:
 		m.routers, m.hold = max(msg.Routers, 1), msg.Hold
 		m.takeQuiet(msg.Quiet)
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -182,6 +182,12 @@
 	Teams []loads.TeamUse
 }
 
+// CopiesMsg brings copies of prompts' parts that other routers have made; see package loads.
+type CopiesMsg struct {
+	Now    time.Duration
+	Copies []loads.Copy
+}
+
 // PeersMsg tells how many routers there are, this one included, and how long a
 // report of one holds.
 type PeersMsg struct {
@@ -217,11 +223,11 @@
 func (PeerMsg) isMsg()        {}
 func (LoadsMsg) isMsg()       {}
 func (TeamsMsg) isMsg()       {}
+func (CopiesMsg) isMsg()      {}
 func (PeersMsg) isMsg()       {}
 func (TickMsg) isMsg()        {}
 
 // Report is what one router tells the others of itself.
 type Report struct {
 	Headroom float64 // see Shares
-	Copies   []Copy
 }
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -11,7 +11,6 @@
 // peer takes in what another router does at the moment.
 func (m *Machine) peer(msg PeerMsg) {
 	m.peers[msg.Peer] = peerReport{at: msg.Now, report: msg.Report}
-	m.hearCopies(msg.Now, msg.Report.Copies)
 }
 
 // forgetPeers drops the reports that no longer hold.
@@ -67,8 +66,8 @@
 }
 
 // Report returns what this router does at the moment, for the others.
-func (m *Machine) Report(now time.Duration) Report {
-	return Report{Headroom: m.ownHeadroom, Copies: m.copies.list(now)}
+func (m *Machine) Report() Report {
+	return Report{Headroom: m.ownHeadroom}
 }
 
 // Teams returns what this router sees of teams.
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -32,7 +32,7 @@
 	for i := 0; i+1 < len(r.Parts) && m.uses(Locality); i++ {
 		m.holders.note(now, r.Parts[i].ID, s.ID)
 	}
-	m.emit(SendCmd{ID: r.ID, Server: s.Server, Attempt: r.attempt, Basis: basis})
+	m.emit(SendCmd{ID: r.ID, Server: s.Server, Far: !m.geography.near(s.region), Attempt: r.attempt, Basis: basis})
 }
 
 // charge counts a request for its team when it is sent, so that those sent at
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -67,7 +67,7 @@
 	defer a.keep()
 	left = a.x.deadline - a.x.front.core.Now()
 	_ = conn.SetDeadline(time.Now().Add(left))
-	a.path = traffic.PathTo(a.x.front.hall, a.cmd.Server.Zone)
+	a.path = a.x.front.pathTo(a.cmd)
 	a.count(len(a.x.body))
 	err = conn.Send(&backend.Request{
 		Method: a.x.r.Method,
--- a/gateway/cluster/decisions.go
+++ b/gateway/cluster/decisions.go
@@ -14,6 +14,9 @@
 	Report() direct.Report
 	// Loads returns what this router has at the servers.
 	Loads() []loads.Load
+	// TakeCopies returns the copies of prompts' parts made through this router since the
+	// last call.
+	TakeCopies() []loads.Copy
 	// Teams returns what this router sees of teams.
 	Teams() []loads.TeamUse
 }
--- a/gateway/cluster/halls.go
+++ b/gateway/cluster/halls.go
@@ -9,12 +9,12 @@
 )
 
 // PathTo returns the path to another router; one that has not been heard of counts as
-// being in another hall.
+// being in another hall of the region.
 func (p *Peers) PathTo(address string) traffic.Path {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if peer := p.known[address]; peer != nil {
-		return traffic.PathTo(p.hall, peer.hall)
+	if peer := p.known[address]; peer != nil && peer.heard > 0 {
+		return p.place.PathTo(peer.place)
 	}
 	return traffic.BetweenHalls
 }
@@ -25,7 +25,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, peer := range p.known {
-		if peer.live && peer.hall == p.hall && address < p.self {
+		if peer.live && peer.place.Hall == p.place.Hall && address < p.self {
 			return false
 		}
 	}
@@ -57,7 +57,7 @@
 	newest := time.Duration(0)
 	for _, peer := range p.known {
 		if peer.heard > 0 && peer.live {
-			last[peer.hall] = max(last[peer.hall], peer.heard)
+			last[peer.place.Hall] = max(last[peer.place.Hall], peer.heard)
 			newest = max(newest, peer.heard)
 		}
 	}
--- a/gateway/cluster/heartbeat.go
+++ b/gateway/cluster/heartbeat.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/feed"
 )
 
@@ -19,6 +18,7 @@
 type heartbeat struct {
 	Address string // of the sender's host
 	Hall    string
+	Region  string  // empty: unknown
 	Power   float64 // cores
 	Shed    float64 // part of the new requests that it refuses for want of processor time
 	Yields  bool    // it is not ready for want of processor time
@@ -27,7 +27,6 @@
 	Life       int64 // start of the sender, so that a restart begins anew
 	Seq        uint64
 	Knows      feed.Versions
-	Headroom   float32 // see direct.Shares
-	Copies     []direct.Copy
+	Headroom   float32  // see direct.Shares
 	Members    []string // other routers that the sender has heard of
 }
--- a/gateway/cluster/heartbeats.go
+++ b/gateway/cluster/heartbeats.go
@@ -58,9 +58,9 @@
 		members = nil
 	}
 	body, err := encode(heartbeat{
-		Address: h.peers.self, Hall: h.peers.hall, Power: h.power, Shed: h.parts.Pressure.ShedPart(), Yields: h.parts.Pressure.Yields(),
+		Address: h.peers.self, Hall: h.peers.place.Hall, Region: h.peers.place.Region, Power: h.power, Shed: h.parts.Pressure.ShedPart(), Yields: h.parts.Pressure.Yields(),
 		SourceLost: h.parts.Feeds.SourceFails(), Life: h.life, Seq: h.seq, Knows: h.parts.Feeds.Versions(),
-		Headroom: float32(said.Headroom), Copies: said.Copies, Members: members,
+		Headroom: float32(said.Headroom), Members: members,
 	})
 	if err != nil {
 		h.parts.Stats.DatagramFailed()
--- a/gateway/cluster/lead.go
+++ b/gateway/cluster/lead.go
@@ -1,9 +1,6 @@
 package cluster
 
-import (
-	"github.com/croftvale/croftvale/gateway/feed"
-	"github.com/croftvale/croftvale/gateway/traffic"
-)
+import "github.com/croftvale/croftvale/gateway/feed"
 
 // Lead tells which live routers know something newer.
 func (p *Peers) Lead() feed.Lead {
@@ -15,7 +12,7 @@
 	lasts := p.live()
 	for address, peer := range p.known {
 		if peer.heard > 0 && now-peer.heard <= lasts {
-			out.Add(own, address, traffic.PathTo(p.hall, peer.hall), peer.knows)
+			out.Add(own, address, p.place.PathTo(peer.place), peer.knows)
 		}
 	}
 	return out
--- /dev/null
+++ b/gateway/cluster/loadlist_test.go
@@ -0,0 +1,29 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/loads"
+	"github.com/croftvale/croftvale/rollout"
+	"github.com/stretchr/testify/require"
+)
+
+// TestListsComeAsSent has all that a list tells come as it was sent.
+func TestListsComeAsSent(t *testing.T) {
+	cmd := loads.SendCmd{
+		To: "10.1.0.7", Kind: loads.RegionSum, Region: "north", Base: 1 << 60, Loads: []loads.Load{{Server: 1, Running: 2, Pending: 3}},
+		HasTeams: true, Teams: []loads.TeamUse{{Team: "red", Offered: rateUnit, Recent: 2 * rateUnit, Served: rateUnit}},
+		Rollouts: []rollout.Report{{Service: "llm", Order: 7, Routers: 2}}, Copies: []loads.Copy{{Part: 1 << 60, Server: 7}},
+	}
+	list := packList(cmd)
+	list.From, list.Hall, list.Number = "10.1.0.33", "a", 9
+	body, err := encode(&list)
+	require.NoError(t, err)
+	var came loadList
+	require.NoError(t, decode(body, &came))
+	require.Equal(t, loads.ListMsg{
+		Now: time.Second, From: "10.1.0.33", Hall: "a", Number: 9, Kind: cmd.Kind, Region: cmd.Region, Base: cmd.Base, Loads: cmd.Loads,
+		HasTeams: true, Teams: cmd.Teams, Rollouts: cmd.Rollouts, Copies: cmd.Copies,
+	}, came.unpack(time.Second))
+}
--- a/gateway/cluster/loads.go
+++ b/gateway/cluster/loads.go
@@ -11,24 +11,11 @@
 	"github.com/croftvale/croftvale/rollout"
 )
 
-// loadList is the datagram of one list of loads.
-type loadList struct {
-	From   string
-	Hall   string // only where the list tells of teams
-	Kind   loads.Kind
-	Number uint64
-	Loads  []loads.Load
-	// HasTeams says that the list tells of teams.
-	HasTeams bool
-	Teams    []teamRow
-	// Rollouts come with teams, where roll-outs are on.
-	Rollouts []rolloutRow
-}
-
 // loadExchange carries out what the exchange of loads decides.
 type loadExchange struct {
 	self     string
-	hall     string
+	place    traffic.Place
+	paths    map[string]traffic.Path // to the routers that are there
 	over     *transport
 	parts    Parts
 	mu       sync.Mutex
@@ -39,14 +26,32 @@
 
 func newLoadExchange(s Settings, over *transport, parts Parts) *loadExchange {
 	return &loadExchange{
-		self: s.Self.Address, hall: s.Hall, number: uint64(time.Now().UnixNano()), parts: parts,
-		over:     over,
-		exchange: loads.NewExchange(loads.Router{Address: s.Self.Address, Hall: s.Hall, Power: s.Power}),
+		self: s.Self.Address, number: uint64(time.Now().UnixNano()), parts: parts,
+		over: over, place: s.place(),
+		exchange: loads.NewExchange(loads.Router{Address: s.Self.Address, Hall: s.Hall, Region: s.Region, Power: s.Power}),
 	}
 }
 
 // routers takes in which other routers are there.
-func (l *loadExchange) routers(there []loads.Router) { l.update(loads.RoutersMsg{Routers: there}) }
+func (l *loadExchange) routers(there []loads.Router) {
+	paths := make(map[string]traffic.Path, len(there))
+	for _, r := range there {
+		paths[r.Address] = l.place.PathTo(traffic.Place{Hall: r.Hall, Region: r.Region})
+	}
+	l.mu.Lock()
+	l.paths = paths
+	l.mu.Unlock()
+	l.update(loads.RoutersMsg{Routers: there})
+}
+
+// pathTo returns the path to another router; one that is not there any more counts as
+// being in another hall of the region.
+func (l *loadExchange) pathTo(address string) traffic.Path {
+	if path, ok := l.paths[address]; ok {
+		return path
+	}
+	return traffic.BetweenHalls
+}
 
 // send goes through the rounds until ctx ends.
 func (l *loadExchange) send(ctx context.Context) error {
@@ -58,7 +63,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			tick := loads.TickMsg{Now: l.parts.Decisions.Now(), Own: l.parts.Decisions.Loads()}
+			tick := loads.TickMsg{Now: l.parts.Decisions.Now(), Own: l.parts.Decisions.Loads(), Copies: l.parts.Decisions.TakeCopies()}
 			if tick.Now-toldAt >= loads.TeamsEvery-loads.Every/2 {
 				toldAt = tick.Now
 				tick.HasTeams, tick.Teams = true, l.parts.Decisions.Teams()
@@ -76,10 +81,7 @@
 	return l.over.receive(ctx, func(body []byte) {
 		var list loadList
 		if decode(body, &list) == nil {
-			l.update(loads.ListMsg{
-				Now: l.parts.Decisions.Now(), From: list.From, Hall: list.Hall, Kind: list.Kind, Number: list.Number, Loads: list.Loads,
-				HasTeams: list.HasTeams, Teams: unpackTeams(list.Teams), Rollouts: unpackRollouts(list.Rollouts),
-			})
+			l.update(list.unpack(l.parts.Decisions.Now()))
 		}
 	})
 }
@@ -106,6 +108,9 @@
 	}
 	l.heardAt = now
 	l.parts.Decisions.Update(direct.LoadsMsg{Now: now, Loads: others.Loads})
+	if len(others.Copies) > 0 {
+		l.parts.Decisions.Update(direct.CopiesMsg{Now: now, Copies: others.Copies})
+	}
 	if others.HasTeams {
 		l.parts.Decisions.Update(direct.TeamsMsg{Now: now, Teams: others.Teams})
 		if l.parts.Rollouts != nil {
@@ -116,19 +121,15 @@
 
 func (l *loadExchange) write(cmd loads.SendCmd) {
 	l.number++
-	list := loadList{From: l.self, Kind: cmd.Kind, Number: l.number, Loads: cmd.Loads, HasTeams: cmd.HasTeams}
+	list := packList(cmd)
+	list.From, list.Number = l.self, l.number
 	if cmd.HasTeams {
-		list.Hall, list.Teams, list.Rollouts = l.hall, packTeams(cmd.Teams), packRollouts(cmd.Rollouts)
+		list.Hall = l.place.Hall
 	}
 	body, err := encode(&list)
 	if err != nil {
 		l.parts.Stats.DatagramFailed()
 		return
 	}
-	// Aggregators tell those of other halls; all else stays within the hall.
-	path := traffic.WithinHall
-	if cmd.Kind == loads.Sum {
-		path = traffic.BetweenHalls
-	}
-	l.over.send(cmd.To, path, body)
+	l.over.send(cmd.To, l.pathTo(cmd.To), body)
 }
--- a/gateway/cluster/peer.go
+++ b/gateway/cluster/peer.go
@@ -4,12 +4,13 @@
 	"time"
 
 	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/traffic"
 )
 
 // peer is another router.
 type peer struct {
 	address string
-	hall    string
+	place   traffic.Place
 	power   float64
 	shed    float64
 	yields  bool
--- a/gateway/cluster/peers.go
+++ b/gateway/cluster/peers.go
@@ -8,6 +8,7 @@
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/feed"
 	"github.com/croftvale/croftvale/gateway/pressure"
+	"github.com/croftvale/croftvale/gateway/traffic"
 	"github.com/croftvale/croftvale/loads"
 )
 
@@ -17,7 +18,7 @@
 // Peers is what a router knows of the other routers.
 type Peers struct {
 	self  string
-	hall  string
+	place traffic.Place
 	parts Parts
 	seeds int
 	// isSeed says that routers which start ask this one, or that it has no others to ask.
@@ -37,7 +38,7 @@
 
 func newPeers(s Settings, parts Parts) *Peers {
 	return &Peers{
-		self: s.Self.Address, hall: s.Hall, parts: parts, without: s.Without,
+		self: s.Self.Address, place: s.place(), parts: parts, without: s.Without,
 		seeds: len(s.Seeds), isSeed: s.amongSeeds(), patience: s.patience(), known: make(map[string]*peer),
 		behind: make(chan struct{}, 1),
 	}
@@ -84,8 +85,8 @@
 	for address, peer := range p.known {
 		age := now - max(peer.heard, peer.added)
 		if peer.heard > 0 && age < lasts {
-			there = append(there, loads.Router{Address: address, Hall: peer.hall, Power: peer.power})
-			if peer.hall == p.hall {
+			there = append(there, loads.Router{Address: address, Hall: peer.place.Hall, Region: peer.place.Region, Power: peer.power})
+			if peer.place.Hall == p.place.Hall {
 				addTo(&hall, peer)
 			}
 		} else if peer.live {
@@ -137,13 +138,14 @@
 	peer.life, peer.seq, peer.heard = b.Life, b.Seq, now
 	peer.knows = b.Knows
 	peer.sourceLost = b.SourceLost
-	peer.hall, peer.power, peer.shed, peer.yields = b.Hall, b.Power, b.Shed, b.Yields
+	peer.place = traffic.Place{Hall: b.Hall, Region: b.Region}
+	peer.power, peer.shed, peer.yields = b.Power, b.Shed, b.Yields
 	if !peer.live {
 		peer.live = true
 		p.appeared = append(p.appeared, b.Address)
 	}
 	p.mu.Unlock()
-	p.parts.Decisions.Update(direct.PeerMsg{Now: now, Peer: b.Address, Report: direct.Report{Headroom: float64(b.Headroom), Copies: b.Copies}})
+	p.parts.Decisions.Update(direct.PeerMsg{Now: now, Peer: b.Address, Report: direct.Report{Headroom: float64(b.Headroom)}})
 	if !p.parts.Feeds.Versions().Reaches(b.Knows) {
 		notify(p.behind)
 	}
--- a/gateway/cluster/peers_test.go
+++ b/gateway/cluster/peers_test.go
@@ -43,6 +43,12 @@
 func (m *testMachine) Loads() []loads.Load    { return nil }
 func (m *testMachine) Teams() []loads.TeamUse { return nil }
 
+func (m *testMachine) TakeCopies() []loads.Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.TakeCopies()
+}
+
 // newTestFeeds returns the feeds of a fleet whose halls may be evacuated.
 func newTestFeeds(source feed.Source, d Decisions) *feed.Set {
 	return feed.NewSet(feed.Options{
--- a/gateway/cluster/settings.go
+++ b/gateway/cluster/settings.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/traffic"
 )
 
 // Settings are what a router takes part in the fleet with.
 type Settings struct {
 	Self       Member
 	Hall       string
+	Region     string   // empty: unknown
 	Power      float64  // cores that the process may use
 	Peers      string   // other routers' heartbeats, as datagrams
 	Loads      string   // other routers' loads, as datagrams
@@ -19,6 +21,9 @@
 	Without    direct.Without
 }
 
+// place returns where the router is.
+func (s Settings) place() traffic.Place { return traffic.Place{Hall: s.Hall, Region: s.Region} }
+
 // patience returns how long a router that starts waits for others to bring what it would
 // read from the source.
 func (s Settings) patience() time.Duration {
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -136,7 +136,7 @@
 func (c *core) Report() direct.Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.Report(c.Now())
+	return c.machine.Report()
 }
 
 // Loads returns what this router has at the servers.
@@ -146,6 +146,14 @@
 	return c.machine.Loads()
 }
 
+// TakeCopies returns the copies of prompts' parts made through this router since the last
+// call.
+func (c *core) TakeCopies() []loads.Copy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.TakeCopies()
+}
+
 // Teams returns what this router sees of teams.
 func (c *core) Teams() []loads.TeamUse {
 	c.mu.Lock()
--- a/gateway/feed/lead.go
+++ b/gateway/feed/lead.go
@@ -8,15 +8,18 @@
 
 // Ahead are the addresses of the routers that know something newer of one feed.
 type Ahead struct {
-	OwnHall    []string
-	OtherHalls []string
+	OwnHall      []string
+	OtherHalls   []string // of this router's region
+	OtherRegions []string
 }
 
-// All returns all of them, those of this router's hall first.
-func (a Ahead) All() []string { return slices.Concat(a.OwnHall, a.OtherHalls) }
+// All returns all of them, the nearest first.
+func (a Ahead) All() []string { return slices.Concat(a.OwnHall, a.OtherHalls, a.OtherRegions) }
 
 // Elsewhere tells whether only routers of other halls know it.
-func (a Ahead) Elsewhere() bool { return len(a.OwnHall) == 0 && len(a.OtherHalls) > 0 }
+func (a Ahead) Elsewhere() bool {
+	return len(a.OwnHall) == 0 && len(a.OtherHalls)+len(a.OtherRegions) > 0
+}
 
 // Lead tells for each feed which routers know something newer.
 type Lead []Ahead
@@ -24,16 +27,19 @@
 // NewLead returns the lead of nobody, over a router that knows some versions.
 func NewLead(own Versions) Lead { return make(Lead, len(own)) }
 
-// Add takes in what another router knows, and whether it is in this router's hall.
+// Add takes in what another router knows, and how far it is.
 func (l Lead) Add(own Versions, address string, path traffic.Path, knows Versions) {
 	for i := range l {
 		if knows.of(i) <= own.of(i) {
 			continue
 		}
-		if path == traffic.WithinHall {
+		switch path {
+		case traffic.WithinHall:
 			l[i].OwnHall = append(l[i].OwnHall, address)
-		} else {
+		case traffic.BetweenHalls:
 			l[i].OtherHalls = append(l[i].OtherHalls, address)
+		default:
+			l[i].OtherRegions = append(l[i].OtherRegions, address)
 		}
 	}
 }
--- a/gateway/feed/pull.go
+++ b/gateway/feed/pull.go
@@ -1,10 +1,12 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -119,17 +121,10 @@
 	}
 }
 
-// fromSeeds asks the seeds for what is missing, beginning with another one at each
-// router so that they have the same to do.
+// fromSeeds asks the seeds for what is missing.
 func (p *Puller) fromSeeds(ctx context.Context) {
-	first := xxhash.Sum64String(p.o.Address)
-	for i := range p.o.Seeds {
-		seed := p.o.Seeds[(first+uint64(i))%uint64(len(p.o.Seeds))]
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil || host == p.o.Address {
-			continue
-		}
-		p.o.Peers.Add(host)
+	for _, seed := range p.seedOrder() {
+		p.o.Peers.Add(hostOf(seed))
 		// A seed that has just started answers for an awaited feed when it has read that;
 		// by then it mostly has the others too.
 		p.missing(ctx, seed, true)
@@ -140,6 +135,33 @@
 	}
 }
 
+// seedOrder returns the seeds other than this router: the nearest first, by what has been
+// heard of them so far, and of those at one distance beginning with another one at each
+// router, so that they have the same to do.
+func (p *Puller) seedOrder() []string {
+	var order []string
+	first := xxhash.Sum64String(p.o.Address)
+	for i := range p.o.Seeds {
+		seed := p.o.Seeds[(first+uint64(i))%uint64(len(p.o.Seeds))]
+		if host := hostOf(seed); host != "" && host != p.o.Address {
+			order = append(order, seed)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b string) int {
+		return cmp.Compare(p.o.Peers.PathTo(hostOf(a)), p.o.Peers.PathTo(hostOf(b)))
+	})
+	return order
+}
+
+// hostOf returns the host of an address, or nothing where it has no port.
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 // missing asks a seed for the feeds without content that are awaited, or are not.
 func (p *Puller) missing(ctx context.Context, seed string, awaited bool) {
 	for i, f := range p.set.feeds {
@@ -188,8 +210,6 @@
 		return nil, errors.Newf("%s%s: %s", address, target, answer.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, pullMost))
-	if host, _, splitErr := net.SplitHostPort(address); splitErr == nil {
-		meter.Add(p.o.Peers.PathTo(host), len(body))
-	}
+	meter.Add(p.o.Peers.PathTo(hostOf(address)), len(body))
 	return body, err
 }
--- a/gateway/feed/pull_test.go
+++ b/gateway/feed/pull_test.go
@@ -77,3 +77,25 @@
 	set.Config.Offer(&direct.Config{Version: 3}, fromSource)
 	require.True(t, set.Complete())
 }
+
+// placedPeers are routers of which each has been heard.
+type placedPeers struct {
+	Peers
+	paths map[string]traffic.Path
+}
+
+func (p placedPeers) PathTo(address string) traffic.Path { return p.paths[address] }
+
+// TestNearestSeedsFirst has seeds in the router's hall, its region and another one, and the
+// router itself among them: it asks the nearest first.
+func TestNearestSeedsFirst(t *testing.T) {
+	peers := placedPeers{paths: map[string]traffic.Path{"far": traffic.BetweenRegions, "near": traffic.BetweenHalls, "next": traffic.WithinHall}}
+	for _, self := range []string{"a", "b", "c", "d"} {
+		p, err := NewPuller(newTestSet(), PullOptions{
+			Address: self, Control: "127.0.0.1:1", Peers: peers, Traffic: traffic.NewCounter(tally.NoopScope),
+			Seeds: []string{"far:1", "near:1", self + ":1", "no port", "next:1"},
+		})
+		require.NoError(t, err)
+		require.Equal(t, []string{"next:1", "near:1", "far:1"}, p.seedOrder(), self)
+	}
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
@@ -39,10 +40,13 @@
 	Without     direct.Without // mechanisms that are switched off in experiments
 }
 
+// ownRegion returns the region of this router, or an empty one where it is not known.
+func (s Settings) ownRegion() string { return cmp.Or(s.Region, s.HallRegions[s.Zone]) }
+
 // cluster returns what the router takes part in the fleet with.
 func (s Settings) cluster() cluster.Settings {
 	return cluster.Settings{
-		Self: cluster.Member{Name: s.Name, Address: s.Address}, Hall: s.Zone, Power: s.Power,
+		Self: cluster.Member{Name: s.Name, Address: s.Address}, Hall: s.Zone, Region: s.ownRegion(), Power: s.Power,
 		Peers: s.Peers, Loads: s.Loads, Seeds: s.Seeds, FirstStart: s.FirstStart, Without: s.Without,
 	}
 }
--- a/gateway/traffic/meter.go
+++ b/gateway/traffic/meter.go
@@ -27,11 +27,15 @@
 }
 
 func (m *Meter) sum() Sum {
-	return Sum{WithinHall: m.bytes[WithinHall].Load(), BetweenHalls: m.bytes[BetweenHalls].Load()}
+	return Sum{
+		WithinHall: m.bytes[WithinHall].Load(), BetweenHalls: m.bytes[BetweenHalls].Load(),
+		BetweenRegions: m.bytes[BetweenRegions].Load(),
+	}
 }
 
 // Sum is the bytes of one kind since the start.
 type Sum struct {
-	WithinHall   int64
-	BetweenHalls int64
+	WithinHall     int64
+	BetweenHalls   int64 // of one region
+	BetweenRegions int64
 }
--- a/gateway/traffic/path.go
+++ b/gateway/traffic/path.go
@@ -1,22 +1,31 @@
 package traffic
 
-// Path says whether bytes stay in the router's data hall.
+// Path says how far bytes go.
 type Path uint8
 
-// The paths of traffic.
+// The paths of traffic, the shortest first.
 const (
-	WithinHall Path = iota
-	BetweenHalls
+	WithinHall   Path = iota
+	BetweenHalls      // of one region
+	BetweenRegions
 	paths
 )
 
 // String names the path for logs and metrics.
-func (p Path) String() string { return [...]string{"within_hall", "between_halls"}[p] }
+func (p Path) String() string {
+	return [...]string{"within_hall", "between_halls", "between_regions"}[p]
+}
+
+// Place is where a host is. An empty region is not known, and counts as one of its own.
+type Place struct{ Hall, Region string }
 
-// PathTo returns the path from one hall to another.
-func PathTo(own, other string) Path {
-	if own == other {
+// PathTo returns the path from one place to another.
+func (p Place) PathTo(other Place) Path {
+	switch {
+	case p.Hall == other.Hall:
 		return WithinHall
+	case p.Region == other.Region:
+		return BetweenHalls
 	}
-	return BetweenHalls
+	return BetweenRegions
 }
