--- a/direct/share.go
+++ b/direct/share.go
@@ -199,20 +199,28 @@
 
 // Shares is what the machine takes the teams' shares to be.
 type Shares struct {
-	Level    float64      // most that a team may get while capacity is short
-	Even     float64      // most that a team may get while others get less
+	Level    float64      // most that a team may get while capacity is short; 0: no bound
+	Even     float64      // most that a team may get while others get less; 0: no bound
 	Headroom float64      // what all may have, in parts of what is configured
 	Busy     float64      // how busy the busiest pool of engines is; above 1 there is no room
 	Bound    []BoundShare `json:",omitempty"` // where they differ for teams that are bound to some regions
 	Most     []TeamShare
 }
 
+// shown is a level as it is shown: an infinite one can't be written as JSON.
+func shown(level float64) float64 {
+	if math.IsInf(level, 0) {
+		return 0
+	}
+	return level
+}
+
 // Shares returns the shares, with the n teams that ask for most.
 func (m *Machine) Shares(now time.Duration, n int) Shares {
-	s := Shares{Level: m.level, Even: m.even, Headroom: m.headroom, Busy: m.busy}
+	s := Shares{Level: shown(m.level), Even: shown(m.even), Headroom: m.headroom, Busy: m.busy}
 	for _, g := range m.groups {
 		if g.level != m.level || g.even != m.even {
-			s.Bound = append(s.Bound, BoundShare{Regions: g.regions.Names(), Level: g.level, Even: g.even})
+			s.Bound = append(s.Bound, BoundShare{Regions: g.regions.Names(), Level: shown(g.level), Even: shown(g.even)})
 		}
 	}
 	for name, t := range m.teams {
--- a/gateway/eventlog/beliefs.go
+++ b/gateway/eventlog/beliefs.go
@@ -1,8 +1,6 @@
 package eventlog
 
 import (
-	"math"
-
 	"github.com/croftvale/croftvale/direct"
 )
 
@@ -35,7 +33,7 @@
 // Shares logs what the teams that ask for most get.
 func (l *Log) Shares(s direct.Shares) {
 	e := l.Event("shares").Float64("level", s.Level).Float64("headroom", s.Headroom).Float64("busy", s.Busy)
-	if !math.IsInf(s.Even, 0) {
+	if s.Even > 0 {
 		e.Float64("even", s.Even)
 	}
 	e.Any("most", s.Most).Msg("")
