--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -134,17 +134,15 @@
 }
 
 func (m *Machine) hear(msg OthersMsg) {
-	told := map[string]Report{}
-	for _, r := range msg.Reports {
-		told[r.Service] = r
-	}
 	for _, s := range m.sorted() {
 		if s.roll == nil {
 			continue
 		}
-		others := told[s.name]
-		if others.Order != s.roll.key {
-			others = Report{}
+		others := Report{}
+		for _, r := range msg.Reports {
+			if r.Service == s.name && r.Order == s.roll.key {
+				others = Merge(others, r)
+			}
 		}
 		s.roll.hear(others, msg.Now)
 		m.follow(s)
@@ -177,7 +175,7 @@
 	var changed []Cmd
 	for _, s := range m.sorted() {
 		g := s.gate(m.opt.Share)
-		if s.gated && sameGate(g, s.inForce) || !s.gated && s.inUse == nil {
+		if s.gated && (sameGate(g, s.inForce) || s.early(g)) || !s.gated && s.inUse == nil {
 			continue
 		}
 		s.inForce, s.gated = g, true
