Bound bytes of heartbeats between regions

Names of peers are a quarter of a heartbeat's bytes; routers of other regions get them once in 64 heartbeats in place of 8, since they hear of peers from their own region. Weighed and left: rarer heartbeats to other regions. A hall counts as quiet after 450 ms without one, and with hundreds of routers each hall is heard about ten times a second already.

TestMembersMostlyStayInTheirRegion was seen to fail with members in each.

--- a/gateway/cluster/heartbeat.go
+++ b/gateway/cluster/heartbeat.go
@@ -12,6 +12,10 @@
 	heartbeatFanout  = 24                     // peers that one heartbeat goes to
 	heartbeatMembers = 16                     // peers named in one heartbeat
 	membersIn        = 8                      // one heartbeat in so many names peers
+	// farMembersIn is the same for those to other regions, where bytes cost most: routers hear
+	// of peers from their own region, and once in a quarter of a minute from others, in
+	// case they know nobody there.
+	farMembersIn = 8 * membersIn
 )
 
 // heartbeat is what a router tells the others, several times a second.
--- /dev/null
+++ b/gateway/cluster/heartbeat_test.go
@@ -0,0 +1,74 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/gateway/feed"
+	"github.com/croftvale/croftvale/gateway/stats"
+	"github.com/croftvale/croftvale/gateway/traffic"
+	"github.com/croftvale/croftvale/loads"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+)
+
+// fullHeartbeat is a heartbeat of a large fleet, in which all numbers are long.
+func fullHeartbeat(members int) heartbeat {
+	b := heartbeat{
+		Address: "10.101.200.133", Hall: "hall-1", Region: "region-1", Power: 0.3, Shed: 0.25, Life: 1 << 60, Seq: 1 << 30,
+		Knows: feed.Versions{1 << 30, 1 << 30, 1 << 30, 1 << 30, 1 << 30}, Headroom: 1.5,
+	}
+	for i := range members {
+		b.Members = append(b.Members, fmt.Sprintf("10.101.200.%d", 100+i))
+	}
+	return b
+}
+
+// TestHeartbeatsAreFewBytes bounds what a router tells in heartbeats each second: a hundred at the
+// most, and few name members.
+func TestHeartbeatsAreFewBytes(t *testing.T) {
+	plain, err := encode(fullHeartbeat(0))
+	require.NoError(t, err)
+	named, err := encode(fullHeartbeat(heartbeatMembers))
+	require.NoError(t, err)
+	mean := (len(plain)*(membersIn-1) + len(named)) / membersIn
+	t.Logf("%d B, with members %d B, mean %d B", len(plain), len(named), mean)
+	require.LessOrEqual(t, len(plain), 120)
+	for _, known := range []int{23, 28, 299, 669} {
+		p := newTestPeers("10.0.0.1")
+		for i := range known {
+			p.known[fmt.Sprint(i)] = &peer{}
+		}
+		perSecond := float64(min(known, heartbeatFanout)) * float64(time.Second) / float64(p.every()) * float64(mean)
+		t.Logf("%d routers: %.1f kB/s", known+1, perSecond/1e3)
+		require.LessOrEqual(t, perSecond, 15e3)
+	}
+}
+
+// TestMembersMostlyStayInTheirRegion has a heartbeat name members to a router of the own region
+// and to one that has not been heard, and to one of another region only now and then.
+func TestMembersMostlyStayInTheirRegion(t *testing.T) {
+	at := func(address, region string) *peer {
+		return &peer{address: address, place: traffic.Place{Hall: region, Region: region}}
+	}
+	p := newTestPeers("127.0.0.1", at("127.0.0.2", "north"), at("127.0.0.3", "south"))
+	p.place = traffic.Place{Hall: "north", Region: "north"}
+	p.heard = func([]loads.Router) {}
+	p.Add("127.0.0.4")
+	p.parts.Log, p.parts.Stats, p.parts.Traffic = quietLog, stats.New(tally.NoopScope), traffic.NewCounter(tally.NoopScope)
+	over, err := openTransport("127.0.0.1:0", traffic.Heartbeats, p.parts)
+	require.NoError(t, err)
+	defer over.conn.Close()
+	h := newHeartbeats(Settings{}, over, p, p.parts)
+	h.seq = membersIn
+	h.beat()
+	sent := p.parts.Traffic.Sums()["heartbeats"]
+	require.Equal(t, sent.WithinHall, sent.BetweenHalls)
+	require.Positive(t, sent.BetweenRegions)
+	require.Equal(t, sent.BetweenRegions+int64(2*(1+len("127.0.0.2"))), sent.WithinHall)
+	h.seq = farMembersIn
+	h.beat()
+	now := p.parts.Traffic.Sums()["heartbeats"]
+	require.Equal(t, now.WithinHall-sent.WithinHall, now.BetweenRegions-sent.BetweenRegions)
+}
--- a/gateway/cluster/heartbeats.go
+++ b/gateway/cluster/heartbeats.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/croftvale/croftvale/gateway/traffic"
 )
 
 // heartbeats are sent to the other routers and taken from them.
@@ -57,17 +59,37 @@
 	if h.seq%membersIn != 1 {
 		members = nil
 	}
-	body, err := encode(heartbeat{
-		Address: h.peers.self, Hall: h.peers.place.Hall, Region: h.peers.place.Region, Power: h.power, Shed: h.parts.Pressure.ShedPart(), Yields: h.parts.Pressure.Yields(),
+	beat := heartbeat{
+		Address: h.peers.self, Hall: h.peers.place.Hall, Region: h.peers.place.Region, Power: h.power,
+		Shed: h.parts.Pressure.ShedPart(), Yields: h.parts.Pressure.Yields(),
 		SourceLost: h.parts.Feeds.SourceFails(), Life: h.life, Seq: h.seq, Knows: h.parts.Feeds.Versions(),
-		Headroom: float32(said.Headroom), Members: members,
-	})
+		Headroom: float32(said.Headroom),
+	}
+	far, err := encode(beat)
 	if err != nil {
 		h.parts.Stats.DatagramFailed()
 		return
 	}
+	beat.Members = members
+	near, err := encode(beat)
+	if err != nil {
+		h.parts.Stats.DatagramFailed()
+		return
+	}
+	if h.seq%farMembersIn == 1 {
+		far = near
+	}
+	h.sendEach(targets, near, far)
+}
+
+// sendEach sends a heartbeat to some routers, as it is for those of this region and of others.
+func (h *heartbeats) sendEach(targets []string, near, far []byte) {
 	for _, address := range targets {
-		h.over.send(address, h.peers.PathTo(address), body)
+		path, body := h.peers.PathTo(address), near
+		if path == traffic.BetweenRegions {
+			body = far
+		}
+		h.over.send(address, path, body)
 	}
 }
 
