--- a/gateway/cluster/heartbeat.go
+++ b/gateway/cluster/heartbeat.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/feed"
 )
 
@@ -13,12 +12,17 @@
 	heartbeatFanout  = 24                     // peers that one heartbeat goes to
 	heartbeatMembers = 16                     // peers named in one heartbeat
 	membersIn        = 8                      // one heartbeat in so many names peers
+	// farMembersIn is the same for those to other regions, where bytes cost most: routers hear
+	// of peers from their own region, and once in a quarter of a minute from others, in
+	// case they know nobody there.
+	farMembersIn = 8 * membersIn
 )
 
 // heartbeat is what a router tells the others, several times a second.
 type heartbeat struct {
 	Address string // of the sender's host
 	Hall    string
+	Region  string  // empty: unknown
 	Power   float64 // cores
 	Shed    float64 // part of the new requests that it refuses for want of processor time
 	Yields  bool    // it is not ready for want of processor time
@@ -27,7 +31,6 @@
 	Life       int64 // start of the sender, so that a restart begins anew
 	Seq        uint64
 	Knows      feed.Versions
-	Headroom   float32 // see direct.Shares
-	Copies     []direct.Copy
+	Headroom   float32  // see direct.Shares
 	Members    []string // other routers that the sender has heard of
 }
