Say in a request's story which version it went to, and that its regions refused it

An operator who looks into one request during a roll-out needs to know why it went to the old or the new version, and whether its stream was moved. The newest step of its service's roll-out and versions that nobody ordered stand under its lines as beliefs; those of other services do not.

Without the changes to story.go and summary.go TestStoryOfMovedStream, TestStoryOfBoundRequest and TestEveryReasonIsExplained (which now holds the reason for regions too) fail.

--- a/explain/fields.go
+++ b/explain/fields.go
@@ -13,6 +13,7 @@
 var durations = map[string]bool{
 	"took": true, "first_after": true, "waited": true, "estimate": true, "after": true,
 	"config_age": true, "lag": true, "age": true, "left": true, "for": true, "idle_timeout": true,
+	"within": true,
 }
 
 // units are the units of other fields.
--- a/explain/story.go
+++ b/explain/story.go
@@ -77,6 +77,8 @@
 			latest[l.Process]["other routers"] = l
 		case strings.HasPrefix(l.Event, "hall_"):
 			latest[l.Process]["hall "+word(l.fields, "hall")] = l
+		case aboutVersions(l):
+			noteVersions(l, latest[l.Process])
 		case strings.HasPrefix(l.Event, "dependency_"):
 			latest[l.Process]["dependency "+word(l.fields, "dependency")] = l
 		}
@@ -88,7 +90,7 @@
 }
 
 // believed picks what mattered for a line: its router's configuration, servers,
-// shares and process, the server that it names, and what is lost.
+// shares and process, the server that it names, its service's versions, and what is lost.
 func (s *Story) believed(l line, latest map[string]line) []line {
 	var out []line
 	for _, subject := range slices.Sorted(maps.Keys(latest)) {
@@ -97,6 +99,7 @@
 		case strings.HasPrefix(subject, "server ") && subject != "server "+l.Server:
 		case strings.HasPrefix(subject, "dependency ") && b.Event != "dependency_lost":
 		case strings.HasPrefix(subject, "hall ") && b.Event != "hall_lost" && b.Event != "hall_evacuated":
+		case aboutVersions(b) && word(b.fields, "service") != word(l.fields, "service"):
 		case subject == "other routers" && b.Event != "routers_lost":
 		default:
 			out = append(out, b)
@@ -107,7 +110,7 @@
 
 // Write prints the story: in a sentence, then line by line, then what may be missing.
 func (s *Story) Write(w io.Writer) error {
-	_, err := fmt.Fprintf(w, "%s\nlines on it: %d\n", s.summary(), len(s.steps))
+	_, err := fmt.Fprintf(w, "%s\nlines on it: %d\n", s.summary()+s.versions(), len(s.steps))
 	begin := s.steps[0].Time
 	for _, step := range s.steps {
 		if err == nil {
--- a/explain/story_test.go
+++ b/explain/story_test.go
@@ -68,7 +68,7 @@
 func TestEveryReasonIsExplained(t *testing.T) {
 	for _, reason := range []direct.Reason{
 		direct.ReasonNoServers, direct.ReasonOverload, direct.ReasonShare, direct.ReasonAttempts,
-		direct.ReasonBudget, direct.ReasonOnce, direct.ReasonDeadline,
+		direct.ReasonBudget, direct.ReasonOnce, direct.ReasonDeadline, direct.ReasonRegion,
 	} {
 		require.NotEmpty(t, reasons[string(reason)], reason)
 	}
--- a/explain/summary.go
+++ b/explain/summary.go
@@ -21,6 +21,7 @@
 	"over_share":    "its team had had what it may have for the moment",
 	"overload":      "no server would have met its objective",
 	"no_servers":    "no server of its service could be reached, or all were out of use (evacuated, draining, failing or in a lost hall)",
+	"region":        "no server of the regions that its route and its team may use could be reached, or all were out of use there",
 	"attempts":      "its route allows no further server",
 	"budget":        "the fleet's budget for retries was spent",
 	"at_most_once":  "it may have run already, and may not run twice",
