Print a router's state in tables, with roll-outs, versions and why servers get nothing

The dump came as TOML, with numbers for durations and one section for each server: during a roll-out nobody could see from it how far that was, or what it waited for. Dumps of processes with a role are printed as before.

Decoding goes by gateway.State itself rather than a copy of its fields.

TestStateOfRouter failed while a dump's role was read through operate.Summary, whose peers differ.

--- a/cmd/croftvale/state.go
+++ b/cmd/croftvale/state.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+	"io"
 	"os"
 
 	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/gateway"
 	"github.com/croftvale/croftvale/operate"
 	toml "github.com/pelletier/go-toml/v2"
 )
@@ -26,6 +27,27 @@
 		_, err := os.Stdout.Write(dump)
 		return errors.Wrap(err, "print state")
 	}
+	return writeState(os.Stdout, dump)
+}
+
+// writeState prints a dump for reading. Processes of fleets with agents name their role;
+// a router on the users' platform has none.
+func writeState(to io.Writer, dump []byte) error {
+	var process struct{ Role string }
+	if err := json.Unmarshal(dump, &process); err != nil {
+		return errors.Wrap(err, "read state; --json prints it as it is")
+	}
+	if process.Role != "" {
+		return writeTree(to, dump)
+	}
+	var s gateway.State
+	if err := json.Unmarshal(dump, &s); err != nil {
+		return errors.Wrap(err, "read state; --json prints it as it is")
+	}
+	return writeGateway(to, s)
+}
+
+func writeTree(to io.Writer, dump []byte) error {
 	var tree map[string]any
 	if err := json.Unmarshal(dump, &tree); err != nil {
 		return errors.Wrap(err, "read state")
@@ -34,6 +56,6 @@
 	if err != nil {
 		return errors.Wrap(err, "print state")
 	}
-	fmt.Print(string(out))
-	return nil
+	_, err = to.Write(out)
+	return errors.Wrap(err, "print state")
 }
