direct: plain names for what a request meets while its service moves

course, wish, embark, witness, shut, alike, stranded and taking had to be looked up; they are now placement, candidateSide, noteSent, observation, noSideUsable, sameSide, unservable and openTargets. late judged and learned in one body: the learning is a function of its own. trialSeed no longer has the name of a share in package rollout. Behaviour is unchanged.

--- a/direct/arrive.go
+++ b/direct/arrive.go
@@ -40,7 +40,7 @@
 	}
 	m.rate(msg.Now, p, r)
 	r.waitUntil = msg.Now + waitTime(r)
-	if p.stranded(msg.Now, r) || !m.hopeless(msg.Now, p, r) {
+	if p.unservable(msg.Now, r) || !m.hopeless(msg.Now, p, r) {
 		return
 	}
 	m.count(msg.Now, p, r)
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -29,7 +29,7 @@
 	s.release(r)
 	m.refund(msg.Now, r, msg.Outcome)
 	m.sawEnd(p, msg, r, s)
-	p.disembark(r, s, msg.Outcome)
+	p.noteEnded(r, s, msg.Outcome)
 	if !msg.Slow || msg.Outcome == Done {
 		m.judge(msg.Now, p, s, msg.Outcome)
 	}
@@ -67,8 +67,8 @@
 }
 
 func (m *Machine) failed(now time.Duration, p *pool, s *server, weight int, o Outcome) {
-	alike := p.alike(s)
-	if !s.failed(weight, medianFailures(alike)) || mostEjected(now, alike) || !m.uses(Ejection) {
+	side := p.sameSide(s)
+	if !s.failed(weight, medianFailures(side)) || mostEjected(now, side) || !m.uses(Ejection) {
 		return
 	}
 	m.emit(BeliefCmd{Server: s.Server, Belief: BeliefEjected, Cause: o.String(), For: s.eject(now)})
@@ -100,7 +100,7 @@
 		m.giveUp(now, p, r, ReasonDeadline)
 	case r.attempt >= r.Attempts:
 		m.giveUp(now, p, r, ReasonAttempts)
-	case o == Moved && r.course.moving: // the budget was charged with the move
+	case o == Moved && r.placement.moving: // the budget was charged with the move
 		m.enqueue(now, p, r)
 	case !p.budget.spend(now, m.options.Budget, m.routers):
 		m.giveUp(now, p, r, ReasonBudget)
--- a/direct/evidence.go
+++ b/direct/evidence.go
@@ -7,43 +7,44 @@
 )
 
 const (
-	// slowTimes is how many times as long as at old servers an answer takes that counts
-	// as bad: below what callers notice of a bad version, several times, and above what
-	// servers differ by under load.
+	// slowTimes is how many times as long as at old servers an answer must take to count
+	// as bad: a slow version takes several times as long, and servers of one version under
+	// load differ by less than this.
 	slowTimes = 2.5
-	// slowFirst and slowStream are what a bad answer takes longer at the least: less is
-	// a matter of networks and of chance.
+	// slowFirst and slowStream are how much longer, at the least, a bad answer takes until
+	// its first event and in its stream: smaller differences come from networks and chance.
 	slowFirst  = 20 * time.Millisecond
 	slowStream = 100 * time.Millisecond
-	// settleTime is how long after it was listed the answers of a server say nothing:
-	// connections are opened and its caches are empty.
+	// settleTime is how long after a server was listed its answers are not evidence: they
+	// are slow because connections must be opened and caches are empty.
 	settleTime = time.Second
 )
 
-// witness is what one attempt has shown so far of the version of its server.
-type witness struct {
-	counts   bool          // the server had settled
+// observation is what one attempt has shown so far about the version of its server.
+type observation struct {
+	counts   bool          // the server was no longer starting up, so its answers are evidence
 	expected float64       // milliseconds to the first event
 	firstAt  time.Duration // when the first event of a stream came; 0: it has not
 	slow     bool          // it came late
-	told     bool          // how it began has been told
+	told     bool          // an AnswerCmd was emitted on how it began
 }
 
-// watch begins to look at an attempt that has just been sent.
+// watch begins the observation of an attempt that has just been sent.
 func (m *Machine) watch(now time.Duration, p *pool, r *run, s *server) {
 	if p.gate == nil {
 		return
 	}
-	r.witness = witness{
+	r.observed = observation{
 		counts:   !s.cold.at(now) && now-s.listedAt >= settleTime,
 		expected: p.expected(r, s),
 	}
 }
 
-// sawFirst takes in that the first event of an attempt came. It is told at the next
-// tick: a failure that comes as a whole answer follows at once.
+// sawFirst takes in that the first event of an attempt came. How a stream began is
+// reported at the next tick, not here: a failure may follow at once, and then it counts
+// in place of the good beginning.
 func (m *Machine) sawFirst(now time.Duration, p *pool, r *run) {
-	if p.gate == nil || r.witness.firstAt > 0 {
+	if p.gate == nil || r.observed.firstAt > 0 {
 		return
 	}
 	p.gate.exposure.reached(r)
@@ -51,16 +52,16 @@
 	if r.Kind != Stream {
 		return
 	}
-	r.witness.firstAt = now
-	r.witness.slow = m.late(now, p, r, r.at)
+	r.observed.firstAt = now
+	r.observed.slow = m.late(now, p, r, r.at)
 	m.begun = append(m.begun, r)
 }
 
-// tellBegun tells how the streams began whose first events came since the last tick.
+// tellBegun reports how those streams began whose first events came since the last tick.
 func (m *Machine) tellBegun(now time.Duration) {
 	for i, r := range m.begun {
-		if r.at != nil && r.witness.firstAt > 0 && !r.witness.told {
-			m.tell(now, r, r.at, false, r.witness.slow)
+		if r.at != nil && r.observed.firstAt > 0 && !r.observed.told {
+			m.tell(now, r, r.at, false, r.observed.slow)
 		}
 		m.begun[i] = nil
 	}
@@ -72,7 +73,7 @@
 	if p.gate == nil {
 		return
 	}
-	w := &r.witness
+	w := &r.observed
 	switch {
 	case msg.Outcome == Failed:
 		m.tell(msg.Now, r, s, w.told, true)
@@ -81,12 +82,12 @@
 			m.tell(msg.Now, r, s, false, true)
 		}
 	case msg.Outcome != Done:
-		// It says nothing of the version, but for how a stream began.
+		// Such an end is not evidence, but how the stream began is.
 		if w.firstAt > 0 && !w.told {
 			m.tell(msg.Now, r, s, false, w.slow)
 		}
 	case w.told:
-		m.tell(msg.Now, r, s, true, m.dragged(msg.Now, p, r, s))
+		m.tell(msg.Now, r, s, true, m.slowTokens(msg.Now, p, r, s))
 	case w.firstAt > 0:
 		m.tell(msg.Now, r, s, false, w.slow)
 	default:
@@ -97,18 +98,18 @@
 	}
 }
 
-// answeredOthers tells whether a server has answered other requests while one waited
-// for it, in the later half of its time. A server that says nothing to anyone has
-// stopped, which is no matter of its version.
+// answeredOthers tells whether a server has answered other requests in the second half of
+// the time that one request waited for it. A server that answers nobody has stopped, which
+// is not evidence on its version.
 func (s *server) answeredOthers(since, now time.Duration) bool {
 	return s.answeredAt > since+(now-since)/2
 }
 
-// tell emits what one attempt says of the version of its server.
+// tell emits one answer as evidence on the version of its server.
 func (m *Machine) tell(now time.Duration, r *run, s *server, later, bad bool) {
 	g := m.pool(r.Service).gate
-	r.witness.told = true
-	if g.Target == "" || !r.witness.counts || (!s.target && !g.Uses(s.Version)) {
+	r.observed.told = true
+	if g.Target == "" || !r.observed.counts || (!s.target && !g.Uses(s.Version)) {
 		return
 	}
 	m.emit(AnswerCmd{Answer: rollout.AnswerMsg{
@@ -116,36 +117,42 @@
 	}})
 }
 
-// late tells whether a first event, or a whole answer, came several times later than old
-// servers' speed foretells. What comes from an old server is learned from.
+// late tells whether a first event, or a whole answer, came several times later than
+// expected from the speed of old servers. Answers of old servers then update that speed.
 func (m *Machine) late(now time.Duration, p *pool, r *run, s *server) bool {
 	elapsed := inMilliseconds(now - r.sentAt)
 	delay := &p.baseline.route(r.Route).delay
-	usual := delay.value() * r.witness.expected
+	usual := delay.value() * r.observed.expected
 	late := delay.known() && elapsed > slowTimes*usual+inMilliseconds(slowFirst)
-	if !s.target && r.witness.counts {
-		delay.add(elapsed/r.witness.expected, fastestFirst/r.witness.expected)
-		if p.engine != nil {
-			p.baseline.learnRate(r.ahead, elapsed, p.tokenRate)
-		}
+	if !s.target && r.observed.counts {
+		p.learnFirst(r, elapsed)
 	}
 	return late
 }
 
-// dragged tells whether a stream took several times as long for its tokens as those of
-// old servers.
-func (m *Machine) dragged(now time.Duration, p *pool, r *run, s *server) bool {
+// learnFirst updates the baseline by the time, in milliseconds, that an old server took to
+// a first event or a whole answer.
+func (p *pool) learnFirst(r *run, elapsed float64) {
+	p.baseline.route(r.Route).delay.add(elapsed/r.observed.expected, fastestFirst/r.observed.expected)
+	if p.engine != nil {
+		p.baseline.learnRate(r.ahead, elapsed, p.tokenRate)
+	}
+}
+
+// slowTokens tells whether a stream took several times as long for its tokens as streams
+// of old servers do.
+func (m *Machine) slowTokens(now time.Duration, p *pool, r *run, s *server) bool {
 	if r.OutputTokens <= 0 {
 		return false
 	}
 	tokens := float64(r.OutputTokens)
-	elapsed := inMilliseconds(now - r.witness.firstAt)
+	elapsed := inMilliseconds(now - r.observed.firstAt)
 	token := &p.baseline.route(r.Route).token
-	dragged := token.known() && elapsed > slowTimes*token.value()*tokens && elapsed > token.value()*tokens+inMilliseconds(slowStream)
-	if !s.target && r.witness.counts {
+	slow := token.known() && elapsed > slowTimes*token.value()*tokens && elapsed > token.value()*tokens+inMilliseconds(slowStream)
+	if !s.target && r.observed.counts {
 		token.add(elapsed/tokens, fastestToken)
 	}
-	return dragged
+	return slow
 }
 
 func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/direct/exposure.go
+++ b/direct/exposure.go
@@ -70,10 +70,10 @@
 
 // reached counts an attempt of which it is known that it came to a server.
 func (e *exposure) reached(r *run) {
-	if r.course.reached || r.course.epoch != e.epoch {
+	if r.placement.reached || r.placement.epoch != e.epoch {
 		return
 	}
-	r.course.reached = true
+	r.placement.reached = true
 	e.route(r.Route).reached++
 	e.total.reached++
 }
--- a/direct/gate.go
+++ b/direct/gate.go
@@ -14,7 +14,7 @@
 	rollout.Gate
 	old, target []*server // that may get requests, by id
 	exposure    exposure
-	moveable    bool // there may be streams that have not been moved yet
+	movePending bool // streams at old servers may still have to be moved
 }
 
 // takeGate puts a gate in force.
@@ -27,7 +27,7 @@
 		p.gate.exposure.reset()
 	}
 	p.gate.Gate = msg.Gate
-	p.gate.moveable = msg.Gate.Move
+	p.gate.movePending = msg.Gate.Move
 	p.admit()
 	m.serve(msg.Now, p, maxQueued)
 	m.move(msg.Now, p)
@@ -40,8 +40,8 @@
 	}
 }
 
-// admit works out which servers may get requests. The others are in no average and get
-// nothing at all.
+// admit works out which servers may get requests. The others are marked as barred: they
+// get none, and no average or share counts them.
 func (p *pool) admit() {
 	g := p.gate
 	if g == nil {
@@ -55,7 +55,7 @@
 			g.old = append(g.old, s)
 		}
 	}
-	g.target = g.taking(p.all)
+	g.target = g.openTargets(p.all)
 	p.order = make([]*server, 0, len(g.old)+len(g.target))
 	p.order = append(append(p.order, g.old...), g.target...)
 	sortByID(p.order)
@@ -79,16 +79,16 @@
 	switch {
 	case p.gate == nil:
 		return p.order
-	case r.course.target:
+	case r.placement.target:
 		return p.gate.target
 	}
 	return p.gate.old
 }
 
-// alike returns the servers that one is compared with: those of its side. A bad version
-// would make each of its servers stand out among the old ones, and all of them would be
-// ejected before they have said enough of the version.
-func (p *pool) alike(s *server) []*server {
+// sameSide returns the servers that a server is compared with for ejection: those of its
+// own side. Among the old servers, each server of a bad version would stand out and be
+// ejected before enough answers had shown that the version itself is bad.
+func (p *pool) sameSide(s *server) []*server {
 	switch {
 	case p.gate == nil:
 		return p.order
@@ -98,12 +98,12 @@
 	return p.gate.old
 }
 
-// shut tells whether no server of the sides that a request may go to can be used.
-func (p *pool) shut(now time.Duration, r *run) bool {
+// noSideUsable tells whether a request finds no usable server on any side that it may go to.
+func (p *pool) noSideUsable(now time.Duration, r *run) bool {
 	if p.gate == nil {
 		return false
 	}
-	for _, w := range p.gate.wishes(r) {
+	for _, w := range p.gate.sidesFor(r) {
 		side := p.gate.old
 		if w.target {
 			side = p.gate.target
--- a/direct/move.go
+++ b/direct/move.go
@@ -19,7 +19,7 @@
 // the target's servers, they run on and are tried again later.
 func (m *Machine) move(now time.Duration, p *pool) {
 	g := p.gate
-	if g == nil || !g.moveable || g.Target == "" {
+	if g == nil || !g.movePending || g.Target == "" {
 		return
 	}
 	left := m.movable(p)
@@ -29,7 +29,7 @@
 		if !p.budget.spend(now, m.options.Budget, m.routers) {
 			return
 		}
-		r.course.moving = true
+		r.placement.moving = true
 		m.emit(MoveCmd{ID: r.ID})
 	}
 }
@@ -38,7 +38,7 @@
 func (m *Machine) movable(p *pool) []*run {
 	var out []*run
 	for _, r := range m.runs {
-		if r.at == nil || r.Service != p.name || r.at.target || r.course.moving {
+		if r.at == nil || r.Service != p.name || r.at.target || r.placement.moving {
 			continue
 		}
 		if r.MayRepeat && r.attempt < r.Attempts {
--- a/direct/run.go
+++ b/direct/run.go
@@ -22,8 +22,8 @@
 	begun     bool
 	charged   bool    // counted for its team
 	over      float64 // what its team gets, in shares of what is configured
-	course    course
-	witness   witness
+	placement placement
+	observed  observation
 	late      bool    // its caller has asked before, too long ago for its objective
 	above     bool    // this router has given its team all that it may
 	served    float64 // rate of its team, for the order of the queue
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -5,7 +5,7 @@
 )
 
 func (m *Machine) send(now time.Duration, p *pool, r *run, c choice) {
-	c = m.embark(now, p, r, c)
+	c = m.noteSent(now, p, r, c)
 	s := c.server
 	r.waiting = false
 	r.at = s
@@ -15,7 +15,7 @@
 	basis := Basis{
 		Running: s.allRunning(), Pending: s.allPending(), Miss: c.miss,
 		Estimate: c.estimate, Waited: now - r.arrivedAt, Share: r.over,
-		Target: s.target, Side: r.course.side,
+		Target: s.target, Side: r.placement.side,
 	}
 	s.running++
 	m.coldSent(now, p, s)
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -9,7 +9,7 @@
 	if m.trySend(now, p, r) {
 		return
 	}
-	if p.stranded(now, r) {
+	if p.unservable(now, r) {
 		m.giveUp(now, p, r, p.reasonOutside(now, r))
 		return
 	}
@@ -18,7 +18,7 @@
 		m.giveUp(now, p, r, ReasonShare)
 		return
 	}
-	if !p.anyUsable(now, r.Regions) || p.shut(now, r) {
+	if !p.anyUsable(now, r.Regions) || p.noSideUsable(now, r) {
 		m.giveUp(now, p, r, ReasonNoServers)
 		return
 	}
@@ -54,9 +54,9 @@
 	}
 }
 
-// stranded tells whether a request is bound to regions of which no server may get new
+// unservable tells whether a request is bound to regions of which no server may get new
 // requests.
-func (p *pool) stranded(now time.Duration, r *run) bool {
+func (p *pool) unservable(now time.Duration, r *run) bool {
 	return r.Regions.Bound() && !p.anyUsable(now, r.Regions)
 }
 
@@ -84,7 +84,7 @@
 			kept = append(kept, r)
 		case m.trySend(now, p, r):
 			// Those before it may have taken what its team may have.
-		case p.stranded(now, r):
+		case p.unservable(now, r):
 			m.giveUp(now, p, r, p.reasonOutside(now, r))
 		default:
 			kept = append(kept, r)
--- a/direct/side.go
+++ b/direct/side.go
@@ -17,8 +17,9 @@
 	SideMoved  Side = "moved"        // it was broken off at an old server to go on at the target
 )
 
-// course is where a request stands between the versions of its service.
-type course struct {
+// placement is where a request was placed, or is being placed, while its service moves from
+// one version to another.
+type placement struct {
 	target  bool // the side that it is being placed on, or was sent to
 	side    Side
 	failed  bool   // an attempt at a server of the target brought no answer
@@ -28,35 +29,35 @@
 	reached bool   // the present attempt was counted as having come to its server
 }
 
-// wish is one of the sides that a request may go to.
-type wish struct {
+// candidateSide is one of the sides that a request may go to.
+type candidateSide struct {
 	target bool
 	why    Side
 }
 
-// The orders in which sides are tried. Old servers that are closed are in no side, so
-// that trying them finds nothing.
+// The sides that a request may go to, in the order in which they are tried. Old servers
+// that are closed are on no side, so trying theirs finds nothing.
 var (
-	wishesOld    = []wish{{false, SideOld}}
-	wishesTarget = []wish{{true, SideTarget}, {false, SideFull}}
-	wishesSample = []wish{{true, SideSample}, {false, SideOld}}
-	wishesRetry  = []wish{{false, SideRetry}, {true, SideTarget}}
-	wishesMoved  = []wish{{true, SideMoved}, {false, SideFull}}
+	sidesOld    = []candidateSide{{false, SideOld}}
+	sidesTarget = []candidateSide{{true, SideTarget}, {false, SideFull}}
+	sidesSample = []candidateSide{{true, SideSample}, {false, SideOld}}
+	sidesRetry  = []candidateSide{{false, SideRetry}, {true, SideTarget}}
+	sidesMoved  = []candidateSide{{true, SideMoved}, {false, SideFull}}
 )
 
-// wishes returns the sides that a request may go to, in order.
-func (g *gate) wishes(r *run) []wish {
+// sidesFor returns the sides that a request may go to, in order.
+func (g *gate) sidesFor(r *run) []candidateSide {
 	switch {
-	case r.course.failed:
-		return wishesRetry
-	case r.course.moved:
-		return wishesMoved
+	case r.placement.failed:
+		return sidesRetry
+	case r.placement.moved:
+		return sidesMoved
 	case g.closed() || position(r) < g.Part:
-		return wishesTarget
+		return sidesTarget
 	case g.exposure.behind(r.Route, g.Limit) && chance(uint64(r.ID)) < g.Part:
-		return wishesSample
+		return sidesSample
 	}
-	return wishesOld
+	return sidesOld
 }
 
 // position is a request's place in the order in which parts move to another version,
@@ -68,10 +69,11 @@
 	return chance(uint64(r.ID))
 }
 
-// chance is a number from 0 to 1 that a name always gives.
+// chance maps an id to a number from 0 to 1, always the same one.
 func chance(x uint64) float64 { return float64(scramble(x)>>11) / (1 << 53) }
 
-// scramble spreads numbers that lie close together over all numbers.
+// scramble mixes the bits of an id (SplitMix64), so that ids that follow one another give
+// unrelated numbers.
 func scramble(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -83,18 +85,18 @@
 func (m *Machine) placeBySide(now time.Duration, p *pool, r *run) (choice, bool) {
 	g := p.gate
 	if g == nil || g.Target == "" {
-		r.course.target, r.course.side = false, ""
+		r.placement.target, r.placement.side = false, ""
 		return m.place(now, p, r)
 	}
 	limited := false
-	for _, w := range g.wishes(r) {
+	for _, w := range g.sidesFor(r) {
 		if w.target && !g.exposure.allows(r.Route, g.Limit) {
 			limited = true
 			continue
 		}
-		r.course.target, r.course.side = w.target, w.why
+		r.placement.target, r.placement.side = w.target, w.why
 		if limited && w.why == SideFull {
-			r.course.side = SideLimit
+			r.placement.side = SideLimit
 		}
 		if c, ok := m.place(now, p, r); ok {
 			return c, true
@@ -103,12 +105,13 @@
 	return choice{}, false
 }
 
-// embark takes in that a request is sent, before the load of the server is counted.
-func (m *Machine) embark(now time.Duration, p *pool, r *run, c choice) choice {
+// noteSent counts a request that is being sent against the exposure, before the load of
+// its server is counted.
+func (m *Machine) noteSent(now time.Duration, p *pool, r *run, c choice) choice {
 	if p.gate == nil {
 		return c
 	}
-	r.course.epoch, r.course.reached = p.gate.exposure.epoch, false
+	r.placement.epoch, r.placement.reached = p.gate.exposure.epoch, false
 	if c.server.target {
 		p.gate.exposure.sent(r.Route)
 		if p.engine != nil {
@@ -119,14 +122,14 @@
 	return c
 }
 
-// disembark takes in how an attempt at a server ended.
-func (p *pool) disembark(r *run, s *server, o Outcome) {
+// noteEnded takes in, for the exposure and for the next placement, how an attempt ended.
+func (p *pool) noteEnded(r *run, s *server, o Outcome) {
 	if p.gate == nil {
 		return
 	}
 	if o.reaches() {
 		p.gate.exposure.reached(r)
 	}
-	r.course.failed = r.course.failed || (s.target && o != Moved)
-	r.course.moved = r.course.moved || o == Moved
+	r.placement.failed = r.placement.failed || (s.target && o != Moved)
+	r.placement.moved = r.placement.moved || o == Moved
 }
--- a/direct/trial.go
+++ b/direct/trial.go
@@ -11,18 +11,18 @@
 	// trialLeast is the least number of servers in a trial: one may be faulty by itself,
 	// and of three the other two still tell of the version.
 	trialLeast = 3
-	// trialPart marks the rendezvous weights by which servers are chosen for a trial, so
+	// trialSeed seeds the rendezvous weights by which servers are chosen for a trial, so
 	// that they differ from those of any part of a prompt.
-	trialPart = 0x7452_6961_6c53_6964
+	trialSeed = 0x7452_6961_6c53_6964
 	// cohortsInHall is in how many cohorts the servers of one hall are told apart where
 	// the target has no other: leaving out one of three leaves enough evidence.
 	cohortsInHall = 3
 )
 
-// taking returns the target's servers that take requests at the present stage, by id.
-// All routers choose the same by the servers' ids. Servers that leave are a last resort
-// only where old ones can't take what is the target's.
-func (g *gate) taking(all []*server) []*server {
+// openTargets returns the target's servers that take requests at the present stage, by id.
+// All routers choose the same ones, by the servers' ids. Servers that are leaving are used
+// as a last resort only once old servers are closed: before that, the old ones serve.
+func (g *gate) openTargets(all []*server) []*server {
 	var out []*server
 	if g.Part <= 0 {
 		return nil
@@ -37,7 +37,7 @@
 		return out
 	}
 	slices.SortFunc(out, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(rank(trialPart, b), rank(trialPart, a)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(rank(trialSeed, b), rank(trialSeed, a)), cmp.Compare(a.ID, b.ID))
 	})
 	out = spreadOut(out)[:most]
 	sortByID(out)
