--- a/cmd/croftvale/state_test.go
+++ b/cmd/croftvale/state_test.go
@@ -20,14 +20,14 @@
 		Peers: []string{"10.0.0.2", "10.0.0.3"},
 		Rollouts: []gateway.RolloutState{
 			{
-				Standing: rollout.Standing{
+				Snapshot: rollout.Snapshot{
 					Service: "llm", InUse: []string{"v1"}, Rejected: []string{"v0"}, Target: "v2", Part: 0.05,
 					Age: 3040 * time.Millisecond, Within: 30 * time.Second, Leads: true, Routers: 3,
 					Routes: []rollout.RouteEvidence{{Route: "chat", New: rollout.Tally{Good: 21, Bad: 2}, Old: rollout.Tally{Good: 400}}},
 				},
 				Stage: "trial", Verdict: "undecided", WaitsFor: "time",
 			},
-			{Standing: rollout.Standing{Service: "web", InUse: []string{"w1"}}, WaitsFor: "nothing"},
+			{Snapshot: rollout.Snapshot{Service: "web", InUse: []string{"w1"}}, WaitsFor: "nothing"},
 		},
 		Engines: []direct.ServerState{
 			{ID: "i-1", Service: "llm", Version: "v1", Zone: "a", Slots: 8, Running: 3, Pending: 900, Usable: true},
@@ -97,7 +97,7 @@
 
 // TestStopText says whether a roll-out's target is closed for a time or for good.
 func TestStopText(t *testing.T) {
-	r := gateway.RolloutState{Standing: rollout.Standing{Stopped: true}}
+	r := gateway.RolloutState{Snapshot: rollout.Snapshot{Stopped: true}}
 	require.Equal(t, "for a time", stopText(r))
 	r.Rejecting, r.Cause = true, "evidence against the target"
 	require.Equal(t, "for good: evidence against the target", stopText(r))
--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -47,7 +47,7 @@
 	}
 	if g.rollouts != nil {
 		s.Orders, s.Versions = feeds.Orders.Revision(), feeds.Records.Revision()
-		s.Rollouts = rolloutStates(g.rollouts.Standings())
+		s.Rollouts = rolloutStates(g.rollouts.Snapshots())
 	}
 	return s, nil
 }
--- a/gateway/rollouts/runner.go
+++ b/gateway/rollouts/runner.go
@@ -112,11 +112,11 @@
 	return r.machine.Reports()
 }
 
-// Standings returns what this router knows of versions and roll-outs, for dumps.
-func (r *Runner) Standings() []rollout.Standing {
+// Snapshots returns what this router knows of versions and roll-outs, for dumps.
+func (r *Runner) Snapshots() []rollout.Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.machine.Standings()
+	return r.machine.Snapshots()
 }
 
 // Run tells the machine of what comes and of time, until ctx ends.
--- a/rollout/confirm_test.go
+++ b/rollout/confirm_test.go
@@ -18,7 +18,7 @@
 	s.store.down = true
 	s.run(2 * time.Second)
 	m := s.routers[0].machine
-	require.Equal(t, WaitStatus, m.Standings()[0].WaitsFor)
+	require.Equal(t, WaitStatus, m.Snapshots()[0].WaitsFor)
 	require.False(t, completes(s, m, Half))
 	require.True(t, completes(s, m, All))
 }
@@ -58,7 +58,7 @@
 	for end := s.now + 2*idleFor; s.now < end; {
 		s.now += TickEvery
 		m.Update(TickMsg{Now: s.now, Wall: s.wallTime(), Leads: true, Routers: routers})
-		if m.Standings()[0].WaitsFor == WaitStatus {
+		if m.Snapshots()[0].WaitsFor == WaitStatus {
 			return true
 		}
 	}
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -189,7 +189,7 @@
 	s.run(time.Second)
 	r := s.routers[0]
 	require.Empty(t, r.machine.Update(OrdersMsg{Now: s.now, Orders: []Order{earlier}}))
-	require.Equal(t, "v3", r.machine.Standings()[0].Target)
+	require.Equal(t, "v3", r.machine.Snapshots()[0].Target)
 }
 
 // TestRolloutOrderAfterOneThatWasNotRecorded shows that the status of the order before
--- a/rollout/paused_test.go
+++ b/rollout/paused_test.go
@@ -30,7 +30,7 @@
 	}
 	tick(2300 * time.Millisecond)
 	tick(2400 * time.Millisecond)
-	require.Equal(t, Trial, m.Standings()[0].Stage)
+	require.Equal(t, Trial, m.Snapshots()[0].Stage)
 }
 
 // TestRolloutUnheardIsNotQuiet has a leading router see no calls itself and hear nothing
@@ -41,6 +41,6 @@
 		for now := time.Duration(0); now <= 3*time.Second; now += TickEvery {
 			tick(now)
 		}
-		require.Equal(t, routers == 1, m.Standings()[0].Stage > Trial)
+		require.Equal(t, routers == 1, m.Snapshots()[0].Stage > Trial)
 	}
 }
--- a/rollout/standing.go
+++ b/rollout/snapshot.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// Standing is what a router knows of the versions and the roll-out of a service, for
+// Snapshot is what a router knows of the versions and the roll-out of a service, for
 // operators' dumps.
-type Standing struct {
+type Snapshot struct {
 	Service     string
 	InUse       []string
 	Rejected    []string
@@ -51,17 +51,17 @@
 		"routers", "old_servers", "status"}[w]
 }
 
-// Standings returns the state of all services, for dumps.
-func (m *Machine) Standings() []Standing {
-	var list []Standing
+// Snapshots returns the state of all services, for dumps.
+func (m *Machine) Snapshots() []Snapshot {
+	var list []Snapshot
 	for _, s := range m.sorted() {
-		list = append(list, m.standing(s))
+		list = append(list, m.snapshot(s))
 	}
 	return list
 }
 
-func (m *Machine) standing(s *service) Standing {
-	st := Standing{
+func (m *Machine) snapshot(s *service) Snapshot {
+	st := Snapshot{
 		Service:  s.name,
 		InUse:    s.inUse,
 		Rejected: s.rejected,
--- a/rollout/standing_test.go
+++ b/rollout/snapshot_test.go
@@ -7,10 +7,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestRolloutStandingTellsWhatItWaitsFor shows the reasons that an operator reads.
-func TestRolloutStandingTellsWhatItWaitsFor(t *testing.T) {
+// TestRolloutSnapshotTellsWhatItWaitsFor shows the reasons that an operator reads.
+func TestRolloutSnapshotTellsWhatItWaitsFor(t *testing.T) {
 	t.Parallel()
-	waits := func(s *sim) Wait { return s.routers[0].machine.Standings()[0].WaitsFor }
+	waits := func(s *sim) Wait { return s.routers[0].machine.Snapshots()[0].WaitsFor }
 	s := newSim(2, 1)
 	s.run(time.Second)
 	require.Equal(t, WaitNothing, waits(s))
@@ -23,7 +23,7 @@
 	require.Equal(t, WaitTime, waits(s))
 	s.run(newTimeline(simWithin).due(All) - time.Second)
 	require.Equal(t, WaitOld, waits(s))
-	st := s.routers[0].machine.Standings()[0]
+	st := s.routers[0].machine.Snapshots()[0]
 	require.Equal(t, All, st.Stage)
 	require.Equal(t, 2, st.Routers)
 	require.Len(t, st.Routes, 3)
