--- a/gateway/rollouts/runner.go
+++ b/gateway/rollouts/runner.go
@@ -66,7 +66,7 @@
 func NewRunner(o Options) *Runner {
 	return &Runner{
 		o: o, mail: newMailbox(),
-		machine: rollout.NewMachine(rollout.Options{Share: o.Bounds.Share, Slack: int(o.Bounds.Slack)}),
+		machine: rollout.NewMachine(o.Bounds),
 		orders: known[rollout.Order]{
 			service: func(order rollout.Order) string { return order.Service },
 			version: func(order rollout.Order) uint64 { return order.Revision },
--- a/rollout/bounds.go
+++ b/rollout/bounds.go
@@ -1,13 +1,15 @@
 package rollout
 
-// Bounds are what a bad version may do before it is stopped.
+// Bounds are the most requests that a bad version may get before it is stopped. The zero
+// value bounds nothing: roll-outs are off, and no gate is put in force.
 type Bounds struct {
-	// Share is the most that it may get of all requests of its service from the order to
-	// the deadline, in parts of 1; Slack is how many requests may come on top. 0: nothing
-	// is bounded, and roll-outs are not on.
+	// Share is a part, from 0 to 1, of all requests of the service from the order to the
+	// deadline.
 	Share float64
+	// Slack is how many requests may come on top. Routers never plan to use it: it covers
+	// what restarts and cut connections add.
 	Slack float64
 }
 
-// On tells whether roll-outs are bounded, and with that on.
+// On tells whether roll-outs are on.
 func (b Bounds) On() bool { return b.Share > 0 }
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -7,7 +7,7 @@
 // to the store. Machine is pure: it is told what happened, with the time in the message,
 // and returns commands for its router to carry out.
 //
-//	m := rollout.NewMachine(rollout.Options{Share: 0.1, Slack: 50})
+//	m := rollout.NewMachine(rollout.Bounds{Share: 0.1, Slack: 50})
 //	m.Update(rollout.OrdersMsg{Now: now, Orders: orders})
 //	commands := m.Update(rollout.TickMsg{Now: now, Leads: true})
 package rollout
--- a/rollout/early_test.go
+++ b/rollout/early_test.go
@@ -12,7 +12,7 @@
 // that is rejected is not kept so.
 func TestRolloutEarlyGate(t *testing.T) {
 	known := func(inUse ...string) *Machine {
-		m := NewMachine(Options{Share: 0.1})
+		m := NewMachine(Bounds{Share: 0.1})
 		m.Update(VersionsMsg{Services: map[string][]string{"s": {oldVersion}}})
 		m.Update(OrdersMsg{})
 		m.Update(RecordsMsg{Records: []Record{{Service: "s", Revision: 1, InUse: inUse}}})
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -156,7 +156,7 @@
 
 func (s *sim) fresh() *simRouter {
 	return &simRouter{
-		machine: NewMachine(Options{Share: 0.1, Slack: 50}),
+		machine: NewMachine(Bounds{Share: 0.1, Slack: 50}),
 		started: s.now,
 	}
 }
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -8,7 +8,7 @@
 
 // Machine decides on the roll-outs of all services, in one router.
 type Machine struct {
-	opt      Options
+	bounds   Bounds
 	services map[string]*service
 	// orders and records tell whether the store has shown them.
 	orders, records bool
@@ -19,13 +19,13 @@
 }
 
 // NewMachine returns a machine that knows nothing yet.
-func NewMachine(opt Options) *Machine {
-	return &Machine{opt: opt, services: map[string]*service{}, routers: 1}
+func NewMachine(bounds Bounds) *Machine {
+	return &Machine{bounds: bounds, services: map[string]*service{}, routers: 1}
 }
 
 // Update tells the machine what happened and returns what is to be done.
 func (m *Machine) Update(msg Msg) []Cmd {
-	if m.opt.Share <= 0 {
+	if !m.bounds.On() {
 		return nil
 	}
 	m.cmds = nil
@@ -174,7 +174,7 @@
 func (m *Machine) gates() []Cmd {
 	var changed []Cmd
 	for _, s := range m.sorted() {
-		g := s.gate(m.opt.Share)
+		g := s.gate(m.bounds.Share)
 		if s.gated && (sameGate(g, s.inForce) || s.early(g)) || !s.gated && s.inUse == nil {
 			continue
 		}
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -263,7 +263,7 @@
 // TestRolloutOff shows that without a bound on exposure nothing is done.
 func TestRolloutOff(t *testing.T) {
 	t.Parallel()
-	m := NewMachine(Options{})
+	m := NewMachine(Bounds{})
 	require.Empty(t, m.Update(OrdersMsg{Orders: []Order{{Service: simService, Target: newVersion}}}))
 	require.Empty(t, m.Update(RecordsMsg{}))
 	require.Empty(t, m.Update(VersionsMsg{Services: map[string][]string{simService: {oldVersion}}}))
--- a/rollout/paused_test.go
+++ b/rollout/paused_test.go
@@ -10,7 +10,7 @@
 // callsFor has a leading machine that hears some routers of a fleet watch a service with
 // many calls for a moment.
 func callsFor(routers int) (m *Machine, tick func(now time.Duration)) {
-	m = NewMachine(Options{Share: 0.2, Slack: 50})
+	m = NewMachine(Bounds{Share: 0.2, Slack: 50})
 	m.Update(VersionsMsg{Services: map[string][]string{"llm": {"v1", "v2"}}})
 	m.Update(RecordsMsg{Records: []Record{{Service: "llm", Revision: 1, InUse: []string{"v1"}}}})
 	m.Update(OrdersMsg{Orders: []Order{{Service: "llm", Target: "v2", Within: 6 * time.Second, Made: "1", Revision: 2}}})
--- a/rollout/snapshot.go
+++ b/rollout/snapshot.go
@@ -72,7 +72,7 @@
 	if r == nil {
 		return st
 	}
-	st.Target, st.Stage, st.Part = r.order.Target, r.stage, s.gate(m.opt.Share).Part
+	st.Target, st.Stage, st.Part = r.order.Target, r.stage, s.gate(m.bounds.Share).Part
 	st.Age, st.Within = r.age, r.order.Within
 	st.Routers = 1 + int(r.others.Routers)
 	st.Verdict, st.Stopped = r.judge.Verdict(), r.stopped()
