rollout: plain names and comments; what a roll-out waits for in a file of its own

Comments that had to be read twice ("beside a roll-out", "told", "fit") say what holds and why; fields say their unit or meaning. takeOrder returned a value that nobody read. Behaviour is unchanged.

--- a/rollout/baseline.go
+++ b/rollout/baseline.go
@@ -1,17 +1,17 @@
 package rollout
 
 const (
-	// firstGuess is the rate of bad answers that old servers are taken to have before
-	// any is known: servers that are well stay below it.
+	// firstGuess is the rate of bad answers that old servers are taken to have before any
+	// answer is known: healthy servers stay below it.
 	firstGuess = 0.05
 	// firstWeight is how many answers the first guess counts for: a second's answers of
 	// a small service outweigh it.
 	firstWeight = 10
-	// shrinkWeight is how many answers the wider rate (of the route, of the seconds
-	// before) counts for against a cell's own: with fewer, chance decides the cell's.
+	// shrinkWeight is how many answers the wider rate (of the route, of the seconds before)
+	// counts for beside a cell's own answers: a rate of fewer answers is mostly chance.
 	shrinkWeight = 15
-	// keepOfSecond is what of the earlier answers' weight is left after another slice:
-	// a flood of a few seconds is then not compared with the calm before it.
+	// keepOfSecond is the part of the earlier answers' weight that is left after another
+	// slice of a second: in a few seconds the baseline follows a change of load.
 	keepOfSecond = 0.8
 	// leastRate bounds the rate of old servers from below: at a rate of nearly nothing
 	// a single bad answer would decide.
--- a/rollout/commands.go
+++ b/rollout/commands.go
@@ -8,20 +8,21 @@
 // GateCmd puts a gate in force.
 type GateCmd struct{ Gate Gate }
 
-// WriteCmd writes to the store, under a condition. A WrittenMsg tells how it ended; what
-// then holds comes as an OrdersMsg or a RecordsMsg before it, where it is known.
+// WriteCmd writes to the store, on the condition that the object still has the revision
+// that was seen. A WrittenMsg answers it. Where the store's answer shows the object as it
+// is then, an OrdersMsg or a RecordsMsg with it comes before the WrittenMsg.
 type WriteCmd struct {
 	Kind    WriteKind
 	Service string
 	// Status is for WriteStatus: the order's new state, and the revision of the order
 	// that it was decided on.
 	Status Status
-	// Record is for WriteRecord. Its Revision is that of the record which it replaces;
-	// 0: there is none yet.
+	// Record is for WriteRecord. Its Revision is that of the record that it replaces; 0: the
+	// store must hold none yet.
 	Record Record
 }
 
-// Status is what is written on an order.
+// Status is the status to be written on an order.
 type Status struct {
 	State    State
 	Target   string
@@ -44,12 +45,11 @@
 const (
 	Written  WriteResult = iota
 	Conflict             // the object has changed, or is gone: it was not written
-	Refused              // the store did nothing; try again
+	Refused              // the store did not write it; try again
 	Unknown              // no answer came: it may have been written, or may yet be
 )
 
-// StepCmd says that a roll-out has moved on; it changes nothing outside and is there to
-// be logged.
+// StepCmd says that a roll-out has moved on. It is only logged.
 type StepCmd struct {
 	Service string
 	Target  string
@@ -59,8 +59,8 @@
 	Age     time.Duration
 	Within  time.Duration
 	Leads   bool
-	Routers int // whose reports were added up, this one included
-	// Answers of the target's servers, and of the old ones, in all routes.
+	Routers int // whose reports were merged, this one included
+	// New and Old count how answers of the target's and of the old servers began.
 	New, Old Tally
 }
 
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -6,14 +6,16 @@
 // one may be left out: a tenth still finds a bad version, if more slowly.
 const leastOthers = 0.1
 
-// evidence is the running sum of one test. Each sum is of log likelihood ratios, bad
-// version against good, and is never below 0: so it is that of the stretch of time, up
-// to now, that speaks most against the target.
+// evidence is the running sum of one test. It adds up log likelihood ratios, bad version
+// against good, and is never below 0 (Page's CUSUM): so it is the sum over that stretch of
+// time, up to now, that speaks most against the target.
 type evidence struct {
 	all     float64
 	cohorts []cohortEvidence
-	// fit sums the same ratios from above: how much speaks for the target of late.
-	fit float64
+	// inFavour is the same sum kept at or below 0, so it is that of the latest stretch of
+	// time that speaks most for the target. Of each slice of time it leaves out the cohort
+	// that speaks most against the target.
+	inFavour float64
 }
 
 // cohortEvidence is what a test knows of one cohort.
@@ -68,10 +70,10 @@
 		c.without = max(0, c.without+sum-slice.of(c.cohort))
 	}
 	e.all = max(0, e.all+sum)
-	e.fit = min(0, e.fit+sum-most)
+	e.inFavour = min(0, e.inFavour+sum-most)
 }
 
-// cohort finds or adds a cohort. What was known before did not depend on it.
+// cohort finds or adds a cohort. Until it is added the sum without it is the whole sum.
 func (e *evidence) cohort(name string) *cohortEvidence {
 	i := slices.IndexFunc(e.cohorts, func(c cohortEvidence) bool { return c.cohort == name })
 	if i < 0 {
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -6,24 +6,26 @@
 // neither in use nor the target gets nothing.
 type Gate struct {
 	Service string
-	// InUse are the versions that get requests beside a roll-out; nil: nothing is known
-	// of the service yet, and none gets any.
+	// InUse are the versions that get requests whether or not a roll-out is under way; nil:
+	// nothing is known of the service yet, and no version gets any.
 	InUse []string
-	// Target is the version that is being moved to; empty: none is.
+	// Target is the version that the service is moving to; empty: no roll-out is under way.
 	Target string
-	// Part of the requests goes to the target's servers, by the parts of their prompts.
+	// Part, from 0 to 1, of the requests goes to the target's servers. Which requests follows
+	// from the shared parts of their prompts, so that these move together.
 	Part float64
-	// Limit bounds what is sent to the target by count, in parts of all that this router
-	// has sent for the route since the gate opened; at 1 or above nothing is bounded.
+	// Limit bounds the number of requests that this router sends to the target, as a part of
+	// those that it knows to have reached servers of any version since the target was set: in
+	// all, and for each route. At 1 or above nothing is bounded.
 	Limit float64
 	// Servers is the part of the target's servers that take requests.
 	Servers float64
 	// OldClosed says that versions in use other than the target get nothing new.
 	OldClosed bool
-	// Move says that streams on old servers which may be resumed go on at the target's
-	// at once.
+	// Move says that streams which run at old servers and may be resumed are broken off, to
+	// go on at the target's servers.
 	Move bool
 }
 
-// Uses tells whether a version may get requests beside a roll-out.
+// Uses tells whether a version is in use: it gets requests without being the target.
 func (g *Gate) Uses(version string) bool { return slices.Contains(g.InUse, version) }
--- a/rollout/gates.go
+++ b/rollout/gates.go
@@ -3,17 +3,18 @@
 import "slices"
 
 const (
-	// trialPart of the bound on exposure is what the trial may use; the rest is for what
-	// is on its way when the version turns out bad, and for the ramp.
+	// trialPart of the bound on exposure is what the trial may use. The rest is for requests
+	// that are on their way when the version is found to be bad, and for the ramp.
 	trialPart = 0.5
 	// rampSlack lets a router send a little more than the ramp's part, by count: prompts
 	// do not divide evenly.
-	rampSlack   = 1.2
+	rampSlack = 1.2
+	// quarterPart and halfPart are the parts of the requests in the stages of these names.
 	quarterPart = 0.25
 	halfPart    = 0.5
 )
 
-// gate is what has to be in force for a service.
+// gate returns the gate that the state of a service asks for.
 func (s *service) gate(share float64) Gate {
 	g := Gate{Service: s.name, InUse: s.inUse}
 	if s.roll == nil || s.inUse == nil {
@@ -39,16 +40,17 @@
 	return g
 }
 
-func sameGate(a, b Gate) bool {
+func gatesEqual(a, b Gate) bool {
 	inUse := slices.Equal(a.InUse, b.InUse) && (a.InUse == nil) == (b.InUse == nil)
 	return inUse && a.Target == b.Target && a.Part == b.Part && a.Limit == b.Limit &&
 		a.Servers == b.Servers && a.OldClosed == b.OldClosed && a.Move == b.Move
 }
 
-// early tells whether a gate has to wait for a list of servers: beside a roll-out it lets
-// none through that is listed, where the one in force does. So it is at a router that was
-// out of touch and hears that an order is completed before it hears of the new servers.
-func (s *service) early(g Gate) bool {
+// awaitsList tells whether a gate must not be put in force before a newer list of servers
+// has come: no roll-out is under way, no listed server has a version that the gate lets
+// through, and the gate in force lets some through. A router that was out of touch gets
+// there when it hears that an order is completed before it hears of the new servers.
+func (s *service) awaitsList(g Gate) bool {
 	if g.Target != "" || slices.ContainsFunc(g.InUse, s.lists) {
 		return false
 	}
--- a/rollout/hold.go
+++ b/rollout/hold.go
@@ -3,19 +3,20 @@
 import "time"
 
 const (
-	// firstHold is how long a router which judges a version bad sends nothing to it: time
-	// for the leader to say the same for good, or for others to tell better.
+	// firstHold is how long a router that judges a version bad sends nothing to it at first:
+	// enough for the leader to reject the version, or for other routers' evidence to come.
 	firstHold = 5 * time.Second
-	// holdGrowth makes each hold longer than the last: a router on its own with a bad
-	// version sends to it only a few times in all.
+	// holdGrowth makes each hold so many times as long as the last: a router that is cut off
+	// from the leader then tries a bad version only a few times before the deadline.
 	holdGrowth = 4
 )
 
-// hold is a router's own stop.
+// hold is a pause in which this router alone sends nothing to the target, because it has
+// judged it bad. The leader's rejection, in contrast, is final and for all routers.
 type hold struct {
 	on    bool
 	until time.Duration
-	last  time.Duration
+	last  time.Duration // length of the last one
 }
 
 func (h *hold) begin(now time.Duration) {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -19,14 +19,16 @@
 func (v Verdict) String() string { return [...]string{"undecided", "good", "bad"}[v] }
 
 const (
-	// worseBy is how much more often answers of a bad version are bad: below the third
-	// or more that matters to callers, so that all of these are found.
+	// worseBy is by how much the part of bad answers of a bad version is above that of old
+	// servers. Versions that matter to callers are worse by a third or more; the test is for
+	// less, so that it finds all of these.
 	worseBy = 0.2
-	// alpha is how likely a test may call a good version bad in one run of evidence: a
-	// roll-out has many runs, over routes and kinds of answers and from second to second,
-	// and less than one in 200 good versions may be taken back.
+	// alpha is the probability with which one test may judge a good version bad. A roll-out
+	// makes many tests, over routes, kinds of answers and time, and of 200 good versions
+	// fewer than one may be rolled back.
 	alpha = 1e-4
-	// beta is how likely a bad version may pass as good before the ramp.
+	// beta is the probability with which a bad version may pass as good before the ramp: the
+	// test goes on after it, so it may be higher than alpha.
 	beta = 0.005
 	// leastGood is how many good answers a version needs, however well they speak: fewer
 	// can't show a fault that only some requests meet.
@@ -36,9 +38,9 @@
 	suspectPart = 0.5
 	// relaxedPart of the bound is what is left against a version that is tried again.
 	relaxedPart = 0.4
-	// sliceFor is the time over which new answers are compared with old ones: shorter,
-	// and there are too few old ones in a cell; longer, and a flood that has just begun
-	// is compared with the calm before.
+	// sliceFor is the length of the slices of time in which the target's answers are compared
+	// with the old servers': in shorter ones a cell holds too few answers, and in longer ones
+	// overload that has just begun is compared with the normal load before it.
 	sliceFor = time.Second
 )
 
@@ -56,22 +58,22 @@
 	later
 )
 
-// Judge tells from counts of answers whether a version is bad. It is a sequential test
-// (Wald's ratio, summed from whenever it speaks most against the version, after Page)
-// of the target's answers against those of the old servers in the same second, route
-// and cohort. Such a sum finds both a version that is bad at once and one that turns
-// bad, without windows of a fixed length.
+// Judge tells from counts of answers whether a version is bad. It compares the target's
+// answers with those of the old servers in the same second, route and cohort by sequential
+// tests: Wald's likelihood ratio, summed from the moment since which it speaks most against
+// the version (Page's CUSUM). Such a sum finds both a version that is bad from its start and
+// one that turns bad later, without windows of a fixed length.
 type Judge struct {
-	base     cells
-	sliceAt  time.Duration
-	began    bool
+	base     cells                 // all counts at the start of the open slice
+	sliceAt  time.Duration         // when it started
+	began    bool                  // a slice is open
 	tests    map[testKey]*evidence // up to the open slice
-	looked   map[testKey]*evidence // with the open slice
+	looked   map[testKey]*evidence // the same with the open slice
 	baseline baseline
-	good     uint32
+	good     uint32 // good answers of the target, in all
 }
 
-// NewJudge returns a judge who has seen nothing.
+// NewJudge returns a judge without evidence.
 func NewJudge() *Judge {
 	return &Judge{
 		tests:    map[testKey]*evidence{},
@@ -80,7 +82,7 @@
 	}
 }
 
-// Look takes in all counts since the order, of all routers.
+// Look takes in the counts of all routers since the order, and returns the verdict.
 func (j *Judge) Look(now time.Duration, counts []Cell) Verdict {
 	return j.look(now, cellsOf(counts))
 }
@@ -98,6 +100,7 @@
 	return j.Verdict()
 }
 
+// close ends the open slice of time and opens the next.
 func (j *Judge) close(now time.Duration, all, slice cells) {
 	j.tests = j.looked
 	j.base = all
@@ -105,7 +108,7 @@
 	j.baseline.learn(slice)
 }
 
-// with returns the tests with a slice added.
+// with returns copies of the tests with a slice added.
 func (j *Judge) with(slice cells) map[testKey]*evidence {
 	sums := map[testKey]*evidence{}
 	for key, e := range j.tests {
@@ -120,6 +123,7 @@
 	return sums
 }
 
+// ratios returns, for each test, the likelihood ratios of a slice by cohort.
 func (j *Judge) ratios(slice cells) map[testKey]ratios {
 	found := map[testKey]ratios{}
 	routes := oldByRoute(slice)
@@ -140,6 +144,7 @@
 		float64(t.Good)*math.Log((1-worse)/(1-expected))
 }
 
+// testsOf returns the tests that a cell's answers count in.
 func testsOf(k cellKey) []testKey {
 	kind := beginning
 	if k.Later {
@@ -158,14 +163,16 @@
 	if whole == nil || j.good < leastGood || against >= suspectPart*badAt() {
 		return Undecided
 	}
-	if whole.fit > math.Log(beta) {
+	if whole.inFavour > math.Log(beta) {
 		return Undecided
 	}
 	return Good
 }
 
+// badAt is the sum of log likelihood ratios from which a version is bad.
 func badAt() float64 { return -math.Log(alpha) }
 
+// against is the greatest sum of all tests.
 func (j *Judge) against() float64 {
 	most := 0.0
 	for _, e := range j.looked {
@@ -174,8 +181,8 @@
 	return most
 }
 
-// Relax lets a version that was judged bad be tried again, under suspicion: a few more
-// bad answers are enough the next time.
+// Relax lets a version that was judged bad be tried again. Part of the evidence against it
+// stays, so that a few more bad answers are enough the next time.
 func (j *Judge) Relax() {
 	for _, e := range j.tests {
 		e.relax(relaxedPart * badAt())
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -10,12 +10,12 @@
 type Machine struct {
 	bounds   Bounds
 	services map[string]*service
-	// orders and records tell whether the store has shown them.
-	orders, records bool
-	leads           bool
-	routers         int
-	wall            time.Time
-	cmds            []Cmd
+	orders   bool // the store's orders are known
+	records  bool // the store's records are known
+	leads    bool
+	routers  int       // that are there, this one included
+	wall     time.Time // time of day at the last tick or list of records
+	cmds     []Cmd     // of the present Update
 }
 
 // NewMachine returns a machine that knows nothing yet.
@@ -72,7 +72,7 @@
 	return s
 }
 
-// sorted lists services in a fixed order, so that commands do not depend on a map's.
+// sorted returns the services by name: the order of commands must not depend on a map.
 func (m *Machine) sorted() []*service {
 	var list []*service
 	for _, name := range slices.Sorted(maps.Keys(m.services)) {
@@ -121,6 +121,7 @@
 	}
 }
 
+// count adds one answer to this router's own evidence.
 func (m *Machine) count(msg AnswerMsg) {
 	s := m.services[msg.Service]
 	if s == nil || s.roll == nil {
@@ -133,6 +134,7 @@
 	s.roll.own.count(cellKey{msg.Route, msg.Cohort, msg.Target, msg.Later}, t)
 }
 
+// hear takes in the reports of the other routers.
 func (m *Machine) hear(msg OthersMsg) {
 	for _, s := range m.sorted() {
 		if s.roll == nil {
@@ -149,7 +151,7 @@
 	}
 }
 
-// follow takes over the stage that others know.
+// follow takes over a rejection or a higher stage that other routers report.
 func (m *Machine) follow(s *service) {
 	r := s.roll
 	if r.others.Routers == 0 {
@@ -163,19 +165,20 @@
 	}
 }
 
+// raise moves a roll-out on to a higher stage.
 func (m *Machine) raise(s *service, stage Stage, cause string) {
 	s.roll.stage = stage
 	s.roll.raisedAt = s.roll.age
 	m.step(s, StepRaised, cause)
 }
 
-// gates returns those that have changed. They come before other commands: a gate is in
-// force before a write tells the world.
+// gates returns a command for each gate that has changed. They come before other commands,
+// so that a gate is in force here before a write announces it.
 func (m *Machine) gates() []Cmd {
 	var changed []Cmd
 	for _, s := range m.sorted() {
 		g := s.gate(m.bounds.Share)
-		if s.gated && (sameGate(g, s.inForce) || s.early(g)) || !s.gated && s.inUse == nil {
+		if s.gated && (gatesEqual(g, s.inForce) || s.awaitsList(g)) || !s.gated && s.inUse == nil {
 			continue
 		}
 		s.inForce, s.gated = g, true
@@ -185,6 +188,7 @@
 	return changed
 }
 
+// step emits that a roll-out has moved on, for the log.
 func (m *Machine) step(s *service, name, cause string) {
 	c := StepCmd{Service: s.name, Step: name, Cause: cause, Leads: m.leads, Routers: 1}
 	if s.order != nil {
--- a/rollout/messages.go
+++ b/rollout/messages.go
@@ -26,20 +26,20 @@
 	Services map[string][]string // sorted
 }
 
-// AnswerMsg tells of one answer, or of one that ended, of a server of a service that is
-// being rolled out.
+// AnswerMsg tells how one answer began, or how it went on until its end, from a server of a
+// service that is being rolled out.
 type AnswerMsg struct {
 	Now     time.Duration
 	Service string
 	Route   string
 	Cohort  string
-	Target  bool // of the target's servers
+	Target  bool // from a server of the target
 	Later   bool // see Cell
-	Bad     bool
+	Bad     bool // it failed, or came several times too late
 }
 
-// OthersMsg tells what all other routers report, added up. While an order is being
-// replaced there may be two reports of a service, of different orders.
+// OthersMsg brings the reports of all other routers, merged by service and order. While an
+// order is being replaced there may be two reports of a service, of different orders.
 type OthersMsg struct {
 	Now     time.Duration
 	Reports []Report
@@ -57,16 +57,17 @@
 type TickMsg struct {
 	Now  time.Duration
 	Wall time.Time
-	// Leads says that this router is the one that raises stages and writes.
+	// Leads says that this router is the leader: it raises stages, rejects and writes.
 	Leads bool
-	// Routers counts the routers that are there, this one included.
+	// Routers counts the routers of the fleet that are there, this one included.
 	Routers int
 	// OldRunning counts, by service, this router's requests at servers that are not of
 	// the target's version.
 	OldRunning map[string]int
 }
 
-// TickEvery is the time between two ticks.
+// TickEvery is the time between two ticks: short beside the second within which evidence is
+// compared, so that a bad version is stopped soon after the answers that show it.
 const TickEvery = 100 * time.Millisecond
 
 func (OrdersMsg) isMsg()   {}
--- a/rollout/reconcile.go
+++ b/rollout/reconcile.go
@@ -11,15 +11,15 @@
 		return
 	}
 	for _, s := range m.sorted() {
-		m.settleOrder(s, now)
-		m.settleVersions(s)
-		m.settleRoll(s, now)
-		m.tellUnordered(s)
+		m.reconcileOrder(s, now)
+		m.reconcileVersions(s)
+		m.reconcileRoll(s, now)
+		m.logUnordered(s)
 	}
 }
 
-// settleOrder ends a roll-out whose order is over.
-func (m *Machine) settleOrder(s *service, now time.Duration) {
+// reconcileOrder ends a roll-out whose order is over.
+func (m *Machine) reconcileOrder(s *service, now time.Duration) {
 	if s.roll != nil && s.order == nil {
 		m.abandon(s, causeDeleted)
 	}
@@ -34,11 +34,13 @@
 		return
 	}
 	if s.order.State.Final() && s.order.StateTarget != "" && s.ended == 0 {
-		// The order before this one ended, and its leader may not have come to record it.
+		// The status is that of the order before this one, which has ended. Its leader may
+		// have stopped before it wrote the record, so the status is applied here.
 		s.apply(s.order.StateTarget, s.order.State)
 	}
 }
 
+// abandon ends a roll-out whose order is gone, as if it had been rolled back.
 func (m *Machine) abandon(s *service, cause string) {
 	m.step(s, StepAbandoned, cause)
 	target, trusted := s.roll.order.Target, s.roll.trusted
@@ -48,7 +50,7 @@
 	}
 }
 
-// end takes a final status as known. Nothing opens the order again.
+// end applies the final status of an order. Nothing opens that order again.
 func (m *Machine) end(s *service, state State) {
 	s.apply(s.order.Target, state)
 	if s.ended == s.order.Key() {
@@ -64,17 +66,18 @@
 	s.roll = nil
 }
 
-func (m *Machine) settleVersions(s *service) {
+// reconcileVersions finds the versions in use where the record does not say them.
+func (m *Machine) reconcileVersions(s *service) {
 	if s.inUse == nil {
 		s.inUse = s.firstVersions()
 	}
-	if target := s.leftOver(); target != "" {
-		s.apply(target, s.endOf(target))
+	if target := s.orphanedTarget(); target != "" {
+		s.apply(target, s.orphanState(target))
 	}
 }
 
-// settleRoll begins a roll-out, or takes in how its order has changed.
-func (m *Machine) settleRoll(s *service, now time.Duration) {
+// reconcileRoll begins the roll-out of an order that is open, or updates the one under way.
+func (m *Machine) reconcileRoll(s *service, now time.Duration) {
 	if s.order == nil || s.ended == s.order.Key() {
 		return
 	}
@@ -99,6 +102,7 @@
 	r.serversThere = there
 }
 
+// begin starts the roll-out of a service's order.
 func (m *Machine) begin(s *service, now time.Duration) {
 	r := newRoll(*s.order, now)
 	s.roll = r
@@ -110,23 +114,23 @@
 		m.step(s, StepSenseless, causeOrder)
 		r.reject(causeOrder)
 	}
-	if s.again {
+	if s.reappeared {
 		r.reject(causeAgain)
 		m.step(s, StepRejected, causeAgain)
 	}
 }
 
-// tellUnordered logs, once, that a version has servers which get nothing.
-func (m *Machine) tellUnordered(s *service) {
+// logUnordered logs, once for each version, that it has servers which get no requests.
+func (m *Machine) logUnordered(s *service) {
 	if s.inUse == nil {
 		return
 	}
 	for _, v := range s.versions {
 		ordered := s.uses(v) || s.roll != nil && s.roll.order.Target == v
-		if ordered || slices.Contains(s.told, v) {
+		if ordered || slices.Contains(s.unorderedLogged, v) {
 			continue
 		}
-		s.told = remember(s.told, v)
+		s.unorderedLogged = remember(s.unorderedLogged, v)
 		m.step(s, StepUnordered, v)
 	}
 }
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Record is what the fleet keeps in the store of a service's versions.
+// Record is what the routers keep in the store about a service's versions: what a fleet of
+// which all routers were lost can't find out anew.
 type Record struct {
 	Service string
 	// Revision is that of the record's object.
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// Report is what one router, or several together, tell of the roll-out of one service.
+// Report is what one router, or several together, report of the roll-out of one service.
 type Report struct {
 	Service string
 	Order   uint64 // see Order.Key
-	Routers uint32 // that tell this
+	Routers uint32 // whose reports are merged in it
 	// Known is the highest stage that any of them knows, InForce the lowest that any has
 	// in force.
 	Known, InForce Stage
@@ -23,9 +23,9 @@
 // Cell counts answers of one route from the servers of one cohort.
 type Cell struct {
 	Route  string
-	Cohort string // servers that may fail together for reasons of their own: a data hall
-	Target bool   // of the target's servers; of the old ones else
-	Later  bool   // of how an answer went on after its first event; of how it began else
+	Cohort string // group of servers that may fail together, whatever their version: a data hall
+	Target bool   // true: servers of the target; false: old servers
+	Later  bool   // true: how answers went on after their first event; false: how they began
 	Good   uint32
 	Bad    uint32
 }
--- a/rollout/roll.go
+++ b/rollout/roll.go
@@ -2,48 +2,51 @@
 
 import "time"
 
-// roll is one roll-out under way, as one router sees it.
+// roll is one roll-out under way, as one router sees it. Ages are times since the order was
+// made; other times are on this router's monotonic clock.
 type roll struct {
 	order Order
 	key   uint64
 	plan  timeline
 	// trusted: the target is among the versions in use; it needs no trial.
 	trusted bool
-	// age is that of the order at agedAt, on this router's monotonic clock.
+	// age is the order's age at agedAt.
 	age, agedAt time.Duration
-	// recorded is the age by the record, of which nobody else may know any more.
+	// recorded is the age that the record gives, for a router that begins after all others
+	// have lost it; 0: not given, or used already.
 	recorded     time.Duration
-	seenAt       time.Duration
-	watched      time.Duration // since then, less the times in which this router did not run
+	seenAt       time.Duration // when this router first saw the order
+	watched      time.Duration // time since seenAt in which this router ran
 	stage        Stage
-	raisedAt     time.Duration // age
-	own          cells
-	others       Report
-	all          cells
+	raisedAt     time.Duration // age at which the stage was raised
+	own          cells         // evidence of this router
+	others       Report        // merged, of the other routers
+	all          cells         // evidence of all, at the last tick
 	judge        *Judge
 	hold         hold
-	rejected     bool // for good: by a leader's judgement, or the deadline
+	rejected     bool // for good, by a leader: by the evidence, or for lack of time
 	cause        string
-	confirmed    bool // to be completed
-	oldRunning   uint32
-	idleSince    time.Duration
-	idle         bool
-	serversGone  time.Duration
-	serversThere bool
+	confirmed    bool          // to be completed
+	oldRunning   uint32        // this router's requests at old servers
+	idle         bool          // nothing runs at old servers of any router
+	idleSince    time.Duration // when idle became true
+	serversThere bool          // servers of the target are listed
+	serversGone  time.Duration // when serversThere became false
 }
 
 const (
-	// mostOverdue bounds ages, past the deadline: a longer one tells no more, and one
-	// that is false does not overflow.
+	// mostOverdue bounds how far an age may be past the deadline: a greater age changes no
+	// decision, and one that a wrong clock gave must not overflow.
 	mostOverdue = time.Hour
-	// hearFor is how long a router that has just begun listens for the age that others
-	// know before it trusts the record's, which depends on two wall clocks.
+	// hearFor is how long a router that sees an order for the first time waits for the age
+	// that others report before it uses the record's. Reports come ten times a second, and
+	// the record's age depends on the wall clocks of two hosts.
 	hearFor = time.Second
-	// idleFor is how long nothing may run at old servers before they are stopped: a
-	// request that was sent as the gate closed shows itself by then.
+	// idleFor is how long nothing must have run at old servers before they are stopped: a
+	// request that was sent while the gate closed is reported by then.
 	idleFor = time.Second
-	// goneFor is how long a target without servers is borne in the last stage: a list
-	// that was read while a part of it was missing is mended by then.
+	// goneFor is how long a target may have no listed server in the last stage before it is
+	// rejected: a list that was read incomplete is replaced by a whole one by then.
 	goneFor = time.Second
 )
 
@@ -60,7 +63,7 @@
 	}
 }
 
-// pass brings the age up to now.
+// pass lets time pass up to now.
 func (r *roll) pass(now time.Duration) {
 	if now > r.agedAt {
 		r.watched += min(now-r.agedAt, longestLook)
@@ -85,7 +88,7 @@
 	r.age = max(r.age, min(age, r.order.Within+mostOverdue))
 }
 
-// hear takes what all others tell.
+// hear takes in the merged report of all other routers.
 func (r *roll) hear(others Report, now time.Duration) {
 	r.others = others
 	r.pass(now)
@@ -108,6 +111,7 @@
 
 func (r *roll) stopped() bool { return r.rejected || r.hold.on }
 
+// inForce is the stage that this router's gate follows.
 func (r *roll) inForce() Stage {
 	if r.stopped() {
 		return Waiting
@@ -115,7 +119,7 @@
 	return r.stage
 }
 
-// look judges all evidence that there is.
+// look judges the evidence of all routers.
 func (r *roll) look(now time.Duration) Verdict {
 	r.all = cells{}
 	r.all.add(r.own)
@@ -127,7 +131,8 @@
 }
 
 // quietRequests is how many requests, from now to the deadline, may go to a version on
-// little or no evidence: half of the 50 bad answers that callers bear.
+// little or no evidence. Callers bear some 50 bad answers of a version before it is stopped;
+// half of that leaves room for traffic that picks up.
 const quietRequests = 25
 
 // quietAfter is how long a service has to be watched before it is called quiet.
@@ -137,9 +142,9 @@
 // that was stopped for longer saw nothing of what went on.
 const longestLook = 3 * TickEvery
 
-// quiet tells whether so little goes on that moving all of it exposes next to nobody.
-// Without that, a service which nobody calls could never move. A router that doesn't hear
-// all others can't tell.
+// quiet tells whether so few requests come that the target may get all of them without
+// evidence. Otherwise a service that nobody calls could never be moved. A router that does
+// not hear all others can't tell how many come.
 func (r *roll) quiet(routers int) bool {
 	if r.watched < quietAfter || int(r.others.Routers)+1 < routers {
 		return false
@@ -158,7 +163,7 @@
 	return r.trusted || r.judge.Verdict() == Good || r.judge.Verdict() != Bad && r.quiet(routers)
 }
 
-// next is the stage that is due, if nothing speaks against it.
+// next returns the stage that follows, and whether it is due now.
 func (r *roll) next() (Stage, bool) {
 	if r.stage == All || r.stopped() || !r.serversThere {
 		return r.stage, false
@@ -174,7 +179,7 @@
 	return next, r.age >= r.plan.due(next) && !late
 }
 
-// settled tells whether nothing has run at old servers, anywhere, for long enough.
+// settled tells whether nothing has run at old servers, for any router, for long enough.
 func (r *roll) settled(now time.Duration, routers int) bool {
 	sum := Merge(r.report(), r.others)
 	idle := int(sum.Routers) >= routers && sum.InForce >= All && sum.OldRunning == 0
@@ -188,9 +193,10 @@
 	return now-r.idleSince >= idleFor
 }
 
-// everywhere tells whether all who are heard have the last stage in force.
+// everywhere tells whether all routers that are heard have the last stage in force.
 func (r *roll) everywhere() bool { return Merge(r.report(), r.others).InForce >= All }
 
+// reject closes the target for good, and tells whether it was open.
 func (r *roll) reject(cause string) bool {
 	if r.rejected {
 		return false
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -8,27 +8,29 @@
 // service is what a router knows of the versions of one service.
 type service struct {
 	name  string
-	order *Order // that is in the store; nil: none
-	// gone are the marks of orders that were deleted or followed by another: they come
-	// up again only in news that are late.
-	gone []string
-	// again: the order was deleted once and is seen again.
-	again bool
+	order *Order // in the store; nil: none
+	// endedMarks are the marks (Order.Made) of orders that were deleted or replaced. Such an
+	// order shows up again only in messages that come late.
+	endedMarks []string
+	// reappeared says that the order was deleted and is then seen again.
+	reappeared bool
 	// ended is the key of the order whose final status is known; 0: none.
 	ended    uint64
-	inUse    []string
-	rejected []string
-	record   Record // Revision 0: none in the store
-	versions []string
-	roll     *roll
+	inUse    []string // see Gate; nil: not known
+	rejected []string // versions that were rolled back
+	record   Record   // Revision 0: none in the store
+	versions []string // of the listed servers
+	roll     *roll    // nil: no roll-out is under way
 	writer   writer
 	inForce  Gate
-	gated    bool // inForce has been told
-	told     []string
+	gated    bool // a GateCmd was emitted for inForce
+	// unorderedLogged are the versions of which it was logged that nobody ordered them.
+	unorderedLogged []string
 }
 
-// mostRemembered bounds lists of versions and orders that are over, which are kept for
-// news that come late: minutes at the most.
+// mostRemembered bounds the lists of rejected versions, of ended orders and of unordered
+// versions. The first two matter only to messages that come late, by minutes at the most,
+// and a service gets far fewer orders in that time.
 const mostRemembered = 16
 
 func remember(list []string, s string) []string {
@@ -46,24 +48,22 @@
 func (s *service) uses(version string) bool { return slices.Contains(s.inUse, version) }
 
 // takeOrder takes an order as the store holds it, unless it is older than what is known.
-func (s *service) takeOrder(o Order) (taken bool) {
+func (s *service) takeOrder(o Order) {
 	if s.order != nil && o.Made == s.order.Made {
-		if o.Revision < s.order.Revision {
-			return false
+		if o.Revision >= s.order.Revision {
+			s.keep(o)
 		}
-		s.keep(o)
-		return true
+		return
 	}
-	late := slices.Contains(s.gone, o.Made)
+	late := slices.Contains(s.endedMarks, o.Made)
 	if late && s.order != nil {
-		return false
+		return
 	}
 	if s.order != nil {
-		s.gone = remember(s.gone, s.order.Made)
+		s.endedMarks = remember(s.endedMarks, s.order.Made)
 	}
-	s.again = late
+	s.reappeared = late
 	s.keep(o)
-	return true
 }
 
 func (s *service) keep(o Order) {
@@ -78,10 +78,10 @@
 
 // dropOrder notes that the store holds no order any more.
 func (s *service) dropOrder() {
-	s.gone = remember(s.gone, s.order.Made)
+	s.endedMarks = remember(s.endedMarks, s.order.Made)
 	s.order = nil
 	s.ended = 0
-	s.again = false
+	s.reappeared = false
 	s.writer.shown()
 }
 
@@ -119,8 +119,8 @@
 	}
 }
 
-// firstVersions are those of a service's first list of servers, but for one that is only
-// on its way to be used.
+// firstVersions returns the versions in use of a service without a record: those of its
+// first list of servers, except the target of its order.
 func (s *service) firstVersions() []string {
 	if len(s.versions) == 0 {
 		return nil
@@ -133,7 +133,7 @@
 	return slices.Clone(s.versions)
 }
 
-// wanted is the record as it should be.
+// wanted returns the record as the store should hold it.
 func (s *service) wanted(wall time.Time) Record {
 	w := Record{
 		Service:  s.name,
@@ -149,16 +149,17 @@
 	return w
 }
 
-// recordStands tells whether the record says what it should.
-func (s *service) recordStands(w Record) bool {
+// recordCurrent tells whether the record in the store need not be written again. Stage and
+// age alone are not worth a write.
+func (s *service) recordCurrent(w Record) bool {
 	r := s.record
 	return slices.Equal(r.InUse, w.InUse) && slices.Equal(r.Rejected, w.Rejected) &&
 		r.Target == w.Target && r.Made == w.Made
 }
 
-// leftOver is the target of a roll-out that the record has under way and the store has
-// no order for any more.
-func (s *service) leftOver() string {
+// orphanedTarget returns the target of the roll-out that the record has under way, where
+// the store holds no order for it any more; empty: there is none.
+func (s *service) orphanedTarget() string {
 	r := s.record
 	if r.Target == "" || s.uses(r.Target) {
 		return ""
@@ -169,10 +170,10 @@
 	return r.Target
 }
 
-// endOf tells how a roll-out ended of which only the record is left. Old servers stop
-// when it is completed: where only those of its target are listed it was, and to reject
-// the target would leave nobody to serve.
-func (s *service) endOf(target string) State {
+// orphanState tells how a roll-out ended of which only the record is left. Old servers stop
+// when a roll-out is completed. So where servers of the target are listed and none of the
+// versions in use, it was completed, and rejecting the target would leave no server.
+func (s *service) orphanState(target string) State {
 	listed := func(version string) bool { return slices.Contains(s.versions, version) }
 	if listed(target) && !slices.ContainsFunc(s.inUse, listed) {
 		return Completed
--- a/rollout/snapshot.go
+++ b/rollout/snapshot.go
@@ -3,54 +3,32 @@
 import "time"
 
 // Snapshot is what a router knows of the versions and the roll-out of a service, for
-// operators' dumps.
+// operators' dumps. Where no roll-out is under way, Target and what follows it are empty,
+// but for Leads and WaitsFor.
 type Snapshot struct {
 	Service     string
 	InUse       []string
-	Rejected    []string
-	Target      string // empty: no roll-out is under way
+	Rejected    []string // versions that were rolled back
+	Target      string
 	Stage       Stage
-	Part        float64
+	Part        float64 // of the requests that goes to the target
 	Age, Within time.Duration
 	Leads       bool
-	Routers     int
+	Routers     int // whose reports are merged, this one included
 	Verdict     Verdict
-	Stopped     bool
-	Rejecting   bool
+	Stopped     bool   // this router sends nothing to the target
+	Rejecting   bool   // a leader has rejected the target
 	Cause       string // of the rejection
 	Routes      []RouteEvidence
 	WaitsFor    Wait
 }
 
-// RouteEvidence counts how answers of one route began and went on.
+// RouteEvidence counts the answers of one route, both how they began and how they went on.
 type RouteEvidence struct {
 	Route    string
 	New, Old Tally
 }
 
-// Wait says what a roll-out waits for.
-type Wait uint8
-
-// What a roll-out can wait for.
-const (
-	WaitNothing  Wait = iota
-	WaitKnown         // for orders and records from the store
-	WaitVersions      // for a first list of servers
-	WaitServers       // for servers of the target
-	WaitHold          // for others, or some seconds, after this router stopped by itself
-	WaitEvidence      // for more answers of the target
-	WaitTime          // for the time of the next step
-	WaitRouters       // for the last stage at all routers
-	WaitOld           // for requests at old servers
-	WaitStatus        // for the final status in the store
-)
-
-// String names what is waited for.
-func (w Wait) String() string {
-	return [...]string{"nothing", "store", "versions", "servers", "hold", "evidence", "time",
-		"routers", "old_servers", "status"}[w]
-}
-
 // Snapshots returns the state of all services, for dumps.
 func (m *Machine) Snapshots() []Snapshot {
 	var list []Snapshot
@@ -81,31 +59,6 @@
 	return st
 }
 
-func (m *Machine) waitsFor(s *service) Wait {
-	r := s.roll
-	switch {
-	case !m.orders || !m.records:
-		return WaitKnown
-	case s.inUse == nil:
-		return WaitVersions
-	case r == nil:
-		return WaitNothing
-	case r.rejected || r.confirmed:
-		return WaitStatus
-	case r.hold.on:
-		return WaitHold
-	case !r.serversThere:
-		return WaitServers
-	case r.stage == All && !r.everywhere():
-		return WaitRouters
-	case r.stage == All:
-		return WaitOld
-	case r.stage >= Trial && r.age >= r.plan.due(r.stage+1):
-		return WaitEvidence
-	}
-	return WaitTime
-}
-
 // routes adds up evidence by route.
 func (c cells) routes() []RouteEvidence {
 	var list []RouteEvidence
--- a/rollout/steps.go
+++ b/rollout/steps.go
@@ -1,21 +1,21 @@
 package rollout
 
-// The steps that are logged.
+// The steps of a roll-out, as logs name them.
 const (
-	StepBegan      = "began"       // a roll-out is under way, as this router sees it
+	StepBegan      = "began"       // this router has seen the order
 	StepRaised     = "raised"      // the stage has risen here
-	StepHeld       = "held"        // this router has stopped sending to the target for a time
-	StepReleased   = "released"    // it goes on
+	StepHeld       = "held"        // this router has paused sending to the target, by itself
+	StepReleased   = "released"    // that pause is over
 	StepRejected   = "rejected"    // the target is bad or late: it is to be rolled back
 	StepConfirmed  = "confirmed"   // all is done: it is to be completed
 	StepCompleted  = "completed"   // the order's status says so
 	StepRolledBack = "rolled_back" // the order's status says so
 	StepAbandoned  = "abandoned"   // the order was replaced or deleted
 	StepSenseless  = "senseless"   // the order can't be carried out as it stands
-	StepUnordered  = "unordered"   // a version has servers that nobody ordered
+	StepUnordered  = "unordered"   // a version that nobody ordered has servers; the cause names it
 )
 
-// The causes of steps.
+// The causes of steps, as logs name them.
 const (
 	causeOrder    = "order"
 	causeTime     = "time"
--- a/rollout/tick.go
+++ b/rollout/tick.go
@@ -35,8 +35,8 @@
 	m.confirm(s, now)
 }
 
-// stop closes the target where the evidence says so: for a time, or for good where this
-// router leads.
+// stop closes the target where the evidence says that it is bad: for good where this router
+// leads, else for a time. It reopens it when that time is over.
 func (m *Machine) stop(s *service, verdict Verdict, now time.Duration) {
 	r := s.roll
 	if verdict == Bad && m.leads {
@@ -61,7 +61,7 @@
 	}
 }
 
-// giveUp rejects a target that can't be done in time.
+// giveUp rejects a target to which the service can't be moved in time.
 func (m *Machine) giveUp(s *service, now time.Duration) {
 	r := s.roll
 	if r.age >= r.plan.lastRamp && r.stage <= Trial && !r.proven(m.routers) {
@@ -78,7 +78,8 @@
 	}
 }
 
-// confirm finds that the roll-out is done.
+// confirm decides that the roll-out is to be completed: nothing runs at old servers any
+// more, or the time for the last write has come.
 func (m *Machine) confirm(s *service, now time.Duration) {
 	r := s.roll
 	settled := r.settled(now, m.routers)
--- /dev/null
+++ b/rollout/wait.go
@@ -0,0 +1,50 @@
+package rollout
+
+// Wait says what a roll-out waits for.
+type Wait uint8
+
+// What a roll-out can wait for.
+const (
+	WaitNothing  Wait = iota
+	WaitKnown         // for orders and records from the store
+	WaitVersions      // for a first list of servers
+	WaitServers       // for servers of the target
+	WaitHold          // for others, or some seconds, after this router stopped by itself
+	WaitEvidence      // for more answers of the target
+	WaitTime          // for the time of the next step
+	WaitRouters       // for the last stage at all routers
+	WaitOld           // for requests at old servers
+	WaitStatus        // for the final status in the store
+)
+
+// String names what is waited for.
+func (w Wait) String() string {
+	return [...]string{"nothing", "store", "versions", "servers", "hold", "evidence", "time",
+		"routers", "old_servers", "status"}[w]
+}
+
+// waitsFor returns what the roll-out of a service waits for.
+func (m *Machine) waitsFor(s *service) Wait {
+	r := s.roll
+	switch {
+	case !m.orders || !m.records:
+		return WaitKnown
+	case s.inUse == nil:
+		return WaitVersions
+	case r == nil:
+		return WaitNothing
+	case r.rejected || r.confirmed:
+		return WaitStatus
+	case r.hold.on:
+		return WaitHold
+	case !r.serversThere:
+		return WaitServers
+	case r.stage == All && !r.everywhere():
+		return WaitRouters
+	case r.stage == All:
+		return WaitOld
+	case r.stage >= Trial && r.age >= r.plan.due(r.stage+1):
+		return WaitEvidence
+	}
+	return WaitTime
+}
--- a/rollout/write.go
+++ b/rollout/write.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// write sends the write that is due, one at a time. A final status comes first; the
-// record of a roll-out comes before the word that it is under way, as only the record
-// tells a router that knows nothing how old the order is.
+// write emits the write that is due, one at a time for each service. A final status comes
+// first. The record of a roll-out is written before the status InProgress, since only the
+// record tells a router that starts how old the order is.
 func (m *Machine) write(s *service, now time.Duration, wall time.Time) {
 	if !s.writer.ready(now) {
 		return
@@ -13,7 +13,7 @@
 		m.writeStatus(s, state, now)
 		return
 	}
-	if want := s.wanted(wall); len(want.InUse) > 0 && !s.recordStands(want) {
+	if want := s.wanted(wall); len(want.InUse) > 0 && !s.recordCurrent(want) {
 		c := WriteCmd{Kind: WriteRecord, Service: s.name, Record: want}
 		m.cmds = append(m.cmds, s.writer.send(c, s.key(), now))
 		return
@@ -29,7 +29,7 @@
 	m.cmds = append(m.cmds, s.writer.send(c, s.key(), now))
 }
 
-// finalDue is the final status that is to be written now; Ordered: none.
+// finalDue returns the final status that is to be written now; Ordered: none.
 func (s *service) finalDue() State {
 	r := s.roll
 	if r == nil || r.order.Target == "" {
@@ -44,6 +44,7 @@
 	return Ordered
 }
 
+// key is that of the service's order; 0: it has none.
 func (s *service) key() uint64 {
 	if s.order == nil {
 		return 0
@@ -51,8 +52,8 @@
 	return s.order.Key()
 }
 
-// written takes the end of a write. What the store holds now may have been told before;
-// where it wasn't, what was written stands until it is.
+// written takes in the end of a write. The object as it is now may have come before; where
+// it has not, the content of the write is taken for it until it comes.
 func (m *Machine) written(msg WrittenMsg) {
 	s := m.services[msg.Service]
 	if s == nil {
--- a/rollout/writer.go
+++ b/rollout/writer.go
@@ -3,26 +3,28 @@
 import "time"
 
 const (
-	// firstPause is before a write is repeated that the store refused or left open; a
-	// store that is only restarting a part is back by then.
+	// firstPause is the time before a write is repeated that the store refused or did not
+	// answer: a store that restarts one of its parts is back by then.
 	firstPause = 200 * time.Millisecond
 	// mostPause bounds the growing pauses: a store that is back is used in time.
 	mostPause = 2 * time.Second
-	// conflictPause is how long the news that caused a conflict may take.
+	// conflictPause is how long a write waits, after a conflict, for the change that caused
+	// it to come from the store.
 	conflictPause = 2 * time.Second
-	// forgotten is how long a write may take before it is taken as left open.
+	// forgotten is the time after which a write without a WrittenMsg counts as unanswered;
+	// routers bound each call far below it.
 	forgotten = 15 * time.Second
 )
 
-// writer keeps to one write of a service at a time.
+// writer allows one write of a service at a time, and decides when to repeat one.
 type writer struct {
 	out     *WriteCmd
 	key     uint64 // of the order that it was decided on
 	sentAt  time.Duration
 	retryAt time.Duration
 	pause   time.Duration
-	waits   bool // for the news behind a conflict
-	news    bool // came since the write went out
+	waits   bool // for the change that caused a conflict
+	news    bool // the object has changed since the write was sent
 }
 
 func (w *writer) ready(now time.Duration) bool {
