gateway/rollouts: queue and readiness in place of mailbox and start

The types are a bounded queue of messages and what a starting router still needs to be ready; files are named after them, and the tests with them. Behaviour is unchanged.

--- a/gateway/rollouts/known.go
+++ b/gateway/rollouts/known.go
@@ -2,21 +2,21 @@
 
 import "github.com/croftvale/croftvale/gateway/feed"
 
-// known is the objects of a kind as the newest listing has them, together with those that
-// this router has written, or was told of by a conflict, since. A listing holds every
-// change up to its revision, so that one replaces all objects that are no newer.
+// known is the objects of one kind: those of the newest listing, and over them the newer
+// ones that the store's answers to this router's writes have shown. A listing holds every
+// change up to its revision, so it replaces all objects that are not newer.
 type known[T any] struct {
-	listing feed.Listing[T]
-	written map[string]T
-	service func(T) string
-	version func(T) uint64
+	listing  feed.Listing[T]
+	written  map[string]T
+	service  func(T) string
+	revision func(T) uint64
 }
 
 // list takes a newer listing, and returns all objects.
 func (k *known[T]) list(l feed.Listing[T]) []T {
 	k.listing = l
 	for service, one := range k.written {
-		if k.version(one) <= l.Revision {
+		if k.revision(one) <= l.Revision {
 			delete(k.written, service)
 		}
 	}
@@ -27,7 +27,7 @@
 func (k *known[T]) write(one T) []T {
 	service := k.service(one)
 	before, had := k.written[service]
-	if k.version(one) > k.listing.Revision && (!had || k.version(one) > k.version(before)) {
+	if k.revision(one) > k.listing.Revision && (!had || k.revision(one) > k.revision(before)) {
 		if k.written == nil {
 			k.written = make(map[string]T)
 		}
--- a/gateway/rollouts/known_test.go
+++ b/gateway/rollouts/known_test.go
@@ -14,8 +14,8 @@
 
 func newKnown() known[rollout.Order] {
 	return known[rollout.Order]{
-		service: func(o rollout.Order) string { return o.Service },
-		version: func(o rollout.Order) uint64 { return o.Revision },
+		service:  func(o rollout.Order) string { return o.Service },
+		revision: func(o rollout.Order) uint64 { return o.Revision },
 	}
 }
 
--- a/gateway/rollouts/lines.go
+++ b/gateway/rollouts/log.go
@@ -33,8 +33,8 @@
 	e.Err(err).Msg("")
 }
 
-// noteDropped logs answers that found no room, at a rate.
-func (r *Runner) noteDropped(n int64) {
+// logDropped counts and logs answers that were dropped; lines come at a bounded rate.
+func (r *Runner) logDropped(n int64) {
 	if n > 0 {
 		r.o.Stats.RolloutAnswersDropped(n)
 	}
--- a/gateway/rollouts/mailbox_test.go
+++ b/gateway/rollouts/queue_test.go
@@ -7,10 +7,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestRolloutMailbox fills a mailbox with answers: it drops and counts what finds no room,
+// TestRolloutQueue fills a queue with answers: it drops and counts what finds no room,
 // and still takes other messages, for which alone its owner is woken.
-func TestRolloutMailbox(t *testing.T) {
-	b := newMailbox()
+func TestRolloutQueue(t *testing.T) {
+	b := newQueue()
 	for range answersMost + 3 {
 		b.put(rollout.AnswerMsg{})
 	}
--- a/gateway/rollouts/start_test.go
+++ b/gateway/rollouts/readiness_test.go
@@ -7,10 +7,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestRolloutStart has a router that starts lack something until orders, records and
+// TestRolloutReadiness has a router that starts lack something until orders, records and
 // servers have come and each service with servers has a gate.
-func TestRolloutStart(t *testing.T) {
-	var s start
+func TestRolloutReadiness(t *testing.T) {
+	var s readiness
 	for _, msg := range []rollout.Msg{
 		rollout.VersionsMsg{Services: map[string][]string{"llm": {"v1"}, "app": {"v1"}}}, rollout.OrdersMsg{}, rollout.RecordsMsg{},
 	} {
--- a/gateway/rollouts/runner.go
+++ b/gateway/rollouts/runner.go
@@ -17,11 +17,11 @@
 // droppedEvery is the time between two lines on answers that were dropped.
 const droppedEvery = time.Second
 
-// Core is the decisions on requests.
+// Core is the decisions on requests, which the gates bind.
 type Core interface {
 	// Now is the time since the router's start.
 	Now() time.Duration
-	// Update tells them something.
+	// Update tells them something, such as a gate.
 	Update(msg direct.Msg)
 	// AllOldRunning counts the requests at servers of old versions, by service.
 	AllOldRunning() map[string]int
@@ -44,61 +44,61 @@
 	Stats  *stats.Stats
 }
 
-// Runner runs the decisions on roll-outs. It takes what feeds bring; its machine is told
-// of things by one goroutine alone.
+// Runner runs the decisions on roll-outs. Feeds, requests and the other routers put messages
+// into its queue; one goroutine alone hands them to the machine.
 type Runner struct {
-	o    Options
-	mail *mailbox
-	// mu guards the machine, and orders and records together with the order in which
-	// they are put into the mailbox.
-	mu      sync.Mutex
-	machine *rollout.Machine
-	orders  known[rollout.Order]
-	records known[rollout.Record]
-	start   start
-	dropped int64         // answers, since the last line
-	lines   *rate.Limiter // on dropped answers
-	// complete says that each service which had servers has had a gate.
+	o     Options
+	queue *queue
+	// mu guards the machine, orders and records. It is held while these are put into the
+	// queue, so that the machine is told of them in the order in which they came.
+	mu        sync.Mutex
+	machine   *rollout.Machine
+	orders    known[rollout.Order]
+	records   known[rollout.Record]
+	readiness readiness
+	dropped   int64         // answers, since the last line
+	lines     *rate.Limiter // on dropped answers
+	// complete is the result of readiness once it is true, for other goroutines.
 	complete atomic.Bool
 }
 
 // NewRunner returns a runner that knows nothing yet.
 func NewRunner(o Options) *Runner {
 	return &Runner{
-		o: o, mail: newMailbox(),
+		o: o, queue: newQueue(),
 		machine: rollout.NewMachine(o.Bounds),
 		orders: known[rollout.Order]{
-			service: func(order rollout.Order) string { return order.Service },
-			version: func(order rollout.Order) uint64 { return order.Revision },
+			service:  func(order rollout.Order) string { return order.Service },
+			revision: func(order rollout.Order) uint64 { return order.Revision },
 		},
 		records: known[rollout.Record]{
-			service: func(record rollout.Record) string { return record.Service },
-			version: func(record rollout.Record) uint64 { return record.Revision },
+			service:  func(record rollout.Record) string { return record.Service },
+			revision: func(record rollout.Record) uint64 { return record.Revision },
 		},
 		lines: rate.NewLimiter(rate.Every(droppedEvery), 1),
 	}
 }
 
 // Tell tells the machine something. It never waits.
-func (r *Runner) Tell(msg rollout.Msg) { r.mail.put(msg) }
+func (r *Runner) Tell(msg rollout.Msg) { r.queue.put(msg) }
 
 // TakeOrders takes newer orders in.
 func (r *Runner) TakeOrders(l feed.Listing[rollout.Order]) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mail.put(rollout.OrdersMsg{Now: r.o.Core.Now(), Orders: r.orders.list(l)})
+	r.queue.put(rollout.OrdersMsg{Now: r.o.Core.Now(), Orders: r.orders.list(l)})
 }
 
 // TakeRecords takes newer records in.
 func (r *Runner) TakeRecords(l feed.Listing[rollout.Record]) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mail.put(rollout.RecordsMsg{Now: r.o.Core.Now(), Wall: time.Now(), Records: r.records.list(l)})
+	r.queue.put(rollout.RecordsMsg{Now: r.o.Core.Now(), Wall: time.Now(), Records: r.records.list(l)})
 }
 
 // TakeVersions takes in which versions the listed servers have.
 func (r *Runner) TakeVersions(services map[string][]string) {
-	r.mail.put(rollout.VersionsMsg{Now: r.o.Core.Now(), Services: services})
+	r.queue.put(rollout.VersionsMsg{Now: r.o.Core.Now(), Services: services})
 }
 
 // Complete tells whether every service that had servers when this router came to know
@@ -119,7 +119,7 @@
 	return r.machine.Snapshots()
 }
 
-// Run tells the machine of what comes and of time, until ctx ends.
+// Run hands queued messages and ticks to the machine, until ctx ends.
 func (r *Runner) Run(ctx context.Context, peers Peers) error {
 	ticker := time.NewTicker(rollout.TickEvery)
 	defer ticker.Stop()
@@ -127,10 +127,10 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-r.mail.wake:
-			r.takeMail(ctx)
+		case <-r.queue.wake:
+			r.takeQueued(ctx)
 		case <-ticker.C:
-			r.takeMail(ctx)
+			r.takeQueued(ctx)
 			r.update(ctx, rollout.TickMsg{
 				Now: r.o.Core.Now(), Wall: time.Now(), Leads: peers.Leads(), Routers: peers.Routers(),
 				OldRunning: r.o.Core.AllOldRunning(),
@@ -139,18 +139,18 @@
 	}
 }
 
-func (r *Runner) takeMail(ctx context.Context) {
-	waiting, dropped := r.mail.take()
+func (r *Runner) takeQueued(ctx context.Context) {
+	waiting, dropped := r.queue.take()
 	for _, msg := range waiting {
 		if answer, ok := msg.(rollout.AnswerMsg); ok {
 			r.o.Stats.RolloutAnswer(answer.Target, answer.Bad)
 		}
 		r.update(ctx, msg)
 	}
-	r.noteDropped(dropped)
+	r.logDropped(dropped)
 }
 
-// update tells the machine something and does what it wants done.
+// update tells the machine something and carries out its commands.
 func (r *Runner) update(ctx context.Context, msg rollout.Msg) {
 	r.mu.Lock()
 	cmds := r.machine.Update(msg)
@@ -159,7 +159,7 @@
 		switch cmd := cmd.(type) {
 		case rollout.GateCmd:
 			r.o.Core.Update(direct.GateMsg{Now: r.o.Core.Now(), Gate: cmd.Gate})
-			r.start.gate(cmd.Gate.Service)
+			r.readiness.gate(cmd.Gate.Service)
 		case rollout.WriteCmd:
 			go r.write(ctx, cmd)
 		case rollout.StepCmd:
@@ -167,8 +167,8 @@
 			r.logStep(cmd)
 		}
 	}
-	r.start.note(msg)
-	if !r.complete.Load() && r.start.complete() {
+	r.readiness.note(msg)
+	if !r.complete.Load() && r.readiness.complete() {
 		r.complete.Store(true)
 	}
 }
--- a/gateway/rollouts/store.go
+++ b/gateway/rollouts/store.go
@@ -7,8 +7,8 @@
 	"github.com/croftvale/croftvale/rollout"
 )
 
-// writeTimeout bounds a call that writes: a store that is there answers far sooner, and
-// a write that goes unanswered has to be repeated before an order's deadline.
+// writeTimeout bounds a call that writes: a healthy store answers far sooner, and a write
+// without an answer must be repeated before the order's deadline.
 const writeTimeout = 1500 * time.Millisecond
 
 // Store is where states of orders and records are written, each on the condition that the
@@ -19,7 +19,8 @@
 	WriteRecord(ctx context.Context, r rollout.Record) (rollout.WriteResult, *rollout.Record, error)
 }
 
-// write carries out one write, and tells the machine what then holds before how it ended.
+// write carries out one write. It tells the machine of the object that the store answered
+// before it tells how the write ended.
 func (r *Runner) write(ctx context.Context, cmd rollout.WriteCmd) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -38,19 +39,20 @@
 		}
 	}
 	r.logWrite(cmd, result, err)
-	r.mail.put(rollout.WrittenMsg{Now: r.o.Core.Now(), Service: cmd.Service, Kind: cmd.Kind, Result: result})
+	r.queue.put(rollout.WrittenMsg{Now: r.o.Core.Now(), Service: cmd.Service, Kind: cmd.Kind, Result: result})
 }
 
-// orderWritten takes an order in as a write left it. Others learn of it from those that
-// follow the store.
+// orderWritten takes in an order as it is after a write. Other routers learn of it from the
+// feed of orders.
 func (r *Runner) orderWritten(order rollout.Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mail.put(rollout.OrdersMsg{Now: r.o.Core.Now(), Orders: r.orders.write(order)})
+	r.queue.put(rollout.OrdersMsg{Now: r.o.Core.Now(), Orders: r.orders.write(order)})
 }
 
+// recordWritten takes in a record as it is after a write.
 func (r *Runner) recordWritten(record rollout.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mail.put(rollout.RecordsMsg{Now: r.o.Core.Now(), Wall: time.Now(), Records: r.records.write(record)})
+	r.queue.put(rollout.RecordsMsg{Now: r.o.Core.Now(), Wall: time.Now(), Records: r.records.write(record)})
 }
