gateway/feed, cluster: AheadByFeed in place of Lead, plain comments

Lead (who knows something newer) and Leads (who leads a roll-out) stood side by side on Peers. Package feed's comment names orders and records, cluster's the types that exist. Behaviour is unchanged.

--- a/gateway/cluster/lead.go
+++ b/gateway/cluster/ahead.go
@@ -2,12 +2,12 @@
 
 import "github.com/croftvale/croftvale/gateway/feed"
 
-// Lead tells which live routers know something newer.
-func (p *Peers) Lead() feed.Lead {
+// Ahead tells which live routers know something newer.
+func (p *Peers) Ahead() feed.AheadByFeed {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	own := p.parts.Feeds.Versions()
-	out := feed.NewLead(own)
+	out := feed.NewAheadByFeed(own)
 	now := p.parts.Decisions.Now()
 	lasts := p.live()
 	for address, peer := range p.known {
--- a/gateway/cluster/doc.go
+++ b/gateway/cluster/doc.go
@@ -2,5 +2,6 @@
 // the heartbeats by which each knows who is there and how new what it knows is, and the
 // loads that each has at servers. From that follows who follows the source.
 //
-// Peers decides and keeps account; Heartbeats, Loads and Members carry out.
+// Peers keeps what is known of the other routers and decides by it; heartbeats,
+// loadExchange and members send and receive.
 package cluster
--- a/gateway/cluster/halls_test.go
+++ b/gateway/cluster/halls_test.go
@@ -31,14 +31,14 @@
 	p := newTestPeers("a2", &peer{address: "a1", place: traffic.Place{Hall: "a"}}, &peer{address: "b1", place: traffic.Place{Hall: "b"}}, &peer{address: "c1", place: traffic.Place{Hall: "c"}})
 	p.place.Hall = "a"
 	require.False(t, p.FirstOfHall())
-	require.Equal(t, make(feed.Lead, 3), p.Lead())
+	require.Equal(t, make(feed.AheadByFeed, 3), p.Ahead())
 	p.known["b1"].knows = feed.Versions{3}
-	require.Equal(t, feed.Lead{{OtherHalls: []string{"b1"}}, {}, {}}, p.Lead())
-	require.True(t, p.Lead()[0].Elsewhere())
+	require.Equal(t, feed.AheadByFeed{{OtherHalls: []string{"b1"}}, {}, {}}, p.Ahead())
+	require.True(t, p.Ahead()[0].Elsewhere())
 	p.known["a1"].knows = feed.Versions{3}
-	require.Equal(t, feed.Lead{{OwnHall: []string{"a1"}, OtherHalls: []string{"b1"}}, {}, {}}, p.Lead())
-	require.False(t, p.Lead()[0].Elsewhere())
-	require.Equal(t, []string{"a1", "b1"}, p.Lead()[0].All())
+	require.Equal(t, feed.AheadByFeed{{OwnHall: []string{"a1"}, OtherHalls: []string{"b1"}}, {}, {}}, p.Ahead())
+	require.False(t, p.Ahead()[0].Elsewhere())
+	require.Equal(t, []string{"a1", "b1"}, p.Ahead()[0].All())
 	p.known["a1"].live = false
 	require.True(t, p.FirstOfHall(), "the first is away")
 }
@@ -51,12 +51,12 @@
 	}
 	p := newTestPeers("n1", at("m1", "e", "south"), at("n2", "a", "north"), at("n3", "b", "north"))
 	p.place = traffic.Place{Hall: "a", Region: "north"}
-	require.Equal(t, []string{"n2", "n3", "m1"}, p.Lead()[0].All())
+	require.Equal(t, []string{"n2", "n3", "m1"}, p.Ahead()[0].All())
 	require.Equal(t, traffic.BetweenRegions, p.PathTo("m1"))
 	require.Equal(t, traffic.BetweenHalls, p.PathTo("n3"))
 	require.Equal(t, traffic.BetweenHalls, p.PathTo("never heard"))
 	p = newTestPeers("n1", at("m1", "e", ""))
 	p.place = traffic.Place{Hall: "a", Region: "north"}
-	require.True(t, p.Lead()[0].Elsewhere())
+	require.True(t, p.Ahead()[0].Elsewhere())
 	require.Equal(t, traffic.BetweenRegions, p.PathTo("m1"))
 }
--- a/gateway/cluster/rolloutrow.go
+++ b/gateway/cluster/rolloutrow.go
@@ -22,7 +22,7 @@
 	Cells          []cellRow
 }
 
-// cellRow is a rollout.Cell; its names are given by their places.
+// cellRow is a rollout.Cell, with indices into the row's Routes and Cohorts.
 type cellRow struct {
 	Route, Cohort int
 	Target, Later bool
@@ -38,8 +38,8 @@
 		}
 		for _, c := range r.Cells {
 			cell := cellRow{Target: c.Target, Later: c.Later, Good: c.Good, Bad: c.Bad}
-			row.Routes, cell.Route = place(row.Routes, c.Route)
-			row.Cohorts, cell.Cohort = place(row.Cohorts, c.Cohort)
+			row.Routes, cell.Route = intern(row.Routes, c.Route)
+			row.Cohorts, cell.Cohort = intern(row.Cohorts, c.Cohort)
 			row.Cells = append(row.Cells, cell)
 		}
 		rows = append(rows, row)
@@ -47,9 +47,9 @@
 	return rows
 }
 
-// place returns a name's place in a list, at the end of which it is added where it is not
-// there. Cells come sorted, so that a route is most often the last of the list.
-func place(names []string, name string) ([]string, int) {
+// intern returns the index of a name in a list, to which it is added where it is not there.
+// Cells come sorted by route, so a route is most often the last of the list.
+func intern(names []string, name string) ([]string, int) {
 	if n := len(names); n > 0 && names[n-1] == name {
 		return names, n - 1
 	}
@@ -67,8 +67,8 @@
 			Age: row.Age, OldRunning: row.OldRunning, Rejected: row.Rejected,
 		}
 		for _, c := range row.Cells {
-			if !among(row.Routes, c.Route) || !among(row.Cohorts, c.Cohort) {
-				continue
+			if !inRange(row.Routes, c.Route) || !inRange(row.Cohorts, c.Cohort) {
+				continue // a datagram may come from anywhere
 			}
 			r.Cells = append(r.Cells, rollout.Cell{
 				Route: row.Routes[c.Route], Cohort: row.Cohorts[c.Cohort], Target: c.Target, Later: c.Later, Good: c.Good, Bad: c.Bad,
@@ -79,4 +79,4 @@
 	return reports
 }
 
-func among(names []string, i int) bool { return i >= 0 && i < len(names) }
+func inRange(names []string, i int) bool { return i >= 0 && i < len(names) }
--- a/gateway/cluster/rollouts.go
+++ b/gateway/cluster/rollouts.go
@@ -2,12 +2,11 @@
 
 import "github.com/croftvale/croftvale/rollout"
 
-// Rollouts is the decisions on roll-outs, which tell the other routers of those under way
-// and are told by them.
+// Rollouts is the decisions on roll-outs, which exchange reports with the other routers.
 type Rollouts interface {
-	// Reports returns what this router tells.
+	// Reports returns this router's reports of the roll-outs under way.
 	Reports() []rollout.Report
-	// Tell tells the decisions something. It must not block.
+	// Tell brings the reports of the other routers. It must not block.
 	Tell(msg rollout.Msg)
 }
 
--- a/gateway/feed/lead.go
+++ b/gateway/feed/ahead.go
@@ -21,14 +21,14 @@
 	return len(a.OwnHall) == 0 && len(a.OtherHalls)+len(a.OtherRegions) > 0
 }
 
-// Lead tells for each feed which routers know something newer.
-type Lead []Ahead
+// AheadByFeed are, for each feed, the routers that know something newer.
+type AheadByFeed []Ahead
 
-// NewLead returns the lead of nobody, over a router that knows some versions.
-func NewLead(own Versions) Lead { return make(Lead, len(own)) }
+// NewAheadByFeed returns empty lists for the feeds of a router that knows some versions.
+func NewAheadByFeed(own Versions) AheadByFeed { return make(AheadByFeed, len(own)) }
 
-// Add takes in what another router knows, and how far it is.
-func (l Lead) Add(own Versions, address string, path traffic.Path, knows Versions) {
+// Add takes in what another router knows, which is reached over a path.
+func (l AheadByFeed) Add(own Versions, address string, path traffic.Path, knows Versions) {
 	for i := range l {
 		if knows.of(i) <= own.of(i) {
 			continue
--- a/gateway/feed/doc.go
+++ b/gateway/feed/doc.go
@@ -1,5 +1,6 @@
 // Package feed is what all routers have to agree on: the configuration, the list of
-// servers, the evacuated data halls. Each is a feed of a Source that a few routers follow.
+// servers, the evacuated data halls, and where roll-outs are on their orders and the records
+// of versions in use. Each is a feed of a Source that a few routers follow.
 // Heartbeats carry the newest revision of each feed that a router knows, and the others
 // pull from those that know more; whoever has it, only newer content is put in force.
 //
--- a/gateway/feed/listing.go
+++ b/gateway/feed/listing.go
@@ -17,7 +17,7 @@
 	All      []T // by service
 }
 
-// Rollouts is told what roll-outs are decided on. Its methods must not block.
+// Rollouts takes in what roll-outs are decided on. Its methods must not block.
 type Rollouts interface {
 	// TakeOrders brings newer orders, TakeRecords newer records.
 	TakeOrders(Listing[rollout.Order])
@@ -26,18 +26,18 @@
 	TakeVersions(map[string][]string)
 }
 
-// byService is the feed of a kind of which there is one object for each service.
+// byService is a feed of objects of which there is one for each service.
 type byService[T any] struct {
 	Content[Listing[T]]
 	about  About
 	source sourceOf[T]
-	known  map[string]T // by service, as the source alone tells it
+	known  map[string]T // by service, as the source has them
 }
 
-// sourceOf is how the objects of a kind are read and watched.
+// sourceOf says how the objects of one kind are read and watched.
 type sourceOf[T any] struct {
 	read func(ctx context.Context) ([]T, uint64, error)
-	// watch takes changes into what is known, and tells whether there were any.
+	// watch applies the changes after a revision to known, and tells whether there were any.
 	watch   func(ctx context.Context, known map[string]T, since uint64, wait time.Duration) (changed bool, at uint64, err error)
 	service func(T) string
 }
@@ -83,6 +83,7 @@
 	return at, nil
 }
 
+// offerKnown offers all known objects at a revision.
 func (b *byService[T]) offerKnown(at uint64) {
 	l := &Listing[T]{Revision: at}
 	for _, service := range slices.Sorted(maps.Keys(b.known)) {
@@ -91,7 +92,7 @@
 	b.Offer(l, fromSource)
 }
 
-// versionsOf returns the versions of each service's servers, sorted.
+// versionsOf returns, for each service, the sorted versions of its servers.
 func versionsOf(list *serverlist.List) map[string][]string {
 	out := make(map[string][]string)
 	for _, s := range list.Servers {
@@ -100,6 +101,7 @@
 	return out
 }
 
+// insert adds a server's version to sorted versions, once.
 func insert(versions []string, s direct.Server) []string {
 	at, found := slices.BinarySearch(versions, s.Version)
 	if found {
--- a/gateway/feed/peers.go
+++ b/gateway/feed/peers.go
@@ -8,8 +8,8 @@
 	Add(address string)
 	// Behind is sent on when another router knows something newer.
 	Behind() <-chan struct{}
-	// Lead tells which routers know something newer.
-	Lead() Lead
+	// Ahead tells which routers know something newer.
+	Ahead() AheadByFeed
 	// FirstOfHall tells whether this router is the first of its hall, among those that
 	// are there.
 	FirstOfHall() bool
--- a/gateway/feed/pull.go
+++ b/gateway/feed/pull.go
@@ -91,21 +91,21 @@
 
 // fromPeers pulls what other routers know newer.
 func (p *Puller) fromPeers(ctx context.Context) {
-	lead := p.o.Peers.Lead()
-	if p.largeElsewhere(lead) && !p.o.Peers.FirstOfHall() {
+	ahead := p.o.Peers.Ahead()
+	if p.largeElsewhere(ahead) && !p.o.Peers.FirstOfHall() {
 		// Another router of the hall brings it over, and this one pulls it there.
 		wait.Sleep(ctx, hallPatience)
-		lead = p.o.Peers.Lead()
+		ahead = p.o.Peers.Ahead()
 	}
 	for i := range p.set.feeds {
-		p.first(ctx, i, lead[i].All())
+		p.first(ctx, i, ahead[i].All())
 	}
 }
 
 // largeElsewhere tells whether only other halls know the newest content of a large feed.
-func (p *Puller) largeElsewhere(lead Lead) bool {
+func (p *Puller) largeElsewhere(ahead AheadByFeed) bool {
 	for i, f := range p.set.feeds {
-		if f.About().Large && lead[i].Elsewhere() {
+		if f.About().Large && ahead[i].Elsewhere() {
 			return true
 		}
 	}
--- a/gateway/feed/set.go
+++ b/gateway/feed/set.go
@@ -21,11 +21,11 @@
 	// Evacuate is the most that may pass between the word that a data hall is
 	// evacuated and the last request to its servers; 0: no hall is ever evacuated.
 	Evacuate time.Duration
-	// Rollouts decides on roll-outs; nil: they are not on, and of no concern.
+	// Rollouts decides on roll-outs; nil: they are not on, and their feeds don't exist.
 	Rollouts Rollouts
 }
 
-// Set is the feeds of a router: what it takes to be true of the fleet.
+// Set is the feeds of a router.
 type Set struct {
 	Config      *Config
 	Servers     *Servers
--- a/gateway/feed/versions_test.go
+++ b/gateway/feed/versions_test.go
@@ -15,7 +15,7 @@
 	require.False(t, older.Reaches(Versions{3, 10, 4}))
 	require.Equal(t, newer, older.Newest(newer))
 	require.Equal(t, Versions{3, 9, 4}, newer.Newest(older))
-	lead := NewLead(older)
-	lead.Add(older, "a", 0, newer)
-	require.Equal(t, Lead{{}, {}}, lead)
+	ahead := NewAheadByFeed(older)
+	ahead.Add(older, "a", 0, newer)
+	require.Equal(t, AheadByFeed{{}, {}}, ahead)
 }
