--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,8 +41,8 @@
 	begun bool
 	path  traffic.Path
 	// moved says that the attempt was broken off to go on at another version's server.
-	moved     atomic.Bool
-	breakable bool
+	moved   atomic.Bool
+	movable bool // a move may break it off; see allowMove
 }
 
 // count counts bytes that go to the server or come from it.
@@ -63,8 +63,8 @@
 	a.conn = conn
 	a.stop = context.AfterFunc(a.x.ctx, func() { conn.Close() })
 	defer a.stop()
-	a.letMove()
-	defer a.keep()
+	a.allowMove()
+	defer a.forbidMove()
 	left = a.x.deadline - a.x.front.core.Now()
 	_ = conn.SetDeadline(time.Now().Add(left))
 	a.path = a.x.front.pathTo(a.cmd)
@@ -193,7 +193,7 @@
 // release keeps the connection for other requests. Once the caller's leaving
 // may close it, it is this request's alone.
 func (a *attempt) release() {
-	a.keep()
+	a.forbidMove()
 	if !a.stop() {
 		a.conn.Close()
 		return
--- a/gateway/moving.go
+++ b/gateway/moving.go
@@ -1,22 +1,22 @@
 package gateway
 
-// letMove lets the attempt be broken off to go on at a server of another version. It then
-// ends as one whose server broke off, but for the outcome.
-func (a *attempt) letMove() {
+// allowMove lets a MoveCmd break the attempt off, by closing its connection, so that the
+// request goes on at a server of another version.
+func (a *attempt) allowMove() {
 	if !a.x.front.movable || !a.x.route.MayRepeat() {
 		return
 	}
-	a.breakable = true
-	a.x.front.core.breakable(a.x.id, func() {
+	a.movable = true
+	a.x.front.core.setBreakOff(a.x.id, func() {
 		a.moved.Store(true)
 		_ = a.conn.Close()
 	})
 }
 
-// keep ends that. It comes before the connection serves another request.
-func (a *attempt) keep() {
-	if a.breakable {
-		a.breakable = false
-		a.x.front.core.unbreakable(a.x.id)
+// forbidMove ends that. It must be called before the connection serves another request.
+func (a *attempt) forbidMove() {
+	if a.movable {
+		a.movable = false
+		a.x.front.core.clearBreakOff(a.x.id)
 	}
 }
--- a/gateway/waiter.go
+++ b/gateway/waiter.go
@@ -5,8 +5,8 @@
 // waiter is what the core knows of the goroutine of a request. The core's lock guards it.
 type waiter struct {
 	commands chan direct.Cmd
-	// breakOff ends the attempt that runs, for its stream to go on elsewhere; nil: none
-	// can be ended so. It must not block.
+	// breakOff breaks the running attempt off, so that its stream goes on elsewhere; nil: no
+	// attempt that may be broken off is running. It must not block.
 	breakOff func()
 	moves    bool // a move came before there was anything to break off
 }
@@ -23,8 +23,8 @@
 	}
 }
 
-// breakable has an attempt of a request broken off when it is to move.
-func (c *core) breakable(id direct.RequestID, breakOff func()) {
+// setBreakOff sets what breaks the running attempt of a request off when it is to move.
+func (c *core) setBreakOff(id direct.RequestID, breakOff func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.waiters[id]
@@ -38,8 +38,8 @@
 	}
 }
 
-// unbreakable ends that: once it returns, breakOff is not called any more.
-func (c *core) unbreakable(id direct.RequestID) {
+// clearBreakOff undoes setBreakOff: once it returns, breakOff is not called any more.
+func (c *core) clearBreakOff(id direct.RequestID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if w := c.waiters[id]; w != nil {
