--- a/loads/copies.go
+++ b/loads/copies.go
@@ -6,25 +6,26 @@
 	// copyRepeats is in how many lists each receiver is told of a copy: of ten datagrams
 	// one may be lost, and of a copy that is not heard of the prompt is read once more.
 	copyRepeats = 3
-	// copyFor is how long a copy is told, and known so as not to be taken in again:
-	// longer than its repeats are under way.
+	// copyFor is how long a copy is told, and remembered so that a repeat is not taken for
+	// a new one: longer than repeats take to arrive.
 	copyFor = 700 * time.Millisecond
 	// copiesKept bounds the copies that a router has to tell; the oldest are dropped.
 	copiesKept = 512
 	// copiesMost bounds the copies in one list, which stays well below a datagram.
 	copiesMost = 32
-	// copiesLeast is what a list may always hold.
+	// copiesLeast is what a list may hold however many lists a round has: a copy must get
+	// through in the end.
 	copiesLeast = 4
 	// copiesPerRound bounds the copies that an aggregator tells in a round, all lists
 	// together: 100 kB a second at the most, with 15 bytes each.
 	copiesPerRound = 160
 )
 
-// origin says how a router has come to know of a copy, and so whom it tells.
+// origin says how a router has come to know of a copy, which decides whom it tells.
 type origin uint8
 
 const (
-	fromSelf   origin = iota // told to the aggregator, and as the next
+	fromSelf   origin = iota // told to the aggregator, and as fromReport
 	fromReport               // told to all that report here and to other halls
 	fromSum                  // told to all that report here
 	fromDigest               // told to nobody
@@ -38,7 +39,7 @@
 	from   string // the router that told it
 }
 
-// copyLog holds the copies of late, oldest first. The zero value is ready.
+// copyLog holds the copies of the last copyFor, oldest first. The zero value is ready.
 type copyLog struct {
 	known   map[Copy]bool
 	entries []knownCopy
@@ -77,15 +78,16 @@
 // end is the position after the last entry.
 func (l *copyLog) end() uint64 { return l.dropped + uint64(len(l.entries)) }
 
-// copyReader is how far one receiver has been told: where the log ended at each of the
+// copyReader is how far one receiver has been told: the ends of the log at the time of the
 // last lists to it, the latest first.
 type copyReader struct {
 	ends   [copyRepeats]uint64
 	readAt time.Duration
 }
 
-// next returns what the next list to a receiver tells: what came since the oldest of the
-// last lists, so that each copy is in as many. Over the budget the newest are told.
+// next returns the copies for the next list to a receiver: those that came since the oldest
+// of the last copyRepeats lists, so that each copy is in as many lists. Where there are more
+// than most, the newest are told.
 func (l *copyLog) next(r *copyReader, most int, wanted func(knownCopy) bool) []Copy {
 	begin := max(r.ends[copyRepeats-1], l.dropped) - l.dropped
 	copy(r.ends[1:], r.ends[:])
@@ -150,7 +152,7 @@
 	}
 }
 
-// listKey names a row of lists to one router.
+// listKey names the lists of one kind that are sent to one router.
 type listKey struct {
 	to   string
 	kind Kind
--- a/loads/changes_test.go
+++ b/loads/delta_test.go
@@ -17,7 +17,7 @@
 	})
 	rapid.Check(t, func(t *rapid.T) {
 		old, now := draw.Draw(t, "old"), draw.Draw(t, "now")
-		require.Equal(t, now, change(old, changes(old, now)))
+		require.Equal(t, now, patch(old, diff(old, now)))
 	})
 }
 
@@ -61,7 +61,7 @@
 
 func manyLoads(router int) []Load {
 	var out []Load
-	for i := range changesAbove + 100 {
+	for i := range deltaAbove + 100 {
 		out = append(out, Load{Server: uint32(1000 + i), Running: int32(1 + (i+router)%7)})
 	}
 	return out
--- a/loads/doc.go
+++ b/loads/doc.go
@@ -13,20 +13,20 @@
 //
 // Halls lie in regions. The best router of a region tells one of each other region, with
 // the lists that tell of teams, what its whole region has; that one passes it on to its
-// halls' aggregators, and they to their routers. So a byte between regions is sent once for
-// a region, and as loads of far servers matter only where near ones are full, a tenth of a
-// second late. Lists of one region cover the same routers whoever sends them: each router
+// halls' aggregators, and they to their routers. So what a region has is sent to another
+// region once, not to each of its routers. That loads of far servers are then a tenth of a
+// second late does little harm: they matter only where near ones are full. Lists of one region cover the same routers whoever sends them: each router
 // counts one list of each other region, never two.
 //
 // Copies of prompts' parts go with the lists within a region, each in a few lists to each
 // receiver. They do not cross between regions: a request goes to a far server only when its
 // own region is full, and then where there is room rather than where its prompt is kept.
 //
-// Where a digest would name hundreds of servers, it tells only what has changed since the
-// last whole one that the receiver says, in its report, it holds.
+// A digest that would name hundreds of servers is sent as a delta: what has changed since
+// the last full digest that the receiver, by its report, holds.
 //
-// Nothing is agreed on and nothing is kept: reports are whole, each replaces the
-// last, and what has not been renewed is dropped. Where routers differ about the
+// Nothing is agreed on and nothing lasts: each report holds all that its router has and
+// replaces the last, and what has not been renewed is dropped. Where routers differ about the
 // aggregator of their hall, each sum still counts every router once, but for the
 // moments after an aggregator is lost, while its last sum still holds.
 //
--- a/loads/exchange.go
+++ b/loads/exchange.go
@@ -44,10 +44,10 @@
 	regions     map[regionKey]regionList // what other regions have
 	// asked are the routers of other regions that this one tells, and since when.
 	asked       map[string]time.Duration
-	wholes      map[string]whole // the last whole digests, by the router that each was sent to
-	held        whole            // the last whole digest that came
+	sentFull    map[string]fullDigest // the last full digests, by the router that each was sent to
+	heldFull    fullDigest            // the last full digest that came
 	copies      copyLog
-	newCopies   []Copy // that this router has not been told yet
+	newCopies   []Copy // of other routers, not yet handed on in an OthersCmd
 	copyReaders map[listKey]*copyReader
 	// unanswered is when the first report was sent that the aggregator has not
 	// answered; 0: there is none.
@@ -68,7 +68,7 @@
 		digests: make(map[string]list), avoided: make(map[string]time.Duration),
 		teamReports: make(map[string]teamList), teamSums: make(map[string]teamList),
 		regions: make(map[regionKey]regionList), asked: make(map[string]time.Duration),
-		copyReaders: make(map[listKey]*copyReader), wholes: make(map[string]whole),
+		copyReaders: make(map[listKey]*copyReader), sentFull: make(map[string]fullDigest),
 	}
 }
 
@@ -136,7 +136,7 @@
 	}
 	e.unanswered = 0
 	e.newCopies = append(e.newCopies, e.takeCopies(msg.Now, msg.Copies, fromDigest, msg.From)...)
-	loads, ok := e.lengthen(msg)
+	loads, ok := e.expand(msg)
 	if !ok { // the next report says what this router holds
 		return
 	}
@@ -154,7 +154,7 @@
 func (e *Exchange) answer(report ListMsg) {
 	now, to := report.Now, report.From
 	digest := SendCmd{To: to, Kind: Digest, HasTeams: report.HasTeams, Copies: e.copiesFor(now, to, Digest)}
-	digest.Loads, digest.Base = e.shorten(report, e.allBut(now, to))
+	digest.Loads, digest.Base = e.deltaFor(report, e.allBut(now, to))
 	if report.HasTeams {
 		digest.Teams, digest.Rollouts = e.teamsBut(now, to), e.rolloutsBut(now, to)
 	}
@@ -209,7 +209,7 @@
 		e.unanswered = now
 	}
 	e.emit(SendCmd{
-		To: e.aggregator, Kind: Report, Base: e.held.base, Loads: e.own,
+		To: e.aggregator, Kind: Report, Base: e.heldFull.base, Loads: e.own,
 		HasTeams: msg.HasTeams, Teams: msg.Teams, Rollouts: msg.Rollouts, Copies: copies,
 	})
 }
@@ -257,9 +257,9 @@
 
 // drop forgets what has not been renewed.
 func (e *Exchange) drop(now time.Duration) {
-	for from := range e.wholes {
+	for from := range e.sentFull {
 		if _, ok := e.reports[from]; !ok {
-			delete(e.wholes, from)
+			delete(e.sentFull, from)
 		}
 	}
 	for _, lists := range []map[string]list{e.reports, e.sums, e.digests} {
--- a/loads/messages.go
+++ b/loads/messages.go
@@ -17,8 +17,8 @@
 	// The others cover all routers of one region.
 	RegionSum    // from the aggregator of the region to one of another, which tells its own
 	RegionAnswer // the same, in answer to a RegionSum
-	Passed       // passed on to the aggregators of another region's halls
-	FarDigest    // passed on to the routers of such a hall
+	Passed       // passed on by that one to the aggregators of its region's other halls
+	FarDigest    // passed on by an aggregator to the routers that report to it
 )
 
 // Router is another router that is there.
@@ -45,8 +45,8 @@
 	Region string // that the list covers; only where its kind covers one
 	Kind   Kind
 	Number uint64
-	// Base names the whole digest that a report's sender holds, or since which the digest
-	// tells changes; 0: none.
+	// Base names a full digest: in a report the one that its sender holds, in a digest the
+	// one to which Loads are a delta; 0: none.
 	Base  uint64
 	Loads []Load
 	// HasTeams says that the list tells of teams too, as one in some does.
--- a/loads/regions.go
+++ b/loads/regions.go
@@ -11,12 +11,14 @@
 // with the lists that tell of teams, and a few may be lost.
 const RegionHold = TeamsHold
 
-// regionSilence is how long a router of another region may leave lists unanswered, and how
-// old the list of the best sender may be where another's is newer: three are lost in turn.
+// regionSilence is how long a router of another region may leave lists unanswered before the
+// next one is told too, and how old its list may be before a worse sender's newer list counts
+// instead: time for three lists to be lost in a row.
 const regionSilence = 4 * TeamsEvery
 
-// regionTold bounds the routers of one region that are told where none answers: its best,
-// the next to lead its halls, and the one that the best's hall turns to.
+// regionTold bounds the routers of one region that are told while none of them answers: the
+// first of its halls' aggregators, the next one, and a router that may have taken over from
+// the first.
 const regionTold = 3
 
 // regionKey names the lists that one router tells of one region.
@@ -164,15 +166,15 @@
 func (e *Exchange) best(now time.Duration, region string) regionList {
 	var best regionList
 	for key, l := range e.regions {
-		if key.region == region && (best.from == "" || e.rather(now, l, best)) {
+		if key.region == region && (best.from == "" || e.preferred(now, l, best)) {
 			best = l
 		}
 	}
 	return best
 }
 
-// rather tells whether one list of a region counts in place of another.
-func (e *Exchange) rather(now time.Duration, a, b regionList) bool {
+// preferred tells whether a list of a region counts rather than another of the same region.
+func (e *Exchange) preferred(now time.Duration, a, b regionList) bool {
 	freshA, freshB := now-a.at <= regionSilence, now-b.at <= regionSilence
 	switch {
 	case freshA != freshB:
--- a/loads/rollouts.go
+++ b/loads/rollouts.go
@@ -8,9 +8,9 @@
 	"github.com/croftvale/croftvale/rollout"
 )
 
-// RolloutHold is how long a list of roll-outs counts without a newer one. A report that is
-// missing holds a roll-out back for a moment, one that counts twice could hide a router
-// that has not told yet: so it is shorter than that of teams.
+// RolloutHold is how long a list of roll-outs counts without a newer one. It is shorter than
+// TeamsHold: while a missing report only delays a roll-out for a moment, a router that counts
+// twice could hide another that has not reported yet.
 const RolloutHold = 350 * time.Millisecond
 
 // reportedRollouts merges what the routers that report to this one, and this one where it
