Roll-outs: time in which the leader was stopped, or the others unheard, is not quiet

Both new tests failed before.

rollback_ms is no longer read: nothing depended on it, and a settings file without it kept a router from starting.

--- a/rollout/bounds.go
+++ b/rollout/bounds.go
@@ -1,7 +1,5 @@
 package rollout
 
-import "time"
-
 // Bounds are what a bad version may do before it is stopped.
 type Bounds struct {
 	// Share is the most that it may get of all requests of its service from the order to
@@ -9,9 +7,6 @@
 	// is bounded, and roll-outs are not on.
 	Share float64
 	Slack float64
-	// Stop is the most that may pass between a bad answer that shows it and the last
-	// request that it gets.
-	Stop time.Duration
 }
 
 // On tells whether roll-outs are bounded, and with that on.
--- /dev/null
+++ b/rollout/paused_test.go
@@ -0,0 +1,46 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// callsFor has a leading machine that hears some routers of a fleet watch a service with
+// many calls for a moment.
+func callsFor(routers int) (m *Machine, tick func(now time.Duration)) {
+	m = NewMachine(Options{Share: 0.2, Slack: 50})
+	m.Update(VersionsMsg{Services: map[string][]string{"llm": {"v1", "v2"}}})
+	m.Update(RecordsMsg{Records: []Record{{Service: "llm", Revision: 1, InUse: []string{"v1"}}}})
+	m.Update(OrdersMsg{Orders: []Order{{Service: "llm", Target: "v2", Within: 6 * time.Second, Made: "1", Revision: 2}}})
+	tick = func(now time.Duration) { m.Update(TickMsg{Now: now, Leads: true, Routers: routers}) }
+	return m, tick
+}
+
+// TestRolloutPausedIsNotQuiet stops the leading router for a while, under load: that it
+// saw no answers meanwhile is no sign that nobody calls the service.
+func TestRolloutPausedIsNotQuiet(t *testing.T) {
+	m, tick := callsFor(1)
+	for now := time.Duration(0); now <= 200*time.Millisecond; now += TickEvery {
+		for range 4 {
+			m.Update(AnswerMsg{Now: now, Service: "llm", Route: "r", Cohort: "a"})
+		}
+		tick(now)
+	}
+	tick(2300 * time.Millisecond)
+	tick(2400 * time.Millisecond)
+	require.Equal(t, Trial, m.Standings()[0].Stage)
+}
+
+// TestRolloutUnheardIsNotQuiet has a leading router see no calls itself and hear nothing
+// of what another sees.
+func TestRolloutUnheardIsNotQuiet(t *testing.T) {
+	for _, routers := range []int{1, 2} {
+		m, tick := callsFor(routers)
+		for now := time.Duration(0); now <= 3*time.Second; now += TickEvery {
+			tick(now)
+		}
+		require.Equal(t, routers == 1, m.Standings()[0].Stage > Trial)
+	}
+}
--- a/rollout/roll.go
+++ b/rollout/roll.go
@@ -14,6 +14,7 @@
 	// recorded is the age by the record, of which nobody else may know any more.
 	recorded     time.Duration
 	seenAt       time.Duration
+	watched      time.Duration // since then, less the times in which this router did not run
 	stage        Stage
 	raisedAt     time.Duration // age
 	own          cells
@@ -62,6 +63,7 @@
 // pass brings the age up to now.
 func (r *roll) pass(now time.Duration) {
 	if now > r.agedAt {
+		r.watched += min(now-r.agedAt, longestLook)
 		r.age += now - r.agedAt
 		r.agedAt = now
 	}
@@ -131,11 +133,15 @@
 // quietAfter is how long a service has to be watched before it is called quiet.
 const quietAfter = 2 * time.Second
 
+// longestLook is the most that the time between two ticks counts as watched: a router
+// that was stopped for longer saw nothing of what went on.
+const longestLook = 3 * TickEvery
+
 // quiet tells whether so little goes on that moving all of it exposes next to nobody.
-// Without that, a service which nobody calls could never move.
-func (r *roll) quiet(now time.Duration) bool {
-	watched := now - r.seenAt
-	if watched < quietAfter {
+// Without that, a service which nobody calls could never move. A router that doesn't hear
+// all others can't tell.
+func (r *roll) quiet(routers int) bool {
+	if r.watched < quietAfter || int(r.others.Routers)+1 < routers {
 		return false
 	}
 	fresh := r.all.total(true)
@@ -144,12 +150,12 @@
 	}
 	answers := fresh.answers() + r.all.total(false).answers()
 	ahead := max(0, r.plan.end-r.age)
-	return answers*float64(ahead) <= quietRequests*float64(watched)
+	return answers*float64(ahead) <= quietRequests*float64(r.watched)
 }
 
 // proven tells whether the target may get more than the trial's part.
-func (r *roll) proven(now time.Duration) bool {
-	return r.trusted || r.judge.Verdict() == Good || r.judge.Verdict() != Bad && r.quiet(now)
+func (r *roll) proven(routers int) bool {
+	return r.trusted || r.judge.Verdict() == Good || r.judge.Verdict() != Bad && r.quiet(routers)
 }
 
 // next is the stage that is due, if nothing speaks against it.
--- a/rollout/steps.go
+++ b/rollout/steps.go
@@ -25,7 +25,6 @@
 	causeNoProof  = "too little evidence for the target"
 	causeServers  = "no servers of the target"
 	causeIdle     = "nothing runs at old servers"
-	causeCurrent  = "target is the version in use"
 	causeReplaced = "replaced"
 	causeDeleted  = "deleted"
 	causeAgain    = "seen again after it was deleted"
--- a/rollout/tick.go
+++ b/rollout/tick.go
@@ -29,7 +29,7 @@
 		return
 	}
 	m.giveUp(s, now)
-	if next, due := r.next(); due && (next <= Trial || r.proven(now)) {
+	if next, due := r.next(); due && (next <= Trial || r.proven(m.routers)) {
 		m.raise(s, next, causeTime)
 	}
 	m.confirm(s, now)
@@ -64,7 +64,7 @@
 // giveUp rejects a target that can't be done in time.
 func (m *Machine) giveUp(s *service, now time.Duration) {
 	r := s.roll
-	if r.age >= r.plan.lastRamp && r.stage <= Trial && !r.proven(now) {
+	if r.age >= r.plan.lastRamp && r.stage <= Trial && !r.proven(m.routers) {
 		m.reject(s, causeNoProof)
 	}
 	if r.age >= r.plan.lastRamp && r.stage <= Trial && !r.serversThere {
