Moving streams: a move ends with the attempt that it was meant for

A move that came while a connection was being opened, which then failed, was kept until the next attempt, and broke that one off at once: at the target's server, and as the last attempt the request failed. Whatever came before the next attempt is sent was meant for one that has ended, so it is dropped there. Clearing it as the attempt returns was ruled out: the machine may still emit a move until it is told of the end.

The test fails on the code before.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -78,6 +78,8 @@
 
 func (c *core) deliver(id direct.RequestID, cmd direct.Cmd) {
 	if w := c.waiters[id]; w != nil {
+		// A move that came until now was of an attempt that has ended.
+		w.moves = false
 		w.commands <- cmd
 	}
 }
