Roll-outs: a target in use takes requests until its order is under way

Until a leader raised the stage, the gate of an order for a version in use named it as the target with a part of nothing: its servers got no requests, and where no other version is in use, the service had none at all. So it was between the order and the next tick of the leader, at a router that just started, and for as long as nobody led or the store kept back the status of an order without time. The gate now stays as it is beside a roll-out till then. A part of one from the start was ruled out: the order is not to close the other versions in use before a leader says so.

The test fails on the code before.

--- a/rollout/gates.go
+++ b/rollout/gates.go
@@ -20,6 +20,10 @@
 		return g
 	}
 	r := s.roll
+	if r.trusted && r.inForce() == Waiting {
+		// Its servers take requests already, and there may be no others.
+		return g
+	}
 	g.Target = r.order.Target
 	switch r.inForce() {
 	case Waiting:
