Roll-outs: versions of a first list that were rolled back are not in use

Without a record, or with one that cannot be read, the versions in use are those of the first list of servers but for the order's target. The servers of the order before it, whose rolled-back status is still on the object, are listed for some seconds more, and got requests again. They are left out as long as others are left.

The test fails on the code before.

--- /dev/null
+++ b/rollout/first_test.go
@@ -0,0 +1,20 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRolloutFirstVersionsLeaveOutRejected shows that without a record, a version that was
+// rolled back by the order before this one is not taken for one in use.
+func TestRolloutFirstVersionsLeaveOutRejected(t *testing.T) {
+	m := NewMachine(Options{Share: 0.1})
+	m.Update(VersionsMsg{Services: map[string][]string{"s": {oldVersion, newVersion, "v3"}}})
+	m.Update(RecordsMsg{})
+	order := Order{Service: "s", Target: "v3", Within: time.Minute, Made: "1", Revision: 2, State: RolledBack, StateTarget: newVersion}
+	got := gatesOf(m.Update(OrdersMsg{Orders: []Order{order}}))
+	require.Len(t, got, 1)
+	require.Equal(t, []string{oldVersion}, got[0].InUse)
+}
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -120,17 +120,24 @@
 }
 
 // firstVersions are those of a service's first list of servers, but for one that is only
-// on its way to be used.
+// on its way to be used, and for those that were rejected.
 func (s *service) firstVersions() []string {
-	if len(s.versions) == 0 {
-		return nil
+	first := s.versions
+	leaveOut := func(version string) {
+		if rest := without(first, version); len(rest) > 0 {
+			first = rest
+		}
 	}
 	if s.order != nil {
-		if rest := without(s.versions, s.order.Target); len(rest) > 0 {
-			return rest
-		}
+		leaveOut(s.order.Target)
+	}
+	for _, version := range s.rejected {
+		leaveOut(version)
+	}
+	if len(first) == 0 {
+		return nil
 	}
-	return slices.Clone(s.versions)
+	return slices.Clone(first)
 }
 
 // wanted is the record as it should be.
