--- a/rollout/service.go
+++ b/rollout/service.go
@@ -120,17 +120,25 @@
 }
 
 // firstVersions returns the versions in use of a service without a record: those of its
-// first list of servers, except the target of its order.
+// first list of servers, except the target of its order and versions that were rejected,
+// unless no others are left.
 func (s *service) firstVersions() []string {
-	if len(s.versions) == 0 {
-		return nil
+	first := s.versions
+	leaveOut := func(version string) {
+		if rest := without(first, version); len(rest) > 0 {
+			first = rest
+		}
 	}
 	if s.order != nil {
-		if rest := without(s.versions, s.order.Target); len(rest) > 0 {
-			return rest
-		}
+		leaveOut(s.order.Target)
+	}
+	for _, version := range s.rejected {
+		leaveOut(version)
+	}
+	if len(first) == 0 {
+		return nil
 	}
-	return slices.Clone(s.versions)
+	return slices.Clone(first)
 }
 
 // wanted returns the record as the store should hold it.
