--- a/direct/share.go
+++ b/direct/share.go
@@ -1,11 +1,6 @@
 package direct
 
-import (
-	"cmp"
-	"math"
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// shareEvery is how often shares are worked out.
@@ -25,20 +20,6 @@
 	headroomShrinks = 0.95
 	headroomMost    = 4.0
 	headroomFrom    = 0.8 // of busy: below, the headroom grows
-	// satisfied is the part of what it asks for that a team gets from which it
-	// counts as satisfied.
-	satisfied = 0.8
-	// wantsFrom is the demand, in shares, from which a team wants more than its
-	// share.
-	wantsFrom = 1.1
-	// While a team wants more and gets less, others get at most evenWithin times
-	// what it gets; up to evenShares of their share, since some of what they get
-	// comes too late to count, shareWithin times. It counts as getting leastEven
-	// of its share at the least.
-	evenWithin  = 1.3
-	evenShares  = 1.3
-	shareWithin = 1.5
-	leastEven   = 0.45
 )
 
 // share works out how much a team may have. What all teams may have together is
@@ -105,61 +86,6 @@
 	return free, served
 }
 
-// boundEven works out what teams may get above their shares while others get less.
-func (m *Machine) boundEven(now time.Duration) {
-	m.even = math.Inf(1)
-	if !m.uses(EvenBound) {
-		return
-	}
-	free := m.leastServed(now)
-	m.even = m.evenLevel(nil, m.base, free)
-	for _, g := range m.groups {
-		g.even = m.evenLevel(g, g.base, free)
-	}
-}
-
-// leastServed notes with each group the least that one of its teams gets that wants more
-// than its share and gets less, and returns that of the teams that are not bound.
-func (m *Machine) leastServed(now time.Duration) float64 {
-	free := math.Inf(1)
-	for _, t := range m.teams {
-		offered, served := t.offeredRate(now), t.servedRate(now)
-		switch {
-		case offered <= wantsFrom*m.boundsOf(t).base || served >= satisfied*offered:
-		case t.group == nil:
-			free = min(free, served)
-		default:
-			t.group.least = min(t.group.least, served)
-		}
-	}
-	return free
-}
-
-// evenLevel returns what a team of a group may get as long as another team that draws on
-// the same regions wants more than its share and gets less: not much more, in parts of its
-// own share, than the least that those get.
-func (m *Machine) evenLevel(group *teamGroup, base, free float64) float64 {
-	if math.IsInf(base, 1) {
-		return base
-	}
-	least := inShares(free, m.base, base)
-	for _, g := range m.groups {
-		if group.meets(g) {
-			least = min(least, inShares(g.least, g.base, base))
-		}
-	}
-	least = max(least, leastEven*base)
-	return max(evenWithin*least, min(evenShares*base, shareWithin*least))
-}
-
-// inShares returns the same part of a share as some tokens are of another share.
-func inShares(tokens, of, share float64) float64 {
-	if of == share || math.IsInf(tokens, 1) {
-		return tokens
-	}
-	return tokens * (share / of)
-}
-
 // weighTeams adds up what teams ask of this router. What is refused at the door
 // does not count, since it takes little processor time.
 func (m *Machine) weighTeams(now time.Duration) {
@@ -185,54 +111,6 @@
 	return t.entered.decay(now) * m.weightUnit
 }
 
-// TeamShare is what a team asks for and gets, in tokens a second.
-type TeamShare struct {
-	Team            string
-	Offered, Served float64
-}
-
-// BoundShare is what a team may get that is bound to some regions.
-type BoundShare struct {
-	Regions     []string
-	Level, Even float64 // as in Shares
-}
-
-// Shares is what the machine takes the teams' shares to be.
-type Shares struct {
-	Level    float64      // most that a team may get while capacity is short; 0: no bound
-	Even     float64      // most that a team may get while others get less; 0: no bound
-	Headroom float64      // what all may have, in parts of what is configured
-	Busy     float64      // how busy the busiest pool of engines is; above 1 there is no room
-	Bound    []BoundShare `json:",omitempty"` // where they differ for teams that are bound to some regions
-	Most     []TeamShare
-}
-
-// shown is a level as it is shown: an infinite one can't be written as JSON.
-func shown(level float64) float64 {
-	if math.IsInf(level, 0) {
-		return 0
-	}
-	return level
-}
-
-// Shares returns the shares, with the n teams that ask for most.
-func (m *Machine) Shares(now time.Duration, n int) Shares {
-	s := Shares{Level: shown(m.level), Even: shown(m.even), Headroom: m.headroom, Busy: m.busy}
-	for _, g := range m.groups {
-		if g.level != m.level || g.even != m.even {
-			s.Bound = append(s.Bound, BoundShare{Regions: g.regions.Names(), Level: shown(g.level), Even: shown(g.even)})
-		}
-	}
-	for name, t := range m.teams {
-		s.Most = append(s.Most, TeamShare{Team: name, Offered: t.offeredRate(now), Served: t.servedRate(now)})
-	}
-	slices.SortFunc(s.Most, func(a, b TeamShare) int {
-		return cmp.Or(cmp.Compare(b.Offered, a.Offered), cmp.Compare(a.Team, b.Team))
-	})
-	s.Most = s.Most[:min(n, len(s.Most))]
-	return s
-}
-
 // busy tells how much the engines of a pool have to do; above 1 they are busy.
 func (p *pool) busy(now time.Duration) float64 {
 	if p.engine == nil {
--- a/loads/exchange.go
+++ b/loads/exchange.go
@@ -180,14 +180,6 @@
 	}
 }
 
-// forget drops all that has not been renewed.
-func (e *Exchange) forget(now time.Duration) {
-	e.drop(now)
-	e.dropTeams(now)
-	e.dropRegions(now)
-	e.dropCopies(now)
-}
-
 // near is what all the others of the region have, as this aggregator knows it.
 func (e *Exchange) near(msg TickMsg) OthersCmd {
 	others := OthersCmd{Loads: e.allBut(msg.Now, e.self.Address), HasTeams: msg.HasTeams}
@@ -230,47 +222,6 @@
 	}
 }
 
-// reported adds up what those have that report here, without one of them. This
-// router counts where it is its own aggregator.
-func (e *Exchange) reported(without string) []Load {
-	var lists [][]Load
-	for _, from := range sortedKeys(e.reports) {
-		if from != without {
-			lists = append(lists, e.reports[from].loads)
-		}
-	}
-	if e.aggregator == e.self.Address && without != e.self.Address {
-		lists = append(lists, e.own)
-	}
-	return sum(lists...)
-}
-
-// allBut adds up what all routers of the region have but one of those that report here.
-func (e *Exchange) allBut(now time.Duration, without string) []Load {
-	e.drop(now)
-	lists := [][]Load{e.reported(without)}
-	for _, from := range sortedKeys(e.sums) {
-		lists = append(lists, e.sums[from].loads)
-	}
-	return sum(lists...)
-}
-
-// drop forgets what has not been renewed.
-func (e *Exchange) drop(now time.Duration) {
-	for from := range e.sentFull {
-		if _, ok := e.reports[from]; !ok {
-			delete(e.sentFull, from)
-		}
-	}
-	for _, lists := range []map[string]list{e.reports, e.sums, e.digests} {
-		for from, l := range lists {
-			if now-l.at > Hold {
-				delete(lists, from)
-			}
-		}
-	}
-}
-
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- /dev/null
+++ b/loads/sums.go
@@ -0,0 +1,28 @@
+package loads
+
+import "time"
+
+// reported adds up what those have that report here, without one of them. This
+// router counts where it is its own aggregator.
+func (e *Exchange) reported(without string) []Load {
+	var lists [][]Load
+	for _, from := range sortedKeys(e.reports) {
+		if from != without {
+			lists = append(lists, e.reports[from].loads)
+		}
+	}
+	if e.aggregator == e.self.Address && without != e.self.Address {
+		lists = append(lists, e.own)
+	}
+	return sum(lists...)
+}
+
+// allBut adds up what all routers of the region have but one of those that report here.
+func (e *Exchange) allBut(now time.Duration, without string) []Load {
+	e.drop(now)
+	lists := [][]Load{e.reported(without)}
+	for _, from := range sortedKeys(e.sums) {
+		lists = append(lists, e.sums[from].loads)
+	}
+	return sum(lists...)
+}
--- /dev/null
+++ b/rollout/quiet.go
@@ -0,0 +1,27 @@
+package rollout
+
+import "time"
+
+// quietRequests is how many requests, from now to the deadline, may go to a version on
+// little or no evidence. Callers bear some 50 bad answers of a version before it is stopped;
+// half of that leaves room for traffic that picks up.
+const quietRequests = 25
+
+// quietAfter is how long a service has to be watched before it is called quiet.
+const quietAfter = 2 * time.Second
+
+// quiet tells whether so few requests come that the target may get all of them without
+// evidence. Otherwise a service that nobody calls could never be moved. A router that does
+// not hear all others can't tell how many come.
+func (r *roll) quiet(routers int) bool {
+	if r.watched < quietAfter || int(r.others.Routers)+1 < routers {
+		return false
+	}
+	fresh := r.all.total(true)
+	if fresh.Bad > fresh.Good {
+		return false
+	}
+	answers := fresh.answers() + r.all.total(false).answers()
+	ahead := max(0, r.plan.end-r.age)
+	return answers*float64(ahead) <= quietRequests*float64(r.watched)
+}
