Judging a roll-out: a router that is heard again adds no evidence by that

Where a router's list was not heard for some time, the sums fell by all that it had counted, and rose again as it came back. What was new since the last slice then held its whole history: the same few bad answers counted once more each time, on a lossy link until a good version was rejected. While the sums had fallen, the new answers of others in the same cells were hidden until the slice ended. Now, when the number of routers falls, or rises again to no more than were heard before, the others' counts are taken as known; this router's own are judged all the same. What the others answered in that one tick is not judged. Sums that never fall were ruled out: after the loss of many routers nothing would be judged until the rest had counted as much. Counts by router were ruled out: lists are sums over halls and regions. One router that is lost in the same tick as another comes back still counts once more.

--- /dev/null
+++ b/rollout/flapping_test.go
@@ -0,0 +1,38 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRolloutRouterHeardAgain shows that the answers of a router which is not heard for
+// some time, again and again, count once: a few bad ones do not end a roll-out, and remain
+// known.
+func TestRolloutRouterHeardAgain(t *testing.T) {
+	order := Order{Service: "s", Target: newVersion, Within: time.Minute, Made: "1", Revision: 2}
+	m := NewMachine(Options{Share: 0.1})
+	m.Update(VersionsMsg{Services: map[string][]string{"s": {oldVersion, newVersion}}})
+	m.Update(RecordsMsg{Records: []Record{{Service: "s", Revision: 1, InUse: []string{oldVersion}}}})
+	m.Update(OrdersMsg{Orders: []Order{order}})
+	there := Report{Service: "s", Order: order.Key(), Routers: 1, Known: Trial, InForce: Trial}
+	for _, cohort := range []string{"x", "y", "z"} {
+		there.Cells = append(there.Cells,
+			Cell{Route: "a", Cohort: cohort, Target: true, Good: 3, Bad: 1},
+			Cell{Route: "a", Cohort: cohort, Good: 300, Bad: 3})
+	}
+	for now := TickEvery; now < 19*time.Second; now += TickEvery {
+		var heard []Report
+		if now%(3*time.Second) < 1500*time.Millisecond {
+			heard = append(heard, there)
+		}
+		m.Update(OthersMsg{Now: now, Reports: heard})
+		for _, c := range m.Update(TickMsg{Now: now, Leads: true, Routers: 2}) {
+			if step, ok := c.(StepCmd); ok {
+				require.NotEqual(t, StepRejected, step.Step, step.Cause)
+			}
+		}
+	}
+	require.Equal(t, Tally{Good: 9, Bad: 3}, m.services["s"].roll.all.total(true))
+}
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -63,6 +63,7 @@
 // bad, without windows of a fixed length.
 type Judge struct {
 	base     cells
+	slice    cells // open, as of the last look
 	sliceAt  time.Duration
 	began    bool
 	tests    map[testKey]*evidence // up to the open slice
@@ -92,17 +93,26 @@
 	slice := all.since(j.base)
 	j.good = all.total(true).Good
 	j.looked = j.with(slice)
+	j.slice = slice
 	if now-j.sliceAt >= sliceFor {
-		j.close(now, all, slice)
+		j.close(now, all)
 	}
 	return j.Verdict()
 }
 
-func (j *Judge) close(now time.Duration, all, slice cells) {
+// skip takes counts as known, however they come about: only what comes on top is judged.
+func (j *Judge) skip(now time.Duration, all cells) {
+	if j.began {
+		j.close(now, all)
+	}
+}
+
+func (j *Judge) close(now time.Duration, all cells) {
 	j.tests = j.looked
 	j.base = all
 	j.sliceAt = now
-	j.baseline.learn(slice)
+	j.baseline.learn(j.slice)
+	j.slice = nil
 }
 
 // with returns the tests with a slice added.
--- a/rollout/roll.go
+++ b/rollout/roll.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // roll is one roll-out under way, as one router sees it.
 type roll struct {
@@ -18,7 +21,10 @@
 	stage        Stage
 	raisedAt     time.Duration // age
 	own          cells
+	looked       cells // own, at the last look
 	others       Report
+	heard        uint32 // others, at the last look
+	mostHeard    uint32
 	all          cells
 	judge        *Judge
 	hold         hold
@@ -123,9 +129,25 @@
 	if r.trusted {
 		return Undecided
 	}
+	if r.regrouped() {
+		known := cellsOf(r.others.Cells)
+		known.add(r.looked)
+		r.judge.skip(now, known)
+	}
+	r.looked = maps.Clone(r.own)
 	return r.judge.look(now, r.all)
 }
 
+// regrouped tells whether routers were lost, or came back, since the last look. What one
+// that comes back had counted would be judged once more. Routers beyond the most that
+// were heard together are new here, with all that they have counted.
+func (r *roll) regrouped() bool {
+	n := r.others.Routers
+	changed := n != r.heard && n <= r.mostHeard
+	r.heard, r.mostHeard = n, max(r.mostHeard, n)
+	return changed
+}
+
 // quietRequests is how many requests, from now to the deadline, may go to a version on
 // little or no evidence: half of the 50 bad answers that callers bear.
 const quietRequests = 25
