--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -65,6 +65,7 @@
 // one that turns bad later, without windows of a fixed length.
 type Judge struct {
 	base     cells                 // all counts at the start of the open slice
+	slice    cells                 // the open slice, as of the last look
 	sliceAt  time.Duration         // when it started
 	began    bool                  // a slice is open
 	tests    map[testKey]*evidence // up to the open slice
@@ -94,18 +95,27 @@
 	slice := all.since(j.base)
 	j.good = all.total(true).Good
 	j.looked = j.with(slice)
+	j.slice = slice
 	if now-j.sliceAt >= sliceFor {
-		j.close(now, all, slice)
+		j.close(now, all)
 	}
 	return j.Verdict()
 }
 
+// skip takes counts as known without judging them: only what comes on top is judged.
+func (j *Judge) skip(now time.Duration, all cells) {
+	if j.began {
+		j.close(now, all)
+	}
+}
+
 // close ends the open slice of time and opens the next.
-func (j *Judge) close(now time.Duration, all, slice cells) {
+func (j *Judge) close(now time.Duration, all cells) {
 	j.tests = j.looked
 	j.base = all
 	j.sliceAt = now
-	j.baseline.learn(slice)
+	j.baseline.learn(j.slice)
+	j.slice = nil
 }
 
 // with returns copies of the tests with a slice added.
--- a/rollout/roll.go
+++ b/rollout/roll.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // roll is one roll-out under way, as one router sees it. Ages are times since the order was
 // made; other times are on this router's monotonic clock.
@@ -20,7 +23,10 @@
 	stage        Stage
 	raisedAt     time.Duration // age at which the stage was raised
 	own          cells         // evidence of this router
+	looked       cells         // own, at the last look
 	others       Report        // merged, of the other routers
+	heard        uint32        // how many others were heard at the last look
+	mostHeard    uint32        // the greatest heard so far
 	all          cells         // evidence of all, at the last tick
 	judge        *Judge
 	hold         hold
@@ -131,9 +137,25 @@
 	if r.trusted {
 		return Undecided
 	}
+	if r.regrouped() {
+		known := cellsOf(r.others.Cells)
+		known.add(r.looked)
+		r.judge.skip(now, known)
+	}
+	r.looked = maps.Clone(r.own)
 	return r.judge.look(now, r.all)
 }
 
+// regrouped tells whether routers were lost, or came back, since the last look: the counts of
+// one that comes back were judged before, and must not be judged again. Routers beyond the
+// most that were heard together are new to this one, and so are all their counts.
+func (r *roll) regrouped() bool {
+	n := r.others.Routers
+	changed := n != r.heard && n <= r.mostHeard
+	r.heard, r.mostHeard = n, max(r.mostHeard, n)
+	return changed
+}
+
 // proven tells whether the target may get more than the trial's part.
 func (r *roll) proven(routers int) bool {
 	return r.trusted || r.judge.Verdict() == Good || r.judge.Verdict() != Bad && r.quiet(routers)
