--- a/loads/exchange.go
+++ b/loads/exchange.go
@@ -44,10 +44,10 @@
 	regions     map[regionKey]regionList // what other regions have
 	// asked are the routers of other regions that this one tells, and since when.
 	asked       map[string]time.Duration
-	wholes      map[string]whole // the last whole digests, by the router that each was sent to
-	held        whole            // the last whole digest that came
+	sentFull    map[string]fullDigest // the last full digests, by the router that each was sent to
+	heldFull    fullDigest            // the last full digest that came
 	copies      copyLog
-	newCopies   []Copy // that this router has not been told yet
+	newCopies   []Copy // of other routers, not yet handed on in an OthersCmd
 	copyReaders map[listKey]*copyReader
 	// unanswered is when the first report was sent that the aggregator has not
 	// answered; 0: there is none.
@@ -68,7 +68,7 @@
 		digests: make(map[string]list), avoided: make(map[string]time.Duration),
 		teamReports: make(map[string]teamList), teamSums: make(map[string]teamList),
 		regions: make(map[regionKey]regionList), asked: make(map[string]time.Duration),
-		copyReaders: make(map[listKey]*copyReader), wholes: make(map[string]whole),
+		copyReaders: make(map[listKey]*copyReader), sentFull: make(map[string]fullDigest),
 	}
 }
 
@@ -136,7 +136,7 @@
 	}
 	e.unanswered = 0
 	e.newCopies = append(e.newCopies, e.takeCopies(msg.Now, msg.Copies, fromDigest, msg.From)...)
-	loads, ok := e.lengthen(msg)
+	loads, ok := e.expand(msg)
 	if !ok { // the next report says what this router holds
 		return
 	}
@@ -154,7 +154,7 @@
 func (e *Exchange) answer(report ListMsg) {
 	now, to := report.Now, report.From
 	digest := SendCmd{To: to, Kind: Digest, HasTeams: report.HasTeams, Copies: e.copiesFor(now, to, Digest)}
-	digest.Loads, digest.Base = e.shorten(report, e.allBut(now, to))
+	digest.Loads, digest.Base = e.deltaFor(report, e.allBut(now, to))
 	if report.HasTeams {
 		digest.Teams, digest.Rollouts = e.teamsBut(now, to), e.rolloutsBut(now, to)
 	}
@@ -180,14 +180,6 @@
 	}
 }
 
-// forget drops all that has not been renewed.
-func (e *Exchange) forget(now time.Duration) {
-	e.drop(now)
-	e.dropTeams(now)
-	e.dropRegions(now)
-	e.dropCopies(now)
-}
-
 // near is what all the others of the region have, as this aggregator knows it.
 func (e *Exchange) near(msg TickMsg) OthersCmd {
 	others := OthersCmd{Loads: e.allBut(msg.Now, e.self.Address), HasTeams: msg.HasTeams}
@@ -209,7 +201,7 @@
 		e.unanswered = now
 	}
 	e.emit(SendCmd{
-		To: e.aggregator, Kind: Report, Base: e.held.base, Loads: e.own,
+		To: e.aggregator, Kind: Report, Base: e.heldFull.base, Loads: e.own,
 		HasTeams: msg.HasTeams, Teams: msg.Teams, Rollouts: msg.Rollouts, Copies: copies,
 	})
 }
@@ -230,47 +222,6 @@
 	}
 }
 
-// reported adds up what those have that report here, without one of them. This
-// router counts where it is its own aggregator.
-func (e *Exchange) reported(without string) []Load {
-	var lists [][]Load
-	for _, from := range sortedKeys(e.reports) {
-		if from != without {
-			lists = append(lists, e.reports[from].loads)
-		}
-	}
-	if e.aggregator == e.self.Address && without != e.self.Address {
-		lists = append(lists, e.own)
-	}
-	return sum(lists...)
-}
-
-// allBut adds up what all routers of the region have but one of those that report here.
-func (e *Exchange) allBut(now time.Duration, without string) []Load {
-	e.drop(now)
-	lists := [][]Load{e.reported(without)}
-	for _, from := range sortedKeys(e.sums) {
-		lists = append(lists, e.sums[from].loads)
-	}
-	return sum(lists...)
-}
-
-// drop forgets what has not been renewed.
-func (e *Exchange) drop(now time.Duration) {
-	for from := range e.wholes {
-		if _, ok := e.reports[from]; !ok {
-			delete(e.wholes, from)
-		}
-	}
-	for _, lists := range []map[string]list{e.reports, e.sums, e.digests} {
-		for from, l := range lists {
-			if now-l.at > Hold {
-				delete(lists, from)
-			}
-		}
-	}
-}
-
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -189,7 +189,7 @@
 	s.run(time.Second)
 	r := s.routers[0]
 	require.Empty(t, r.machine.Update(OrdersMsg{Now: s.now, Orders: []Order{earlier}}))
-	require.Equal(t, "v3", r.machine.Standings()[0].Target)
+	require.Equal(t, "v3", r.machine.Snapshots()[0].Target)
 }
 
 // TestRolloutOrderAfterOneThatWasNotRecorded shows that the status of the order before
@@ -263,7 +263,7 @@
 // TestRolloutOff shows that without a bound on exposure nothing is done.
 func TestRolloutOff(t *testing.T) {
 	t.Parallel()
-	m := NewMachine(Options{})
+	m := NewMachine(Bounds{})
 	require.Empty(t, m.Update(OrdersMsg{Orders: []Order{{Service: simService, Target: newVersion}}}))
 	require.Empty(t, m.Update(RecordsMsg{}))
 	require.Empty(t, m.Update(VersionsMsg{Services: map[string][]string{simService: {oldVersion}}}))
--- a/rollout/paused_test.go
+++ b/rollout/paused_test.go
@@ -10,7 +10,7 @@
 // callsFor has a leading machine that hears some routers of a fleet watch a service with
 // many calls for a moment.
 func callsFor(routers int) (m *Machine, tick func(now time.Duration)) {
-	m = NewMachine(Options{Share: 0.2, Slack: 50})
+	m = NewMachine(Bounds{Share: 0.2, Slack: 50})
 	m.Update(VersionsMsg{Services: map[string][]string{"llm": {"v1", "v2"}}})
 	m.Update(RecordsMsg{Records: []Record{{Service: "llm", Revision: 1, InUse: []string{"v1"}}}})
 	m.Update(OrdersMsg{Orders: []Order{{Service: "llm", Target: "v2", Within: 6 * time.Second, Made: "1", Revision: 2}}})
@@ -30,7 +30,7 @@
 	}
 	tick(2300 * time.Millisecond)
 	tick(2400 * time.Millisecond)
-	require.Equal(t, Trial, m.Standings()[0].Stage)
+	require.Equal(t, Trial, m.Snapshots()[0].Stage)
 }
 
 // TestRolloutUnheardIsNotQuiet has a leading router see no calls itself and hear nothing
@@ -41,6 +41,6 @@
 		for now := time.Duration(0); now <= 3*time.Second; now += TickEvery {
 			tick(now)
 		}
-		require.Equal(t, routers == 1, m.Standings()[0].Stage > Trial)
+		require.Equal(t, routers == 1, m.Snapshots()[0].Stage > Trial)
 	}
 }
--- /dev/null
+++ b/rollout/snapshot.go
@@ -0,0 +1,77 @@
+package rollout
+
+import "time"
+
+// Snapshot is what a router knows of the versions and the roll-out of a service, for
+// operators' dumps. Where no roll-out is under way, Target and what follows it are empty,
+// but for Leads and WaitsFor.
+type Snapshot struct {
+	Service     string
+	InUse       []string
+	Rejected    []string // versions that were rolled back
+	Target      string
+	Stage       Stage
+	Part        float64 // of the requests that goes to the target
+	Age, Within time.Duration
+	Leads       bool
+	Routers     int // whose reports are merged, this one included
+	Verdict     Verdict
+	Stopped     bool   // this router sends nothing to the target
+	Rejecting   bool   // a leader has rejected the target
+	Cause       string // of the rejection
+	Routes      []RouteEvidence
+	WaitsFor    Wait
+}
+
+// RouteEvidence counts the answers of one route, both how they began and how they went on.
+type RouteEvidence struct {
+	Route    string
+	New, Old Tally
+}
+
+// Snapshots returns the state of all services, for dumps.
+func (m *Machine) Snapshots() []Snapshot {
+	var list []Snapshot
+	for _, s := range m.sorted() {
+		list = append(list, m.snapshot(s))
+	}
+	return list
+}
+
+func (m *Machine) snapshot(s *service) Snapshot {
+	st := Snapshot{
+		Service:  s.name,
+		InUse:    s.inUse,
+		Rejected: s.rejected,
+		Leads:    m.leads,
+		WaitsFor: m.waitsFor(s),
+	}
+	r := s.roll
+	if r == nil {
+		return st
+	}
+	st.Target, st.Stage, st.Part = r.order.Target, r.stage, s.gate(m.bounds.Share).Part
+	st.Age, st.Within = r.age, r.order.Within
+	st.Routers = 1 + int(r.others.Routers)
+	st.Verdict, st.Stopped = r.judge.Verdict(), r.stopped()
+	st.Rejecting, st.Cause = r.rejected, r.cause
+	st.Routes = r.all.routes()
+	return st
+}
+
+// routes adds up evidence by route.
+func (c cells) routes() []RouteEvidence {
+	var list []RouteEvidence
+	for _, k := range c.keys() {
+		if len(list) == 0 || list[len(list)-1].Route != k.Route {
+			list = append(list, RouteEvidence{Route: k.Route})
+		}
+		e := &list[len(list)-1]
+		if k.Target {
+			e.New = e.New.plus(c[k])
+		} else {
+			e.Old = e.Old.plus(c[k])
+		}
+	}
+	return list
+}
