Roll-outs: a router that knows no list of servers yet decides nothing

A router that starts, and leads by its address, took a target of which it knew no servers for one that had lost them, and rejected it in the last stage, or at the end of the trial: a good version was rolled back where orders and records came before the list of servers. It now waits for its first list, as it does for orders and records, and the state of a service says so. That the list comes late only where the source is slow or the others are not heard makes this rare; a longer wait from its start was ruled out, as it would only move the moment.

The test fails on the code before.

--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -12,6 +12,7 @@
 	services map[string]*service
 	// orders and records tell whether the store has shown them.
 	orders, records bool
+	listed          bool // a list of servers has come
 	leads           bool
 	routers         int
 	wall            time.Time
@@ -111,6 +112,7 @@
 }
 
 func (m *Machine) takeVersions(msg VersionsMsg) {
+	m.listed = true
 	for name, versions := range msg.Services {
 		m.service(name).versions = slices.Clone(versions)
 	}
--- a/rollout/standing.go
+++ b/rollout/standing.go
@@ -86,7 +86,7 @@
 	switch {
 	case !m.orders || !m.records:
 		return WaitKnown
-	case s.inUse == nil:
+	case s.inUse == nil || !m.listed:
 		return WaitVersions
 	case r == nil:
 		return WaitNothing
--- a/rollout/tick.go
+++ b/rollout/tick.go
@@ -5,7 +5,7 @@
 // tick lets time pass for every service.
 func (m *Machine) tick(msg TickMsg) {
 	m.leads, m.routers, m.wall = msg.Leads, msg.Routers, msg.Wall
-	if !m.orders || !m.records {
+	if !m.orders || !m.records || !m.listed {
 		return
 	}
 	for _, s := range m.sorted() {
--- /dev/null
+++ b/rollout/unlisted_test.go
@@ -0,0 +1,30 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRolloutUnlistedRejectsNothing has a router that just started lead in the last stage
+// before it knows any servers: that it knows none of the target's does not end the
+// roll-out, but that there are none any more does.
+func TestRolloutUnlistedRejectsNothing(t *testing.T) {
+	order := Order{Service: "s", Target: newVersion, Within: time.Minute, Made: "1", Revision: 2, State: InProgress, StateTarget: newVersion}
+	m := NewMachine(Options{Share: 0.1})
+	m.Update(RecordsMsg{Records: []Record{{Service: "s", Revision: 1, InUse: []string{oldVersion}, Target: newVersion, Made: "1"}}})
+	m.Update(OrdersMsg{Orders: []Order{order}})
+	m.Update(OthersMsg{Reports: []Report{{Service: "s", Order: order.Key(), Routers: 1, Known: All, InForce: All}}})
+	rejected := func(from time.Duration) bool {
+		for now := from; now < from+2*goneFor; now += TickEvery {
+			m.Update(TickMsg{Now: now, Leads: true, Routers: 2})
+		}
+		return m.Standings()[0].Rejecting
+	}
+	require.False(t, rejected(0))
+	m.Update(VersionsMsg{Now: 2 * goneFor, Services: map[string][]string{"s": {newVersion, oldVersion}}})
+	require.False(t, rejected(2*goneFor))
+	m.Update(VersionsMsg{Now: 4 * goneFor, Services: map[string][]string{"s": {oldVersion}}})
+	require.True(t, rejected(4*goneFor))
+}
