Leading roll-outs: the next router leads while the first starts again

A router that was killed and started again doesn't lead until it has settled, and the others left the lead to it from its first heartbeat: for a second and a half nobody raised stages or wrote, which is about the margin that a short order has for its last write. Others now leave it the lead when it has settled. Routers that are heard for the first time still count at once, so that in a fleet that starts not each router writes the records. For a moment two may lead, which is harmless: writes are conditional and stages only rise.

The test fails on the code before.

--- a/gateway/cluster/peer.go
+++ b/gateway/cluster/peer.go
@@ -20,6 +20,13 @@
 	seq        uint64
 	heard      time.Duration // 0: never
 	added      time.Duration
+	restarted  time.Duration // when another life was first heard; 0: never
 	knows      feed.Versions
 	live       bool
 }
+
+// settles tells whether a router has just been started again: it leads nothing yet. In a
+// fleet that starts, nobody is taken for that.
+func (p *peer) settles(now time.Duration) bool {
+	return p.restarted > 0 && now-p.restarted < settleTime
+}
--- a/gateway/cluster/peers.go
+++ b/gateway/cluster/peers.go
@@ -135,6 +135,9 @@
 	if peer.heard > 0 {
 		p.parts.Stats.Silence.RecordDuration(now - peer.heard)
 	}
+	if peer.life > 0 && b.Life > peer.life {
+		peer.restarted = now
+	}
 	peer.life, peer.seq, peer.heard = b.Life, b.Seq, now
 	peer.knows = b.Knows
 	peer.sourceLost = b.SourceLost
--- a/gateway/cluster/rollouts.go
+++ b/gateway/cluster/rollouts.go
@@ -15,7 +15,8 @@
 // source: the first by address of those that are there and reach it. A router that has
 // just started has not heard enough of the others to know.
 func (p *Peers) Leads() bool {
-	if p.parts.Decisions.Now() < settleTime || p.parts.Feeds.SourceFails() {
+	now := p.parts.Decisions.Now()
+	if now < settleTime || p.parts.Feeds.SourceFails() {
 		return false
 	}
 	p.mu.Lock()
@@ -28,7 +29,7 @@
 		if !peer.live {
 			continue
 		}
-		if address < p.self && !peer.sourceLost {
+		if address < p.self && !peer.sourceLost && !peer.settles(now) {
 			return false
 		}
 		live++
--- a/gateway/cluster/rollouts_test.go
+++ b/gateway/cluster/rollouts_test.go
@@ -3,7 +3,9 @@
 import (
 	"testing"
 
+	"github.com/croftvale/croftvale/gateway/stats"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 )
 
 // TestRolloutLeader has the first router by address lead that is there and reaches the
@@ -36,3 +38,16 @@
 	}
 	require.True(t, p.Leads(), "the others are only listed")
 }
+
+// TestRolloutLeaderRestarts has the next router go on leading where the first was started
+// again, until that one can lead.
+func TestRolloutLeaderRestarts(t *testing.T) {
+	p := newTestPeers("b", &peer{address: "a", life: 1})
+	p.parts.Stats = stats.New(tally.NoopScope)
+	require.False(t, p.Leads())
+	p.hear(heartbeat{Address: "a", Life: 2, Seq: 1})
+	require.True(t, p.Leads())
+	p.known["a"].restarted -= settleTime
+	p.hear(heartbeat{Address: "a", Life: 2, Seq: 2})
+	require.False(t, p.Leads())
+}
