State: say that a service serves nobody for want of an order

Where all servers of a service were replaced by those of a version that nobody ordered, the service serves nobody: version_not_ordered is logged once, and the state said that nothing is waited for, in JSON only.

Both tests fail, or do not build, on the code before.

--- a/cmd/croftvale/gatewaystate.go
+++ b/cmd/croftvale/gatewaystate.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway"
+	"github.com/croftvale/croftvale/rollout"
 )
 
 // shownTo is how exactly times are printed: an operator compares them with seconds.
@@ -51,8 +53,8 @@
 func rolloutsTable(s gateway.State) *table {
 	t := newTable("roll-outs", "service", "target", "stage", "part", "age", "of", "verdict", "stopped", "routers", "leads", "waits for")
 	for _, r := range s.Rollouts {
-		if r.Target != "" {
-			t.add(r.Service, r.Target, r.Stage, fmt.Sprintf("%.3f", r.Part), shown(r.Age), shown(r.Within), r.Verdict,
+		if r.Target != "" || r.WaitsFor == rollout.WaitOrder.String() {
+			t.add(r.Service, cmp.Or(r.Target, none), r.Stage, fmt.Sprintf("%.3f", r.Part), shown(r.Age), shown(r.Within), r.Verdict,
 				stopText(r), r.Routers, yes(r.Leads), r.WaitsFor)
 		}
 	}
--- a/cmd/croftvale/state_test.go
+++ b/cmd/croftvale/state_test.go
@@ -102,3 +102,15 @@
 	r.Rejecting, r.Cause = true, "evidence against the target"
 	require.Equal(t, "for good: evidence against the target", stopText(r))
 }
+
+// TestStateOfServiceWithoutServersInUse shows that a service all of whose servers are of
+// versions that nobody ordered stands among the roll-outs, though it has none.
+func TestStateOfServiceWithoutServersInUse(t *testing.T) {
+	state := gateway.State{Rollouts: []gateway.RolloutState{
+		{Standing: rollout.Standing{Service: "web", WaitsFor: rollout.WaitOrder}, Stage: "waiting", Verdict: "undecided", WaitsFor: "order"},
+		{Standing: rollout.Standing{Service: "llm"}, WaitsFor: "nothing"},
+	}}
+	rows := rolloutsTable(state).rows
+	require.Len(t, rows, 1)
+	require.Equal(t, "order", rows[0][len(rows[0])-1])
+}
--- a/rollout/standing.go
+++ b/rollout/standing.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Standing is what a router knows of the versions and the roll-out of a service, for
 // operators' dumps.
@@ -43,12 +46,13 @@
 	WaitRouters       // for the last stage at all routers
 	WaitOld           // for requests at old servers
 	WaitStatus        // for the final status in the store
+	WaitOrder         // for an order: servers are there, and none of a version in use
 )
 
 // String names what is waited for.
 func (w Wait) String() string {
 	return [...]string{"nothing", "store", "versions", "servers", "hold", "evidence", "time",
-		"routers", "old_servers", "status"}[w]
+		"routers", "old_servers", "status", "order"}[w]
 }
 
 // Standings returns the state of all services, for dumps.
@@ -88,6 +92,8 @@
 		return WaitKnown
 	case s.inUse == nil || !m.listed:
 		return WaitVersions
+	case r == nil && len(s.versions) > 0 && !slices.ContainsFunc(s.inUse, s.lists):
+		return WaitOrder
 	case r == nil:
 		return WaitNothing
 	case r.rejected || r.confirmed:
--- a/rollout/standing_test.go
+++ b/rollout/standing_test.go
@@ -30,6 +30,17 @@
 	require.Equal(t, Good, st.Verdict)
 }
 
+// TestRolloutStandingWithoutServersInUse shows what an operator reads where all servers
+// were replaced by those of a version that nobody ordered.
+func TestRolloutStandingWithoutServersInUse(t *testing.T) {
+	t.Parallel()
+	s := newSim(1, 1)
+	s.run(time.Second)
+	s.versions = []string{"never"}
+	s.run(time.Second)
+	require.Equal(t, "order", s.routers[0].machine.Standings()[0].WaitsFor.String())
+}
+
 // TestRolloutTimeline shows that the steps come in order, whatever time there is, and
 // that a part of it is left to judge.
 func TestRolloutTimeline(t *testing.T) {
