--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -12,6 +12,7 @@
 	services map[string]*service
 	orders   bool // the store's orders are known
 	records  bool // the store's records are known
+	listed   bool // a list of servers has come
 	leads    bool
 	routers  int       // that are there, this one included
 	wall     time.Time // time of day at the last tick or list of records
@@ -111,6 +112,7 @@
 }
 
 func (m *Machine) takeVersions(msg VersionsMsg) {
+	m.listed = true
 	for name, versions := range msg.Services {
 		m.service(name).versions = slices.Clone(versions)
 	}
--- a/rollout/wait.go
+++ b/rollout/wait.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "slices"
+
 // Wait says what a roll-out waits for.
 type Wait uint8
 
@@ -15,12 +17,13 @@
 	WaitRouters       // for the last stage at all routers
 	WaitOld           // for requests at old servers
 	WaitStatus        // for the final status in the store
+	WaitOrder         // for an order: servers are there, and none of a version in use
 )
 
 // String names what is waited for.
 func (w Wait) String() string {
 	return [...]string{"nothing", "store", "versions", "servers", "hold", "evidence", "time",
-		"routers", "old_servers", "status"}[w]
+		"routers", "old_servers", "status", "order"}[w]
 }
 
 // waitsFor returns what the roll-out of a service waits for.
@@ -29,8 +32,10 @@
 	switch {
 	case !m.orders || !m.records:
 		return WaitKnown
-	case s.inUse == nil:
+	case s.inUse == nil || !m.listed:
 		return WaitVersions
+	case r == nil && len(s.versions) > 0 && !slices.ContainsFunc(s.inUse, s.lists):
+		return WaitOrder
 	case r == nil:
 		return WaitNothing
 	case r.rejected || r.confirmed:
