--- a/cmd/croftvale/gatewaystate.go
+++ b/cmd/croftvale/gatewaystate.go
@@ -150,9 +150,10 @@
 }
 
 func trafficTable(s gateway.State) *table {
-	t := newTable("bytes since the start", "kind", "within the hall", "between halls")
+	t := newTable("bytes since the start", "kind", "within the hall", "between halls", "between regions")
 	for _, kind := range slices.Sorted(maps.Keys(s.Traffic)) {
-		t.add(kind, s.Traffic[kind].WithinHall, s.Traffic[kind].BetweenHalls)
+		sum := s.Traffic[kind]
+		t.add(kind, sum.WithinHall, sum.BetweenHalls, sum.BetweenRegions)
 	}
 	return t
 }
--- a/cmd/croftvale/state_test.go
+++ b/cmd/croftvale/state_test.go
@@ -38,7 +38,7 @@
 			{ID: "i-6", Service: "web", Version: "w1", Slots: 8},
 		},
 		Shares:  direct.Shares{Level: 1000, Even: 900, Headroom: 1.5, Busy: 0.25, Most: []direct.TeamShare{{Team: "red", Offered: 1200, Served: 800}}},
-		Traffic: map[string]traffic.Sum{"loads": {WithinHall: 10, BetweenHalls: 20}, "heartbeats": {WithinHall: 3}},
+		Traffic: map[string]traffic.Sum{"loads": {WithinHall: 10, BetweenHalls: 20, BetweenRegions: 30}, "heartbeats": {WithinHall: 3}},
 	}
 }
 
@@ -73,9 +73,9 @@
 red   1200      800
 
 bytes since the start
-kind        within the hall  between halls
-heartbeats  3                0
-loads       10               20
+kind        within the hall  between halls  between regions
+heartbeats  3                0              0
+loads       10               20             30
 `
 
 // TestStateOfRouter prints a dump, as it comes from a router, in tables.
