Roll-outs: a shorter ramp and settling, so that a version is tried for longer

In an order of 12 s the ramp began after 5.6 s, and a version that turned bad after that had up to half of the order's requests; it begins after 8.1 s now, in one of 60 s after 51.5 s (47). Paid for by more streams that are moved or cut when old servers stop: they have 2.2 s for what they run in place of 3.6.

--- a/rollout/timeline.go
+++ b/rollout/timeline.go
@@ -5,19 +5,20 @@
 const (
 	// The margin is kept between the last write and the deadline: a store that is slow,
 	// or answers 503 once, still gets the write in time.
-	marginPart  = 0.08
+	marginPart  = 0.06
 	leastMargin = 800 * time.Millisecond
-	mostMargin  = 3 * time.Second
+	mostMargin  = 2 * time.Second
 	// Settling is the time in which old servers finish what they run, before `completed`
-	// stops them: answers of a few seconds end by themselves.
-	settlePart  = 0.3
-	leastSettle = 2 * time.Second
-	mostSettle  = 6 * time.Second
+	// stops them: most answers of a few seconds end by themselves. It is no longer than
+	// that, since a version that turns bad meanwhile has all requests.
+	settlePart  = 0.18
+	leastSettle = 1500 * time.Millisecond
+	mostSettle  = 4 * time.Second
 	// The ramp is short, as a bad version that shows itself only under load costs most
 	// there, but gives each step time to show it.
-	rampPart  = 0.15
-	leastRamp = 1200 * time.Millisecond
-	mostRamp  = 4 * time.Second
+	rampPart  = 0.08
+	leastRamp = 800 * time.Millisecond
+	mostRamp  = 2500 * time.Millisecond
 	// mostReserved is how much of a short order's time margin, settling and ramp may
 	// take together; the rest is needed to judge anything.
 	mostReserved = 0.7
