TestPlatformOutage waits until the router that it restarts is known

Cause: the test took the platform away and restarted a router at once. Under load the other router had read its list of hosts before this one was on it; the restarted router then knew nobody, nobody knew it, and it was not ready after 20 s. That is what a router without seeds does by design, not what the test is about: a router that a peer knows.

Ruled out: a port that another process took (the log says "router started" and nothing more), slowness (0.3 s else). Nothing is asserted less; the dump of a router names the hosts that it knows, which the test waits for.

--- a/router/state.go
+++ b/router/state.go
@@ -20,6 +20,7 @@
 	PlatformOK    bool              `json:"platform_ok"`
 	PlatformCalls int64             `json:"platform_calls"`
 	Lines         []fleet.Count     `json:"lines"`
+	Hosts         []fleet.Name      `json:"hosts"` // by the platform's last list
 	Peers         []PeerState       `json:"peers"`
 	Service       []ServiceState    `json:"service"`
 	Traffic       []link.Traffic    `json:"traffic"`
@@ -57,6 +58,9 @@
 			s.HubOf = append(s.HubOf, hall)
 		}
 	}
+	for _, h := range c.hosts {
+		s.Hosts = append(s.Hosts, h.Name)
+	}
 	for name, p := range c.peers {
 		s.Peers = append(s.Peers, PeerState{
 			Name: name, Role: string(p.conn.Peer.Role), Hall: p.conn.Peer.Hall, Remote: p.conn.Remote,
--- a/standin/e2e/stop_test.go
+++ b/standin/e2e/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -126,14 +127,26 @@
 	require.Contains(t, string(text), `"running":1,"waiting":0,"message":"requests are cut"`)
 }
 
+// awaitKnown waits until one router knows of another by the platform's list of hosts. A
+// router that nobody knows, and that starts while the platform is away, knows nobody either:
+// it waits for the platform.
+func (s *small) awaitKnown(by, router *lab.Process) {
+	s.t.Helper()
+	require.Eventually(s.t, func() bool {
+		st, err := s.lab.RouterState(context.Background(), by)
+		return err == nil && slices.Contains(st.Hosts, router.Name)
+	}, patience, step)
+}
+
 // TestPlatformOutage holds that nothing in force stops when the platform does,
 // and that a router which starts anew in the outage learns the bundle from a
-// peer.
+// peer that knows it.
 func TestPlatformOutage(t *testing.T) {
 	s := newSmall(t)
 	l := s.load(0, 6)
-	s.lab.Platform.SetOutage(true)
 	restarted := s.lab.Routers()[1]
+	s.awaitKnown(s.lab.Routers()[0], restarted)
+	s.lab.Platform.SetOutage(true)
 	restarted.Kill()
 	require.NoError(t, restarted.Start())
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
