One type for a change of a source's objects, one reading of each kind

Cause: servers, evacuations, orders and records each had a change type of their own, a loop in platform that read a listing, one that read a watch, and one in gateway/feed that applied changes to what the source has. What differs between kinds (an object that is being deleted counts or not; one that can't be read) stood in the middle of loops.

Ruled out: the configuration through kind[T] (one named object folded to the newest, gone ones without meaning); sourceList through objects[T] (it keeps when a server ceases to be cold beside the server, and returns the ids that it touched).

Tests: the change types are renamed in what existing tests expect, nothing else.

Conclusion: a new kind is one kind[T] and one file in feed. Behaviour is as before.

--- a/gateway/cluster/followevacuations_test.go
+++ b/gateway/cluster/followevacuations_test.go
@@ -20,7 +20,7 @@
 	down     bool
 	revision uint64
 	halls    []string
-	changes  []feed.HallChange
+	changes  []feed.Change[string]
 	calls    int
 }
 
@@ -37,7 +37,7 @@
 	return s.halls, s.revision, nil
 }
 
-func (s *hallSource) WatchEvacuations(ctx context.Context, _ uint64, most time.Duration) ([]feed.HallChange, uint64, error) {
+func (s *hallSource) WatchEvacuations(ctx context.Context, _ uint64, most time.Duration) ([]feed.Change[string], uint64, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -56,7 +56,7 @@
 	return nil, s.revision, ctx.Err()
 }
 
-func (s *hallSource) set(revision uint64, change feed.HallChange, halls ...string) {
+func (s *hallSource) set(revision uint64, change feed.Change[string], halls ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision, s.halls = revision, halls
@@ -88,13 +88,13 @@
 		time.Sleep(time.Second)
 		require.EqualValues(t, 3, halls.Newest().Revision)
 		require.Empty(t, halls.Newest().Halls)
-		source.set(5, feed.HallChange{Hall: "b", Evacuated: true}, "b")
+		source.set(5, feed.Change[string]{Object: "b"}, "b")
 		time.Sleep(100 * time.Millisecond)
 		require.Equal(t, []string{"b"}, halls.Newest().Halls)
 		source.fail(true)
 		time.Sleep(3 * time.Second)
 		require.Equal(t, []string{"b"}, halls.Newest().Halls, "what was known holds while the source is away")
-		source.set(8, feed.HallChange{Hall: "b"})
+		source.set(8, feed.Change[string]{Object: "b", Gone: true})
 		source.fail(false)
 		time.Sleep(2 * time.Second)
 		require.Empty(t, halls.Newest().Halls)
--- a/gateway/cluster/followservers_test.go
+++ b/gateway/cluster/followservers_test.go
@@ -24,7 +24,7 @@
 	return []direct.Server{{ID: "i-1", Service: "llm"}}, 7, nil
 }
 
-func (s *serverSource) WatchServers(ctx context.Context, since uint64, most time.Duration) ([]feed.ServerChange, uint64, error) {
+func (s *serverSource) WatchServers(ctx context.Context, since uint64, most time.Duration) ([]feed.Change[direct.Server], uint64, error) {
 	s.watches.Add(1)
 	wait.Sleep(ctx, most)
 	return nil, since, nil
--- a/gateway/feed/evacuations.go
+++ b/gateway/feed/evacuations.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
@@ -18,18 +16,13 @@
 	evacuationsPart = 0.4
 )
 
-// HallChange says that a data hall is evacuated, or no longer.
-type HallChange struct {
-	Hall      string
-	Evacuated bool
-}
-
 // EvacuationSource is where the evacuated data halls are found.
 type EvacuationSource interface {
 	// ReadEvacuations returns the data halls whose servers must get no requests.
 	ReadEvacuations(ctx context.Context) ([]string, uint64, error)
-	// WatchEvacuations waits for changes after a revision.
-	WatchEvacuations(ctx context.Context, since uint64, wait time.Duration) ([]HallChange, uint64, error)
+	// WatchEvacuations waits for changes after a revision; a hall that is no longer
+	// evacuated is gone.
+	WatchEvacuations(ctx context.Context, since uint64, wait time.Duration) ([]Change[string], uint64, error)
 }
 
 // Evacuations is the feed of the evacuated data halls: without knowing them, a router would
@@ -37,11 +30,11 @@
 type Evacuations struct {
 	Content[direct.Evacuations]
 	o     Options
-	halls map[string]bool // as the source alone tells them
+	halls objects[string]
 }
 
 func newEvacuations(o Options, changed func()) *Evacuations {
-	e := &Evacuations{o: o, halls: make(map[string]bool)}
+	e := &Evacuations{o: o, halls: newObjects(func(hall string) string { return hall })}
 	e.init(kind[direct.Evacuations]{
 		revision: func(set *direct.Evacuations) uint64 { return set.Revision },
 		accept: func(set *direct.Evacuations) {
@@ -69,10 +62,7 @@
 	if err != nil {
 		return 0, err
 	}
-	clear(e.halls)
-	for _, hall := range listed {
-		e.halls[hall] = true
-	}
+	e.halls.reset(listed)
 	e.offerHalls(at)
 	return at, nil
 }
@@ -83,13 +73,7 @@
 	if err != nil {
 		return 0, err
 	}
-	for _, c := range changes {
-		if c.Evacuated {
-			e.halls[c.Hall] = true
-		} else {
-			delete(e.halls, c.Hall)
-		}
-	}
+	e.halls.apply(changes)
 	if len(changes) > 0 {
 		e.offerHalls(at)
 	}
@@ -97,5 +81,5 @@
 }
 
 func (e *Evacuations) offerHalls(at uint64) {
-	e.Offer(&direct.Evacuations{Revision: at, Halls: slices.Sorted(maps.Keys(e.halls))}, fromSource)
+	e.Offer(&direct.Evacuations{Revision: at, Halls: e.halls.all()}, fromSource)
 }
--- a/gateway/feed/listing.go
+++ b/gateway/feed/listing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -31,19 +30,18 @@
 	Content[Listing[T]]
 	about  About
 	source sourceOf[T]
-	known  map[string]T // by service, as the source has them
+	listed objects[T] // by service
 }
 
 // sourceOf says how the objects of one kind are read and watched.
 type sourceOf[T any] struct {
-	read func(ctx context.Context) ([]T, uint64, error)
-	// watch applies the changes after a revision to known, and tells whether there were any.
-	watch   func(ctx context.Context, known map[string]T, since uint64, wait time.Duration) (changed bool, at uint64, err error)
+	read    func(ctx context.Context) ([]T, uint64, error)
+	watch   func(ctx context.Context, since uint64, wait time.Duration) ([]Change[T], uint64, error)
 	service func(T) string
 }
 
 func newByService[T any](o Options, about About, source sourceOf[T], take func(Listing[T]), changed func()) *byService[T] {
-	b := &byService[T]{about: about, source: source, known: make(map[string]T)}
+	b := &byService[T]{about: about, source: source, listed: newObjects(source.service)}
 	b.init(kind[Listing[T]]{
 		revision: func(l *Listing[T]) uint64 { return l.Revision },
 		accept:   func(l *Listing[T]) { take(*l) },
@@ -63,33 +61,26 @@
 	if err != nil {
 		return 0, err
 	}
-	clear(b.known)
-	for _, one := range all {
-		b.known[b.source.service(one)] = one
-	}
-	b.offerKnown(at)
+	b.listed.reset(all)
+	b.offerListed(at)
 	return at, nil
 }
 
 // Watch waits for changed objects.
 func (b *byService[T]) Watch(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
-	changed, at, err := b.source.watch(ctx, b.known, since, wait)
+	changes, at, err := b.source.watch(ctx, since, wait)
 	if err != nil {
 		return 0, err
 	}
-	if changed {
-		b.offerKnown(at)
+	b.listed.apply(changes)
+	if len(changes) > 0 {
+		b.offerListed(at)
 	}
 	return at, nil
 }
 
-// offerKnown offers all known objects at a revision.
-func (b *byService[T]) offerKnown(at uint64) {
-	l := &Listing[T]{Revision: at}
-	for _, service := range slices.Sorted(maps.Keys(b.known)) {
-		l.All = append(l.All, b.known[service])
-	}
-	b.Offer(l, fromSource)
+func (b *byService[T]) offerListed(at uint64) {
+	b.Offer(&Listing[T]{Revision: at, All: b.listed.all()}, fromSource)
 }
 
 // versionsOf returns, for each service, the sorted versions of its servers.
--- a/gateway/feed/listing_test.go
+++ b/gateway/feed/listing_test.go
@@ -31,11 +31,11 @@
 	return []rollout.Order{{Service: "llm", Target: "v2", Revision: 4}, {Service: "app", Target: "v5", Revision: 3}}, 7, nil
 }
 
-func (orderSource) WatchOrders(_ context.Context, since uint64, _ time.Duration) ([]rollout.OrderChange, uint64, error) {
+func (orderSource) WatchOrders(_ context.Context, since uint64, _ time.Duration) ([]Change[rollout.Order], uint64, error) {
 	if since == 7 {
-		return []rollout.OrderChange{
-			{Order: rollout.Order{Service: "app"}, Gone: true},
-			{Order: rollout.Order{Service: "llm", Target: "v3", Revision: 9}},
+		return []Change[rollout.Order]{
+			{Object: rollout.Order{Service: "app"}, Gone: true},
+			{Object: rollout.Order{Service: "llm", Target: "v3", Revision: 9}},
 		}, 9, nil
 	}
 	return nil, since + 1, nil
--- a/gateway/feed/orders.go
+++ b/gateway/feed/orders.go
@@ -16,7 +16,7 @@
 	// ReadOrders returns all orders.
 	ReadOrders(ctx context.Context) ([]rollout.Order, uint64, error)
 	// WatchOrders waits for changes after a revision.
-	WatchOrders(ctx context.Context, since uint64, wait time.Duration) ([]rollout.OrderChange, uint64, error)
+	WatchOrders(ctx context.Context, since uint64, wait time.Duration) ([]Change[rollout.Order], uint64, error)
 }
 
 // Orders is the feed of the orders of roll-outs, with what has become of them: without
@@ -27,19 +27,7 @@
 	about := About{Name: "orders", SourceName: "source of orders", On: true, Brought: true, Wait: ordersWait}
 	return &Orders{newByService(o, about, sourceOf[rollout.Order]{
 		read:    o.Source.ReadOrders,
-		watch:   o.watchOrders,
+		watch:   o.Source.WatchOrders,
 		service: func(order rollout.Order) string { return order.Service },
 	}, o.Rollouts.TakeOrders, changed)}
 }
-
-func (o Options) watchOrders(ctx context.Context, known map[string]rollout.Order, since uint64, wait time.Duration) (bool, uint64, error) {
-	changes, at, err := o.Source.WatchOrders(ctx, since, wait)
-	for _, c := range changes {
-		if c.Gone {
-			delete(known, c.Order.Service)
-		} else {
-			known[c.Order.Service] = c.Order
-		}
-	}
-	return len(changes) > 0, at, err
-}
--- a/gateway/feed/records.go
+++ b/gateway/feed/records.go
@@ -16,7 +16,7 @@
 	// ReadRecords returns all records.
 	ReadRecords(ctx context.Context) ([]rollout.Record, uint64, error)
 	// WatchRecords waits for changes after a revision.
-	WatchRecords(ctx context.Context, since uint64, wait time.Duration) ([]rollout.RecordChange, uint64, error)
+	WatchRecords(ctx context.Context, since uint64, wait time.Duration) ([]Change[rollout.Record], uint64, error)
 }
 
 // Records is the feed of the records of which versions of each service are in use: without
@@ -27,19 +27,7 @@
 	about := About{Name: "versions", SourceName: "source of versions", On: true, Brought: true, Wait: recordsWait}
 	return &Records{newByService(o, about, sourceOf[rollout.Record]{
 		read:    o.Source.ReadRecords,
-		watch:   o.watchRecords,
+		watch:   o.Source.WatchRecords,
 		service: func(record rollout.Record) string { return record.Service },
 	}, o.Rollouts.TakeRecords, changed)}
 }
-
-func (o Options) watchRecords(ctx context.Context, known map[string]rollout.Record, since uint64, wait time.Duration) (bool, uint64, error) {
-	changes, at, err := o.Source.WatchRecords(ctx, since, wait)
-	for _, c := range changes {
-		if c.Gone {
-			delete(known, c.Record.Service)
-		} else {
-			known[c.Record.Service] = c.Record
-		}
-	}
-	return len(changes) > 0, at, err
-}
--- a/gateway/feed/servers.go
+++ b/gateway/feed/servers.go
@@ -15,18 +15,12 @@
 // seconds within which a change must be in force.
 const changesPause = 100 * time.Millisecond
 
-// ServerChange is one change in the list of servers.
-type ServerChange struct {
-	Server direct.Server
-	Gone   bool
-}
-
 // ServerSource is where the servers are found.
 type ServerSource interface {
 	// ReadServers returns all servers.
 	ReadServers(ctx context.Context) ([]direct.Server, uint64, error)
 	// WatchServers waits for changes after a revision.
-	WatchServers(ctx context.Context, since uint64, wait time.Duration) ([]ServerChange, uint64, error)
+	WatchServers(ctx context.Context, since uint64, wait time.Duration) ([]Change[direct.Server], uint64, error)
 }
 
 // Servers is the feed of the list of servers. Routers tell each other what has changed in
--- a/gateway/feed/sourcelist.go
+++ b/gateway/feed/sourcelist.go
@@ -29,14 +29,14 @@
 }
 
 // apply takes changes in, and returns the servers that they name.
-func (l *sourceList) apply(changes []ServerChange) []string {
+func (l *sourceList) apply(changes []Change[direct.Server]) []string {
 	ids := make([]string, 0, len(changes))
 	for _, c := range changes {
-		ids = append(ids, c.Server.ID)
+		ids = append(ids, c.Object.ID)
 		if c.Gone {
-			delete(l.servers, c.Server.ID)
+			delete(l.servers, c.Object.ID)
 		} else {
-			l.set(c.Server)
+			l.set(c.Object)
 		}
 	}
 	return ids
