feed: the revisions of the feeds are called revisions

Cause: "versions" meant four things around the feeds: the revisions of all feeds that a router knows (type Versions), the software's versions of the listed servers (TakeVersions), the feed of records in logs, metrics and pulls, and its type Records.

Now feed.Revisions holds revisions, so that a version is always one of software; the comment of Records says why its feed is named versions to operators.

Ruled out: another name in About, since it is in log events, metrics and the path of pulls; the type Records named Versions after it, since it holds rollout.Records and orders.go and platform/records.go are its counterparts. State.Versions stays: it is a key of dumps.

Before and after: meanings of the word in gateway/feed 4 and 2, which both are of software. A heartbeat is encoded as before (its size tests are untouched).

Tests: only the type's name changes in them. Conclusion: a name less to stumble over; nothing else changes.

--- a/gateway/cluster/ahead.go
+++ b/gateway/cluster/ahead.go
@@ -6,7 +6,7 @@
 func (p *Peers) Ahead() feed.AheadByFeed {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	own := p.parts.Feeds.Versions()
+	own := p.parts.Feeds.Revisions()
 	out := feed.NewAheadByFeed(own)
 	now := p.parts.Decisions.Now()
 	lasts := p.live()
--- a/gateway/cluster/datagram_test.go
+++ b/gateway/cluster/datagram_test.go
@@ -12,7 +12,7 @@
 // a server costs 12 bytes at the most; for teams see TestReportIsSmall.
 func TestDatagrams(t *testing.T) {
 	said := heartbeat{
-		Address: "10.1.0.33", Hall: "a", Region: "north", Power: 0.3, Shed: 0.25, Yields: true, SourceLost: true, Life: 1 << 60, Seq: 7, Knows: feed.Versions{3, 9, 11},
+		Address: "10.1.0.33", Hall: "a", Region: "north", Power: 0.3, Shed: 0.25, Yields: true, SourceLost: true, Life: 1 << 60, Seq: 7, Knows: feed.Revisions{3, 9, 11},
 		Headroom: 1.5,
 		Members:  []string{"10.2.0.1"},
 	}
--- a/gateway/cluster/halls_test.go
+++ b/gateway/cluster/halls_test.go
@@ -32,10 +32,10 @@
 	p.place.Hall = "a"
 	require.False(t, p.FirstOfHall())
 	require.Equal(t, make(feed.AheadByFeed, 3), p.Ahead())
-	p.known["b1"].knows = feed.Versions{3}
+	p.known["b1"].knows = feed.Revisions{3}
 	require.Equal(t, feed.AheadByFeed{{OtherHalls: []string{"b1"}}, {}, {}}, p.Ahead())
 	require.True(t, p.Ahead()[0].Elsewhere())
-	p.known["a1"].knows = feed.Versions{3}
+	p.known["a1"].knows = feed.Revisions{3}
 	require.Equal(t, feed.AheadByFeed{{OwnHall: []string{"a1"}, OtherHalls: []string{"b1"}}, {}, {}}, p.Ahead())
 	require.False(t, p.Ahead()[0].Elsewhere())
 	require.Equal(t, []string{"a1", "b1"}, p.Ahead()[0].All())
@@ -47,7 +47,7 @@
 // first, and a hall whose region is not known counts as one of another.
 func TestOwnRegionBeforeOthers(t *testing.T) {
 	at := func(address, hall, region string) *peer {
-		return &peer{address: address, place: traffic.Place{Hall: hall, Region: region}, knows: feed.Versions{3}}
+		return &peer{address: address, place: traffic.Place{Hall: hall, Region: region}, knows: feed.Revisions{3}}
 	}
 	p := newTestPeers("n1", at("m1", "e", "south"), at("n2", "a", "north"), at("n3", "b", "north"))
 	p.place = traffic.Place{Hall: "a", Region: "north"}
--- a/gateway/cluster/heartbeat.go
+++ b/gateway/cluster/heartbeat.go
@@ -30,7 +30,7 @@
 	SourceLost bool
 	Life       int64 // start of the sender, so that a restart begins anew
 	Seq        uint64
-	Knows      feed.Versions
+	Knows      feed.Revisions
 	Headroom   float32  // see direct.Shares
 	Members    []string // other routers that the sender has heard of
 }
--- a/gateway/cluster/heartbeat_test.go
+++ b/gateway/cluster/heartbeat_test.go
@@ -17,7 +17,7 @@
 func fullHeartbeat(members int) heartbeat {
 	b := heartbeat{
 		Address: "10.101.200.133", Hall: "hall-1", Region: "region-1", Power: 0.3, Shed: 0.25, Life: 1 << 60, Seq: 1 << 30,
-		Knows: feed.Versions{1 << 30, 1 << 30, 1 << 30, 1 << 30, 1 << 30}, Headroom: 1.5,
+		Knows: feed.Revisions{1 << 30, 1 << 30, 1 << 30, 1 << 30, 1 << 30}, Headroom: 1.5,
 	}
 	for i := range members {
 		b.Members = append(b.Members, fmt.Sprintf("10.101.200.%d", 100+i))
--- a/gateway/cluster/heartbeats.go
+++ b/gateway/cluster/heartbeats.go
@@ -62,7 +62,7 @@
 	beat := heartbeat{
 		Address: h.peers.self, Hall: h.peers.place.Hall, Region: h.peers.place.Region, Power: h.power,
 		Shed: h.parts.Pressure.ShedPart(), Yields: h.parts.Pressure.Yields(),
-		SourceLost: h.parts.Feeds.SourceFails(), Life: h.life, Seq: h.seq, Knows: h.parts.Feeds.Versions(),
+		SourceLost: h.parts.Feeds.SourceFails(), Life: h.life, Seq: h.seq, Knows: h.parts.Feeds.Revisions(),
 		Headroom: float32(said.Headroom),
 	}
 	far, err := encode(beat)
--- a/gateway/cluster/peer.go
+++ b/gateway/cluster/peer.go
@@ -21,7 +21,7 @@
 	heard      time.Duration // 0: never
 	added      time.Duration
 	restarted  time.Duration // when another life was first heard; 0: never
-	knows      feed.Versions
+	knows      feed.Revisions
 	live       bool
 }
 
--- a/gateway/cluster/peers.go
+++ b/gateway/cluster/peers.go
@@ -28,8 +28,8 @@
 	patience    time.Duration
 	without     direct.Without // mechanisms that are switched off
 	mu          sync.Mutex
-	wanted      feed.Versions // newest that others knew at behindSince
-	behindSince time.Duration // when this router was last known to know no less
+	wanted      feed.Revisions // newest that others knew at behindSince
+	behindSince time.Duration  // when this router was last known to know no less
 	known       map[string]*peer
 	appeared    []string             // routers that were not there before, since the last round
 	heard       func([]loads.Router) // takes the routers that are there
@@ -149,7 +149,7 @@
 	}
 	p.mu.Unlock()
 	p.parts.Decisions.Update(direct.PeerMsg{Now: now, Peer: b.Address, Report: direct.Report{Headroom: float64(b.Headroom)}})
-	if !p.parts.Feeds.Versions().Reaches(b.Knows) {
+	if !p.parts.Feeds.Revisions().Reaches(b.Knows) {
 		notify(p.behind)
 	}
 }
--- a/gateway/cluster/role.go
+++ b/gateway/cluster/role.go
@@ -85,7 +85,7 @@
 // somebody always knows more.
 func (p *Peers) stuck() bool {
 	now := p.parts.Decisions.Now()
-	knows := p.parts.Feeds.Versions()
+	knows := p.parts.Feeds.Revisions()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if knows.Reaches(p.wanted) {
@@ -95,14 +95,14 @@
 	return !knows.Reaches(p.wanted) && now-p.behindSince > stuckAfter
 }
 
-// newest returns the newest versions that live routers know.
-func (p *Peers) newest(now time.Duration) feed.Versions {
-	var v feed.Versions
+// newest returns the newest revisions that live routers know.
+func (p *Peers) newest(now time.Duration) feed.Revisions {
+	var newest feed.Revisions
 	lasts := p.live()
 	for _, peer := range p.known {
 		if peer.heard > 0 && now-peer.heard <= lasts {
-			v = v.Newest(peer.knows)
+			newest = newest.Newest(peer.knows)
 		}
 	}
-	return v
+	return newest
 }
--- a/gateway/cluster/teamrow_test.go
+++ b/gateway/cluster/teamrow_test.go
@@ -43,7 +43,7 @@
 func TestHeartbeatIsSmall(t *testing.T) {
 	body, err := encode(heartbeat{
 		Address: "10.128.14.133", Hall: "lausanne-a", Power: 0.144, Life: 1 << 60, Seq: 1 << 20,
-		Knows: feed.Versions{1 << 20, 1 << 20, 1 << 20}, Headroom: 1.5,
+		Knows: feed.Revisions{1 << 20, 1 << 20, 1 << 20}, Headroom: 1.5,
 	})
 	require.NoError(t, err)
 	require.Less(t, len(body), 100)
--- a/gateway/feed/ahead.go
+++ b/gateway/feed/ahead.go
@@ -24,11 +24,11 @@
 // AheadByFeed are, for each feed, the routers that know something newer.
 type AheadByFeed []Ahead
 
-// NewAheadByFeed returns empty lists for the feeds of a router that knows some versions.
-func NewAheadByFeed(own Versions) AheadByFeed { return make(AheadByFeed, len(own)) }
+// NewAheadByFeed returns empty lists for the feeds of a router that knows some revisions.
+func NewAheadByFeed(own Revisions) AheadByFeed { return make(AheadByFeed, len(own)) }
 
 // Add takes in what another router knows, which is reached over a path.
-func (l AheadByFeed) Add(own Versions, address string, path traffic.Path, knows Versions) {
+func (l AheadByFeed) Add(own Revisions, address string, path traffic.Path, knows Revisions) {
 	for i := range l {
 		if knows.of(i) <= own.of(i) {
 			continue
--- a/gateway/feed/listing.go
+++ b/gateway/feed/listing.go
@@ -2,12 +2,7 @@
 
 import (
 	"context"
-	"slices"
 	"time"
-
-	"github.com/croftvale/croftvale/direct"
-	"github.com/croftvale/croftvale/gateway/serverlist"
-	"github.com/croftvale/croftvale/rollout"
 )
 
 // Listing is all objects of one kind at one revision of their source.
@@ -16,15 +11,6 @@
 	All      []T // by service
 }
 
-// Rollouts takes in what roll-outs are decided on. Its methods must not block.
-type Rollouts interface {
-	// TakeOrders brings newer orders, TakeRecords newer records.
-	TakeOrders(Listing[rollout.Order])
-	TakeRecords(Listing[rollout.Record])
-	// TakeVersions tells which versions the listed servers of each service have, sorted.
-	TakeVersions(map[string][]string)
-}
-
 // byService is a feed of objects of which there is one for each service.
 type byService[T any] struct {
 	Content[Listing[T]]
@@ -82,21 +68,3 @@
 func (b *byService[T]) offerListed(at uint64) {
 	b.Offer(&Listing[T]{Revision: at, All: b.listed.all()}, fromSource)
 }
-
-// versionsOf returns, for each service, the sorted versions of its servers.
-func versionsOf(list *serverlist.List) map[string][]string {
-	out := make(map[string][]string)
-	for _, s := range list.Servers {
-		out[s.Service] = insert(out[s.Service], s)
-	}
-	return out
-}
-
-// insert adds a server's version to sorted versions, once.
-func insert(versions []string, s direct.Server) []string {
-	at, found := slices.BinarySearch(versions, s.Version)
-	if found {
-		return versions
-	}
-	return slices.Insert(versions, at, s.Version)
-}
--- a/gateway/feed/listing_test.go
+++ b/gateway/feed/listing_test.go
@@ -95,7 +95,7 @@
 		require.NoError(t, p.pull(t.Context(), 3+i, server.Listener.Addr().String()))
 		require.Positive(t, counter.Sums()[f.About().Name].BetweenHalls)
 	}
-	require.Equal(t, Versions{0, 0, 0, 7, 8}, pulls.Versions())
+	require.Equal(t, Revisions{0, 0, 0, 7, 8}, pulls.Revisions())
 	require.Equal(t, order, told.orders.All[0])
 	require.True(t, record.Wall.Equal(told.records.All[0].Wall))
 	told.records.All[0].Wall = record.Wall
--- a/gateway/feed/pull_test.go
+++ b/gateway/feed/pull_test.go
@@ -33,7 +33,7 @@
 		require.NoError(t, p.pull(t.Context(), i, server.Listener.Addr().String()), f.About().Name)
 		require.Positive(t, counter.Sums()[f.About().Name].BetweenHalls, f.About().Name)
 	}
-	require.Equal(t, Versions{3, 9, 11}, pulls.Versions())
+	require.Equal(t, Revisions{3, 9, 11}, pulls.Revisions())
 	require.True(t, pulls.Complete())
 	require.Equal(t, []string{"b"}, pulls.Evacuations.Newest().Halls)
 	require.Equal(t, "i-1", pulls.Servers.Newest().Servers[0].ID)
--- a/gateway/feed/records.go
+++ b/gateway/feed/records.go
@@ -20,7 +20,8 @@
 }
 
 // Records is the feed of the records of which versions of each service are in use: without
-// knowing them, a router would take versions that nobody has ordered for those in use.
+// knowing them, a router would take versions that nobody has ordered for those in use. Its name, in logs, metrics
+// and pulls, is what records tell of: versions.
 type Records struct{ *byService[rollout.Record] }
 
 func newRecords(o Options, changed func()) *Records {
--- /dev/null
+++ b/gateway/feed/revisions.go
@@ -0,0 +1,32 @@
+package feed
+
+// Revisions are those of the content of each feed that a router knows, in the order
+// of Set; 0: it knows no content. Routers of another release may know more feeds, or fewer.
+type Revisions []uint64
+
+// of returns the revision of one feed.
+func (r Revisions) of(i int) uint64 {
+	if i < len(r) {
+		return r[i]
+	}
+	return 0
+}
+
+// Reaches tells whether nothing in r is older than in other, of the feeds that r has.
+func (r Revisions) Reaches(other Revisions) bool {
+	for i, revision := range r {
+		if revision < other.of(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// Newest returns the newer of each of two revisions.
+func (r Revisions) Newest(other Revisions) Revisions {
+	out := make(Revisions, max(len(r), len(other)))
+	for i := range out {
+		out[i] = max(r.of(i), other.of(i))
+	}
+	return out
+}
--- a/gateway/feed/set.go
+++ b/gateway/feed/set.go
@@ -36,7 +36,7 @@
 	// Changed is called when newer content is in force; set it before the feeds are used.
 	Changed   func()
 	log       *eventlog.Log
-	feeds     []Feed // in the order of Versions: new ones come last
+	feeds     []Feed // in the order of Revisions: new ones come last
 	followers []*follower
 }
 
@@ -58,9 +58,9 @@
 	return s
 }
 
-// Versions returns how new what this router knows is.
-func (s *Set) Versions() Versions {
-	out := make(Versions, len(s.feeds))
+// Revisions returns how new what this router knows is.
+func (s *Set) Revisions() Revisions {
+	out := make(Revisions, len(s.feeds))
 	for i, f := range s.feeds {
 		out[i] = f.Revision()
 	}
