router, link, load: wait for a time by internal/wait

Cause: three copies of the same function, which waits for some time or until a context ends, stood beside internal/wait.Sleep, two of them named sleep and one wait.

Ruled out: the waits of other shape. agent's pause is also ended by a message on a channel that is not closed; the stand-ins' waits tell whether the time passed, and end with the store or the engine rather than a context.

Conclusion: behaviour is the same, the function was the same line for line.

--- a/link/keep.go
+++ b/link/keep.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/croftvale/croftvale/internal/wait"
 )
 
 const (
@@ -28,15 +29,6 @@
 		if time.Since(began) > lastRetry {
 			b.Reset()
 		}
-		wait(ctx, b.NextBackOff())
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		wait.Sleep(ctx, b.NextBackOff())
 	}
 }
--- a/router/watcher.go
+++ b/router/watcher.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/adopt"
 	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/internal/wait"
 	"github.com/croftvale/croftvale/objectapi"
 	"github.com/croftvale/croftvale/settings"
 	"github.com/phuslu/log"
@@ -40,7 +41,7 @@
 		if err == nil {
 			w.send(ctx, hostsEvent{hosts})
 		}
-		sleep(ctx, w.settings.Poll.Or(defaultPoll))
+		wait.Sleep(ctx, w.settings.Poll.Or(defaultPoll))
 	}
 }
 
@@ -62,7 +63,7 @@
 		v, err := w.next(ctx, seen)
 		w.outcome("watch bundle", err)
 		if err != nil {
-			sleep(ctx, b.NextBackOff())
+			wait.Sleep(ctx, b.NextBackOff())
 			continue
 		}
 		b.Reset()
@@ -104,12 +105,3 @@
 	}
 	w.log.Warn().Err(err).Str("call", what).Msg("platform does not answer; what is in force stays in force")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/standin/cmd/load/faults.go
+++ b/standin/cmd/load/faults.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/croftvale/croftvale/internal/wait"
 	"github.com/croftvale/croftvale/standin/delay"
 	"github.com/croftvale/croftvale/standin/lab"
 )
@@ -52,7 +53,7 @@
 		case "outage":
 			x.outage(ctx)
 		}
-		sleep(ctx, faultEvery)
+		wait.Sleep(ctx, faultEvery)
 	}
 }
 
@@ -73,7 +74,7 @@
 	p.Kill()
 	x.fleet.judge.trouble(string(p.Name), from, from.Add(killedFor+afterEffect))
 	x.fleet.lab.ListHosts()
-	sleep(ctx, killedFor)
+	wait.Sleep(ctx, killedFor)
 	x.fleet.judge.setDown(string(p.Name), false)
 	_ = p.Start() // a process that does not start stays dead, which the report shows
 	x.fleet.lab.ListHosts()
@@ -86,7 +87,7 @@
 	x.fleet.judge.trouble(string(p.Name), from, from.Add(frozenFor+afterEffect))
 	x.fleet.judge.setDown(string(p.Name), true)
 	p.Signal(syscall.SIGSTOP)
-	sleep(ctx, frozenFor)
+	wait.Sleep(ctx, frozenFor)
 	p.Signal(syscall.SIGCONT)
 	x.fleet.judge.setDown(string(p.Name), false)
 }
@@ -102,13 +103,13 @@
 	from := time.Now()
 	x.fleet.judge.trouble("halls", from, from.Add(cutFor+afterEffect))
 	_ = os.WriteFile(x.fleet.cuts, []byte(strings.Join(slices.Clone(ways), " ")), 0o644)
-	sleep(ctx, cutFor)
+	wait.Sleep(ctx, cutFor)
 	_ = os.WriteFile(x.fleet.cuts, nil, 0o644)
 }
 
 // outage lets the platform fail every call.
 func (x *faults) outage(ctx context.Context) {
 	x.fleet.lab.Platform.SetOutage(true)
-	sleep(ctx, outageFor)
+	wait.Sleep(ctx, outageFor)
 	x.fleet.lab.Platform.SetOutage(false)
 }
--- a/standin/cmd/load/traffic.go
+++ b/standin/cmd/load/traffic.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/croftvale/croftvale/internal/wait"
 	"github.com/croftvale/croftvale/standin/caller"
 	"github.com/croftvale/croftvale/standin/lab"
 )
@@ -38,7 +39,7 @@
 			wg.Go(func() { f.ask(ctx, t, ti, rng) })
 		}
 	}
-	sleep(ctx, time.Duration(c.Warm)*time.Second)
+	wait.Sleep(ctx, time.Duration(c.Warm)*time.Second)
 	f.judge.begin()
 	before := f.traffic(ctx)
 	faults := newFaults(f, c.Faults, c.Seed)
@@ -69,13 +70,13 @@
 		}
 		a := f.askOnce(c, t, p, rng)
 		if a.Kind == caller.Refused {
-			sleep(ctx, min(a.RetryAfter, grudge))
+			wait.Sleep(ctx, min(a.RetryAfter, grudge))
 		}
 		if a.Kind == caller.Broken {
-			sleep(ctx, 100*time.Millisecond)
+			wait.Sleep(ctx, 100*time.Millisecond)
 		}
 		if t.rest > 0 {
-			sleep(ctx, time.Duration(rng.ExpFloat64()*float64(t.rest)))
+			wait.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(t.rest)))
 		}
 	}
 }
@@ -117,12 +118,3 @@
 	tail := 1 - math.Pow(lo/hi, costShape)
 	return int(lo / math.Pow(1-u*tail, 1/costShape))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
