cluster: one heartbeat interval, and one name for how long a peer lasts

Cause: the time between two heartbeats was worked out twice in timing.go; that a peer was heard lately stood word for word in Ahead and newest; and three things had one name: Peers.Live (addresses), peer.live (a flag), Peers.live (a duration).

Now interval works it out once, for every and lasts; lasts is the duration's name, as its three callers called it already; peer.heardWithin is the condition.

Ruled out: the same condition in round, which counts from when a peer was added too, and ends an instant earlier: to take it there would change who counts as lost.

Before and after: places of the interval 2 and 1, of the condition 2 and 1.

--- a/gateway/cluster/ahead.go
+++ b/gateway/cluster/ahead.go
@@ -9,9 +9,9 @@
 	own := p.parts.Feeds.Revisions()
 	out := feed.NewAheadByFeed(own)
 	now := p.parts.Decisions.Now()
-	lasts := p.live()
+	lasts := p.lasts()
 	for address, peer := range p.known {
-		if peer.heard > 0 && now-peer.heard <= lasts {
+		if peer.heardWithin(now, lasts) {
 			out.Add(own, address, p.place.PathTo(peer.place), peer.knows)
 		}
 	}
--- a/gateway/cluster/peer.go
+++ b/gateway/cluster/peer.go
@@ -25,6 +25,11 @@
 	live       bool
 }
 
+// heardWithin tells whether a heartbeat of the peer has come lately.
+func (p *peer) heardWithin(now, lately time.Duration) bool {
+	return p.heard > 0 && now-p.heard <= lately
+}
+
 // settles tells whether a router has just been started again: it leads nothing yet. In a
 // fleet that starts, nobody is taken for that.
 func (p *peer) settles(now time.Duration) bool {
--- a/gateway/cluster/peers.go
+++ b/gateway/cluster/peers.go
@@ -78,7 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.parts.Decisions.Now()
-	lasts := p.live()
+	lasts := p.lasts()
 	var lost []string
 	var there []loads.Router
 	var hall pressure.Hall
--- a/gateway/cluster/role.go
+++ b/gateway/cluster/role.go
@@ -98,9 +98,9 @@
 // newest returns the newest revisions that live routers know.
 func (p *Peers) newest(now time.Duration) feed.Revisions {
 	var newest feed.Revisions
-	lasts := p.live()
+	lasts := p.lasts()
 	for _, peer := range p.known {
-		if peer.heard > 0 && now-peer.heard <= lasts {
+		if peer.heardWithin(now, lasts) {
 			newest = newest.Newest(peer.knows)
 		}
 	}
--- a/gateway/cluster/timing.go
+++ b/gateway/cluster/timing.go
@@ -11,13 +11,17 @@
 func (p *Peers) every() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.interval()
+}
+
+// interval is the time between two heartbeats; p.mu is held.
+func (p *Peers) interval() time.Duration {
 	targets := min(len(p.known), heartbeatFanout)
 	return max(heartbeatEvery, time.Duration(targets)*time.Second/heartbeatsHeard)
 }
 
-// live is how long a peer counts as there without a heartbeat.
-func (p *Peers) live() time.Duration {
+// lasts is how long a peer counts as there after a heartbeat; p.mu is held.
+func (p *Peers) lasts() time.Duration {
 	rounds := max((len(p.known)+heartbeatFanout-1)/heartbeatFanout, 1)
-	each := max(heartbeatEvery, time.Duration(min(len(p.known), heartbeatFanout))*time.Second/heartbeatsHeard)
-	return max(peerLive, time.Duration(rounds*heartbeatsMissed)*each)
+	return max(peerLive, time.Duration(rounds*heartbeatsMissed)*p.interval())
 }
