--- a/cmd/croftvale/gatewaystate.go
+++ b/cmd/croftvale/gatewaystate.go
@@ -85,7 +85,7 @@
 func serversTable(s gateway.State) *table {
 	t := newTable("servers", "server", "service", "version", "hall", "running", "slots", "pending tokens", "new requests")
 	for _, e := range s.Engines {
-		t.add(e.ID, e.Service, orNone(e.Version), orNone(e.Zone), e.Running, e.Slots, e.Pending, getsText(e, s.Rollouts))
+		t.add(e.ID, e.Service, cmp.Or(e.Version, none), cmp.Or(e.Zone, none), e.Running, e.Slots, e.Pending, getsText(e, s.Rollouts))
 	}
 	return t
 }
@@ -160,14 +160,7 @@
 
 func shown(d time.Duration) time.Duration { return d.Round(shownTo) }
 
-func list(words []string) string { return orNone(strings.Join(words, ",")) }
-
-func orNone(word string) string {
-	if word == "" {
-		return none
-	}
-	return word
-}
+func list(words []string) string { return cmp.Or(strings.Join(words, ","), none) }
 
 func yes(b bool) string {
 	if b {
--- a/explain/versions.go
+++ b/explain/versions.go
@@ -17,8 +17,8 @@
 // outcomeMoved is that of an attempt which the router broke off to go on at another version.
 const outcomeMoved = "moved"
 
-// versions says in sentences, each on a line of its own, to which versions the request went and why, and whether its
-// stream was moved; empty where its service was not being moved.
+// versions says in sentences, each on a line of its own, to which versions the request went
+// and why, and whether its stream was moved; empty where its service was not being moved.
 func (s *Story) versions() string {
 	out := ""
 	version, side := "", ""
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -127,7 +127,7 @@
 // tried elsewhere.
 func (a *attempt) patience(left time.Duration) (time.Duration, bool) {
 	route := a.x.route
-	if !route.MayRepeat() || a.cmd.Attempt >= route.Attempts || !a.x.front.core.without.Uses(direct.Patience) {
+	if !a.mayGoOn() || !a.x.front.core.without.Uses(direct.Patience) {
 		return 0, false
 	}
 	part := firstPatience
--- a/gateway/cluster/datagram_test.go
+++ b/gateway/cluster/datagram_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestDatagrams has what routers tell each other come back as it was, and small:
-// a server costs 12 bytes at the most; for teams see TestReportIsSmall.
+// a server costs 12 bytes at the most; for teams see TestTeamsAreSmall.
 func TestDatagrams(t *testing.T) {
 	said := heartbeat{
 		Address: "10.1.0.33", Hall: "a", Region: "north", Power: 0.3, Shed: 0.25, Yields: true, SourceLost: true, Life: 1 << 60, Seq: 7, Knows: feed.Revisions{3, 9, 11},
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,7 +43,7 @@
 		}
 		if err != nil {
 			a.conn.Close()
-			return a.broken(a.streamSilence(err))
+			return a.broken(a.silence(err, a.mayGoOn()))
 		}
 		if !a.follows(event) {
 			a.conn.Close()
@@ -75,14 +75,11 @@
 	_ = a.conn.SetReadDeadline(time.Now().Add(left))
 }
 
+// mayGoOn tells whether the route allows another attempt after this one.
 func (a *attempt) mayGoOn() bool {
 	return a.x.route.MayRepeat() && a.cmd.Attempt < a.x.route.Attempts
 }
 
-func (a *attempt) streamSilence(err error) direct.Outcome {
-	return a.silence(err, a.mayGoOn())
-}
-
 // follows checks that an event is the next of the stream.
 func (a *attempt) follows(event event) bool {
 	if !event.hasID {
