--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -18,7 +18,7 @@
 	crowdedPart = 0.6
 	// keptPerCore is how many connections a router that runs late keeps for each of
 	// its cores: if all of them ask at once, the last is read some 70 milliseconds
-	// later, at 75 us each (POLICY, round 21).
+	// later, at 75 us each.
 	keptPerCore = 900
 )
 
--- a/gateway/cluster/followservers_test.go
+++ b/gateway/cluster/followservers_test.go
@@ -42,8 +42,8 @@
 }
 
 // TestServersAreBrought has a router start beside others: it takes the list of
-// servers from them and does not ask the source. Found as 530 lists read from the
-// store when 103 routers started together.
+// servers from them and does not ask the source, which would else be asked by each
+// router of a fleet that starts together.
 func TestServersAreBrought(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &serverSource{}
--- a/gateway/cluster/members_test.go
+++ b/gateway/cluster/members_test.go
@@ -57,7 +57,7 @@
 }
 
 // TestRegistersOnce has a router start three times: it registers where no list names it
-// with its address. Found as two calls of each of 103 routers after each power loss.
+// with its address, and makes no call for it otherwise.
 func TestRegistersOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &memberSource{}
--- a/gateway/cluster/role_test.go
+++ b/gateway/cluster/role_test.go
@@ -51,7 +51,7 @@
 
 // TestChangesAreNotStuck has the servers change all the time: a router that learns
 // of each change a little later than others is not stuck, and leaves the source to
-// them. Found as 1,500 calls to the store when 103 routers started together.
+// them, or all routers of a fleet that starts together would call it.
 func TestChangesAreNotStuck(t *testing.T) {
 	p := newTestPeers("d", &peer{address: "a"}, &peer{address: "b"}, &peer{address: "c"})
 	for revision := uint64(1); revision < 20; revision++ {
--- a/gateway/cluster/teamrow_test.go
+++ b/gateway/cluster/teamrow_test.go
@@ -10,8 +10,8 @@
 )
 
 // TestTeamsAreSmall has a router tell of 60 teams, most of which ask it for little:
-// a team costs some 15 bytes (it was 25), and each rate comes back to within half a
-// unit. Found as 0.5 GB of heartbeats between the halls of the large site.
+// a team costs some 15 bytes, and each rate comes back to within half a unit. Bytes
+// between halls are priced.
 func TestTeamsAreSmall(t *testing.T) {
 	var said []loads.TeamUse
 	for i := range 60 {
