--- a/gateway/cluster/ahead.go
+++ b/gateway/cluster/ahead.go
@@ -6,12 +6,12 @@
 func (p *Peers) Ahead() feed.AheadByFeed {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	own := p.parts.Feeds.Versions()
+	own := p.parts.Feeds.Revisions()
 	out := feed.NewAheadByFeed(own)
 	now := p.parts.Decisions.Now()
-	lasts := p.live()
+	lasts := p.lasts()
 	for address, peer := range p.known {
-		if peer.heard > 0 && now-peer.heard <= lasts {
+		if peer.heardWithin(now, lasts) {
 			out.Add(own, address, p.place.PathTo(peer.place), peer.knows)
 		}
 	}
--- a/gateway/cluster/peer.go
+++ b/gateway/cluster/peer.go
@@ -21,10 +21,15 @@
 	heard      time.Duration // 0: never
 	added      time.Duration
 	restarted  time.Duration // when another life was first heard; 0: never
-	knows      feed.Versions
+	knows      feed.Revisions
 	live       bool
 }
 
+// heardWithin tells whether a heartbeat of the peer has come lately.
+func (p *peer) heardWithin(now, lately time.Duration) bool {
+	return p.heard > 0 && now-p.heard <= lately
+}
+
 // settles tells whether a router has just been started again: it leads nothing yet. In a
 // fleet that starts, nobody is taken for that.
 func (p *peer) settles(now time.Duration) bool {
--- a/gateway/cluster/teamrow_test.go
+++ b/gateway/cluster/teamrow_test.go
@@ -10,8 +10,8 @@
 )
 
 // TestTeamsAreSmall has a router tell of 60 teams, most of which ask it for little:
-// a team costs some 15 bytes (it was 25), and each rate comes back to within half a
-// unit. Found as 0.5 GB of heartbeats between the halls of the large site.
+// a team costs some 15 bytes, and each rate comes back to within half a unit. Bytes
+// between halls are priced.
 func TestTeamsAreSmall(t *testing.T) {
 	var said []loads.TeamUse
 	for i := range 60 {
@@ -43,7 +43,7 @@
 func TestHeartbeatIsSmall(t *testing.T) {
 	body, err := encode(heartbeat{
 		Address: "10.128.14.133", Hall: "lausanne-a", Power: 0.144, Life: 1 << 60, Seq: 1 << 20,
-		Knows: feed.Versions{1 << 20, 1 << 20, 1 << 20}, Headroom: 1.5,
+		Knows: feed.Revisions{1 << 20, 1 << 20, 1 << 20}, Headroom: 1.5,
 	})
 	require.NoError(t, err)
 	require.Less(t, len(body), 100)
--- a/gateway/feed/listing.go
+++ b/gateway/feed/listing.go
@@ -2,13 +2,7 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
-
-	"github.com/croftvale/croftvale/direct"
-	"github.com/croftvale/croftvale/gateway/serverlist"
-	"github.com/croftvale/croftvale/rollout"
 )
 
 // Listing is all objects of one kind at one revision of their source.
@@ -17,33 +11,23 @@
 	All      []T // by service
 }
 
-// Rollouts takes in what roll-outs are decided on. Its methods must not block.
-type Rollouts interface {
-	// TakeOrders brings newer orders, TakeRecords newer records.
-	TakeOrders(Listing[rollout.Order])
-	TakeRecords(Listing[rollout.Record])
-	// TakeVersions tells which versions the listed servers of each service have, sorted.
-	TakeVersions(map[string][]string)
-}
-
 // byService is a feed of objects of which there is one for each service.
 type byService[T any] struct {
 	Content[Listing[T]]
 	about  About
 	source sourceOf[T]
-	known  map[string]T // by service, as the source has them
+	listed objects[T] // by service
 }
 
 // sourceOf says how the objects of one kind are read and watched.
 type sourceOf[T any] struct {
-	read func(ctx context.Context) ([]T, uint64, error)
-	// watch applies the changes after a revision to known, and tells whether there were any.
-	watch   func(ctx context.Context, known map[string]T, since uint64, wait time.Duration) (changed bool, at uint64, err error)
+	read    func(ctx context.Context) ([]T, uint64, error)
+	watch   func(ctx context.Context, since uint64, wait time.Duration) ([]Change[T], uint64, error)
 	service func(T) string
 }
 
 func newByService[T any](o Options, about About, source sourceOf[T], take func(Listing[T]), changed func()) *byService[T] {
-	b := &byService[T]{about: about, source: source, known: make(map[string]T)}
+	b := &byService[T]{about: about, source: source, listed: newObjects(source.service)}
 	b.init(kind[Listing[T]]{
 		revision: func(l *Listing[T]) uint64 { return l.Revision },
 		accept:   func(l *Listing[T]) { take(*l) },
@@ -63,49 +47,24 @@
 	if err != nil {
 		return 0, err
 	}
-	clear(b.known)
-	for _, one := range all {
-		b.known[b.source.service(one)] = one
-	}
-	b.offerKnown(at)
+	b.listed.reset(all)
+	b.offerListed(at)
 	return at, nil
 }
 
 // Watch waits for changed objects.
 func (b *byService[T]) Watch(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
-	changed, at, err := b.source.watch(ctx, b.known, since, wait)
+	changes, at, err := b.source.watch(ctx, since, wait)
 	if err != nil {
 		return 0, err
 	}
-	if changed {
-		b.offerKnown(at)
+	b.listed.apply(changes)
+	if len(changes) > 0 {
+		b.offerListed(at)
 	}
 	return at, nil
 }
 
-// offerKnown offers all known objects at a revision.
-func (b *byService[T]) offerKnown(at uint64) {
-	l := &Listing[T]{Revision: at}
-	for _, service := range slices.Sorted(maps.Keys(b.known)) {
-		l.All = append(l.All, b.known[service])
-	}
-	b.Offer(l, fromSource)
-}
-
-// versionsOf returns, for each service, the sorted versions of its servers.
-func versionsOf(list *serverlist.List) map[string][]string {
-	out := make(map[string][]string)
-	for _, s := range list.Servers {
-		out[s.Service] = insert(out[s.Service], s)
-	}
-	return out
-}
-
-// insert adds a server's version to sorted versions, once.
-func insert(versions []string, s direct.Server) []string {
-	at, found := slices.BinarySearch(versions, s.Version)
-	if found {
-		return versions
-	}
-	return slices.Insert(versions, at, s.Version)
+func (b *byService[T]) offerListed(at uint64) {
+	b.Offer(&Listing[T]{Revision: at, All: b.listed.all()}, fromSource)
 }
--- a/gateway/feed/listing_test.go
+++ b/gateway/feed/listing_test.go
@@ -31,11 +31,11 @@
 	return []rollout.Order{{Service: "llm", Target: "v2", Revision: 4}, {Service: "app", Target: "v5", Revision: 3}}, 7, nil
 }
 
-func (orderSource) WatchOrders(_ context.Context, since uint64, _ time.Duration) ([]rollout.OrderChange, uint64, error) {
+func (orderSource) WatchOrders(_ context.Context, since uint64, _ time.Duration) ([]Change[rollout.Order], uint64, error) {
 	if since == 7 {
-		return []rollout.OrderChange{
-			{Order: rollout.Order{Service: "app"}, Gone: true},
-			{Order: rollout.Order{Service: "llm", Target: "v3", Revision: 9}},
+		return []Change[rollout.Order]{
+			{Object: rollout.Order{Service: "app"}, Gone: true},
+			{Object: rollout.Order{Service: "llm", Target: "v3", Revision: 9}},
 		}, 9, nil
 	}
 	return nil, since + 1, nil
@@ -95,7 +95,7 @@
 		require.NoError(t, p.pull(t.Context(), 3+i, server.Listener.Addr().String()))
 		require.Positive(t, counter.Sums()[f.About().Name].BetweenHalls)
 	}
-	require.Equal(t, Versions{0, 0, 0, 7, 8}, pulls.Versions())
+	require.Equal(t, Revisions{0, 0, 0, 7, 8}, pulls.Revisions())
 	require.Equal(t, order, told.orders.All[0])
 	require.True(t, record.Wall.Equal(told.records.All[0].Wall))
 	told.records.All[0].Wall = record.Wall
