Loads: lists of loads, of teams and of roll-outs are merged by one function

Cause: sum, sumTeams and mergeRollouts each put lists together, sorted them and added up neighbours of one key; only the key and the adding differed.

merge does the first three steps for all; each kind gives its order and how one entry is added to another. Ruled out: one generic loop over senders for the six functions that gather lists (reported, allBut and those of teams and roll-outs). They differ in what still counts of a list, and the loop around that is four lines; a function with three function parameters reads worse.

Sorting and the order of sums are as before, so sums of floats are the same to the bit.

--- a/loads/load.go
+++ b/loads/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -20,19 +19,10 @@
 
 // sum adds lists of loads up, in the order of the keys.
 func sum(lists ...[]Load) []Load {
-	var all []Load
-	for _, list := range lists {
-		all = append(all, list...)
-	}
-	slices.SortFunc(all, func(a, b Load) int { return cmp.Compare(a.Server, b.Server) })
-	out := all[:0]
-	for _, l := range all {
-		if n := len(out); n > 0 && out[n-1].Server == l.Server {
-			out[n-1].Running += l.Running
-			out[n-1].Pending += l.Pending
-			continue
-		}
-		out = append(out, l)
-	}
-	return out
+	return merge(lists, byServer, func(a *Load, b Load) {
+		a.Running += b.Running
+		a.Pending += b.Pending
+	})
 }
+
+func byServer(a, b Load) int { return cmp.Compare(a.Server, b.Server) }
--- a/loads/rollouts.go
+++ b/loads/rollouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/croftvale/croftvale/rollout"
@@ -42,17 +41,9 @@
 // mergeRollouts merges the reports of each order, in the order of services. Merging does
 // not depend on the order of the lists.
 func mergeRollouts(lists ...[]rollout.Report) []rollout.Report {
-	all := slices.Concat(lists...)
-	slices.SortFunc(all, func(a, b rollout.Report) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Order, b.Order))
-	})
-	out := all[:0]
-	for _, r := range all {
-		if n := len(out); n > 0 && out[n-1].Service == r.Service && out[n-1].Order == r.Order {
-			out[n-1] = rollout.Merge(out[n-1], r)
-			continue
-		}
-		out = append(out, r)
-	}
-	return out
+	return merge(lists, byOrder, func(a *rollout.Report, b rollout.Report) { *a = rollout.Merge(*a, b) })
+}
+
+func byOrder(a, b rollout.Report) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Order, b.Order))
 }
--- a/loads/teams.go
+++ b/loads/teams.go
@@ -119,20 +119,11 @@
 
 // sumTeams adds up lists, by team.
 func sumTeams(lists ...[]TeamUse) []TeamUse {
-	var all []TeamUse
-	for _, list := range lists {
-		all = append(all, list...)
-	}
-	slices.SortFunc(all, func(a, b TeamUse) int { return strings.Compare(a.Team, b.Team) })
-	out := all[:0]
-	for _, u := range all {
-		if n := len(out); n > 0 && out[n-1].Team == u.Team {
-			out[n-1].Offered += u.Offered
-			out[n-1].Recent += u.Recent
-			out[n-1].Served += u.Served
-			continue
-		}
-		out = append(out, u)
-	}
-	return out
+	return merge(lists, byTeam, func(a *TeamUse, b TeamUse) {
+		a.Offered += b.Offered
+		a.Recent += b.Recent
+		a.Served += b.Served
+	})
 }
+
+func byTeam(a, b TeamUse) int { return strings.Compare(a.Team, b.Team) }
