Loads: forgetting has one form, and no sum forgets on the side

Cause: four functions forgot old lists, each with a loop of its own; allBut, which adds up, forgot lists too, so that a round did it again for each list that it sent; 'does this router count itself' stood three times; isThere searched a list that Exchange holds by address already.

maps.DeleteFunc takes the place of the loops. Lists are dropped at the start of a round and when one arrives that is answered, and nowhere else: the same moments at which a sum could miss it before. countsItself is one function, isThere a look-up, and dropLoads says what drop drops.

Ruled out: one kind of list in place of reports and teamReports (and sums, teamSums). Loads count for 300 ms and the demand of teams for 4.6 s, and the number of a sender's last list must go with its loads: a router that starts anew numbers from the beginning, and would be passed over for seconds. Roll-outs travel with teams and need no map of their own; digests are kept only for their numbers, in the same form as the others; lists of regions are kept by region and sender, since two senders may tell of one region.

Before: 5 loops that delete; after: 5 calls.

--- a/loads/copies.go
+++ b/loads/copies.go
@@ -1,6 +1,9 @@
 package loads
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// copyRepeats is in how many lists each receiver is told of a copy: of ten datagrams
@@ -145,11 +148,7 @@
 // dropCopies forgets old copies, and the receivers that are told nothing any more.
 func (e *Exchange) dropCopies(now time.Duration) {
 	e.copies.drop(now)
-	for key, r := range e.copyReaders {
-		if now-r.readAt > copyFor {
-			delete(e.copyReaders, key)
-		}
-	}
+	maps.DeleteFunc(e.copyReaders, func(_ listKey, r *copyReader) bool { return now-r.readAt > copyFor })
 }
 
 // listKey names the lists of one kind that are sent to one router.
--- a/loads/doc.go
+++ b/loads/doc.go
@@ -15,8 +15,9 @@
 // the lists that tell of teams, what its whole region has; that one passes it on to its
 // halls' aggregators, and they to their routers. So what a region has is sent to another
 // region once, not to each of its routers. That loads of far servers are then a tenth of a
-// second late does little harm: they matter only where near ones are full. Lists of one region cover the same routers whoever sends them: each router
-// counts one list of each other region, never two.
+// second late does little harm: they matter only where near ones are full. Lists of one
+// region cover the same routers whoever sends them: each router counts one list of each
+// other region, never two.
 //
 // Copies of prompts' parts go with the lists within a region, each in a few lists to each
 // receiver. They do not cross between regions: a request goes to a far server only when its
--- a/loads/exchange.go
+++ b/loads/exchange.go
@@ -1,6 +1,7 @@
 package loads
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -36,7 +37,8 @@
 	sums    map[string]list   // of other aggregators
 	digests map[string]list   // answers of aggregators
 	own     []Load
-	// teamReports and teamSums are the lists of teams that came with reports and sums.
+	// teamReports and teamSums are the lists of teams that came with reports and sums. They
+	// count for longer than the loads that they came with.
 	teamReports map[string]teamList
 	teamSums    map[string]teamList
 	ownTeams    []TeamUse
@@ -154,7 +156,8 @@
 func (e *Exchange) answer(report ListMsg) {
 	now, to := report.Now, report.From
 	digest := SendCmd{To: to, Kind: Digest, HasTeams: report.HasTeams, Copies: e.copiesFor(now, to, Digest)}
-	digest.Loads, digest.Base = e.deltaFor(report, e.allBut(now, to))
+	e.dropLoads(now)
+	digest.Loads, digest.Base = e.deltaFor(report, e.allBut(to))
 	if report.HasTeams {
 		digest.Teams, digest.Rollouts = e.teamsBut(now, to), e.rolloutsBut(now, to)
 	}
@@ -182,7 +185,7 @@
 
 // near is what all the others of the region have, as this aggregator knows it.
 func (e *Exchange) near(msg TickMsg) OthersCmd {
-	others := OthersCmd{Loads: e.allBut(msg.Now, e.self.Address), HasTeams: msg.HasTeams}
+	others := OthersCmd{Loads: e.allBut(e.self.Address), HasTeams: msg.HasTeams}
 	if msg.HasTeams {
 		others.Teams, others.Rollouts = e.teamsBut(msg.Now, e.self.Address), e.rolloutsBut(msg.Now, e.self.Address)
 	}
@@ -223,10 +226,5 @@
 }
 
 func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
+	return slices.Sorted(maps.Keys(m))
 }
--- a/loads/forget.go
+++ b/loads/forget.go
@@ -1,28 +1,26 @@
 package loads
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // forget drops all that has not been renewed.
 func (e *Exchange) forget(now time.Duration) {
-	e.drop(now)
+	e.dropLoads(now)
 	e.dropTeams(now)
 	e.dropRegions(now)
 	e.dropCopies(now)
 }
 
-// drop forgets the loads that have not been renewed, and the full digests of routers that
-// don't report here any more.
-func (e *Exchange) drop(now time.Duration) {
-	for from := range e.sentFull {
-		if _, ok := e.reports[from]; !ok {
-			delete(e.sentFull, from)
-		}
-	}
+// dropLoads forgets the loads that have not been renewed, and the full digests of routers
+// that don't report here any more.
+func (e *Exchange) dropLoads(now time.Duration) {
+	maps.DeleteFunc(e.sentFull, func(to string, _ fullDigest) bool {
+		_, reports := e.reports[to]
+		return !reports
+	})
 	for _, lists := range []map[string]list{e.reports, e.sums, e.digests} {
-		for from, l := range lists {
-			if now-l.at > Hold {
-				delete(lists, from)
-			}
-		}
+		maps.DeleteFunc(lists, func(_ string, l list) bool { return now-l.at > Hold })
 	}
 }
--- a/loads/regions.go
+++ b/loads/regions.go
@@ -1,6 +1,7 @@
 package loads
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -40,6 +41,7 @@
 		return
 	}
 	if _, told := e.asked[msg.From]; msg.Kind == RegionSum && e.gathers() && !told {
+		e.dropLoads(msg.Now)
 		e.emit(e.regionSum(msg.Now, msg.From, RegionAnswer))
 	}
 	if e.best(msg.Now, msg.Region).from == msg.From {
@@ -123,7 +125,7 @@
 // regionSum is the list of all that this router's region has.
 func (e *Exchange) regionSum(now time.Duration, to string, kind Kind) SendCmd {
 	return SendCmd{
-		To: to, Kind: kind, Region: e.self.Region, Loads: e.allBut(now, ""),
+		To: to, Kind: kind, Region: e.self.Region, Loads: e.allBut(""),
 		HasTeams: true, Teams: e.teamsBut(now, ""), Rollouts: e.rolloutsBut(now, ""),
 	}
 }
@@ -239,9 +241,5 @@
 
 // dropRegions forgets the lists of which nothing counts any more.
 func (e *Exchange) dropRegions(now time.Duration) {
-	for key, l := range e.regions {
-		if now-l.at > TeamsHold+DemandHold {
-			delete(e.regions, key)
-		}
-	}
+	maps.DeleteFunc(e.regions, func(_ regionKey, l regionList) bool { return now-l.at > TeamsHold+DemandHold })
 }
--- a/loads/rollouts.go
+++ b/loads/rollouts.go
@@ -21,7 +21,7 @@
 			lists = append(lists, l.rollouts)
 		}
 	}
-	if e.aggregator == e.self.Address && without != e.self.Address {
+	if e.countsItself(without) {
 		lists = append(lists, e.ownRollouts)
 	}
 	return mergeRollouts(lists...)
--- a/loads/teams.go
+++ b/loads/teams.go
@@ -1,7 +1,7 @@
 package loads
 
 import (
-	"slices"
+	"maps"
 	"strings"
 	"time"
 
@@ -53,7 +53,7 @@
 			lists = append(lists, e.counted(now, from, e.teamReports[from], false))
 		}
 	}
-	if e.aggregator == e.self.Address && without != e.self.Address {
+	if e.countsItself(without) {
 		lists = append(lists, e.ownTeams)
 	}
 	return sumTeams(lists...)
@@ -103,17 +103,14 @@
 }
 
 func (e *Exchange) isThere(address string) bool {
-	return slices.ContainsFunc(e.routers, func(r Router) bool { return r.Address == address })
+	_, there := e.there[address]
+	return there
 }
 
 // dropTeams forgets the lists of which nothing counts any more.
 func (e *Exchange) dropTeams(now time.Duration) {
 	for _, lists := range []map[string]teamList{e.teamReports, e.teamSums} {
-		for from, l := range lists {
-			if now-l.at > TeamsHold+DemandHold {
-				delete(lists, from)
-			}
-		}
+		maps.DeleteFunc(lists, func(_ string, l teamList) bool { return now-l.at > TeamsHold+DemandHold })
 	}
 }
 
