Directing: what is held for each route is one type

Cause: the speeds of old servers and the exposure each kept a map of pointers that is made on demand, with the same nine lines. In sawEnd the observation was called w.

byRoute[T] holds one T for each route. Ruled out: maps of values in place of pointers, as each caller changes what it gets; making the entries when a configuration comes, as a machine may see routes that its configuration no longer names.

Decisions as before.

--- a/direct/baseline.go
+++ b/direct/baseline.go
@@ -22,7 +22,7 @@
 // nothing.
 type baseline struct {
 	rate   float64 // tokens a millisecond that one reads; 0: not measured
-	routes map[string]*pace
+	routes byRoute[pace]
 }
 
 // pace is how fast the answers of one route come.
@@ -31,16 +31,6 @@
 	token geometric // milliseconds of a token of a stream, as many as were expected
 }
 
-func (b *baseline) route(name string) *pace {
-	if b.routes == nil {
-		b.routes = make(map[string]*pace)
-	}
-	if b.routes[name] == nil {
-		b.routes[name] = &pace{}
-	}
-	return b.routes[name]
-}
-
 // learnRate takes in the time to a first event at an old server.
 func (b *baseline) learnRate(ahead int, elapsed, first float64) {
 	if ahead < learnFromTokens {
--- a/direct/evidence.go
+++ b/direct/evidence.go
@@ -73,23 +73,23 @@
 	if p.gate == nil {
 		return
 	}
-	w := &r.observed
+	seen := &r.observed
 	switch {
 	case msg.Outcome == Failed:
-		m.tell(msg.Now, r, s, w.told, true)
+		m.tell(msg.Now, r, s, seen.told, true)
 	case msg.Outcome == Hung:
-		if !msg.Slow && w.firstAt == 0 && s.answeredOthers(r.sentAt, msg.Now) {
+		if !msg.Slow && seen.firstAt == 0 && s.answeredOthers(r.sentAt, msg.Now) {
 			m.tell(msg.Now, r, s, false, true)
 		}
 	case msg.Outcome != Done:
 		// Such an end is not evidence, but how the stream began is.
-		if w.firstAt > 0 && !w.told {
-			m.tell(msg.Now, r, s, false, w.slow)
+		if seen.firstAt > 0 && !seen.told {
+			m.tell(msg.Now, r, s, false, seen.slow)
 		}
-	case w.told:
+	case seen.told:
 		m.tell(msg.Now, r, s, true, m.slowTokens(msg.Now, p, r, s))
-	case w.firstAt > 0:
-		m.tell(msg.Now, r, s, false, w.slow)
+	case seen.firstAt > 0:
+		m.tell(msg.Now, r, s, false, seen.slow)
 	default:
 		m.tell(msg.Now, r, s, false, m.late(msg.Now, p, r, s))
 	}
@@ -121,7 +121,7 @@
 // expected from the speed of old servers. Answers of old servers then update that speed.
 func (m *Machine) late(now time.Duration, p *pool, r *run, s *server) bool {
 	elapsed := inMilliseconds(now - r.sentAt)
-	delay := &p.baseline.route(r.Route).delay
+	delay := &p.baseline.routes.of(r.Route).delay
 	usual := delay.value() * r.observed.expected
 	late := delay.known() && elapsed > slowTimes*usual+inMilliseconds(slowFirst)
 	if !s.target && r.observed.counts {
@@ -133,7 +133,7 @@
 // learnFirst updates the baseline by the time, in milliseconds, that an old server took to
 // a first event or a whole answer.
 func (p *pool) learnFirst(r *run, elapsed float64) {
-	p.baseline.route(r.Route).delay.add(elapsed/r.observed.expected, fastestFirst/r.observed.expected)
+	p.baseline.routes.of(r.Route).delay.add(elapsed/r.observed.expected, fastestFirst/r.observed.expected)
 	if p.engine != nil {
 		p.baseline.learnRate(r.ahead, elapsed, p.tokenRate)
 	}
@@ -147,7 +147,7 @@
 	}
 	tokens := float64(r.OutputTokens)
 	elapsed := inMilliseconds(now - r.observed.firstAt)
-	token := &p.baseline.route(r.Route).token
+	token := &p.baseline.routes.of(r.Route).token
 	slow := token.known() && elapsed > slowTimes*token.value()*tokens && elapsed > token.value()*tokens+inMilliseconds(slowStream)
 	if !s.target && r.observed.counts {
 		token.add(elapsed/tokens, fastestToken)
--- a/direct/exposure.go
+++ b/direct/exposure.go
@@ -19,7 +19,7 @@
 // part, so that a trial is a cross-section of the service's requests.
 type exposure struct {
 	total  exposed
-	routes map[string]*exposed
+	routes byRoute[exposed]
 	// epoch tells the counts of one target from those of another: what was sent before
 	// does not count.
 	epoch uint64
@@ -34,19 +34,9 @@
 // reset begins anew, for another target.
 func (e *exposure) reset() { *e = exposure{epoch: e.epoch + 1} }
 
-func (e *exposure) route(name string) *exposed {
-	if e.routes == nil {
-		e.routes = make(map[string]*exposed)
-	}
-	if e.routes[name] == nil {
-		e.routes[name] = &exposed{}
-	}
-	return e.routes[name]
-}
-
 // allows tells whether one more request of a route may go to the target.
 func (e *exposure) allows(route string, limit float64) bool {
-	return limit >= 1 || (e.route(route).allows(limit, routeAhead) && e.total.allows(limit, 0))
+	return limit >= 1 || (e.routes.of(route).allows(limit, routeAhead) && e.total.allows(limit, 0))
 }
 
 // allows tells whether one more may go to the target where some may be ahead of the limit.
@@ -57,14 +47,14 @@
 // behind tells whether much less of a route goes to the target than the limit allows: of a
 // few parts of prompts that most of its requests share, none may have moved yet.
 func (e *exposure) behind(route string, limit float64) bool {
-	one := e.route(route)
+	one := e.routes.of(route)
 	allowed := limit * float64(one.reached)
 	return limit < 1 && allowed >= behindFrom && float64(one.target) < behindPart*allowed
 }
 
 // sent counts an attempt at a server of the target.
 func (e *exposure) sent(route string) {
-	e.route(route).target++
+	e.routes.of(route).target++
 	e.total.target++
 }
 
@@ -74,7 +64,7 @@
 		return
 	}
 	r.placement.reached = true
-	e.route(r.Route).reached++
+	e.routes.of(r.Route).reached++
 	e.total.reached++
 }
 
