Directing: one function for a side's servers, one for who is available

Cause: three functions of the gate picked the old servers or the target's by the same switch, and 'leaving, evacuated, or its hall lost' stood in four places, of which available is one.

side(target) makes the choice for all three, and usable, mostEjected, capacities and openTargets ask available, which moves to server.go. The variable w of a side is named one. Ruled out: dropping reachable and sameSide in favour of side; they say what the servers are wanted for.

Before: 3 switches, 4 copies of the condition; after: 1 and 1.

--- a/direct/gate.go
+++ b/direct/gate.go
@@ -74,41 +74,33 @@
 // closed tells whether old versions get nothing new.
 func (g *gate) closed() bool { return g.OldClosed && g.Target != "" }
 
-// reachable returns the servers of the side that a request is being placed on.
-func (p *pool) reachable(r *run) []*server {
+// side returns the servers that may get requests of the target, or of the old versions.
+// Without a gate there is one side.
+func (p *pool) side(target bool) []*server {
 	switch {
 	case p.gate == nil:
 		return p.order
-	case r.placement.target:
+	case target:
 		return p.gate.target
 	}
 	return p.gate.old
 }
 
+// reachable returns the servers of the side that a request is being placed on.
+func (p *pool) reachable(r *run) []*server { return p.side(r.placement.target) }
+
 // sameSide returns the servers that a server is compared with for ejection: those of its
 // own side. Among the old servers, each server of a bad version would stand out and be
 // ejected before enough answers had shown that the version itself is bad.
-func (p *pool) sameSide(s *server) []*server {
-	switch {
-	case p.gate == nil:
-		return p.order
-	case s.target:
-		return p.gate.target
-	}
-	return p.gate.old
-}
+func (p *pool) sameSide(s *server) []*server { return p.side(s.target) }
 
 // noSideUsable tells whether a request finds no usable server on any side that it may go to.
 func (p *pool) noSideUsable(now time.Duration, r *run) bool {
 	if p.gate == nil {
 		return false
 	}
-	for _, w := range p.gate.sidesFor(r) {
-		side := p.gate.old
-		if w.target {
-			side = p.gate.target
-		}
-		if slices.ContainsFunc(side, func(s *server) bool { return s.usable(now) }) {
+	for _, one := range p.gate.sidesFor(r) {
+		if slices.ContainsFunc(p.side(one.target), func(s *server) bool { return s.usable(now) }) {
 			return false
 		}
 	}
--- a/direct/pool.go
+++ b/direct/pool.go
@@ -91,7 +91,7 @@
 func mostEjected(now time.Duration, servers []*server) bool {
 	in, all := 0, 0
 	for _, s := range servers {
-		if s.leaving || s.evacuated || s.hallLost {
+		if !s.available() {
 			continue
 		}
 		all++
--- a/direct/server.go
+++ b/direct/server.go
@@ -71,9 +71,12 @@
 
 // usable tells whether new requests may go to a server at all.
 func (s *server) usable(now time.Duration) bool {
-	return !s.leaving && !s.evacuated && !s.hallLost && now >= s.downUntil && now >= s.ejectedUntil
+	return s.available() && now >= s.downUntil && now >= s.ejectedUntil
 }
 
+// available tells whether nothing keeps new requests from a server for long.
+func (s *server) available() bool { return !s.leaving && !s.evacuated && !s.hallLost }
+
 // takes tells whether new requests that may be served in some regions may go to a server.
 func (s *server) takes(now time.Duration, regions Regions) bool {
 	return s.usable(now) && regions.Allow(s.region)
--- a/direct/side.go
+++ b/direct/side.go
@@ -89,13 +89,13 @@
 		return m.place(now, p, r)
 	}
 	limited := false
-	for _, w := range g.sidesFor(r) {
-		if w.target && !g.exposure.allows(r.Route, g.Limit) {
+	for _, one := range g.sidesFor(r) {
+		if one.target && !g.exposure.allows(r.Route, g.Limit) {
 			limited = true
 			continue
 		}
-		r.placement.target, r.placement.side = w.target, w.why
-		if limited && w.why == SideFull {
+		r.placement.target, r.placement.side = one.target, one.why
+		if limited && one.why == SideFull {
 			r.placement.side = SideLimit
 		}
 		if c, ok := m.place(now, p, r); ok {
--- a/direct/teamgroup.go
+++ b/direct/teamgroup.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		for _, s := range p.order {
-			if s.leaving || s.evacuated || s.hallLost {
+			if !s.available() {
 				continue
 			}
 			slots[index.numberOf(s.region)] += float64(max(s.Slots, 1))
--- a/direct/trial.go
+++ b/direct/trial.go
@@ -20,8 +20,9 @@
 )
 
 // openTargets returns the target's servers that take requests at the present stage, by id.
-// All routers choose the same ones, by the servers' ids. Servers that are leaving are used
-// as a last resort only once old servers are closed: before that, the old ones serve.
+// All routers choose the same ones, by the servers' ids. A server that is ejected stays in
+// the trial: what it answered is evidence. Servers that are leaving are used as a last
+// resort only once old servers are closed: before that, the old ones serve.
 func (g *gate) openTargets(all []*server) []*server {
 	var out []*server
 	if g.Part <= 0 {
@@ -44,10 +45,6 @@
 	return out
 }
 
-// available tells whether nothing keeps a server from new requests for long. A server that
-// is ejected stays in the trial: what it answered is evidence.
-func (s *server) available() bool { return !s.leaving && !s.evacuated && !s.hallLost }
-
 // spreadOut puts the first server of each cohort before all others.
 func spreadOut(all []*server) []*server {
 	single := inOneHall(all)
