Roll-outs: the type of a roll-out under way is called rollout

Cause: roll named neither the thing nor its package's term; a newcomer reads s.roll as a verb.

Type, field, constructor, reconcileRollout and file take the name. Ruled out: progress and move, which say less than the package's own word; an exported name, as nothing outside needs it.

--- a/rollout/flapping_test.go
+++ b/rollout/flapping_test.go
@@ -34,5 +34,5 @@
 			}
 		}
 	}
-	require.Equal(t, Tally{Good: 9, Bad: 3}, m.services["s"].roll.all.total(true))
+	require.Equal(t, Tally{Good: 9, Bad: 3}, m.services["s"].rollout.all.total(true))
 }
--- a/rollout/gates.go
+++ b/rollout/gates.go
@@ -17,10 +17,10 @@
 // gate returns the gate that the state of a service asks for.
 func (s *service) gate(share float64) Gate {
 	g := Gate{Service: s.name, InUse: s.inUse}
-	if s.roll == nil || s.inUse == nil {
+	if s.rollout == nil || s.inUse == nil {
 		return g
 	}
-	r := s.roll
+	r := s.rollout
 	if r.trusted && r.inForce() == Waiting {
 		// Its servers take requests already, and there may be no others.
 		return g
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -57,8 +57,8 @@
 func (m *Machine) Reports() []Report {
 	var reports []Report
 	for _, s := range m.sorted() {
-		if s.roll != nil {
-			reports = append(reports, s.roll.report())
+		if s.rollout != nil {
+			reports = append(reports, s.rollout.report())
 		}
 	}
 	return reports
@@ -126,36 +126,36 @@
 // count adds one answer to this router's own evidence.
 func (m *Machine) count(msg AnswerMsg) {
 	s := m.services[msg.Service]
-	if s == nil || s.roll == nil {
+	if s == nil || s.rollout == nil {
 		return
 	}
 	t := Tally{Good: 1}
 	if msg.Bad {
 		t = Tally{Bad: 1}
 	}
-	s.roll.own.count(cellKey{msg.Route, msg.Cohort, msg.Target, msg.Later}, t)
+	s.rollout.own.count(cellKey{msg.Route, msg.Cohort, msg.Target, msg.Later}, t)
 }
 
 // hear takes in the reports of the other routers.
 func (m *Machine) hear(msg OthersMsg) {
 	for _, s := range m.sorted() {
-		if s.roll == nil {
+		if s.rollout == nil {
 			continue
 		}
 		others := Report{}
 		for _, r := range msg.Reports {
-			if r.Service == s.name && r.Order == s.roll.key {
+			if r.Service == s.name && r.Order == s.rollout.key {
 				others = Merge(others, r)
 			}
 		}
-		s.roll.hear(others, msg.Now)
+		s.rollout.hear(others, msg.Now)
 		m.follow(s)
 	}
 }
 
 // follow takes over a rejection or a higher stage that other routers report.
 func (m *Machine) follow(s *service) {
-	r := s.roll
+	r := s.rollout
 	if r.others.Routers == 0 {
 		return
 	}
@@ -169,8 +169,8 @@
 
 // raise moves a roll-out on to a higher stage.
 func (m *Machine) raise(s *service, stage Stage, cause string) {
-	s.roll.stage = stage
-	s.roll.raisedAt = s.roll.age
+	s.rollout.stage = stage
+	s.rollout.raisedAt = s.rollout.age
 	m.step(s, StepRaised, cause)
 }
 
@@ -196,7 +196,7 @@
 	if s.order != nil {
 		c.Target = s.order.Target
 	}
-	if r := s.roll; r != nil {
+	if r := s.rollout; r != nil {
 		c.Target = r.order.Target
 		c.Stage, c.Age, c.Within = r.stage, r.age, r.order.Within
 		c.Routers += int(r.others.Routers)
--- a/rollout/quiet.go
+++ b/rollout/quiet.go
@@ -13,7 +13,7 @@
 // quiet tells whether so few requests come that the target may get all of them without
 // evidence. Otherwise a service that nobody calls could never be moved. A router that does
 // not hear all others can't tell how many come.
-func (r *roll) quiet(routers int) bool {
+func (r *rollout) quiet(routers int) bool {
 	if r.watched < quietAfter || int(r.others.Routers)+1 < routers {
 		return false
 	}
--- a/rollout/reconcile.go
+++ b/rollout/reconcile.go
@@ -13,17 +13,17 @@
 	for _, s := range m.sorted() {
 		m.reconcileOrder(s, now)
 		m.reconcileVersions(s)
-		m.reconcileRoll(s, now)
+		m.reconcileRollout(s, now)
 		m.logUnordered(s)
 	}
 }
 
 // reconcileOrder ends a roll-out whose order is over.
 func (m *Machine) reconcileOrder(s *service, now time.Duration) {
-	if s.roll != nil && s.order == nil {
+	if s.rollout != nil && s.order == nil {
 		m.abandon(s, causeDeleted)
 	}
-	if s.roll != nil && s.order.Key() != s.roll.key {
+	if s.rollout != nil && s.order.Key() != s.rollout.key {
 		m.abandon(s, causeReplaced)
 	}
 	if s.order == nil {
@@ -43,8 +43,8 @@
 // abandon ends a roll-out whose order is gone, as if it had been rolled back.
 func (m *Machine) abandon(s *service, cause string) {
 	m.step(s, StepAbandoned, cause)
-	target, trusted := s.roll.order.Target, s.roll.trusted
-	s.roll = nil
+	target, trusted := s.rollout.order.Target, s.rollout.trusted
+	s.rollout = nil
 	if !trusted {
 		s.reject(target)
 	}
@@ -54,7 +54,7 @@
 func (m *Machine) end(s *service, state State) {
 	s.apply(s.order.Target, state)
 	if s.ended == s.order.Key() {
-		s.roll = nil
+		s.rollout = nil
 		return
 	}
 	s.ended = s.order.Key()
@@ -63,7 +63,7 @@
 		name = StepRolledBack
 	}
 	m.step(s, name, causeStatus)
-	s.roll = nil
+	s.rollout = nil
 }
 
 // reconcileVersions finds the versions in use where the record does not say them.
@@ -76,15 +76,15 @@
 	}
 }
 
-// reconcileRoll begins the roll-out of an order that is open, or updates the one under way.
-func (m *Machine) reconcileRoll(s *service, now time.Duration) {
+// reconcileRollout begins the roll-out of an order that is open, or updates the one under way.
+func (m *Machine) reconcileRollout(s *service, now time.Duration) {
 	if s.order == nil || s.ended == s.order.Key() {
 		return
 	}
-	if s.roll == nil {
+	if s.rollout == nil {
 		m.begin(s, now)
 	}
-	r := s.roll
+	r := s.rollout
 	if r.order != *s.order {
 		r.order = *s.order
 		r.plan = newTimeline(r.order.Within)
@@ -104,8 +104,8 @@
 
 // begin starts the roll-out of a service's order.
 func (m *Machine) begin(s *service, now time.Duration) {
-	r := newRoll(*s.order, now)
-	s.roll = r
+	r := newRollout(*s.order, now)
+	s.rollout = r
 	if s.record.Target == r.order.Target && s.record.Made == r.order.Made {
 		r.recorded = s.record.Age + max(0, m.wall.Sub(s.record.Wall))
 	}
@@ -126,7 +126,7 @@
 		return
 	}
 	for _, v := range s.versions {
-		ordered := s.uses(v) || s.roll != nil && s.roll.order.Target == v
+		ordered := s.uses(v) || s.rollout != nil && s.rollout.order.Target == v
 		if ordered || slices.Contains(s.unorderedLogged, v) {
 			continue
 		}
--- a/rollout/roll.go
+++ b/rollout/rollout.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// roll is one roll-out under way, as one router sees it. Ages are times since the order was
+// rollout is one roll-out under way, as one router sees it. Ages are times since the order was
 // made; other times are on this router's monotonic clock.
-type roll struct {
+type rollout struct {
 	order Order
 	key   uint64
 	plan  timeline
@@ -56,8 +56,8 @@
 	goneFor = time.Second
 )
 
-func newRoll(o Order, now time.Duration) *roll {
-	return &roll{
+func newRollout(o Order, now time.Duration) *rollout {
+	return &rollout{
 		order:  o,
 		key:    o.Key(),
 		plan:   newTimeline(o.Within),
@@ -74,7 +74,7 @@
 const longestLook = 3 * TickEvery
 
 // pass lets time pass up to now.
-func (r *roll) pass(now time.Duration) {
+func (r *rollout) pass(now time.Duration) {
 	if now > r.agedAt {
 		r.watched += min(now-r.agedAt, longestLook)
 		r.age += now - r.agedAt
@@ -87,25 +87,25 @@
 
 // useRecorded takes the record's age, unless another router has told of a time before
 // this one began.
-func (r *roll) useRecorded(watched time.Duration) {
+func (r *rollout) useRecorded(watched time.Duration) {
 	if r.age < watched+hearFor/2 {
 		r.raiseAge(r.recorded + watched)
 	}
 	r.recorded = 0
 }
 
-func (r *roll) raiseAge(age time.Duration) {
+func (r *rollout) raiseAge(age time.Duration) {
 	r.age = max(r.age, min(age, r.order.Within+mostOverdue))
 }
 
 // hear takes in the merged report of all other routers.
-func (r *roll) hear(others Report, now time.Duration) {
+func (r *rollout) hear(others Report, now time.Duration) {
 	r.others = others
 	r.pass(now)
 	r.raiseAge(others.Age)
 }
 
-func (r *roll) report() Report {
+func (r *rollout) report() Report {
 	return Report{
 		Service:    r.order.Service,
 		Order:      r.key,
@@ -119,10 +119,10 @@
 	}
 }
 
-func (r *roll) stopped() bool { return r.rejected || r.hold.on }
+func (r *rollout) stopped() bool { return r.rejected || r.hold.on }
 
 // inForce is the stage that this router's gate follows.
-func (r *roll) inForce() Stage {
+func (r *rollout) inForce() Stage {
 	if r.stopped() {
 		return Waiting
 	}
@@ -130,7 +130,7 @@
 }
 
 // look judges the evidence of all routers.
-func (r *roll) look(now time.Duration) Verdict {
+func (r *rollout) look(now time.Duration) Verdict {
 	r.all = cells{}
 	r.all.add(r.own)
 	r.all.add(cellsOf(r.others.Cells))
@@ -149,7 +149,7 @@
 // regrouped tells whether routers were lost, or came back, since the last look: the counts of
 // one that comes back were judged before, and must not be judged again. Routers beyond the
 // most that were heard together are new to this one, and so are all their counts.
-func (r *roll) regrouped() bool {
+func (r *rollout) regrouped() bool {
 	n := r.others.Routers
 	changed := n != r.heard && n <= r.mostHeard
 	r.heard, r.mostHeard = n, max(r.mostHeard, n)
@@ -157,12 +157,12 @@
 }
 
 // proven tells whether the target may get more than the trial's part.
-func (r *roll) proven(routers int) bool {
+func (r *rollout) proven(routers int) bool {
 	return r.trusted || r.judge.Verdict() == Good || r.judge.Verdict() != Bad && r.quiet(routers)
 }
 
 // next returns the stage that follows, and whether it is due now.
-func (r *roll) next() (Stage, bool) {
+func (r *rollout) next() (Stage, bool) {
 	if r.stage == All || r.stopped() || !r.serversThere {
 		return r.stage, false
 	}
@@ -178,7 +178,7 @@
 }
 
 // settled tells whether nothing has run at old servers, for any router, for long enough.
-func (r *roll) settled(now time.Duration, routers int) bool {
+func (r *rollout) settled(now time.Duration, routers int) bool {
 	sum := Merge(r.report(), r.others)
 	idle := int(sum.Routers) >= routers && sum.InForce >= All && sum.OldRunning == 0
 	if !idle {
@@ -192,10 +192,10 @@
 }
 
 // everywhere tells whether all routers that are heard have the last stage in force.
-func (r *roll) everywhere() bool { return Merge(r.report(), r.others).InForce >= All }
+func (r *rollout) everywhere() bool { return Merge(r.report(), r.others).InForce >= All }
 
 // reject closes the target for good, and tells whether it was open.
-func (r *roll) reject(cause string) bool {
+func (r *rollout) reject(cause string) bool {
 	if r.rejected {
 		return false
 	}
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -20,7 +20,7 @@
 	rejected []string // versions that were rolled back
 	record   Record   // Revision 0: none in the store
 	versions []string // of the listed servers
-	roll     *roll    // nil: no roll-out is under way
+	rollout  *rollout // nil: no roll-out is under way
 	writer   writer
 	inForce  Gate
 	gated    bool // a GateCmd was emitted for inForce
@@ -150,9 +150,9 @@
 		Rejected: slices.Clone(s.rejected),
 		Wall:     wall,
 	}
-	if s.roll != nil {
-		w.Target, w.Made = s.roll.order.Target, s.roll.order.Made
-		w.Stage, w.Age = s.roll.stage, s.roll.age
+	if s.rollout != nil {
+		w.Target, w.Made = s.rollout.order.Target, s.rollout.order.Made
+		w.Stage, w.Age = s.rollout.stage, s.rollout.age
 	}
 	return w
 }
--- a/rollout/snapshot.go
+++ b/rollout/snapshot.go
@@ -46,7 +46,7 @@
 		Leads:    m.leads,
 		WaitsFor: m.waitsFor(s),
 	}
-	r := s.roll
+	r := s.rollout
 	if r == nil {
 		return st
 	}
--- a/rollout/tick.go
+++ b/rollout/tick.go
@@ -9,8 +9,8 @@
 		return
 	}
 	for _, s := range m.sorted() {
-		if s.roll != nil {
-			s.roll.oldRunning = uint32(max(0, msg.OldRunning[s.name]))
+		if s.rollout != nil {
+			s.rollout.oldRunning = uint32(max(0, msg.OldRunning[s.name]))
 			m.advance(s, msg.Now)
 		}
 		if m.leads {
@@ -21,7 +21,7 @@
 
 // advance judges and moves one roll-out on.
 func (m *Machine) advance(s *service, now time.Duration) {
-	r := s.roll
+	r := s.rollout
 	r.pass(now)
 	m.stop(s, r.look(now), now)
 	m.follow(s)
@@ -38,7 +38,7 @@
 // stop closes the target where the evidence says that it is bad: for good where this router
 // leads, else for a time. It reopens it when that time is over.
 func (m *Machine) stop(s *service, verdict Verdict, now time.Duration) {
-	r := s.roll
+	r := s.rollout
 	if verdict == Bad && m.leads {
 		m.reject(s, causeEvidence)
 		return
@@ -56,14 +56,14 @@
 }
 
 func (m *Machine) reject(s *service, cause string) {
-	if s.roll.reject(cause) {
+	if s.rollout.reject(cause) {
 		m.step(s, StepRejected, cause)
 	}
 }
 
 // giveUp rejects a target to which the service can't be moved in time.
 func (m *Machine) giveUp(s *service, now time.Duration) {
-	r := s.roll
+	r := s.rollout
 	if r.age >= r.plan.lastRamp && r.stage <= Trial && !r.proven(m.routers) {
 		m.reject(s, causeNoProof)
 	}
@@ -81,7 +81,7 @@
 // confirm decides that the roll-out is to be completed: nothing runs at old servers any
 // more, or the time for the last write has come.
 func (m *Machine) confirm(s *service, now time.Duration) {
-	r := s.roll
+	r := s.rollout
 	settled := r.settled(now, m.routers)
 	if r.confirmed || r.stopped() || r.stage != All {
 		return
--- a/rollout/wait.go
+++ b/rollout/wait.go
@@ -28,7 +28,7 @@
 
 // waitsFor returns what the roll-out of a service waits for.
 func (m *Machine) waitsFor(s *service) Wait {
-	r := s.roll
+	r := s.rollout
 	switch {
 	case !m.orders || !m.records:
 		return WaitKnown
--- a/rollout/write.go
+++ b/rollout/write.go
@@ -18,7 +18,7 @@
 		m.cmds = append(m.cmds, s.writer.send(c, s.key(), now))
 		return
 	}
-	if s.roll != nil && s.order.status() == Ordered && s.order.Target != "" {
+	if s.rollout != nil && s.order.status() == Ordered && s.order.Target != "" {
 		m.writeStatus(s, InProgress, now)
 	}
 }
@@ -31,7 +31,7 @@
 
 // finalDue returns the final status that is to be written now; Ordered: none.
 func (s *service) finalDue() State {
-	r := s.roll
+	r := s.rollout
 	if r == nil || r.order.Target == "" {
 		return Ordered
 	}
