Roll-outs: one test that the order of merging makes no difference

Cause: merge_test.go and merge_told_test.go each drew reports and merged them in several ways; the second file was named after nothing.

One file has one generator, which draws all that either drew: cells in any order and repeated, of two cohorts, up to nine routers or none, rejections, ages, one order or two. TestMergeCountsAll is kept word for word, with the name of its kind, TestRolloutMergeCountsAll.

--- a/rollout/merge_test.go
+++ b/rollout/merge_test.go
@@ -8,11 +8,13 @@
 	"pgregory.net/rapid"
 )
 
-func drawReport(t *rapid.T) Report {
+// drawReport draws what some routers, or none, tell of one of some orders. Its cells are in
+// any order and may repeat.
+func drawReport(t *rapid.T, orders int) Report {
 	r := Report{
 		Service:    simService,
-		Order:      uint64(rapid.IntRange(1, 2).Draw(t, "order")),
-		Routers:    uint32(rapid.IntRange(0, 2).Draw(t, "routers")),
+		Order:      uint64(rapid.IntRange(1, orders).Draw(t, "order")),
+		Routers:    rapid.Uint32Range(0, 9).Draw(t, "routers"),
 		Known:      Stage(rapid.IntRange(0, 4).Draw(t, "known")),
 		InForce:    Stage(rapid.IntRange(0, 4).Draw(t, "in force")),
 		Age:        time.Duration(rapid.IntRange(0, 9).Draw(t, "age")),
@@ -22,26 +24,44 @@
 	if r.Routers == 0 {
 		return Report{}
 	}
-	counts := cells{}
-	for range rapid.IntRange(0, 4).Draw(t, "cells") {
-		k := cellKey{
+	for range rapid.IntRange(0, 5).Draw(t, "cells") {
+		r.Cells = append(r.Cells, Cell{
 			Route:  rapid.SampledFrom([]string{"a", "b"}).Draw(t, "route"),
 			Cohort: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "cohort"),
 			Target: rapid.Bool().Draw(t, "target"),
 			Later:  rapid.Bool().Draw(t, "later"),
-		}
-		counts.count(k, Tally{Good: uint32(rapid.IntRange(0, 9).Draw(t, "good")), Bad: 1})
+			Good:   rapid.Uint32Range(0, 9).Draw(t, "good"),
+			Bad:    rapid.Uint32Range(0, 1).Draw(t, "bad"),
+		})
 	}
-	r.Cells = counts.list()
 	return r
 }
 
 // TestRolloutMerge shows that the order of merging makes no difference.
 func TestRolloutMerge(t *testing.T) {
 	t.Parallel()
-	rapid.Check(t, func(t *rapid.T) {
-		a, b, c := drawReport(t), drawReport(t), drawReport(t)
-		require.Equal(t, Merge(a, b), Merge(b, a))
-		require.Equal(t, Merge(Merge(a, b), c), Merge(a, Merge(b, c)))
-	})
+	for _, orders := range []int{1, 2} {
+		rapid.Check(t, func(t *rapid.T) {
+			a, b, c := drawReport(t, orders), drawReport(t, orders), drawReport(t, orders)
+			want := Merge(Merge(a, b), c)
+			require.Equal(t, want, Merge(a, Merge(b, c)))
+			require.Equal(t, want, Merge(Merge(c, a), b))
+			require.Equal(t, Merge(a, b), Merge(b, a))
+		})
+	}
+}
+
+// TestRolloutMergeCountsAll has sums of what is counted, and the least that is in force.
+func TestRolloutMergeCountsAll(t *testing.T) {
+	t.Parallel()
+	cell := Cell{Route: "r", Cohort: "h", Good: 2, Bad: 1}
+	later := Cell{Route: "r", Cohort: "h", Later: true, Good: 4}
+	got := Merge(
+		Report{Service: "s", Order: 1, Routers: 2, Known: Half, InForce: Quarter, Age: 5, OldRunning: 3, Cells: []Cell{later, cell}},
+		Report{Service: "s", Order: 1, Routers: 1, Known: Quarter, InForce: Trial, Age: 7, OldRunning: 1, Cells: []Cell{cell}},
+	)
+	require.Equal(t, Report{
+		Service: "s", Order: 1, Routers: 3, Known: Half, InForce: Trial, Age: 7, OldRunning: 4,
+		Cells: []Cell{{Route: "r", Cohort: "h", Good: 4, Bad: 2}, later},
+	}, got)
 }
