Tests of roll-outs: two set-ups are written once

Cause: the two tests of confirm_test.go ran a fleet into its last stage by the same four lines, and the two of judge_test.go ran their cases at two rates by the same loops.

inLastStage and atRates take these. Ruled out: one set-up for the machines of early_test, first_test, flapping_test, unlisted_test and paused_test; what each machine has been told, and in which order, is what these tests are about. writer_test.go repeats only its calls.

No test changes what it checks; names of subtests and rates are the same.

--- a/rollout/confirm_test.go
+++ b/rollout/confirm_test.go
@@ -7,14 +7,20 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestRolloutConfirmedWaitsForAll shows that a roll-out which was found done is not
-// written as completed while a router that is heard of late is not in the last stage.
-func TestRolloutConfirmedWaitsForAll(t *testing.T) {
-	t.Parallel()
+// inLastStage returns a fleet of one router whose roll-out has come to its last stage.
+func inLastStage() *sim {
 	s := newSim(1, 1)
 	s.run(time.Second)
 	s.order(newVersion, "m1", simWithin)
 	s.run(newTimeline(simWithin).due(All))
+	return s
+}
+
+// TestRolloutConfirmedWaitsForAll shows that a roll-out which was found done is not
+// written as completed while a router that is heard of late is not in the last stage.
+func TestRolloutConfirmedWaitsForAll(t *testing.T) {
+	t.Parallel()
+	s := inLastStage()
 	s.store.down = true
 	s.run(2 * time.Second)
 	m := s.routers[0].machine
@@ -44,10 +50,7 @@
 // router is there that has told nothing.
 func TestRolloutSettledNeedsAllRouters(t *testing.T) {
 	t.Parallel()
-	s := newSim(1, 1)
-	s.run(time.Second)
-	s.order(newVersion, "m1", simWithin)
-	s.run(newTimeline(simWithin).due(All))
+	s := inLastStage()
 	require.False(t, settles(s, 2))
 	require.True(t, settles(s, 1))
 }
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -169,66 +169,68 @@
 	simSeconds = 25
 )
 
-// TestRolloutJudgeSpares shows how seldom a good version is judged bad, and that nearly
-// all are judged good before the ramp.
-func TestRolloutJudgeSpares(t *testing.T) {
-	t.Parallel()
-	for name, bad := range goodCases() {
+// atRates runs a test of each case with many and with few answers of the target a second.
+func atRates[C any](t *testing.T, cases map[string]C, test func(t *testing.T, name string, c C, rate float64)) {
+	for name, c := range cases {
 		for _, rate := range []float64{25, 6} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
-				alarms, passed := 0, 0
-				for seed := range int64(simSeeds) {
-					verdict, _, _ := judged{perSecond: rate, seconds: simSeconds, bad: bad}.run(seed)
-					if verdict == Bad {
-						alarms++
-					}
-					if verdict == Good {
-						passed++
-					}
-				}
-				t.Logf("%s, %g a second: %d of %d judged bad, %d good", name, rate, alarms, simSeeds, passed)
-				require.LessOrEqual(t, alarms, simSeeds/200)
+				test(t, name, c, rate)
 			})
 		}
 	}
 }
 
+// TestRolloutJudgeSpares shows how seldom a good version is judged bad, and that nearly
+// all are judged good before the ramp.
+func TestRolloutJudgeSpares(t *testing.T) {
+	t.Parallel()
+	atRates(t, goodCases(), func(t *testing.T, name string, bad badRate, rate float64) {
+		alarms, passed := 0, 0
+		for seed := range int64(simSeeds) {
+			verdict, _, _ := judged{perSecond: rate, seconds: simSeconds, bad: bad}.run(seed)
+			if verdict == Bad {
+				alarms++
+			}
+			if verdict == Good {
+				passed++
+			}
+		}
+		t.Logf("%s, %g a second: %d of %d judged bad, %d good", name, rate, alarms, simSeeds, passed)
+		require.LessOrEqual(t, alarms, simSeeds/200)
+	})
+}
+
 // TestRolloutJudgeFinds shows how many bad versions are missed before the ramp, and how
 // many bad answers the others gave until they were found.
 func TestRolloutJudgeFinds(t *testing.T) {
 	t.Parallel()
-	for name, c := range badCases() {
-		for _, rate := range []float64{25, 6} {
-			t.Run(name, func(t *testing.T) {
-				t.Parallel()
-				missed, passed, many, most, sum, took := 0, 0, 0, 0, 0, 0.0
-				for seed := range int64(simSeeds) {
-					verdict, at, bads := judged{rate, simSeconds, c.bad, c.later}.run(seed)
-					if verdict != Bad {
-						missed++
-						if verdict == Good {
-							passed++
-						}
-						continue
-					}
-					if bads >= 50 {
-						many++
-					}
-					most = max(most, bads)
-					sum += bads
-					took += at
-				}
-				found := max(1, simSeeds-missed)
-				t.Logf("%s, %g a second: %d of %d missed (%d judged good); bad answers until found: mean %.1f, most %d, 50 or more in %d; mean time %.2f s",
-					name, rate, missed, simSeeds, passed, float64(sum)/float64(found), most, many, took/float64(found))
-				if c.atOnce && missed > simSeeds/100 {
-					require.Fail(t, "missed too often")
-				}
-				if c.own {
-					require.LessOrEqual(t, many, simSeeds/100)
+	atRates(t, badCases(), func(t *testing.T, name string, c badCase, rate float64) {
+		missed, passed, many, most, sum, took := 0, 0, 0, 0, 0, 0.0
+		for seed := range int64(simSeeds) {
+			verdict, at, bads := judged{rate, simSeconds, c.bad, c.later}.run(seed)
+			if verdict != Bad {
+				missed++
+				if verdict == Good {
+					passed++
 				}
-			})
+				continue
+			}
+			if bads >= 50 {
+				many++
+			}
+			most = max(most, bads)
+			sum += bads
+			took += at
 		}
-	}
+		found := max(1, simSeeds-missed)
+		t.Logf("%s, %g a second: %d of %d missed (%d judged good); bad answers until found: mean %.1f, most %d, 50 or more in %d; mean time %.2f s",
+			name, rate, missed, simSeeds, passed, float64(sum)/float64(found), most, many, took/float64(found))
+		if c.atOnce && missed > simSeeds/100 {
+			require.Fail(t, "missed too often")
+		}
+		if c.own {
+			require.LessOrEqual(t, many, simSeeds/100)
+		}
+	})
 }
