Roll-outs: whether all routers are done is found without merging evidence

Cause: settled and everywhere built this router's report, with all its cells in order, and merged it with the others' cells, to compare three numbers, once or more a tick for each roll-out. proven worked out the verdict twice. 'This router and those that are heard' was added up in three places, a told rejection was logged beside reject, and two functions searched the listed versions by hand where lists does it.

Both now compare the numbers; routers() counts who is heard; follow calls reject, and orphanState and reconcileRollout call lists. Ruled out: calling reject for an order that is seen again or senseless as well: an order that is both logs two steps today. Bounds.Slack decides nothing and says so now; it stays in the settings. quietRequests is left as a constant: to take it from Slack would change when a quiet service moves.

Before: 1 merge of all cells at each tick of a leader, and up to 3 more towards the deadline; after: none.

--- a/rollout/bounds.go
+++ b/rollout/bounds.go
@@ -6,8 +6,9 @@
 	// Share is a part, from 0 to 1, of all requests of the service from the order to the
 	// deadline.
 	Share float64
-	// Slack is how many requests may come on top. Routers never plan to use it: it covers
-	// what restarts and cut connections add.
+	// Slack is how many requests may come on top. It decides nothing: routers plan by Share
+	// alone and leave the slack to what restarts and cut connections add. It is part of the
+	// settings so that they state the whole bound.
 	Slack float64
 }
 
--- a/rollout/cells.go
+++ b/rollout/cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -45,12 +46,7 @@
 
 // keys are in a fixed order, as sums of floats depend on it.
 func (c cells) keys() []cellKey {
-	keys := make([]cellKey, 0, len(c))
-	for k := range c {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, compareKeys)
-	return keys
+	return slices.SortedFunc(maps.Keys(c), compareKeys)
 }
 
 // targetKeys are those of the target's servers that have answers, in the same order.
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -159,8 +159,8 @@
 	if r.others.Routers == 0 {
 		return
 	}
-	if r.others.Rejected && r.reject(causeTold) {
-		m.step(s, StepRejected, causeTold)
+	if r.others.Rejected {
+		m.reject(s, causeTold)
 	}
 	if r.others.Known > r.stage {
 		m.raise(s, r.others.Known, causePeers)
@@ -199,7 +199,7 @@
 	if r := s.rollout; r != nil {
 		c.Target = r.order.Target
 		c.Stage, c.Age, c.Within = r.stage, r.age, r.order.Within
-		c.Routers += int(r.others.Routers)
+		c.Routers = r.routers()
 		c.New, c.Old = r.all.total(true), r.all.total(false)
 	}
 	m.cmds = append(m.cmds, c)
--- a/rollout/quiet.go
+++ b/rollout/quiet.go
@@ -14,7 +14,7 @@
 // evidence. Otherwise a service that nobody calls could never be moved. A router that does
 // not hear all others can't tell how many come.
 func (r *rollout) quiet(routers int) bool {
-	if r.watched < quietAfter || int(r.others.Routers)+1 < routers {
+	if r.watched < quietAfter || r.routers() < routers {
 		return false
 	}
 	fresh := r.all.total(true)
--- a/rollout/reconcile.go
+++ b/rollout/reconcile.go
@@ -95,7 +95,7 @@
 	if !r.trusted {
 		s.rejected = without(s.rejected, r.order.Target)
 	}
-	there := slices.Contains(s.versions, r.order.Target)
+	there := s.lists(r.order.Target)
 	if r.serversThere && !there {
 		r.serversGone = now
 	}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -158,7 +158,11 @@
 
 // proven tells whether the target may get more than the trial's part.
 func (r *rollout) proven(routers int) bool {
-	return r.trusted || r.judge.Verdict() == Good || r.judge.Verdict() != Bad && r.quiet(routers)
+	if r.trusted {
+		return true
+	}
+	verdict := r.judge.Verdict()
+	return verdict == Good || verdict != Bad && r.quiet(routers)
 }
 
 // next returns the stage that follows, and whether it is due now.
@@ -179,9 +183,8 @@
 
 // settled tells whether nothing has run at old servers, for any router, for long enough.
 func (r *rollout) settled(now time.Duration, routers int) bool {
-	sum := Merge(r.report(), r.others)
-	idle := int(sum.Routers) >= routers && sum.InForce >= All && sum.OldRunning == 0
-	if !idle {
+	nothingRuns := r.oldRunning == 0 && r.others.OldRunning == 0
+	if !nothingRuns || r.routers() < routers || !r.everywhere() {
 		r.idle = false
 		return false
 	}
@@ -192,7 +195,12 @@
 }
 
 // everywhere tells whether all routers that are heard have the last stage in force.
-func (r *rollout) everywhere() bool { return Merge(r.report(), r.others).InForce >= All }
+func (r *rollout) everywhere() bool {
+	return r.inForce() >= All && (r.others.Routers == 0 || r.others.InForce >= All)
+}
+
+// routers counts those that are heard, this one included.
+func (r *rollout) routers() int { return 1 + int(r.others.Routers) }
 
 // reject closes the target for good, and tells whether it was open.
 func (r *rollout) reject(cause string) bool {
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -182,8 +182,7 @@
 // when a roll-out is completed. So where servers of the target are listed and none of the
 // versions in use, it was completed, and rejecting the target would leave no server.
 func (s *service) orphanState(target string) State {
-	listed := func(version string) bool { return slices.Contains(s.versions, version) }
-	if listed(target) && !slices.ContainsFunc(s.inUse, listed) {
+	if s.lists(target) && !slices.ContainsFunc(s.inUse, s.lists) {
 		return Completed
 	}
 	return RolledBack
--- a/rollout/snapshot.go
+++ b/rollout/snapshot.go
@@ -52,7 +52,7 @@
 	}
 	st.Target, st.Stage, st.Part = r.order.Target, r.stage, s.gate(m.bounds.Share).Part
 	st.Age, st.Within = r.age, r.order.Within
-	st.Routers = 1 + int(r.others.Routers)
+	st.Routers = r.routers()
 	st.Verdict, st.Stopped = r.judge.Verdict(), r.stopped()
 	st.Rejecting, st.Cause = r.rejected, r.cause
 	st.Routes = r.all.routes()
