Directing: lapses are told in the order of services and ids

Cause: dropUnlisted and dropLapsed walked maps of pools and servers, so the order in which a machine tells that servers lapsed or went differed from run to run. Found by adding up the commands of all tests of direct, run three times on one code: the sum of each kind was the same, that of whole answers was not.

Both walk pools by name and servers by id. Ruled out: sorting the commands afterwards, which would put other commands out of their order; admitting only the pools that lost a server, which is not the same for pools whose servers left meanwhile.

--- a/direct/lapse.go
+++ b/direct/lapse.go
@@ -7,7 +7,8 @@
 // away: those that live are back within moments, so they are used a little
 // longer, and taken for gone if they are not.
 func (m *Machine) dropUnlisted(now time.Duration, listed map[string]bool) {
-	for _, p := range m.pools {
+	for _, name := range m.poolNames() {
+		p := m.pools[name]
 		unlisted := p.unlisted(listed)
 		went := serving(unlisted)
 		lapsed := m.uses(LapseHold) && went >= lapseLeast && float64(went) >= lapseShare*float64(p.present())
@@ -26,10 +27,12 @@
 // dropLapsed takes out the servers whose entries have not come back.
 func (m *Machine) dropLapsed(now time.Duration) {
 	dropped := false
-	for _, s := range m.byServer {
-		if s.lapsedAt > 0 && now-s.lapsedAt >= lapseHold {
-			m.dropServer(now, s, "not listed again")
-			dropped = true
+	for _, name := range m.poolNames() {
+		for _, s := range m.pools[name].all {
+			if s.lapsedAt > 0 && now-s.lapsedAt >= lapseHold {
+				m.dropServer(now, s, "not listed again")
+				dropped = true
+			}
 		}
 	}
 	if dropped {
