Tests of lists and roll-outs: three more set-ups are written once

Cause: that a router knows what all others have was held by the same six lines in exchange_test.go and regions_test.go; that all routers start anew stood in three tests of roll-outs; bytes_test.go named its two sides before and after, which says when and not what.

knowsAll belongs to the network, which the storm embeds; restartAll to the simulated fleet; the sides are named without and with regions. Ruled out: one random test in place of TestAnyTrouble and TestTeamsUnderAnyTrouble, whose common lines draw the halls: the first also makes routers ignorant and changes loads, the second plays the slower rounds of teams.

No test changes what it checks.

--- a/loads/bytes_test.go
+++ b/loads/bytes_test.go
@@ -220,18 +220,18 @@
 // heartbeats.
 func TestRegionBytes(t *testing.T) {
 	for _, f := range fleetSizes[:2] {
-		before, after := f.play(false), f.play(true)
-		t.Logf("%s before: %v", f.name, before)
-		t.Logf("%s after:  %v", f.name, after)
-		require.LessOrEqual(t, after.betweenRegions, before.betweenRegions/6)
-		require.Less(t, after.mean, before.mean)
+		without, with := f.play(false), f.play(true)
+		t.Logf("%s without regions: %v", f.name, without)
+		t.Logf("%s with regions:    %v", f.name, with)
+		require.LessOrEqual(t, with.betweenRegions, without.betweenRegions/6)
+		require.Less(t, with.mean, without.mean)
 	}
 }
 
 // BenchmarkBytes prints what fleets of several sizes send in a second.
 func BenchmarkBytes(b *testing.B) {
 	for _, f := range fleetSizes {
-		for name, regions := range map[string]bool{"before": false, "after": true} {
+		for name, regions := range map[string]bool{"without regions": false, "with regions": true} {
 			b.Run(f.name+" "+name, func(b *testing.B) {
 				for b.Loop() {
 					b.Log(f.play(regions))
--- a/loads/exchange_test.go
+++ b/loads/exchange_test.go
@@ -125,14 +125,19 @@
 // settled holds that every router knows exactly what all the others have.
 func (n *network) settled(t require.TestingT) {
 	for _, r := range n.routers {
-		var lists [][]Load
-		for _, other := range n.routers {
-			if other.Address != r.Address {
-				lists = append(lists, n.own[other.Address])
-			}
+		n.knowsAll(t, r)
+	}
+}
+
+// knowsAll holds that a router knows exactly what all the others have.
+func (n *network) knowsAll(t require.TestingT, r Router) {
+	var lists [][]Load
+	for _, other := range n.routers {
+		if other.Address != r.Address {
+			lists = append(lists, n.own[other.Address])
 		}
-		require.Equal(t, sum(lists...), n.others[r.Address], "what %s knows", r.Address)
 	}
+	require.Equal(t, sum(lists...), n.others[r.Address], "what %s knows", r.Address)
 }
 
 // heal runs as many rounds as it may take until old lists are dropped and avoided
--- a/loads/regions_test.go
+++ b/loads/regions_test.go
@@ -247,17 +247,6 @@
 	}
 }
 
-// knowsAll holds that a router knows exactly what all the others have.
-func (s *storm) knowsAll(t require.TestingT, r Router) {
-	var lists [][]Load
-	for _, other := range s.routers {
-		if other.Address != r.Address {
-			lists = append(lists, s.own[other.Address])
-		}
-	}
-	require.Equal(t, sum(lists...), s.others[r.Address], "what %s knows", r.Address)
-}
-
 // TestRegionsCutOneWay cuts, for good, the lists of one region's aggregator to another's,
 // and all that it hears: the regions learn of each other through the next ones.
 func TestRegionsCutOneWay(t *testing.T) {
--- a/rollout/fleet_fuzz_test.go
+++ b/rollout/fleet_fuzz_test.go
@@ -52,9 +52,7 @@
 			d.lost = true
 		},
 		"restart all": func(t *rapid.T) {
-			for i := range d.routers {
-				d.routers[i] = d.fresh()
-			}
+			d.restartAll()
 			d.lost = true
 		},
 		"store down":     func(t *rapid.T) { d.store.down = !d.store.down },
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -161,6 +161,13 @@
 	}
 }
 
+// restartAll starts all routers anew: what they knew is lost.
+func (s *sim) restartAll() {
+	for i := range s.routers {
+		s.routers[i] = s.fresh()
+	}
+}
+
 func (s *sim) order(target, made string, within time.Duration) {
 	if !slices.Contains(s.versions, target) {
 		s.versions = append(s.versions, target)
--- a/rollout/killed_test.go
+++ b/rollout/killed_test.go
@@ -17,9 +17,7 @@
 		for _, bad := range []float64{0, 0.4} {
 			s := begun(1, bad, within)
 			s.run(at)
-			for i := range s.routers {
-				s.routers[i] = s.fresh()
-			}
+			s.restartAll()
 			s.run(within - at)
 			require.Empty(t, s.fault, "killed at %s", at)
 			require.True(t, s.status().Final(), "killed at %s: %s", at, s.status())
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -142,9 +142,7 @@
 		s.run(simWithin / 2)
 		s.store.order = nil
 		s.versions = versions
-		for i := range s.routers {
-			s.routers[i] = s.fresh()
-		}
+		s.restartAll()
 		s.run(time.Second)
 		require.Equal(t, versions[:1], s.routers[0].gate.InUse)
 		require.Equal(t, versions[:1], s.store.record.InUse)
