--- a/loads/teams.go
+++ b/loads/teams.go
@@ -1,7 +1,7 @@
 package loads
 
 import (
-	"slices"
+	"maps"
 	"strings"
 	"time"
 
@@ -53,7 +53,7 @@
 			lists = append(lists, e.counted(now, from, e.teamReports[from], false))
 		}
 	}
-	if e.aggregator == e.self.Address && without != e.self.Address {
+	if e.countsItself(without) {
 		lists = append(lists, e.ownTeams)
 	}
 	return sumTeams(lists...)
@@ -103,36 +103,24 @@
 }
 
 func (e *Exchange) isThere(address string) bool {
-	return slices.ContainsFunc(e.routers, func(r Router) bool { return r.Address == address })
+	_, there := e.there[address]
+	return there
 }
 
 // dropTeams forgets the lists of which nothing counts any more.
 func (e *Exchange) dropTeams(now time.Duration) {
 	for _, lists := range []map[string]teamList{e.teamReports, e.teamSums} {
-		for from, l := range lists {
-			if now-l.at > TeamsHold+DemandHold {
-				delete(lists, from)
-			}
-		}
+		maps.DeleteFunc(lists, func(_ string, l teamList) bool { return now-l.at > TeamsHold+DemandHold })
 	}
 }
 
 // sumTeams adds up lists, by team.
 func sumTeams(lists ...[]TeamUse) []TeamUse {
-	var all []TeamUse
-	for _, list := range lists {
-		all = append(all, list...)
-	}
-	slices.SortFunc(all, func(a, b TeamUse) int { return strings.Compare(a.Team, b.Team) })
-	out := all[:0]
-	for _, u := range all {
-		if n := len(out); n > 0 && out[n-1].Team == u.Team {
-			out[n-1].Offered += u.Offered
-			out[n-1].Recent += u.Recent
-			out[n-1].Served += u.Served
-			continue
-		}
-		out = append(out, u)
-	}
-	return out
+	return merge(lists, byTeam, func(a *TeamUse, b TeamUse) {
+		a.Offered += b.Offered
+		a.Recent += b.Recent
+		a.Served += b.Served
+	})
 }
+
+func byTeam(a, b TeamUse) int { return strings.Compare(a.Team, b.Team) }
