Lines on requests and a counter tell what servers say of themselves in answers

A server that leaves says so in each answer, and one that turns a request away may ask for rest. Neither stood in any line: whether a router was told could be seen from outside only. Read in the head of each answer, late ones included, but for those of another server at the address; nothing is decided by it yet.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -105,7 +105,9 @@
 		_ = a.conn.SetReadDeadline(time.Now().Add(patience))
 	}
 	answer, err := a.conn.Answer(a.x.r.Method, func(h *http.Response) bool {
-		return a.x.front.dialect.Verdict(h.StatusCode, h.Header).ID == a.x.envelope.ID
+		verdict := a.x.front.dialect.Verdict(h.StatusCode, h.Header)
+		a.noticed(verdict)
+		return verdict.ID == a.x.envelope.ID
 	})
 	if err != nil {
 		a.conn.Close()
@@ -126,6 +128,22 @@
 	return a.whole(answer, verdict)
 }
 
+// noticed takes in what the server says of itself with an answer, also one that comes late
+// and answers an earlier request.
+func (a *attempt) noticed(v Verdict) {
+	if v.Elsewhere {
+		return // it is another server's word
+	}
+	if v.Unreadable != nil {
+		a.x.front.log.Unreadable(a.cmd.Server, v.Unreadable)
+	}
+	if v.Notice.None() {
+		return
+	}
+	a.x.notice = v.Notice
+	a.x.front.stats.Notice(v.Notice)
+}
+
 // patience is how long the server may say nothing, where the request could be
 // tried elsewhere.
 func (a *attempt) patience(left time.Duration) (time.Duration, bool) {
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -32,6 +32,9 @@
 	NotRun    bool   // the server says that it did not run the request
 	Elsewhere bool   // the address belongs to another server
 	Signed    bool   // the server vouches for the answer
+	Notice    direct.Notice
+	// Unreadable says which part of the notice could not be read; it counts as not said.
+	Unreadable error
 }
 
 // Dialect translates the headers of a deployment.
--- a/gateway/eventlog/beliefs.go
+++ b/gateway/eventlog/beliefs.go
@@ -31,6 +31,14 @@
 	}
 }
 
+// Unreadable logs that a server said something of itself that can't be read.
+func (l *Log) Unreadable(s direct.Server, err error) {
+	if l.AllowBelief() {
+		l.Event("answer_unreadable").Str("server", s.ID).Str("service", s.Service).Str("address", s.Address).
+			Str("error", err.Error()).Msg("")
+	}
+}
+
 // suspectsNamed bounds the contents that one line names.
 const suspectsNamed = 8
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -51,7 +51,8 @@
 	passedAt time.Duration // when events were last forwarded
 	held     *whole        // a server's own failure, kept while another is tried
 	last     direct.SendCmd
-	left     bool // its caller has left; nothing may be written any more
+	notice   direct.Notice // what the last server that answered said of itself
+	left     bool          // its caller has left; nothing may be written any more
 }
 
 // request is what the decisions need to know.
@@ -106,7 +107,7 @@
 	switch cmd := cmd.(type) {
 	case direct.SendCmd:
 		x.attempts++
-		x.last = cmd
+		x.last, x.notice = cmd, direct.Notice{}
 		a := attempt{x: x, cmd: cmd}
 		began := x.front.core.Now()
 		outcome, ended := a.run()
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -50,6 +50,12 @@
 		if b.Side != "" {
 			e.Str("version", x.last.Server.Version).Str("side", string(b.Side))
 		}
+		if x.notice.Leaving {
+			e.Bool("server_leaving", true)
+		}
+		if x.notice.Rest > 0 {
+			e.Dur("server_rest", x.notice.Rest)
+		}
 	}
 	return e
 }
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -83,6 +83,16 @@
 	s.counter(counterKey{"rejected", "", reason}).Inc(1)
 }
 
+// Notice counts what a server said of itself in an answer.
+func (s *Stats) Notice(n direct.Notice) {
+	if n.Leaving {
+		s.counter(counterKey{"server_notices", "", "leaving"}).Inc(1)
+	}
+	if n.Rest > 0 {
+		s.counter(counterKey{"server_notices", "", "rest"}).Inc(1)
+	}
+}
+
 // RolloutStep counts a step of a roll-out, by what happened.
 func (s *Stats) RolloutStep(step string) { s.counter(counterKey{"rollout_steps", "", step}).Inc(1) }
 
