A server that says in an answer that it leaves gets no new requests

Callers' requests reached a server for twelve seconds after it had said in its answers that it leaves, since the store was away and its list still called it ready; a server that ends takes them with it. Routers knew of a server's leaving by the list only, and no code read the answers' word.

The machine is told of it when the head of an answer has been read, before any of it is passed on: at each answer, whatever becomes of it, late ones included; not at those of another server at the address.

--- a/direct/listing.go
+++ b/direct/listing.go
@@ -45,6 +45,7 @@
 		m.byKey[s.key] = s
 		s.region = m.geography.regionOf(listed.Zone)
 		m.pool(listed.Service).servers[listed.ID] = s
+		m.recall(s)
 		if listed.Draining {
 			s.leave(now)
 		}
@@ -65,7 +66,7 @@
 	case listed.Draining && !wasDraining:
 		s.leave(now)
 		m.emit(BeliefCmd{Server: listed, Belief: BeliefDrain, Cause: "listed as draining"})
-	case !listed.Draining && s.leaving:
+	case !listed.Draining && s.leaving && !s.notices.leaving: // its own word outlasts the list's
 		s.leaving = false
 		s.listedAt = now
 		m.emit(BeliefCmd{Server: listed, Belief: BeliefListed, Cause: "listed again"})
@@ -85,6 +86,7 @@
 	dropped := false
 	for id, s := range p.servers {
 		if s.gone && s.running == 0 && now-s.leavingAt > goneMemory {
+			m.parted.keep(s)
 			delete(p.servers, id)
 			delete(m.byServer, id)
 			delete(m.byKey, s.key)
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -73,7 +73,8 @@
 	loadsAt           time.Duration // when the others' loads came
 	suspects          quarantine.Suspects
 	reprobed          []*server // that are to be probed again, see probeAgain
-	begun             []*run    // whose first events came since the last tick, for the judging of versions
+	parted            parted
+	begun             []*run // whose first events came since the last tick, for the judging of versions
 }
 
 // peerReport is the last report of another router.
@@ -130,6 +131,8 @@
 		team.entered.add(msg.Now, cost)
 	case FirstMsg:
 		m.first(msg)
+	case NoticeMsg:
+		m.notice(msg)
 	case EndMsg:
 		m.end(msg)
 	case ProbeMsg:
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -147,6 +147,14 @@
 	ID  RequestID
 }
 
+// NoticeMsg tells what a server said of itself in an answer. It comes before the answer is
+// passed on.
+type NoticeMsg struct {
+	Now    time.Duration
+	Server string
+	Notice Notice
+}
+
 // EndMsg says how an attempt ended. Retry asks for another one; the machine
 // answers with a Send, or with a Refuse or Fail.
 type EndMsg struct {
@@ -228,6 +236,7 @@
 func (ShedMsg) isMsg()        {}
 func (FirstMsg) isMsg()       {}
 func (EndMsg) isMsg()         {}
+func (NoticeMsg) isMsg()      {}
 func (ProbeMsg) isMsg()       {}
 func (LeaveMsg) isMsg()       {}
 func (PeerMsg) isMsg()        {}
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -1,6 +1,9 @@
 package direct
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Notice is what a server says of itself in an answer, whatever else the answer is. The
 // zero value says nothing.
@@ -11,3 +14,83 @@
 
 // None tells whether the server said nothing of itself.
 func (n Notice) None() bool { return n == Notice{} }
+
+// noticesMost bounds the servers of which notices are kept after they were forgotten.
+const noticesMost = 4096
+
+// notices are what a server has told this router of itself in its answers. They hold for the
+// rest of its life: the list may be older, or come from a source that the server can't reach,
+// so no entry overrules them.
+type notices struct {
+	leaving   bool
+	leavingAt time.Duration // since when it is no longer chosen; it is a last resort by this time
+}
+
+// none tells whether there is nothing to remember.
+func (n notices) none() bool { return n == notices{} }
+
+// notice takes in what a server said of itself.
+func (m *Machine) notice(msg NoticeMsg) {
+	s := m.byServer[msg.Server]
+	if s == nil {
+		return // a server is known at least as long as a request runs there
+	}
+	if msg.Notice.Leaving && !s.notices.leaving {
+		m.noticeLeaving(msg.Now, s)
+	}
+}
+
+// noticeLeaving takes out a server that said that it leaves.
+func (m *Machine) noticeLeaving(now time.Duration, s *server) {
+	known := s.leaving
+	s.leave(now)
+	s.notices.leaving, s.notices.leavingAt = true, s.leavingAt
+	if known {
+		return
+	}
+	m.emit(BeliefCmd{Server: s.Server, Belief: BeliefDrain, Cause: "said so in an answer"})
+	p := m.pool(s.Service)
+	p.admit()
+	m.serve(now, p, maxQueued)
+}
+
+// recall gives a server that is listed anew what it said before it was forgotten.
+func (m *Machine) recall(s *server) {
+	s.notices = m.parted.take(s.ID)
+	if s.notices.leaving {
+		s.leave(s.notices.leavingAt)
+	}
+}
+
+// parted are the notices of servers that have been forgotten, by id: an entry that went may come
+// back, and the server is the same then.
+type parted struct {
+	notices map[string]notices
+	order   []string // oldest first
+}
+
+// keep remembers what a server said that is being forgotten.
+func (p *parted) keep(s *server) {
+	if s.notices.none() {
+		return
+	}
+	if p.notices == nil {
+		p.notices = make(map[string]notices)
+	}
+	p.notices[s.ID] = s.notices
+	p.order = append(p.order, s.ID)
+	if len(p.order) > noticesMost {
+		delete(p.notices, p.order[0])
+		p.order = slices.Delete(p.order, 0, 1)
+	}
+}
+
+// take returns what a server said before it was forgotten.
+func (p *parted) take(id string) notices {
+	n, there := p.notices[id]
+	if there {
+		delete(p.notices, id)
+		p.order = slices.DeleteFunc(p.order, func(one string) bool { return one == id })
+	}
+	return n
+}
--- /dev/null
+++ b/direct/notice_test.go
@@ -0,0 +1,147 @@
+package direct
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// noticeBench is a bench with plain servers, whose lists it counts.
+type noticeBench struct {
+	*bench
+	revision uint64
+}
+
+// newNoticeBench returns a bench with some servers.
+func newNoticeBench(t *testing.T, ids ...string) *noticeBench {
+	b := &noticeBench{bench: newBench(t, 0), revision: 1}
+	b.list(ids...)
+	return b
+}
+
+// list puts a list of plain servers in force, all of them ready.
+func (b *noticeBench) list(ids ...string) {
+	var all []Server
+	for _, id := range ids {
+		all = append(all, plainServer(id))
+	}
+	b.listAs(all...)
+}
+
+// listAs puts a list of servers in force.
+func (b *noticeBench) listAs(all ...Server) {
+	b.revision++
+	b.m.Update(ServersMsg{Now: b.now, Directory: Directory{Revision: b.revision, Servers: all}})
+}
+
+func plainServer(id string) Server {
+	return Server{ID: id, Service: "app", Zone: "a", Address: "10.0.0.1:" + id[1:], Slots: 4}
+}
+
+// plain returns a request that may be repeated, of the service with plain servers.
+func (b *noticeBench) plain() Request {
+	b.next++
+	return Request{
+		ID: b.next, Team: "red", Route: "r", Service: "app", Kind: Repeatable, MayRepeat: true, Attempts: 2,
+		Objective: 300 * time.Millisecond, Deadline: b.now + 3*time.Second,
+	}
+}
+
+func (b *noticeBench) notice(server string, n Notice) []Cmd {
+	return append([]Cmd(nil), b.m.Update(NoticeMsg{Now: b.now, Server: server, Notice: n})...)
+}
+
+// chosen sends some requests at once and returns how many each server got; "" counts those
+// that were refused or wait.
+func (b *noticeBench) chosen(n int) map[string]int {
+	got := make(map[string]int)
+	var sent, waiting []RequestID
+	for range n {
+		r := b.plain()
+		cmds := b.arrive(r)
+		if c, ok := find[SendCmd](cmds); ok {
+			got[c.Server.ID]++
+			sent = append(sent, r.ID)
+			continue
+		}
+		got[""]++
+		if _, refused := find[RefuseCmd](cmds); !refused {
+			waiting = append(waiting, r.ID)
+		}
+	}
+	for _, id := range sent {
+		b.end(id, Done, false)
+	}
+	for _, id := range waiting {
+		b.m.Update(LeaveMsg{Now: b.now, ID: id})
+	}
+	return got
+}
+
+// TestLeavingOutlastsEntries has a server say that it leaves while its entry says otherwise: the
+// list may be from before, and its entry may lapse and come back. Only another life ends it.
+func TestLeavingOutlastsEntries(t *testing.T) {
+	b := newNoticeBench(t, "p0", "p1", "p2")
+	require.Positive(t, b.chosen(9)["p1"])
+	_, told := find[BeliefCmd](b.notice("p1", Notice{Leaving: true}))
+	require.True(t, told, "the log tells of it")
+	require.Empty(t, b.notice("p1", Notice{Leaving: true}), "it is told once")
+	require.Zero(t, b.chosen(9)["p1"])
+
+	b.list("p0", "p1", "p2")
+	require.Zero(t, b.chosen(9)["p1"], "an entry that says ready came later")
+
+	b.list("p0", "p2")
+	b.pass(goneMemory / 2)
+	b.list("p0", "p1", "p2")
+	require.Zero(t, b.chosen(9)["p1"], "its entry went and came back")
+
+	b.list("p0", "p2")
+	b.pass(2 * goneMemory)
+	b.list("p0", "p1", "p2")
+	require.Zero(t, b.chosen(9)["p1"], "its entry came back after the router had forgotten the server")
+
+	b.list("p0", "p3", "p2")
+	require.Positive(t, b.chosen(9)["p3"], "its next life")
+}
+
+// TestLeavingIsNoLastResortLater has both servers of a service say that they leave. They serve
+// as a last resort right after that, but not later, whatever becomes of their entries.
+func TestLeavingIsNoLastResortLater(t *testing.T) {
+	for name, after := range map[string]func(b *noticeBench){
+		"entries stay":      func(*noticeBench) {},
+		"entries drain":     func(b *noticeBench) { b.listAs(draining("p0"), draining("p1")) },
+		"entries lapse":     func(b *noticeBench) { b.list() },
+		"entries came back": func(b *noticeBench) { b.list(); b.pass(2 * goneMemory); b.list("p0", "p1") },
+	} {
+		b := newNoticeBench(t, "p0", "p1")
+		b.notice("p0", Notice{Leaving: true})
+		b.notice("p1", Notice{Leaving: true})
+		require.Zero(t, b.chosen(2)[""], name)
+		b.pass(lastResortTime + TickEvery)
+		after(b)
+		require.Equal(t, map[string]int{"": 2}, b.chosen(2), name)
+		b.pass(lapseHold)
+		require.Equal(t, map[string]int{"": 2}, b.chosen(2), name)
+	}
+}
+
+func draining(id string) Server {
+	s := plainServer(id)
+	s.Draining = true
+	return s
+}
+
+// TestNoticesOfManyLives forgets what servers said long ago, once there were many since.
+func TestNoticesOfManyLives(t *testing.T) {
+	var p parted
+	for i := range 2 * noticesMost {
+		s := &server{Server: Server{ID: string(rune(i))}, notices: notices{leaving: true}}
+		p.keep(s)
+	}
+	require.Len(t, p.notices, noticesMost)
+	require.Len(t, p.order, noticesMost)
+	require.True(t, p.take(string(rune(2*noticesMost-1))).leaving)
+	require.False(t, p.take(string(rune(0))).leaving)
+}
--- a/direct/server.go
+++ b/direct/server.go
@@ -33,9 +33,10 @@
 type server struct {
 	Server
 	region    string        // of its data hall; empty: not known
-	leavingAt time.Duration // when it was first known to drain or to be gone
+	leavingAt time.Duration // when it was first known to leave, by its entry or its answers
 	leaving   bool
 	gone      bool
+	notices   notices
 	// lapsedAt is when the server's entry went together with many others; it is
 	// still used for lapseHold. 0: it did not.
 	lapsedAt time.Duration
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -142,6 +142,7 @@
 	}
 	a.x.notice = v.Notice
 	a.x.front.stats.Notice(v.Notice)
+	a.x.front.core.Update(direct.NoticeMsg{Now: a.x.front.core.Now(), Server: a.cmd.Server.ID, Notice: v.Notice})
 }
 
 // patience is how long the server may say nothing, where the request could be
