A server that turns a request away and says for how long gets nothing for that time

Callers were refused for want of attempts: their requests went to two servers in a row of which each had asked the router, a second or two before, to send it nothing for three seconds. A server that turned a request away counted as full for 60 ms, whatever it said; Retry-After was not read.

The time counts from when the answer was read, so it never ends too early; later answers of requests that were under way don't shorten it, a lapsed entry or one that comes back doesn't either, and it is no last resort. It is one life's, and this router's alone: each router is told by itself. What is under way when the answer comes may still arrive; a new connection takes 300 ms at the most.

--- a/cmd/croftvale/gatewaystate.go
+++ b/cmd/croftvale/gatewaystate.go
@@ -100,6 +100,7 @@
 		{e.Leaving, "draining"},
 		{e.Evacuated, "hall evacuated"},
 		{e.HallLost, "hall lost"},
+		{e.BackoffFor > 0, "asked to back off, " + shown(e.BackoffFor).String() + " more"},
 		{e.Barred, barredText(e, rollouts)},
 	} {
 		if cause.holds {
--- a/cmd/croftvale/state_test.go
+++ b/cmd/croftvale/state_test.go
@@ -36,6 +36,7 @@
 			{ID: "i-4", Service: "web", Version: "w2", Zone: "b", Slots: 8, Barred: true},
 			{ID: "i-5", Service: "web", Version: "w1", Zone: "b", Slots: 8, Usable: true, ColdFor: 2 * time.Second},
 			{ID: "i-6", Service: "web", Version: "w1", Slots: 8},
+			{ID: "i-7", Service: "web", Version: "w1", Slots: 8, BackoffFor: 3 * time.Second},
 		},
 		Shares:  direct.Shares{Level: 1000, Even: 900, Headroom: 1.5, Busy: 0.25, Most: []direct.TeamShare{{Team: "red", Offered: 1200, Served: 800}}},
 		Traffic: map[string]traffic.Sum{"loads": {WithinHall: 10, BetweenHalls: 20, BetweenRegions: 30}, "heartbeats": {WithinHall: 3}},
@@ -67,6 +68,7 @@
 i-4     web      w2       b     0        8      0               none: version not ordered
 i-5     web      w1       b     0        8      0               few: cold for 2s
 i-6     web      w1       -     0        8      0               none: ejected
+i-7     web      w1       -     0        8      0               none: asked to back off, 3s more
 
 teams that ask for most, tokens/s (level 1000, even 900, headroom 1.5, busy 0.25)
 team  asks for  gets
--- a/direct/commands.go
+++ b/direct/commands.go
@@ -132,6 +132,7 @@
 	BeliefGone    Belief = "gone"
 	BeliefLapsed  Belief = "lapsed" // its entry went with many others; used a little longer
 	BeliefDrain   Belief = "draining"
+	BeliefBackoff Belief = "backoff" // turned a request away, and wants nothing for a time
 	BeliefEjected Belief = "ejected"
 	BeliefBack    Belief = "back"
 	BeliefCold    Belief = "cold" // bears only few requests a second for a while
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -9,7 +9,7 @@
 // zero value says nothing.
 type Notice struct {
 	Leaving bool          // it will end, and must get no new requests
-	Rest    time.Duration // it wants nothing from this router for so long
+	Backoff time.Duration // it turned a request away, and wants nothing from this router for so long
 }
 
 // None tells whether the server said nothing of itself.
@@ -22,12 +22,13 @@
 // rest of its life: the list may be older, or come from a source that the server can't reach,
 // so no entry overrules them.
 type notices struct {
-	leaving   bool
-	leavingAt time.Duration // since when it is no longer chosen; it is a last resort by this time
+	leaving      bool
+	leavingAt    time.Duration // since when it gets no new requests, but as a last resort
+	backoffUntil time.Duration // it wants nothing from this router until then
 }
 
-// none tells whether there is nothing to remember.
-func (n notices) none() bool { return n == notices{} }
+// hold tells whether there is anything to remember.
+func (n notices) hold(now time.Duration) bool { return n.leaving || now < n.backoffUntil }
 
 // notice takes in what a server said of itself.
 func (m *Machine) notice(msg NoticeMsg) {
@@ -35,11 +36,27 @@
 	if s == nil {
 		return // a server is known at least as long as a request runs there
 	}
+	// The backoff comes first: requests that wait may take a server that leaves as a last resort.
+	if msg.Notice.Backoff > 0 {
+		m.noticeBackoff(msg.Now, s, msg.Notice.Backoff)
+	}
 	if msg.Notice.Leaving && !s.notices.leaving {
 		m.noticeLeaving(msg.Now, s)
 	}
 }
 
+// noticeBackoff leaves a server alone for as long as it asked for. What it answers meanwhile to
+// requests that were under way does not end that.
+func (m *Machine) noticeBackoff(now time.Duration, s *server, backoff time.Duration) {
+	if !s.backsOff(now) {
+		m.emit(BeliefCmd{Server: s.Server, Belief: BeliefBackoff, Cause: "said so in an answer", For: backoff})
+	}
+	s.notices.backoffUntil = max(s.notices.backoffUntil, now+backoff)
+}
+
+// backsOff tells whether a server has asked this router to send it nothing yet.
+func (s *server) backsOff(now time.Duration) bool { return now < s.notices.backoffUntil }
+
 // noticeLeaving takes out a server that said that it leaves.
 func (m *Machine) noticeLeaving(now time.Duration, s *server) {
 	known := s.leaving
@@ -70,8 +87,8 @@
 }
 
 // keep remembers what a server said that is being forgotten.
-func (p *parted) keep(s *server) {
-	if s.notices.none() {
+func (p *parted) keep(now time.Duration, s *server) {
+	if !s.notices.hold(now) {
 		return
 	}
 	if p.notices == nil {
--- a/direct/notice_test.go
+++ b/direct/notice_test.go
@@ -133,12 +133,70 @@
 	return s
 }
 
+// TestBackoff has a server turn a request away and ask the router to back off: it gets nothing until the end of
+// that time, also if its entry lapses meanwhile, if it answers others, or asks for less.
+func TestBackoff(t *testing.T) {
+	const backoff = 30 * time.Second
+	b := newNoticeBench(t, "p0", "p1", "p2")
+	told, _ := find[BeliefCmd](b.notice("p1", Notice{Backoff: backoff}))
+	require.Equal(t, BeliefBackoff, told.Belief)
+	end := b.now + backoff
+	require.Zero(t, b.chosen(9)["p1"])
+
+	b.notice("p1", Notice{Backoff: time.Second})
+	b.pass(2 * time.Second)
+	require.Zero(t, b.chosen(9)["p1"], "a later answer asked for less")
+
+	b.list("p0", "p2")
+	b.pass(goneMemory / 2)
+	b.list("p0", "p1", "p2")
+	require.Zero(t, b.chosen(9)["p1"], "its entry went and came back")
+
+	b.list("p0", "p2")
+	b.pass(goneMemory + time.Second)
+	b.list("p0", "p1", "p2")
+	require.Zero(t, b.chosen(9)["p1"], "its entry came back after the router had forgotten the server")
+	require.Less(t, b.now, end)
+
+	b.list("p0", "p3", "p2")
+	require.Positive(t, b.chosen(9)["p3"], "its next life")
+	b.list("p0", "p1", "p2")
+	b.pass(end - b.now)
+	require.Positive(t, b.chosen(9)["p1"], "that time is over")
+}
+
+// TestBackoffOfAll has all servers of a service ask the router to back off: what comes and what waits is refused at
+// once, and none of them is a last resort, also where they leave.
+func TestBackoffOfAll(t *testing.T) {
+	b := newNoticeBench(t, "p0", "p1")
+	b.notice("p0", Notice{Backoff: time.Second})
+	b.notice("p1", Notice{Backoff: 3 * time.Second, Leaving: true})
+	refused, ok := find[RefuseCmd](b.arrive(b.plain()))
+	require.True(t, ok)
+	require.Equal(t, ReasonNoServers, refused.Reason)
+	b.notice("p0", Notice{Leaving: true})
+	_, sent := find[SendCmd](b.arrive(b.plain()))
+	require.False(t, sent)
+}
+
+// TestLeavingAndBackoff has the only server of a service say both with one answer, while requests
+// wait for it: they are no reason to send it one more as a last resort.
+func TestLeavingAndBackoff(t *testing.T) {
+	b := newNoticeBench(t, "p0")
+	for range 4 + plainQueue {
+		b.sent(b.arrive(b.plain()))
+	}
+	require.Empty(t, b.arrive(b.plain()), "it waits")
+	_, sent := find[SendCmd](b.notice("p0", Notice{Leaving: true, Backoff: time.Second}))
+	require.False(t, sent)
+}
+
 // TestNoticesOfManyLives forgets what servers said long ago, once there were many since.
 func TestNoticesOfManyLives(t *testing.T) {
 	var p parted
 	for i := range 2 * noticesMost {
 		s := &server{Server: Server{ID: string(rune(i))}, notices: notices{leaving: true}}
-		p.keep(s)
+		p.keep(time.Second, s)
 	}
 	require.Len(t, p.notices, noticesMost)
 	require.Len(t, p.order, noticesMost)
--- a/direct/server.go
+++ b/direct/server.go
@@ -20,7 +20,7 @@
 	lapseShare       = 0.3                     // of a service's servers, that go at once
 	lapseLeast       = 2
 	lastResortTime   = 800 * time.Millisecond // a leaving server is used so long where no other is there
-	fullPause        = 60 * time.Millisecond  // after a server turned a request away
+	fullPause        = 60 * time.Millisecond  // after a server turned a request away and did not say for how long
 	learnStep        = 0.1
 	learnFromTokens  = 1500
 	slowestRate      = 4.0   // tokens a millisecond
@@ -73,7 +73,7 @@
 
 // usable tells whether new requests may go to a server at all.
 func (s *server) usable(now time.Duration) bool {
-	return s.available() && now >= s.downUntil && now >= s.ejectedUntil
+	return s.available() && now >= s.downUntil && now >= s.ejectedUntil && !s.backsOff(now)
 }
 
 // available tells whether nothing keeps new requests from a server for long.
--- a/direct/state.go
+++ b/direct/state.go
@@ -11,6 +11,7 @@
 	Evacuated, HallLost        bool
 	Barred                     bool          // servers of its version get nothing at present, or it takes no part in a trial
 	ColdFor                    time.Duration // how much longer it bears only few requests; 0: it is not cold
+	BackoffFor                 time.Duration // how much longer it wants nothing from this router
 	Running                    int           // all routers
 	Pending                    int           // tokens that all routers have there
 	TokensPerMS                float64       // measured; 0: not yet
@@ -25,7 +26,7 @@
 			out = append(out, ServerState{
 				ID: s.ID, Service: s.Service, Address: s.Address, Zone: s.Zone, Version: s.Version, Slots: s.Slots,
 				Usable: s.usable(now), Leaving: s.leaving, Probation: s.probation,
-				Evacuated: s.evacuated, HallLost: s.hallLost, Barred: s.barred, ColdFor: max(s.cold.until-now, 0),
+				Evacuated: s.evacuated, HallLost: s.hallLost, Barred: s.barred, ColdFor: max(s.cold.until-now, 0), BackoffFor: max(s.notices.backoffUntil-now, 0),
 				Running: s.allRunning(), Pending: s.allPending(), TokensPerMS: s.tokenRate, Failures: s.failures,
 			})
 		}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -53,8 +53,8 @@
 		if x.notice.Leaving {
 			e.Bool("server_leaving", true)
 		}
-		if x.notice.Rest > 0 {
-			e.Dur("server_rest", x.notice.Rest)
+		if x.notice.Backoff > 0 {
+			e.Dur("server_backoff", x.notice.Backoff)
 		}
 	}
 	return e
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -88,8 +88,8 @@
 	if n.Leaving {
 		s.counter(counterKey{"server_notices", "", "leaving"}).Inc(1)
 	}
-	if n.Rest > 0 {
-		s.counter(counterKey{"server_notices", "", "rest"}).Inc(1)
+	if n.Backoff > 0 {
+		s.counter(counterKey{"server_notices", "", "backoff"}).Inc(1)
 	}
 }
 
