Where all servers asked to be sent nothing, callers are told when the first of them wants requests

They were told half to one and a half objectives, as when no server is known: they came back while every server was still closed to this router, and a caller that may try once more was refused for good. Such refusals have a reason of their own, backoff, so that an operator can tell overloaded servers from servers that are gone. Weighed: the short time, as another router may not have been told; a caller bounds the wait by its own deadline, and servers that shed load tell the routers one after the other.

--- a/direct/commands.go
+++ b/direct/commands.go
@@ -113,6 +113,7 @@
 // The reasons.
 const (
 	ReasonNoServers Reason = "no_servers" // none of the service is known, or none may get requests at the moment
+	ReasonBackoff   Reason = "backoff"    // those that might get requests have asked to be sent none
 	ReasonOverload  Reason = "overload"   // no server would meet the objective
 	ReasonShare     Reason = "over_share" // as overload, for a team above its share
 	ReasonAttempts  Reason = "attempts"   // the route allows no further server
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -139,8 +139,9 @@
 }
 
 // comeBack says when a refused request would find room: when the servers have
-// read what they have now, and spread over half an objective so that not all
-// come at once. A team above its share is told to wait for its allowance too.
+// read what they have now, or the first of them wants requests again, and spread
+// over half an objective so that not all come at once. A team above its share is
+// told to wait for its allowance too.
 func (m *Machine) comeBack(now time.Duration, p *pool, r *run, reason Reason) time.Duration {
 	if reason == ReasonCrashes {
 		return quarantine.Hold
@@ -162,6 +163,10 @@
 	}
 	jitter := float64(xxhash.Sum64String(r.Team)^uint64(r.ID)*0x9e3779b97f4a7c15) / (1 << 64)
 	after := milliseconds(backlog) + time.Duration(float64(r.Objective)*(0.5+jitter))
+	if n == 0 {
+		soonest, _ := p.backoffEnds(now, r.Regions)
+		after += soonest
+	}
 	if reason == ReasonShare {
 		after += m.overdue(now, r.Team)
 	}
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -57,6 +57,21 @@
 // backsOff tells whether a server has asked this router to send it nothing yet.
 func (s *server) backsOff(now time.Duration) bool { return now < s.notices.backoffUntil }
 
+// backoffEnds returns how soon one of the servers wants requests again that would get some of
+// these regions but for that, and whether there is one.
+func (p *pool) backoffEnds(now time.Duration, regions Regions) (time.Duration, bool) {
+	soonest, found := time.Duration(0), false
+	for _, s := range p.order {
+		if !s.backsOff(now) || !s.available() || !regions.Allow(s.region) {
+			continue
+		}
+		if left := s.notices.backoffUntil - now; !found || left < soonest {
+			soonest, found = left, true
+		}
+	}
+	return soonest, found
+}
+
 // noticeLeaving takes out a server that said that it leaves.
 func (m *Machine) noticeLeaving(now time.Duration, s *server) {
 	known := s.leaving
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if !p.anyUsable(now, r.Regions) || p.noSideUsable(now, r) {
-		m.giveUp(now, p, r, ReasonNoServers)
+		m.giveUp(now, p, r, p.reasonNone(now, r))
 		return
 	}
 	r.waiting = true
@@ -68,9 +68,18 @@
 // reasonOutside says why a bound request is refused that no server may get: either no
 // server at all may get requests, or none of its regions.
 func (p *pool) reasonOutside(now time.Duration, r *run) Reason {
-	if r.Regions.None() || p.anyUsable(now, Regions{}) {
+	why := p.reasonNone(now, r)
+	if why == ReasonNoServers && (r.Regions.None() || p.anyUsable(now, Regions{})) {
 		return ReasonRegion
 	}
+	return why
+}
+
+// reasonNone says why a request is refused that no server may get at the moment.
+func (p *pool) reasonNone(now time.Duration, r *run) Reason {
+	if _, ok := p.backoffEnds(now, r.Regions); ok {
+		return ReasonBackoff
+	}
 	return ReasonNoServers
 }
 
--- a/explain/summary.go
+++ b/explain/summary.go
@@ -20,6 +20,7 @@
 var reasons = map[string]string{
 	"over_share":    "its team had had what it may have for the moment",
 	"overload":      "no server would have met its objective",
+	"backoff":       "every server of its service that could get requests had turned one away and asked this router to send it none for some time",
 	"no_servers":    "no server of its service could be reached, or all were out of use (evacuated, draining, failing or in a lost hall)",
 	"region":        "no server of the regions that its route and its team may use could be reached, or all were out of use there",
 	"attempts":      "its route allows no further server",
