Requests that wait are refused at once when the last server that may get them goes

A request that came when no server might get it was refused at once; one that waited already was held until a fifth of its objective was over, unless it was bound to regions. TestLastServerGone: the last server asks to be sent nothing, leaves, or goes from the list.

--- a/direct/notice.go
+++ b/direct/notice.go
@@ -52,6 +52,7 @@
 		m.emit(BeliefCmd{Server: s.Server, Belief: BeliefBackoff, Cause: "said so in an answer", For: backoff})
 	}
 	s.notices.backoffUntil = max(s.notices.backoffUntil, now+backoff)
+	m.serve(now, m.pool(s.Service), maxQueued)
 }
 
 // backsOff tells whether a server has asked this router to send it nothing yet.
--- a/direct/notice_test.go
+++ b/direct/notice_test.go
@@ -30,9 +30,9 @@
 }
 
 // listAs puts a list of servers in force.
-func (b *noticeBench) listAs(all ...Server) {
+func (b *noticeBench) listAs(all ...Server) []Cmd {
 	b.revision++
-	b.m.Update(ServersMsg{Now: b.now, Directory: Directory{Revision: b.revision, Servers: all}})
+	return append([]Cmd(nil), b.m.Update(ServersMsg{Now: b.now, Directory: Directory{Revision: b.revision, Servers: all}})...)
 }
 
 func plainServer(id string) Server {
@@ -181,6 +181,27 @@
 	require.False(t, sent)
 }
 
+// TestLastServerGone has requests wait for servers of which the last that may get any then says
+// that it wants none, leaves, or goes from the list: they are refused at once, as waiting would
+// only hold their callers up.
+func TestLastServerGone(t *testing.T) {
+	for name, goes := range map[string]func(b *noticeBench) []Cmd{
+		"backs off": func(b *noticeBench) []Cmd { return b.notice("p0", Notice{Backoff: time.Second}) },
+		"leaves":    func(b *noticeBench) []Cmd { return b.notice("p0", Notice{Leaving: true}) },
+		"is gone":   func(b *noticeBench) []Cmd { return b.listAs() },
+	} {
+		b := newNoticeBench(t, "p0")
+		for range 4 + plainQueue {
+			b.sent(b.arrive(b.plain()))
+		}
+		waits := b.plain()
+		require.Empty(t, b.arrive(waits), "it waits")
+		refused, ok := find[RefuseCmd](goes(b))
+		require.True(t, ok, name)
+		require.Equal(t, waits.ID, refused.ID)
+	}
+}
+
 // TestLeavingAndBackoff has the only server of a service say both with one answer, while requests
 // wait for it: they are no reason to send it one more as a last resort.
 func TestLeavingAndBackoff(t *testing.T) {
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -84,8 +84,8 @@
 }
 
 // serve places what can be placed of the first most requests of a queue, in its
-// order. Bound requests whose last server has gone are refused: other regions don't
-// take their place.
+// order. Those that no server may get any more are refused: waiting would only hold their
+// callers up.
 func (m *Machine) serve(now time.Duration, p *pool, most int) {
 	if len(p.queue.waiting) == 0 {
 		return
@@ -102,6 +102,8 @@
 			// Those before it may have taken what its team may have.
 		case p.unservable(now, r):
 			m.giveUp(now, p, r, p.reasonOutside(now, r))
+		case !p.anyUsable(now, Regions{}):
+			m.giveUp(now, p, r, p.reasonNone(now, r))
 		default:
 			kept = append(kept, r)
 		}
