--- /dev/null
+++ b/internal/retryafter/retryafter_test.go
@@ -0,0 +1,50 @@
+package retryafter
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRead(t *testing.T) {
+	const date = "Fri, 07 Aug 2026 10:00:00 GMT"
+	for name, c := range map[string]struct {
+		status int
+		value  string
+		date   string
+		want   time.Duration
+		bad    bool
+	}{
+		"nothing":                 {status: 503},
+		"seconds":                 {status: 503, value: "3", want: 3 * time.Second},
+		"parts of a second":       {status: 503, value: "0.25", want: 250 * time.Millisecond},
+		"none":                    {status: 503, value: "0"},
+		"too many requests":       {status: 429, value: "2", want: 2 * time.Second},
+		"another status":          {status: 500, value: "3"},
+		"a redirection":           {status: 301, value: "3"},
+		"for ever":                {status: 503, value: "+Inf", want: longest},
+		"a date":                  {status: 503, value: "Fri, 07 Aug 2026 10:00:04 GMT", date: date, want: 4 * time.Second},
+		"a date that is over":     {status: 503, value: date, date: "Fri, 07 Aug 2026 10:00:04 GMT"},
+		"a date beside none":      {status: 503, value: date, bad: true},
+		"less than nothing":       {status: 503, value: "-3", bad: true},
+		"no number":               {status: 503, value: "NaN", bad: true},
+		"neither number nor date": {status: 503, value: "soon", bad: true},
+	} {
+		h := http.Header{}
+		if c.value != "" {
+			h.Set("Retry-After", c.value)
+		}
+		if c.date != "" {
+			h.Set("Date", c.date)
+		}
+		got, err := Read(c.status, h)
+		require.Equal(t, c.want, got, name)
+		if c.bad {
+			require.ErrorIs(t, err, ErrUnreadable, name)
+		} else {
+			require.NoError(t, err, name)
+		}
+	}
+}
