Agents leave a backend server alone for as long as it asked

The server counts as not serving until that time is over, for requests and probes; a probe that was under way doesn't bring it back. Routers hear of it as of any server that doesn't serve, and give its work to others. TestBackendAsksForNothing, TestProbeUnderWay.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -53,6 +53,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	s.health.passed()
+	s.heed(res)
 	relay.CopyHeader(w.Header(), res.Header, relay.HeaderRan)
 	w.Header().Set(relay.HeaderRan, "yes")
 	w.WriteHeader(res.StatusCode)
--- /dev/null
+++ b/agent/backoff_test.go
@@ -0,0 +1,80 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/bundle"
+	"github.com/croftvale/croftvale/tomlfile"
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+)
+
+// newServerAt returns an agent's server before a backend server, and the events that its core
+// gets.
+func newServerAt(t *testing.T, backend http.HandlerFunc) (*server, chan event) {
+	back := httptest.NewServer(backend)
+	t.Cleanup(back.Close)
+	events := make(chan event, 100)
+	s := newServer(&core{events: events}, &log.Logger{Level: log.PanicLevel})
+	address := tomlfile.Address{AddrPort: netip.MustParseAddrPort(strings.TrimPrefix(back.URL, "http://"))}
+	s.target.Store(&target{server: bundle.Server{Address: address, Probe: "/health"}})
+	ctx, stop := context.WithCancel(context.Background())
+	probing := make(chan struct{})
+	go func() {
+		defer close(probing)
+		s.probe(ctx)
+	}()
+	t.Cleanup(func() { stop(); <-probing })
+	require.Equal(t, healthEvent{true}, <-events)
+	return s, events
+}
+
+func (s *server) send() {
+	s.forward(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/x", nil), s.target.Load())
+}
+
+// TestBackendAsksForNothing has a backend server turn a request away and say for how long: its
+// agent takes no work for that time, in which neither requests nor probes reach the server, and
+// takes work again after it.
+func TestBackendAsksForNothing(t *testing.T) {
+	const backoff = 400 * time.Millisecond
+	var asked atomic.Int64 // Unix nanosecond of the answer
+	early := make(chan string, 100)
+	s, events := newServerAt(t, func(w http.ResponseWriter, r *http.Request) {
+		if at := asked.Load(); at != 0 && time.Since(time.Unix(0, at)) < backoff {
+			early <- r.URL.Path
+		}
+		if r.URL.Path == "/health" {
+			return
+		}
+		w.Header().Set("Retry-After", "0.4")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		asked.Store(time.Now().UnixNano())
+	})
+	s.send()
+	require.Equal(t, healthEvent{false}, <-events)
+	require.ErrorIs(t, s.ready(), ErrServerBusy)
+	require.Equal(t, healthEvent{true}, <-events)
+	require.GreaterOrEqual(t, time.Since(time.Unix(0, asked.Load())), backoff)
+	require.NoError(t, s.ready())
+	require.Empty(t, early)
+}
+
+// TestProbeUnderWay has a probe end well that was under way when the backend server asked for
+// nothing: it doesn't bring the server back before its time.
+func TestProbeUnderWay(t *testing.T) {
+	h := health{}
+	now := time.Now()
+	require.True(t, h.probed(true))
+	require.True(t, h.backOff(now.Add(time.Hour)))
+	require.False(t, h.backOff(now.Add(time.Minute)), "it is known")
+	require.False(t, h.probed(true))
+	require.Greater(t, h.backoffLeft(), time.Minute, "the longer time holds")
+}
--- a/agent/health.go
+++ b/agent/health.go
@@ -10,6 +10,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/internal/retryafter"
 )
 
 const (
@@ -29,12 +30,16 @@
 // ErrServerDown means that the backend server does not answer.
 var ErrServerDown = errors.New("the backend server does not answer its probe; restart it or correct its address in the bundle")
 
+// ErrServerBusy means that the backend server asked for no requests for some time.
+var ErrServerBusy = errors.New("the backend server turned a request away and asked for no more for some time")
+
 // health is what runs and probes say of the server. The zero value is down.
 type health struct {
-	mu       sync.Mutex
-	up       bool
-	failures int
-	load     Load
+	mu           sync.Mutex
+	up           bool
+	failures     int
+	load         Load
+	backoffUntil time.Time // the server asked for nothing until then
 }
 
 // Load is what a server last said of itself in answer to its probe, if it
@@ -60,12 +65,34 @@
 func (h *health) err() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.up {
+	switch {
+	case h.up:
 		return nil
+	case time.Now().Before(h.backoffUntil):
+		return ErrServerBusy
 	}
 	return ErrServerDown
 }
 
+// backOff notes until when the server asked for nothing, and tells whether that takes it out.
+func (h *health) backOff(until time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until.After(h.backoffUntil) {
+		h.backoffUntil = until
+	}
+	was := h.up
+	h.up = false
+	return was
+}
+
+// backoffLeft returns how much longer the server wants nothing.
+func (h *health) backoffLeft() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Until(h.backoffUntil)
+}
+
 // passed notes an answer.
 func (h *health) passed() {
 	h.mu.Lock()
@@ -86,11 +113,12 @@
 	return ejected
 }
 
-// probed notes a probe and returns whether the server is up.
+// probed notes a probe and returns whether the server is up. One that was under way when the
+// server asked for nothing doesn't bring it back.
 func (h *health) probed(ok bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.up = ok
+	h.up = ok && !time.Now().Before(h.backoffUntil)
 	if ok {
 		h.failures = 0
 	}
@@ -105,6 +133,12 @@
 	b.MaxInterval = lastProbe
 	known := false
 	for ctx.Err() == nil {
+		if left := s.health.backoffLeft(); left > 0 {
+			s.tellCore(ctx, false)
+			known = false
+			s.pause(ctx, left)
+			continue
+		}
 		was := s.health.err() == nil
 		up := s.health.probed(s.probeOnce(ctx))
 		if up != was || !known {
@@ -121,6 +155,14 @@
 	}
 }
 
+// probeNow ends the pause between two probes.
+func (s *server) probeNow() {
+	select {
+	case s.kick <- struct{}{}:
+	default: // one is asked for already
+	}
+}
+
 // pause waits for the next probe, or until one is asked for.
 func (s *server) pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -161,5 +203,19 @@
 	if json.NewDecoder(io.LimitReader(res.Body, maxProbe)).Decode(&load) == nil {
 		s.health.setLoad(load)
 	}
+	s.heed(res)
 	return res.StatusCode < http.StatusInternalServerError
 }
+
+// heed takes the server out for as long as it asked for by turning a request away: the agent
+// is the only one that calls it, so nothing reaches it in that time.
+func (s *server) heed(res *http.Response) {
+	backoff, err := retryafter.Read(res.StatusCode, res.Header)
+	if err != nil {
+		s.log.Warn().Err(err).Msg("backend server's answer can't be read; it counts as if it had asked for nothing")
+	}
+	if backoff > 0 && s.health.backOff(time.Now().Add(backoff)) {
+		s.log.Info().Dur("for", backoff).Msg("backend server asked for no more requests")
+		s.probeNow() // tells the core, and waits
+	}
+}
--- a/agent/server.go
+++ b/agent/server.go
@@ -51,10 +51,7 @@
 		t.works[w.Name] = w
 	}
 	s.target.Store(t)
-	select {
-	case s.kick <- struct{}{}:
-	default: // one is asked for already
-	}
+	s.probeNow()
 }
 
 // ready says why the agent takes no work, or nil.
