Attempts that were given up are blamed too when their server crashes

Five and six servers of a plain service ended under one request, and would be more with more attempts in its route: a router gave an attempt up after 61 ms without an answer and the server ended under it 10 ms later. Only attempts that broke off with their server were blamed, so one crash of two in each try was not counted, and the request was barred after six or nine instead of three.

An attempt whose server said nothing in good time is looked into as one that broke off: by a probe at once and another 100 ms later. Where the caller left or the stream was moved there is no probe, as that is common, but the content is kept for a second and blamed when the server turns out to have crashed.

--- a/direct/blame.go
+++ b/direct/blame.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"time"
 
 	"github.com/croftvale/croftvale/quarantine"
@@ -23,15 +24,47 @@
 	suspectsDropEvery = time.Second
 )
 
-// blame is what this router has broken off at a server and may have crashed it. Whether the
-// server has crashed, or only a connection broke, a probe tells. The zero value is ready.
+// blame is what broke off at a server, or was given up there, and may have crashed it. Whether
+// the server has crashed, or only a connection broke, a probe tells. The zero value is ready.
 type blame struct {
 	contents  []quarantine.Content // that wait for a probe to end
+	left      []leftContent        // whose callers left; no reason for a probe
 	reachedAt time.Duration        // when a probe reached the server; 0: none has since they came
 	crashed   bool
 	crashedAt time.Duration // when a probe last told that it has
 }
 
+// leftMost bounds the contents that are kept of a server whose callers left: about what it
+// runs at once.
+const leftMost = 64
+
+// leftContent is a content whose attempt ended while its server may have begun to run it.
+type leftContent struct {
+	content quarantine.Content
+	at      time.Duration
+}
+
+// leave remembers a content whose caller left, or which was moved: if its server turns out to
+// have crashed right after that, it is as suspect as those that broke off.
+func (b *blame) leave(now time.Duration, c quarantine.Content) {
+	b.left = slices.DeleteFunc(b.left, func(l leftContent) bool { return now-l.at > crashKnown })
+	if len(b.left) < leftMost {
+		b.left = append(b.left, leftContent{c, now})
+	}
+}
+
+// takeLeft returns the contents that callers left a moment ago, and forgets them.
+func (b *blame) takeLeft(now time.Duration) []quarantine.Content {
+	var out []quarantine.Content
+	for _, l := range b.left {
+		if now-l.at <= crashKnown {
+			out = append(out, l.content)
+		}
+	}
+	b.left = nil
+	return out
+}
+
 // noteContent takes in how an attempt ended, for what it says of its content.
 func (m *Machine) noteContent(now time.Duration, r *run, s *server, o Outcome) {
 	if r.Content == 0 || !m.uses(Quarantine) {
@@ -40,8 +73,13 @@
 	switch {
 	case o == Done:
 		m.suspects.Answered(now, r.Content)
-	case o == Broken && !r.settled(now):
+	case r.settled(now):
+	case o == Broken, o == Hung:
+		// The server may end only after the attempt was given up: it takes a while to begin
+		// to run it.
 		m.blameFor(now, r, s)
+	case o == GivenUp, o == Moved:
+		s.blamed.leave(now, r.Content)
 	}
 }
 
@@ -80,6 +118,7 @@
 		return false
 	}
 	b.crashed, b.crashedAt = true, msg.Now
+	contents = append(contents, b.takeLeft(msg.Now)...)
 	for _, c := range contents {
 		m.suspects.Crashed(msg.Now, c, quarantine.Server(s.key))
 	}
--- a/direct/blame_test.go
+++ b/direct/blame_test.go
@@ -308,3 +308,42 @@
 	t.Logf("%d of %d others were refused for crashes", refused, asked)
 	require.LessOrEqual(t, refused, asked/1000)
 }
+
+// TestAttemptGivenUpIsBlamed has a server crash after the attempt at it was given up: as it said
+// nothing in good time, which is found out by a probe, or as the caller left, which is no
+// reason for one, but counts when others break off with the server.
+func TestAttemptGivenUpIsBlamed(t *testing.T) {
+	for outcome, probes := range map[Outcome]bool{Hung: true, GivenUp: false, Moved: false} {
+		b := newBench(t, 1)
+		r := b.with(harmful)
+		server := b.sent(b.arrive(r))
+		other := b.with(harmful + 1)
+		require.Equal(t, server, b.sent(b.arrive(other)))
+		probe, probed := find[ProbeCmd](b.end(r.ID, outcome, false))
+		require.Equal(t, probes, probed, outcome)
+		b.pass(TickEvery)
+		if !probes {
+			probe, probed = find[ProbeCmd](b.end(other.ID, Broken, false))
+			require.True(t, probed)
+		}
+		b.m.Update(ProbeMsg{Now: b.now, Server: probe.Server.ID, Refused: true})
+		require.Equal(t, 1, b.m.suspects.Crashes(harmful), outcome)
+	}
+}
+
+// TestCallersThatLeftLongAgo are not blamed for what a server does later.
+func TestCallersThatLeftLongAgo(t *testing.T) {
+	b := newBench(t, 1)
+	for i := range leftMost + 10 {
+		r := b.with(harmful + quarantine.Content(i))
+		b.sent(b.arrive(r))
+		b.end(r.ID, GivenUp, false)
+	}
+	require.Len(t, b.m.byServer["e0"].blamed.left, leftMost)
+	b.pass(crashKnown + TickEvery)
+	r := b.with(harmful + 1000)
+	b.sent(b.arrive(r))
+	b.crash(r.ID, ProbeMsg{Refused: true})
+	require.Equal(t, 1, b.m.suspects.Crashes(harmful+1000))
+	require.Zero(t, b.m.suspects.Crashes(harmful))
+}
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -99,7 +99,7 @@
 	}
 	switch {
 	// The probe that tells of a crash has not ended yet, and a fourth server would be lost.
-	case o == Broken && !r.settled(now) && m.suspects.OneMore(r.Content):
+	case (o == Broken || o == Hung) && !r.settled(now) && m.suspects.OneMore(r.Content):
 		m.giveUp(now, p, r, ReasonCrashes)
 	case now >= r.Deadline:
 		m.giveUp(now, p, r, ReasonDeadline)
