--- a/standin/e2e/stop_test.go
+++ b/standin/e2e/stop_test.go
@@ -196,3 +196,32 @@
 	s.engines[0].SetFault(engine.FaultNone)
 	require.Eventually(t, serving, patience, 20*time.Millisecond)
 }
+
+// TestBusyServerIsLeftAlone has a server turn requests away and ask for none for two seconds: what
+// was granted to its agent before it knew may still come, and all others are served elsewhere.
+func TestBusyServerIsLeftAlone(t *testing.T) {
+	s := newSmall(t)
+	busy := s.engines[0]
+	busy.SetFault(engine.FaultBusy)
+	var told time.Time
+	for i := 0; told.IsZero(); i++ {
+		require.Less(t, i, 100, "the server was never asked")
+		s.complete(0, 2, false)
+		if busy.TurnedAway() > 0 {
+			told = time.Now()
+		}
+	}
+	agent := s.lab.Process("engine-0")
+	serving := func() bool {
+		st, err := s.lab.AgentState(context.Background(), agent)
+		return err == nil && st.Serving
+	}
+	require.Eventually(t, func() bool { return !serving() }, patience, 5*time.Millisecond)
+	before := busy.TurnedAway()
+	for time.Since(told) < engine.BusyFor*3/4 {
+		require.Equal(t, caller.Served, s.complete(0, 2, false).Kind)
+	}
+	require.Equal(t, before, busy.TurnedAway())
+	busy.SetFault(engine.FaultNone)
+	require.Eventually(t, serving, patience, 20*time.Millisecond)
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -33,10 +33,14 @@
 	FaultCut         // the connection closes in the middle of the answer
 	FaultShort       // the stream ends cleanly, but before its end mark
 	FaultDie         // every connection breaks, the probe's too
+	FaultBusy        // requests are turned away, with the word to come back after BusyFor
 )
 
 const slowFactor = 10
 
+// BusyFor is for how long an engine with FaultBusy asks for no requests.
+const BusyFor = 2 * time.Second
+
 // Engine is the stand-in; it implements http.Handler.
 type Engine struct {
 	cfg      Config
@@ -45,6 +49,7 @@
 	fault    atomic.Int32
 	busy     atomic.Int64 // nanoseconds of slot time
 	cancels  atomic.Int64
+	turned   atomic.Int64 // requests that were turned away
 	mu       sync.Mutex
 	cache    []string // prefixes, oldest first
 }
@@ -63,6 +68,9 @@
 // Cancels returns how many requests were given up by their caller.
 func (e *Engine) Cancels() int64 { return e.cancels.Load() }
 
+// TurnedAway returns how many requests were turned away.
+func (e *Engine) TurnedAway() int64 { return e.turned.Load() }
+
 // Running returns how many requests are in the batch.
 func (e *Engine) Running() int { return e.batch.size() }
 
@@ -90,6 +98,12 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	if Fault(e.fault.Load()) == FaultBusy {
+		e.turned.Add(1)
+		w.Header().Set("Retry-After", strconv.Itoa(int(BusyFor.Seconds())))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	var req Request
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		http.Error(w, "bad request: "+err.Error(), http.StatusBadRequest)
