A request that was placed is not sent when its server has said since that it wants nothing

Between placing a request and sending it lie a connection of up to 300 ms and, on a host that is short of processor time, some hundred milliseconds more; as many until the answer is read. What was placed in that time reached a server that had asked for none. The request is looked at once more when its connection is there: it goes elsewhere, which costs neither it an attempt nor its server an ejection. One that was placed as a last resort is sent. TestWithheld; TestNoticesHold has the outcome in its histories.

--- a/direct/ending.go
+++ b/direct/ending.go
@@ -80,7 +80,7 @@
 // answer.
 func (m *Machine) again(now time.Duration, p *pool, r *run, o Outcome) {
 	switch o {
-	case Unsent:
+	case Unsent, Withheld:
 		r.attempt--
 		r.unsent++
 		if r.unsent >= unsentTries {
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -68,11 +68,12 @@
 	Hung                     // sent; nothing came in good time, and it was cut
 	GivenUp                  // the caller or the route's timeout ended it
 	Moved                    // it was broken off to go on at a server of another version
+	Withheld                 // placed, and not sent as its server said since that it wants nothing
 )
 
 // String names the outcome for logs.
 func (o Outcome) String() string {
-	return [...]string{"done", "unsent", "not_run", "elsewhere", "failed", "broken", "hung", "given_up", "moved"}[o]
+	return [...]string{"done", "unsent", "not_run", "elsewhere", "failed", "broken", "hung", "given_up", "moved", "withheld"}[o]
 }
 
 // Msg is anything that a Machine can be told. Now is the time since the process
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -58,6 +58,17 @@
 // backsOff tells whether a server has asked this router to send it nothing yet.
 func (s *server) backsOff(now time.Duration) bool { return now < s.notices.backoffUntil }
 
+// Withheld tells whether a request that was placed must not be sent any more, since its server
+// has said so meanwhile: a router that runs late may have placed many by then.
+func (m *Machine) Withheld(now time.Duration, id RequestID) bool {
+	r := m.runs[id]
+	if r == nil || r.at == nil {
+		return false
+	}
+	s := r.at
+	return s.backsOff(now) || (s.notices.leaving && s.notices.leavingAt > r.sentAt)
+}
+
 // backoffEnds returns how soon one of the servers wants requests again that would get some of
 // these regions but for that, and whether there is one.
 func (p *pool) backoffEnds(now time.Duration, regions Regions) (time.Duration, bool) {
--- a/direct/notice_oracle_test.go
+++ b/direct/notice_oracle_test.go
@@ -141,7 +141,7 @@
 	}
 	id := h.running[0]
 	h.running = h.running[1:]
-	o := rapid.SampledFrom([]Outcome{Done, Unsent, NotRun, Elsewhere, Failed, Broken, Hung, GivenUp}).Draw(h.t, "outcome")
+	o := rapid.SampledFrom([]Outcome{Done, Unsent, NotRun, Elsewhere, Failed, Broken, Hung, GivenUp, Withheld}).Draw(h.t, "outcome")
 	h.update(EndMsg{Now: h.now, ID: id, Outcome: o, Retry: o != Done && o != GivenUp})
 }
 
--- a/direct/notice_test.go
+++ b/direct/notice_test.go
@@ -202,6 +202,31 @@
 	}
 }
 
+// TestWithheld has servers say that they want nothing, or leave, after requests were placed there and
+// before they were sent: those go elsewhere, at no cost for the server and the request, and so
+// do not reach it however late the router runs. One that was placed later, as a last resort, is
+// sent.
+func TestWithheld(t *testing.T) {
+	for name, n := range map[string]Notice{"backs off": {Backoff: time.Second}, "leaves": {Leaving: true}} {
+		b := newNoticeBench(t, "p0", "p1")
+		r := b.plain()
+		r.Attempts = 1
+		server := b.sent(b.arrive(r))
+		require.False(t, b.m.Withheld(b.now, r.ID), name)
+		b.pass(TickEvery)
+		b.notice(server, n)
+		require.True(t, b.m.Withheld(b.now, r.ID), name)
+		require.NotEqual(t, server, b.sent(b.end(r.ID, Withheld, true)), name)
+		require.False(t, b.m.byServer[server].probation, name)
+	}
+	b := newNoticeBench(t, "p0")
+	b.notice("p0", Notice{Leaving: true})
+	b.pass(TickEvery)
+	last := b.plain()
+	b.sent(b.arrive(last))
+	require.False(t, b.m.Withheld(b.now, last.ID))
+}
+
 // TestLeavingAndBackoff has the only server of a service say both with one answer, while requests
 // wait for it: they are no reason to send it one more as a last resort.
 func TestLeavingAndBackoff(t *testing.T) {
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -58,7 +58,7 @@
 	r.charged = false
 	cost, team := r.cost(), m.team(r.Team)
 	team.served.take(now, cost, now-r.sentAt)
-	if o == Unsent || o == NotRun || o == Elsewhere {
+	if o == Unsent || o == Withheld || o == NotRun || o == Elsewhere {
 		team.allowance.take(-cost)
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -63,6 +63,10 @@
 	if err != nil {
 		return a.lost(direct.Unsent)
 	}
+	if a.x.front.core.withheld(a.x.id) {
+		conn.Close()
+		return a.lost(direct.Withheld)
+	}
 	a.conn = conn
 	a.stop = context.AfterFunc(a.x.ctx, func() { conn.Close() })
 	defer a.stop()
@@ -180,7 +184,7 @@
 		a.x.callerLeft(0)
 		return direct.GivenUp, true
 	case a.x.front.core.Now()+leastLeft >= a.x.deadline:
-		if o != direct.Unsent {
+		if o != direct.Unsent && o != direct.Withheld {
 			o = direct.GivenUp
 		}
 		a.endLate(o)
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -126,6 +126,13 @@
 	return direct.RefuseCmd{}, false
 }
 
+// withheld tells whether a request that was placed must not be sent any more.
+func (c *core) withheld(id direct.RequestID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Withheld(c.Now(), id)
+}
+
 // done ends the channel of a request.
 func (c *core) done(id direct.RequestID) {
 	c.mu.Lock()
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -45,7 +45,7 @@
 		LoadsAge:  scope.Histogram("loads_age", durations),
 		ConfigAge: scope.Histogram("config_age", ages),
 	}
-	for o := direct.Done; o <= direct.Moved; o++ {
+	for o := direct.Done; o <= direct.Withheld; o++ {
 		s.attempts[o] = scope.Tagged(map[string]string{"outcome": o.String()}).Counter("attempts")
 	}
 	return s
