--- a/direct/blame.go
+++ b/direct/blame.go
@@ -28,7 +28,7 @@
 // the server has crashed, or only a connection broke, a probe tells. The zero value is ready.
 type blame struct {
 	contents  []quarantine.Content // that wait for a probe to end
-	left      []leftContent        // whose callers left; no reason for a probe
+	left      []leftContent        // whose callers left a moment ago, the oldest first; no reason for a probe
 	reachedAt time.Duration        // when a probe reached the server; 0: none has since they came
 	crashed   bool
 	crashedAt time.Duration // when a probe last told that it has
@@ -44,9 +44,9 @@
 	at      time.Duration
 }
 
-// leave remembers a content whose caller left, or which was moved: if its server turns out to
+// callerLeft remembers a content whose caller left, or which was moved: if its server turns out to
 // have crashed right after that, it is as suspect as those that broke off.
-func (b *blame) leave(now time.Duration, c quarantine.Content) {
+func (b *blame) callerLeft(now time.Duration, c quarantine.Content) {
 	b.left = slices.DeleteFunc(b.left, func(l leftContent) bool { return now-l.at > crashKnown })
 	if len(b.left) < leftMost {
 		b.left = append(b.left, leftContent{c, now})
@@ -73,13 +73,13 @@
 	switch {
 	case o == Done:
 		m.suspects.Answered(now, r.Content)
-	case r.settled(now):
+	case r.settled(now): // what crashes servers does so sooner
 	case o == Broken, o == Hung:
-		// The server may end only after the attempt was given up: it takes a while to begin
-		// to run it.
+		// An attempt that was given up may crash its server after that: a busy server begins
+		// to run it late.
 		m.blameFor(now, r, s)
 	case o == GivenUp, o == Moved:
-		s.blamed.leave(now, r.Content)
+		s.blamed.callerLeft(now, r.Content)
 	}
 }
 
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -73,7 +73,7 @@
 	loadsAt           time.Duration // when the others' loads came
 	suspects          quarantine.Suspects
 	reprobed          []*server // that are to be probed again, see probeAgain
-	parted            parted
+	oldNotices        oldNotices
 	begun             []*run // whose first events came since the last tick, for the judging of versions
 }
 
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -1,9 +1,6 @@
 package direct
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Notice is what a server says of itself in an answer, whatever else the answer is. The
 // zero value says nothing.
@@ -15,9 +12,6 @@
 // None tells whether the server said nothing of itself.
 func (n Notice) None() bool { return n == Notice{} }
 
-// noticesMost bounds the servers of which notices are kept after they were forgotten.
-const noticesMost = 4096
-
 // notices are what a server has told this router of itself in its answers. They hold for the
 // rest of its life: the list may be older, or come from a source that the server can't reach,
 // so no entry overrules them.
@@ -27,8 +21,8 @@
 	backoffUntil time.Duration // it wants nothing from this router until then
 }
 
-// hold tells whether there is anything to remember.
-func (n notices) hold(now time.Duration) bool { return n.leaving || now < n.backoffUntil }
+// last tells whether there is anything to remember.
+func (n notices) last(now time.Duration) bool { return n.leaving || now < n.backoffUntil }
 
 // notice takes in what a server said of itself.
 func (m *Machine) notice(msg NoticeMsg) {
@@ -100,41 +94,8 @@
 
 // recall gives a server that is listed anew what it said before it was forgotten.
 func (m *Machine) recall(s *server) {
-	s.notices = m.parted.take(s.ID)
+	s.notices = m.oldNotices.take(s.ID)
 	if s.notices.leaving {
 		s.leave(s.notices.leavingAt)
 	}
 }
-
-// parted are the notices of servers that have been forgotten, by id: an entry that went may come
-// back, and the server is the same then.
-type parted struct {
-	notices map[string]notices
-	order   []string // oldest first
-}
-
-// keep remembers what a server said that is being forgotten.
-func (p *parted) keep(now time.Duration, s *server) {
-	if !s.notices.hold(now) {
-		return
-	}
-	if p.notices == nil {
-		p.notices = make(map[string]notices)
-	}
-	p.notices[s.ID] = s.notices
-	p.order = append(p.order, s.ID)
-	if len(p.order) > noticesMost {
-		delete(p.notices, p.order[0])
-		p.order = slices.Delete(p.order, 0, 1)
-	}
-}
-
-// take returns what a server said before it was forgotten.
-func (p *parted) take(id string) notices {
-	n, there := p.notices[id]
-	if there {
-		delete(p.notices, id)
-		p.order = slices.DeleteFunc(p.order, func(one string) bool { return one == id })
-	}
-	return n
-}
--- a/direct/notice_test.go
+++ b/direct/notice_test.go
@@ -241,12 +241,12 @@
 
 // TestNoticesOfManyLives forgets what servers said long ago, once there were many since.
 func TestNoticesOfManyLives(t *testing.T) {
-	var p parted
+	var p oldNotices
 	for i := range 2 * noticesMost {
 		s := &server{Server: Server{ID: string(rune(i))}, notices: notices{leaving: true}}
 		p.keep(time.Second, s)
 	}
-	require.Len(t, p.notices, noticesMost)
+	require.Len(t, p.byServer, noticesMost)
 	require.Len(t, p.order, noticesMost)
 	require.True(t, p.take(string(rune(2*noticesMost-1))).leaving)
 	require.False(t, p.take(string(rune(0))).leaving)
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -28,11 +28,11 @@
 
 // Verdict is what the head of an answer says of it.
 type Verdict struct {
-	ID        string // of the request that is answered
-	NotRun    bool   // the server says that it did not run the request
-	Elsewhere bool   // the address belongs to another server
-	Signed    bool   // the server vouches for the answer
-	Notice    direct.Notice
+	ID        string        // of the request that is answered
+	NotRun    bool          // the server says that it did not run the request
+	Elsewhere bool          // the address belongs to another server
+	Signed    bool          // the server vouches for the answer
+	Notice    direct.Notice // what the server says of itself
 	// Unreadable says which part of the notice could not be read; it counts as not said.
 	Unreadable error
 }
