--- a/direct/notice_oracle_test.go
+++ b/direct/notice_oracle_test.go
@@ -70,10 +70,6 @@
 	}
 }
 
-func (h *noticeHistory) server() string {
-	return fmt.Sprint("s", rapid.IntRange(0, historyServers-1).Draw(h.t, "server"))
-}
-
 // list puts a list of some of the servers in force.
 func (h *noticeHistory) list() {
 	h.revision++
