A server whose entry lapsed and whose host refuses connections is gone, and loses its hall nothing

Callers of a service were refused as no_servers while half of its servers served: three servers had ended under one request at once, so that their entries lapsed together and they were used a little longer; the next request met a refused connection at each of the three in a row, which made their hall count as lost for 200 ms.

That an entry went and that the host refuses say together that the server has ended: it is taken out, and doesn't count towards the loss of its hall. Ruled out: that any refused connection says that a hall is there, since a cut may refuse all of them. TestLapsedServersThatRefuse.

--- a/direct/ending.go
+++ b/direct/ending.go
@@ -32,7 +32,10 @@
 	m.noteContent(msg.Now, r, s, msg.Outcome)
 	m.sawEnd(p, msg, r, s)
 	p.noteEnded(r, s, msg.Outcome)
-	if !msg.Slow || msg.Outcome == Done {
+	switch {
+	case msg.Outcome == Unsent && msg.Refused && s.lapsedAt > 0:
+		m.dropEnded(msg.Now, p, s)
+	case !msg.Slow || msg.Outcome == Done:
 		m.judge(msg.Now, p, s, msg.Outcome)
 	}
 	if msg.Retry {
--- a/direct/lapse.go
+++ b/direct/lapse.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// dropEnded takes out a server whose entry lapsed and whose host refuses connections: it has
+// ended. That says nothing of the other servers of its hall.
+func (m *Machine) dropEnded(now time.Duration, p *pool, s *server) {
+	m.dropServer(now, s, "not listed, and its host refuses connections")
+	p.admit()
+}
+
 func (m *Machine) dropServer(now time.Duration, s *server, cause string) {
 	s.gone = true
 	s.leave(now)
--- a/direct/lapse_test.go
+++ b/direct/lapse_test.go
@@ -24,3 +24,32 @@
 	require.Equal(t, all, order(lapsed, BeliefLapsed))
 	require.Equal(t, all, order(b.pass(lapseHold), BeliefGone))
 }
+
+// TestLapsedServersThatRefuse has three of six servers end at once, as a request that crashes
+// servers has them do: their entries go together, so that they are used a little longer, and
+// their host refuses connections. A request that came to all three in a row found its hall lost
+// ("server_ejected cause=unsent" three times, "hall_lost unreached=3"), and was refused while
+// three servers of the hall served. Such a server is gone, and says nothing of its hall.
+func TestLapsedServersThatRefuse(t *testing.T) {
+	b := newNoticeBench(t, "p0", "p1", "p2", "p3", "p4", "p5")
+	b.list("p3", "p4", "p5")
+	gone := make(map[string]bool)
+	for range 40 {
+		r := b.plain()
+		cmds := b.arrive(r)
+		for {
+			send, ok := find[SendCmd](cmds)
+			require.True(t, ok, "%v", cmds)
+			if send.Server.ID > "p2" {
+				break
+			}
+			gone[send.Server.ID] = true
+			cmds = append([]Cmd(nil), b.m.Update(EndMsg{Now: b.now, ID: r.ID, Outcome: Unsent, Refused: true, Retry: true})...)
+			_, lost := find[ReachCmd](cmds)
+			require.False(t, lost)
+			belief, _ := find[BeliefCmd](cmds)
+			require.Equal(t, BeliefGone, belief.Belief)
+		}
+	}
+	require.Len(t, gone, 3, "each was tried")
+}
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -163,6 +163,7 @@
 	ID      RequestID
 	Outcome Outcome
 	Retry   bool
+	Refused bool // of what is Unsent: the server's host says that nothing listens there
 	Slow    bool // the router itself was late; a silence says nothing of the server
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,7 @@
 	// moved says that the attempt was broken off to go on at another version's server.
 	moved   atomic.Bool
 	movable bool // a move may break it off; see allowMove
+	refused bool // the server's host refused a connection
 }
 
 // count counts bytes that go to the server or come from it.
@@ -61,6 +63,7 @@
 	}
 	conn, err := a.x.front.pool.Get(a.x.ctx, a.cmd.Server.Address)
 	if err != nil {
+		a.refused = errors.Is(err, syscall.ECONNREFUSED)
 		return a.lost(direct.Unsent)
 	}
 	if a.x.front.core.withheld(a.x.id) {
