--- a/direct/notice_test.go
+++ b/direct/notice_test.go
@@ -79,6 +79,18 @@
 	return got
 }
 
+// staysOut has the entry of p1 go and come back, soon and after a time in which the router has
+// forgotten the server: p1 gets nothing all the same.
+func (b *noticeBench) staysOut(forgottenAfter time.Duration) {
+	b.t.Helper()
+	for _, away := range []time.Duration{goneMemory / 2, forgottenAfter} {
+		b.list("p0", "p2")
+		b.pass(away)
+		b.list("p0", "p1", "p2")
+		require.Zero(b.t, b.chosen(9)["p1"], "its entry came back after %s", away)
+	}
+}
+
 // TestLeavingOutlastsEntries has a server say that it leaves while its entry says otherwise: the
 // list may be from before, and its entry may lapse and come back. Only another life ends it.
 func TestLeavingOutlastsEntries(t *testing.T) {
@@ -92,15 +104,7 @@
 	b.list("p0", "p1", "p2")
 	require.Zero(t, b.chosen(9)["p1"], "an entry that says ready came later")
 
-	b.list("p0", "p2")
-	b.pass(goneMemory / 2)
-	b.list("p0", "p1", "p2")
-	require.Zero(t, b.chosen(9)["p1"], "its entry went and came back")
-
-	b.list("p0", "p2")
-	b.pass(2 * goneMemory)
-	b.list("p0", "p1", "p2")
-	require.Zero(t, b.chosen(9)["p1"], "its entry came back after the router had forgotten the server")
+	b.staysOut(2 * goneMemory)
 
 	b.list("p0", "p3", "p2")
 	require.Positive(t, b.chosen(9)["p3"], "its next life")
@@ -147,15 +151,7 @@
 	b.pass(2 * time.Second)
 	require.Zero(t, b.chosen(9)["p1"], "a later answer asked for less")
 
-	b.list("p0", "p2")
-	b.pass(goneMemory / 2)
-	b.list("p0", "p1", "p2")
-	require.Zero(t, b.chosen(9)["p1"], "its entry went and came back")
-
-	b.list("p0", "p2")
-	b.pass(goneMemory + time.Second)
-	b.list("p0", "p1", "p2")
-	require.Zero(t, b.chosen(9)["p1"], "its entry came back after the router had forgotten the server")
+	b.staysOut(goneMemory + time.Second)
 	require.Less(t, b.now, end)
 
 	b.list("p0", "p3", "p2")
@@ -165,8 +161,8 @@
 	require.Positive(t, b.chosen(9)["p1"], "that time is over")
 }
 
-// TestBackoffOfAll has all servers of a service ask the router to back off: what comes and what waits is refused at
-// once, and none of them is a last resort, also where they leave.
+// TestBackoffOfAll has all servers of a service ask the router to back off: what comes is refused
+// at once, and none of them is a last resort, also where they leave.
 func TestBackoffOfAll(t *testing.T) {
 	b := newNoticeBench(t, "p0", "p1")
 	b.notice("p0", Notice{Backoff: time.Second})
