--- a/direct/blame_test.go
+++ b/direct/blame_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -309,6 +310,95 @@
 	require.LessOrEqual(t, refused, asked/1000)
 }
 
+// copyOf is one of several requests of the same content, at a router.
+type copyOf struct {
+	at     *bench
+	r      Request
+	server string // that it was last sent to
+}
+
+// wave has copies of requests arrive at routers before any of them is answered, and end all servers
+// that run them at the same moment; those that are tried on are the next to do so. It tells how many
+// servers ended under each content.
+func (p *crashPlay) wave(contents []quarantine.Content) map[quarantine.Content]int {
+	var running []copyOf
+	for _, content := range contents {
+		b := p.fleet[p.random.IntN(len(p.fleet))]
+		r := b.with(content)
+		if server, sent := p.reaches(b, r.ID, b.arrive(r)); sent {
+			running = append(running, copyOf{b, r, server})
+		}
+	}
+	ended := make(map[quarantine.Content]int)
+	for len(running) > 0 {
+		under := make(map[quarantine.Content][]string)
+		for _, c := range running {
+			if !slices.Contains(under[c.r.Content], c.server) {
+				under[c.r.Content] = append(under[c.r.Content], c.server)
+				ended[c.r.Content]++
+			}
+			p.crashed = append(p.crashed, c.server)
+		}
+		var next []copyOf
+		for _, c := range running {
+			cmds := c.at.crash(c.r.ID, ProbeMsg{Refused: true})
+			if server, sent := p.reaches(c.at, c.r.ID, cmds); sent {
+				next = append(next, copyOf{c.at, c.r, server})
+			}
+		}
+		running = next
+	}
+	return ended
+}
+
+// reaches returns the server that a request reaches after some commands. Those that have ended
+// refuse its connection.
+func (p *crashPlay) reaches(b *bench, id RequestID, cmds []Cmd) (server string, sent bool) {
+	for send, sent := find[SendCmd](cmds); sent; send, sent = find[SendCmd](cmds) {
+		runs := slices.ContainsFunc(p.servers.Servers, func(s Server) bool { return s.ID == send.Server.ID })
+		if runs && !slices.Contains(p.crashed, send.Server.ID) {
+			return send.Server.ID, true
+		}
+		cmds = b.end(id, Unsent, true)
+	}
+	return "", false
+}
+
+// TestCrashesTogetherStayFew has two requests that crash servers come at the same moments, a few
+// copies of each, so that servers end under both and the one that ended more explains the other's. Of
+// each at most three servers end once routers have told one another of the first three.
+func TestCrashesTogetherStayFew(t *testing.T) {
+	for seed := range uint64(200) {
+		p := newCrashPlay(t, seed)
+		ended, late := make(map[quarantine.Content]int), make(map[quarantine.Content]int)
+		for range 30 {
+			var contents []quarantine.Content
+			for content := harmful; content < harmful+2; content++ {
+				for range p.random.IntN(4) {
+					contents = append(contents, content)
+				}
+			}
+			line := fmt.Sprint("seed ", seed, " known before")
+			for _, b := range p.fleet {
+				line += fmt.Sprint(" | ", b.m.suspects.Crashes(harmful), b.m.suspects.Crashes(harmful+1), b.m.suspects.OneMore(harmful), b.m.suspects.OneMore(harmful+1))
+			}
+			w := p.wave(contents)
+			t.Log(line, " asked ", contents, " ended ", w)
+			for content, servers := range w {
+				if ended[content] >= quarantine.CrashesMost {
+					late[content] += servers
+				}
+				ended[content] += servers
+			}
+			p.pass()
+			p.pass()
+		}
+		for content, servers := range late {
+			require.LessOrEqual(t, servers, 3, "seed %d, content %d, %d in all", seed, content, ended[content])
+		}
+	}
+}
+
 // TestAttemptGivenUpIsBlamed has a server crash after the attempt at it was given up: as it said
 // nothing in good time, which is found out by a probe, or as the caller left, which is no
 // reason for one, but counts when others break off with the server.
