A content that was released is barred again by one crash that nothing explains

Cause: the one that has crashed more explains the other's crashes, so the other is released although it saw as many crashes as bar a content; after that it counted as one of which nothing is known, and needed three crashes by itself. Weighed: never to release what was barred, which would refuse others that were there by chance for minutes. Why it holds: each crash at which only such contents were there bars the one with most crashes, whatever the others have seen; the decision is still a function of the set of crashes, so routers that know the same decide the same (TestReportsAgree).

--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -9,7 +9,9 @@
 //
 // A server runs many requests, and a crash ends all of them. So a crash counts for those
 // only that had just begun, and not for a content that another one explains: one that was
-// there and has seen more crashes. A whole answer clears a content of everything before it.
+// there and has seen more crashes. Where more than three servers crashed under a content that others
+// explain, one crash that none does is enough. A whole answer clears a content of everything
+// before it.
 //
 //	var s quarantine.Suspects
 //	s.Crashed(now, content, server)
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -90,7 +90,7 @@
 // OneMore tells whether one more crash would bar a content.
 func (s *Suspects) OneMore(c Content) bool {
 	x := s.known[c]
-	return x != nil && s.unexplained(x)+1 >= CrashesMost
+	return x != nil && harmful(len(x.crashes)+1, s.unexplained(x)+1)
 }
 
 // Crashes counts the servers that crashed under a content, those that another content
@@ -215,6 +215,13 @@
 	return n
 }
 
+// harmful tells whether a content is to be barred that has seen so many crashes, of which no other
+// content explains some. Of two that crash servers together the one that has crashed more explains
+// the other's; once that has seen as many crashes as bar a content, one by itself is enough.
+func harmful(crashes, unexplained int) bool {
+	return unexplained >= CrashesMost || crashes > CrashesMost && unexplained > 0
+}
+
 // explained tells whether another content was there when a server crashed that has seen
 // more crashes than this one.
 func (s *Suspects) explained(x *suspect, server Server) bool {
@@ -225,7 +232,7 @@
 // may explain the crashes under another.
 func (s *Suspects) judge() {
 	for _, x := range s.known {
-		barred := x.recorded || len(x.crashes) >= CrashesMost && s.unexplained(x) >= CrashesMost
+		barred := x.recorded || harmful(len(x.crashes), s.unexplained(x))
 		if barred != x.barred {
 			s.setBarred(x, barred)
 		}
--- a/quarantine/suspects_test.go
+++ b/quarantine/suspects_test.go
@@ -97,6 +97,36 @@
 	require.False(t, later.Barred(at(4), innocent))
 }
 
+// TestReleasedContentThatCrashesAlone has two contents end the same servers at once, as on a day when
+// two requests ended all six of a service within ten milliseconds: "quarantine_begun" of the one, and
+// 65 ms later "quarantine_ended", since the other had seen more crashes and explained these. The one
+// that was released needed as many crashes again as one of which nothing is known; one more by
+// itself must do.
+func TestReleasedContentThatCrashesAlone(t *testing.T) {
+	const other Content = 3
+	var s Suspects
+	for i := range Server(6) {
+		s.Crashed(at(0), other, 10+i)
+		if i < CrashesMost {
+			s.Crashed(at(0), bad, 10+i)
+		}
+	}
+	require.True(t, s.Barred(at(0.1), other))
+	require.False(t, s.Barred(at(0.1), bad), "the other explains its crashes")
+	require.True(t, s.OneMore(bad))
+	s.Crashed(at(5), bad, 20)
+	require.True(t, s.Barred(at(5), bad), "nothing else was there")
+
+	var twice Suspects
+	for i := range Server(4) {
+		twice.Crashed(at(0), other, 10+i)
+	}
+	twice.Crashed(at(0), innocent, 10)
+	twice.Crashed(at(0), innocent, 11)
+	twice.Crashed(at(5), innocent, 20)
+	require.False(t, twice.Barred(at(5), innocent), "one crash more than another explains may happen by itself")
+}
+
 // TestSuspectsAreFew has far more servers crash than contents are kept: what has crashed most is
 // kept.
 func TestSuspectsAreFew(t *testing.T) {
