--- a/direct/machine.go
+++ b/direct/machine.go
@@ -30,8 +30,9 @@
 	Region      string            // of this router
 	HallRegions map[string]string // the region of each data hall that is known
 	Budget      BudgetOptions
-	Gated       bool    // services without a GateMsg serve nobody
-	Without     Without // mechanisms that are switched off in experiments
+	Drain       time.Duration // most that a server that leaves may get requests after its word; 0: unknown
+	Gated       bool          // services without a GateMsg serve nobody
+	Without     Without       // mechanisms that are switched off in experiments
 }
 
 // Machine decides for the requests of one router. Its zero value is not of use;
@@ -111,6 +112,8 @@
 		m.configure(msg)
 	case BudgetMsg:
 		m.options.Budget = msg.Budget
+	case DrainMsg:
+		m.options.Drain = msg.Drain
 	case ServersMsg:
 		m.list(msg)
 	case RegionsMsg:
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -21,6 +21,9 @@
 // BudgetMsg changes the budget for retries.
 type BudgetMsg struct{ Budget BudgetOptions }
 
+// DrainMsg changes how long a server that leaves may get requests after its word; see Options.
+type DrainMsg struct{ Drain time.Duration }
+
 // ServersMsg brings a newer list of servers.
 type ServersMsg struct {
 	Now       time.Duration
@@ -160,6 +163,7 @@
 
 func (ConfigMsg) isMsg()      {}
 func (BudgetMsg) isMsg()      {}
+func (DrainMsg) isMsg()       {}
 func (ServersMsg) isMsg()     {}
 func (RegionsMsg) isMsg()     {}
 func (EvacuationsMsg) isMsg() {}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,7 +64,7 @@
 	g := &Gateway{settings: s, source: source, dialect: dialect, log: eventlog.New(out, s.Name)}
 	g.grace.Store(int64(s.Grace))
 	g.core = newCore(direct.Options{
-		Zone: s.Zone, Region: s.Region, HallRegions: s.HallRegions, Budget: s.Budget, Without: s.Without,
+		Zone: s.Zone, Region: s.Region, HallRegions: s.HallRegions, Budget: s.Budget, Drain: s.Drain, Without: s.Without,
 		Gated: s.Rollout.On(),
 	}, g.log)
 	g.admin = admin.New(admin.Source{Ready: g.ready, State: g.dump})
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -14,6 +14,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g.grace.Store(int64(s.Grace))
 	g.core.Update(direct.BudgetMsg{Budget: s.Budget})
+	g.core.Update(direct.DrainMsg{Drain: s.Drain})
 	g.core.Update(direct.RegionsMsg{Now: g.core.Now(), Halls: s.HallRegions})
 	for _, seed := range s.Seeds {
 		if host, _, err := net.SplitHostPort(seed); err == nil {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -29,6 +29,7 @@
 	MemoryBytes int64
 	Descriptors int
 	Grace       time.Duration // from the request to end until the end
+	Drain       time.Duration // most that a server that leaves may get requests after its word; 0: unknown
 	EventDelay  time.Duration // most that a stream's event may take to reach its caller; 0: unknown
 	// Evacuate is the most that may pass between the word that a data hall is
 	// evacuated and the last request to its servers; 0: no hall is ever evacuated.
