--- a/agent/server.go
+++ b/agent/server.go
@@ -135,5 +135,5 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(message)))
 	w.WriteHeader(http.StatusServiceUnavailable)
-	_, _ = w.Write([]byte(message))
+	_, _ = w.Write([]byte(message)) // a router that has left needs no answer
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -54,6 +54,7 @@
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(fd uintptr) {
+				// Where it fails, keep-alive probes find a silent peer later.
 				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.SilentPeer.Milliseconds()))
 			})
 		},
--- a/bundle/seal.go
+++ b/bundle/seal.go
@@ -67,7 +67,7 @@
 func pack(canonical []byte) []byte {
 	var buf bytes.Buffer
 	w := gzip.NewWriter(&buf)
-	_, _ = w.Write(canonical) // a bytes.Buffer never fails
+	_, _ = w.Write(canonical) // here and below: a bytes.Buffer never fails
 	_ = w.Close()
 	return buf.Bytes()
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -76,7 +76,7 @@
 	a.allowMove()
 	defer a.forbidMove()
 	left = a.x.deadline - a.x.front.core.Now()
-	_ = conn.SetDeadline(time.Now().Add(left))
+	_ = conn.SetDeadline(time.Now().Add(left)) // here and below: a closed connection shows when it is used
 	a.path = a.x.front.pathTo(a.cmd)
 	a.count(len(a.x.body))
 	err = conn.Send(&backend.Request{
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	_ = control.SetReadDeadline(time.Time{}) // as above
 	x.body = body
 	return nil
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -204,7 +204,7 @@
 // has bytes to read is not at rest: a late router has not come to read them.
 func (c *callers) sweep(rest time.Duration) {
 	for _, caller := range c.atRest(rest) {
-		_ = caller.Close()
+		_ = caller.Close() // at rest, so nothing is lost
 	}
 }
 
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -65,5 +65,5 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastMoment/3)
 	defer cancel()
-	_ = g.server.Shutdown(ctx)
+	_ = g.server.Shutdown(ctx) // it fails where callers still hold connections; the process ends with them
 }
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -65,7 +65,7 @@
 	for {
 		select {
 		case line := <-l.lines:
-			_, _ = out.Write(line)
+			_, _ = out.Write(line) // there is nowhere else to say that the log fails
 		case <-l.end:
 			for len(l.lines) > 0 {
 				_, _ = out.Write(<-l.lines)
--- a/gateway/feed/serve.go
+++ b/gateway/feed/serve.go
@@ -36,5 +36,5 @@
 		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = w.Write(body)
+	_, _ = w.Write(body) // a router that has left asks again
 }
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -184,6 +184,7 @@
 		hold = min(hold, x.envelope.Left)
 	}
 	x.deadline = x.start + hold
+	// Test writers have no deadlines.
 	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(hold + writeSlack))
 }
 
@@ -207,7 +208,7 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1))
 	w.WriteHeader(status)
-	_, _ = w.Write([]byte(reason + "\n"))
+	_, _ = w.Write([]byte(reason + "\n")) // a caller that has left needs no answer
 }
 
 // closing asks callers to open new connections elsewhere while this router ends, or
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -86,6 +86,7 @@
 	if err != nil {
 		return
 	}
+	// Where it fails, the system's own bound of the queue holds.
 	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), max(int(queuePerCore*power), queueLeast)) })
 }
 
--- a/gateway/moving.go
+++ b/gateway/moving.go
@@ -9,7 +9,7 @@
 	a.movable = true
 	a.x.front.core.setBreakOff(a.x.id, func() {
 		a.moved.Store(true)
-		_ = a.conn.Close()
+		_ = a.conn.Close() // whoever reads from it finds it closed
 	})
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -72,7 +72,7 @@
 	} else if patience, bounded := a.patience(left); bounded && !a.x.headSent {
 		left = patience
 	}
-	_ = a.conn.SetReadDeadline(time.Now().Add(left))
+	_ = a.conn.SetReadDeadline(time.Now().Add(left)) // a closed connection shows when it is read
 }
 
 // mayGoOn tells whether the route allows another attempt after this one.
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -103,7 +103,7 @@
 	}
 	x.front.closing(x.w)
 	x.w.WriteHeader(h.status)
-	_, _ = x.w.Write(h.body)
+	_, _ = x.w.Write(h.body) // what a caller does not read is told by its send queue
 }
 
 func bodyAllowed(status int) bool {
--- a/link/conn.go
+++ b/link/conn.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	_ = c.raw.SetDeadline(time.Now().Add(c.opts.timeout()))
+	_ = c.raw.SetDeadline(time.Now().Add(c.opts.timeout())) // here and below: a closed connection shows when it is used
 	if _, err := c.raw.Write(frame); err != nil {
 		return errors.Wrap(err, "say hello")
 	}
@@ -136,7 +136,7 @@
 	c.once.Do(func() {
 		c.err = why
 		close(c.closed)
-		_ = c.raw.Close()
+		_ = c.raw.Close() // why says more than its error
 	})
 }
 
--- a/link/listen.go
+++ b/link/listen.go
@@ -31,7 +31,7 @@
 		select {
 		case room <- struct{}{}:
 		default:
-			_ = raw.Close()
+			_ = raw.Close() // the peer dials again
 			continue
 		}
 		wg.Go(func() {
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -168,6 +168,8 @@
 	return errors.Mark(errors.Wrap(cause, kind.Error()), kind)
 }
 
+// drain reads an answer to its end, so that its connection can be used again. Where that fails it
+// can't, and another one is opened.
 func drain(res *http.Response) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, MaxObject))
 	_ = res.Body.Close()
--- a/relay/copy.go
+++ b/relay/copy.go
@@ -58,7 +58,7 @@
 }
 
 // Finish reads the short answer by which an agent turns a request away to its
-// end: only then the connection can be used again.
+// end: only then the connection can be used again. Where that fails, another one is opened.
 func Finish(body io.Reader) {
 	_, _ = io.CopyN(io.Discard, body, finishBytes)
 }
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -108,5 +108,5 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)+1))
 	w.WriteHeader(f.status)
-	_, _ = w.Write(append(body, '\n'))
+	_, _ = w.Write(append(body, '\n')) // a caller that has left needs no answer
 }
--- a/router/transport.go
+++ b/router/transport.go
@@ -32,7 +32,7 @@
 	}
 	conn := tls.Client(raw, r.secure.Client(secure.Identity{Role: string(wire.RoleAgent)}))
 	if err := conn.HandshakeContext(ctx); err != nil {
-		_ = raw.Close()
+		_ = raw.Close() // the handshake's error is returned
 		return nil, err
 	}
 	return conn, nil
