--- a/direct/crashplay_test.go
+++ b/direct/crashplay_test.go
@@ -137,43 +137,49 @@
 	for _, content := range contents {
 		b := p.fleet[p.random.IntN(len(p.fleet))]
 		r := b.with(content)
-		if server, sent := p.reaches(b, r.ID, b.arrive(r)); sent {
-			running = append(running, copyOf{b, r, server})
-		}
+		running = p.runs(running, copyOf{at: b, r: r}, b.arrive(r))
 	}
 	ended := make(map[quarantine.Content]int)
 	for len(running) > 0 {
-		under := make(map[quarantine.Content][]string)
-		for _, c := range running {
-			if !slices.Contains(under[c.r.Content], c.server) {
-				under[c.r.Content] = append(under[c.r.Content], c.server)
-				ended[c.r.Content]++
-			}
-			p.crashed = append(p.crashed, c.server)
-		}
+		p.endServers(running, ended)
 		var next []copyOf
 		for _, c := range running {
-			cmds := c.at.crash(c.r.ID, ProbeMsg{Refused: true})
-			if server, sent := p.reaches(c.at, c.r.ID, cmds); sent {
-				next = append(next, copyOf{c.at, c.r, server})
-			}
+			next = p.runs(next, c, c.at.crash(c.r.ID, ProbeMsg{Refused: true}))
 		}
 		running = next
 	}
 	return ended
 }
 
-// reaches returns the server that a request reaches after some commands. Those that have ended
-// refuse its connection.
-func (p *crashPlay) reaches(b *bench, id RequestID, cmds []Cmd) (server string, sent bool) {
+// endServers ends the servers that run requests, and counts them by content.
+func (p *crashPlay) endServers(running []copyOf, ended map[quarantine.Content]int) {
+	type end struct {
+		content quarantine.Content
+		server  string
+	}
+	seen := make(map[end]bool)
+	for _, c := range running {
+		one := end{c.r.Content, c.server}
+		if !seen[one] {
+			seen[one] = true
+			ended[c.r.Content]++
+		}
+		p.crashed = append(p.crashed, c.server)
+	}
+}
+
+// runs adds a request to those that servers run, if some commands of its router bring it to one.
+// Servers that have ended refuse its connection.
+func (p *crashPlay) runs(running []copyOf, c copyOf, cmds []Cmd) []copyOf {
 	for send, sent := find[SendCmd](cmds); sent; send, sent = find[SendCmd](cmds) {
-		runs := slices.ContainsFunc(p.servers.Servers, func(s Server) bool { return s.ID == send.Server.ID })
-		if runs && !slices.Contains(p.crashed, send.Server.ID) {
-			return send.Server.ID, true
+		listed := slices.ContainsFunc(p.servers.Servers, func(s Server) bool { return s.ID == send.Server.ID })
+		if listed && !slices.Contains(p.crashed, send.Server.ID) {
+			c.server = send.Server.ID
+			return append(running, c)
 		}
-		cmds = b.end(id, Unsent, true)
+		cmds = c.at.end(c.r.ID, Unsent, true)
 	}
-	return "", false
+	return running
 }
 
 // TestCrashesStayFew has ten requests crash servers, each every half second at some router, among
