--- a/direct/exposure.go
+++ b/direct/exposure.go
@@ -18,6 +18,7 @@
 // routers restart, join or are cut off. Within that, each route keeps to about the same
 // part, so that a trial is a cross-section of the service's requests.
 type exposure struct {
+	all    int // attempts sent to servers of any version
 	total  exposed
 	routes byRoute[exposed]
 	// epoch tells the counts of one target from those of another: what was sent before
@@ -52,8 +53,8 @@
 	return limit < 1 && allowed >= behindFrom && float64(one.target) < behindPart*allowed
 }
 
-// sent counts an attempt at a server of the target.
-func (e *exposure) sent(route string) {
+// sentTarget counts an attempt at a server of the target.
+func (e *exposure) sentTarget(route string) {
 	e.routes.of(route).target++
 	e.total.target++
 }
--- a/direct/move.go
+++ b/direct/move.go
@@ -76,6 +76,18 @@
 	return running
 }
 
+// AllSent counts, for each service that moves to another version, the attempts that this router
+// has sent since then.
+func (m *Machine) AllSent() map[string]int {
+	out := make(map[string]int)
+	for name, p := range m.pools {
+		if p.gate != nil && p.gate.Target != "" {
+			out[name] = p.gate.exposure.all
+		}
+	}
+	return out
+}
+
 // AllOldRunning returns OldRunning of each service that moves to another version.
 func (m *Machine) AllOldRunning() map[string]int {
 	out := make(map[string]int)
--- a/direct/side.go
+++ b/direct/side.go
@@ -112,8 +112,9 @@
 		return c
 	}
 	r.placement.epoch, r.placement.reached = p.gate.exposure.epoch, false
+	p.gate.exposure.all++
 	if c.server.target {
-		p.gate.exposure.sent(r.Route)
+		p.gate.exposure.sentTarget(r.Route)
 		if p.engine != nil {
 			// A new version's servers keep nothing yet, not even the first for the part.
 			c.miss = m.missing(now, p, c.server, r)
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -218,6 +218,13 @@
 	return c.machine.AllOldRunning()
 }
 
+// AllSent counts the attempts sent since services began to move, by service.
+func (c *core) AllSent() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.AllSent()
+}
+
 // servers returns what the machine takes the servers to be.
 func (c *core) servers() []direct.ServerState {
 	c.mu.Lock()
--- a/rollout/paused_test.go
+++ b/rollout/paused_test.go
@@ -44,3 +44,25 @@
 		require.Equal(t, routers == 1, m.Snapshots()[0].Stage > Trial)
 	}
 }
+
+// A version that fails three in ten of its answers was taken into use on 152 requests, of which no
+// answer had been judged: "rollout_step stage=quarter new_good=0 new_bad=0 old_good=0 old_bad=0", and
+// the same for half and all. Servers were cold, links cut and engines slow, so that all answers
+// came from servers whose answers say nothing of a version; without any, the service was taken for
+// one that nobody calls. Another such version then got 390 of 589 requests.
+func TestRolloutUnjudgedIsNotQuiet(t *testing.T) {
+	within := 6 * time.Second
+	for calls, quiet := range map[int]bool{0: true, 1: false} {
+		m, _ := callsFor(3)
+		sent := 0
+		hear := func(now time.Duration) {
+			m.Update(OthersMsg{Now: now, Reports: []Report{{Service: "llm", Order: m.Reports()[0].Order, Routers: 2, Known: Trial, InForce: Trial}}})
+		}
+		for now := time.Duration(0); now <= newTimeline(within).lastRamp-TickEvery; now += TickEvery {
+			sent += calls // in each tick, at this router
+			hear(now)
+			m.Update(TickMsg{Now: now, Leads: true, Routers: 3, Sent: map[string]int{"llm": sent}})
+		}
+		require.Equal(t, quiet, m.Snapshots()[0].Stage > Trial, "%d calls a tick", calls)
+	}
+}
--- a/rollout/tick.go
+++ b/rollout/tick.go
@@ -11,6 +11,7 @@
 	for _, s := range m.sorted() {
 		if s.rollout != nil {
 			s.rollout.oldRunning = uint32(max(0, msg.OldRunning[s.name]))
+			s.rollout.sent = msg.Sent[s.name]
 			m.advance(s, msg.Now)
 		}
 		if m.leads {
