A service whose answers can't be judged is no quiet service: requests count, not evidence

Cause: a service that nobody calls may move without evidence, and what came was counted by the answers that can be judged. Answers of cold servers, cut links and of servers that were listed a second ago can't, so that a service with 30 requests a second and none of them judged counted as one with none, also near the end of an order. Ruled out: a judge that misses what it sees (it had nothing: new_good=0 new_bad=0 old_good=0 old_bad=0 at each step of the trace). Why it holds: the leader counts what it sends, to servers of any version, and takes it for what each other router sends; no message between routers changes.

--- a/rollout/quiet.go
+++ b/rollout/quiet.go
@@ -21,7 +21,14 @@
 	if fresh.Bad > fresh.Good {
 		return false
 	}
-	answers := fresh.answers() + r.all.total(false).answers()
 	ahead := max(0, r.plan.end-r.age)
-	return answers*float64(ahead) <= quietRequests*float64(r.watched)
+	return r.calls(routers)*float64(ahead) <= quietRequests*float64(r.watched)
+}
+
+// calls is how many requests have come to all routers. Answers that say nothing of a version, such
+// as those of cold servers, are not in the evidence, but their callers are there all the
+// same: what this router has sent stands for what each of the others has.
+func (r *rollout) calls(routers int) float64 {
+	judged := r.all.total(true).answers() + r.all.total(false).answers()
+	return max(judged, float64(r.sent*routers))
 }
