A quiet service is told by the leader's own share of judged answers, not by its requests times the routers

The first form took what the leader had sent for what each other router had. In a fleet of 384 one request that happens to come to the leader would have stood for 384, and a service with a request a second, whose callers may all sit at the leader, would never be moved. Now what all routers judged is scaled by how much more the leader sent than it judged itself, and what it sent is the least. TestRolloutUnjudgedIsNotQuiet has the large fleet and answers of which few are judged.

--- a/rollout/cells.go
+++ b/rollout/cells.go
@@ -100,6 +100,9 @@
 	return sum
 }
 
+// answers counts all answers, each once.
+func (c cells) answers() float64 { return c.total(true).answers() + c.total(false).answers() }
+
 func (t Tally) plus(o Tally) Tally { return Tally{t.Good + o.Good, t.Bad + o.Bad} }
 
 func (t Tally) answers() float64 { return float64(t.Good) + float64(t.Bad) }
--- a/rollout/quiet.go
+++ b/rollout/quiet.go
@@ -22,13 +22,15 @@
 		return false
 	}
 	ahead := max(0, r.plan.end-r.age)
-	return r.calls(routers)*float64(ahead) <= quietRequests*float64(r.watched)
+	return r.calls()*float64(ahead) <= quietRequests*float64(r.watched)
 }
 
-// calls is how many requests have come to all routers. Answers that say nothing of a version, such
-// as those of cold servers, are not in the evidence, but their callers are there all the
-// same: what this router has sent stands for what each of the others has.
-func (r *rollout) calls(routers int) float64 {
-	judged := r.all.total(true).answers() + r.all.total(false).answers()
-	return max(judged, float64(r.sent*routers))
+// calls is how many requests have come to all routers, as far as that is known. Answers that say
+// nothing of a version, such as those of cold servers, are not in the evidence, but their
+// callers are there all the same: of what all routers judged, as many more are taken to have
+// come as of what this router judged.
+func (r *rollout) calls() float64 {
+	sent := float64(r.sent)
+	unjudged := max(1, sent/max(1, r.own.answers()))
+	return max(sent, unjudged*r.all.answers())
 }
