A busy service is no longer taken for a quiet one because its leader is asked little

Cause: a service of which at most 25 requests come until the deadline is moved without evidence, and how many come was told from the leader's own sends and from judged answers. Where no answer can be judged, the leader knew of its own requests alone. Why it holds: routers tell their rate of requests and for how long they have watched, in a named second value of their lists, which earlier builds don't read; requests that can't be sent count; a router that has watched for less than two seconds leaves the service busy.

--- a/direct/arrive.go
+++ b/direct/arrive.go
@@ -21,6 +21,9 @@
 // count takes in that a request was asked for.
 func (m *Machine) count(now time.Duration, p *pool, r *run) {
 	p.budget.first(now)
+	if p.gate != nil {
+		p.gate.exposure.asked++
+	}
 	objective := float64(r.Objective) / float64(time.Millisecond)
 	p.objective += objectiveStep * (objective - p.objective)
 	team := m.team(r.Team)
--- a/direct/exposure.go
+++ b/direct/exposure.go
@@ -18,7 +18,7 @@
 // routers restart, join or are cut off. Within that, each route keeps to about the same
 // part, so that a trial is a cross-section of the service's requests.
 type exposure struct {
-	all    int // attempts sent to servers of any version
+	asked  int // requests that came, and attempts after their first
 	total  exposed
 	routes byRoute[exposed]
 	// epoch tells the counts of one target from those of another: what was sent before
--- a/direct/move.go
+++ b/direct/move.go
@@ -76,13 +76,13 @@
 	return running
 }
 
-// AllSent counts, for each service that moves to another version, the attempts that this router
-// has sent since then.
-func (m *Machine) AllSent() map[string]int {
+// AllAsked counts, for each service that moves to another version, the requests that have come to
+// this router since then, whether or not they could be sent, and attempts after their first.
+func (m *Machine) AllAsked() map[string]int {
 	out := make(map[string]int)
 	for name, p := range m.pools {
 		if p.gate != nil && p.gate.Target != "" {
-			out[name] = p.gate.exposure.all
+			out[name] = p.gate.exposure.asked
 		}
 	}
 	return out
--- a/direct/side.go
+++ b/direct/side.go
@@ -112,7 +112,9 @@
 		return c
 	}
 	r.placement.epoch, r.placement.reached = p.gate.exposure.epoch, false
-	p.gate.exposure.all++
+	if r.attempt > 0 {
+		p.gate.exposure.asked++
+	}
 	if c.server.target {
 		p.gate.exposure.sentTarget(r.Route)
 		if p.engine != nil {
--- a/gateway/cluster/compatibility_test.go
+++ b/gateway/cluster/compatibility_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -30,6 +31,9 @@
 	firstBuild = "2739690"
 )
 
+// beforeDemand are the builds whose lists don't say what callers ask of their routers.
+var beforeDemand = []string{firstBuild, "2026-12-03"}
+
 // TestCorpusIsRead reads what each landed build sends.
 func TestCorpusIsRead(t *testing.T) {
 	if *addCorpus != "" {
@@ -46,9 +50,13 @@
 			want.Extension = heartbeatExtension{} // it sends none
 		}
 		require.Equal(t, want, b, "heartbeat of %s", build.Name())
-		var l loadList
-		require.NoError(t, decode(readCorpus(t, build.Name(), "loads"), &l))
-		require.Equal(t, sampleLoadList(), l, "loads of %s", build.Name())
+		l, err := decodeLoadList(readCorpus(t, build.Name(), "loads"))
+		require.NoError(t, err)
+		list := sampleLoadList()
+		if slices.Contains(beforeDemand, build.Name()) {
+			list.Extension = loadListExtension{} // they send none
+		}
+		require.Equal(t, list, l, "loads of %s", build.Name())
 	}
 }
 
@@ -83,7 +91,8 @@
 func thisBuild(t *testing.T) map[string][]byte {
 	b, err := encodeHeartbeat(sampleHeartbeat())
 	require.NoError(t, err)
-	l, err := encode(sampleLoadList())
+	list := sampleLoadList()
+	l, err := encodeLoadList(&list)
 	require.NoError(t, err)
 	return map[string][]byte{"heartbeat": b, "loads": l}
 }
--- a/gateway/cluster/frozen_test.go
+++ b/gateway/cluster/frozen_test.go
@@ -132,7 +132,8 @@
 			Service: "llm", Order: 5, Routers: 3, Known: rollout.Half, InForce: rollout.Quarter, Age: time.Second, OldRunning: 2,
 			Rejected: true, Routes: []string{"r"}, Cohorts: []string{"c"}, Cells: []cellRow{{Target: true, Later: true, Good: 5, Bad: 1}},
 		}},
-		Copies: []loads.Copy{{Part: 1 << 60, Server: 7}},
+		Copies:    []loads.Copy{{Part: 1 << 60, Server: 7}},
+		Extension: loadListExtension{Demands: []demandRow{{Known: true, PerSecond: 12.5, Watched: 2000}}},
 	}
 }
 
--- a/gateway/cluster/loadlist.go
+++ b/gateway/cluster/loadlist.go
@@ -21,6 +21,30 @@
 	// Rollouts come with teams, where roll-outs are on.
 	Rollouts []rolloutRow
 	Copies   []loads.Copy
+	// Extension is the second value of the datagram.
+	Extension loadListExtension `msgpack:"-"`
+}
+
+// loadListExtension is the second value of a list, which routers of earlier builds don't read.
+// Its fields have names, and any may be absent; see docs/design/compatibility.md.
+type loadListExtension struct {
+	// Demands are those of the list's Rollouts, in the same order.
+	Demands []demandRow `msgpack:"d,omitempty"`
+}
+
+// encodeLoadList writes a list as a datagram.
+func encodeLoadList(l *loadList) ([]byte, error) {
+	if len(l.Extension.Demands) == 0 {
+		return encode(l)
+	}
+	return encodeWith(l, l.Extension)
+}
+
+// decodeLoadList reads a datagram as a list.
+func decodeLoadList(body []byte) (loadList, error) {
+	var l loadList
+	err := decodeWith(body, &l, &l.Extension)
+	return l, err
 }
 
 // packList makes a list small. Its sender and number are still to be filled in.
@@ -30,6 +54,7 @@
 	}
 	if cmd.HasTeams {
 		list.Teams, list.Rollouts = packTeams(cmd.Teams), packRollouts(cmd.Rollouts)
+		list.Extension.Demands = packDemands(cmd.Rollouts)
 	}
 	return list
 }
@@ -38,6 +63,6 @@
 func (l *loadList) unpack(now time.Duration) loads.ListMsg {
 	return loads.ListMsg{
 		Now: now, From: l.From, Hall: l.Hall, Region: l.Region, Kind: l.Kind, Number: l.Number, Base: l.Base,
-		Loads: l.Loads, HasTeams: l.HasTeams, Teams: unpackTeams(l.Teams), Rollouts: unpackRollouts(l.Rollouts), Copies: l.Copies,
+		Loads: l.Loads, HasTeams: l.HasTeams, Teams: unpackTeams(l.Teams), Rollouts: unpackRollouts(l.Rollouts, l.Extension.Demands), Copies: l.Copies,
 	}
 }
--- a/gateway/cluster/loads.go
+++ b/gateway/cluster/loads.go
@@ -79,8 +79,8 @@
 // receive takes lists until ctx ends.
 func (l *loadExchange) receive(ctx context.Context) error {
 	return l.over.receive(ctx, func(body []byte) error {
-		var list loadList
-		if err := decode(body, &list); err != nil {
+		list, err := decodeLoadList(body)
+		if err != nil {
 			return err
 		}
 		l.update(list.unpack(l.parts.Decisions.Now()))
@@ -128,7 +128,7 @@
 	if cmd.HasTeams {
 		list.Hall = l.place.Hall
 	}
-	body, err := encode(&list)
+	body, err := encodeLoadList(&list)
 	if err != nil {
 		l.parts.Stats.DatagramFailed()
 		return
--- a/gateway/cluster/rolloutrow.go
+++ b/gateway/cluster/rolloutrow.go
@@ -59,13 +59,17 @@
 	return append(names, name), len(names)
 }
 
-func unpackRollouts(rows []rolloutRow) []rollout.Report {
+// unpackRollouts reads rows, and the demands that came with them.
+func unpackRollouts(rows []rolloutRow, demands []demandRow) []rollout.Report {
 	var reports []rollout.Report
-	for _, row := range rows {
+	for i, row := range rows {
 		r := rollout.Report{
 			Service: row.Service, Order: row.Order, Routers: row.Routers, Known: row.Known, InForce: row.InForce,
 			Age: row.Age, OldRunning: row.OldRunning, Rejected: row.Rejected,
 		}
+		if i < len(demands) {
+			r.Demand = demands[i].unpack()
+		}
 		for _, c := range row.Cells {
 			if !inRange(row.Routes, c.Route) || !inRange(row.Cohorts, c.Cohort) {
 				continue // a datagram may come from anywhere
--- a/gateway/cluster/rolloutrow_test.go
+++ b/gateway/cluster/rolloutrow_test.go
@@ -16,6 +16,7 @@
 func TestRolloutDatagram(t *testing.T) {
 	said := rollout.Report{
 		Service: "llm", Order: 1 << 63, Routers: 12, Known: rollout.All, InForce: rollout.Half, Age: time.Minute, OldRunning: 3, Rejected: true,
+		Demand: rollout.Demand{Known: true, PerSecond: 1200.5, Watched: 2 * time.Second},
 	}
 	for route := range 100 {
 		for hall := range 3 {
@@ -27,15 +28,15 @@
 			}
 		}
 	}
-	list := loadList{From: "10.1.0.33", Kind: loads.Report, HasTeams: true, Rollouts: packRollouts([]rollout.Report{said})}
-	body, err := encode(&list)
+	list := loadList{From: "10.1.0.33", Kind: loads.Report, HasTeams: true, Rollouts: packRollouts([]rollout.Report{said}), Extension: loadListExtension{Demands: packDemands([]rollout.Report{said})}}
+	body, err := encodeLoadList(&list)
 	require.NoError(t, err)
 	require.Less(t, len(body), datagram/3)
-	var heard loadList
-	require.NoError(t, decode(body, &heard))
-	require.Equal(t, []rollout.Report{said}, unpackRollouts(heard.Rollouts))
+	heard, err := decodeLoadList(body)
+	require.NoError(t, err)
+	require.Equal(t, []rollout.Report{said}, unpackRollouts(heard.Rollouts, heard.Extension.Demands))
 
 	heard.Rollouts[0].Cells[0].Route = len(heard.Rollouts[0].Routes)
 	heard.Rollouts[0].Cells[1].Cohort = -1
-	require.Len(t, unpackRollouts(heard.Rollouts)[0].Cells, len(said.Cells)-2)
+	require.Len(t, unpackRollouts(heard.Rollouts, heard.Extension.Demands)[0].Cells, len(said.Cells)-2)
 }
--- a/gateway/corestate.go
+++ b/gateway/corestate.go
@@ -72,11 +72,11 @@
 	return c.machine.AllOldRunning()
 }
 
-// AllSent counts the attempts sent since services began to move, by service.
-func (c *core) AllSent() map[string]int {
+// AllAsked counts the requests that came since services began to move, by service.
+func (c *core) AllAsked() map[string]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.AllSent()
+	return c.machine.AllAsked()
 }
 
 // servers returns what the machine takes the servers to be.
--- a/gateway/rollouts/runner.go
+++ b/gateway/rollouts/runner.go
@@ -25,8 +25,8 @@
 	Update(msg direct.Msg)
 	// AllOldRunning counts the requests at servers of old versions, by service.
 	AllOldRunning() map[string]int
-	// AllSent counts the attempts sent since services began to move, by service.
-	AllSent() map[string]int
+	// AllAsked counts the requests that came since services began to move, by service.
+	AllAsked() map[string]int
 }
 
 // Peers are the other routers.
@@ -135,7 +135,7 @@
 			r.takeQueued(ctx)
 			r.update(ctx, rollout.TickMsg{
 				Now: r.o.Core.Now(), Wall: time.Now(), Leads: peers.Leads(), Routers: peers.Routers(),
-				OldRunning: r.o.Core.AllOldRunning(), Sent: r.o.Core.AllSent(),
+				OldRunning: r.o.Core.AllOldRunning(), Asked: r.o.Core.AllAsked(),
 			})
 		}
 	}
--- /dev/null
+++ b/rollout/demand.go
@@ -0,0 +1,60 @@
+package rollout
+
+import "time"
+
+// Demand is how many requests callers ask of one router, or of several together.
+type Demand struct {
+	// Known says that every router whose requests are in it has told of them. Routers of
+	// earlier builds don't.
+	Known bool
+	// PerSecond is the rate of requests, over the time that each router has watched.
+	PerSecond float64
+	// Watched is the shortest time for which any of the routers has watched the service.
+	Watched time.Duration
+}
+
+// plus adds what other routers are asked.
+func (d Demand) plus(o Demand) Demand {
+	return Demand{
+		Known:     d.Known && o.Known,
+		PerSecond: d.PerSecond + o.PerSecond,
+		Watched:   min(d.Watched, o.Watched),
+	}
+}
+
+// expected is how many requests come in a time, if as many come as before.
+func (d Demand) expected(within time.Duration) float64 { return d.PerSecond * within.Seconds() }
+
+// ownDemand is what this router is asked: at least as much as it has judged answers.
+func (r *rollout) ownDemand() Demand {
+	return r.demandOf(max(float64(r.asked), r.own.answers()))
+}
+
+// demand is what all routers are asked.
+func (r *rollout) demand() Demand {
+	switch {
+	case r.others.Routers == 0:
+		return r.ownDemand()
+	case r.others.Demand.Known:
+		return r.ownDemand().plus(r.others.Demand)
+	}
+	return r.demandOf(r.estimatedRequests())
+}
+
+// demandOf is the demand that so many requests make since this router began to watch.
+func (r *rollout) demandOf(requests float64) Demand {
+	d := Demand{Known: true, Watched: r.watched}
+	if r.watched > 0 {
+		d.PerSecond = requests / r.watched.Seconds()
+	}
+	return d
+}
+
+// estimatedRequests is how many requests have come to all routers, as far as that shows in their
+// evidence. Answers that say nothing of a version, such as those of cold servers, are not in it,
+// so as many more are taken to have come to all as came to this router.
+func (r *rollout) estimatedRequests() float64 {
+	asked := float64(r.asked)
+	unjudged := max(1, asked/max(1, r.own.answers()))
+	return max(asked, unjudged*r.all.answers())
+}
--- a/rollout/messages.go
+++ b/rollout/messages.go
@@ -64,9 +64,9 @@
 	// OldRunning counts, by service, this router's requests at servers that are not of
 	// the target's version.
 	OldRunning map[string]int
-	// Sent counts, by service, what this router has sent to servers of any version since the
-	// service began to move, whether or not the answers can be judged.
-	Sent map[string]int
+	// Asked counts, by service, the requests that came to this router since the service began to
+	// move, whatever became of them.
+	Asked map[string]int
 }
 
 // TickEvery is the time between two ticks: short beside the second within which evidence is
--- a/rollout/paused_test.go
+++ b/rollout/paused_test.go
@@ -73,8 +73,39 @@
 				sent += c.calls
 			}
 			m.Update(OthersMsg{Now: now, Reports: []Report{others}})
-			m.Update(TickMsg{Now: now, Leads: true, Routers: c.routers, Sent: map[string]int{"llm": sent}})
+			m.Update(TickMsg{Now: now, Leads: true, Routers: c.routers, Asked: map[string]int{"llm": sent}})
 		}
 		require.Equal(t, c.quiet, m.Snapshots()[0].Stage > Trial, "%+v", c)
 	}
 }
+
+// TestRolloutBusyElsewhereIsNotQuiet has three routers of which the leading one is asked little, and
+// no answer of which can be judged: a service that the others are asked much of must not be moved
+// without evidence.
+func TestRolloutBusyElsewhereIsNotQuiet(t *testing.T) {
+	for _, elsewhere := range []int{0, 1} { // requests at each other router, a tick
+		var routers []*Machine
+		for range 3 {
+			m, _ := callsFor(3)
+			routers = append(routers, m)
+		}
+		for tick := 0; time.Duration(tick)*TickEvery < newTimeline(6*time.Second).lastRamp; tick++ {
+			now := time.Duration(tick) * TickEvery
+			for i, m := range routers {
+				heard := Report{}
+				for _, other := range routers {
+					if other != m {
+						heard = Merge(heard, other.Reports()[0])
+					}
+				}
+				m.Update(OthersMsg{Now: now, Reports: []Report{heard}})
+				asked := tick / 10
+				if i > 0 {
+					asked += elsewhere * tick
+				}
+				m.Update(TickMsg{Now: now, Leads: i == 0, Routers: len(routers), Asked: map[string]int{"llm": asked}})
+			}
+		}
+		require.Equal(t, elsewhere == 0, routers[0].Snapshots()[0].Stage > Trial, "%d a tick elsewhere", elsewhere)
+	}
+}
--- a/rollout/quiet.go
+++ b/rollout/quiet.go
@@ -7,14 +7,15 @@
 // half of that leaves room for traffic that picks up.
 const quietRequests = 25
 
-// quietAfter is how long a service has to be watched before it is called quiet.
+// quietAfter is how long each router has to watch a service before it is called quiet.
 const quietAfter = 2 * time.Second
 
 // quiet tells whether so few requests come that the target may get all of them without
 // evidence. Otherwise a service that nobody calls could never be moved. A router that does
 // not hear all others can't tell how many come.
 func (r *rollout) quiet(routers int) bool {
-	if r.watched < quietAfter || r.routers() < routers {
+	demand := r.demand()
+	if demand.Watched < quietAfter || r.routers() < routers {
 		return false
 	}
 	fresh := r.all.total(true)
@@ -22,15 +23,5 @@
 		return false
 	}
 	ahead := max(0, r.plan.end-r.age)
-	return r.calls()*float64(ahead) <= quietRequests*float64(r.watched)
-}
-
-// calls is how many requests have come to all routers, as far as that is known. Answers that say
-// nothing of a version, such as those of cold servers, are not in the evidence, but their
-// callers are there all the same: of what all routers judged, as many more are taken to have
-// come as of what this router judged.
-func (r *rollout) calls() float64 {
-	sent := float64(r.sent)
-	unjudged := max(1, sent/max(1, r.own.answers()))
-	return max(sent, unjudged*r.all.answers())
+	return demand.expected(ahead) <= quietRequests
 }
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -16,6 +16,8 @@
 	OldRunning uint32
 	// Rejected says that a leader among them has found the target bad: it stays closed.
 	Rejected bool
+	// Demand is what callers ask of them.
+	Demand Demand
 	// Cells are the evidence since the order.
 	Cells []Cell
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -35,7 +35,7 @@
 	confirmed    bool          // to be completed
 	watching     bool          // the trial has shown that the target is good
 	oldRunning   uint32        // this router's requests at old servers
-	sent         int           // by this router, to servers of any version
+	asked        int           // requests that came to this router
 	idle         bool          // nothing runs at old servers of any router
 	idleSince    time.Duration // when idle became true
 	serversThere bool          // servers of the target are listed
@@ -117,6 +117,7 @@
 		Age:        r.age,
 		OldRunning: r.oldRunning,
 		Rejected:   r.rejected,
+		Demand:     r.ownDemand(),
 		Cells:      r.own.list(),
 	}
 }
--- a/rollout/tick.go
+++ b/rollout/tick.go
@@ -11,7 +11,7 @@
 	for _, s := range m.sorted() {
 		if s.rollout != nil {
 			s.rollout.oldRunning = uint32(max(0, msg.OldRunning[s.name]))
-			s.rollout.sent = msg.Sent[s.name]
+			s.rollout.asked = msg.Asked[s.name]
 			m.advance(s, msg.Now)
 		}
 		if m.leads {
