A version that turns bad within a second is judged by its answers since then

Cause, one of several: evidence was added up second by second, and the sum that finds a change of behaviour (Page's) could begin anew only between two seconds. Within one, the good answers before the change outweighed the bad ones after it. Why it holds: each look adds its own answers, so the sum may begin anew at any look; the rate expected of good answers still comes from the whole open second, and what speaks for a version is added second by second as before. TestRolloutTurnWithinASecond failed before.

--- a/rollout/cells.go
+++ b/rollout/cells.go
@@ -44,6 +44,15 @@
 	return d
 }
 
+// ofTarget returns the cells of the target's servers that have answers.
+func (c cells) ofTarget() cells {
+	d := cells{}
+	for _, k := range c.targetKeys() {
+		d[k] = c[k]
+	}
+	return d
+}
+
 // keys are in a fixed order, as sums of floats depend on it.
 func (c cells) keys() []cellKey {
 	return slices.SortedFunc(maps.Keys(c), compareKeys)
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -58,18 +58,27 @@
 	return r
 }
 
-func (e *evidence) add(slice ratios) {
-	sum, most := 0.0, 0.0
-	for _, r := range slice {
+// accuse adds the answers of one look to what speaks against the target.
+func (e *evidence) accuse(step ratios) {
+	sum := 0.0
+	for _, r := range step {
 		sum += r.ratio
-		most = max(most, r.ratio)
 		e.cohort(r.cohort).answers += r.answers
 	}
 	for i := range e.cohorts {
 		c := &e.cohorts[i]
-		c.without = max(0, c.without+sum-slice.of(c.cohort))
+		c.without = max(0, c.without+sum-step.of(c.cohort))
 	}
 	e.all = max(0, e.all+sum)
+}
+
+// excuse adds the answers of a slice of time to what speaks for the target.
+func (e *evidence) excuse(slice ratios) {
+	sum, most := 0.0, 0.0
+	for _, r := range slice {
+		sum += r.ratio
+		most = max(most, r.ratio)
+	}
 	e.inFavour = min(0, e.inFavour+sum-most)
 }
 
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -62,10 +62,14 @@
 // answers with those of the old servers in the same second, route and cohort by sequential
 // tests: Wald's likelihood ratio, summed from the moment since which it speaks most against
 // the version (Page's CUSUM). Such a sum finds both a version that is bad from its start and
-// one that turns bad later, without windows of a fixed length.
+// one that turns bad later, without windows of a fixed length. The sums follow the order of the
+// looks, also within a second: the good answers at its start are no excuse for the bad ones
+// at its end.
 type Judge struct {
 	base     cells                 // all counts at the start of the open slice
 	slice    cells                 // the open slice, as of the last look
+	seen     cells                 // all counts at the last look
+	steps    []cells               // what each look of the open slice has brought of the target
 	sliceAt  time.Duration         // when it started
 	began    bool                  // a slice is open
 	tests    map[testKey]*evidence // up to the open slice
@@ -92,10 +96,11 @@
 	if !j.began {
 		j.began, j.sliceAt = true, now
 	}
-	slice := all.since(j.base)
+	j.slice = all.since(j.base)
+	j.steps = append(j.steps, all.since(j.seen).ofTarget())
+	j.seen = all
 	j.good = all.total(true).Good
-	j.looked = j.with(slice)
-	j.slice = slice
+	j.looked = j.withSlice()
 	if now-j.sliceAt >= sliceFor {
 		j.close(now, all)
 	}
@@ -112,34 +117,54 @@
 // close ends the open slice of time and opens the next.
 func (j *Judge) close(now time.Duration, all cells) {
 	j.tests = j.looked
-	j.base = all
+	j.base, j.seen = all, all
 	j.sliceAt = now
 	j.baseline.learn(j.slice)
-	j.slice = nil
+	j.slice, j.steps = nil, nil
 }
 
-// with returns copies of the tests with a slice added.
-func (j *Judge) with(slice cells) map[testKey]*evidence {
+// withSlice returns copies of the tests with the open slice added.
+func (j *Judge) withSlice() map[testKey]*evidence {
 	sums := map[testKey]*evidence{}
 	for key, e := range j.tests {
 		sums[key] = e.clone()
 	}
-	for key, r := range j.ratios(slice) {
-		if sums[key] == nil {
-			sums[key] = &evidence{}
+	rates := j.expected()
+	for _, step := range j.steps {
+		for key, r := range ratiosOf(step, rates) {
+			sumOf(sums, key).accuse(r)
 		}
-		sums[key].add(r)
+	}
+	for key, r := range ratiosOf(j.slice, rates) {
+		sumOf(sums, key).excuse(r)
 	}
 	return sums
 }
 
-// ratios returns, for each test, the likelihood ratios of a slice by cohort.
-func (j *Judge) ratios(slice cells) map[testKey]ratios {
+func sumOf(sums map[testKey]*evidence, key testKey) *evidence {
+	if sums[key] == nil {
+		sums[key] = &evidence{}
+	}
+	return sums[key]
+}
+
+// expected returns the rate of bad answers that a good version has in each of the target's
+// cells of the open slice.
+func (j *Judge) expected() map[cellKey]float64 {
+	rates := map[cellKey]float64{}
+	routes := oldByRoute(j.slice)
+	for _, k := range j.slice.targetKeys() {
+		rates[k] = j.baseline.expected(j.slice, routes, k)
+	}
+	return rates
+}
+
+// ratiosOf returns, for each test, the likelihood ratios of counts by cohort.
+func ratiosOf(counts cells, rates map[cellKey]float64) map[testKey]ratios {
 	found := map[testKey]ratios{}
-	routes := oldByRoute(slice)
-	for _, k := range slice.targetKeys() {
-		t := slice[k]
-		log := logRatio(t, j.baseline.expected(slice, routes, k))
+	for _, k := range counts.targetKeys() {
+		t := counts[k]
+		log := logRatio(t, rates[k])
 		for _, key := range testsOf(k) {
 			found[key] = found[key].plus(ratio{k.Cohort, log, t.answers()})
 		}
--- /dev/null
+++ b/rollout/turn_test.go
@@ -0,0 +1,35 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRolloutTurnWithinASecond has a version turn bad in the middle of a second in which it has had
+// all of a busy service's requests: the good answers before that must not hide the bad ones.
+func TestRolloutTurnWithinASecond(t *testing.T) {
+	const (
+		perLook = 12 // answers of each cohort
+		badEach = 4  // of these, once it is bad
+		turnAt  = 5  // looks
+		limit   = 9  // looks until it has to be found
+	)
+	judge := NewJudge()
+	counts := []Cell{}
+	for look := 1; look <= limit; look++ {
+		for _, cohort := range []string{"a", "b", "c"} {
+			c := Cell{Route: "r", Cohort: cohort, Target: true, Good: perLook}
+			if look > turnAt {
+				c.Good, c.Bad = perLook-badEach, badEach
+			}
+			counts = append(counts, c)
+		}
+		verdict := judge.Look(time.Duration(look)*TickEvery, counts)
+		if look <= turnAt {
+			require.NotEqual(t, Bad, verdict)
+		}
+	}
+	require.Equal(t, Bad, judge.Verdict())
+}
