A judge whose router was lost and came back within a second goes on to judge

Cause: a look's own answers were counted against the last look, those of the open second against its start. Where a router was not heard for a moment and came back, its counts were in the first and not in the second, for which no expected rate was worked out: the sum was not a number from then on, and nothing is greater than that. Why it holds: a look brings what the open second holds beyond the looks before, so nothing counts twice and each answer has its rate. TestRolloutJudgeAfterLoss failed before.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -33,8 +33,8 @@
 	// leastGood is how many good answers a version needs, however well they speak: fewer
 	// can't show a fault that only some requests meet.
 	leastGood = 20
-	// suspectPart of the bound makes the ramp wait: it takes two or three bad answers
-	// more than expected.
+	// suspectPart of the bound makes the ramp wait, or go back: it takes two or three bad
+	// answers more than expected.
 	suspectPart = 0.5
 	// relaxedPart of the bound is what is left against a version that is tried again.
 	relaxedPart = 0.4
@@ -68,8 +68,8 @@
 type Judge struct {
 	base     cells                 // all counts at the start of the open slice
 	slice    cells                 // the open slice, as of the last look
-	seen     cells                 // all counts at the last look
 	steps    []cells               // what each look of the open slice has brought of the target
+	stepped  cells                 // the sum of steps
 	sliceAt  time.Duration         // when it started
 	began    bool                  // a slice is open
 	tests    map[testKey]*evidence // up to the open slice
@@ -81,6 +81,7 @@
 // NewJudge returns a judge without evidence.
 func NewJudge() *Judge {
 	return &Judge{
+		stepped:  cells{},
 		tests:    map[testKey]*evidence{},
 		looked:   map[testKey]*evidence{},
 		baseline: baseline{},
@@ -97,8 +98,9 @@
 		j.began, j.sliceAt = true, now
 	}
 	j.slice = all.since(j.base)
-	j.steps = append(j.steps, all.since(j.seen).ofTarget())
-	j.seen = all
+	step := j.slice.since(j.stepped).ofTarget()
+	j.stepped.add(step)
+	j.steps = append(j.steps, step)
 	j.good = all.total(true).Good
 	j.looked = j.withSlice()
 	if now-j.sliceAt >= sliceFor {
@@ -117,10 +119,10 @@
 // close ends the open slice of time and opens the next.
 func (j *Judge) close(now time.Duration, all cells) {
 	j.tests = j.looked
-	j.base, j.seen = all, all
+	j.base = all
 	j.sliceAt = now
 	j.baseline.learn(j.slice)
-	j.slice, j.steps = nil, nil
+	j.slice, j.steps, j.stepped = nil, nil, cells{}
 }
 
 // withSlice returns copies of the tests with the open slice added.
@@ -129,13 +131,13 @@
 	for key, e := range j.tests {
 		sums[key] = e.clone()
 	}
-	rates := j.expected()
+	routes := oldByRoute(j.slice)
 	for _, step := range j.steps {
-		for key, r := range ratiosOf(step, rates) {
+		for key, r := range j.ratios(step, routes) {
 			sumOf(sums, key).accuse(r)
 		}
 	}
-	for key, r := range ratiosOf(j.slice, rates) {
+	for key, r := range j.ratios(j.slice, routes) {
 		sumOf(sums, key).excuse(r)
 	}
 	return sums
@@ -148,23 +150,13 @@
 	return sums[key]
 }
 
-// expected returns the rate of bad answers that a good version has in each of the target's
-// cells of the open slice.
-func (j *Judge) expected() map[cellKey]float64 {
-	rates := map[cellKey]float64{}
-	routes := oldByRoute(j.slice)
-	for _, k := range j.slice.targetKeys() {
-		rates[k] = j.baseline.expected(j.slice, routes, k)
-	}
-	return rates
-}
-
-// ratiosOf returns, for each test, the likelihood ratios of counts by cohort.
-func ratiosOf(counts cells, rates map[cellKey]float64) map[testKey]ratios {
+// ratios returns, for each test, the likelihood ratios of counts by cohort, against the old
+// servers' answers in the open slice.
+func (j *Judge) ratios(counts cells, routes map[routeKind]share) map[testKey]ratios {
 	found := map[testKey]ratios{}
 	for _, k := range counts.targetKeys() {
 		t := counts[k]
-		log := logRatio(t, rates[k])
+		log := logRatio(t, j.baseline.expected(j.slice, routes, k))
 		for _, key := range testsOf(k) {
 			found[key] = found[key].plus(ratio{k.Cohort, log, t.answers()})
 		}
@@ -195,7 +187,7 @@
 		return Bad
 	}
 	whole := j.looked[testKey{}]
-	if whole == nil || j.good < leastGood || against >= suspectPart*badAt() {
+	if whole == nil || j.good < leastGood || j.Suspects() {
 		return Undecided
 	}
 	if whole.inFavour > math.Log(beta) {
@@ -204,6 +196,10 @@
 	return Good
 }
 
+// Suspects tells whether so much speaks against the version that it must get no more than
+// it takes to judge it: too little to reject it, as more answers may yet clear it.
+func (j *Judge) Suspects() bool { return j.against() >= suspectPart*badAt() }
+
 // badAt is the sum of log likelihood ratios from which a version is bad.
 func badAt() float64 { return -math.Log(alpha) }
 
--- a/rollout/turn_test.go
+++ b/rollout/turn_test.go
@@ -33,3 +33,27 @@
 	}
 	require.Equal(t, Bad, judge.Verdict())
 }
+
+// TestRolloutJudgeAfterLoss has the counts of a router vanish and come back within a second: the
+// answers that it brings then are not among those of that second, and the version must be judged
+// all the same.
+func TestRolloutJudgeAfterLoss(t *testing.T) {
+	judge := NewJudge()
+	look := time.Duration(0)
+	tell := func(good, bad uint32) Verdict {
+		look += TickEvery
+		var counts []Cell
+		for _, cohort := range []string{"a", "b", "c"} {
+			counts = append(counts, Cell{Route: "r", Cohort: cohort, Target: true, Good: good, Bad: bad})
+		}
+		return judge.Look(look, counts)
+	}
+	for range 12 {
+		tell(10, 0)
+	}
+	tell(0, 0)
+	for range 12 {
+		require.NotEqual(t, Bad, tell(10, 0))
+	}
+	require.Equal(t, Bad, tell(10, 20))
+}
