A target that is suspected gets a quarter of the requests, and is not completed

Cause: until the evidence decides, such a version went on to get all requests, 250 a second, and at the last moment the leader completed whatever was not yet judged bad. Why it holds: going back costs a good version little and can be undone, so it needs less evidence than rejecting: half of the sum. A router that suspects has not the last stage in force, which the leader has always waited for before it completes. TestRolloutSuspectedGoesBack and TestRolloutSuspectedIsNotCompleted failed before.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -30,6 +30,7 @@
 	all          cells         // evidence of all, at the last tick
 	judge        *Judge
 	hold         hold
+	suspected    bool // evidence speaks against the target, and does not decide yet
 	rejected     bool // for good, by a leader: by the evidence, or for lack of time
 	cause        string
 	confirmed    bool          // to be completed
@@ -129,6 +130,9 @@
 	if r.stopped() {
 		return Waiting
 	}
+	if r.suspected {
+		return min(r.stage, Quarter)
+	}
 	return r.stage
 }
 
--- a/rollout/steps.go
+++ b/rollout/steps.go
@@ -6,6 +6,8 @@
 	StepRaised     = "raised"      // the stage has risen here
 	StepHeld       = "held"        // this router has paused sending to the target, by itself
 	StepReleased   = "released"    // that pause is over
+	StepSuspected  = "suspected"   // evidence against the target: it gets a quarter at the most
+	StepCleared    = "cleared"     // the evidence does not speak against it any more
 	StepRejected   = "rejected"    // the target is bad or late: it is to be rolled back
 	StepConfirmed  = "confirmed"   // all is done: it is to be completed
 	StepCompleted  = "completed"   // the order's status says so
--- /dev/null
+++ b/rollout/suspect_test.go
@@ -0,0 +1,66 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// lastStage has a leading machine move a busy service to a target that answers well until all
+// requests go there, and returns a function that lets a tick pass with answers of each cohort.
+func lastStage(t *testing.T) (*Machine, func(good, bad int)) {
+	m, tick := callsFor(1)
+	now := time.Duration(0)
+	answer := func(cohort string, target, bad bool) {
+		m.Update(AnswerMsg{Now: now, Service: "llm", Route: "r", Cohort: cohort, Target: target, Bad: bad})
+	}
+	pass := func(good, bad int) {
+		for _, cohort := range []string{"a", "b", "c"} {
+			answer(cohort, false, false)
+			for range good {
+				answer(cohort, true, false)
+			}
+			for range bad {
+				answer(cohort, true, true)
+			}
+		}
+		tick(now)
+		now += TickEvery
+	}
+	for m.Snapshots()[0].Stage < All {
+		require.Less(t, now, 6*time.Second)
+		pass(2, 0)
+	}
+	return m, pass
+}
+
+// TestRolloutSuspectedGoesBack has a version answer badly for a moment once it has all requests: it
+// must get fewer until it is clear whether it is bad, and all again if it is not.
+func TestRolloutSuspectedGoesBack(t *testing.T) {
+	m, pass := lastStage(t)
+	pass(2, 1)
+	pass(2, 1)
+	require.Equal(t, Undecided, m.Snapshots()[0].Verdict)
+	require.InDelta(t, quarterPart, m.Snapshots()[0].Part, 0)
+	for range 4 {
+		pass(5, 0)
+	}
+	require.Equal(t, Good, m.Snapshots()[0].Verdict)
+	require.InDelta(t, 1, m.Snapshots()[0].Part, 0)
+}
+
+// TestRolloutSuspectedIsNotCompleted has a version answer badly in the last moments before it would
+// be completed, too little to be judged bad: every caller would have it from then on.
+func TestRolloutSuspectedIsNotCompleted(t *testing.T) {
+	m, pass := lastStage(t)
+	plan := newTimeline(6 * time.Second)
+	for m.Snapshots()[0].Age < plan.write-2*TickEvery {
+		pass(2, 0)
+	}
+	for m.Snapshots()[0].Age < plan.end {
+		pass(2, 1)
+		pass(5, 0)
+	}
+	require.False(t, m.services["llm"].rollout.confirmed)
+}
--- a/rollout/tick.go
+++ b/rollout/tick.go
@@ -30,6 +30,7 @@
 	r.pass(now)
 	verdict := r.look(now)
 	r.watching = verdict == Good && r.watched >= watchAfter
+	m.suspect(s)
 	m.stop(s, verdict, now)
 	m.follow(s)
 	if !m.leads {
@@ -42,6 +43,24 @@
 	m.confirm(s, now)
 }
 
+// suspect has the target get no more than a quarter of the requests, and keeps it from being completed,
+// for as long as evidence speaks against it that does not decide: what it gets meanwhile can't
+// be taken back, and going on a little later costs callers nothing.
+func (m *Machine) suspect(s *service) {
+	r := s.rollout
+	suspected := !r.trusted && r.judge.Suspects()
+	if suspected == r.suspected {
+		return
+	}
+	r.suspected = suspected
+	if !suspected {
+		m.step(s, StepCleared, causeEvidence)
+		return
+	}
+	r.confirmed = false
+	m.step(s, StepSuspected, causeEvidence)
+}
+
 // stop closes the target where the evidence says that it is bad: for good where this router
 // leads, else for a time. It reopens it when that time is over.
 func (m *Machine) stop(s *service, verdict Verdict, now time.Duration) {
