An answer whose speed can't be compared says nothing for a version

Cause: an answer is slow beside eight or more of old servers on its route; where a router knew fewer, every answer of the target that did not fail counted as good. Routers that start in the last stage never know them. Why it holds: such answers are held back and only told with a failure of the same route and hall, so that a few failures are not all that is told of a good version. Three tests of evidence let the router know old servers' speed first, as they are about outcomes and halls; what they assert is unchanged, and TestRolloutEvidenceOfUnknownSpeed, which failed before, asserts what is told without it.

--- a/direct/evidence.go
+++ b/direct/evidence.go
@@ -20,12 +20,21 @@
 	settleTime = time.Second
 )
 
+// speed is how an answer compares with those of old servers.
+type speed uint8
+
+const (
+	unknownSpeed speed = iota // too few answers of old servers are known to compare with
+	usualSpeed
+	slowSpeed // it took several times as long
+)
+
 // observation is what one attempt has shown so far about the version of its server.
 type observation struct {
 	counts   bool          // the server was no longer starting up, so its answers are evidence
 	expected float64       // milliseconds to the first event
 	firstAt  time.Duration // when the first event of a stream came; 0: it has not
-	slow     bool          // it came late
+	first    speed         // how soon it came
 	told     bool          // an AnswerCmd was emitted on how it began
 }
 
@@ -53,7 +62,7 @@
 		return
 	}
 	r.observed.firstAt = now
-	r.observed.slow = m.late(now, p, r, r.at)
+	r.observed.first = m.firstSpeed(now, p, r, r.at)
 	m.begun = append(m.begun, r)
 }
 
@@ -61,7 +70,7 @@
 func (m *Machine) tellBegun(now time.Duration) {
 	for i, r := range m.begun {
 		if r.at != nil && r.observed.firstAt > 0 && !r.observed.told {
-			m.tell(now, r, r.at, false, r.observed.slow)
+			m.tellSpeed(now, m.pool(r.Service), r, r.at, false, r.observed.first)
 		}
 		m.begun[i] = nil
 	}
@@ -76,7 +85,7 @@
 	seen := &r.observed
 	switch {
 	case msg.Outcome == Failed:
-		m.tell(msg.Now, r, s, seen.told, true)
+		m.tellFailure(msg.Now, p, r, s)
 	case msg.Outcome == Hung:
 		if !msg.Slow && seen.firstAt == 0 && s.answeredOthers(r.sentAt, msg.Now) {
 			m.tell(msg.Now, r, s, false, true)
@@ -84,14 +93,14 @@
 	case msg.Outcome != Done:
 		// Such an end is not evidence, but how the stream began is.
 		if seen.firstAt > 0 && !seen.told {
-			m.tell(msg.Now, r, s, false, seen.slow)
+			m.tellSpeed(msg.Now, p, r, s, false, seen.first)
 		}
 	case seen.told:
-		m.tell(msg.Now, r, s, true, m.slowTokens(msg.Now, p, r, s))
+		m.tellSpeed(msg.Now, p, r, s, true, m.tokenSpeed(msg.Now, p, r, s))
 	case seen.firstAt > 0:
-		m.tell(msg.Now, r, s, false, seen.slow)
+		m.tellSpeed(msg.Now, p, r, s, false, seen.first)
 	default:
-		m.tell(msg.Now, r, s, false, m.late(msg.Now, p, r, s))
+		m.tellSpeed(msg.Now, p, r, s, false, m.firstSpeed(msg.Now, p, r, s))
 	}
 	if msg.Outcome == Done || msg.Outcome == Failed {
 		s.answeredAt = msg.Now
@@ -105,6 +114,30 @@
 	return s.answeredAt > since+(now-since)/2
 }
 
+// tellSpeed emits an answer that did not fail; one of the target that can't be compared waits
+// for a failure.
+func (m *Machine) tellSpeed(now time.Duration, p *pool, r *run, s *server, later bool, is speed) {
+	if s.target && is == unknownSpeed && r.observed.counts {
+		r.observed.told = true
+		p.gate.unrated.hold(unratedKey{r.Route, s.cohort, later})
+		return
+	}
+	m.tell(now, r, s, later, is == slowSpeed)
+}
+
+// tellFailure emits a failure, and before it the answers that it is to be weighed with.
+func (m *Machine) tellFailure(now time.Duration, p *pool, r *run, s *server) {
+	later := r.observed.told
+	if s.target && r.observed.counts {
+		for _, of := range []bool{false, true} {
+			for range p.gate.unrated.take(unratedKey{r.Route, s.cohort, of}) {
+				m.tell(now, r, s, of, false)
+			}
+		}
+	}
+	m.tell(now, r, s, later, true)
+}
+
 // tell emits one answer as evidence on the version of its server.
 func (m *Machine) tell(now time.Duration, r *run, s *server, later, bad bool) {
 	g := m.pool(r.Service).gate
@@ -117,17 +150,28 @@
 	}})
 }
 
-// late tells whether a first event, or a whole answer, came several times later than
-// expected from the speed of old servers. Answers of old servers then update that speed.
-func (m *Machine) late(now time.Duration, p *pool, r *run, s *server) bool {
+// firstSpeed compares how soon a first event, or a whole answer, came with what is expected
+// from the speed of old servers. Answers of old servers then update that speed.
+func (m *Machine) firstSpeed(now time.Duration, p *pool, r *run, s *server) speed {
 	elapsed := inMilliseconds(now - r.sentAt)
 	delay := &p.baseline.routes.of(r.Route).delay
 	usual := delay.value() * r.observed.expected
-	late := delay.known() && elapsed > slowTimes*usual+inMilliseconds(slowFirst)
+	is := compare(delay, elapsed > slowTimes*usual+inMilliseconds(slowFirst))
 	if !s.target && r.observed.counts {
 		p.learnFirst(r, elapsed)
 	}
-	return late
+	return is
+}
+
+// compare is the speed of an answer that is slow, or not, beside the average of old servers.
+func compare(old *geometric, slow bool) speed {
+	switch {
+	case !old.known():
+		return unknownSpeed
+	case slow:
+		return slowSpeed
+	}
+	return usualSpeed
 }
 
 // learnFirst updates the baseline by the time, in milliseconds, that an old server took to
@@ -139,20 +183,20 @@
 	}
 }
 
-// slowTokens tells whether a stream took several times as long for its tokens as streams
-// of old servers do.
-func (m *Machine) slowTokens(now time.Duration, p *pool, r *run, s *server) bool {
+// tokenSpeed compares how long a stream took for its tokens with streams of old servers.
+func (m *Machine) tokenSpeed(now time.Duration, p *pool, r *run, s *server) speed {
 	if r.OutputTokens <= 0 {
-		return false
+		return usualSpeed
 	}
 	tokens := float64(r.OutputTokens)
 	elapsed := inMilliseconds(now - r.observed.firstAt)
 	token := &p.baseline.routes.of(r.Route).token
-	slow := token.known() && elapsed > slowTimes*token.value()*tokens && elapsed > token.value()*tokens+inMilliseconds(slowStream)
+	usual := token.value() * tokens
+	is := compare(token, elapsed > slowTimes*usual && elapsed > usual+inMilliseconds(slowStream))
 	if !s.target && r.observed.counts {
 		token.add(elapsed/tokens, fastestToken)
 	}
-	return slow
+	return is
 }
 
 func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/direct/evidence_test.go
+++ b/direct/evidence_test.go
@@ -152,12 +152,55 @@
 	require.Equal(t, tally{good: 60}, target)
 }
 
+// rateOld lets the router know how fast old servers answer a route.
+func (b *bench) rateOld(route string) {
+	pace := b.m.pool("llm").baseline.routes.of(route)
+	for range baselineLeast {
+		pace.delay.add(1, fastestFirst)
+		pace.token.add(5, fastestToken)
+	}
+}
+
+// TestRolloutEvidenceOfUnknownSpeed has the target answer where no old server's speed is known: its
+// successes say nothing, or a slow version would pass for a good one, and each failure counts
+// beside them, or a good version with few failures would pass for a bad one.
+func TestRolloutEvidenceOfUnknownSpeed(t *testing.T) {
+	b := newMove(t, trial(1))
+	one := func(o Outcome) (good, bad int) {
+		r := b.one("chat")
+		r.Kind = Repeatable
+		b.sent(b.arrive(r))
+		for _, a := range answers(b.end(r.ID, o, false)) {
+			if a.Bad {
+				bad++
+				continue
+			}
+			good++
+		}
+		return good, bad
+	}
+	goods, bads := 0, 0
+	for range 30 {
+		good, bad := one(Done)
+		require.Zero(t, good+bad)
+	}
+	for range 30 {
+		good, bad := one(Failed)
+		goods, bads = goods+good, bads+bad
+	}
+	require.Equal(t, 30, bads)
+	require.Equal(t, 30, goods)
+	good, _ := one(Failed)
+	require.Zero(t, good, "told once")
+}
+
 // TestRolloutEvidenceOfOutcomes says which outcomes speak for or against a version.
 func TestRolloutEvidenceOfOutcomes(t *testing.T) {
 	for outcome, want := range map[Outcome][]bool{
 		Done: {false}, Failed: {true}, Unsent: nil, NotRun: nil, Elsewhere: nil, Broken: nil, Hung: nil, GivenUp: nil, Moved: nil,
 	} {
 		b := newMove(t, trial(1))
+		b.rateOld("chat")
 		r := b.one("chat")
 		r.Kind = Repeatable
 		b.sent(b.arrive(r))
@@ -175,6 +218,7 @@
 // that ends a stream.
 func TestRolloutEvidenceOfFailures(t *testing.T) {
 	b := newMove(t, trial(1))
+	b.rateOld("chat")
 	whole := b.one("chat")
 	b.sent(b.arrive(whole))
 	b.m.Update(FirstMsg{Now: b.now, ID: whole.ID})
@@ -246,6 +290,7 @@
 func TestRolloutCohorts(t *testing.T) {
 	cohorts := func(b *bench) map[string]bool {
 		out := make(map[string]bool)
+		b.rateOld("chat")
 		for range 200 {
 			for _, a := range b.stream(b.one("chat"), speeds{1, 1}, 0) {
 				if a.Target {
--- a/direct/gate.go
+++ b/direct/gate.go
@@ -14,6 +14,7 @@
 	rollout.Gate
 	old, target []*server // that may get requests, by id
 	exposure    exposure
+	unrated     unrated
 	movePending bool // streams at old servers may still have to be moved
 }
 
@@ -25,6 +26,7 @@
 	}
 	if p.gate.Target != msg.Gate.Target {
 		p.gate.exposure.reset()
+		p.gate.unrated = nil
 	}
 	p.gate.Gate = msg.Gate
 	p.gate.movePending = msg.Gate.Move
