What one hall's servers say against a target delays its completion

Cause: the servers of one hall are left out where they alone speak against a version, and a version whose servers turn bad one after the other looks like that at first. Why it holds: half of the margin before the deadline is kept for routers that confirm late. A doubted target waits for as long; a good version beside one faulty server is completed then. The other half stays for the store. TestRolloutDoubtedWaits failed before.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -200,6 +200,17 @@
 // it takes to judge it: too little to reject it, as more answers may yet clear it.
 func (j *Judge) Suspects() bool { return j.against() >= suspectPart*badAt() }
 
+// Doubts tells whether as much speaks against the version as makes it suspect when no cohort is left
+// out: it may be one faulty server, or the first servers of a version that turns bad.
+func (j *Judge) Doubts() bool {
+	for _, e := range j.looked {
+		if e.all >= suspectPart*badAt() {
+			return true
+		}
+	}
+	return false
+}
+
 // badAt is the sum of log likelihood ratios from which a version is bad.
 func badAt() float64 { return -math.Log(alpha) }
 
--- a/rollout/suspect_test.go
+++ b/rollout/suspect_test.go
@@ -64,3 +64,23 @@
 	}
 	require.False(t, m.services["llm"].rollout.confirmed)
 }
+
+// TestRolloutDoubtedWaits has the servers of one hall alone answer badly in the last moments: the
+// version must be completed, since it may be one faulty server, but only when no time is left for the
+// others to show that it is the version.
+func TestRolloutDoubtedWaits(t *testing.T) {
+	m, pass := lastStage(t)
+	plan := newTimeline(6 * time.Second)
+	for m.Snapshots()[0].Age < plan.giveUp-2*TickEvery {
+		pass(2, 0)
+		for range 3 {
+			m.Update(AnswerMsg{Service: "llm", Route: "r", Cohort: "a", Target: true, Bad: true})
+		}
+	}
+	require.Equal(t, Good, m.Snapshots()[0].Verdict)
+	require.False(t, m.services["llm"].rollout.confirmed)
+	for range 3 {
+		pass(2, 0)
+	}
+	require.True(t, m.services["llm"].rollout.confirmed)
+}
--- a/rollout/tick.go
+++ b/rollout/tick.go
@@ -104,12 +104,19 @@
 	}
 }
 
+// mayYetTurn tells whether some evidence speaks against the target and there is time for more: what is
+// completed can't be taken back. One faulty server does not keep a good version from being
+// completed in the end.
+func (r *rollout) mayYetTurn() bool {
+	return !r.trusted && r.judge.Doubts() && r.age < r.plan.giveUp
+}
+
 // confirm decides that the roll-out is to be completed: nothing runs at old servers any
 // more, or the time for the last write has come.
 func (m *Machine) confirm(s *service, now time.Duration) {
 	r := s.rollout
 	settled := r.settled(now, m.routers)
-	if r.confirmed || r.stopped() || r.stage != All {
+	if r.confirmed || r.stopped() || r.stage != All || r.mayYetTurn() {
 		return
 	}
 	if settled {
