Evidence is judged when it is heard, not at the next tick

Cause: other routers' answers came with their lists, ten times a second, and waited up to 0.1 s more for the router's own tick before they were judged. Why it holds: the same judgement, made at both moments; nothing else happens when a list comes. A router judges twice as often; the work is that of counting some tens of cells.

--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -150,6 +150,7 @@
 		}
 		s.rollout.hear(others, msg.Now)
 		m.follow(s)
+		m.judge(s, msg.Now)
 	}
 }
 
--- a/rollout/tick.go
+++ b/rollout/tick.go
@@ -28,10 +28,8 @@
 func (m *Machine) advance(s *service, now time.Duration) {
 	r := s.rollout
 	r.pass(now)
-	verdict := r.look(now)
-	r.watching = verdict == Good && r.watched >= watchAfter
-	m.suspect(s)
-	m.stop(s, verdict, now)
+	m.judge(s, now)
+	r.watching = r.judge.Verdict() == Good && r.watched >= watchAfter
 	m.follow(s)
 	if !m.leads {
 		return
@@ -43,6 +41,14 @@
 	m.confirm(s, now)
 }
 
+// judge takes in the evidence and stops what it speaks against: at each tick, and as soon as other
+// routers have told theirs.
+func (m *Machine) judge(s *service, now time.Duration) {
+	verdict := s.rollout.look(now)
+	m.suspect(s)
+	m.stop(s, verdict, now)
+}
+
 // suspect has the target get no more than a quarter of the requests, and keeps it from being completed,
 // for as long as evidence speaks against it that does not decide: what it gets meanwhile can't
 // be taken back, and going on a little later costs callers nothing.
