A connection given up long after its time says nothing of its server

Cause: the router got no processor time for 632 ms, found the 300 ms of a connection over before it saw that it stood, and took the server, and with it the hall, for lost. It would have known by its tick that it was late, and the attempt ended before that. Why it holds: that an attempt is given up 30 ms after its time shows that the process ran late, whatever the tick knows; such ends were already taken for nothing.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -25,6 +25,14 @@
 // ErrUnsent marks an attempt of which no byte has left.
 var ErrUnsent = errors.New("nothing was sent to the backend server")
 
+// ErrOverdue marks an attempt to connect that was given up long after its time: this process did not
+// get to run, so that it says nothing of the backend server.
+var ErrOverdue = errors.New("this process ran too late to connect")
+
+// overdue is how long after its time an attempt to connect is given up at the most where the
+// process gets to run.
+const overdue = 30 * time.Millisecond
+
 // Options bound what connections may take.
 type Options struct {
 	DialTimeout time.Duration // for a new connection
@@ -89,11 +97,16 @@
 }
 
 // Dial opens a new connection to an address, within the time that the options allow. An
-// error is marked with ErrUnsent.
+// error is marked with ErrUnsent, and with ErrOverdue where this process ran late.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
+	began := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Mark(err, ErrUnsent)
+		err = errors.Mark(err, ErrUnsent)
+		if time.Since(began) > p.options.DialTimeout+overdue {
+			err = errors.Mark(err, ErrOverdue)
+		}
+		return nil, err
 	}
 	return &Conn{Conn: raw, pool: p, address: address, reader: bufio.NewReaderSize(raw, readSize)}, nil
 }
--- /dev/null
+++ b/backend/pool_test.go
@@ -0,0 +1,32 @@
+package backend
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// TestDialOverdue has a process get no processor time while it connects: that it fails says nothing
+// of the backend server, unlike a connection that is refused.
+func TestDialOverdue(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	stuck := NewPool(Options{DialTimeout: 10 * time.Millisecond})
+	stuck.dialer.Control = func(string, string, syscall.RawConn) error {
+		time.Sleep(10*time.Millisecond + 2*overdue)
+		return nil
+	}
+	_, err = stuck.Dial(t.Context(), address)
+	require.True(t, errors.Is(err, ErrUnsent))
+	require.True(t, errors.Is(err, ErrOverdue))
+
+	require.NoError(t, listener.Close())
+	_, err = NewPool(Options{DialTimeout: time.Minute}).Dial(t.Context(), address)
+	require.True(t, errors.Is(err, ErrUnsent))
+	require.False(t, errors.Is(err, ErrOverdue))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,6 +46,7 @@
 	moved   atomic.Bool
 	movable bool // a move may break it off; see allowMove
 	refused bool // the server's host refused a connection
+	overdue bool // this process ran too late to connect
 }
 
 // count counts bytes that go to the server or come from it.
@@ -64,6 +65,7 @@
 	conn, err := a.x.front.pool.Get(a.x.ctx, a.cmd.Server.Address)
 	if err != nil {
 		a.refused = errors.Is(err, syscall.ECONNREFUSED)
+		a.overdue = errors.Is(err, backend.ErrOverdue)
 		return a.lost(direct.Unsent)
 	}
 	if a.x.front.core.withheld(a.x.id) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -112,7 +112,7 @@
 		began := x.front.core.Now()
 		outcome, ended := a.run()
 		x.front.core.Update(direct.EndMsg{
-			Now: x.front.core.Now(), ID: x.id, Outcome: outcome, Retry: !ended, Refused: a.refused, Slow: x.front.core.pressure.Slow(),
+			Now: x.front.core.Now(), ID: x.id, Outcome: outcome, Retry: !ended, Refused: a.refused, Slow: a.overdue || x.front.core.pressure.Slow(),
 		})
 		x.front.stats.Attempt(outcome, x.front.core.Now()-began)
 		if ended {
--- a/gateway/prober.go
+++ b/gateway/prober.go
@@ -23,7 +23,8 @@
 			conn.Close()
 		}
 		p.core.Update(direct.ProbeMsg{
-			Now: p.core.Now(), Server: cmd.Server.ID, Reached: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED), Slow: p.core.pressure.Slow(),
+			Now: p.core.Now(), Server: cmd.Server.ID, Reached: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED),
+			Slow: errors.Is(err, backend.ErrOverdue) || p.core.pressure.Slow(),
 		})
 	}()
 }
