What speaks for a version is summed for the one test that asks it

Only the test over all routes decides that a version is good, so what speaks for it is no longer summed for the 300 others. Alone: 2.7 ms, 1.8 on. TestRolloutJudge... gives the same figures, each one, before and after.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -137,9 +137,7 @@
 			sumOf(sums, key).accuse(r)
 		}
 	}
-	for key, r := range j.ratios(j.slice, routes) {
-		sumOf(sums, key).excuse(r)
-	}
+	sumOf(sums, testKey{}).excuse(j.wholeRatios(routes))
 	return sums
 }
 
@@ -164,6 +162,18 @@
 	return found
 }
 
+// wholeRatios returns those of the open slice for the test over all routes and kinds, which
+// alone decides that a version is good.
+func (j *Judge) wholeRatios(routes map[routeKind]share) ratios {
+	var found ratios
+	for _, k := range j.slice.targetKeys() {
+		t := j.slice[k]
+		log := logRatio(t, j.baseline.expected(j.slice, routes, k))
+		found = found.plus(ratio{k.Cohort, log, t.answers()})
+	}
+	return found
+}
+
 // logRatio says how much likelier answers are from a bad version than from a good one.
 func logRatio(t Tally, expected float64) float64 {
 	worse := expected + worseBy
