Lists that tell of no bad answers wait for the tick to be judged

Judging at each list doubled the looks of the judge, which for 100 routes in three halls take 2.7 ms each. Only a list with more bad answers of the target is judged at once; good ones can wait 0.1 s.

--- a/rollout/cells.go
+++ b/rollout/cells.go
@@ -112,6 +112,17 @@
 // answers counts all answers, each once.
 func (c cells) answers() float64 { return c.total(true).answers() + c.total(false).answers() }
 
+// badOfTarget counts the target's bad answers of both kinds.
+func badOfTarget(list []Cell) uint32 {
+	bad := uint32(0)
+	for _, c := range list {
+		if c.Target {
+			bad += c.Bad
+		}
+	}
+	return bad
+}
+
 func (t Tally) plus(o Tally) Tally { return Tally{t.Good + o.Good, t.Bad + o.Bad} }
 
 func (t Tally) answers() float64 { return float64(t.Good) + float64(t.Bad) }
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -150,7 +150,9 @@
 		}
 		s.rollout.hear(others, msg.Now)
 		m.follow(s)
-		m.judge(s, msg.Now)
+		if s.rollout.hearsBad() {
+			m.judge(s, msg.Now)
+		}
 	}
 }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -27,6 +27,7 @@
 	others       Report        // merged, of the other routers
 	heard        uint32        // how many others were heard at the last look
 	mostHeard    uint32        // the greatest heard so far
+	heardBad     uint32        // bad answers of the target at others, at the last look
 	all          cells         // evidence of all, at the last tick
 	judge        *Judge
 	hold         hold
@@ -141,6 +142,7 @@
 	r.all = cells{}
 	r.all.add(r.own)
 	r.all.add(cellsOf(r.others.Cells))
+	r.heardBad = badOfTarget(r.others.Cells)
 	if r.trusted {
 		return Undecided
 	}
@@ -153,6 +155,9 @@
 	return r.judge.look(now, r.all)
 }
 
+// hearsBad tells whether other routers have told of more bad answers of the target than at the last look.
+func (r *rollout) hearsBad() bool { return badOfTarget(r.others.Cells) > r.heardBad }
+
 // regrouped tells whether routers were lost, or came back, since the last look: the counts of
 // one that comes back were judged before, and must not be judged again. Routers beyond the
 // most that were heard together are new to this one, and so are all their counts.
--- a/rollout/tick.go
+++ b/rollout/tick.go
@@ -42,7 +42,7 @@
 }
 
 // judge takes in the evidence and stops what it speaks against: at each tick, and as soon as other
-// routers have told theirs.
+// routers tell of bad answers.
 func (m *Machine) judge(s *service, now time.Duration) {
 	verdict := s.rollout.look(now)
 	m.suspect(s)
