--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -58,8 +58,8 @@
 	return r
 }
 
-// accuse adds the answers of one look to what speaks against the target.
-func (e *evidence) accuse(step ratios) {
+// addAgainst adds the answers of one look to what speaks against the target.
+func (e *evidence) addAgainst(step ratios) {
 	sum := 0.0
 	for _, r := range step {
 		sum += r.ratio
@@ -72,8 +72,8 @@
 	e.all = max(0, e.all+sum)
 }
 
-// excuse adds the answers of a slice of time to what speaks for the target.
-func (e *evidence) excuse(slice ratios) {
+// addInFavour adds the answers of a slice of time to what speaks for the target.
+func (e *evidence) addInFavour(slice ratios) {
 	sum, most := 0.0, 0.0
 	for _, r := range slice {
 		sum += r.ratio
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -134,10 +134,10 @@
 	routes := oldByRoute(j.slice)
 	for _, step := range j.steps {
 		for key, r := range j.ratios(step, routes) {
-			sumOf(sums, key).accuse(r)
+			sumOf(sums, key).addAgainst(r)
 		}
 	}
-	sumOf(sums, testKey{}).excuse(j.wholeRatios(routes))
+	sumOf(sums, testKey{}).addInFavour(j.wholeRatios(routes))
 	return sums
 }
 
