Quarantine: a router that starts learns what one more crash may bar

What callers saw: a request under which two servers had crashed ended two more where it came to a router that had started since.

Cause: routers compare a digest of what is barred, and tell one another again where it differs. A content under which two servers crashed was told in three heartbeats and never again, so a router that started a second later knew nothing of it.

Now the digest also has the contents that one more crash may bar. Where only barred ones are known it is what it was, so older routers agree with newer ones there; where not, they tell again each half second at the most.

--- a/direct/crashplay_test.go
+++ b/direct/crashplay_test.go
@@ -231,3 +231,27 @@
 		}
 	}
 }
+
+// TestCrashesStayFewOverRestarts has routers start anew, one after another, between the crashes under
+// a content that is asked for alone: a router that started after two crashes ended two servers more, as
+// it was told only of what is barred. No fourth server ends where they have one and a half seconds to tell.
+func TestCrashesStayFewOverRestarts(t *testing.T) {
+	for seed := range uint64(20) {
+		p := newCrashPlay(t, seed)
+		for i := range 20 {
+			p.ask(harmful)
+			p.pass()
+			p.restart(t, i%len(p.fleet))
+			for range 3 {
+				p.pass()
+			}
+		}
+		require.Equal(t, quarantine.CrashesMost, p.ended[harmful], "seed %d", seed)
+	}
+}
+
+// restart replaces a router by one that knows nothing.
+func (p *crashPlay) restart(t *testing.T, router int) {
+	p.fleet[router] = newBench(t, 12)
+	p.fleet[router].m.Update(ServersMsg{Now: p.fleet[router].now, Directory: p.servers})
+}
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -32,21 +32,18 @@
 // judge decides anew what is barred, after something has changed: what one content has seen
 // may explain the crashes under another.
 func (s *Suspects) judge() {
+	s.digest = 0
 	for _, x := range s.known {
 		barred := x.recorded || harmful(len(x.crashes), s.unexplained(x))
 		if barred != x.barred {
 			s.setBarred(x, barred)
 		}
+		s.digest += x.sum()
 	}
 	slices.SortStableFunc(s.changed, func(a, b Change) int { return cmp.Compare(a.Content, b.Content) })
 }
 
 func (s *Suspects) setBarred(x *suspect, barred bool) {
 	x.barred = barred
-	if barred {
-		s.digest += uint64(x.content)
-	} else {
-		s.digest -= uint64(x.content)
-	}
 	s.changed = append(s.changed, Change{Content: x.content, Barred: barred, Crashes: len(x.crashes)})
 }
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -14,8 +14,8 @@
 	// crash follows, some router has heard of both, and tells that on.
 	tellOwn   = 3
 	tellHeard = 1
-	// repeatEvery is the least time between two times that all which are barred are told
-	// again, because another router bars others.
+	// repeatEvery is the least time between two times that all which are barred, or nearly, are
+	// told again, because another router knows others.
 	repeatEvery = 500 * time.Millisecond
 )
 
@@ -129,19 +129,38 @@
 	return !fresh && !slices.ContainsFunc(r.Crashes, func(c CrashReport) bool { return c.Age <= hold })
 }
 
-// Digest is a short sum of the contents that are barred; 0 where there are none.
+// nearlyBarred tells whether one more crash may bar the content.
+func (x *suspect) nearlyBarred() bool { return !x.barred && len(x.crashes) >= CrashesMost-1 }
+
+// nearlyBarredFactor sets the sums of contents that are barred apart from those of contents that
+// one more crash may bar.
+const nearlyBarredFactor = 0x9e3779b97f4a7c15
+
+// sum is the content's part of the digest.
+func (x *suspect) sum() uint64 {
+	switch {
+	case x.barred:
+		return uint64(x.content)
+	case x.nearlyBarred():
+		return uint64(x.content) * nearlyBarredFactor
+	default:
+		return 0
+	}
+}
+
+// Digest is a short sum of the contents that are barred, and of those that one more crash may bar;
+// 0 where there are none.
 func (s *Suspects) Digest() uint64 { return s.digest }
 
-// HearDigest takes in the digest of another router. Where it bars others, all that are
-// barred are told again, so that also a router that was away or has just started learns of
-// them.
+// HearDigest takes in the digest of another router. Where it differs, what it stands for is told
+// again, so that also a router that was away or has just started learns of it.
 func (s *Suspects) HearDigest(now time.Duration, digest uint64) {
 	if digest == s.Digest() || now-s.repeated < repeatEvery {
 		return
 	}
 	s.repeated = now
 	for _, x := range s.known {
-		if x.barred {
+		if x.barred || x.nearlyBarred() {
 			x.tell = max(x.tell, 1)
 		}
 	}
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -148,6 +148,7 @@
 }
 
 func (s *Suspects) forget(x *suspect) {
+	s.digest -= x.sum()
 	s.dropCrashes(x)
 	x.recorded = false
 	if x.barred {
