Judge: two halls that each speak against a version are enough

The hall that speaks most against the version is left out, as one of its servers may be faulty, and the good answers of the hall that has yet to turn outweigh the bad ones of the other: 15 in 100 bad, where 20 more than expected decide. So the verdict waited for the third hall.

Now each hall's sum alone counts too, over all routes: the greatest decides where another hall has half as much. One faulty hall still decides nothing.

TestRolloutHallsTurnOneAfterAnother failed before.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -6,6 +6,9 @@
 // one may be left out: a tenth still finds a bad version, if more slowly.
 const leastOthers = 0.1
 
+// borneOutBy is the part of what speaks against the target in one cohort that must do so in another.
+const borneOutBy = 0.5
+
 // evidence is the running sum of one test. It adds up log likelihood ratios, bad version
 // against good, and is never below 0 (Page's CUSUM): so it is the sum over that stretch of
 // time, up to now, that speaks most against the target.
@@ -22,6 +25,7 @@
 type cohortEvidence struct {
 	cohort  string
 	without float64 // the test's sum with this cohort left out
+	own     float64 // the same sum of this cohort alone
 	answers float64
 }
 
@@ -67,7 +71,9 @@
 	}
 	for i := range e.cohorts {
 		c := &e.cohorts[i]
-		c.without = max(0, c.without+sum-step.of(c.cohort))
+		own := step.of(c.cohort)
+		c.without = max(0, c.without+sum-own)
+		c.own = max(0, c.own+own)
 	}
 	e.all = max(0, e.all+sum)
 }
@@ -92,6 +98,21 @@
 	return &e.cohorts[i]
 }
 
+// apart returns what two cohorts say by themselves: the one that speaks most against the target decides
+// where another bears it out with half as much. Cohorts whose servers turn bad one after another
+// show it so, where the good answers of the rest still hide it in the common sum.
+func (e *evidence) apart() float64 {
+	most, second := 0.0, 0.0
+	for _, c := range e.cohorts {
+		if c.own > most {
+			most, second = c.own, most
+			continue
+		}
+		second = max(second, c.own)
+	}
+	return min(most, second/borneOutBy)
+}
+
 // against returns how much speaks against the target, leaving out the cohort that does
 // most.
 func (e *evidence) against() float64 {
@@ -116,5 +137,6 @@
 	e.all = min(e.all, to)
 	for i := range e.cohorts {
 		e.cohorts[i].without = min(e.cohorts[i].without, to)
+		e.cohorts[i].own = min(e.cohorts[i].own, to)
 	}
 }
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -230,6 +230,9 @@
 	for _, e := range j.looked {
 		most = max(most, e.against())
 	}
+	if whole := j.looked[testKey{}]; whole != nil {
+		most = max(most, whole.apart())
+	}
 	return most
 }
 
--- a/rollout/turn_test.go
+++ b/rollout/turn_test.go
@@ -57,3 +57,31 @@
 	}
 	require.Equal(t, Bad, tell(10, 20))
 }
+
+// TestRolloutHallsTurnOneAfterAnother has the servers of three halls turn bad one after another, as a
+// version does that fails after some number of requests: two halls that show it are enough, though
+// the good answers of the third hide most of it in the sum of all.
+func TestRolloutHallsTurnOneAfterAnother(t *testing.T) {
+	const (
+		perLook = 10 // answers of each hall
+		badEach = 3  // of these, once its servers are bad
+		limit   = 11 // looks until it has to be found
+	)
+	turns := map[string]int{"a": 3, "b": 6, "c": 40} // looks
+	judge := NewJudge()
+	var counts []Cell
+	for look := 1; look <= limit; look++ {
+		for hall, turn := range turns {
+			c := Cell{Route: "r", Cohort: hall, Target: true, Good: perLook}
+			if look > turn {
+				c.Good, c.Bad = perLook-badEach, badEach
+			}
+			counts = append(counts, c)
+		}
+		verdict := judge.Look(time.Duration(look)*TickEvery, counts)
+		if look <= turns["b"] {
+			require.NotEqual(t, Bad, verdict)
+		}
+	}
+	require.Equal(t, Bad, judge.Verdict())
+}
