A router that has just started knows what is busy

What callers saw: a router that had few requests yet refused those of teams beyond their shares as over_share while servers had room, and in the first seconds of a fleet the headroom above the shares fell from four times to none.

Cause: backlogs at servers are held against the average objective of the router's requests. It began at 0 and moved by a fiftieth with each, so for its first hundred requests any backlog was many times what is allowed. Evidence: of 103 routers of the large site at second 2 those with fewest requests take servers for busiest (130, where 1 is busy; the middle of one hall 11.4, of the others 2.5), all 0.7 to 1 once they have had more.

Now the average begins at the first request's objective, and a router without any goes by the servers' slots.

--- a/direct/arrive.go
+++ b/direct/arrive.go
@@ -24,8 +24,7 @@
 	if p.gate != nil {
 		p.gate.exposure.asked++
 	}
-	objective := float64(r.Objective) / float64(time.Millisecond)
-	p.objective += objectiveStep * (objective - p.objective)
+	p.learnObjective(inMilliseconds(r.Objective))
 	team := m.team(r.Team)
 	team.offered.add(now, r.cost())
 	team.recent.add(now, r.cost())
--- a/direct/machine_test.go
+++ b/direct/machine_test.go
@@ -251,3 +251,29 @@
 		require.Equal(t, want, all)
 	}
 }
+
+// TestStartedRouterKnowsWhatIsBusy has a router start beside others that keep the servers at work, though
+// not busy, and get a request of a team that is beyond its share elsewhere. It is sent, and the headroom
+// stays: a router whose average objective rose from nothing took the servers for busy, so that it
+// refused such requests and took the headroom from all teams.
+func TestStartedRouterKnowsWhatIsBusy(t *testing.T) {
+	b := newBench(t, 4)
+	work := func() {
+		var all []loads.Load
+		for _, s := range b.m.byServer {
+			all = append(all, loads.Load{Server: loads.Key(s.ID), Running: 4, Pending: 600})
+		}
+		b.m.Update(LoadsMsg{Now: b.now, Loads: all})
+		b.m.Update(TeamsMsg{Now: b.now, Teams: []loads.TeamUse{{Team: "large", Offered: 400_000, Recent: 400_000, Served: 200_000}}})
+		b.pass(shareEvery)
+	}
+	for range 20 {
+		work()
+	}
+	r := b.request("large")
+	b.sent(b.arrive(r))
+	require.Greater(t, b.m.runs[r.ID].over, 1.0)
+	work()
+	require.Less(t, b.m.busy, headroomFrom)
+	require.Greater(t, b.m.Shares(b.now, 0).Headroom, 2.0)
+}
