Quarantine: the sum of what is nearly barred has a field of its own

A digest that meant more than before in the first value of a heartbeat broke the first rule of docs/design/compatibility.md: an older router would have taken it for another set of barred contents.

--- a/direct/messages.go
+++ b/direct/messages.go
@@ -187,8 +187,8 @@
 // Report is what one router tells the others of itself.
 type Report struct {
 	Headroom float64 // see Shares
-	// Suspects are contents under which servers crashed, SuspectsDigest a short sum of all
-	// that are barred.
+	// Suspects are contents under which servers crashed, SuspectsDigest short sums of those that
+	// all routers have to know.
 	Suspects       []quarantine.Report
-	SuspectsDigest uint64
+	SuspectsDigest quarantine.Digest
 }
--- a/gateway/cluster/compatibility_test.go
+++ b/gateway/cluster/compatibility_test.go
@@ -34,6 +34,10 @@
 // beforeDemand are the builds whose lists don't say what callers ask of their routers.
 var beforeDemand = []string{firstBuild, "2026-12-03"}
 
+// beforeNearlyBarred are the builds that read names and whose heartbeats don't say which contents are
+// nearly barred.
+var beforeNearlyBarred = []string{"2026-12-03", "2026-12-03-demand"}
+
 // TestCorpusIsRead reads what each landed build sends.
 func TestCorpusIsRead(t *testing.T) {
 	if *addCorpus != "" {
@@ -49,6 +53,9 @@
 		if build.Name() == firstBuild {
 			want.Extension = heartbeatExtension{} // it sends none
 		}
+		if slices.Contains(beforeNearlyBarred, build.Name()) {
+			want.Extension.NearlyBarred = 0
+		}
 		require.Equal(t, want, b, "heartbeat of %s", build.Name())
 		l, err := decodeLoadList(readCorpus(t, build.Name(), "loads"))
 		require.NoError(t, err)
--- a/gateway/cluster/extension.go
+++ b/gateway/cluster/extension.go
@@ -18,6 +18,8 @@
 	AnswerTo string `msgpack:"t,omitempty"`
 	// AskOf is a router that the receiver is to have answer to the sender.
 	AskOf string `msgpack:"o,omitempty"`
+	// NearlyBarred is of the sender's quarantine.Digest.
+	NearlyBarred uint64 `msgpack:"w,omitempty"`
 	// News is what the sender tells of other routers, in rows of newsRow bytes.
 	News []byte `msgpack:"n,omitempty"`
 }
--- a/gateway/cluster/heartbeat.go
+++ b/gateway/cluster/heartbeat.go
@@ -33,10 +33,10 @@
 	Life       int64 // start of the sender, so that a restart begins anew
 	Seq        uint64
 	Knows      feed.Revisions
-	Headroom   float32  // see direct.Shares
-	Members    []string // other routers that the sender has heard of
-	// Suspects and SuspectsDigest are as in direct.Report.
-	Suspects       []quarantine.Report
+	Headroom   float32             // see direct.Shares
+	Members    []string            // other routers that the sender has heard of
+	Suspects   []quarantine.Report // as in direct.Report
+	// SuspectsDigest is Barred of the sender's quarantine.Digest.
 	SuspectsDigest uint64
 	// Extension is the second value of the datagram.
 	Extension heartbeatExtension `msgpack:"-"`
@@ -54,5 +54,8 @@
 
 // report is what the heartbeat says of the sender's work.
 func (b *heartbeat) report() direct.Report {
-	return direct.Report{Headroom: float64(b.Headroom), Suspects: b.Suspects, SuspectsDigest: b.SuspectsDigest}
+	return direct.Report{
+		Headroom: float64(b.Headroom), Suspects: b.Suspects,
+		SuspectsDigest: quarantine.Digest{Barred: b.SuspectsDigest, NearlyBarred: b.Extension.NearlyBarred},
+	}
 }
--- a/gateway/cluster/heartbeats.go
+++ b/gateway/cluster/heartbeats.go
@@ -67,8 +67,8 @@
 		Address: h.peers.self, Hall: h.peers.place.Hall, Region: h.peers.place.Region, Power: h.power,
 		Shed: h.parts.Pressure.ShedPart(), Yields: h.parts.Pressure.Yields(),
 		SourceLost: h.parts.Feeds.SourceFails(), Life: h.life,
-		Headroom: float32(said.Headroom), SuspectsDigest: said.SuspectsDigest,
-		Extension: heartbeatExtension{Answers: true},
+		Headroom: float32(said.Headroom), SuspectsDigest: said.SuspectsDigest.Barred,
+		Extension: heartbeatExtension{Answers: true, NearlyBarred: said.SuspectsDigest.NearlyBarred},
 	}
 	last := b
 	h.last.Store(&last)
@@ -124,7 +124,8 @@
 	b := *last
 	b.Seq, b.Knows = h.seq.Add(1), h.parts.Feeds.Revisions()
 	b.Extension = extension
-	b.Extension.Answers, b.Extension.News = true, h.peers.news(address)
+	b.Extension.Answers, b.Extension.NearlyBarred = true, last.Extension.NearlyBarred
+	b.Extension.News = h.peers.news(address)
 	h.over.send(address, h.peers.PathTo(address), h.encode(b))
 }
 
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -32,13 +32,13 @@
 // judge decides anew what is barred, after something has changed: what one content has seen
 // may explain the crashes under another.
 func (s *Suspects) judge() {
-	s.digest = 0
+	s.digest = Digest{}
 	for _, x := range s.known {
 		barred := x.recorded || harmful(len(x.crashes), s.unexplained(x))
 		if barred != x.barred {
 			s.setBarred(x, barred)
 		}
-		s.digest += x.sum()
+		s.digest.add(x)
 	}
 	slices.SortStableFunc(s.changed, func(a, b Change) int { return cmp.Compare(a.Content, b.Content) })
 }
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -132,29 +132,28 @@
 // nearlyBarred tells whether one more crash may bar the content.
 func (x *suspect) nearlyBarred() bool { return !x.barred && len(x.crashes) >= CrashesMost-1 }
 
-// nearlyBarredFactor sets the sums of contents that are barred apart from those of contents that
-// one more crash may bar.
-const nearlyBarredFactor = 0x9e3779b97f4a7c15
+// Digest is short sums of contents, by which routers find out that they know others; 0 for none.
+type Digest struct {
+	Barred       uint64
+	NearlyBarred uint64 // one more crash may bar them
+}
 
-// sum is the content's part of the digest.
-func (x *suspect) sum() uint64 {
+// add adds a content's part.
+func (d *Digest) add(x *suspect) {
 	switch {
 	case x.barred:
-		return uint64(x.content)
+		d.Barred += uint64(x.content)
 	case x.nearlyBarred():
-		return uint64(x.content) * nearlyBarredFactor
-	default:
-		return 0
+		d.NearlyBarred += uint64(x.content)
 	}
 }
 
-// Digest is a short sum of the contents that are barred, and of those that one more crash may bar;
-// 0 where there are none.
-func (s *Suspects) Digest() uint64 { return s.digest }
+// Digest sums up what all routers have to know.
+func (s *Suspects) Digest() Digest { return s.digest }
 
 // HearDigest takes in the digest of another router. Where it differs, what it stands for is told
 // again, so that also a router that was away or has just started learns of it.
-func (s *Suspects) HearDigest(now time.Duration, digest uint64) {
+func (s *Suspects) HearDigest(now time.Duration, digest Digest) {
 	if digest == s.Digest() || now-s.repeated < repeatEvery {
 		return
 	}
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -37,9 +37,9 @@
 	byServer map[Server][]*suspect // that were there when it crashed
 	changed  []Change
 	listed   map[Content]bool // by the store, see Record
-	digest   uint64           // see Digest
-	urgent   bool             // see Urgent
-	repeated time.Duration    // when all that are barred were last told again
+	digest   Digest
+	urgent   bool          // see Urgent
+	repeated time.Duration // when all that are barred were last told again
 }
 
 // Change says that a content has become barred, or is no longer.
@@ -156,10 +156,10 @@
 	for _, x := range all[:min(len(all), forgottenAtOnce)] {
 		s.forget(x)
 	}
+	s.judge()
 }
 
 func (s *Suspects) forget(x *suspect) {
-	s.digest -= x.sum()
 	s.dropCrashes(x)
 	x.recorded = false
 	if x.barred {
