--- a/quarantine/report_test.go
+++ b/quarantine/report_test.go
@@ -79,6 +79,28 @@
 	require.Equal(t, a.Digest(), b.Digest())
 }
 
+// TestRestartedRouterLearnsOfTwoCrashes has a router start anew after two servers crashed under a
+// content: others tell it again, so that one more crash bars it there too. Of a content under which
+// one server crashed it learns nothing.
+func TestRestartedRouterLearnsOfTwoCrashes(t *testing.T) {
+	var a, b Suspects
+	a.Crashed(at(0), innocent, 9)
+	for i := range Server(CrashesMost - 1) {
+		a.Crashed(at(0), bad, i)
+	}
+	for range tellOwn {
+		a.Tell(at(0), 8)
+	}
+	require.Zero(t, a.Digest().Barred, "what older routers compare is what it was")
+	a.HearDigest(at(60), b.Digest())
+	b.Hear(time.Second, a.Tell(at(60), 8))
+	require.Equal(t, a.Digest(), b.Digest())
+	require.Zero(t, b.Crashes(innocent))
+	require.True(t, b.OneMore(bad))
+	a.HearDigest(at(61), b.Digest())
+	require.Empty(t, a.Tell(at(61), 8), "they agree")
+}
+
 // TestClearingWins has a router that hasn't heard of a clearing tell of crashes before it: it
 // is told that they don't count.
 func TestClearingWins(t *testing.T) {
