--- a/direct/commands.go
+++ b/direct/commands.go
@@ -83,7 +83,7 @@
 // changes nothing outside and is there to be logged.
 type QuarantineCmd struct{ Change quarantine.Change }
 
-// ReportCmd tells the other routers at once what Machine.Report returns.
+// ReportCmd tells other routers at once what Machine.Report returns.
 type ReportCmd struct{}
 
 // ProbeCmd opens a connection to a server, to find out whether it can be reached. A
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -58,9 +58,9 @@
 	}
 }
 
-// Urgent tells whether the others are to be told at once, as it was not when last asked: this
-// router has seen a crash after which one more may bar a content, or a content has become barred.
-// Otherwise copies of the request go on to end servers at routers that have yet to hear of it.
+// Urgent tells whether anything was learned since the last call that other routers must be told at
+// once: a crash after which one more may bar a content, or that one has become barred. Until they
+// hear of it they send copies of the request on to other servers.
 func (s *Suspects) Urgent() bool {
 	out := s.urgent
 	s.urgent = false
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -6,8 +6,8 @@
 // one may be left out: a tenth still finds a bad version, if more slowly.
 const leastOthers = 0.1
 
-// borneOutBy is the part of what speaks against the target in one cohort that must do so in another.
-const borneOutBy = 0.5
+// secondPart is the part of the greatest sum of one cohort that the second greatest must reach to confirm it.
+const secondPart = 0.5
 
 // evidence is the running sum of one test. It adds up log likelihood ratios, bad version
 // against good, and is never below 0 (Page's CUSUM): so it is the sum over that stretch of
@@ -98,10 +98,10 @@
 	return &e.cohorts[i]
 }
 
-// apart returns what two cohorts say by themselves: the one that speaks most against the target decides
-// where another bears it out with half as much. Cohorts whose servers turn bad one after another
-// show it so, where the good answers of the rest still hide it in the common sum.
-func (e *evidence) apart() float64 {
+// inTwoCohorts returns how much speaks against the target where each cohort is looked at alone: the
+// greatest sum, as far as the second greatest confirms it. Servers that turn bad cohort by cohort show it
+// so, while the good answers of the rest still hide it in the common sum.
+func (e *evidence) inTwoCohorts() float64 {
 	most, second := 0.0, 0.0
 	for _, c := range e.cohorts {
 		if c.own > most {
@@ -110,7 +110,7 @@
 		}
 		second = max(second, c.own)
 	}
-	return min(most, second/borneOutBy)
+	return min(most, second/secondPart)
 }
 
 // against returns how much speaks against the target, leaving out the cohort that does
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -231,7 +231,7 @@
 		most = max(most, e.against())
 	}
 	if whole := j.looked[testKey{}]; whole != nil {
-		most = max(most, whole.apart())
+		most = max(most, whole.inTwoCohorts())
 	}
 	return most
 }
