--- a/direct/arrive.go
+++ b/direct/arrive.go
@@ -24,7 +24,8 @@
 	if p.gate != nil {
 		p.gate.exposure.asked++
 	}
-	p.learnObjective(inMilliseconds(r.Objective))
+	objective := float64(r.Objective) / float64(time.Millisecond)
+	p.objective += objectiveStep * (objective - p.objective)
 	team := m.team(r.Team)
 	team.offered.add(now, r.cost())
 	team.recent.add(now, r.cost())
--- a/direct/pool.go
+++ b/direct/pool.go
@@ -17,7 +17,7 @@
 	baseline  baseline      // of the versions in use
 	tokenRate float64       // tokens a millisecond of a server, averaged
 	keeps     time.Duration // how long a server keeps a part of a prompt unused
-	objective float64       // milliseconds, averaged over requests; 0: none has come
+	objective float64       // milliseconds, averaged over requests
 	cold      ColdLimit
 	queue     queue
 	budget    budget
@@ -45,15 +45,6 @@
 	return 2 * tokensPerSecond / 1000 / float64(servers)
 }
 
-// learnObjective takes in the objective of a request, in milliseconds. The average begins at the first:
-// one that rose from nothing would have a router that has just started take all servers for busy.
-func (p *pool) learnObjective(objective float64) {
-	if p.objective == 0 {
-		p.objective = objective
-	}
-	p.objective += objectiveStep * (objective - p.objective)
-}
-
 // rateOf returns how many tokens a millisecond a server reads.
 func (p *pool) rateOf(s *server) float64 {
 	if s.tokenRate > 0 {
--- a/direct/share.go
+++ b/direct/share.go
@@ -130,8 +130,6 @@
 		return 0
 	}
 	bySlots := float64(running) / float64(slots) / busySlots
-	if p.objective == 0 {
-		return bySlots
-	}
-	return max(bySlots, wait/float64(n)/(busyWait*p.objective))
+	byWait := wait / float64(n) / (busyWait * max(p.objective, 1))
+	return max(bySlots, byWait)
 }
