Logs: the version of each attempt's server, and what a request resumes

Lines on requests named a version only during a roll-out, and never told that a request continued a stream, so the incident's hypotheses could not be told apart: over a client's tries, or within one answer. Now each line has the server's version, 'resumes' and 'after_event' of a caller that takes a stream up, and 'last_event' where this router has passed on events; 'server_listed' has the version.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -16,6 +16,7 @@
 	OutputTokens int
 	Parts        []direct.PromptPart
 	AfterEvent   string // id of the last event of a stream that the caller has received
+	Resumes      string // id of the attempt that brought the first event of the stream; empty: not given
 }
 
 // CallInfo holds what a router sends to a server in the headers of a request.
--- a/gateway/eventlog/events.go
+++ b/gateway/eventlog/events.go
@@ -27,7 +27,7 @@
 func (l *Log) ServerStatus(c direct.ServerStatusCmd) {
 	if l.AllowServerStatus() {
 		l.Event("server_"+string(c.Status)).Str("server", c.Server.ID).Str("service", c.Server.Service).
-			Str("address", c.Server.Address).Str("cause", c.Cause).Dur("for", c.For).Msg("")
+			Str("address", c.Server.Address).Str("version", c.Server.Version).Str("cause", c.Cause).Dur("for", c.For).Msg("")
 	}
 }
 
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -43,12 +43,19 @@
 	if x.fingerprint != 0 {
 		e.Str("content", x.fingerprint.String())
 	}
+	if x.info.AfterEvent != "" {
+		e.Str("resumes", x.info.Resumes).Str("after_event", x.info.AfterEvent)
+	}
+	if x.lastEventID != 0 {
+		e.Int64("last_event", x.lastEventID)
+	}
 	if x.attempts > 0 {
 		basis := x.lastSend.PlacementBasis
 		e.Str("server", x.lastSend.Server.ID).Int("running", basis.Running).Int("pending_tokens", basis.Pending).
 			Int("miss_tokens", basis.MissTokens).Dur("estimate", basis.Estimate).Dur("waited", basis.QueueWait)
+		e.Str("version", x.lastSend.Server.Version)
 		if basis.Side != "" {
-			e.Str("version", x.lastSend.Server.Version).Str("side", string(basis.Side))
+			e.Str("side", string(basis.Side))
 		}
 		if x.notice.Leaving {
 			e.Bool("server_leaving", true)
