A stream that breaks within one response goes on only at its version

Cause: a request's placement was free until its end; nothing recorded that its caller had already got events of one version.

Change: the first event that goes to the caller restricts the request to servers of that version (Request.Version), on both sides of a roll-out, so also at old servers that get no new requests. Before the first event a retry is free. Where no server of the version is left, the response is cut at once; leaving and ejected servers of the version serve as its last resort, as no other version can go on.

--- a/direct/arrival.go
+++ b/direct/arrival.go
@@ -44,7 +44,7 @@
 	}
 	m.updateTeamState(msg.Now, p, r)
 	r.waitUntil = msg.Now + maxWait(r)
-	if p.noServerInRegions(msg.Now, r) || !m.wouldExpire(msg.Now, p, r) {
+	if p.noServerAllowed(msg.Now, r) || !m.wouldExpire(msg.Now, p, r) {
 		return
 	}
 	m.recordDemand(msg.Now, p, r)
--- a/direct/candidates.go
+++ b/direct/candidates.go
@@ -78,7 +78,7 @@
 	var maxWeight uint64
 	held := false
 	for _, s := range p.sideServers(r) {
-		if !s.accepts(now, r.Regions) || s.probation {
+		if !s.accepts(now, &r.Request) || s.probation {
 			continue
 		}
 		holds := holdsPart(holders, now, p.cacheTTL, s.ID)
--- a/direct/commands.go
+++ b/direct/commands.go
@@ -125,6 +125,7 @@
 	ReasonDeadline    Reason = "deadline"
 	ReasonQuarantined Reason = "quarantined" // servers crash when they run requests with its fingerprint
 	ReasonRegion      Reason = "region"      // no server in the request's allowed regions accepts requests
+	ReasonVersion     Reason = "version"     // no server of the version that began the stream accepts requests
 )
 
 // Status is the status of a server as this router sees it.
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -149,8 +149,8 @@
 		return quarantine.Retention
 	}
 	backlog, n := 0.0, 0
-	for _, s := range p.admitted {
-		if !s.accepts(now, r.Regions) {
+	for _, s := range p.serversFor(&r.Request) {
+		if !s.accepts(now, &r.Request) {
 			continue
 		}
 		if p.engine != nil {
@@ -166,7 +166,7 @@
 	jitter := float64(xxhash.Sum64String(r.Team)^uint64(r.ID)*0x9e3779b97f4a7c15) / (1 << 64)
 	after := milliseconds(backlog) + time.Duration(float64(r.Objective)*(0.5+jitter))
 	if n == 0 {
-		backoff, _ := p.shortestBackoff(now, r.Regions)
+		backoff, _ := p.shortestBackoff(now, &r.Request)
 		after += backoff
 	}
 	if reason == ReasonOverShare {
--- a/direct/gate.go
+++ b/direct/gate.go
@@ -12,6 +12,9 @@
 type gate struct {
 	rollout.Gate
 	old, target []*server // admitted servers, by ID
+	// closing are the servers of versions in use that get no new requests any more. They may
+	// still continue the streams that their version began.
+	closing     []*server
 	exposure    exposure
 	unrated     unrated
 	movePending bool // streams at old servers may still have to be moved
@@ -51,10 +54,14 @@
 		p.admitted = p.all
 		return
 	}
-	g.old, g.target = nil, nil
+	g.old, g.target, g.closing = nil, nil, nil
 	for _, s := range p.all {
 		s.target = g.isTarget(s)
-		if !s.target && !g.oldVersionsClosed() && g.Uses(s.Version) {
+		switch {
+		case s.target || !g.Uses(s.Version):
+		case g.oldVersionsClosed():
+			g.closing = append(g.closing, s)
+		default:
 			g.old = append(g.old, s)
 		}
 	}
@@ -89,8 +96,27 @@
 	return p.gate.old
 }
 
-// sideServers returns the admitted servers of the side that a request is being placed on.
-func (p *pool) sideServers(r *requestState) []*server { return p.side(r.placement.target) }
+// sideServers returns the servers of the side that a request is being placed on.
+func (p *pool) sideServers(r *requestState) []*server {
+	return p.serversOn(r.placement.target, &r.Request)
+}
+
+// serversOn returns the servers of a side that may get a request: the admitted ones and, for a
+// stream that has begun, those that only finish what their version began.
+func (p *pool) serversOn(target bool, r *Request) []*server {
+	if p.gate != nil && !target && r.Version != "" && p.gate.oldVersionsClosed() {
+		return p.gate.closing
+	}
+	return p.side(target)
+}
+
+// serversFor returns the servers that may get a request, on all sides.
+func (p *pool) serversFor(r *Request) []*server {
+	if p.gate == nil || r.Version == "" {
+		return p.admitted
+	}
+	return p.serversOn(r.Version == p.gate.Target, r)
+}
 
 // sameSide returns the servers that a server is compared with for ejection: those of its own
 // side. Compared with the old servers, each server of a bad version would be an outlier and
@@ -104,7 +130,7 @@
 		return false
 	}
 	for _, candidate := range p.gate.sidesFor(r) {
-		if slices.ContainsFunc(p.side(candidate.target), func(s *server) bool { return s.usable(now) }) {
+		if slices.ContainsFunc(p.serversOn(candidate.target, &r.Request), func(s *server) bool { return s.accepts(now, &r.Request) }) {
 			return false
 		}
 	}
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -81,6 +81,9 @@
 type FirstEventMsg struct {
 	Now time.Duration
 	ID  RequestID
+	// Streaming reports that the caller is about to get events of a stream. The request is from
+	// now on restricted to servers of the same version, as those of others can't continue it.
+	Streaming bool
 }
 
 // NoticeMsg delivers the notice that a server has put into a response. The router sends it
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -66,11 +66,11 @@
 }
 
 // shortestBackoff returns the shortest remaining backoff of the servers that would otherwise
-// get requests of these regions, and whether there is one.
-func (p *pool) shortestBackoff(now time.Duration, regions Regions) (time.Duration, bool) {
+// get a request, and whether there is one.
+func (p *pool) shortestBackoff(now time.Duration, r *Request) (time.Duration, bool) {
 	shortest, found := time.Duration(0), false
-	for _, s := range p.admitted {
-		if !s.inBackoff(now) || !s.available() || !regions.Allows(s.region) {
+	for _, s := range p.serversFor(r) {
+		if !s.inBackoff(now) || !s.available() || !r.allows(s) {
 			continue
 		}
 		if left := s.notices.backoffUntil - now; !found || left < shortest {
--- a/direct/place.go
+++ b/direct/place.go
@@ -102,24 +102,30 @@
 // eligible reports whether a request may go to a server now. A server on probation gets only
 // requests that can be retried elsewhere, one at a time.
 func (m *Machine) eligible(now time.Duration, p *pool, s *server, r *requestState) bool {
-	if !s.accepts(now, r.Regions) || now < s.fullUntil || r.hasTried(s.ID) || !m.coldSendAllowed(now, p, s) {
+	if !s.accepts(now, &r.Request) || now < s.fullUntil || r.hasTried(s.ID) || !m.coldSendAllowed(now, p, s) {
 		return false
 	}
 	return !s.probation || (r.MayRepeat && r.attempt+1 < r.Attempts && s.running == 0)
 }
 
-// lastResort picks the least loaded server that is leaving, if all servers in the request's
-// regions are leaving.
+// lastResort picks the least loaded server that is leaving, if all servers that the request may
+// go to are leaving. A stream that has begun may also go to an ejected server of its version,
+// since no other version can continue it.
 func (m *Machine) lastResort(now time.Duration, p *pool, r *requestState) (choice, bool) {
+	begun := r.Version != ""
 	var best *server
 	for _, s := range p.sideServers(r) {
-		if !r.Regions.Allows(s.region) {
+		if !r.allows(s) || begun && r.hasTried(s.ID) {
 			continue
 		}
-		if !s.leaving {
+		ejected := begun && !s.leaving && now < s.ejectedUntil
+		if !s.leaving && !ejected {
 			return choice{}, false
 		}
-		if s.evacuated || now-s.leavingAt > m.lastResortDuration() || now < s.downUntil || s.inBackoff(now) {
+		if s.leaving && now-s.leavingAt > m.lastResortDuration() {
+			continue
+		}
+		if s.evacuated || now < s.downUntil || s.inBackoff(now) {
 			continue
 		}
 		if r.hasTried(s.ID) || s.totalRunning() >= s.Slots || !m.coldSendAllowed(now, p, s) {
--- a/direct/pool.go
+++ b/direct/pool.go
@@ -81,9 +81,9 @@
 	return all[(len(all)-1)/2]
 }
 
-// anyUsable reports whether some server in the regions may get new requests.
-func (p *pool) anyUsable(now time.Duration, regions Regions) bool {
-	return slices.ContainsFunc(p.admitted, func(s *server) bool { return s.accepts(now, regions) })
+// anyUsable reports whether some server may get a request now.
+func (p *pool) anyUsable(now time.Duration, r *Request) bool {
+	return slices.ContainsFunc(p.serversFor(r), func(s *server) bool { return s.accepts(now, r) })
 }
 
 // ejectionCapReached reports whether one more ejection would leave less than half of the
--- a/direct/request.go
+++ b/direct/request.go
@@ -33,6 +33,17 @@
 	OutputTokens int           // expected
 	Parts        []PromptPart  // of the prompt, in order; the last is not shared
 	Fingerprint  quarantine.Fingerprint
+	// Version is the version of the servers that may continue the stream, once it has begun;
+	// empty: servers of any version may get the request.
+	Version string
+}
+
+// unrestricted is a request that any server of its service may get.
+var unrestricted = &Request{}
+
+// allows reports whether the request may go to a server, by its region and version.
+func (r *Request) allows(s *server) bool {
+	return r.Regions.Allows(s.region) && (r.Version == "" || r.Version == s.Version)
 }
 
 // ownTokens returns the tokens of the prompt that are in no shared part.
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -71,6 +71,9 @@
 		return
 	}
 	p := m.pool(r.Service)
+	if msg.Streaming {
+		r.Version = r.currentServer.Version
+	}
 	r.firstEventAt = msg.Now
 	m.observeFirstEvent(msg.Now, p, r)
 	if r.started {
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -1,6 +1,9 @@
 package direct
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // enqueue sends a request or puts it in the queue. It does not try the requests that wait
 // already: none could be sent a moment ago, and an arrival frees no server.
@@ -15,8 +18,8 @@
 	if m.trySend(now, p, r) {
 		return
 	}
-	if p.noServerInRegions(now, r) {
-		m.giveUp(now, p, r, p.regionRefusalReason(now, r))
+	if p.noServerAllowed(now, r) {
+		m.giveUp(now, p, r, p.unavailableReason(now, r))
 		return
 	}
 	if m.wouldExpire(now, p, r) {
@@ -24,7 +27,7 @@
 		m.giveUp(now, p, r, ReasonOverShare)
 		return
 	}
-	if !p.anyUsable(now, r.Regions) || p.noUsableServer(now, r) {
+	if !p.anyUsable(now, &r.Request) || p.noUsableServer(now, r) {
 		m.giveUp(now, p, r, p.unavailableReason(now, r))
 		return
 	}
@@ -60,28 +63,27 @@
 	}
 }
 
-// noServerInRegions reports whether a request is restricted to regions in which no server may
-// get new requests.
-func (p *pool) noServerInRegions(now time.Duration, r *requestState) bool {
-	return r.Regions.Restricted() && !p.anyUsable(now, r.Regions)
-}
-
-// regionRefusalReason returns the reason to refuse a restricted request that no server may get:
-// either no server at all may get requests, or none in its regions.
-func (p *pool) regionRefusalReason(now time.Duration, r *requestState) Reason {
-	reason := p.unavailableReason(now, r)
-	if reason == ReasonNoServers && (r.Regions.AllowsNone() || p.anyUsable(now, Regions{})) {
-		return ReasonRegion
+// noServerAllowed reports whether a request is restricted to servers none of which may get it. A
+// stream that has begun does not wait for servers at which it has failed already.
+func (p *pool) noServerAllowed(now time.Duration, r *requestState) bool {
+	if r.Version != "" {
+		return !slices.ContainsFunc(p.serversFor(&r.Request), func(s *server) bool { return s.accepts(now, &r.Request) && !r.hasTried(s.ID) })
 	}
-	return reason
+	return r.Regions.Restricted() && !p.anyUsable(now, &r.Request)
 }
 
-// unavailableReason returns the reason to refuse a request that no server may get at the
-// moment.
+// unavailableReason returns the reason to refuse a request that no server may get at the moment:
+// no server at all may get requests, or none of those that the request may go to.
 func (p *pool) unavailableReason(now time.Duration, r *requestState) Reason {
-	if _, ok := p.shortestBackoff(now, r.Regions); ok {
+	if _, ok := p.shortestBackoff(now, &r.Request); ok {
 		return ReasonBackoff
 	}
+	if r.Version != "" && p.anyUsable(now, &Request{Regions: r.Regions}) {
+		return ReasonVersion
+	}
+	if r.Regions.Restricted() && (r.Regions.AllowsNone() || p.anyUsable(now, unrestricted)) {
+		return ReasonRegion
+	}
 	return ReasonNoServers
 }
 
@@ -102,9 +104,9 @@
 		case m.trySend(now, p, r):
 			// The team state is updated for each request, since those before it may have used
 			// up their team's tokens.
-		case p.noServerInRegions(now, r):
-			m.giveUp(now, p, r, p.regionRefusalReason(now, r))
-		case !p.anyUsable(now, Regions{}):
+		case p.noServerAllowed(now, r):
+			m.giveUp(now, p, r, p.unavailableReason(now, r))
+		case r.Version == "" && !p.anyUsable(now, unrestricted):
 			m.giveUp(now, p, r, p.unavailableReason(now, r))
 		default:
 			kept = append(kept, r)
--- a/direct/server.go
+++ b/direct/server.go
@@ -79,10 +79,8 @@
 // available reports whether no lasting condition keeps new requests from a server.
 func (s *server) available() bool { return !s.leaving && !s.evacuated && !s.hallUnreachable }
 
-// accepts reports whether new requests that are allowed in the regions may go to a server now.
-func (s *server) accepts(now time.Duration, regions Regions) bool {
-	return s.usable(now) && regions.Allows(s.region)
-}
+// accepts reports whether a request may go to a server now.
+func (s *server) accepts(now time.Duration, r *Request) bool { return s.usable(now) && r.allows(s) }
 
 func (s *server) totalRunning() int { return s.running + int(s.peerLoad.Running) }
 func (s *server) totalPending() int { return s.pendingTokens + int(s.peerLoad.Pending) }
--- a/direct/side.go
+++ b/direct/side.go
@@ -14,6 +14,7 @@
 	SideLimit  Side = "limit"        // its prompt part has moved, but this router may not send more to the target version now
 	SideFull   Side = "no_place"     // its prompt part has moved, but no server of the target version would serve it in time
 	SideRetry  Side = "after_target" // an attempt at the target version was unsuccessful
+	SideBegun  Side = "begun"        // a server of the same version began its stream
 	SideMoved  Side = "moved"        // interrupted at an old server to continue at the target version
 )
 
@@ -37,16 +38,22 @@
 // The sides that a request may go to, in the order in which they are tried. If old servers are
 // closed, the old side is empty.
 var (
-	sidesOld    = []candidateSide{{false, SideOld}}
-	sidesTarget = []candidateSide{{true, SideTarget}, {false, SideFull}}
-	sidesSample = []candidateSide{{true, SideSample}, {false, SideOld}}
-	sidesRetry  = []candidateSide{{false, SideRetry}, {true, SideTarget}}
-	sidesMoved  = []candidateSide{{true, SideMoved}, {false, SideFull}}
+	sidesOld         = []candidateSide{{false, SideOld}}
+	sidesTarget      = []candidateSide{{true, SideTarget}, {false, SideFull}}
+	sidesSample      = []candidateSide{{true, SideSample}, {false, SideOld}}
+	sidesRetry       = []candidateSide{{false, SideRetry}, {true, SideTarget}}
+	sidesBegunOld    = []candidateSide{{false, SideBegun}}
+	sidesBegunTarget = []candidateSide{{true, SideBegun}}
+	sidesMoved       = []candidateSide{{true, SideMoved}, {false, SideFull}}
 )
 
 // sidesFor returns the sides that a request may go to, in the order in which they are tried.
 func (g *gate) sidesFor(r *requestState) []candidateSide {
 	switch {
+	case r.Version != "" && r.Version == g.Target:
+		return sidesBegunTarget
+	case r.Version != "":
+		return sidesBegunOld
 	case r.placement.targetFailed:
 		return sidesRetry
 	case r.placement.moved:
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -35,7 +35,7 @@
 	}
 	a.release()
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
-	a.reportResponse()
+	a.reportResponse(false)
 	if resp.StatusCode/100 == 5 {
 		return a.keepFailure(buffered)
 	}
@@ -68,13 +68,14 @@
 	return a.endWithoutResponse(direct.Failed)
 }
 
-// reportResponse reports to the machine that the server has responded.
-func (a *attempt) reportResponse() {
+// reportResponse reports to the machine that the server has responded, and whether the caller
+// gets events of a stream.
+func (a *attempt) reportResponse(streaming bool) {
 	now := a.x.front.core.Now()
 	if a.x.respondedAt == 0 {
 		a.x.respondedAt = now
 	}
-	a.x.front.core.Update(direct.FirstEventMsg{Now: now, ID: a.x.id})
+	a.x.front.core.Update(direct.FirstEventMsg{Now: now, ID: a.x.id, Streaming: streaming})
 }
 
 // isForwardable reports whether a response may be forwarded: a success must carry the
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -103,7 +103,7 @@
 	}
 	if !a.forwarding {
 		a.forwarding = true
-		a.reportResponse()
+		a.reportResponse(true)
 	}
 	a.countBytes(len(event.raw))
 	if _, err := a.x.w.Write(event.raw); err != nil {
