Roll-outs no longer move streams to the target version

Change: no stream is interrupted. Old servers get no new requests in the last stage, but finish what they began, also after a break; 'completed' waits for them as for all other requests, until the order's last moment. MoveCmd, the outcome 'moved', Gate.MoveStreams and its place in the timeline are gone.

--- a/direct/commands.go
+++ b/direct/commands.go
@@ -93,12 +93,7 @@
 // evidence about its version.
 type ResponseCmd struct{ Response rollout.ResponseMsg }
 
-// MoveCmd interrupts a stream at a server of an old version so that it resumes at a server of
-// the target version. An AttemptEndMsg with the outcome Moved follows.
-type MoveCmd struct{ ID RequestID }
-
 func (ResponseCmd) isCmd()         {}
-func (MoveCmd) isCmd()             {}
 func (HallReachabilityCmd) isCmd() {}
 func (CrashCmd) isCmd()            {}
 func (QuarantineCmd) isCmd()       {}
--- a/direct/crashcheck.go
+++ b/direct/crashcheck.go
@@ -47,8 +47,8 @@
 	at          time.Duration
 }
 
-// addAbandoned records a request whose caller left, or that was moved. If the server turns out
-// to have crashed right after that, the request is as suspect as those that broke.
+// addAbandoned records a request whose caller left. If the server turns out to have crashed right
+// after that, the request is as suspect as those that broke.
 func (c *crashCheck) addAbandoned(now time.Duration, fingerprint quarantine.Fingerprint) {
 	c.abandoned = slices.DeleteFunc(c.abandoned, func(a abandonedRequest) bool { return now-a.at > crashWindow })
 	if len(c.abandoned) < maxAbandoned {
@@ -81,7 +81,7 @@
 		// A server may crash after the attempt has timed out: a busy server starts to run it
 		// late.
 		m.suspectIfCrashed(now, r, s)
-	case o == GivenUp, o == Moved:
+	case o == GivenUp:
 		s.crashState.addAbandoned(now, r.Fingerprint)
 	}
 }
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -107,8 +107,6 @@
 		m.giveUp(now, p, r, ReasonDeadline)
 	case r.attempt >= r.Attempts:
 		m.giveUp(now, p, r, ReasonAttempts)
-	case o == Moved && r.placement.moving: // the move was charged to the budget already
-		m.enqueue(now, p, r)
 	case !p.retryWindow.trySpend(now, m.options.RetryBudget, m.routers):
 		m.giveUp(now, p, r, ReasonRetryBudget)
 	default:
--- a/direct/gate.go
+++ b/direct/gate.go
@@ -14,14 +14,12 @@
 	old, target []*server // admitted servers, by ID
 	// closing are the servers of versions in use that get no new requests any more. They may
 	// still continue the streams that their version began.
-	closing     []*server
-	exposure    exposure
-	unrated     unrated
-	movePending bool // streams at old servers may still have to be moved
+	closing  []*server
+	exposure exposure
+	unrated  unrated
 }
 
-// applyGate applies a newer gate to the service's pool, serves its queue and starts to move
-// streams if the gate requests that.
+// applyGate applies a newer gate to the service's pool and serves its queue.
 func (m *Machine) applyGate(msg GateMsg) {
 	p := m.pool(msg.Gate.Service)
 	if p.gate == nil {
@@ -32,10 +30,8 @@
 		p.gate.unrated = nil
 	}
 	p.gate.Gate = msg.Gate
-	p.gate.movePending = msg.Gate.MoveStreams
 	p.updateAdmitted()
 	m.serveQueue(msg.Now, p, maxQueued)
-	m.moveStreams(msg.Now, p)
 }
 
 // updateAllAdmitted recomputes the admitted servers of all pools after a change in the state of
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -228,7 +228,6 @@
 	m.updateShares(now)
 	for _, name := range m.poolNames() {
 		p := m.pools[name]
-		m.moveStreams(now, p)
 		m.serveQueue(now, p, maxQueued)
 		for _, r := range p.queue.expired(now) {
 			m.refuseWaiting(now, p, r)
--- a/direct/outcome.go
+++ b/direct/outcome.go
@@ -13,11 +13,10 @@
 	Broken                   // sent, but no whole response arrived
 	Hung                     // sent, but nothing arrived in time, and the attempt was canceled
 	GivenUp                  // ended by the caller or by the route's timeout
-	Moved                    // interrupted to continue at a server of another version
 	Withheld                 // placed, but not sent because of a notice of the server
 )
 
 // String returns the outcome's name for logs.
 func (o Outcome) String() string {
-	return [...]string{"done", "unsent", "not_run", "elsewhere", "failed", "broken", "hung", "given_up", "moved", "withheld"}[o]
+	return [...]string{"done", "unsent", "not_run", "elsewhere", "failed", "broken", "hung", "given_up", "withheld"}[o]
 }
--- a/direct/side.go
+++ b/direct/side.go
@@ -15,7 +15,6 @@
 	SideFull   Side = "no_place"     // its prompt part has moved, but no server of the target version would serve it in time
 	SideRetry  Side = "after_target" // an attempt at the target version was unsuccessful
 	SideBegun  Side = "begun"        // a server of the same version began its stream
-	SideMoved  Side = "moved"        // interrupted at an old server to continue at the target version
 )
 
 // placement records where a request was placed, or is being placed, during a rollout.
@@ -23,8 +22,6 @@
 	target       bool // the request is being placed on, or was sent to, the side of the target version
 	side         Side
 	targetFailed bool   // an attempt at a server of the target version was unsuccessful
-	moving       bool   // a MoveCmd was emitted and charged to the budget
-	moved        bool   // interrupted to continue at the target version
 	targetEpoch  uint64 // of the current attempt; see exposure
 	counted      bool   // the current attempt was counted as having reached its server
 }
@@ -44,7 +41,6 @@
 	sidesRetry       = []candidateSide{{false, SideRetry}, {true, SideTarget}}
 	sidesBegunOld    = []candidateSide{{false, SideBegun}}
 	sidesBegunTarget = []candidateSide{{true, SideBegun}}
-	sidesMoved       = []candidateSide{{true, SideMoved}, {false, SideFull}}
 )
 
 // sidesFor returns the sides that a request may go to, in the order in which they are tried.
@@ -56,8 +52,6 @@
 		return sidesBegunOld
 	case r.placement.targetFailed:
 		return sidesRetry
-	case r.placement.moved:
-		return sidesMoved
 	case g.oldVersionsClosed() || rolloutPosition(r) < g.Fraction:
 		return sidesTarget
 	case g.exposure.behind(r.Route, g.Limit) && unitHash(uint64(r.ID)) < g.Fraction:
@@ -140,6 +134,5 @@
 	if o.reachedServer() {
 		p.gate.exposure.countReached(r)
 	}
-	r.placement.targetFailed = r.placement.targetFailed || (s.target && o != Moved)
-	r.placement.moved = r.placement.moved || o == Moved
+	r.placement.targetFailed = r.placement.targetFailed || s.target
 }
--- a/explain/versions.go
+++ b/explain/versions.go
@@ -11,11 +11,12 @@
 	"limit":        "it was meant for the target, but its router could send no more requests there at the time",
 	"no_place":     "it was meant for the target, but no server there would have served it in time",
 	"after_target": "an attempt at the target had brought no response",
+	"begun":        "a server of that version had begun its stream, and others can't continue it",
 	"moved":        "it had been broken off at a server of the old version to continue on one of the target",
 }
 
 // outcomeMoved is the outcome of an attempt that the router broke off to continue it on another
-// version.
+// version. Routers of earlier builds log it, with the side "moved".
 const outcomeMoved = "moved"
 
 // versionSummary returns sentences, one a line, on the versions that the request went to and why,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,11 +40,8 @@
 	conn      *backend.Conn
 	stopWatch func() bool // stops watching whether the caller leaves
 	// forwarding is set once the first event of a stream has been forwarded.
-	forwarding bool
-	path       traffic.Path
-	// moved is set when the attempt is aborted to continue on a server of another version.
-	moved       atomic.Bool
-	movable     bool // a move may abort the attempt; see allowMove
+	forwarding  bool
+	path        traffic.Path
 	connRefused bool // the server's host refused the connection
 	dialOverdue bool // this process ran too late to connect
 }
@@ -76,8 +72,6 @@
 	a.conn = conn
 	a.stopWatch = context.AfterFunc(a.x.ctx, func() { conn.Close() })
 	defer a.stopWatch()
-	a.allowMove()
-	defer a.forbidMove()
 	timeLeft = a.x.deadline - a.x.front.core.Now()
 	_ = conn.SetDeadline(time.Now().Add(timeLeft)) // here and below: it fails on a closed connection, whose next use returns the error
 	a.path = a.x.front.pathTo(a.cmd)
@@ -183,9 +177,6 @@
 // endWithoutResponse ends an attempt without a usable response. It also ends the request if
 // its caller has left or its deadline has passed.
 func (a *attempt) endWithoutResponse(o direct.Outcome) (direct.Outcome, bool) {
-	if a.moved.Load() && (o == direct.Broken || o == direct.Hung) {
-		o = direct.Moved
-	}
 	switch {
 	case a.x.ctx.Err() != nil:
 		a.x.callerLeft(0)
@@ -227,7 +218,6 @@
 // caller has left, since stopWatch then came too late: the watch may close the connection
 // at any time.
 func (a *attempt) release() {
-	a.forbidMove()
 	if !a.stopWatch() {
 		a.conn.Close()
 		return
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -17,7 +17,7 @@
 type core struct {
 	mu             sync.Mutex
 	machine        *direct.Machine
-	waiters        map[direct.RequestID]*waiter
+	waiters        map[direct.RequestID]chan direct.Cmd // by request, to its goroutine
 	nextID         direct.RequestID
 	clock          *hostclock.Clock
 	log            *eventlog.Log
@@ -32,7 +32,7 @@
 func newCore(o direct.Options, l *eventlog.Log) *core {
 	return &core{
 		machine:        direct.NewMachine(o),
-		waiters:        make(map[direct.RequestID]*waiter),
+		waiters:        make(map[direct.RequestID]chan direct.Cmd),
 		clock:          hostclock.New(),
 		log:            l,
 		probe:          func(direct.ProbeCmd) {},
@@ -88,18 +88,14 @@
 			c.probe(cmd)
 		case direct.ResponseCmd:
 			c.notifyRollouts(cmd.Response)
-		case direct.MoveCmd:
-			c.waiters[cmd.ID].move()
 		}
 	}
 }
 
 // deliver passes a command to the goroutine of a request. The lock must be held.
 func (c *core) deliver(id direct.RequestID, cmd direct.Cmd) {
-	if w := c.waiters[id]; w != nil {
-		// A pending move belongs to an attempt that has ended.
-		w.movePending = false
-		w.commands <- cmd
+	if commands := c.waiters[id]; commands != nil {
+		commands <- cmd
 	}
 }
 
@@ -109,10 +105,10 @@
 	defer c.mu.Unlock()
 	c.nextID++
 	r.ID = c.nextID
-	w := &waiter{commands: make(chan direct.Cmd, 2)}
-	c.waiters[r.ID] = w
+	commands := make(chan direct.Cmd, 2)
+	c.waiters[r.ID] = commands
 	c.updateLocked(direct.RequestMsg{Now: c.Now(), Request: r})
-	return r.ID, w.commands
+	return r.ID, commands
 }
 
 // checkAdmission returns the refusal of a request that the machine would refuse on arrival,
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -40,22 +40,21 @@
 
 // front serves the requests of callers.
 type front struct {
-	core         *core
-	feeds        *feed.Set
-	pool         *backend.Pool
-	dialect      Dialect
-	log          *eventlog.Log
-	stats        *stats.Stats
-	sendQueues   *sendqueue.Queues // unread responses, and the memory for bodies
-	draining     atomic.Bool       // responses close their connections
-	refusing     atomic.Bool       // new requests are refused
-	active       atomic.Int64
-	conns        *callerConns
-	ages         ageEstimator
-	outcomes     outcomeCounters
-	hall         string         // data hall of this router
-	movesEnabled bool           // requests may move to servers of another version while they run
-	traffic      *traffic.Meter // bytes of requests
+	core       *core
+	feeds      *feed.Set
+	pool       *backend.Pool
+	dialect    Dialect
+	log        *eventlog.Log
+	stats      *stats.Stats
+	sendQueues *sendqueue.Queues // unread responses, and the memory for bodies
+	draining   atomic.Bool       // responses close their connections
+	refusing   atomic.Bool       // new requests are refused
+	active     atomic.Int64
+	conns      *callerConns
+	ages       ageEstimator
+	outcomes   outcomeCounters
+	hall       string         // data hall of this router
+	traffic    *traffic.Meter // bytes of requests
 	// maxEventDelay is the longest time that an event may take to reach its caller.
 	maxEventDelay time.Duration
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,7 +79,7 @@
 		core: g.core, feeds: g.feeds, dialect: dialect, log: g.log, stats: g.stats,
 		pool:       backend.NewPool(backend.Options{DialTimeout: dialTimeout, AckTimeout: serverSilenceTimeout, MaxIdlePerAddress: maxIdlePerServer}),
 		sendQueues: queues, conns: newCallerConns(maxCallers(s.Descriptors), s.Cores, queues), maxEventDelay: s.MaxEventDelay,
-		hall: s.Zone, traffic: g.traffic.Meter(traffic.Requests), movesEnabled: s.RolloutBounds.Enabled(),
+		hall: s.Zone, traffic: g.traffic.Meter(traffic.Requests),
 	}
 	g.core.probe = (&prober{core: g.core, pool: g.front.pool}).probe
 	g.server = &http.Server{
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -22,9 +22,6 @@
 	ServerFraction float64
 	// OldClosed is set if versions in use other than the target get no new requests.
 	OldClosed bool
-	// MoveStreams is set if resumable streams on old servers are interrupted, to continue on
-	// the target's servers.
-	MoveStreams bool
 }
 
 // Uses reports whether version is in use, that is, gets requests without being the target.
--- a/rollout/gates.go
+++ b/rollout/gates.go
@@ -46,7 +46,6 @@
 	case All:
 		g.Fraction, g.Limit, g.ServerFraction = 1, 1, 1
 		g.OldClosed = true
-		g.MoveStreams = r.age >= r.plan.moveStreamsAt
 	}
 	return g
 }
@@ -54,7 +53,7 @@
 func gatesEqual(a, b Gate) bool {
 	inUse := slices.Equal(a.InUse, b.InUse) && (a.InUse == nil) == (b.InUse == nil)
 	return inUse && a.Target == b.Target && a.Fraction == b.Fraction && a.Limit == b.Limit &&
-		a.ServerFraction == b.ServerFraction && a.OldClosed == b.OldClosed && a.MoveStreams == b.MoveStreams
+		a.ServerFraction == b.ServerFraction && a.OldClosed == b.OldClosed
 }
 
 // awaitsServerList reports whether a gate must not be applied before a newer server list has
--- a/rollout/timeline.go
+++ b/rollout/timeline.go
@@ -27,9 +27,6 @@
 	// minStepFraction is the least fraction of their planned time that the ramp's steps and the
 	// drain last if the evidence arrives late.
 	minStepFraction = 0.3
-	// moveStreamsFraction is the fraction of the drain that is left when streams are moved from
-	// old servers: most have ended by themselves by then, and the others need time to resume.
-	moveStreamsFraction = 0.4
 	// graceFraction is the fraction of the margin for a router that confirms late. After it, a
 	// rollout that is not done is rolled back while there is still time to write the status.
 	graceFraction = 0.5
@@ -41,7 +38,6 @@
 	latestRampAt    time.Duration // latest age for stage Quarter
 	minStepInterval time.Duration // least time between steps, if the evidence arrives late
 	stepInterval    time.Duration // planned time between steps
-	moveStreamsAt   time.Duration // resumable streams move off the old servers
 	writeAt         time.Duration // final status, even if requests still run on old servers
 	rejectAt        time.Duration // rollback of a rollout that has not reached the last stage everywhere
 	deadline        time.Duration
@@ -58,7 +54,6 @@
 	}
 	t := timeline{deadline: within, writeAt: within - margin}
 	t.rejectAt = t.writeAt + scale(margin, graceFraction)
-	t.moveStreamsAt = t.writeAt - scale(drain, moveStreamsFraction)
 	t.rampAt = t.writeAt - drain - ramp
 	t.stepInterval = ramp / rampSteps
 	t.minStepInterval = scale(t.stepInterval, minStepFraction)
