TestQuarantineRecorder reads the store's calls under its lock

The test failed once in the package's whole run with the race detector: its reads of store.calls had no lock, while the recorder's goroutine, whose timer ends at the same fake instant, counts a call. The bounds are the same; 20 runs of it with the race detector passed after the change.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -34,6 +34,12 @@
 	return nil
 }
 
+func (s *recordStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *recordStore) AddQuarantine(_ context.Context, f quarantine.Fingerprint) error {
 	return s.write(f, true)
 }
@@ -70,13 +76,13 @@
 		}
 		core.Update(direct.PeerReportMsg{Now: core.Now(), Peer: "b", Report: direct.Report{Suspects: []quarantine.Report{crashes}}})
 		time.Sleep(5 * time.Second)
-		require.Zero(t, store.calls, "another router leads")
+		require.Zero(t, store.callCount(), "another router leads")
 		mu.Lock()
 		leads = true
 		mu.Unlock()
 		time.Sleep(10 * time.Second)
 		require.False(t, store.has(7))
-		require.LessOrEqual(t, store.calls, 10, "calls while the store is down")
+		require.LessOrEqual(t, store.callCount(), 10, "calls while the store is down")
 		store.mu.Lock()
 		store.down, store.calls = false, 0
 		store.mu.Unlock()
@@ -84,7 +90,7 @@
 		require.True(t, store.has(7))
 		core.Update(direct.QuarantineMsg{Now: core.Now(), Fingerprints: []quarantine.Fingerprint{7}})
 		time.Sleep(time.Minute)
-		require.LessOrEqual(t, store.calls, 2)
+		require.LessOrEqual(t, store.callCount(), 2)
 		core.Update(direct.PeerReportMsg{Now: core.Now(), Peer: "b", Report: direct.Report{Suspects: []quarantine.Report{{Content: 7, Cleared: true}}}})
 		time.Sleep(2 * time.Second)
 		require.False(t, store.has(7), "it is no longer barred")
