A stream that its caller takes up goes on only at the version that began it

Cause: which version began a stream was known to no router but the one that served it, and to that one only within the response.

Change: package origin. While a service has, or within ten minutes had, servers of several versions, a router sends a record of each stream with its first event to two others, in two halls, which rendezvous hashing of the stream's key selects. A router that is asked to go on with a stream asks those: it needs no knowledge of who began it. Records follow their holders when routers join, leave, restart or are lost. With a single version nothing is sent, and a stream can only have begun there. What may have begun at several versions and has no record is refused at once (origin_unknown), and so is a stream none of whose version's servers is left (version). The versions that count are also an object in the store (croftvale-versions), for the case that all routers restart; it is written only while there are several.

A stream with a record is admitted like a retry, once at a time: half of its work is done. Heartbeats tell who keeps records, so routers of earlier builds are sent none.

--- a/direct/arrival.go
+++ b/direct/arrival.go
@@ -54,5 +54,5 @@
 // wouldExpire reports whether a first attempt is throttled and its team's token bucket can't
 // cover it before its time in the queue ends.
 func (m *Machine) wouldExpire(now time.Duration, p *pool, r *requestState) bool {
-	return r.attempt == 0 && r.throttled && !m.team(r.Team).tokenBucket.covers(p.queue.queuedTokens(r.Team, r.waitUntil), r.waitUntil-now)
+	return r.isFirstTry() && r.throttled && !m.team(r.Team).tokenBucket.covers(p.queue.queuedTokens(r.Team, r.waitUntil), r.waitUntil-now)
 }
--- a/direct/place.go
+++ b/direct/place.go
@@ -158,7 +158,7 @@
 	objectiveMS := float64(r.Objective) / float64(time.Millisecond)
 	// A request beyond its team's share goes only to servers that need not read a shared part
 	// again. If no holder is known, the preferred server is assumed to hold it.
-	surplus := r.shareRatio > 1 && r.attempt == 0 && m.enabled(SurplusReads)
+	surplus := r.shareRatio > 1 && r.isFirstTry() && m.enabled(SurplusReads)
 	if !fits(r, firstMS/objectiveMS, waitMS/objectiveMS, p.objectiveMS) || (surplus && missTokens > 0) {
 		return choice{}, false
 	}
@@ -176,7 +176,7 @@
 // is the average objective of all requests, in milliseconds.
 func fits(r *requestState, first, wait, averageMS float64) bool {
 	switch {
-	case r.attempt > 0:
+	case !r.isFirstTry():
 		return first <= 1 || wait <= 1
 	case r.shareRatio > 1:
 		return first <= maxFirstEventFraction && wait*float64(r.Objective) <= overShareBacklogFraction*averageMS*float64(time.Millisecond)
--- a/direct/requeststate.go
+++ b/direct/requeststate.go
@@ -33,4 +33,7 @@
 // cost returns the cost of the request for the engines, in tokens.
 func (r *requestState) cost() float64 { return tokenCost(r.PromptTokens, r.OutputTokens) }
 
+// isFirstTry reports whether no server has worked on the request, or on the stream that it takes up.
+func (r *requestState) isFirstTry() bool { return r.attempt == 0 && !r.Resumed }
+
 func (r *requestState) hasTried(id string) bool { return slices.Contains(r.triedServers, id) }
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -43,7 +43,7 @@
 // reports whether it did.
 func (m *Machine) trySend(now time.Duration, p *pool, r *requestState) bool {
 	m.updateTeamState(now, p, r)
-	if r.throttled && r.attempt == 0 {
+	if r.throttled && r.isFirstTry() {
 		return false
 	}
 	c, ok := m.placeOnSide(now, p, r)
--- a/gateway/cluster/cluster.go
+++ b/gateway/cluster/cluster.go
@@ -18,6 +18,7 @@
 	Rollouts     Rollouts // nil if rollouts are disabled
 	Pressure     *pressure.Gauge
 	Registry     Registry
+	Versions     StoredVersions
 	Log          *eventlog.Log
 	Stats        *stats.Stats
 	Traffic      *traffic.Counter
@@ -26,6 +27,7 @@
 // Cluster connects a router to the other routers of the fleet.
 type Cluster struct {
 	Peers         *Peers
+	Origins       *Origins
 	heartbeatConn *transport
 	heartbeats    *heartbeats
 	loads         *loadExchange
@@ -43,9 +45,14 @@
 	if err != nil {
 		return nil, err
 	}
+	originConn, err := openTransport(s.Origins, traffic.Origins, deps)
+	if err != nil {
+		return nil, err
+	}
 	s.startNanos = time.Now().UnixNano()
 	c := &Cluster{heartbeatConn: heartbeatConn, Peers: newPeers(s, deps), loads: newLoadExchange(s, loadConn, deps)}
-	c.Peers.onLive = c.loads.setRouters
+	c.Origins = newOrigins(s, originConn, c.Peers, deps)
+	c.Peers.onLive, c.Peers.onOrigins = c.loads.setRouters, c.Origins.setRouters
 	c.heartbeats = newHeartbeats(s, heartbeatConn, c.Peers, deps)
 	c.discovery = discovery{
 		registry: deps.Registry, self: s.Self, onMember: func(m Member) { c.Peers.Add(m.Address) },
@@ -62,6 +69,6 @@
 func (c *Cluster) Tasks() []func(context.Context) error {
 	receive := func(ctx context.Context) error { return c.heartbeatConn.receive(ctx, c.heartbeats.receive) }
 	return []func(context.Context) error{
-		c.discovery.run, c.heartbeats.send, receive, c.heartbeats.runDetector, c.loads.send, c.loads.receive,
+		c.discovery.run, c.heartbeats.send, receive, c.heartbeats.runDetector, c.loads.send, c.loads.receive, c.Origins.tick, c.Origins.receive,
 	}
 }
--- a/gateway/cluster/compatibility_test.go
+++ b/gateway/cluster/compatibility_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"flag"
+	"io/fs"
 	"net"
 	"os"
 	"path/filepath"
@@ -11,6 +12,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/gateway/eventlog"
 	"github.com/croftvale/croftvale/gateway/stats"
 	"github.com/croftvale/croftvale/gateway/traffic"
@@ -39,6 +41,10 @@
 // lack NearlyBarred.
 var beforeNearlyBarred = []string{"2026-12-03", "2026-12-03-demand"}
 
+// beforeOrigins are the builds that read the extension by field names and keep no records of the
+// versions that began streams. All earlier ones do not either.
+var beforeOrigins = []string{"2026-12-03", "2026-12-03-demand", "2026-12-03-nearly-barred"}
+
 // TestCorpusIsRead decodes the messages of each build that landed.
 func TestCorpusIsRead(t *testing.T) {
 	if *addCorpus != "" {
@@ -57,6 +63,9 @@
 		if slices.Contains(beforeNearlyBarred, build.Name()) {
 			want.Extension.NearlyBarred = 0
 		}
+		if slices.Contains(beforeOrigins, build.Name()) {
+			want.Extension.Origins = false
+		}
 		require.Equal(t, want, b, "heartbeat of %s", build.Name())
 		l, err := decodeLoadList(readCorpus(t, build.Name(), "loads"))
 		require.NoError(t, err)
@@ -65,6 +74,12 @@
 			list.Extension = loadListExtension{} // these builds send none
 		}
 		require.Equal(t, list, l, "loads of %s", build.Name())
+		if build.Name() == firstBuild || slices.Contains(beforeOrigins, build.Name()) {
+			continue // these builds send no messages about origins
+		}
+		m, err := decodeOrigin(readCorpus(t, build.Name(), "origins"))
+		require.NoError(t, err)
+		require.Equal(t, sampleOrigin(), m, "origins of %s", build.Name())
 	}
 }
 
@@ -76,6 +91,9 @@
 		found := false
 		for _, build := range builds {
 			old, err := os.ReadFile(filepath.Join(corpus, build.Name(), name+".msgpack"))
+			if errors.Is(err, fs.ErrNotExist) {
+				continue // the build does not send this message
+			}
 			require.NoError(t, err)
 			found = found || bytes.Equal(old, body)
 		}
@@ -102,7 +120,9 @@
 	list := sampleLoadList()
 	l, err := encodeLoadList(&list)
 	require.NoError(t, err)
-	return map[string][]byte{"heartbeat": b, "loads": l}
+	o, err := encodeOrigin(sampleOrigin())
+	require.NoError(t, err)
+	return map[string][]byte{"heartbeat": b, "loads": l, "origins": o}
 }
 
 func writeCorpus(t *testing.T, folder string) {
--- a/gateway/cluster/extension.go
+++ b/gateway/cluster/extension.go
@@ -22,6 +22,8 @@
 	AskOf string `msgpack:"o,omitempty"`
 	// NearlyBarred is the field of the sender's quarantine.Digest.
 	NearlyBarred uint64 `msgpack:"w,omitempty"`
+	// Origins reports that the sender keeps records of the versions that began streams.
+	Origins bool `msgpack:"g,omitempty"`
 	// News holds the sender's updates about other routers, in rows of gossipRowSize bytes.
 	News []byte `msgpack:"n,omitempty"`
 }
--- a/gateway/cluster/frozen_test.go
+++ b/gateway/cluster/frozen_test.go
@@ -6,6 +6,7 @@
 	"github.com/croftvale/croftvale/gateway/detector"
 	"github.com/croftvale/croftvale/gateway/feed"
 	"github.com/croftvale/croftvale/loads"
+	"github.com/croftvale/croftvale/origin"
 	"github.com/croftvale/croftvale/quarantine"
 	"github.com/croftvale/croftvale/rollout"
 )
@@ -105,7 +106,7 @@
 		}},
 		SuspectsDigest: 1 << 61,
 		Extension: heartbeatExtension{
-			Answers: true, Ask: true, AnswerTo: "10.3.0.1", AskOf: "10.4.0.1", NearlyBarred: 1 << 59,
+			Answers: true, Ask: true, AnswerTo: "10.3.0.1", AskOf: "10.4.0.1", NearlyBarred: 1 << 59, Origins: true,
 			News: packGossip([]detector.PeerUpdate{{Address: "10.5.0.1", Incarnation: 1 << 31, Alive: true, Age: time.Second}}),
 		},
 	}
@@ -149,3 +150,15 @@
 		Copies: []copy2739690{{Part: 1 << 60, Server: 7}},
 	}
 }
+
+// sampleOrigin contains all parts of a message about the origins of streams, which are sent one by
+// one.
+func sampleOrigin() originMessage {
+	m := packOriginRecords([]origin.Record{
+		{Key: 1 << 63, Version: "v1", Lifetime: time.Minute}, {Key: 5, Version: "v1.1", Lifetime: origin.MaxLifetime},
+	})
+	m.From = "10.1.0.33"
+	m.Query = &originQuery{Number: 7, Service: "llm", Key: 1 << 62}
+	m.Answer = &originAnswer{Number: 8, Service: "llm", Found: true, Version: "v1", Versions: []string{"v1", "v1.1"}, Complete: true}
+	return m
+}
--- a/gateway/cluster/heartbeats.go
+++ b/gateway/cluster/heartbeats.go
@@ -69,7 +69,7 @@
 		Shed: h.deps.Pressure.ShedFraction(), Yields: h.deps.Pressure.Yields(),
 		SourceLost: h.deps.Feeds.SourceFailing(), Life: h.startNanos,
 		Headroom: float32(report.Headroom), SuspectsDigest: report.SuspectsDigest.Barred,
-		Extension: heartbeatExtension{Answers: true, NearlyBarred: report.SuspectsDigest.NearlyBarred},
+		Extension: heartbeatExtension{Answers: true, NearlyBarred: report.SuspectsDigest.NearlyBarred, Origins: true},
 	}
 	last := b
 	h.lastSent.Store(&last)
@@ -127,7 +127,7 @@
 	b := *last
 	b.Seq, b.Knows = h.seq.Add(1), h.deps.Feeds.Revisions()
 	b.Extension = extension
-	b.Extension.Answers, b.Extension.NearlyBarred = true, last.Extension.NearlyBarred
+	b.Extension.Answers, b.Extension.NearlyBarred, b.Extension.Origins = true, last.Extension.NearlyBarred, true
 	b.Extension.News = h.peers.gossip(address)
 	h.conn.send(address, h.peers.PathTo(address), h.encode(b))
 }
--- /dev/null
+++ b/gateway/cluster/origins.go
@@ -0,0 +1,230 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/traffic"
+	"github.com/croftvale/croftvale/origin"
+)
+
+// storedVersionsTimeout bounds the call that reads the versions which the source keeps.
+const storedVersionsTimeout = 300 * time.Millisecond
+
+// StoredVersions reads the versions that the source keeps for the case that all routers restart.
+type StoredVersions interface {
+	// ReadVersions returns the versions whose streams may still be taken up, for each service with
+	// several.
+	ReadVersions(ctx context.Context) ([]origin.StoredVersions, error)
+}
+
+// Origins executes the commands of an origin.Machine: it tells which version began a stream.
+type Origins struct {
+	self    string
+	conn    *transport
+	peers   *Peers
+	place   traffic.Place
+	deps    Dependencies
+	mu      sync.Mutex
+	machine *origin.Machine
+	paths   map[string]traffic.Path             // by address, to the routers that keep records
+	waiting map[uint64]chan<- origin.Resolution // lookups in progress
+	lastID  uint64
+	// serversRevision is the revision of the list of servers that the machine knows.
+	serversRevision uint64
+}
+
+func newOrigins(s Settings, conn *transport, p *Peers, deps Dependencies) *Origins {
+	self := origin.Router{Address: s.Self.Address, Hall: s.Hall, Region: s.Region, Start: s.startNanos}
+	return &Origins{
+		self: s.Self.Address, conn: conn, peers: p, place: s.place(), deps: deps,
+		machine: origin.NewMachine(self, s.FirstStart), waiting: make(map[uint64]chan<- origin.Resolution),
+	}
+}
+
+// Begun records that the caller of a stream is about to get its first event.
+func (o *Origins) Begun(service string, r origin.Record) {
+	o.update(origin.BegunMsg{Now: o.deps.StateMachine.Now(), Service: service, Record: r})
+}
+
+// Ended records that a stream has been delivered to its end.
+func (o *Origins) Ended(key origin.Key) { o.update(origin.EndedMsg{Key: key}) }
+
+// Leave hands the records over to other routers before this one ends.
+func (o *Origins) Leave() { o.update(origin.LeaveMsg{Now: o.deps.StateMachine.Now()}) }
+
+// Lookup returns what is known of the version that began a stream. It takes a few milliseconds, or
+// origin.LookupTimeout at most.
+func (o *Origins) Lookup(ctx context.Context, service string, key origin.Key) origin.Resolution {
+	result := make(chan origin.Resolution, 1)
+	isolated := o.peers.isolated()
+	o.mu.Lock()
+	o.updateVersions()
+	o.lastID++
+	id := o.lastID
+	o.waiting[id] = result
+	o.execute(o.machine.Update(origin.LookupMsg{Now: o.deps.StateMachine.Now(), ID: id, Service: service, Key: key, Isolated: isolated}))
+	o.mu.Unlock()
+	select {
+	case resolution := <-result:
+		return resolution
+	case <-ctx.Done():
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.waiting, id)
+		return origin.Resolution{}
+	}
+}
+
+// Keep returns the versions that the source should keep, by service, and whether they are complete.
+func (o *Origins) Keep() (map[string][]string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.machine.Keep()
+}
+
+// Stored delivers the versions that the source keeps, or the error of reading them.
+func (o *Origins) Stored(stored []origin.StoredVersions, err error) {
+	services := make(map[string][]string, len(stored))
+	for _, s := range stored {
+		services[s.Service] = s.Versions
+	}
+	o.update(origin.StoredMsg{Now: o.deps.StateMachine.Now(), Services: services, Err: err})
+}
+
+// setRouters sets the other live routers that keep records.
+func (o *Origins) setRouters(routers []origin.Router) {
+	paths := make(map[string]traffic.Path, len(routers))
+	for _, r := range routers {
+		paths[r.Address] = o.place.PathTo(traffic.Place{Hall: r.Hall, Region: r.Region})
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.paths = paths
+	o.execute(o.machine.Update(origin.RoutersMsg{Routers: routers}))
+}
+
+// tick sends ticks to the machine until ctx ends.
+func (o *Origins) tick(ctx context.Context) error {
+	ticker := time.NewTicker(origin.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			o.update(origin.TickMsg{Now: o.deps.StateMachine.Now()})
+		}
+	}
+}
+
+// receive handles datagrams until ctx ends.
+func (o *Origins) receive(ctx context.Context) error { return o.conn.receive(ctx, o.handle) }
+
+// handle handles one datagram.
+func (o *Origins) handle(body []byte) error {
+	m, err := decodeOrigin(body)
+	if err != nil {
+		return err
+	}
+	records, err := m.records()
+	if err != nil {
+		return err
+	}
+	now := o.deps.StateMachine.Now()
+	if len(records) > 0 {
+		o.update(origin.RecordsMsg{Now: now, Records: records})
+	}
+	if q := m.Query; q != nil {
+		o.update(origin.QueryMsg{Now: now, From: m.From, Query: origin.Query{Number: q.Number, Service: q.Service, Key: origin.Key(q.Key)}})
+	}
+	if a := m.Answer; a != nil {
+		o.update(origin.AnswerMsg{Now: now, From: m.From, Answer: origin.Answer{
+			Number: a.Number, Service: a.Service, Found: a.Found, Version: a.Version, Versions: a.Versions, Complete: a.Complete,
+		}})
+	}
+	return nil
+}
+
+// update passes a message to the machine and executes its commands.
+func (o *Origins) update(msg origin.Msg) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.updateVersions()
+	o.execute(o.machine.Update(msg))
+}
+
+// updateVersions tells the machine the versions of a newer list of servers. o.mu must be held.
+func (o *Origins) updateVersions() {
+	list := o.deps.Feeds.Servers.Newest()
+	if list == nil || list.Revision == o.serversRevision {
+		return
+	}
+	o.serversRevision = list.Revision
+	o.execute(o.machine.Update(origin.ListedMsg{Now: o.deps.StateMachine.Now(), Services: listedVersions(list.Servers)}))
+}
+
+// listedVersions returns the versions of the servers, by service.
+func listedVersions(servers []direct.Server) map[string][]string {
+	out := make(map[string][]string)
+	for _, s := range servers {
+		if !slices.Contains(out[s.Service], s.Version) {
+			out[s.Service] = append(out[s.Service], s.Version)
+		}
+	}
+	return out
+}
+
+// execute executes commands. o.mu must be held.
+func (o *Origins) execute(cmds []origin.Cmd) {
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case origin.RecordsCmd:
+			o.send(cmd.To, packOriginRecords(cmd.Records))
+		case origin.QueryCmd:
+			q := cmd.Query
+			o.send(cmd.To, originMessage{From: o.self, Query: &originQuery{Number: q.Number, Service: q.Service, Key: uint64(q.Key)}})
+		case origin.AnswerCmd:
+			a := cmd.Answer
+			o.send(cmd.To, originMessage{From: o.self, Answer: &originAnswer{
+				Number: a.Number, Service: a.Service, Found: a.Found, Version: a.Version, Versions: a.Versions, Complete: a.Complete,
+			}})
+		case origin.ReadStoredCmd:
+			go o.readStored()
+		case origin.ResolvedCmd:
+			if result := o.waiting[cmd.ID]; result != nil {
+				delete(o.waiting, cmd.ID)
+				result <- cmd.Resolution
+			}
+		}
+	}
+}
+
+// readStored reads the versions that the source keeps.
+func (o *Origins) readStored() {
+	ctx, cancel := context.WithTimeout(context.Background(), storedVersionsTimeout)
+	defer cancel()
+	o.deps.Stats.CountSourceCall("versions")
+	stored, err := o.deps.Versions.ReadVersions(ctx)
+	if err != nil {
+		o.deps.Log.Event("versions_unread").Err(err).Msg("")
+	}
+	o.Stored(stored, err)
+}
+
+// send sends a message to another router.
+func (o *Origins) send(to string, m originMessage) {
+	body, err := encodeOrigin(m)
+	if err != nil {
+		o.deps.Stats.DatagramFailed()
+		return
+	}
+	path, ok := o.paths[to]
+	if !ok {
+		path = traffic.BetweenHalls // of a router that no longer counts as live, or not yet
+	}
+	o.conn.send(to, path, body)
+}
--- a/gateway/cluster/peer.go
+++ b/gateway/cluster/peer.go
@@ -22,7 +22,9 @@
 	added       time.Duration
 	restartedAt time.Duration // when a heartbeat with a later start was first received; 0: never
 	revisions   feed.Revisions
-	live        bool // as of the last heartbeat or round
+	// keepsOrigins reports that the router keeps records of the versions that began streams.
+	keepsOrigins bool
+	live         bool // as of the last heartbeat or round
 }
 
 // heardWithin reports whether the last heartbeat of the peer is at most limit old.
--- a/gateway/cluster/peers.go
+++ b/gateway/cluster/peers.go
@@ -11,6 +11,7 @@
 	"github.com/croftvale/croftvale/gateway/pressure"
 	"github.com/croftvale/croftvale/gateway/traffic"
 	"github.com/croftvale/croftvale/loads"
+	"github.com/croftvale/croftvale/origin"
 )
 
 // forgetPeerAfter is how long a peer without heartbeats is kept.
@@ -33,8 +34,9 @@
 	targetRevisions    feed.Revisions // newest revisions of live peers at behindSince
 	behindSince        time.Duration  // when this router last had all revisions of its peers
 	known              map[string]*peer
-	newlyLive          []string             // routers that became live since the last round
-	onLive             func([]loads.Router) // receives the live routers
+	newlyLive          []string              // routers that became live since the last round
+	onLive             func([]loads.Router)  // receives the live routers
+	onOrigins          func([]origin.Router) // receives the live routers that keep records of streams
 	power              float64
 	detector           *detector.Detector
 	behind             chan struct{} // signals that a peer has a newer revision
@@ -45,7 +47,7 @@
 		self: s.Self.Address, power: s.Power, detector: detector.New(s.Self.Address, incarnationOf(s.startNanos)),
 		place: s.place(), deps: deps, disabledMechanisms: s.DisabledMechanisms,
 		seedCount: len(s.Seeds), isSeed: s.isSeed(), startupWait: s.startupWait(), known: make(map[string]*peer),
-		behind: make(chan struct{}, 1),
+		behind: make(chan struct{}, 1), onLive: func([]loads.Router) {}, onOrigins: func([]origin.Router) {},
 	}
 }
 
@@ -86,11 +88,15 @@
 	timeout := p.peerTimeoutLocked()
 	var lost, dead []string
 	var alive []loads.Router
+	var origins []origin.Router
 	var hall pressure.Hall
 	for address, peer := range p.known {
 		age := now - max(peer.lastHeard, peer.added)
 		if p.isAlive(peer, now, timeout) {
 			alive = append(alive, loads.Router{Address: address, Hall: peer.place.Hall, Region: peer.place.Region, Power: peer.power})
+			if peer.keepsOrigins {
+				origins = append(origins, origin.Router{Address: address, Hall: peer.place.Hall, Region: peer.place.Region, Start: peer.startNanos})
+			}
 			if peer.place.Hall == p.place.Hall {
 				countPeer(&hall, peer)
 			}
@@ -117,6 +123,7 @@
 	p.newlyLive = nil
 	targets = pickTargets(targets, dead)
 	p.onLive(alive)
+	p.onOrigins(origins)
 	// A late router may not have read its datagrams yet, so it keeps the previous state.
 	if !p.deps.Pressure.Slow() {
 		p.deps.Pressure.SetHall(hall)
@@ -152,6 +159,7 @@
 	peer.sourceLost = b.SourceLost
 	peer.place = traffic.Place{Hall: b.Hall, Region: b.Region}
 	peer.power, peer.shed, peer.yields = b.Power, b.Shed, b.Yields
+	peer.keepsOrigins = b.Extension.Origins
 	if !peer.live {
 		peer.live = true
 		p.newlyLive = append(p.newlyLive, b.Address)
--- a/gateway/cluster/peers_test.go
+++ b/gateway/cluster/peers_test.go
@@ -14,6 +14,7 @@
 	"github.com/croftvale/croftvale/gateway/pressure"
 	"github.com/croftvale/croftvale/gateway/stats"
 	"github.com/croftvale/croftvale/loads"
+	"github.com/croftvale/croftvale/origin"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -63,7 +64,8 @@
 	m.start = m.start.Add(-time.Minute)
 	p := &Peers{
 		self: self, known: make(map[string]*peer), detector: detector.New(self, 1),
-		deps: Dependencies{StateMachine: m, Feeds: newTestFeeds(nil, m), Pressure: &pressure.Gauge{}},
+		deps:   Dependencies{StateMachine: m, Feeds: newTestFeeds(nil, m), Pressure: &pressure.Gauge{}},
+		onLive: func([]loads.Router) {}, onOrigins: func([]origin.Router) {},
 	}
 	for _, o := range others {
 		o.live, o.lastHeard = true, m.Now()
--- a/gateway/cluster/settings.go
+++ b/gateway/cluster/settings.go
@@ -16,6 +16,7 @@
 	Power              float64  // cores that the process may use
 	Peers              string   // address to listen on for heartbeats
 	Loads              string   // address to listen on for loads
+	Origins            string   // address to listen on for the versions that began streams
 	Seeds              []string // control addresses of some routers
 	FirstStart         bool     // the whole fleet starts for the first time
 	DisabledMechanisms direct.DisabledMechanisms
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -19,6 +19,15 @@
 	Resumes      string // id of the attempt that brought the first event of the stream; empty: not given
 }
 
+// firstAttempt returns the id of the attempt that began what the request asks for: its own, or the
+// one whose stream it takes up. It is empty if the caller does not name that one.
+func (i *RequestInfo) firstAttempt() string {
+	if i.AfterEvent == "" {
+		return i.ID
+	}
+	return i.Resumes
+}
+
 // CallInfo holds what a router sends to a server in the headers of a request.
 type CallInfo struct {
 	TimeLeft   time.Duration
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -47,6 +47,7 @@
 	start := time.Now()
 	g.front.draining.Store(true)
 	g.log.Event("drain").Int64("active", g.front.active.Load()).Msg("")
+	g.cluster.Origins.Leave()
 	grace := time.Duration(g.grace.Load())
 	if grace <= 0 {
 		grace = defaultGrace
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -40,6 +40,7 @@
 	body        []byte
 	memory      memory.Account         // for the body, and for a response that is buffered before it is forwarded
 	fingerprint quarantine.Fingerprint // 0 until the body has been read
+	stream      streamOrigin
 	start       time.Duration
 	age         time.Duration // estimated time since the caller's first try; 0: this may be it
 	deadline    time.Duration
@@ -74,6 +75,8 @@
 		OutputTokens: x.info.OutputTokens,
 		Parts:        x.info.Parts,
 		Fingerprint:  x.fingerprint,
+		Version:      x.stream.version,
+		Resumed:      x.stream.isResuming,
 	}
 }
 
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -53,7 +54,9 @@
 	conns      *callerConns
 	ages       ageEstimator
 	outcomes   outcomeCounters
-	hall       string         // data hall of this router
+	hall       string  // data hall of this router
+	origins    origins // which versions began streams
+	resuming   resumingStreams
 	traffic    *traffic.Meter // bytes of requests
 	// maxEventDelay is the longest time that an event may take to reach its caller.
 	maxEventDelay time.Duration
@@ -81,6 +84,11 @@
 		f.reject(w, r, *refused)
 		return
 	}
+	if refused = x.resolveOrigin(); refused != nil {
+		f.reject(w, r, *refused)
+		return
+	}
+	defer x.endResumption()
 	if cmd, refusedEarly := f.core.checkAdmission(x.request()); refusedEarly {
 		x.lastSend.PlacementBasis.Share = cmd.Share
 		x.refuse(string(cmd.Reason), cmd.RetryAfter)
@@ -127,7 +135,7 @@
 	}
 	x := &exchange{
 		front: f, w: w, r: r, ctx: r.Context(), info: info, route: route,
-		service: table.Service(route, info.ID), regions: direct.RegionsOf(route.Regions), priority: route.Priority, start: start,
+		service: table.Service(route, cmp.Or(info.firstAttempt(), info.ID)), regions: direct.RegionsOf(route.Regions), priority: route.Priority, start: start,
 	}
 	if table.HasTeams() {
 		team := table.Team(info.TeamKey)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,7 +79,7 @@
 		core: g.core, feeds: g.feeds, dialect: dialect, log: g.log, stats: g.stats,
 		pool:       backend.NewPool(backend.Options{DialTimeout: dialTimeout, AckTimeout: serverSilenceTimeout, MaxIdlePerAddress: maxIdlePerServer}),
 		sendQueues: queues, conns: newCallerConns(maxCallers(s.Descriptors), s.Cores, queues), maxEventDelay: s.MaxEventDelay,
-		hall: s.Zone, traffic: g.traffic.Meter(traffic.Requests),
+		hall: s.Zone, traffic: g.traffic.Meter(traffic.Requests), origins: g.cluster.Origins,
 	}
 	g.core.probe = (&prober{core: g.core, pool: g.front.pool}).probe
 	g.server = &http.Server{
@@ -95,7 +95,7 @@
 	s := g.settings
 	feeds := feed.Options{Source: g.source, StateMachine: g.core, Log: g.log, Stats: g.stats, EvacuationDeadline: s.MaxEvacuationTime}
 	deps := cluster.Dependencies{
-		StateMachine: g.core, Pressure: &g.core.pressure, Registry: g.source, Log: g.log, Stats: g.stats, Traffic: g.traffic,
+		StateMachine: g.core, Pressure: &g.core.pressure, Registry: g.source, Versions: g.source, Log: g.log, Stats: g.stats, Traffic: g.traffic,
 	}
 	if s.RolloutBounds.Enabled() {
 		g.rollouts = rollouts.NewRunner(rollouts.Options{
@@ -148,6 +148,7 @@
 	if g.core.disabled.Enabled(direct.Quarantine) {
 		tasks = append(tasks, newQuarantineRecorder(g.core, g.source, g.cluster.Peers.Leads, g.log).run)
 	}
+	tasks = append(tasks, newVersionRecorder(g.cluster.Origins, g.source, g.cluster.Peers.Leads, g.log).run)
 	if g.rollouts != nil {
 		tasks = append(tasks, func(ctx context.Context) error { return g.rollouts.Run(ctx, g.cluster.Peers) })
 	}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -44,7 +44,7 @@
 		e.Str("content", x.fingerprint.String())
 	}
 	if x.info.AfterEvent != "" {
-		e.Str("resumes", x.info.Resumes).Str("after_event", x.info.AfterEvent)
+		e.Str("resumes", x.info.Resumes).Str("after_event", x.info.AfterEvent).Str("begun_at", x.stream.version).Bool("recorded", x.stream.recorded)
 	}
 	if x.lastEventID != 0 {
 		e.Int64("last_event", x.lastEventID)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -22,6 +22,7 @@
 	ControlAddress string // for pulls of other routers
 	PeersAddress   string // for heartbeats of other routers, as datagrams
 	LoadsAddress   string // for loads of other routers, as datagrams
+	OriginsAddress string // for the versions that began streams, as datagrams of other routers
 	MetricsAddress string // empty: metrics are not served
 
 	Seeds         []string // control addresses of some routers
@@ -48,6 +49,6 @@
 func (s Settings) cluster() cluster.Settings {
 	return cluster.Settings{
 		Self: cluster.Member{Name: s.Name, Address: s.Address}, Hall: s.Zone, Region: s.ownRegion(), Power: s.Cores,
-		Peers: s.PeersAddress, Loads: s.LoadsAddress, Seeds: s.Seeds, FirstStart: s.FirstStart, DisabledMechanisms: s.DisabledMechanisms,
+		Peers: s.PeersAddress, Loads: s.LoadsAddress, Origins: s.OriginsAddress, Seeds: s.Seeds, FirstStart: s.FirstStart, DisabledMechanisms: s.DisabledMechanisms,
 	}
 }
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -7,10 +7,11 @@
 )
 
 // Source provides the state that all routers share and the list of other routers, and
-// stores records of rollouts and quarantine.
+// stores records of rollouts, quarantine and versions.
 type Source interface {
 	feed.Source
 	cluster.Registry
 	rollouts.Store
 	QuarantineStore
+	VersionStore
 }
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/origin"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -83,6 +84,11 @@
 	s.counter(counterKey{"rejected", "", reason}).Inc(1)
 }
 
+// StreamResumed counts a request that takes a stream up, by what is known of its origin.
+func (s *Stats) StreamResumed(c origin.Certainty) {
+	s.counter(counterKey{"streams_resumed", "", c.String()}).Inc(1)
+}
+
 // ServerNotice counts the notices in a server's response.
 func (s *Stats) ServerNotice(n direct.Notice) {
 	if n.Leaving {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -104,6 +104,7 @@
 	if !a.forwarding {
 		a.forwarding = true
 		a.reportResponse(true)
+		a.x.recordOrigin(a.cmd.Server.Version)
 	}
 	a.countBytes(len(event.raw))
 	if _, err := a.x.w.Write(event.raw); err != nil {
@@ -126,6 +127,7 @@
 	if !a.x.headSent {
 		return a.endWithoutResponse(direct.Broken)
 	}
+	a.x.forgetOrigin()
 	a.x.finish(resultServed, http.StatusOK, "")
 	return direct.Done, true
 }
--- /dev/null
+++ b/gateway/streamorigin.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/origin"
+)
+
+const (
+	// reasonOriginUnknown is the reason to refuse a caller that takes up a stream which servers of
+	// several versions may have begun.
+	reasonOriginUnknown = "origin_unknown"
+	// originRetryAfter is the retry delay for such callers. By then, records that were on their way
+	// have arrived, and routers that do not answer count as lost.
+	originRetryAfter = time.Second
+	// resumeGrace is how long after its deadline a stream may still be taken up.
+	resumeGrace = 10 * time.Second
+)
+
+// origins tells which version of the servers began a stream.
+type origins interface {
+	Begun(service string, r origin.Record)
+	Ended(key origin.Key)
+	Lookup(ctx context.Context, service string, key origin.Key) origin.Resolution
+}
+
+// streamOrigin holds what is known of the origin of an exchange's stream. The zero value is that of
+// a request that nobody can take up.
+type streamOrigin struct {
+	key        origin.Key
+	resumable  bool   // another request can take the stream up, by its key
+	version    string // that began the stream; empty: any may serve it
+	recorded   bool   // there is a record of the stream
+	isResuming bool   // the exchange holds the key in resumingStreams
+}
+
+// resolveOrigin restricts a request that takes a stream up to the version that began it. It returns
+// a refusal if several versions may have.
+func (x *exchange) resolveOrigin() *refusal {
+	if x.route.Kind != direct.Stream || !x.route.MayRepeat() {
+		return nil
+	}
+	attemptID := x.info.firstAttempt()
+	x.stream.key = origin.KeyOf(x.service, x.team, attemptID)
+	x.stream.resumable = attemptID != ""
+	if x.info.AfterEvent == "" {
+		return nil
+	}
+	resolution := x.front.origins.Lookup(x.ctx, x.service, x.stream.key)
+	x.front.stats.StreamResumed(resolution.Certainty)
+	if resolution.Certainty == origin.Unknown {
+		return &refusal{http.StatusServiceUnavailable, reasonOriginUnknown, originRetryAfter}
+	}
+	x.stream.version = resolution.Version
+	x.stream.recorded = resolution.Certainty == origin.Recorded
+	x.stream.isResuming = x.stream.recorded && x.front.resuming.begin(x.stream.key)
+	return nil
+}
+
+// endResumption ends what resolveOrigin began.
+func (x *exchange) endResumption() {
+	if x.stream.isResuming {
+		x.front.resuming.end(x.stream.key)
+	}
+}
+
+// recordOrigin records which version serves the stream, before its caller gets an event.
+func (x *exchange) recordOrigin(version string) {
+	if x.stream.resumable {
+		x.front.origins.Begun(x.service, origin.Record{Key: x.stream.key, Version: version, Lifetime: x.streamLifetime()})
+	}
+}
+
+// streamLifetime returns how long the stream may be taken up: until its caller gives up, which may
+// be later than the route's timeout for one attempt.
+func (x *exchange) streamLifetime() time.Duration {
+	callerDeadline := x.start + min(x.info.TimeLeft, origin.MaxLifetime)
+	return max(x.deadline, callerDeadline) - x.front.core.Now() + resumeGrace
+}
+
+// forgetOrigin forgets a stream that its caller has received to the end.
+func (x *exchange) forgetOrigin() {
+	if x.stream.resumable {
+		x.front.origins.Ended(x.stream.key)
+	}
+}
+
+// resumingStreams holds the streams that are being taken up at this router. A stream is admitted like
+// a retry only once at a time, so that its record does not admit other work of its team. The zero
+// value is ready to use.
+type resumingStreams struct {
+	mu   sync.Mutex
+	keys map[origin.Key]bool
+}
+
+// begin adds a stream and reports whether it was not being taken up already.
+func (s *resumingStreams) begin(key origin.Key) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keys[key] {
+		return false
+	}
+	if s.keys == nil {
+		s.keys = make(map[origin.Key]bool)
+	}
+	s.keys[key] = true
+	return true
+}
+
+func (s *resumingStreams) end(key origin.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.keys, key)
+}
--- a/gateway/traffic/counter.go
+++ b/gateway/traffic/counter.go
@@ -14,6 +14,7 @@
 	Requests   Kind = "requests"   // request bodies and responses between this router and servers
 	Heartbeats Kind = "heartbeats" // sent to other routers
 	Loads      Kind = "loads"      // load lists, sent to other routers
+	Origins    Kind = "origins"    // which version began a stream, sent to other routers
 )
 
 // Counter holds the meters of a router, one for each kind of traffic.
--- /dev/null
+++ b/gateway/versions.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/gateway/cluster"
+	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/internal/wait"
+	"github.com/croftvale/croftvale/origin"
+)
+
+const (
+	// versionsInterval is the time between checks for versions that the source should keep. The
+	// record of a new version must be there before the servers of the earlier ones have gone.
+	versionsInterval = 250 * time.Millisecond
+	// versionsRetryDelay is the delay after a failed call, and versionsTimeout bounds one.
+	versionsRetryDelay = time.Second
+	versionsTimeout    = 1500 * time.Millisecond
+)
+
+// ErrVersionsChanged is returned for a write that was decided on outdated versions.
+var ErrVersionsChanged = errors.New("another router has changed the stored versions: they are read again")
+
+// VersionStore keeps the versions whose streams may still be taken up.
+type VersionStore interface {
+	cluster.StoredVersions
+	// WriteVersions replaces the versions of a service if their revision is still the given one,
+	// and returns ErrVersionsChanged otherwise. It returns the new revision.
+	WriteVersions(ctx context.Context, v origin.StoredVersions) (uint64, error)
+}
+
+// versionKeeper knows the versions that the source should keep.
+type versionKeeper interface {
+	Keep() (map[string][]string, bool)
+	Stored([]origin.StoredVersions, error)
+}
+
+// versionRecorder writes the versions that the source should keep while its router is the leader.
+type versionRecorder struct {
+	keeper versionKeeper
+	store  VersionStore
+	leads  func() bool
+	log    *eventlog.Log
+	stored map[string]origin.StoredVersions // by service; nil: to be read
+}
+
+func newVersionRecorder(k versionKeeper, s VersionStore, leads func() bool, l *eventlog.Log) *versionRecorder {
+	return &versionRecorder{keeper: k, store: s, leads: leads, log: l}
+}
+
+// run writes the versions until ctx ends.
+func (r *versionRecorder) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait.Sleep(ctx, versionsInterval)
+		if !r.step(ctx) {
+			wait.Sleep(ctx, versionsRetryDelay)
+		}
+	}
+	return nil
+}
+
+// step updates the source if this router is the leader. It reports whether all calls succeeded.
+func (r *versionRecorder) step(ctx context.Context) bool {
+	if !r.leads() {
+		r.stored = nil
+		return true
+	}
+	if err := r.update(ctx); err != nil {
+		r.log.Event("versions_write").Err(err).Msg("")
+		r.stored = nil
+		return false
+	}
+	return true
+}
+
+// update makes the source keep what it should.
+func (r *versionRecorder) update(ctx context.Context) error {
+	if r.stored == nil {
+		if err := r.read(ctx); err != nil {
+			return err
+		}
+	}
+	keep, complete := r.keeper.Keep()
+	if !complete {
+		return nil // what was read has not been taken in yet
+	}
+	for service, versions := range keep {
+		if err := r.write(ctx, service, versions); err != nil {
+			return err
+		}
+	}
+	for service := range r.stored {
+		if keep[service] != nil {
+			continue
+		}
+		if err := r.write(ctx, service, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// read reads what the source keeps.
+func (r *versionRecorder) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, versionsTimeout)
+	defer cancel()
+	all, err := r.store.ReadVersions(ctx)
+	if err != nil {
+		return err
+	}
+	r.stored = make(map[string]origin.StoredVersions)
+	for _, v := range all {
+		r.stored[v.Service] = v
+	}
+	r.keeper.Stored(all, nil)
+	return nil
+}
+
+// write makes the source keep versions of a service, or none, if they differ from what it keeps.
+func (r *versionRecorder) write(ctx context.Context, service string, versions []string) error {
+	old := r.stored[service]
+	if slices.Equal(old.Versions, versions) && (len(versions) > 0 || old.Revision == 0) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, versionsTimeout)
+	defer cancel()
+	revision, err := r.store.WriteVersions(ctx, origin.StoredVersions{Service: service, Versions: versions, Revision: old.Revision})
+	if err != nil {
+		return err
+	}
+	r.log.Event("versions_write").Str("service", service).Strs("versions", versions).Msg("")
+	if len(versions) == 0 {
+		delete(r.stored, service)
+		return nil
+	}
+	r.stored[service] = origin.StoredVersions{Service: service, Versions: versions, Revision: revision}
+	return nil
+}
--- /dev/null
+++ b/origin/holders.go
@@ -0,0 +1,108 @@
+package origin
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// copies is the number of routers that hold the record of a stream, besides the one that
+	// serves it.
+	copies = 2
+	// extraAsked is the number of further routers that are asked for a record, since routers do
+	// not always agree on who is live.
+	extraAsked = 2
+)
+
+// Router is a router that keeps records.
+type Router struct {
+	Address string
+	Hall    string
+	Region  string // empty: unknown
+	// Start identifies the life of the router: one that has restarted holds nothing.
+	Start int64
+
+	hash uint64 // of the address
+}
+
+// weight returns the weight of a router for a stream in rendezvous hashing.
+func (r *Router) weight(key Key) uint64 {
+	x := r.hash ^ uint64(key)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// hashed returns a copy of routers with their hashes, sorted by address.
+func hashed(routers []Router) []Router {
+	out := slices.Clone(routers)
+	for i := range out {
+		out[i].hash = xxhash.Sum64String(out[i].Address)
+	}
+	slices.SortFunc(out, func(a, b Router) int {
+		if a.Address < b.Address {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// first returns the router with the highest weight among those that are eligible, or nil.
+func first(key Key, routers []Router, eligible func(*Router) bool) *Router {
+	var best *Router
+	var bestWeight uint64
+	for i := range routers {
+		r := &routers[i]
+		if weight := r.weight(key); (best == nil || weight > bestWeight) && eligible(r) {
+			best, bestWeight = r, weight
+		}
+	}
+	return best
+}
+
+// holders returns the routers that hold the record of a stream, in order: the first, and the first
+// of another hall, as a hall may be lost as a whole.
+func holders(key Key, routers []Router) []*Router {
+	var out []*Router
+	for range copies {
+		next := first(key, routers, func(r *Router) bool { return !contains(out, r) && (len(out) == 0 || r.Hall != out[0].Hall) })
+		if next == nil {
+			next = first(key, routers, func(r *Router) bool { return !contains(out, r) })
+		}
+		if next == nil {
+			return out
+		}
+		out = append(out, next)
+	}
+	return out
+}
+
+// asked returns the routers to ask for a record: its holders, and those after them.
+func asked(key Key, routers []Router) []*Router {
+	out := holders(key, routers)
+	for range extraAsked {
+		next := first(key, routers, func(r *Router) bool { return !contains(out, r) })
+		if next == nil {
+			break
+		}
+		out = append(out, next)
+	}
+	return out
+}
+
+func contains(routers []*Router, r *Router) bool {
+	return slices.ContainsFunc(routers, func(other *Router) bool { return other.Address == r.Address && other.Start == r.Start })
+}
+
+// byRegion groups routers by region.
+func byRegion(routers []Router) map[string][]Router {
+	out := make(map[string][]Router)
+	for _, r := range routers {
+		out[r.Region] = append(out[r.Region], r)
+	}
+	return out
+}
--- /dev/null
+++ b/origin/messages.go
@@ -0,0 +1,103 @@
+package origin
+
+import "time"
+
+// Msg is an event for a Machine. Its Now is the time since the process started, from the monotonic
+// clock.
+type Msg interface{ isMsg() }
+
+// BegunMsg reports that the caller of a stream is about to get its first event from this router.
+type BegunMsg struct {
+	Now     time.Duration
+	Service string
+	Record  Record
+}
+
+// EndedMsg reports that a stream has been delivered to its end, so that nobody takes it up.
+type EndedMsg struct{ Key Key }
+
+// LookupMsg asks for the version that began a stream. A ResolvedCmd with the same ID follows, at
+// once or within LookupTimeout.
+type LookupMsg struct {
+	Now     time.Duration
+	ID      uint64
+	Service string
+	Key     Key
+	// Isolated reports that this router reaches neither other routers nor the source, so that
+	// versions may have come and gone without its knowledge.
+	Isolated bool
+}
+
+// RoutersMsg delivers the other live routers that keep records.
+type RoutersMsg struct{ Routers []Router }
+
+// ListedMsg delivers the versions that have servers, by service.
+type ListedMsg struct {
+	Now      time.Duration
+	Services map[string][]string
+}
+
+// StoredMsg delivers the versions that the source keeps for the case that all routers restart, by
+// service. Err is set if they could not be read.
+type StoredMsg struct {
+	Now      time.Duration
+	Services map[string][]string
+	Err      error
+}
+
+// RecordsMsg delivers records of another router.
+type RecordsMsg struct {
+	Now     time.Duration
+	Records []Record
+}
+
+// QueryMsg is another router's question about a stream.
+type QueryMsg struct {
+	Now   time.Duration
+	From  string
+	Query Query
+}
+
+// AnswerMsg is another router's answer to a question of this one.
+type AnswerMsg struct {
+	Now    time.Duration
+	From   string
+	Answer Answer
+}
+
+// LeaveMsg reports that this router is shutting down.
+type LeaveMsg struct{ Now time.Duration }
+
+// TickMsg advances the time. Send it every TickInterval.
+type TickMsg struct{ Now time.Duration }
+
+func (BegunMsg) isMsg()   {}
+func (EndedMsg) isMsg()   {}
+func (LookupMsg) isMsg()  {}
+func (RoutersMsg) isMsg() {}
+func (ListedMsg) isMsg()  {}
+func (StoredMsg) isMsg()  {}
+func (RecordsMsg) isMsg() {}
+func (QueryMsg) isMsg()   {}
+func (AnswerMsg) isMsg()  {}
+func (LeaveMsg) isMsg()   {}
+func (TickMsg) isMsg()    {}
+
+// Query asks which version began a stream.
+type Query struct {
+	Number  uint64 // chosen by the router that asks
+	Service string
+	Key     Key
+}
+
+// Answer answers a Query.
+type Answer struct {
+	Number  uint64
+	Service string
+	Found   bool   // there is a record of the stream
+	Version string // empty: routers contradict one another
+	// Versions are those that may have begun streams of the service which can still be taken up.
+	// Complete reports that none is missing.
+	Versions []string
+	Complete bool
+}
--- /dev/null
+++ b/origin/record.go
@@ -0,0 +1,36 @@
+package origin
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MaxLifetime is the longest time for which a stream can be taken up after it has begun.
+	MaxLifetime = 10 * time.Minute
+	// MinLifetime is the shortest lifetime of a record.
+	MinLifetime = time.Second
+)
+
+// Key identifies a stream in the fleet.
+type Key uint64
+
+// KeyOf returns the key of the stream whose first event came with an attempt. A team cannot name the
+// streams of another one.
+func KeyOf(service, team, attemptID string) Key {
+	var d xxhash.Digest
+	for _, part := range []string{service, team, attemptID} {
+		_, _ = d.WriteString(part) // a hash never fails
+		_, _ = d.Write([]byte{0})
+	}
+	return Key(d.Sum64())
+}
+
+// Record tells which version began a stream.
+type Record struct {
+	Key     Key
+	Version string
+	// Lifetime is how long the stream may still be taken up.
+	Lifetime time.Duration
+}
