A stream that is taken up is not queued behind new requests

What callers saw: a caller that takes its stream up has less time left than a first try, so the router took it for a request that can hardly meet its objective any more, and put it behind new ones. The objective counts to the first event, which such a stream has had.

Change: a recorded stream is never late.

--- a/direct/arrival.go
+++ b/direct/arrival.go
@@ -14,7 +14,7 @@
 
 func (m *Machine) newRequestState(now time.Duration, request Request) *requestState {
 	r := &requestState{Request: request, arrivedAt: now}
-	r.late = m.enabled(NewFirst) && float64(r.Age) > lateAgeFraction*float64(r.Objective)
+	r.late = m.enabled(NewFirst) && !r.Resumed && float64(r.Age) > lateAgeFraction*float64(r.Objective)
 	return r
 }
 
--- a/direct/requeststate.go
+++ b/direct/requeststate.go
@@ -25,7 +25,7 @@
 	shareRatio     float64       // its team's rate as a fraction of the configured share
 	placement      placement
 	observed       observation
-	late           bool    // repeated by its caller so late that it can hardly meet its objective
+	late           bool    // repeated by its caller so late that it can hardly meet its objective; not a stream that it takes up
 	throttled      bool    // its team's token bucket has nothing for it
 	teamServedRate float64 // its team's rate, for the order of the queue
 }
--- a/direct/version_test.go
+++ b/direct/version_test.go
@@ -245,3 +245,23 @@
 	require.True(t, ok)
 	require.Equal(t, "v2", c.Server.Version)
 }
+
+// TestResumedStreamIsAdmittedLikeARetry verifies that a team which has used up its tokens can still
+// have its streams continued, and that these are not queued behind new requests.
+func TestResumedStreamIsAdmittedLikeARetry(t *testing.T) {
+	h := newVersionHarness(t, 2, "v1", "v2")
+	h.m.team("red").tokenBucket = tokenBucket{rate: 1000, tokens: -1e9}
+	h.m.teamLimits = teamLimits{baseLevel: 1000, level: 1000, evenCap: 1000}
+	request := func(resumed bool) Request {
+		r := h.request("red")
+		r.Version, r.Resumed, r.Age = "v1", resumed, 10*time.Second
+		return r
+	}
+	_, throttled := findCmd[RefuseCmd](h.arrive(request(false)))
+	require.True(t, throttled)
+	_, throttled = findCmd[RefuseCmd](h.m.Update(AdmissionCheckMsg{Now: h.now, Request: request(true)}))
+	require.False(t, throttled)
+	require.Contains(t, []string{"v1-0", "v1-1"}, h.sent(h.arrive(request(true))))
+	require.False(t, h.m.newRequestState(h.now, request(true)).late)
+	require.True(t, h.m.newRequestState(h.now, request(false)).late)
+}
