A stalled stream is not cut while no other server could continue it

What callers saw: a stream whose server paused for more than 0.8 s was cut, to go on at another server, also where its version has no other one; so it was lost, though its server might have gone on. Since a stream goes on only at its version, that is the rule rather than the exception while a release is under way.

Change: the router watches for such a pause only while another server could continue the stream (checked twice in the time that it waits).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -40,10 +40,14 @@
 	conn      *backend.Conn
 	stopWatch func() bool // stops watching whether the caller leaves
 	// forwarding is set once the first event of a stream has been forwarded.
-	forwarding  bool
-	path        traffic.Path
-	connRefused bool // the server's host refused the connection
-	dialOverdue bool // this process ran too late to connect
+	forwarding bool
+	path       traffic.Path
+	// canContinue reports whether another server could continue the stream, as of
+	// continuationCheckedAt.
+	canContinue           bool
+	continuationCheckedAt time.Duration
+	connRefused           bool // the server's host refused the connection
+	dialOverdue           bool // this process ran too late to connect
 }
 
 // countBytes counts bytes sent to the server or received from it.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -67,7 +67,7 @@
 // setStallDeadline sets how long the server may stay silent.
 func (a *attempt) setStallDeadline() {
 	timeLeft := a.x.deadline - a.x.front.core.Now()
-	if a.mayRetry() && a.x.headSent {
+	if a.x.headSent && a.mayContinueElsewhere() {
 		timeLeft = min(timeLeft, max(minStreamStall, streamStallPauseFactor*a.x.route.Pause))
 	} else if timeout, bounded := a.stallTimeout(timeLeft); bounded && !a.x.headSent {
 		timeLeft = timeout
@@ -75,6 +75,24 @@
 	_ = a.conn.SetReadDeadline(time.Now().Add(timeLeft)) // it fails on a closed connection, which the next read reports
 }
 
+// continuationCheckInterval is the time between two checks for a server that could continue a
+// stream. It is shorter than any stall timeout of a stream.
+const continuationCheckInterval = minStreamStall / 2
+
+// mayContinueElsewhere reports whether another server could continue the stream. If none could, the
+// attempt waits for a silent server: a stream that arrives late is better than one that is cut.
+func (a *attempt) mayContinueElsewhere() bool {
+	if !a.mayRetry() {
+		return false
+	}
+	now := a.x.front.core.Now()
+	if a.continuationCheckedAt == 0 || now-a.continuationCheckedAt >= continuationCheckInterval {
+		a.continuationCheckedAt = now
+		a.canContinue = a.x.front.core.canContinueElsewhere(a.x.id)
+	}
+	return a.canContinue
+}
+
 // mayRetry reports whether the route allows another attempt after this one.
 func (a *attempt) mayRetry() bool {
 	return a.x.route.MayRepeat() && a.cmd.Attempt < a.x.route.Attempts
