Streams begin at versions that have more than one server, where these are as good

What callers would see: a stream that begins at the only server of its version can't go on anywhere if that server fails. A placement cost of 25 ms keeps resumable streams away from such servers while another version has several; all other requests, and streams when the others are busy, go there as before. During a roll-out the gate alone decides on versions.

--- a/direct/gate.go
+++ b/direct/gate.go
@@ -48,6 +48,7 @@
 	g := p.gate
 	if g == nil {
 		p.admitted = p.all
+		p.markSoleServers()
 		return
 	}
 	g.old, g.target, g.closing = nil, nil, nil
@@ -72,6 +73,7 @@
 		s.versionBarred = false
 	}
 	p.assignCohorts()
+	p.markSoleServers()
 }
 
 // isTarget reports whether a server has the target version.
--- a/direct/place.go
+++ b/direct/place.go
@@ -23,6 +23,9 @@
 	// within one region, and several times the price per byte.
 	regionCost = 12.0
 	copyCost   = 25.0 // for a server other than the preferred holder of the part
+	// soleVersionCost is for a stream that begins at the only server of its version: if that server
+	// fails, no other can continue the stream.
+	soleVersionCost = 25.0
 	// rankCost is the fraction of a part's read cost by which servers without the part differ
 	// in cost, so that all routers copy it to the same one.
 	rankCost = 0.25
@@ -165,6 +168,9 @@
 	late := min(max((firstMS/objectiveMS-lateRiskFrom)/(lateRiskTo-lateRiskFrom), 0), 1)
 	cost := lateCost*late + missCost*float64(missTokens) + waitCost*waitMS + slotCost*float64(s.totalRunning())
 	cost += m.distance(s)
+	if s.soleOfVersion && r.beginsResumableStream() {
+		cost += soleVersionCost
+	}
 	if preferred != nil && s != preferred {
 		cost += copyPlacementCost(r, s, missTokens)
 	}
--- a/direct/requeststate.go
+++ b/direct/requeststate.go
@@ -36,4 +36,10 @@
 // isFirstTry reports whether no server has worked on the request, or on the stream that it takes up.
 func (r *requestState) isFirstTry() bool { return r.attempt == 0 && !r.Resumed }
 
+// beginsResumableStream reports whether the request begins a stream that other servers of the same
+// version can continue.
+func (r *requestState) beginsResumableStream() bool {
+	return r.Kind == Stream && r.MayRepeat && r.Version == ""
+}
+
 func (r *requestState) hasTried(id string) bool { return slices.Contains(r.triedServers, id) }
--- a/direct/server.go
+++ b/direct/server.go
@@ -49,6 +49,7 @@
 	respondedAt   time.Duration // of the last response to this router
 	target        bool          // runs the version that is rolled out
 	versionBarred bool          // its version gets no requests at present
+	soleOfVersion bool          // no other available server has its version, though others have more
 	cohort        string        // that its responses count for; see cohortOf
 
 	running       int        // requests of this router
--- a/direct/version_test.go
+++ b/direct/version_test.go
@@ -265,3 +265,33 @@
 	require.False(t, h.m.newRequestState(h.now, request(true)).late)
 	require.True(t, h.m.newRequestState(h.now, request(false)).late)
 }
+
+// TestStreamsAvoidTheLastServerOfAVersion verifies that streams begin at versions with several
+// servers, where these are as good, and other requests wherever they would.
+func TestStreamsAvoidTheLastServerOfAVersion(t *testing.T) {
+	h := newHarness(t, 0)
+	d := versionDirectory(2, 4, "v1")
+	last := versionDirectory(2, 1, "v2").Servers[0]
+	d.Servers = append(d.Servers, last)
+	h.list(d)
+	begun := func(repeatable bool) int {
+		n := 0
+		for range 200 {
+			r := h.request("red")
+			r.MayRepeat = repeatable
+			if h.sent(h.arrive(r)) == last.ID {
+				n++
+			}
+			h.complete(r.ID)
+			h.advance(TickInterval)
+		}
+		return n
+	}
+	require.Zero(t, begun(true))
+	require.Positive(t, begun(false))
+
+	d.Revision++
+	d.Servers = append(d.Servers, Server{ID: "v2-1", Service: "llm", Zone: "a", Version: "v2", Slots: 48})
+	h.list(d)
+	require.Positive(t, begun(true))
+}
