Long roll-outs leave old servers up to eight seconds to finish their streams

Since streams no longer move to the target, those that still run at old servers when an order is completed are lost. The last stage took .08 of an order's time, but no more than 2.4 s; now it takes the same part up to 8 s, so orders of more than 30 s leave more time. The part of an order's requests that a version may get which turns bad in the last stage stays that of orders of 30 s. TestRolloutLeavesTimeForStreams (new); all tests of package rollout pass, with their bounds on exposure unchanged.

--- a/rollout/snapshot_test.go
+++ b/rollout/snapshot_test.go
@@ -55,3 +55,12 @@
 		require.Less(t, p.rejectAt, p.deadline, within)
 	}
 }
+
+// TestRolloutLeavesTimeForStreams verifies that the time in which old servers finish their streams
+// grows with the order, up to several seconds.
+func TestRolloutLeavesTimeForStreams(t *testing.T) {
+	for within, least := range map[time.Duration]time.Duration{30 * time.Second: 2400 * time.Millisecond, time.Minute: 4800 * time.Millisecond, 10 * time.Minute: 8 * time.Second} {
+		p := newTimeline(within)
+		require.GreaterOrEqual(t, p.writeAt-p.stageAt(All), least, within)
+	}
+}
--- a/rollout/timeline.go
+++ b/rollout/timeline.go
@@ -9,11 +9,11 @@
 	minMargin      = 800 * time.Millisecond
 	maxMargin      = 2 * time.Second
 	// The drain is the time in which old servers finish their requests before `completed` stops
-	// them: most responses of a few seconds end by themselves. It is no longer than that, since
-	// a version that turns bad during this time gets all requests.
+	// them. Streams can't go on at the target, so those that take longer are lost. It is a fraction
+	// of the order, since a version that turns bad during this time gets all requests.
 	drainFraction = 0.08
 	minDrain      = 1200 * time.Millisecond
-	maxDrain      = 2400 * time.Millisecond
+	maxDrain      = 8 * time.Second
 	// The ramp is short, as a version that is bad only under load costs most there, but each of
 	// its steps is long enough to show that.
 	rampFraction = 0.06
