--- a/direct/candidates.go
+++ b/direct/candidates.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/croftvale/croftvale/internal/rendezvous"
 )
 
 // candidate is a server that may receive a request, with its score.
@@ -94,11 +96,4 @@
 }
 
 // rendezvousWeight returns the weight of a server for a part in rendezvous hashing.
-func rendezvousWeight(part uint64, s *server) uint64 {
-	x := s.idHash ^ part
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
+func rendezvousWeight(part uint64, s *server) uint64 { return rendezvous.Weight(s.idHash, part) }
--- a/origin/holders.go
+++ b/origin/holders.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/croftvale/croftvale/internal/rendezvous"
 )
 
 const (
@@ -27,14 +29,7 @@
 }
 
 // weight returns the weight of a router for a stream in rendezvous hashing.
-func (r *Router) weight(key Key) uint64 {
-	x := r.hash ^ uint64(key)
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
+func (r *Router) weight(key Key) uint64 { return rendezvous.Weight(r.hash, uint64(key)) }
 
 // hashed returns a copy of routers with their hashes, sorted by address.
 func hashed(routers []Router) []Router {
@@ -42,12 +37,7 @@
 	for i := range out {
 		out[i].hash = xxhash.Sum64String(out[i].Address)
 	}
-	slices.SortFunc(out, func(a, b Router) int {
-		if a.Address < b.Address {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Router) int { return strings.Compare(a.Address, b.Address) })
 	return out
 }
 
