Routers' records of streams: no ticks while there is nothing to send

The machine of package origin was woken fifty times a second, also in fleets with one version, where it has nothing to do; each wake-up costs processor time. It now ticks each 20 ms while records, questions or changes of the routers are pending, and once a second otherwise.

--- a/gateway/cluster/origins.go
+++ b/gateway/cluster/origins.go
@@ -8,6 +8,7 @@
 
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/traffic"
+	"github.com/croftvale/croftvale/internal/wait"
 	"github.com/croftvale/croftvale/origin"
 )
 
@@ -33,6 +34,7 @@
 	paths   map[string]traffic.Path             // by address, to the routers that keep records
 	waiting map[uint64]chan<- origin.Resolution // lookups in progress
 	lastID  uint64
+	wake    chan struct{} // signals that the machine is no longer idle
 	// serversRevision is the revision of the list of servers that the machine knows.
 	serversRevision uint64
 }
@@ -41,7 +43,7 @@
 	self := origin.Router{Address: s.Self.Address, Hall: s.Hall, Region: s.Region, Start: s.startNanos}
 	return &Origins{
 		self: s.Self.Address, conn: conn, peers: p, place: s.place(), deps: deps,
-		machine: origin.NewMachine(self, s.FirstStart), waiting: make(map[uint64]chan<- origin.Resolution),
+		machine: origin.NewMachine(self, s.FirstStart), waiting: make(map[uint64]chan<- origin.Resolution), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -67,6 +69,7 @@
 	id := o.lastID
 	o.waiting[id] = result
 	o.execute(o.machine.Update(origin.LookupMsg{Now: o.deps.StateMachine.Now(), ID: id, Service: service, Key: key, Isolated: isolated}))
+	o.wakeUp()
 	o.mu.Unlock()
 	select {
 	case resolution := <-result:
@@ -105,20 +108,25 @@
 	defer o.mu.Unlock()
 	o.paths = paths
 	o.execute(o.machine.Update(origin.RoutersMsg{Routers: routers}))
+	o.wakeUp()
 }
 
 // tick sends ticks to the machine until ctx ends.
 func (o *Origins) tick(ctx context.Context) error {
-	ticker := time.NewTicker(origin.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			o.update(origin.TickMsg{Now: o.deps.StateMachine.Now()})
+	for ctx.Err() == nil {
+		if o.idle() {
+			wait.Until(ctx, o.wake, origin.IdleInterval)
 		}
+		wait.Sleep(ctx, origin.TickInterval)
+		o.update(origin.TickMsg{Now: o.deps.StateMachine.Now()})
 	}
+	return nil
+}
+
+func (o *Origins) idle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.machine.Idle()
 }
 
 // receive handles datagrams until ctx ends.
@@ -155,6 +163,14 @@
 	defer o.mu.Unlock()
 	o.updateVersions()
 	o.execute(o.machine.Update(msg))
+	o.wakeUp()
+}
+
+// wakeUp ends the wait of an idle machine that has something to do. o.mu must be held.
+func (o *Origins) wakeUp() {
+	if !o.machine.Idle() {
+		notify(o.wake)
+	}
 }
 
 // updateVersions tells the machine the versions of a newer list of servers. o.mu must be held.
--- a/origin/fleet_test.go
+++ b/origin/fleet_test.go
@@ -431,7 +431,7 @@
 	require.Equal(t, 9*maxLookups, refused)
 	m.Update(TickMsg{Now: time.Second + LookupTimeout})
 	require.Empty(t, m.lookups)
-	m.Update(TickMsg{Now: time.Second + MaxLifetime + expiryInterval})
+	m.Update(TickMsg{Now: time.Second + MaxLifetime + IdleInterval})
 	require.Empty(t, m.records.entries)
 	require.Empty(t, m.records.order)
 }
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -10,8 +10,9 @@
 	// TickInterval is the time between two ticks, and so the longest time that a record waits to
 	// be sent.
 	TickInterval = 20 * time.Millisecond
-	// expiryInterval is the time between two removals of expired state.
-	expiryInterval = time.Second
+	// IdleInterval is the time between two ticks of an idle machine, and between two removals of
+	// expired state.
+	IdleInterval = time.Second
 	// maxRecordsPerMessage keeps a message within one packet of an Ethernet network.
 	maxRecordsPerMessage = 100
 	// resharedPerTick bounds the records that are checked in one tick after a change of the
@@ -204,7 +205,7 @@
 	m.advanceLookups(now)
 	m.reshare(now)
 	m.flush()
-	if now-m.expiredAt >= expiryInterval {
+	if now-m.expiredAt >= IdleInterval {
 		m.expiredAt = now
 		m.records.expire(now)
 		m.versions.expire(now)
@@ -222,6 +223,11 @@
 	}
 }
 
+// Idle reports whether nothing is to be done for an IdleInterval.
+func (m *Machine) Idle() bool {
+	return len(m.outgoing) == 0 && len(m.lookups) == 0 && len(m.unchecked) == 0
+}
+
 // Keep returns the versions that the source should keep, by service: those of services whose streams
 // may have begun at several. It returns false until the versions are complete.
 func (m *Machine) Keep() (map[string][]string, bool) {
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -68,7 +68,8 @@
 // LeaveMsg reports that this router is shutting down.
 type LeaveMsg struct{ Now time.Duration }
 
-// TickMsg advances the time. Send it every TickInterval.
+// TickMsg advances the time. Send it every TickInterval, or every IdleInterval while the machine is
+// idle.
 type TickMsg struct{ Now time.Duration }
 
 func (BegunMsg) isMsg()   {}
