Routers no longer renew versions that have gone for one another

What callers would see: after a release, streams without a record would be refused for good, though only one version is left, and records would be sent for ever. An answer named the versions that count, and whoever heard it let them count for another ten minutes, and named them in turn; versions read from the store were renewed the same way by each router that started.

Change: answers say how long each version still counts, and versions that a router knows only from the store are not passed on (it then doesn't claim to know all).

--- a/gateway/cluster/originmessage.go
+++ b/gateway/cluster/originmessage.go
@@ -36,6 +36,8 @@
 	Found    bool     `msgpack:"o,omitempty"`
 	Version  string   `msgpack:"v,omitempty"`
 	Versions []string `msgpack:"l,omitempty"`
+	// Left holds how long each of Versions still counts, in units of lifetimeUnit.
+	Left     []uint16 `msgpack:"t,omitempty"`
 	Complete bool     `msgpack:"c,omitempty"`
 }
 
@@ -85,6 +87,29 @@
 	return m
 }
 
+// packOriginAnswer encodes an answer.
+func packOriginAnswer(a origin.Answer) *originAnswer {
+	out := &originAnswer{Number: a.Number, Service: a.Service, Found: a.Found, Version: a.Version, Complete: a.Complete}
+	for _, v := range a.Versions {
+		out.Versions = append(out.Versions, v.Name)
+		out.Left = append(out.Left, uint16(min(v.Left, origin.MaxLifetime)/lifetimeUnit))
+	}
+	return out
+}
+
+// unpack returns the answer. A version without a time counts as if its servers had just gone.
+func (a *originAnswer) unpack() origin.Answer {
+	out := origin.Answer{Number: a.Number, Service: a.Service, Found: a.Found, Version: a.Version, Complete: a.Complete}
+	for i, name := range a.Versions {
+		left := origin.MaxLifetime
+		if i < len(a.Left) {
+			left = time.Duration(a.Left[i]) * lifetimeUnit
+		}
+		out.Versions = append(out.Versions, origin.RecentVersion{Name: name, Left: left})
+	}
+	return out
+}
+
 // records returns the records of a message.
 func (m *originMessage) records() ([]origin.Record, error) {
 	out := make([]origin.Record, 0, len(m.Records)/originRowSize)
--- a/gateway/cluster/origins.go
+++ b/gateway/cluster/origins.go
@@ -150,9 +150,7 @@
 		o.update(origin.QueryMsg{Now: now, From: m.From, Query: origin.Query{Number: q.Number, Service: q.Service, Key: origin.Key(q.Key)}})
 	}
 	if a := m.Answer; a != nil {
-		o.update(origin.AnswerMsg{Now: now, From: m.From, Answer: origin.Answer{
-			Number: a.Number, Service: a.Service, Found: a.Found, Version: a.Version, Versions: a.Versions, Complete: a.Complete,
-		}})
+		o.update(origin.AnswerMsg{Now: now, From: m.From, Answer: a.unpack()})
 	}
 	return nil
 }
@@ -204,10 +202,7 @@
 			q := cmd.Query
 			o.send(cmd.To, originMessage{From: o.self, Query: &originQuery{Number: q.Number, Service: q.Service, Key: uint64(q.Key)}})
 		case origin.AnswerCmd:
-			a := cmd.Answer
-			o.send(cmd.To, originMessage{From: o.self, Answer: &originAnswer{
-				Number: a.Number, Service: a.Service, Found: a.Found, Version: a.Version, Versions: a.Versions, Complete: a.Complete,
-			}})
+			o.send(cmd.To, originMessage{From: o.self, Answer: packOriginAnswer(cmd.Answer)})
 		case origin.ReadStoredCmd:
 			go o.readStored()
 		case origin.ResolvedCmd:
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -86,7 +86,8 @@
 // answer answers another router's question.
 func (m *Machine) answer(msg QueryMsg) {
 	q := msg.Query
-	a := Answer{Number: q.Number, Service: q.Service, Versions: m.versions.of(q.Service), Complete: m.versions.isComplete(q.Service)}
+	a := Answer{Number: q.Number, Service: q.Service}
+	a.Versions, a.Complete = m.versions.tell(msg.Now, q.Service)
 	if e, ok := m.records.get(msg.Now, q.Key); ok {
 		a.Found, a.Version = true, e.version
 	}
@@ -101,10 +102,7 @@
 		return
 	}
 	delete(l.unanswered, msg.From)
-	m.versions.merge(msg.Now, a.Service, a.Versions)
-	if a.Complete {
-		m.versions.setComplete(a.Service)
-	}
+	m.versions.hear(msg.Now, a.Service, a.Versions, a.Complete)
 	m.updateSharing(msg.Now)
 	switch {
 	case a.Found:
@@ -133,8 +131,8 @@
 // onlyVersion returns the resolution of a stream of a service with a single version.
 func (m *Machine) onlyVersion(service string) Resolution {
 	r := Resolution{Certainty: Inferred}
-	for version := range m.versions.services[service] {
-		r.Version = version
+	if versions := m.versions.of(service); len(versions) > 0 {
+		r.Version = versions[0]
 	}
 	return r
 }
@@ -179,7 +177,9 @@
 func (m *Machine) handleStored(msg StoredMsg) {
 	m.reading = false
 	for service, versions := range msg.Services {
-		m.versions.merge(msg.Now, service, versions)
+		for _, version := range versions {
+			m.versions.stored.add(service, version, msg.Now+versionRetention)
+		}
 	}
 	m.versions.complete = m.versions.complete || msg.Err == nil
 	m.updateSharing(msg.Now)
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -45,7 +45,7 @@
 // fleet starts for the first time, so that no stream can have begun before.
 func NewMachine(self Router, firstStart bool) *Machine {
 	return &Machine{
-		self: self, versions: recentVersions{complete: firstStart}, sharing: make(map[string]bool),
+		self: self, versions: newRecentVersions(firstStart), sharing: make(map[string]bool),
 		outgoing: make(map[string][]Record), lookups: make(map[uint64]*lookup),
 	}
 }
@@ -93,7 +93,7 @@
 func (m *Machine) begin(msg BegunMsg) {
 	r := msg.Record
 	m.records.put(msg.Now, r.Key, entry{version: r.Version, expiresAt: msg.Now + clampLifetime(r.Lifetime), service: msg.Service})
-	m.versions.add(msg.Service, r.Version, msg.Now+versionRetention)
+	m.versions.known.add(msg.Service, r.Version, msg.Now+versionRetention)
 	m.updateSharing(msg.Now)
 	if m.sharing[msg.Service] {
 		m.share(msg.Now, r.Key)
@@ -141,7 +141,7 @@
 // updateSharing begins to share the records of services that have come to have several versions, and
 // ends that for those with one. Streams that began while there was one are shared then.
 func (m *Machine) updateSharing(now time.Duration) {
-	for service := range m.versions.services {
+	for _, service := range m.versions.services() {
 		several := m.versions.several(service)
 		if several && !m.sharing[service] {
 			m.shareAll(now, service)
@@ -232,7 +232,7 @@
 // may have begun at several. It returns false until the versions are complete.
 func (m *Machine) Keep() (map[string][]string, bool) {
 	out := make(map[string][]string)
-	for service := range m.versions.services {
+	for _, service := range m.versions.services() {
 		if m.versions.several(service) {
 			out[service] = m.versions.of(service)
 		}
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -99,6 +99,12 @@
 	Version string // empty: routers contradict one another
 	// Versions are those that may have begun streams of the service which can still be taken up.
 	// Complete reports that none is missing.
-	Versions []string
+	Versions []RecentVersion
 	Complete bool
 }
+
+// RecentVersion is a version whose streams can still be taken up.
+type RecentVersion struct {
+	Name string
+	Left time.Duration // how long it still counts, unless it has servers then
+}
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -17,30 +17,48 @@
 // listed is the expiry of a version that has servers.
 const listed = time.Duration(math.MaxInt64)
 
-// recentVersions holds, for each service, the versions that may have begun streams which can still
-// be taken up, with the time until which each of them counts.
+// versionTimes holds, by service and version, the time until which a version counts.
+type versionTimes map[string]map[string]time.Duration
+
+func (v versionTimes) add(service, version string, until time.Duration) {
+	if v[service] == nil {
+		v[service] = make(map[string]time.Duration)
+	}
+	v[service][version] = max(v[service][version], until)
+}
+
+func (v versionTimes) expire(now time.Duration) {
+	for service, versions := range v {
+		maps.DeleteFunc(versions, func(_ string, until time.Duration) bool { return until <= now })
+		if len(versions) == 0 {
+			delete(v, service)
+		}
+	}
+}
+
+// recentVersions holds the versions that may have begun streams which can still be taken up. Create
+// one with newRecentVersions.
 type recentVersions struct {
-	services map[string]map[string]time.Duration
+	// known are the versions of which this router, or one that told it, has seen servers. stored
+	// are those that the source keeps: since when their servers have gone is not known, so they
+	// are not passed on, or routers would keep renewing them for one another.
+	known, stored versionTimes
 	// complete is set once the versions of all services include those from before the start of
 	// this router; completeOf holds services for which this is known.
 	complete   bool
 	completeOf map[string]bool
 }
 
+func newRecentVersions(complete bool) recentVersions {
+	return recentVersions{known: make(versionTimes), stored: make(versionTimes), complete: complete, completeOf: make(map[string]bool)}
+}
+
 // isComplete reports whether no version of a service is missing.
 func (v *recentVersions) isComplete(service string) bool { return v.complete || v.completeOf[service] }
 
-// setComplete records that no version of a service is missing.
-func (v *recentVersions) setComplete(service string) {
-	if v.completeOf == nil {
-		v.completeOf = make(map[string]bool)
-	}
-	v.completeOf[service] = true
-}
-
 // setListed sets the versions that have servers, by service.
 func (v *recentVersions) setListed(now time.Duration, services map[string][]string) {
-	for service, versions := range v.services {
+	for service, versions := range v.known {
 		for version, until := range versions {
 			if until == listed && !slices.Contains(services[service], version) {
 				versions[version] = now + versionRetention
@@ -49,43 +67,64 @@
 	}
 	for service, versions := range services {
 		for _, version := range versions {
-			v.add(service, version, listed)
+			v.known.add(service, version, listed)
 		}
 	}
 }
 
-// merge adds versions of a service that another router, or the source, knows of.
-func (v *recentVersions) merge(now time.Duration, service string, versions []string) {
-	for _, version := range versions {
-		v.add(service, version, now+versionRetention)
-	}
+// expire drops versions that count no longer.
+func (v *recentVersions) expire(now time.Duration) {
+	v.known.expire(now)
+	v.stored.expire(now)
 }
 
-func (v *recentVersions) add(service, version string, until time.Duration) {
-	if v.services == nil {
-		v.services = make(map[string]map[string]time.Duration)
-	}
-	if v.services[service] == nil {
-		v.services[service] = make(map[string]time.Duration)
+// of returns the versions of a service in order.
+func (v *recentVersions) of(service string) []string {
+	all := slices.Collect(maps.Keys(v.known[service]))
+	for version := range v.stored[service] {
+		if _, known := v.known[service][version]; !known {
+			all = append(all, version)
+		}
 	}
-	v.services[service][version] = max(v.services[service][version], until)
+	slices.Sort(all)
+	return all
 }
 
-// expire drops versions that count no longer.
-func (v *recentVersions) expire(now time.Duration) {
-	for service, versions := range v.services {
-		maps.DeleteFunc(versions, func(_ string, until time.Duration) bool { return until <= now })
-		if len(versions) == 0 {
-			delete(v.services, service)
+// several reports whether streams of a service may have begun at several versions.
+func (v *recentVersions) several(service string) bool { return len(v.of(service)) > 1 }
+
+// services returns the services that have recent versions, in order.
+func (v *recentVersions) services() []string {
+	all := slices.Collect(maps.Keys(v.known))
+	for service := range v.stored {
+		if v.known[service] == nil {
+			all = append(all, service)
 		}
 	}
+	slices.Sort(all)
+	return all
 }
 
-// of returns some versions of a service, in order; all of them if they are few.
-func (v *recentVersions) of(service string) []string {
-	all := slices.Sorted(maps.Keys(v.services[service]))
-	return all[:min(len(all), maxVersions)]
+// tell returns what this router can tell of a service: some versions, all if they are few, and
+// whether none is missing.
+func (v *recentVersions) tell(now time.Duration, service string) ([]RecentVersion, bool) {
+	var out []RecentVersion
+	for _, version := range slices.Sorted(maps.Keys(v.known[service])) {
+		left := min(v.known[service][version]-now, versionRetention)
+		if len(out) < maxVersions && left > 0 {
+			out = append(out, RecentVersion{Name: version, Left: left})
+		}
+	}
+	complete := v.isComplete(service) && len(v.of(service)) == len(v.known[service])
+	return out, complete
 }
 
-// several reports whether streams of a service may have begun at several versions.
-func (v *recentVersions) several(service string) bool { return len(v.services[service]) > 1 }
+// hear adds what another router has told of a service.
+func (v *recentVersions) hear(now time.Duration, service string, versions []RecentVersion, complete bool) {
+	for _, version := range versions {
+		v.known.add(service, version.Name, now+min(version.Left, versionRetention))
+	}
+	if complete {
+		v.completeOf[service] = true
+	}
+}
