Streams that are taken up go first among waiting requests, like retries

The queue served retries first, but a stream that its caller takes up at another router waited in the order of new requests, though half of its work is done and only servers of one version can do the rest. TestResumedStreamsAreServedFirst (new).

--- a/direct/queue.go
+++ b/direct/queue.go
@@ -46,13 +46,13 @@
 	}
 }
 
-// sort orders the requests: first retries, then by higher priority, teams within their share,
+// sort orders the requests: first retries and streams that are taken up, then by higher priority, teams within their share,
 // requests that are not late already, the team that is served least, and the earliest end of the
 // waiting time.
 func (q *queue) sort() {
 	slices.SortStableFunc(q.waiting, func(a, b *requestState) int {
 		return cmp.Or(
-			-cmp.Compare(min(a.attempt, 1), min(b.attempt, 1)),
+			compareBool(a.isFirstTry(), b.isFirstTry()),
 			cmp.Compare(a.Priority, b.Priority),
 			compareBool(a.shareRatio > 1, b.shareRatio > 1),
 			compareBool(a.late, b.late),
--- a/direct/version_test.go
+++ b/direct/version_test.go
@@ -295,3 +295,26 @@
 	h.list(d)
 	require.Positive(t, begun(true))
 }
+
+// TestResumedStreamsAreServedFirst verifies that a stream that is taken up goes before new requests
+// that wait for a slot of the same server.
+func TestResumedStreamsAreServedFirst(t *testing.T) {
+	h := newVersionHarness(t, 1, "v1")
+	var running []RequestID
+	for range 48 {
+		r := h.request("red")
+		r.PromptTokens = 10
+		h.sent(h.arrive(r))
+		h.m.Update(FirstEventMsg{Now: h.now, ID: r.ID})
+		running = append(running, r.ID)
+	}
+	fresh := h.request("red")
+	fresh.PromptTokens, fresh.Priority = 10, 0
+	require.Empty(t, h.arrive(fresh))
+	resumed := h.request("red")
+	resumed.PromptTokens, resumed.Version, resumed.Resumed = 10, "v1", true
+	require.Empty(t, h.arrive(resumed))
+	c, ok := findCmd[SendCmd](h.end(running[0], Done, false))
+	require.True(t, ok)
+	require.Equal(t, resumed.ID, c.ID)
+}
