--- a/origin/holders.go
+++ b/origin/holders.go
@@ -96,3 +96,17 @@
 	}
 	return out
 }
+
+// ofRegion returns the routers of a region, or all if these are too few.
+func ofRegion(region string, routers []Router) []Router {
+	var out []Router
+	for _, r := range routers {
+		if r.Region == region {
+			out = append(out, r)
+		}
+	}
+	if len(out) < copies {
+		return routers
+	}
+	return out
+}
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -98,7 +98,7 @@
 func (m *Machine) handleAnswer(msg AnswerMsg) {
 	a := msg.Answer
 	l := m.lookups[a.Number]
-	if l == nil || !l.unanswered[msg.From] || l.query.Service != a.Service {
+	if l == nil || l.query.Service != a.Service {
 		return
 	}
 	delete(l.unanswered, msg.From)
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -1,10 +1,6 @@
 package origin
 
-import (
-	"maps"
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// TickInterval is the time between two ticks, and so the longest time that a record waits to
@@ -13,11 +9,6 @@
 	// IdleInterval is the time between two ticks of an idle machine, and between two removals of
 	// expired state.
 	IdleInterval = time.Second
-	// maxRecordsPerMessage keeps a message within one packet of an Ethernet network.
-	maxRecordsPerMessage = 100
-	// resharedPerTick bounds the records that are checked in one tick after a change of the
-	// routers.
-	resharedPerTick = 256
 )
 
 // Machine decides which records one router keeps, sends and asks for. Create one with NewMachine.
@@ -107,100 +98,6 @@
 	}
 }
 
-// share queues a record for its holders.
-func (m *Machine) share(now time.Duration, key Key) {
-	e, ok := m.records.get(now, key)
-	if !ok || e.version == "" {
-		return
-	}
-	for _, h := range holders(key, m.home) {
-		m.queue(now, h.Address, key, e)
-	}
-	e.shared = true
-	m.records.entries[key] = e
-}
-
-func (m *Machine) queue(now time.Duration, to string, key Key, e entry) {
-	m.outgoing[to] = append(m.outgoing[to], Record{Key: key, Version: e.version, Lifetime: e.expiresAt - now})
-}
-
-// ofRegion returns the routers of a region, or all if these are too few.
-func ofRegion(region string, routers []Router) []Router {
-	var out []Router
-	for _, r := range routers {
-		if r.Region == region {
-			out = append(out, r)
-		}
-	}
-	if len(out) < copies {
-		return routers
-	}
-	return out
-}
-
-// updateSharing begins to share the records of services that have come to have several versions, and
-// ends that for those with one. Streams that began while there was one are shared then.
-func (m *Machine) updateSharing(now time.Duration) {
-	for _, service := range m.versions.services() {
-		several := m.versions.several(service)
-		if several && !m.sharing[service] {
-			m.shareAll(now, service)
-		}
-		m.sharing[service] = several
-	}
-}
-
-// shareAll shares the records of a service's streams that this router serves or served.
-func (m *Machine) shareAll(now time.Duration, service string) {
-	for _, key := range m.records.order {
-		if e, ok := m.records.get(now, key); ok && !e.shared && e.service == service {
-			m.share(now, key)
-		}
-	}
-}
-
-// setRouters sets the other routers that keep records. Records whose holders have changed are sent
-// to the new ones with the next ticks.
-func (m *Machine) setRouters(routers []Router) {
-	routers = hashed(routers)
-	if slices.Equal(routers, m.routers) {
-		return
-	}
-	if len(m.unchecked) == 0 {
-		m.previousHome = m.home
-	}
-	m.routers, m.home = routers, ofRegion(m.self.Region, routers)
-	m.unchecked = slices.Clone(m.records.order)
-}
-
-// reshare sends some of the records whose holders have changed to their new holders.
-func (m *Machine) reshare(now time.Duration) {
-	n := min(len(m.unchecked), resharedPerTick)
-	for _, key := range m.unchecked[:n] {
-		e, ok := m.records.get(now, key)
-		if !ok || !e.shared || e.version == "" {
-			continue
-		}
-		old := holders(key, m.previousHome)
-		for _, h := range holders(key, m.home) {
-			if !contains(old, h) {
-				m.queue(now, h.Address, key, e)
-			}
-		}
-	}
-	m.unchecked = m.unchecked[n:]
-}
-
-// leave sends all records to the routers that hold them without this one.
-func (m *Machine) leave(now time.Duration) {
-	for _, key := range m.records.order {
-		if e, ok := m.records.get(now, key); ok && e.shared {
-			m.share(now, key)
-		}
-	}
-	m.flush()
-}
-
 func (m *Machine) tick(now time.Duration) {
 	m.advanceLookups(now)
 	m.reshare(now)
@@ -213,16 +110,6 @@
 	}
 }
 
-// flush sends the queued records.
-func (m *Machine) flush() {
-	for _, to := range slices.Sorted(maps.Keys(m.outgoing)) {
-		for records := range slices.Chunk(m.outgoing[to], maxRecordsPerMessage) {
-			m.emit(RecordsCmd{To: to, Records: records})
-		}
-		delete(m.outgoing, to)
-	}
-}
-
 // Idle reports whether nothing is to be done for an IdleInterval.
 func (m *Machine) Idle() bool {
 	return len(m.outgoing) == 0 && len(m.lookups) == 0 && len(m.unchecked) == 0
