Servers that refuse connections no longer make their hall count as lost

Cause, from its log: when a roll-out was completed, the four old servers were stopped at once; three streams that went on there found their ports refused, three servers in a row, and the whole hall was taken for unreachable (hall_lost at 12.078, hall_reached at 12.079). Before, nothing was sent to such servers any more.

Change: a refused connection is no evidence about a hall, as for probes: its host answers, only the process has ended. TestStoppedServersAreNoLostHall failed before and passes now; halls whose servers don't answer are found as before (TestLostHall...).

--- a/direct/ending.go
+++ b/direct/ending.go
@@ -32,6 +32,11 @@
 	m.recordCrashEvidence(msg.Now, r, s, msg.Outcome)
 	m.observeEnd(p, msg, r, s)
 	p.recordEnded(r, s, msg.Outcome)
+	// A host that refuses a connection can be reached: its process has ended, which is no evidence
+	// about the other servers of its hall.
+	if msg.Outcome == Unsent && !msg.ConnRefused && !msg.RouterLate {
+		m.recordUnreachable(msg.Now, s)
+	}
 	switch {
 	case msg.Outcome == Unsent && msg.ConnRefused && s.lapsedAt > 0:
 		m.dropRefusing(msg.Now, p, s)
@@ -51,8 +56,6 @@
 	switch o {
 	case Done, Failed, NotRun, Elsewhere:
 		m.recordResponse(now, s)
-	case Unsent:
-		m.recordUnreachable(now, s)
 	}
 	switch o {
 	case Done:
--- a/direct/reach_test.go
+++ b/direct/reach_test.go
@@ -165,3 +165,23 @@
 	}
 	require.NotZero(t, h.countByHall(time.Second)["b"])
 }
+
+// TestStoppedServersAreNoLostHall guards against a hall that counts as lost because the old servers
+// of a completed rollout, which were stopped all at once, refuse the streams that they began.
+func TestStoppedServersAreNoLostHall(t *testing.T) {
+	h := newHarness(t, 0)
+	d := versionDirectory(2, 9, "v1", "v2")
+	for i := range d.Servers {
+		d.Servers[i].Zone = "a"
+	}
+	h.list(d)
+	for range 4 {
+		r := h.request("red")
+		r.Version = "v1"
+		h.sent(h.arrive(r))
+		h.m.Update(AttemptEndMsg{Now: h.now, ID: r.ID, Outcome: Unsent, ConnRefused: true})
+	}
+	r := h.request("red")
+	r.Version = "v2"
+	h.sent(h.arrive(r))
+}
