A new list of servers reaches the records of streams at once

What callers would see: streams refused as origin_unknown that began up to a second before a second version came, if their router was lost then. Cause: since the machine of origins ticks once a second while idle, a router without new streams took a new list in only then. Now with the round of heartbeats that each new list starts.

--- a/gateway/cluster/origins.go
+++ b/gateway/cluster/origins.go
@@ -107,6 +107,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.paths = paths
+	o.updateVersions() // also while this router has no streams: a new list starts a round of heartbeats
 	o.execute(o.machine.Update(origin.RoutersMsg{Routers: routers}))
 	o.wakeUp()
 }
