--- a/direct/queue.go
+++ b/direct/queue.go
@@ -46,9 +46,9 @@
 	}
 }
 
-// sort orders the requests: first retries and streams that are taken up, then by higher priority, teams within their share,
-// requests that are not late already, the team that is served least, and the earliest end of the
-// waiting time.
+// sort orders the requests: first retries and resumed streams, then by higher priority, teams within
+// their share, requests that are not late already, the team that is served least, and the earliest
+// end of the waiting time.
 func (q *queue) sort() {
 	slices.SortStableFunc(q.waiting, func(a, b *requestState) int {
 		return cmp.Or(
--- a/direct/request.go
+++ b/direct/request.go
@@ -36,7 +36,7 @@
 	// Version is the version of the servers that may continue the stream, once it has begun;
 	// empty: servers of any version may get the request.
 	Version string
-	// Resumed reports that the request takes up a stream which is known to have begun. It is
+	// Resumed reports that the request resumes a stream which is known to have begun. It is
 	// admitted like a retry: the work on its first events has been done.
 	Resumed bool
 }
--- a/direct/requeststate.go
+++ b/direct/requeststate.go
@@ -25,7 +25,7 @@
 	shareRatio     float64       // its team's rate as a fraction of the configured share
 	placement      placement
 	observed       observation
-	late           bool    // repeated by its caller so late that it can hardly meet its objective; not a stream that it takes up
+	late           bool    // repeated by its caller so late that it can hardly meet its objective; no resumed stream
 	throttled      bool    // its team's token bucket has nothing for it
 	teamServedRate float64 // its team's rate, for the order of the queue
 }
@@ -33,7 +33,7 @@
 // cost returns the cost of the request for the engines, in tokens.
 func (r *requestState) cost() float64 { return tokenCost(r.PromptTokens, r.OutputTokens) }
 
-// isFirstTry reports whether no server has worked on the request, or on the stream that it takes up.
+// isFirstTry reports whether no server has worked on the request, or on the stream that it resumes.
 func (r *requestState) isFirstTry() bool { return r.attempt == 0 && !r.Resumed }
 
 // beginsResumableStream reports whether the request begins a stream that other servers of the same
--- a/direct/version_test.go
+++ b/direct/version_test.go
@@ -57,7 +57,7 @@
 }
 
 // TestStreamWithoutItsVersionEndsAtOnce verifies that neither a broken stream nor one that its
-// caller takes up waits for a version that has no server left.
+// caller resumes waits for a version that has no server left.
 func TestStreamWithoutItsVersionEndsAtOnce(t *testing.T) {
 	h := newVersionHarness(t, 1, "v1", "v2")
 	r := h.request("red")
@@ -76,7 +76,7 @@
 	require.Positive(t, refused.RetryAfter)
 }
 
-// TestStreamWaitsForItsVersion verifies that a stream that is taken up waits for a slot at its
+// TestStreamWaitsForItsVersion verifies that a stream that is resumed waits for a slot at its
 // version while other versions have free ones, and is refused once its last server has gone.
 func TestStreamWaitsForItsVersion(t *testing.T) {
 	h := newVersionHarness(t, 1, "v1", "v2")
@@ -296,7 +296,7 @@
 	require.Positive(t, begun(true))
 }
 
-// TestResumedStreamsAreServedFirst verifies that a stream that is taken up goes before new requests
+// TestResumedStreamsAreServedFirst verifies that a stream that is resumed goes before new requests
 // that wait for a slot of the same server.
 func TestResumedStreamsAreServedFirst(t *testing.T) {
 	h := newVersionHarness(t, 1, "v1")
--- a/explain/summary.go
+++ b/explain/summary.go
@@ -22,7 +22,7 @@
 	"overload":       "no server would have met its objective",
 	"backoff":        "every available server of its service had turned a request away and asked this router to back off",
 	"no_servers":     "no server of its service could be reached, or all were out of use (evacuated, draining, failing or in a lost hall)",
-	"origin_unknown": "its caller took a stream up that servers of several versions may have begun, and no router knew which",
+	"origin_unknown": "its caller resumed a stream that servers of several versions may have begun, and no router knew which",
 	"version":        "servers of another version than the one that began its stream can't continue it, and none of that version could be reached, or all were out of use",
 	"region":         "no server of the regions that its route and its team may use could be reached, or all were out of use there",
 	"attempts":       "its route allows no further attempt",
--- a/gateway/cluster/origins.go
+++ b/gateway/cluster/origins.go
@@ -17,7 +17,7 @@
 
 // StoredVersions reads the versions that the source keeps for the case that all routers restart.
 type StoredVersions interface {
-	// ReadVersions returns the versions whose streams may still be taken up, for each service with
+	// ReadVersions returns the versions whose streams may still be resumed, for each service with
 	// several.
 	ReadVersions(ctx context.Context) ([]origin.StoredVersions, error)
 }
@@ -107,7 +107,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.paths = paths
-	o.updateVersions() // also while this router has no streams: a new list starts a round of heartbeats
+	o.updateVersions() // each new list starts a round of heartbeats
 	o.execute(o.machine.Update(origin.RoutersMsg{Routers: routers}))
 	o.wakeUp()
 }
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -20,7 +20,7 @@
 }
 
 // firstAttempt returns the id of the attempt that began what the request asks for: its own, or the
-// one whose stream it takes up. It is empty if the caller does not name that one.
+// one whose stream it resumes. It is empty if the caller does not name that one.
 func (i *RequestInfo) firstAttempt() string {
 	if i.AfterEvent == "" {
 		return i.ID
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -84,7 +84,7 @@
 	s.counter(counterKey{"rejected", "", reason}).Inc(1)
 }
 
-// StreamResumed counts a request that takes a stream up, by what is known of its origin.
+// StreamResumed counts a request that resumes a stream, by what is known of its origin.
 func (s *Stats) StreamResumed(c origin.Certainty) {
 	s.counter(counterKey{"streams_resumed", "", c.String()}).Inc(1)
 }
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// reasonOriginUnknown is the reason to refuse a caller that takes up a stream which servers of
+	// reasonOriginUnknown is the reason to refuse a caller that resumes a stream which servers of
 	// several versions may have begun.
 	reasonOriginUnknown = "origin_unknown"
 	// originRetryAfter is the retry delay for such callers. By then, records that were on their way
 	// have arrived, and routers that do not answer count as lost.
 	originRetryAfter = time.Second
-	// resumeGrace is how long after its deadline a stream may still be taken up.
+	// resumeGrace is how long after its deadline a stream may still be resumed.
 	resumeGrace = 10 * time.Second
 )
 
@@ -29,16 +29,16 @@
 }
 
 // streamOrigin holds what is known of the origin of an exchange's stream. The zero value is that of
-// a request that nobody can take up.
+// a request that nobody can resume.
 type streamOrigin struct {
 	key        origin.Key
-	resumable  bool   // another request can take the stream up, by its key
+	resumable  bool   // another request can resume the stream, by its key
 	version    string // that began the stream; empty: any may serve it
 	recorded   bool   // there is a record of the stream
 	isResuming bool   // the exchange holds the key in resumingStreams
 }
 
-// resolveOrigin restricts a request that takes a stream up to the version that began it. It returns
+// resolveOrigin restricts a request that resumes a stream to the version that began it. It returns
 // a refusal if several versions may have.
 func (x *exchange) resolveOrigin() *refusal {
 	if x.route.Kind != direct.Stream || !x.route.MayRepeat() {
@@ -75,7 +75,7 @@
 	}
 }
 
-// streamLifetime returns how long the stream may be taken up: until its caller gives up, which may
+// streamLifetime returns how long the stream may be resumed: until its caller gives up, which may
 // be later than the route's timeout for one attempt.
 func (x *exchange) streamLifetime() time.Duration {
 	callerDeadline := x.start + min(x.info.TimeLeft, origin.MaxLifetime)
@@ -89,7 +89,7 @@
 	}
 }
 
-// resumingStreams holds the streams that are being taken up at this router. A stream is admitted like
+// resumingStreams holds the streams that are being resumed at this router. A stream is admitted like
 // a retry only once at a time, so that its record does not admit other work of its team. The zero
 // value is ready to use.
 type resumingStreams struct {
@@ -97,7 +97,7 @@
 	keys map[origin.Key]bool
 }
 
-// begin adds a stream and reports whether it was not being taken up already.
+// begin adds a stream and reports whether it was not being resumed already.
 func (s *resumingStreams) begin(key origin.Key) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -24,7 +24,7 @@
 // ErrVersionsChanged is returned for a write that was decided on outdated versions.
 var ErrVersionsChanged = errors.New("another router has changed the stored versions: they are read again")
 
-// VersionStore keeps the versions whose streams may still be taken up.
+// VersionStore keeps the versions whose streams may still be resumed.
 type VersionStore interface {
 	cluster.StoredVersions
 	// WriteVersions replaces the versions of a service if their revision is still the given one,
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -89,7 +89,7 @@
 	require.Equal(t, []string{"v1", "v2"}, store.kept["llm"].Versions)
 	keeper.list(time.Second, "v2")
 	require.True(t, recorder.step(t.Context()))
-	require.Equal(t, []string{"v1", "v2"}, store.kept["llm"].Versions, "streams of v1 can still be taken up")
+	require.Equal(t, []string{"v1", "v2"}, store.kept["llm"].Versions, "streams of v1 can still be resumed")
 	require.Equal(t, 1, store.writes)
 
 	store.put("llm", "v0", "v2") // by another router that led
--- a/origin/doc.go
+++ b/origin/doc.go
@@ -1,6 +1,6 @@
 // Package origin keeps which software version of the backend servers began each stream, so that
 // every router can continue a stream at that version. What two versions write does not fit together,
-// and callers mostly take a stream up because its router was lost. So the knowledge must outlast
+// and callers mostly resume a stream because its router was lost. So the knowledge must outlast
 // that router.
 //
 // While a service has servers of several versions, a router sends a record of each stream to two
@@ -8,7 +8,7 @@
 // router that has to continue a stream knows whom to ask, whoever began it. When routers join, leave
 // or are lost, those that hold a record send it to the routers that follow in its order. A service
 // with a single version needs no records: its streams can have begun at no other. Versions count for
-// some time after their last server has gone, since their streams may still be taken up, and the
+// some time after their last server has gone, since their streams may still be resumed, and the
 // source keeps them for the case that all routers restart.
 //
 // There is no agreement: records are only added, expire by themselves, and the loss of one leads to
--- a/origin/fleet_test.go
+++ b/origin/fleet_test.go
@@ -194,7 +194,7 @@
 }
 
 // TestRecordOutlivesItsRouter guards against a stream whose version only its router knew: callers
-// mostly take streams up because their router was lost, at a moment when no other has noticed.
+// mostly resume streams because their router was lost, at a moment when no other has noticed.
 func TestRecordOutlivesItsRouter(t *testing.T) {
 	for _, size := range []int{2, 3, 5, 40} {
 		s := newFleetSim(t, size, "v1", "v2")
@@ -252,7 +252,7 @@
 	s.requireRecorded(20, "v1")
 }
 
-// TestRecordsOutliveBreaks takes one stream up again and again, each time because its router was
+// TestRecordsOutliveBreaks resumes one stream again and again, each time because its router was
 // lost, while versions come and go.
 func TestRecordsOutliveBreaks(t *testing.T) {
 	s := newFleetSim(t, 7, "v1", "v2")
@@ -291,7 +291,7 @@
 }
 
 // TestSingleVersionCostsNothing verifies that a service with one version sends no records, and that
-// its streams can be taken up anywhere, whether or not their attempt is known.
+// its streams can be resumed anywhere, whether or not their attempt is known.
 func TestSingleVersionCostsNothing(t *testing.T) {
 	s := newFleetSim(t, 5, "v1")
 	s.beginMany(s.routers[0], 50, "v1")
@@ -322,7 +322,7 @@
 	s.requireRecorded(20, "v1")
 }
 
-// TestUnknownStreamIsNotGuessed verifies that a stream without a record is taken up only if a single
+// TestUnknownStreamIsNotGuessed verifies that a stream without a record is resumed only if a single
 // version can have begun it: also after that version's last server has gone, until no such stream
 // can be left.
 func TestUnknownStreamIsNotGuessed(t *testing.T) {
@@ -407,7 +407,7 @@
 	require.Equal(t, Resolution{}, s.lookup(s.routers[0], "x"))
 }
 
-// TestStreamsOfOthersAreUnknown verifies that a team can't take up the stream of another team or
+// TestStreamsOfOthersAreUnknown verifies that a team can't resume the stream of another team or
 // service.
 func TestStreamsOfOthersAreUnknown(t *testing.T) {
 	s := newFleetSim(t, 3, "v1", "v2")
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -13,7 +13,7 @@
 	Record  Record
 }
 
-// EndedMsg reports that a stream has been delivered to its end, so that nobody takes it up.
+// EndedMsg reports that a stream has been delivered to its end, so that nobody resumes it.
 type EndedMsg struct{ Key Key }
 
 // LookupMsg asks for the version that began a stream. A ResolvedCmd with the same ID follows, at
@@ -97,13 +97,13 @@
 	Service string
 	Found   bool   // there is a record of the stream
 	Version string // empty: routers contradict one another
-	// Versions are those that may have begun streams of the service which can still be taken up.
+	// Versions are those that may have begun streams of the service which can still be resumed.
 	// Complete reports that none is missing.
 	Versions []RecentVersion
 	Complete bool
 }
 
-// RecentVersion is a version whose streams can still be taken up.
+// RecentVersion is a version whose streams can still be resumed.
 type RecentVersion struct {
 	Name string
 	Left time.Duration // how long it still counts, unless it has servers then
--- a/origin/record.go
+++ b/origin/record.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// MaxLifetime is the longest time for which a stream can be taken up after it has begun.
+	// MaxLifetime is the longest time for which a stream can be resumed after it has begun.
 	MaxLifetime = 10 * time.Minute
 	// MinLifetime is the shortest lifetime of a record.
 	MinLifetime = time.Second
@@ -31,6 +31,6 @@
 type Record struct {
 	Key     Key
 	Version string
-	// Lifetime is how long the stream may still be taken up.
+	// Lifetime is how long the stream may still be resumed.
 	Lifetime time.Duration
 }
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -8,7 +8,7 @@
 )
 
 // versionRetention is how long a version counts after its last server has gone: as long as streams
-// that it began can be taken up.
+// that it began can be resumed.
 const versionRetention = MaxLifetime
 
 // maxVersions bounds the versions in a message about a service.
@@ -36,7 +36,7 @@
 	}
 }
 
-// recentVersions holds the versions that may have begun streams which can still be taken up. Create
+// recentVersions holds the versions that may have begun streams which can still be resumed. Create
 // one with newRecentVersions.
 type recentVersions struct {
 	// known are the versions of which this router, or one that told it, has seen servers. stored
