Log lines on crashes and on requests name the shared parts of prompts

The logs of the incident can't show which part the requests under which servers crashed have in common: they name contents alone. server_crashed has the parts of its suspects now, and each line on a request its own parts, at most eight of them. No decision changes.

--- a/direct/commands.go
+++ b/direct/commands.go
@@ -71,11 +71,11 @@
 	Servers   int // known servers in the hall
 }
 
-// CrashCmd reports that a server has crashed, with the fingerprints of this router's requests
-// that it had just started. It is only logged.
+// CrashCmd reports that a server has crashed, with this router's requests that it had just
+// started. It is only logged.
 type CrashCmd struct {
 	Server   Server
-	Suspects []quarantine.Fingerprint
+	Suspects []CrashSuspect
 }
 
 // QuarantineCmd reports that requests with a fingerprint are refused from now on, or no longer.
--- a/direct/crashcheck.go
+++ b/direct/crashcheck.go
@@ -29,13 +29,23 @@
 // crashed it. A probe distinguishes a crashed server from a broken connection. The zero value
 // is ready to use.
 type crashCheck struct {
-	awaitingProbe []quarantine.Fingerprint // of broken attempts, until a probe resolves the check
-	abandoned     []abandonedRequest       // oldest first; they don't cause a probe
-	reachedAt     time.Duration            // when a probe reached the server during this check; 0: none has
+	awaitingProbe []CrashSuspect     // broken attempts, until a probe resolves the check
+	abandoned     []abandonedRequest // oldest first; they don't cause a probe
+	reachedAt     time.Duration      // when a probe reached the server during this check; 0: none has
 	crashed       bool
 	crashedAt     time.Duration // when a probe last detected a crash
 }
 
+// CrashSuspect is a request that may have crashed the server that was executing it.
+type CrashSuspect struct {
+	Fingerprint quarantine.Fingerprint
+	Parts       []PromptPart // that other requests may share
+}
+
+func (r *Request) crashSuspect() CrashSuspect {
+	return CrashSuspect{Fingerprint: r.Fingerprint, Parts: r.sharedParts()}
+}
+
 // maxAbandoned limits the abandoned requests that are kept per server: about as many as a
 // server runs at once.
 const maxAbandoned = 64
@@ -43,25 +53,25 @@
 // abandonedRequest is a request whose attempt ended on this side while its server may have
 // started to run it.
 type abandonedRequest struct {
-	fingerprint quarantine.Fingerprint
-	at          time.Duration
+	suspect CrashSuspect
+	at      time.Duration
 }
 
 // addAbandoned records a request whose caller left. If the server turns out to have crashed right
 // after that, the request is as suspect as those that broke.
-func (c *crashCheck) addAbandoned(now time.Duration, fingerprint quarantine.Fingerprint) {
+func (c *crashCheck) addAbandoned(now time.Duration, suspect CrashSuspect) {
 	c.abandoned = slices.DeleteFunc(c.abandoned, func(a abandonedRequest) bool { return now-a.at > crashWindow })
 	if len(c.abandoned) < maxAbandoned {
-		c.abandoned = append(c.abandoned, abandonedRequest{fingerprint, now})
+		c.abandoned = append(c.abandoned, abandonedRequest{suspect, now})
 	}
 }
 
 // takeAbandoned removes all abandoned requests and returns those within crashWindow.
-func (c *crashCheck) takeAbandoned(now time.Duration) []quarantine.Fingerprint {
-	var out []quarantine.Fingerprint
+func (c *crashCheck) takeAbandoned(now time.Duration) []CrashSuspect {
+	var out []CrashSuspect
 	for _, a := range c.abandoned {
 		if now-a.at <= crashWindow {
-			out = append(out, a.fingerprint)
+			out = append(out, a.suspect)
 		}
 	}
 	c.abandoned = nil
@@ -82,7 +92,7 @@
 		// late.
 		m.suspectIfCrashed(now, r, s)
 	case o == GivenUp:
-		s.crashState.addAbandoned(now, r.Fingerprint)
+		s.crashState.addAbandoned(now, r.crashSuspect())
 	}
 }
 
@@ -99,7 +109,7 @@
 		m.suspects.RecordCrash(now, r.Fingerprint, quarantine.Server(s.loadKey))
 		return
 	}
-	check.awaitingProbe = append(check.awaitingProbe, r.Fingerprint)
+	check.awaitingProbe = append(check.awaitingProbe, r.crashSuspect())
 	if len(check.awaitingProbe) == 1 {
 		m.emit(ProbeCmd{Server: s.Server})
 	}
@@ -118,17 +128,17 @@
 		m.pendingReprobes = append(m.pendingReprobes, s)
 		return false
 	}
-	fingerprints := check.awaitingProbe
+	suspects := check.awaitingProbe
 	check.awaitingProbe, check.reachedAt = nil, 0
 	if !msg.ConnRefused {
 		return false
 	}
 	check.crashed, check.crashedAt = true, msg.Now
-	fingerprints = append(fingerprints, check.takeAbandoned(msg.Now)...)
-	for _, f := range fingerprints {
-		m.suspects.RecordCrash(msg.Now, f, quarantine.Server(s.loadKey))
+	suspects = append(suspects, check.takeAbandoned(msg.Now)...)
+	for _, suspect := range suspects {
+		m.suspects.RecordCrash(msg.Now, suspect.Fingerprint, quarantine.Server(s.loadKey))
 	}
-	m.emit(CrashCmd{Server: s.Server, Suspects: fingerprints})
+	m.emit(CrashCmd{Server: s.Server, Suspects: suspects})
 	return true
 }
 
--- a/direct/request.go
+++ b/direct/request.go
@@ -58,6 +58,11 @@
 	return max(n, 0)
 }
 
+// sharedParts returns the parts of the prompt that other requests may share.
+func (r *Request) sharedParts() []PromptPart {
+	return r.Parts[:max(len(r.Parts)-1, 0)]
+}
+
 // lastShared returns the last shared part of the prompt, if there is one.
 func (r *Request) lastShared() (PromptPart, bool) {
 	if len(r.Parts) < 2 {
--- a/gateway/eventlog/events.go
+++ b/gateway/eventlog/events.go
@@ -1,6 +1,10 @@
 package eventlog
 
 import (
+	"fmt"
+	"strconv"
+	"strings"
+
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/quarantine"
 )
@@ -39,21 +43,43 @@
 	}
 }
 
-// maxNamedSuspects is the maximum number of fingerprints named on one line.
+// maxNamedSuspects is the maximum number of requests named on one line.
 const maxNamedSuspects = 8
 
-// Crash logs that a server has crashed, with the fingerprints of some requests that it had just
-// begun to run.
+// Crash logs that a server has crashed, with the fingerprints and the shared prompt parts of some
+// requests that it had just begun to run.
 func (l *Log) Crash(c direct.CrashCmd) {
 	if !l.AllowServerStatus() {
 		return
 	}
-	named := make([]string, 0, maxNamedSuspects)
-	for _, fingerprint := range c.Suspects[:min(len(c.Suspects), maxNamedSuspects)] {
-		named = append(named, fingerprint.String())
+	contents := make([]string, 0, maxNamedSuspects)
+	parts := make([]string, 0, maxNamedSuspects)
+	for _, suspect := range c.Suspects[:min(len(c.Suspects), maxNamedSuspects)] {
+		contents = append(contents, suspect.Fingerprint.String())
+		parts = append(parts, PartList(suspect.Parts))
 	}
 	l.Event("server_crashed").Str("server", c.Server.ID).Str("service", c.Server.Service).Str("address", c.Server.Address).
-		Int("suspects", len(c.Suspects)).Strs("contents", named).Msg("")
+		Int("suspects", len(c.Suspects)).Strs("contents", contents).Strs("parts", parts).Msg("")
+}
+
+// maxNamedParts is the maximum number of prompt parts named for one request.
+const maxNamedParts = 8
+
+// PartList returns the IDs of prompt parts in hexadecimal, separated by spaces. Of more than
+// maxNamedParts parts, it returns the first ones and the number of the others.
+func PartList(parts []direct.PromptPart) string {
+	var out strings.Builder
+	for i, part := range parts {
+		if i == maxNamedParts {
+			fmt.Fprintf(&out, " and %d more", len(parts)-i)
+			break
+		}
+		if i > 0 {
+			out.WriteByte(' ')
+		}
+		out.WriteString(strconv.FormatUint(part.ID, 16))
+	}
+	return out.String()
 }
 
 // Quarantine logs that requests with a fingerprint are refused from now on, or no longer.
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -43,6 +43,9 @@
 	if x.fingerprint != 0 {
 		e.Str("content", x.fingerprint.String())
 	}
+	if n := len(x.info.Parts); n > 1 {
+		e.Str("parts", eventlog.PartList(x.info.Parts[:n-1]))
+	}
 	if x.info.AfterEvent != "" {
 		e.Str("resumes", x.info.Resumes).Str("after_event", x.info.AfterEvent).Str("begun_at", x.stream.version).Bool("recorded", x.stream.recorded)
 	}
