--- a/direct/arrival.go
+++ b/direct/arrival.go
@@ -32,7 +32,7 @@
 }
 
 // checkAdmission refuses a request whose team's token bucket can't cover it, or that no region
-// may serve. The router calls it before it reads the body, so that a refusal costs little
+// may serve, or whose prompt has a barred part. The router calls it before it reads the body, so that a refusal costs little
 // during a flood.
 func (m *Machine) checkAdmission(msg AdmissionCheckMsg) {
 	r := m.newRequestState(msg.Now, msg.Request)
@@ -42,6 +42,11 @@
 		m.giveUp(msg.Now, p, r, ReasonRegion)
 		return
 	}
+	if m.hasBarredPart(msg.Now, &r.Request) && !m.mayTry(msg.Now, &r.Request) {
+		m.recordDemand(msg.Now, p, r)
+		m.giveUp(msg.Now, p, r, ReasonQuarantined)
+		return
+	}
 	m.updateTeamState(msg.Now, p, r)
 	r.waitUntil = msg.Now + maxWait(r)
 	if p.noServerAllowed(msg.Now, r) || !m.wouldExpire(msg.Now, p, r) {
--- a/direct/commands.go
+++ b/direct/commands.go
@@ -78,10 +78,14 @@
 	Suspects []CrashSuspect
 }
 
-// QuarantineCmd reports that requests with a fingerprint are refused from now on, or no longer.
+// QuarantineCmd reports that requests with a content or a prompt part are refused from now on, or no longer.
 // It is only logged.
 type QuarantineCmd struct{ Change quarantine.Change }
 
+// AbortCmd aborts the attempt of a request that its server has not begun to run. The attempt ends as
+// any other whose connection has failed.
+type AbortCmd struct{ ID RequestID }
+
 // ReportCmd sends the result of Machine.Report to the other routers at once.
 type ReportCmd struct{}
 
@@ -98,6 +102,7 @@
 func (CrashCmd) isCmd()            {}
 func (QuarantineCmd) isCmd()       {}
 func (ReportCmd) isCmd()           {}
+func (AbortCmd) isCmd()            {}
 func (ProbeCmd) isCmd()            {}
 func (EvacuationCmd) isCmd()       {}
 func (SendCmd) isCmd()             {}
@@ -118,7 +123,7 @@
 	ReasonRetryBudget Reason = "budget"     // the retry budget is spent
 	ReasonAtMostOnce  Reason = "at_most_once"
 	ReasonDeadline    Reason = "deadline"
-	ReasonQuarantined Reason = "quarantined" // servers crash when they run requests with its fingerprint
+	ReasonQuarantined Reason = "quarantined" // servers crash when they run requests with its content or a part of its prompt
 	ReasonRegion      Reason = "region"      // no server in the request's allowed regions accepts requests
 	ReasonVersion     Reason = "version"     // no server of the version that began the stream accepts requests
 )
--- a/direct/crashcheck.go
+++ b/direct/crashcheck.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/croftvale/croftvale/quarantine"
 )
 
@@ -21,6 +22,8 @@
 	reprobeDelay = 100 * time.Millisecond
 	// maxReportedSuspects limits the suspects in one report; each takes about 40 bytes.
 	maxReportedSuspects = 16
+	// maxReportedParts limits the parts in one report; each takes 10 bytes, and 12 for each crash.
+	maxReportedParts = 32
 	// suspectExpiryInterval is the time between two removals of old suspects.
 	suspectExpiryInterval = time.Second
 )
@@ -38,12 +41,26 @@
 
 // CrashSuspect is a request that may have crashed the server that was executing it.
 type CrashSuspect struct {
+	Team        string
 	Fingerprint quarantine.Fingerprint
 	Parts       []PromptPart // that other requests may share
+	// unframed reports that the response ended with its connection: it is whole unless the server has
+	// crashed. It began at the given time.
+	unframed bool
+	began    time.Duration
 }
 
 func (r *Request) crashSuspect() CrashSuspect {
-	return CrashSuspect{Fingerprint: r.Fingerprint, Parts: r.sharedParts()}
+	return CrashSuspect{Team: r.Team, Fingerprint: r.Fingerprint, Parts: r.sharedParts()}
+}
+
+// partFingerprints returns the fingerprints of the parts that other requests may share.
+func (c *CrashSuspect) partFingerprints() []quarantine.Fingerprint {
+	set := quarantine.NewPartSet(c.Team)
+	for _, part := range c.Parts {
+		set.Add(part.ID)
+	}
+	return set.Fingerprints()
 }
 
 // maxAbandoned limits the abandoned requests that are kept per server: about as many as a
@@ -78,14 +95,18 @@
 	return out
 }
 
-// recordCrashEvidence updates the suspects with the outcome of an attempt.
-func (m *Machine) recordCrashEvidence(now time.Duration, r *requestState, s *server, o Outcome) {
+// recordCrashEvidence updates the suspects with the outcome of an attempt. An unframed response
+// ended with its connection.
+func (m *Machine) recordCrashEvidence(now time.Duration, r *requestState, s *server, o Outcome, unframed bool) {
 	if r.Fingerprint == 0 || !m.enabled(Quarantine) {
 		return
 	}
 	switch {
+	case o == Done && unframed:
+		m.suspectIfUnframed(now, r, s)
 	case o == Done:
 		m.suspects.RecordSuccess(now, r.Fingerprint)
+		m.recordWhole(now, r)
 	case r.clearedOfCrash(now): // a request that crashes servers does so sooner
 	case o == Broken, o == Hung:
 		// A server may crash after the attempt has timed out: a busy server starts to run it
@@ -106,7 +127,7 @@
 func (m *Machine) suspectIfCrashed(now time.Duration, r *requestState, s *server) {
 	check := &s.crashState
 	if check.crashed && now-check.crashedAt < crashWindow {
-		m.suspects.RecordCrash(now, r.Fingerprint, quarantine.Server(s.loadKey))
+		m.recordCrash(now, r.crashSuspect(), s)
 		return
 	}
 	check.awaitingProbe = append(check.awaitingProbe, r.crashSuspect())
@@ -131,17 +152,39 @@
 	suspects := check.awaitingProbe
 	check.awaitingProbe, check.reachedAt = nil, 0
 	if !msg.ConnRefused {
+		if msg.Reached {
+			m.clearUnframed(msg.Now, suspects)
+		}
 		return false
 	}
 	check.crashed, check.crashedAt = true, msg.Now
 	suspects = append(suspects, check.takeAbandoned(msg.Now)...)
 	for _, suspect := range suspects {
-		m.suspects.RecordCrash(msg.Now, suspect.Fingerprint, quarantine.Server(s.loadKey))
+		m.recordCrash(msg.Now, suspect, s)
 	}
 	m.emit(CrashCmd{Server: s.Server, Suspects: suspects})
 	return true
 }
 
+// clearUnframed records the unframed responses among the suspects as whole, as their server lives.
+func (m *Machine) clearUnframed(now time.Duration, suspects []CrashSuspect) {
+	for _, suspect := range suspects {
+		if suspect.unframed {
+			m.suspects.RecordSuccess(now, suspect.Fingerprint)
+			m.partSuspects.RecordWhole(now, suspect.began, suspect.partFingerprints()...)
+		}
+	}
+}
+
+// recordCrash records the crash of a server under a request and the parts of its prompt.
+func (m *Machine) recordCrash(now time.Duration, suspect CrashSuspect, s *server) {
+	m.suspects.RecordCrash(now, suspect.Fingerprint, quarantine.Server(s.loadKey))
+	crash := quarantine.Crash{
+		Server: quarantine.Server(s.loadKey), Hall: uint16(xxhash.Sum64String(s.Zone)), Request: uint16(suspect.Fingerprint),
+	}
+	m.partSuspects.RecordCrashOf(now, crash, suspect.partFingerprints()...)
+}
+
 // reprobe probes the servers again that a probe has reached during a crash check.
 func (m *Machine) reprobe(now time.Duration) {
 	kept := m.pendingReprobes[:0]
@@ -165,6 +208,10 @@
 	}
 	m.suspects.ApplyReports(now, report.Suspects)
 	m.suspects.CompareDigest(now, report.SuspectsDigest)
+	if report.HasParts {
+		m.partSuspects.ApplyReports(now, report.PartSuspects)
+		m.partSuspects.CompareDigest(now, report.PartsDigest)
+	}
 }
 
 // expireSuspects removes old suspects, once per suspectExpiryInterval.
@@ -174,26 +221,45 @@
 	}
 	m.suspectsExpiredAt = now
 	m.suspects.Expire(now)
+	m.partSuspects.Expire(now)
 }
 
 // emitQuarantineChanges emits the changes of the quarantine since the last call, and a report
 // to the other routers if they are urgent.
 func (m *Machine) emitQuarantineChanges() {
-	if m.suspects.TakeUrgent() {
+	urgent := m.suspects.TakeUrgent()
+	if m.partSuspects.TakeUrgent() || urgent {
 		m.emit(ReportCmd{})
 	}
 	for _, c := range m.suspects.TakeChanges() {
 		m.emit(QuarantineCmd{Change: c})
 	}
+	abort := false
+	for _, c := range m.partSuspects.TakeChanges() {
+		m.emit(QuarantineCmd{Change: c})
+		abort = abort || c.Barred
+	}
+	if abort {
+		m.abortBarred()
+	}
+}
+
+// suspectsOf returns the state of the fingerprints of a kind.
+func (m *Machine) suspectsOf(kind quarantine.Kind) *quarantine.Suspects {
+	if kind == quarantine.Part {
+		return &m.partSuspects
+	}
+	return &m.suspects
 }
 
-// PendingRecords returns the fingerprints whose quarantine records have to be added to the
-// store, and those whose records have to be removed.
-func (m *Machine) PendingRecords() (add, remove []quarantine.Fingerprint) {
-	return m.suspects.Unrecorded(), m.suspects.Outdated()
+// PendingRecords returns the fingerprints of a kind whose quarantine records have to be added to
+// the store, and those whose records have to be removed.
+func (m *Machine) PendingRecords(kind quarantine.Kind) (add, remove []quarantine.Fingerprint) {
+	suspects := m.suspectsOf(kind)
+	return suspects.Unrecorded(), suspects.Outdated()
 }
 
-// QuarantineStates returns the state of at most limit suspects.
+// QuarantineStates returns the state of at most limit suspects of each kind.
 func (m *Machine) QuarantineStates(now time.Duration, limit int) []quarantine.State {
-	return m.suspects.States(now, limit)
+	return append(m.suspects.States(now, limit), m.partSuspects.States(now, limit)...)
 }
--- a/direct/crashsim_test.go
+++ b/direct/crashsim_test.go
@@ -20,6 +20,7 @@
 	crashes         map[quarantine.Fingerprint]int
 	nextFingerprint quarantine.Fingerprint // of the next harmless request
 	harmlessSent    int                    // harmless requests sent
+	nextID          uint8                  // number of routers started so far
 	harmlessRefused int                    // of these, refused because of crashes
 }
 
@@ -27,12 +28,21 @@
 	sim := &crashSim{
 		random: rand.New(rand.NewPCG(seed, 1)), servers: newDirectory(1, 12), crashes: make(map[quarantine.Fingerprint]int), nextFingerprint: 1 << 32,
 	}
-	for range 4 {
-		sim.routers = append(sim.routers, newHarness(t, 12))
+	for i := range 4 {
+		sim.routers = append(sim.routers, sim.newRouter(t, i))
 	}
 	return sim
 }
 
+// newRouter returns router i without state. No two routers have requests with the same ID, from which
+// the parts of their prompts follow.
+func (sim *crashSim) newRouter(t *testing.T, i int) *harness {
+	h := newHarness(t, 12)
+	sim.nextID++
+	h.lastID = RequestID(i+1)<<40 + RequestID(sim.nextID)<<32
+	return h
+}
+
 // sendCrashing sends a crashing request to one router and crashes a server at each attempt.
 func (sim *crashSim) sendCrashing(fingerprint quarantine.Fingerprint) {
 	h := sim.routers[sim.random.IntN(len(sim.routers))]
@@ -255,6 +265,6 @@
 
 // restart replaces a router by one without state.
 func (sim *crashSim) restart(t *testing.T, router int) {
-	sim.routers[router] = newHarness(t, 12)
+	sim.routers[router] = sim.newRouter(t, router)
 	sim.routers[router].m.Update(ServersMsg{Now: sim.routers[router].now, Directory: sim.servers})
 }
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -29,7 +29,13 @@
 	r.currentServer = nil
 	s.release(r)
 	m.refund(msg.Now, r, msg.Outcome)
-	m.recordCrashEvidence(msg.Now, r, s, msg.Outcome)
+	aborted := r.aborted
+	r.aborted = false
+	if aborted && (msg.Outcome == Broken || msg.Outcome == Hung) {
+		m.endAborted(msg, p, r)
+		return
+	}
+	m.recordCrashEvidence(msg.Now, r, s, msg.Outcome, msg.Unframed)
 	m.observeEnd(p, msg, r, s)
 	p.recordEnded(r, s, msg.Outcome)
 	// A host that refuses a connection can be reached: its process has ended, which is no evidence
@@ -51,6 +57,16 @@
 	m.serveQueue(msg.Now, p, serveBatch)
 }
 
+// endAborted ends an attempt that this router has aborted, which is no evidence about its server.
+func (m *Machine) endAborted(msg AttemptEndMsg, p *pool, r *requestState) {
+	if msg.Retry {
+		m.retry(msg.Now, p, r, msg.Outcome)
+	} else {
+		delete(m.requests, r.ID)
+	}
+	m.serveQueue(msg.Now, p, serveBatch)
+}
+
 // recordOutcome updates the health of a server with the outcome of an attempt.
 func (m *Machine) recordOutcome(now time.Duration, p *pool, s *server, o Outcome) {
 	switch o {
@@ -104,7 +120,7 @@
 	}
 	switch {
 	// The probe that detects a crash is still running, and a retry might crash a fourth server.
-	case (o == Broken || o == Hung) && !r.clearedOfCrash(now) && m.suspects.OneCrashFromBarred(r.Fingerprint):
+	case (o == Broken || o == Hung) && !r.clearedOfCrash(now) && (m.suspects.OneCrashFromBarred(r.Fingerprint) || m.nearlyBarredPart(&r.Request)):
 		m.giveUp(now, p, r, ReasonQuarantined)
 	case now >= r.Deadline:
 		m.giveUp(now, p, r, ReasonDeadline)
@@ -147,7 +163,10 @@
 // A team above its share also waits until its rate limit covers its demand.
 func (m *Machine) retryAfter(now time.Duration, p *pool, r *requestState, reason Reason) time.Duration {
 	if reason == ReasonQuarantined {
-		return quarantine.Retention
+		if m.suspects.IsBarred(r.Fingerprint) || !m.partSuspects.HasBarred() {
+			return quarantine.Retention
+		}
+		return m.partRetryAfter(now, &r.Request)
 	}
 	backlog, n := 0.0, 0
 	for _, s := range p.serversFor(&r.Request) {
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -71,8 +71,9 @@
 	cmds              []Cmd
 	peerTeamsAt       time.Duration // when the peers' use of teams was received; 0: expired
 	candidateBuf      []candidate
-	peerLoadsAt       time.Duration // when the peers' loads were received
-	suspects          quarantine.Suspects
+	peerLoadsAt       time.Duration       // when the peers' loads were received
+	suspects          quarantine.Suspects // contents of requests
+	partSuspects      quarantine.Suspects
 	pendingReprobes   []*server // to be probed again; see reprobe
 	forgottenNotices  forgottenNotices
 	startedRequests   []*requestState // whose first event came since the last tick, as evidence about versions
@@ -87,19 +88,20 @@
 // NewMachine returns a machine without a configuration or servers.
 func NewMachine(o Options) *Machine {
 	return &Machine{
-		options:     o,
-		hallRegions: newHallRegions(o.Region, o.Zone, o.HallRegions),
-		services:    make(map[string]Service),
-		pools:       make(map[string]*pool),
-		byServer:    make(map[string]*server),
-		byKey:       make(map[uint32]*server),
-		requests:    make(map[RequestID]*requestState),
-		teams:       make(map[string]*teamUsage),
-		reach:       make(map[string]*hallReach),
-		evacuated:   make(map[string]bool),
-		peerReports: make(map[string]peerReport),
-		routers:     1,
-		reportTTL:   time.Second,
+		options:      o,
+		partSuspects: quarantine.NewSuspects(quarantine.Part),
+		hallRegions:  newHallRegions(o.Region, o.Zone, o.HallRegions),
+		services:     make(map[string]Service),
+		pools:        make(map[string]*pool),
+		byServer:     make(map[string]*server),
+		byKey:        make(map[uint32]*server),
+		requests:     make(map[RequestID]*requestState),
+		teams:        make(map[string]*teamUsage),
+		reach:        make(map[string]*hallReach),
+		evacuated:    make(map[string]bool),
+		peerReports:  make(map[string]peerReport),
+		routers:      1,
+		reportTTL:    time.Second,
 	}
 }
 
@@ -121,7 +123,7 @@
 	case EvacuationsMsg:
 		m.applyEvacuations(msg)
 	case QuarantineMsg:
-		m.suspects.SetRecorded(msg.Now, msg.Fingerprints)
+		m.suspectsOf(msg.Kind).SetRecorded(msg.Now, msg.Fingerprints)
 	case GateMsg:
 		m.applyGate(msg)
 	case RequestMsg:
@@ -225,6 +227,7 @@
 	m.reportStreamStarts(now)
 	m.expireSuspects(now)
 	m.reprobe(now)
+	m.checkSurvivors(now)
 	m.updateShares(now)
 	for _, name := range m.poolNames() {
 		p := m.pools[name]
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -42,9 +42,10 @@
 	Evacuations Evacuations
 }
 
-// QuarantineMsg delivers the fingerprints that the store lists as barred.
+// QuarantineMsg delivers the fingerprints of a kind that the store lists as barred.
 type QuarantineMsg struct {
 	Now          time.Duration
+	Kind         quarantine.Kind
 	Fingerprints []quarantine.Fingerprint
 }
 
@@ -103,6 +104,7 @@
 	Retry       bool
 	ConnRefused bool // for the outcome Unsent: the server's host refused the connection
 	RouterLate  bool // the router itself was late, so a silence is no evidence against the server
+	Unframed    bool // for the outcome Done: the response had neither a length nor chunks, and ended with its connection
 }
 
 // ProbeResultMsg reports whether a server was reachable; see ProbeCmd.
@@ -195,4 +197,8 @@
 	// checksums of those that all routers must know.
 	Suspects       []quarantine.Report
 	SuspectsDigest quarantine.Digest
+	// PartSuspects and PartsDigest are the same for prompt parts. Routers of older builds have none.
+	HasParts     bool
+	PartSuspects []quarantine.Report
+	PartsDigest  quarantine.Digest
 }
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -53,8 +53,8 @@
 // inBackoff reports whether a server has asked this router to send nothing for now.
 func (s *server) inBackoff(now time.Duration) bool { return now < s.notices.backoffUntil }
 
-// ShouldWithhold reports whether a placed request must not be sent any more because its server
-// has since announced a backoff or that it is leaving. A router that runs late may have placed
+// ShouldWithhold reports whether a placed request must not be sent any more because a part of its
+// prompt was barred, or because its server has since announced a backoff or that it is leaving. A router that runs late may have placed
 // many requests by then.
 func (m *Machine) ShouldWithhold(now time.Duration, id RequestID) bool {
 	r := m.requests[id]
@@ -62,7 +62,7 @@
 		return false
 	}
 	s := r.currentServer
-	return s.inBackoff(now) || (s.notices.leaving && s.notices.leavingAt > r.sentAt)
+	return r.aborted || s.inBackoff(now) || (s.notices.leaving && s.notices.leavingAt > r.sentAt)
 }
 
 // shortestBackoff returns the shortest remaining backoff of the servers that would otherwise
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -71,6 +71,7 @@
 func (m *Machine) Report(now time.Duration) Report {
 	return Report{
 		Headroom: m.ownHeadroom, Suspects: m.suspects.TakeReports(now, maxReportedSuspects), SuspectsDigest: m.suspects.Digest(),
+		HasParts: true, PartSuspects: m.partSuspects.TakeReports(now, maxReportedParts), PartsDigest: m.partSuspects.Digest(),
 	}
 }
 
--- a/direct/requeststate.go
+++ b/direct/requeststate.go
@@ -26,6 +26,8 @@
 	placement      placement
 	observed       observation
 	late           bool    // repeated by its caller so late that it can hardly meet its objective; no resumed stream
+	aborted        bool    // its attempt is being aborted, as a part of its prompt was barred
+	trial          bool    // sent although parts of it are barred
 	throttled      bool    // its team's token bucket has nothing for it
 	teamServedRate float64 // its team's rate, for the order of the queue
 }
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -11,7 +11,7 @@
 	r.waitUntil = now + maxWait(r)
 	// A request that crashes servers would crash the next one too, in this attempt or in a
 	// later one.
-	if m.suspects.Barred(now, r.Fingerprint) {
+	if m.isBarred(now, r) {
 		m.giveUp(now, p, r, ReasonQuarantined)
 		return
 	}
@@ -99,7 +99,7 @@
 		switch {
 		case i >= limit:
 			kept = append(kept, r)
-		case m.suspects.Barred(now, r.Fingerprint):
+		case m.isBarred(now, r):
 			m.giveUp(now, p, r, ReasonQuarantined)
 		case m.trySend(now, p, r):
 			// The team state is updated for each request, since those before it may have used
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,6 +48,7 @@
 	continuationCheckedAt time.Duration
 	connRefused           bool // the server's host refused the connection
 	dialOverdue           bool // this process ran too late to connect
+	unframed              bool // the response ended with its connection
 }
 
 // countBytes counts bytes sent to the server or received from it.
@@ -69,10 +70,11 @@
 		a.dialOverdue = errors.Is(err, backend.ErrRouterLate)
 		return a.endWithoutResponse(direct.Unsent)
 	}
-	if a.x.front.core.shouldWithhold(a.x.id) {
+	if !a.x.front.core.beginAttempt(a.x.id, func() { conn.Close() }) {
 		conn.Close()
 		return a.endWithoutResponse(direct.Withheld)
 	}
+	defer a.x.front.core.endAttempt(a.x.id)
 	a.conn = conn
 	a.stopWatch = context.AfterFunc(a.x.ctx, func() { conn.Close() })
 	defer a.stopWatch()
@@ -222,6 +224,7 @@
 // caller has left, since stopWatch then came too late: the watch may close the connection
 // at any time.
 func (a *attempt) release() {
+	a.x.front.core.endAttempt(a.x.id)
 	if !a.stopWatch() {
 		a.conn.Close()
 		return
--- a/gateway/cluster/extension.go
+++ b/gateway/cluster/extension.go
@@ -24,6 +24,12 @@
 	NearlyBarred uint64 `msgpack:"w,omitempty"`
 	// Origins reports that the sender keeps records of the versions that began streams.
 	Origins bool `msgpack:"g,omitempty"`
+	// Parts reports that the sender keeps suspects of prompt parts. PartSuspects has its reports, see
+	// packPartReports, and BarredParts and NearlyBarredParts its digest of them.
+	Parts             bool   `msgpack:"p,omitempty"`
+	PartSuspects      []byte `msgpack:"s,omitempty"`
+	BarredParts       uint64 `msgpack:"b,omitempty"`
+	NearlyBarredParts uint64 `msgpack:"m,omitempty"`
 	// News holds the sender's updates about other routers, in rows of gossipRowSize bytes.
 	News []byte `msgpack:"n,omitempty"`
 }
--- a/gateway/cluster/halls_test.go
+++ b/gateway/cluster/halls_test.go
@@ -33,12 +33,12 @@
 	p := newTestPeers("a2", &peer{address: "a1", place: traffic.Place{Hall: "a"}}, &peer{address: "b1", place: traffic.Place{Hall: "b"}}, &peer{address: "c1", place: traffic.Place{Hall: "c"}})
 	p.place.Hall = "a"
 	require.False(t, p.FirstOfHall())
-	require.Equal(t, make(feed.PeersAheadByFeed, 4), p.Ahead())
+	require.Equal(t, make(feed.PeersAheadByFeed, 5), p.Ahead())
 	p.known["b1"].revisions = feed.Revisions{3}
-	require.Equal(t, feed.PeersAheadByFeed{{OtherHalls: []string{"b1"}}, {}, {}, {}}, p.Ahead())
+	require.Equal(t, feed.PeersAheadByFeed{{OtherHalls: []string{"b1"}}, {}, {}, {}, {}}, p.Ahead())
 	require.True(t, p.Ahead()[0].OnlyInOtherHalls())
 	p.known["a1"].revisions = feed.Revisions{3}
-	require.Equal(t, feed.PeersAheadByFeed{{OwnHall: []string{"a1"}, OtherHalls: []string{"b1"}}, {}, {}, {}}, p.Ahead())
+	require.Equal(t, feed.PeersAheadByFeed{{OwnHall: []string{"a1"}, OtherHalls: []string{"b1"}}, {}, {}, {}, {}}, p.Ahead())
 	require.False(t, p.Ahead()[0].OnlyInOtherHalls())
 	require.Equal(t, []string{"a1", "b1"}, p.Ahead()[0].All())
 	p.known["a1"].live = false
--- a/gateway/cluster/heartbeat.go
+++ b/gateway/cluster/heartbeat.go
@@ -57,5 +57,8 @@
 	return direct.Report{
 		Headroom: float64(b.Headroom), Suspects: b.Suspects,
 		SuspectsDigest: quarantine.Digest{Barred: b.SuspectsDigest, NearlyBarred: b.Extension.NearlyBarred},
+		HasParts:       b.Extension.Parts,
+		PartSuspects:   unpackPartReports(b.Extension.PartSuspects),
+		PartsDigest:    quarantine.Digest{Barred: b.Extension.BarredParts, NearlyBarred: b.Extension.NearlyBarredParts},
 	}
 }
--- a/gateway/cluster/heartbeats.go
+++ b/gateway/cluster/heartbeats.go
@@ -69,13 +69,18 @@
 		Shed: h.deps.Pressure.ShedFraction(), Yields: h.deps.Pressure.Yields(),
 		SourceLost: h.deps.Feeds.SourceFailing(), Life: h.startNanos,
 		Headroom: float32(report.Headroom), SuspectsDigest: report.SuspectsDigest.Barred,
-		Extension: heartbeatExtension{Answers: true, NearlyBarred: report.SuspectsDigest.NearlyBarred, Origins: true},
+		Extension: heartbeatExtension{
+			Answers: true, NearlyBarred: report.SuspectsDigest.NearlyBarred, Origins: true,
+			Parts: true, BarredParts: report.PartsDigest.Barred, NearlyBarredParts: report.PartsDigest.NearlyBarred,
+		},
 	}
 	last := b
 	h.lastSent.Store(&last)
 	near, far := b, b
 	near.Members, near.Suspects = members, report.Suspects
 	far.Suspects = graveReports(report.Suspects)
+	near.Extension.PartSuspects = packPartReports(report.PartSuspects)
+	far.Extension.PartSuspects = packPartReports(graveReports(report.PartSuspects))
 	if h.rounds%farMembersEveryRounds == 1 {
 		far = near
 	}
@@ -126,8 +131,8 @@
 	}
 	b := *last
 	b.Seq, b.Knows = h.seq.Add(1), h.deps.Feeds.Revisions()
-	b.Extension = extension
-	b.Extension.Answers, b.Extension.NearlyBarred, b.Extension.Origins = true, last.Extension.NearlyBarred, true
+	b.Extension = last.Extension
+	b.Extension.Ask, b.Extension.AnswerTo, b.Extension.AskOf = extension.Ask, extension.AnswerTo, extension.AskOf
 	b.Extension.News = h.peers.gossip(address)
 	h.conn.send(address, h.peers.PathTo(address), h.encode(b))
 }
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -18,6 +18,7 @@
 	mu             sync.Mutex
 	machine        *direct.Machine
 	waiters        map[direct.RequestID]chan direct.Cmd // by request, to its goroutine
+	aborters       map[direct.RequestID]func()          // by request, abort its attempt; must not block
 	nextID         direct.RequestID
 	clock          *hostclock.Clock
 	log            *eventlog.Log
@@ -33,6 +34,7 @@
 	return &core{
 		machine:        direct.NewMachine(o),
 		waiters:        make(map[direct.RequestID]chan direct.Cmd),
+		aborters:       make(map[direct.RequestID]func()),
 		clock:          hostclock.New(),
 		log:            l,
 		probe:          func(direct.ProbeCmd) {},
@@ -84,6 +86,10 @@
 			c.log.Quarantine(cmd.Change)
 		case direct.ReportCmd:
 			c.reportNow()
+		case direct.AbortCmd:
+			if abort := c.aborters[cmd.ID]; abort != nil {
+				abort()
+			}
 		case direct.ProbeCmd:
 			c.probe(cmd)
 		case direct.ResponseCmd:
@@ -129,11 +135,23 @@
 	return direct.RefuseCmd{}, false
 }
 
-// shouldWithhold reports whether a request that was placed must no longer be sent.
-func (c *core) shouldWithhold(id direct.RequestID) bool {
+// beginAttempt reports whether a request that was placed may still be sent. If so, abort is called if
+// its attempt is to be aborted, until endAttempt.
+func (c *core) beginAttempt(id direct.RequestID, abort func()) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.ShouldWithhold(c.Now(), id)
+	if c.machine.ShouldWithhold(c.Now(), id) {
+		return false
+	}
+	c.aborters[id] = abort
+	return true
+}
+
+// endAttempt unregisters what beginAttempt registered.
+func (c *core) endAttempt(id direct.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.aborters, id)
 }
 
 // removeWaiter unregisters the goroutine of a request.
--- a/gateway/corestate.go
+++ b/gateway/corestate.go
@@ -51,12 +51,12 @@
 	return c.machine.TeamWeight(c.Now(), team)
 }
 
-// pendingRecords returns the quarantine records that the store should add and those that it
+// pendingRecords returns the quarantine records of a kind that the store should add and those that it
 // should remove.
-func (c *core) pendingRecords() (add, remove []quarantine.Fingerprint) {
+func (c *core) pendingRecords(kind quarantine.Kind) (add, remove []quarantine.Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.PendingRecords()
+	return c.machine.PendingRecords(kind)
 }
 
 // quarantineStates returns the states of at most limit request fingerprints under which
--- a/gateway/eventlog/events.go
+++ b/gateway/eventlog/events.go
@@ -82,13 +82,21 @@
 	return out.String()
 }
 
-// Quarantine logs that requests with a fingerprint are refused from now on, or no longer.
+// Quarantine logs that requests with a content or a prompt part are refused from now on, or no longer.
 func (l *Log) Quarantine(c quarantine.Change) {
 	name := "quarantine_ended"
 	if c.Barred {
 		name = "quarantine_begun"
 	}
-	l.Event(name).Str("content", c.Fingerprint.String()).Int("crashes", c.Crashes).Msg("")
+	l.Event(name).Str(c.Kind.String(), FingerprintText(c.Kind, c.Fingerprint)).Int("crashes", c.Crashes).Msg("")
+}
+
+// FingerprintText returns a fingerprint as operators know it: a part by its ID.
+func FingerprintText(kind quarantine.Kind, f quarantine.Fingerprint) string {
+	if kind == quarantine.Part {
+		return strconv.FormatUint(uint64(f), 16)
+	}
+	return f.String()
 }
 
 // Shares logs the capacity shares and the teams with the highest demand.
--- a/gateway/feed/objectfeed_test.go
+++ b/gateway/feed/objectfeed_test.go
@@ -95,7 +95,7 @@
 		require.NoError(t, p.pull(t.Context(), 3+i, server.Listener.Addr().String()))
 		require.Positive(t, counter.Sums()[f.Spec().Name].BetweenHalls)
 	}
-	require.Equal(t, Revisions{0, 0, 0, 7, 8, 0}, receiver.Revisions())
+	require.Equal(t, Revisions{0, 0, 0, 7, 8, 0, 0}, receiver.Revisions())
 	require.Equal(t, order, recorded.orders.All[0])
 	require.True(t, record.Wall.Equal(recorded.records.All[0].Wall))
 	recorded.records.All[0].Wall = record.Wall
--- a/gateway/feed/pull_test.go
+++ b/gateway/feed/pull_test.go
@@ -25,6 +25,7 @@
 	sender.Servers.OfferAll(&direct.Directory{Revision: 9, Servers: []direct.Server{{ID: "i-1"}}}, fromSource)
 	sender.Evacuations.Offer(&direct.Evacuations{Revision: 11, Halls: []string{"b"}}, fromSource)
 	sender.Quarantine.Offer(&Listing[quarantine.Fingerprint]{Revision: 13, All: []quarantine.Fingerprint{7}}, fromSource)
+	sender.QuarantinedParts.Offer(&Listing[quarantine.Fingerprint]{Revision: 15, All: []quarantine.Fingerprint{8}}, fromSource)
 	server := httptest.NewServer(sender.Handler())
 	defer server.Close()
 	receiver, counter := newTestSet(), traffic.NewCounter(tally.NoopScope)
@@ -35,10 +36,11 @@
 		require.NoError(t, p.pull(t.Context(), i, server.Listener.Addr().String()), f.Spec().Name)
 		require.Positive(t, counter.Sums()[f.Spec().Name].BetweenHalls, f.Spec().Name)
 	}
-	require.Equal(t, Revisions{3, 9, 11, 13}, receiver.Revisions())
+	require.Equal(t, Revisions{3, 9, 11, 13, 15}, receiver.Revisions())
 	require.True(t, receiver.Complete())
 	require.Equal(t, []string{"b"}, receiver.Evacuations.Newest().Halls)
 	require.Equal(t, []quarantine.Fingerprint{7}, receiver.Quarantine.Newest().All)
+	require.Equal(t, []quarantine.Fingerprint{8}, receiver.QuarantinedParts.Newest().All)
 	require.Equal(t, "i-1", receiver.Servers.Newest().Servers[0].ID)
 }
 
@@ -59,7 +61,7 @@
 	for i := range set.feeds {
 		require.Error(t, p.pull(t.Context(), i, server.Listener.Addr().String()))
 	}
-	require.Equal(t, []string{"/v1/config", "/v1/servers?since=9", "/v1/evacuations", "/v1/quarantine"}, requestURIs)
+	require.Equal(t, []string{"/v1/config", "/v1/servers?since=9", "/v1/evacuations", "/v1/quarantine", "/v1/quarantine_parts"}, requestURIs)
 }
 
 // TestFollowedFeeds checks that a router does not follow evacuations if halls are never evacuated,
@@ -72,9 +74,9 @@
 		return out
 	}
 	set := newTestSet()
-	require.Equal(t, []string{"config", "servers", "evacuations", "quarantine"}, feedNames(set))
+	require.Equal(t, []string{"config", "servers", "evacuations", "quarantine", "quarantine_parts"}, feedNames(set))
 	set = NewSet(Options{StateMachine: set.Config.o.StateMachine, Log: discardLog})
-	require.Equal(t, []string{"config", "servers", "quarantine"}, feedNames(set))
+	require.Equal(t, []string{"config", "servers", "quarantine", "quarantine_parts"}, feedNames(set))
 	set.Servers.OfferAll(&direct.Directory{Revision: 9}, fromSource)
 	require.False(t, set.Complete())
 	set.Config.Offer(&direct.Config{Version: 3}, fromSource)
--- a/gateway/feed/quarantine_test.go
+++ b/gateway/feed/quarantine_test.go
@@ -16,11 +16,11 @@
 	revision     uint64
 }
 
-func (s *quarantineSource) ReadQuarantine(context.Context) ([]quarantine.Fingerprint, uint64, error) {
+func (s *quarantineSource) ReadQuarantine(context.Context, quarantine.Kind) ([]quarantine.Fingerprint, uint64, error) {
 	return s.fingerprints, s.revision, nil
 }
 
-func (s *quarantineSource) WatchQuarantine(context.Context, uint64, time.Duration) ([]Change[quarantine.Fingerprint], uint64, error) {
+func (s *quarantineSource) WatchQuarantine(context.Context, quarantine.Kind, uint64, time.Duration) ([]Change[quarantine.Fingerprint], uint64, error) {
 	return []Change[quarantine.Fingerprint]{{Object: 7}}, s.revision, nil
 }
 
@@ -30,7 +30,7 @@
 	source, offered := &quarantineSource{revision: 5}, 0
 	o := newTestSet().Evacuations.o
 	o.Source = source
-	q := newQuarantine(o, func() { offered++ })
+	q := newQuarantine(o, quarantine.Content, func() { offered++ })
 	for range 3 {
 		_, err := q.Read(t.Context())
 		require.NoError(t, err)
--- a/gateway/feed/set.go
+++ b/gateway/feed/set.go
@@ -7,6 +7,7 @@
 
 	"github.com/croftvale/croftvale/gateway/eventlog"
 	"github.com/croftvale/croftvale/gateway/stats"
+	"github.com/croftvale/croftvale/quarantine"
 )
 
 // fromSource is the origin in logs of content that came from the source, not from another
@@ -37,6 +38,8 @@
 	Orders     *Orders
 	Records    *Records
 	Quarantine *Quarantine
+	// QuarantinedParts is the feed of barred prompt parts.
+	QuarantinedParts *Quarantine
 	// OnChange is called after newer content is applied. Set it before the feeds are used.
 	OnChange  func()
 	log       *eventlog.Log
@@ -56,8 +59,9 @@
 		s.Orders, s.Records = newOrders(o, onChange), newRecords(o, onChange)
 		s.feeds = append(s.feeds, s.Orders, s.Records)
 	}
-	s.Quarantine = newQuarantine(o, onChange)
-	s.feeds = append(s.feeds, s.Quarantine)
+	s.Quarantine = newQuarantine(o, quarantine.Content, onChange)
+	s.QuarantinedParts = newQuarantine(o, quarantine.Part, onChange)
+	s.feeds = append(s.feeds, s.Quarantine, s.QuarantinedParts)
 	for _, f := range s.feeds {
 		s.followers = append(s.followers, &follower{feed: f, spec: f.Spec(), log: o.Log, stats: o.Stats})
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -26,26 +26,35 @@
 
 // QuarantineStore stores the records of barred request fingerprints.
 type QuarantineStore interface {
-	// AddQuarantine records that a fingerprint is barred; RemoveQuarantine deletes its
-	// record. Both may be repeated.
-	AddQuarantine(ctx context.Context, f quarantine.Fingerprint) error
-	RemoveQuarantine(ctx context.Context, f quarantine.Fingerprint) error
+	// AddQuarantine records that a fingerprint of a kind is barred; RemoveQuarantine deletes
+	// its record. Both may be repeated.
+	AddQuarantine(ctx context.Context, kind quarantine.Kind, f quarantine.Fingerprint) error
+	RemoveQuarantine(ctx context.Context, kind quarantine.Kind, f quarantine.Fingerprint) error
 }
 
 // quarantineRecorder writes the records of barred fingerprints while its router is the
 // leader.
 type quarantineRecorder struct {
-	core        *core
-	leads       func() bool
-	log         *eventlog.Log
+	core  *core
+	leads func() bool
+	log   *eventlog.Log
+	kinds []recordedKind
+}
+
+// recordedKind writes the records of the fingerprints of one kind.
+type recordedKind struct {
+	kind        quarantine.Kind
 	add, remove *recordWriter
 }
 
 func newQuarantineRecorder(c *core, s QuarantineStore, leads func() bool, l *eventlog.Log) *quarantineRecorder {
-	return &quarantineRecorder{
-		core: c, leads: leads, log: l,
-		add: newRecordWriter("add", s.AddQuarantine), remove: newRecordWriter("remove", s.RemoveQuarantine),
+	r := &quarantineRecorder{core: c, leads: leads, log: l}
+	for _, kind := range []quarantine.Kind{quarantine.Content, quarantine.Part} {
+		r.kinds = append(r.kinds, recordedKind{
+			kind: kind, add: newRecordWriter("add", kind, s.AddQuarantine), remove: newRecordWriter("remove", kind, s.RemoveQuarantine),
+		})
 	}
+	return r
 }
 
 // run writes the records until ctx ends.
@@ -55,14 +64,24 @@
 		if !r.leads() {
 			continue
 		}
-		add, remove := r.core.pendingRecords()
-		if !r.write(ctx, r.add, add) || !r.write(ctx, r.remove, remove) {
+		if !r.writeAll(ctx) {
 			wait.Sleep(ctx, recordRetryDelay)
 		}
 	}
 	return nil
 }
 
+// writeAll writes all records that are due, and reports whether all calls succeeded.
+func (r *quarantineRecorder) writeAll(ctx context.Context) bool {
+	for _, k := range r.kinds {
+		add, remove := r.core.pendingRecords(k.kind)
+		if !r.write(ctx, k.add, add) || !r.write(ctx, k.remove, remove) {
+			return false
+		}
+	}
+	return true
+}
+
 // write makes one call for each fingerprint without a recent call, and reports whether all
 // calls succeeded.
 func (r *quarantineRecorder) write(ctx context.Context, w *recordWriter, fingerprints []quarantine.Fingerprint) bool {
@@ -73,7 +92,7 @@
 			continue
 		}
 		err := w.write(ctx, now, f)
-		r.log.Event("quarantine_write").Str("content", f.String()).Str("what", w.what).Err(err).Msg("")
+		r.log.Event("quarantine_write").Str(w.kind.String(), eventlog.FingerprintText(w.kind, f)).Str("what", w.what).Err(err).Msg("")
 		if err != nil {
 			return false
 		}
@@ -84,12 +103,13 @@
 // recordWriter makes one kind of call for fingerprints and remembers its recent calls.
 type recordWriter struct {
 	what      string // name of the call in logs
-	call      func(ctx context.Context, f quarantine.Fingerprint) error
+	kind      quarantine.Kind
+	call      func(ctx context.Context, kind quarantine.Kind, f quarantine.Fingerprint) error
 	writtenAt map[quarantine.Fingerprint]time.Duration // time of the last successful call
 }
 
-func newRecordWriter(what string, call func(context.Context, quarantine.Fingerprint) error) *recordWriter {
-	return &recordWriter{what: what, call: call, writtenAt: make(map[quarantine.Fingerprint]time.Duration)}
+func newRecordWriter(what string, kind quarantine.Kind, call func(context.Context, quarantine.Kind, quarantine.Fingerprint) error) *recordWriter {
+	return &recordWriter{what: what, kind: kind, call: call, writtenAt: make(map[quarantine.Fingerprint]time.Duration)}
 }
 
 // expire drops the calls whose changes the feed should have delivered by now.
@@ -100,7 +120,7 @@
 func (w *recordWriter) write(ctx context.Context, now time.Duration, f quarantine.Fingerprint) error {
 	callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	err := w.call(callCtx, f)
+	err := w.call(callCtx, w.kind, f)
 	if err == nil {
 		w.writtenAt[f] = now
 	}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -40,11 +40,11 @@
 	return s.calls
 }
 
-func (s *recordStore) AddQuarantine(_ context.Context, f quarantine.Fingerprint) error {
+func (s *recordStore) AddQuarantine(_ context.Context, _ quarantine.Kind, f quarantine.Fingerprint) error {
 	return s.write(f, true)
 }
 
-func (s *recordStore) RemoveQuarantine(_ context.Context, f quarantine.Fingerprint) error {
+func (s *recordStore) RemoveQuarantine(_ context.Context, _ quarantine.Kind, f quarantine.Fingerprint) error {
 	return s.write(f, false)
 }
 
--- a/quarantine/barring.go
+++ b/quarantine/barring.go
@@ -3,42 +3,159 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
-// unexplained returns the number of crashes under x that no other fingerprint explains.
-func (s *Suspects) unexplained(x *suspect) int {
-	n := 0
+const (
+	// PartCrashThreshold is the number of crashes under a part without any whole response after
+	// which it is barred. A part that has had whole responses needs unprovenWeight more, since most
+	// requests have parts in common and some of them run on any server that crashes.
+	PartCrashThreshold = 3
+	unprovenWeight     = 2
+	partWeightLimit    = PartCrashThreshold + unprovenWeight
+	// minPartRequests is the number of different requests with crashes from which a part is barred.
+	// The crashes of a single one are evidence against its content.
+	minPartRequests = 2
+	// correlatedCrashWindow is the time in which the servers of a data hall that fails end.
+	correlatedCrashWindow = 100 * time.Millisecond
+	// minCauseShare is the inverse of the share of all crashes that a part must be present at to be
+	// barred. Where many servers crash by themselves, each part is present at some of the crashes.
+	minCauseShare = 2
+	// minProvenTime is the time from the first crash under a part that has had whole responses until
+	// it is barred. Within that time, most parts have further ones.
+	minProvenTime = 900 * time.Millisecond
+	// maxSurvivorWait is how long a part is not barred because requests with it are executing that
+	// began after a crash. By then they prove that it crashes nothing, or have crashed too.
+	maxSurvivorWait = time.Second
+	// confirmationTime is how long after a part was barred other routers may still report whole
+	// responses that release it.
+	confirmationTime = time.Second
+)
+
+// weight returns how strong the evidence against a fingerprint is.
+func (s *Suspects) weight(x *suspect) int {
+	if s.kind == Content || len(x.crashes) == 0 {
+		return len(x.crashes)
+	}
+	return s.weightOf(x, func(c crash) bool { return !x.survived(c) })
+}
+
+// weightOf returns the weight of those crashes under a part that count.
+func (s *Suspects) weightOf(x *suspect, counts func(crash) bool) int {
+	if !x.cleared.valid {
+		n := 0
+		for _, c := range x.crashes {
+			if counts(c) {
+				n++
+			}
+		}
+		return n + unprovenWeight
+	}
+	return x.independentCrashes(counts)
+}
+
+// rank orders the suspects of a crash: the one with the highest rank explains it. Contents and parts
+// of equal history rank by weight. A part without any whole response ranks before all others once
+// two servers have crashed under it.
+func (s *Suspects) rank(x *suspect) int {
+	weight := s.weight(x)
+	if s.kind == Part && !x.cleared.valid && len(x.crashes) > 1 {
+		return weight + unprovenRank
+	}
+	return weight
+}
+
+// unprovenRank is more than any weight.
+const unprovenRank = maxCrashesKept + unprovenWeight + 1
+
+// maxRanks returns the highest rank among the suspects of each server that crashed.
+func (s *Suspects) maxRanks() map[Server]int {
+	out := make(map[Server]int, len(s.byServer))
+	for _, x := range s.byFingerprint {
+		rank := s.rank(x)
+		for _, c := range x.crashes {
+			out[c.server] = max(out[c.server], rank)
+		}
+	}
+	return out
+}
+
+// explained returns the number of crashes under x that another fingerprint explains: one of a higher
+// rank was also on the server when it crashed.
+func (s *Suspects) explained(x *suspect) int {
+	rank, n := s.rank(x), 0
 	for _, c := range x.crashes {
-		if !s.explained(x, c.server) {
+		if s.serverRanks[c.server] > rank {
 			n++
 		}
 	}
 	return n
 }
 
-// shouldBar reports whether to bar a fingerprint, given its crashes and how many of them no
-// other fingerprint explains. Of two fingerprints that crash servers together, the one with
-// more crashes explains the other's. A fingerprint with more than CrashThreshold crashes is
-// barred by a single unexplained one.
-func shouldBar(crashes, unexplained int) bool {
-	return unexplained >= CrashThreshold || crashes > CrashThreshold && unexplained > 0
+// shouldBar reports whether to bar a fingerprint after the given number of further crashes that
+// nothing explains. Of two fingerprints that crash servers together, the one of higher rank explains
+// the other's crashes. A fingerprint beyond the limit is barred by a single unexplained
+// crash.
+func (s *Suspects) shouldBar(x *suspect, further int) bool {
+	explained := s.explained(x)
+	unexplained := len(x.crashes) - explained + further
+	if s.kind == Content {
+		return exceeds(CrashThreshold, s.weight(x)+further, explained, unexplained)
+	}
+	if further == 0 && (x.requests() < minPartRequests || len(x.crashes)*minCauseShare < s.crashesSince(x)) {
+		return false
+	}
+	if further == 0 && s.mayStillClear(x) {
+		return false
+	}
+	if exceeds(partWeightLimit, s.weight(x)+further, explained, unexplained) {
+		return true
+	}
+	// Requests that survived for some time may still crash their servers.
+	all := s.weightOf(x, func(crash) bool { return true }) + further
+	return exceeds(partWeightLimit, all, explained, unexplained) && s.waitedForSurvivors(x)
 }
 
-// explained reports whether a fingerprint with more crashes than x was also on server when
-// it crashed.
-func (s *Suspects) explained(x *suspect, server Server) bool {
-	return slices.ContainsFunc(s.byServer[server], func(other *suspect) bool { return len(other.crashes) > len(x.crashes) })
+// exceeds reports whether the evidence against a fingerprint suffices to bar it.
+func exceeds(limit, weight, explained, unexplained int) bool {
+	return weight-explained >= limit || weight > limit && unexplained > 0
 }
 
-// updateBarred recomputes which fingerprints are barred, and the digest, after any change: a
-// change to one fingerprint may explain the crashes under another.
-func (s *Suspects) updateBarred() {
-	s.digest = Digest{}
+// mayStillClear reports whether a part that has had whole responses may have further ones soon.
+func (s *Suspects) mayStillClear(x *suspect) bool {
+	if x.barred || !x.cleared.valid || s.now-x.crashes[0].at >= minProvenTime {
+		return false
+	}
+	s.postponed = true
+	return true
+}
+
+// waitedForSurvivors reports whether the requests with a part that survived for some time would have
+// cleared it by now.
+func (s *Suspects) waitedForSurvivors(x *suspect) bool {
+	if !x.suspectedSince.valid {
+		x.suspectedSince.advance(s.now)
+	}
+	s.postponed = true
+	return x.barred || s.now-x.suspectedSince.at >= maxSurvivorWait
+}
+
+// refresh recomputes which fingerprints are barred, and the digest, after any change: a change to
+// one fingerprint may explain the crashes under another.
+func (s *Suspects) refresh() {
+	if !s.stale {
+		return
+	}
+	s.stale = false
+	s.digest, s.barredCount, s.postponed = Digest{}, 0, false
+	s.serverRanks = s.maxRanks()
 	for _, x := range s.byFingerprint {
-		barred := x.recorded || shouldBar(len(x.crashes), s.unexplained(x))
-		if barred != x.barred {
+		if barred := x.recorded || s.shouldBar(x, 0); barred != x.barred {
 			s.setBarred(x, barred)
 		}
+		if x.barred {
+			s.barredCount++
+		}
 		s.digest.add(x)
 	}
 	slices.SortStableFunc(s.changed, func(a, b Change) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
@@ -46,7 +163,7 @@
 
 // setBarred bars a fingerprint, or ends that, and records the change.
 func (s *Suspects) setBarred(x *suspect, barred bool) {
-	x.barred = barred
+	x.barred, x.barredAt = barred, s.now
 	s.urgent = s.urgent || barred
-	s.changed = append(s.changed, Change{Fingerprint: x.fingerprint, Barred: barred, Crashes: len(x.crashes)})
+	s.changed = append(s.changed, Change{Kind: s.kind, Fingerprint: x.fingerprint, Barred: barred, Crashes: len(x.crashes)})
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -10,6 +10,7 @@
 // even if all routers lose their state. A fingerprint that is no longer listed was released: its
 // earlier crashes are cleared.
 func (s *Suspects) SetRecorded(now time.Duration, listed []Fingerprint) {
+	s.now = now
 	previous := s.listed
 	s.listed = make(map[Fingerprint]bool, len(listed))
 	for _, f := range listed {
@@ -17,8 +18,8 @@
 		if previous[f] {
 			continue
 		}
-		x := s.getOrAdd(now, f)
-		x.recorded, x.multiCrash = true, true
+		x := s.getOrAdd(f)
+		x.recorded, x.recordedAt, x.multiCrash = true, now, true
 		x.refused.advance(now)
 	}
 	for f := range previous {
@@ -27,11 +28,12 @@
 			x.sendsLeft = ownSends
 		}
 	}
-	s.updateBarred()
+	s.stale = true
 }
 
 // Unrecorded returns the fingerprints that are barred and not in the store.
 func (s *Suspects) Unrecorded() []Fingerprint {
+	s.refresh()
 	var out []Fingerprint
 	for f, x := range s.byFingerprint {
 		if x.barred && !s.listed[f] {
@@ -44,6 +46,7 @@
 
 // Outdated returns the fingerprints that are in the store and no longer barred.
 func (s *Suspects) Outdated() []Fingerprint {
+	s.refresh()
 	var out []Fingerprint
 	for _, f := range slices.Sorted(maps.Keys(s.listed)) {
 		if x := s.byFingerprint[f]; x == nil || !x.barred {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -17,6 +17,9 @@
 	// resendInterval is the minimum time between two resends of all barred and nearly barred
 	// fingerprints. A differing digest of another router triggers a resend.
 	resendInterval = 500 * time.Millisecond
+	// provenReportDelay is how long the first crash under a part that has had whole responses is not
+	// reported.
+	provenReportDelay = 250 * time.Millisecond
 )
 
 // Report holds what a router reports about one fingerprint. Times are sent as ages, since the
@@ -37,6 +40,9 @@
 type CrashReport struct {
 	Server Server
 	Age    Age
+	// Hall and Request are the fields of Crash. Reports of contents don't have them.
+	Hall    uint16 `msgpack:"-"`
+	Request uint16 `msgpack:"-"`
 }
 
 // Age is an elapsed time in milliseconds.
@@ -49,9 +55,10 @@
 // TakeReports returns up to limit reports to send to other routers: first those with the most
 // crashes, then those with the latest update.
 func (s *Suspects) TakeReports(now time.Duration, limit int) []Report {
+	s.refresh()
 	var due []*suspect
 	for _, x := range s.byFingerprint {
-		if x.sendsLeft > 0 {
+		if x.sendsLeft > 0 && !s.mayClearSoon(now, x) {
 			due = append(due, x)
 		}
 	}
@@ -67,6 +74,12 @@
 	return out
 }
 
+// mayClearSoon reports whether a crash under a part is so recent that a whole response, which most
+// parts have all the time, is likely to clear it before other routers need to know.
+func (s *Suspects) mayClearSoon(now time.Duration, x *suspect) bool {
+	return s.kind == Part && x.cleared.valid && len(x.crashes) == 1 && now-x.crashes[0].at < provenReportDelay
+}
+
 func (x *suspect) report(now time.Duration) Report {
 	r := Report{Content: x.fingerprint, Grave: x.multiCrash, Cleared: x.cleared.valid, Asked: x.refused.valid}
 	if r.Cleared {
@@ -76,7 +89,7 @@
 		r.AskAge = ageOf(now - x.refused.at)
 	}
 	for _, c := range x.crashes {
-		r.Crashes = append(r.Crashes, CrashReport{Server: c.server, Age: ageOf(now - c.at)})
+		r.Crashes = append(r.Crashes, CrashReport{Server: c.server, Age: ageOf(now - c.at), Hall: c.hall, Request: c.request})
 	}
 	return r
 }
@@ -84,11 +97,12 @@
 // ApplyReports merges the reports of another router. Reports may be late, lost, repeated and
 // reordered: the union of all crashes after the latest clearing counts.
 func (s *Suspects) ApplyReports(now time.Duration, reports []Report) {
+	s.now = now
 	for _, r := range reports {
 		s.applyReport(now, r)
 	}
 	if len(reports) > 0 {
-		s.updateBarred()
+		s.stale = true
 	}
 }
 
@@ -96,7 +110,7 @@
 	if r.Content == 0 || r.expired() {
 		return
 	}
-	x := s.getOrAdd(now, r.Content)
+	x := s.getOrAdd(r.Content)
 	changed := false
 	if at := now - r.ClearAge.duration(); r.Cleared && (!x.cleared.valid || at > x.cleared.at+ageTolerance) {
 		s.clear(x, at)
@@ -105,14 +119,19 @@
 	stale := len(r.Crashes) > 0
 	for _, c := range r.Crashes {
 		at := now - c.Age.duration()
+		reported := crash{server: c.Server, at: at, hall: c.Hall, request: c.Request}
 		stale = stale && x.clearedSince(at)
-		changed = s.addCrash(x, crash{c.Server, at}) || changed
+		s.logCrash(reported)
+		changed = s.addCrash(x, reported) || changed
+	}
+	if s.kind == Part && !r.Cleared && x.cleared.valid && len(r.Crashes) > 0 {
+		x.sendsLeft = max(x.sendsLeft, relaySends) // the sender does not know that it was cleared
 	}
 	if r.Asked {
 		x.refused.advance(now - r.AskAge.duration())
 	}
 	x.multiCrash = x.multiCrash || r.Grave
-	if x.multiCrash && (changed || stale) {
+	if x.multiCrash && (changed || stale) || s.kind == Part && stale {
 		// The sender of crashes that were already cleared has not received the clearing.
 		x.sendsLeft = max(x.sendsLeft, relaySends)
 	}
@@ -150,7 +169,10 @@
 }
 
 // Digest returns the digest of the state that all routers should share.
-func (s *Suspects) Digest() Digest { return s.digest }
+func (s *Suspects) Digest() Digest {
+	s.refresh()
+	return s.digest
+}
 
 // CompareDigest compares the digest of another router with this one's. If they differ, the
 // barred and nearly barred fingerprints are reported again, for a router that was away or has
--- a/quarantine/report_test.go
+++ b/quarantine/report_test.go
@@ -190,7 +190,9 @@
 				}
 			}
 		}
+		observer.refresh()
 		for i := range routers {
+			routers[i].refresh()
 			for f := Fingerprint(1); f <= 4; f++ {
 				require.Equal(t, observer.Crashes(f), routers[i].Crashes(f), fmt.Sprintf("router %d, fingerprint %d", i, f))
 				require.Equal(t, observer.byFingerprint[f] != nil && observer.byFingerprint[f].barred, routers[i].byFingerprint[f] != nil && routers[i].byFingerprint[f].barred)
@@ -206,9 +208,9 @@
 	if x == nil || !x.cleared.valid || x.cleared.at != now {
 		return
 	}
-	observed := s.getOrAdd(now, f)
+	observed := s.getOrAdd(f)
 	s.clear(observed, now)
-	s.updateBarred()
+	s.stale = true
 }
 
 // aged returns a list as its receiver sees it after a delay: the ages have grown.
@@ -220,7 +222,7 @@
 		crashes := r.Crashes
 		r.Crashes = nil
 		for _, c := range crashes {
-			r.Crashes = append(r.Crashes, CrashReport{c.Server, c.Age + ageOf(delay)})
+			r.Crashes = append(r.Crashes, CrashReport{Server: c.Server, Age: c.Age + ageOf(delay), Hall: c.Hall, Request: c.Request})
 		}
 		out = append(out, r)
 	}
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -8,7 +8,8 @@
 
 // State describes one fingerprint, for dumps.
 type State struct {
-	Content  string
+	Kind     string
+	Content  string // the fingerprint; of a part its ID
 	Barred   bool
 	Recorded bool // listed in the store
 	Crashes  int  // crashes of servers that executed it, since it was last cleared
@@ -19,9 +20,10 @@
 // States returns up to limit fingerprints: barred ones first, then those with the most
 // crashes.
 func (s *Suspects) States(now time.Duration, limit int) []State {
+	s.refresh()
 	out := make([]State, 0, len(s.byFingerprint))
 	for f, x := range s.byFingerprint {
-		out = append(out, State{Content: f.String(), Barred: x.barred, Recorded: s.listed[f], Crashes: len(x.crashes), Known: now - x.lastUpdate()})
+		out = append(out, State{Kind: s.kind.String(), Content: f.String(), Barred: x.barred, Recorded: s.listed[f], Crashes: len(x.crashes), Known: now - x.lastUpdate()})
 	}
 	slices.SortFunc(out, func(a, b State) int {
 		if a.Barred != b.Barred {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -7,8 +7,10 @@
 
 // crash is one crash of a server that was executing a fingerprint.
 type crash struct {
-	server Server
-	at     time.Duration
+	server  Server
+	at      time.Duration
+	hall    uint16 // see Crash.Hall
+	request uint16 // see Crash.Request
 }
 
 // suspect holds the state of one fingerprint under which servers crashed.
@@ -19,12 +21,19 @@
 	refused         optionalTime // last refused
 	refusedReported optionalTime // value of refused in the last report
 	// recorded is set if the store lists it as barred and it was not cleared since.
-	recorded bool
-	barred   bool
+	recorded   bool
+	recordedAt time.Duration
+	barred     bool
 	// multiCrash is set once it has had more than one crash or the store has listed it: all
 	// routers must receive it.
 	multiCrash bool
 	sendsLeft  int // number of further lists to report it in
+	// survivorBegan is when the latest response began that went on for some time without a crash.
+	survivorBegan optionalTime
+	// suspectedSince is when there were enough crashes to bar it, but for survivors.
+	suspectedSince optionalTime
+	barredAt       time.Duration
+	triedAt        optionalTime // see Suspects.MayTry
 }
 
 // optionalTime is a time, or none. Zero and negative times are valid: events that others report
@@ -62,6 +71,51 @@
 // that the crash does not count.
 func (x *suspect) clearedSince(at time.Duration) bool { return x.cleared.valid && at <= x.cleared.at }
 
+// survived reports whether a request survived for some time that began after a crash. That speaks
+// against the crash as evidence, though not for certain.
+func (x *suspect) survived(c crash) bool {
+	return x.survivorBegan.valid && c.at < x.survivorBegan.at
+}
+
+// requests returns the number of different requests with crashes, as far as their hashes differ.
+func (x *suspect) requests() int {
+	n := 0
+	for i, c := range x.crashes {
+		if !slices.ContainsFunc(x.crashes[:i], func(other crash) bool { return other.request == c.request }) {
+			n++
+		}
+	}
+	return n
+}
+
+// independentCrashes returns the number of crashes, where those of one data hall within
+// correlatedCrashWindow count as one: a hall may fail as a whole.
+func (x *suspect) independentCrashes(counts func(crash) bool) int {
+	var counted []crash
+	for _, c := range x.crashes {
+		if !counts(c) {
+			continue
+		}
+		if !slices.ContainsFunc(counted, func(other crash) bool { return other.hall == c.hall && c.at-other.at < correlatedCrashWindow }) {
+			counted = append(counted, c)
+		}
+	}
+	return len(counted)
+}
+
+// lastEvidence returns the time of the latest evidence against the fingerprint.
+func (x *suspect) lastEvidence() time.Duration {
+	if n := len(x.crashes); n > 0 {
+		return x.crashes[n-1].at
+	}
+	return x.recordedAt
+}
+
+// covers reports whether x was on each server that crashed under other.
+func (x *suspect) covers(other *suspect) bool {
+	return !slices.ContainsFunc(other.crashes, func(c crash) bool { return !x.crashedServer(c.server) })
+}
+
 // lastUpdate returns the time of the last event of the fingerprint.
 func (x *suspect) lastUpdate() time.Duration {
 	var last optionalTime
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -31,20 +31,40 @@
 // Server identifies one incarnation of a backend server.
 type Server uint32
 
-// Suspects holds one router's view of the fingerprints under which servers have crashed. The
-// zero value is empty. Times are on the router's monotonic clock.
+// Crash describes the crash of a server, as evidence against a fingerprint that it was executing.
+type Crash struct {
+	Server Server
+	// Hall and Request are hashes of the server's data hall and of the request's content. They tell
+	// whether several crashes are independent evidence.
+	Hall, Request uint16
+}
+
+// Suspects holds one router's view of the fingerprints of one kind under which servers have
+// crashed. The zero value is empty and holds contents. Times are on the router's monotonic clock.
 type Suspects struct {
+	kind          Kind
+	stale         bool          // refresh is needed
+	now           time.Duration // of the last update
+	history       history       // of parts
+	crashLog      crashLog      // of parts
+	barredCount   int
+	postponed     bool // parts are or were not barred at once because of survivors
 	byFingerprint map[Fingerprint]*suspect
 	byServer      map[Server][]*suspect // suspects with a crash of the server
 	changed       []Change
 	listed        map[Fingerprint]bool // by the store, see SetRecorded
+	serverRanks   map[Server]int       // the highest rank among the suspects of each server
 	digest        Digest
 	urgent        bool          // see TakeUrgent
 	lastResend    time.Duration // when the barred suspects were last sent again
 }
 
+// NewSuspects returns an empty state for fingerprints of a kind.
+func NewSuspects(kind Kind) Suspects { return Suspects{kind: kind} }
+
 // Change reports that a fingerprint has become barred, or no longer is.
 type Change struct {
+	Kind        Kind
 	Fingerprint Fingerprint
 	Barred      bool
 	Crashes     int // crashes of servers that executed it
@@ -53,17 +73,45 @@
 // RecordCrash records that a server crashed while it executed a request with the fingerprint,
 // sent by this router.
 func (s *Suspects) RecordCrash(now time.Duration, f Fingerprint, server Server) {
-	if x := s.getOrAdd(now, f); s.addCrash(x, crash{server, now}) {
+	s.RecordCrashOf(now, Crash{Server: server}, f)
+}
+
+// RecordCrashOf records a crash under each of the fingerprints of one request.
+func (s *Suspects) RecordCrashOf(now time.Duration, c Crash, fingerprints ...Fingerprint) {
+	s.now = now
+	changed, observed := false, crash{server: c.Server, at: now, hall: c.Hall, request: c.Request}
+	s.logCrash(observed)
+	for _, f := range fingerprints {
+		x := s.getOrAdd(f)
+		if !s.addCrash(x, observed) {
+			continue
+		}
 		x.sendsLeft = ownSends
-		s.urgent = s.urgent || x.nearlyBarred()
-		s.updateBarred()
+		s.urgent = s.urgent || s.isUrgent(x)
+		changed = true
 	}
+	if changed {
+		s.stale = true
+	}
+}
+
+// logCrash adds a crash to the log of all crashes, if one is kept.
+func (s *Suspects) logCrash(c crash) {
+	if s.kind == Part {
+		s.crashLog.add(c)
+	}
+}
+
+// isUrgent reports whether other routers must learn at once of a new crash under x.
+func (s *Suspects) isUrgent(x *suspect) bool {
+	return x.nearlyBarred() && (s.kind == Content || !x.cleared.valid)
 }
 
 // TakeUrgent reports whether anything happened since the last call that other routers must
 // receive at once: a crash after which one more may bar a fingerprint, or a fingerprint that was
 // barred. Until they receive it they may send the same request to other servers.
 func (s *Suspects) TakeUrgent() bool {
+	s.refresh()
 	out := s.urgent
 	s.urgent = false
 	return out
@@ -76,22 +124,106 @@
 	if x == nil || (len(x.crashes) == 0 && !x.recorded) {
 		return
 	}
+	s.now = now
 	s.clear(x, now)
+	s.reportClearing(x)
+	s.stale = true
+}
+
+// RecordWhole records a response to a request with the fingerprints that began at the given time
+// and is whole, or has gone on for so long that the request can't be the cause of a crash: none of
+// them caused any crash before it began.
+func (s *Suspects) RecordWhole(now, began time.Duration, fingerprints ...Fingerprint) {
+	s.now = now
+	changed := false
+	for _, f := range fingerprints {
+		s.history.record(f, began)
+		x := s.byFingerprint[f]
+		if x == nil || x.cleared.valid && began <= x.cleared.at {
+			continue
+		}
+		crashes, known, recorded := len(x.crashes), x.cleared.valid, x.recorded
+		s.clear(x, began)
+		if crashes > 0 && (len(x.crashes) < crashes || !known) || recorded && !x.recorded {
+			s.reportClearing(x)
+			changed = true
+		}
+	}
+	if changed {
+		s.stale = true
+	}
+}
+
+// HasHistory reports whether each of the fingerprints has had a whole response.
+func (s *Suspects) HasHistory(fingerprints ...Fingerprint) bool {
+	for _, f := range fingerprints {
+		if _, ok := s.history.last(f); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// RecordSurvivor records that a request with the fingerprints, whose response began at the given
+// time, has been executing for some time since.
+func (s *Suspects) RecordSurvivor(now, began time.Duration, fingerprints ...Fingerprint) {
+	s.now = now
+	for _, f := range fingerprints {
+		x := s.byFingerprint[f]
+		if x == nil || len(x.crashes) == 0 || x.survivorBegan.valid && began <= x.survivorBegan.at {
+			continue
+		}
+		s.stale = s.stale || began > x.crashes[0].at
+		x.survivorBegan.advance(began)
+	}
+}
+
+// HasWhole reports whether any response to a request with the fingerprint was whole, as far as is
+// known.
+func (s *Suspects) HasWhole(f Fingerprint) bool {
+	x := s.byFingerprint[f]
+	return x != nil && x.cleared.valid || s.HasHistory(f)
+}
+
+// HasCrashes reports whether there are crashes that no whole response has cleared.
+func (s *Suspects) HasCrashes() bool { return len(s.byServer) > 0 }
+
+// HasBarred reports whether any fingerprint is barred.
+func (s *Suspects) HasBarred() bool {
+	s.refresh()
+	return s.barredCount > 0
+}
+
+// Recheck bars the parts that were not barred because of requests that were executing, unless
+// these have shown meanwhile that the parts crash nothing.
+func (s *Suspects) Recheck(now time.Duration) {
+	s.now = now
+	s.stale = s.stale || s.postponed
+}
+
+// reportClearing makes the next lists of reports tell that a fingerprint was cleared.
+func (s *Suspects) reportClearing(x *suspect) {
 	if x.sendsLeft == ownSends && !x.multiCrash {
 		x.sendsLeft = 0 // the crash was not reported to anyone either
 	} else {
 		x.sendsLeft = ownSends
 	}
-	s.updateBarred()
+}
+
+// IsBarred reports whether requests with the fingerprint must be refused.
+func (s *Suspects) IsBarred(f Fingerprint) bool {
+	s.refresh()
+	x := s.byFingerprint[f]
+	return x != nil && x.barred
 }
 
 // Barred reports whether requests with the fingerprint must be refused, and records that one
 // arrived.
 func (s *Suspects) Barred(now time.Duration, f Fingerprint) bool {
-	x := s.byFingerprint[f]
-	if x == nil || !x.barred {
+	if !s.IsBarred(f) {
 		return false
 	}
+	x := s.byFingerprint[f]
 	x.refused.advance(now)
 	if !x.refusedReported.valid || now-x.refusedReported.at >= refusedReportInterval {
 		// Routers that receive no such requests would otherwise let it expire.
@@ -102,8 +234,18 @@
 
 // OneCrashFromBarred reports whether one more crash would bar the fingerprint.
 func (s *Suspects) OneCrashFromBarred(f Fingerprint) bool {
+	s.refresh()
 	x := s.byFingerprint[f]
-	return x != nil && shouldBar(len(x.crashes)+1, s.unexplained(x)+1)
+	return x != nil && len(x.crashes) > 0 && s.shouldBar(x, 1)
+}
+
+// RetryAfter returns when a caller may send a request with a barred fingerprint again. A part that
+// was barred just now may be released soon.
+func (s *Suspects) RetryAfter(now time.Duration, f Fingerprint) time.Duration {
+	if x := s.byFingerprint[f]; x != nil && s.kind == Part && !x.recorded && now-x.barredAt < confirmationTime {
+		return confirmationTime
+	}
+	return Retention
 }
 
 // Crashes returns the number of crashes under the fingerprint, including those that another
@@ -117,6 +259,7 @@
 
 // TakeChanges returns the fingerprints that became barred, or no longer are, since the last call.
 func (s *Suspects) TakeChanges() []Change {
+	s.refresh()
 	out := s.changed
 	s.changed = nil
 	return out
@@ -124,16 +267,18 @@
 
 // Expire removes the suspects whose last update is older than Retention.
 func (s *Suspects) Expire(now time.Duration) {
+	s.now = now
+	s.crashLog.expire(now - Retention)
 	for _, x := range s.byFingerprint {
 		if now-x.lastUpdate() > Retention {
 			s.remove(x)
 		}
 	}
-	s.updateBarred()
+	s.stale = true
 }
 
 // getOrAdd returns the suspect of a fingerprint, and adds it if it is new.
-func (s *Suspects) getOrAdd(now time.Duration, f Fingerprint) *suspect {
+func (s *Suspects) getOrAdd(f Fingerprint) *suspect {
 	if x := s.byFingerprint[f]; x != nil {
 		return x
 	}
@@ -144,6 +289,9 @@
 		s.evict()
 	}
 	x := &suspect{fingerprint: f}
+	if at, ok := s.history.last(f); ok {
+		x.cleared.advance(at)
+	}
 	s.byFingerprint[f] = x
 	return x
 }
@@ -151,6 +299,7 @@
 // evict removes a batch of the least important suspects: not barred, with the fewest crashes,
 // least recently updated.
 func (s *Suspects) evict() {
+	s.refresh()
 	all := slices.SortedFunc(maps.Values(s.byFingerprint), func(a, b *suspect) int {
 		return cmp.Or(cmp.Compare(len(a.crashes), len(b.crashes)), cmp.Compare(a.lastUpdate(), b.lastUpdate()), cmp.Compare(a.fingerprint, b.fingerprint))
 	})
@@ -158,7 +307,7 @@
 	for _, x := range all[:min(len(all), evictionBatch)] {
 		s.remove(x)
 	}
-	s.updateBarred()
+	s.stale = true
 }
 
 func (s *Suspects) remove(x *suspect) {
@@ -191,10 +340,11 @@
 	return true
 }
 
-// clear discards all crashes up to the given time, and the store's record.
+// clear discards all crashes up to the given time, and the store's record. The record of a part
+// stays if the clearing is older than the evidence for it.
 func (s *Suspects) clear(x *suspect, at time.Duration) {
+	x.recorded = x.recorded && s.kind == Part && at <= x.lastEvidence()
 	x.cleared.advance(at)
-	x.recorded = false
 	crashes := x.crashes
 	s.dropCrashes(x)
 	for _, c := range crashes {
