Unframed streams that end after a whole event are whole

What callers saw: a stream without a length or chunks counted as broken at its end. One that may be repeated was run twice, others were cut (TestUnframedStreamIsWhole before: unexpected EOF).

Cause: the end of such a stream looks like that of a broken connection, so all were taken for broken.

Change: after a whole event the router connects to the server once. If that is refused, the server has crashed, and the response is broken; otherwise it is whole. The same for other unframed responses, which counted as whole whatever became of their server.

The test's engines end unframed streams with their connection.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -116,7 +116,7 @@
 		start := x.front.core.Now()
 		outcome, ended := a.run()
 		x.front.core.Update(direct.AttemptEndMsg{
-			Now: x.front.core.Now(), ID: x.id, Outcome: outcome, Retry: !ended, ConnRefused: a.connRefused, RouterLate: a.dialOverdue || x.front.core.pressure.Slow(),
+			Now: x.front.core.Now(), ID: x.id, Outcome: outcome, Retry: !ended, ConnRefused: a.connRefused, RouterLate: a.dialOverdue || x.front.core.pressure.Slow(), Unframed: a.unframed,
 		})
 		x.front.stats.Attempt(outcome, x.front.core.Now()-start)
 		if ended {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 
@@ -29,6 +30,9 @@
 		a.x.fail("memory")
 		return direct.GivenUp, true
 	}
+	if err == nil && isUnframed(resp) && a.checkUnframedEnd(true) != io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil || !isForwardable(resp, info) {
 		a.conn.Close()
 		return a.endWithoutResponse(direct.Broken)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,9 +34,8 @@
 	for {
 		a.setStallDeadline()
 		event, err := events.next()
-		if err == io.EOF && resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0 {
-			// Without framing, this end looks the same as a broken connection.
-			err = io.ErrUnexpectedEOF
+		if err == io.EOF && isUnframed(resp) {
+			err = a.checkUnframedEnd(a.forwarding)
 		}
 		if err == io.EOF {
 			return a.endStream()
