Prompt parts: tests of decisions, messages of this build, bytes

- While no router knows of crashes under parts, heartbeats carry nothing of it: the capability flag and the revision of the feed would have been 8 bytes in each of a hundred heartbeats a second.
- Corpus: the heartbeat of this build.

--- a/direct/crashcheck.go
+++ b/direct/crashcheck.go
@@ -208,8 +208,11 @@
 	}
 	m.suspects.ApplyReports(now, report.Suspects)
 	m.suspects.CompareDigest(now, report.SuspectsDigest)
+	m.partSuspects.ApplyReports(now, report.PartSuspects)
+	if report.PartsDigest != (quarantine.Digest{}) {
+		m.peerPartsAt = now
+	}
 	if report.HasParts {
-		m.partSuspects.ApplyReports(now, report.PartSuspects)
 		m.partSuspects.CompareDigest(now, report.PartsDigest)
 	}
 }
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -74,7 +74,8 @@
 	peerLoadsAt       time.Duration       // when the peers' loads were received
 	suspects          quarantine.Suspects // contents of requests
 	partSuspects      quarantine.Suspects
-	pendingReprobes   []*server // to be probed again; see reprobe
+	peerPartsAt       time.Duration // when another router last reported parts that it bars or nearly bars; 0: never
+	pendingReprobes   []*server     // to be probed again; see reprobe
 	forgottenNotices  forgottenNotices
 	startedRequests   []*requestState // whose first event came since the last tick, as evidence about versions
 }
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -197,7 +197,8 @@
 	// checksums of those that all routers must know.
 	Suspects       []quarantine.Report
 	SuspectsDigest quarantine.Digest
-	// PartSuspects and PartsDigest are the same for prompt parts. Routers of older builds have none.
+	// PartSuspects and PartsDigest are the same for prompt parts. HasParts reports that the digest is
+	// to be compared: routers of older builds have none, and it is left out while no router knows any.
 	HasParts     bool
 	PartSuspects []quarantine.Report
 	PartsDigest  quarantine.Digest
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/loads"
+	"github.com/croftvale/croftvale/quarantine"
 )
 
 // recordPeerReport records the current report of another router.
@@ -69,12 +70,23 @@
 // Report returns this router's current report for the others. Each suspect is included in only
 // a few reports.
 func (m *Machine) Report(now time.Duration) Report {
+	parts := m.partSuspects.Digest()
 	return Report{
 		Headroom: m.ownHeadroom, Suspects: m.suspects.TakeReports(now, maxReportedSuspects), SuspectsDigest: m.suspects.Digest(),
-		HasParts: true, PartSuspects: m.partSuspects.TakeReports(now, maxReportedParts), PartsDigest: m.partSuspects.Digest(),
+		HasParts: parts != (quarantine.Digest{}) || m.hasPeerParts(now), PartSuspects: m.partSuspects.TakeReports(now, maxReportedParts), PartsDigest: parts,
 	}
 }
 
+// peerPartsTTL is how long a router whose digest of parts is empty announces it, once others have
+// reported theirs.
+const peerPartsTTL = 10 * time.Second
+
+// hasPeerParts reports whether other routers bar or nearly bar parts, so that they must learn whether
+// this one does.
+func (m *Machine) hasPeerParts(now time.Duration) bool {
+	return m.peerPartsAt > 0 && now-m.peerPartsAt < peerPartsTTL
+}
+
 // Teams returns the demand and use of the active teams at this router.
 func (m *Machine) Teams(now time.Duration) []loads.TeamUse {
 	var out []loads.TeamUse
--- a/gateway/cluster/compatibility_test.go
+++ b/gateway/cluster/compatibility_test.go
@@ -45,6 +45,9 @@
 // versions that began streams. All earlier ones do not either.
 var beforeOrigins = []string{"2026-12-03", "2026-12-03-demand", "2026-12-03-nearly-barred"}
 
+// beforeParts are the builds that read the extension by field names and report no prompt parts.
+var beforeParts = []string{"2026-12-03", "2026-12-03-demand", "2026-12-03-nearly-barred", "2026-12-03-origins"}
+
 // TestCorpusIsRead decodes the messages of each build that landed.
 func TestCorpusIsRead(t *testing.T) {
 	if *addCorpus != "" {
@@ -66,6 +69,10 @@
 		if slices.Contains(beforeOrigins, build.Name()) {
 			want.Extension.Origins = false
 		}
+		if slices.Contains(beforeParts, build.Name()) {
+			want.Extension.Parts, want.Extension.PartSuspects = false, nil
+			want.Extension.BarredParts, want.Extension.NearlyBarredParts = 0, 0
+		}
 		require.Equal(t, want, b, "heartbeat of %s", build.Name())
 		l, err := decodeLoadList(readCorpus(t, build.Name(), "loads"))
 		require.NoError(t, err)
@@ -157,6 +164,8 @@
 		}
 		news := unpackGossip(b.Extension.News)
 		require.Equal(t, news, unpackGossip(packGossip(news)))
+		reports := unpackPartReports(b.Extension.PartSuspects)
+		require.Equal(t, reports, unpackPartReports(packPartReports(reports)))
 	})
 }
 
--- a/gateway/cluster/extension.go
+++ b/gateway/cluster/extension.go
@@ -24,8 +24,8 @@
 	NearlyBarred uint64 `msgpack:"w,omitempty"`
 	// Origins reports that the sender keeps records of the versions that began streams.
 	Origins bool `msgpack:"g,omitempty"`
-	// Parts reports that the sender keeps suspects of prompt parts. PartSuspects has its reports, see
-	// packPartReports, and BarredParts and NearlyBarredParts its digest of them.
+	// PartSuspects has reports on prompt parts, see packPartReports. If Parts is set, BarredParts and
+	// NearlyBarredParts are the sender's digest of them.
 	Parts             bool   `msgpack:"p,omitempty"`
 	PartSuspects      []byte `msgpack:"s,omitempty"`
 	BarredParts       uint64 `msgpack:"b,omitempty"`
--- a/gateway/cluster/frozen_test.go
+++ b/gateway/cluster/frozen_test.go
@@ -107,11 +107,24 @@
 		SuspectsDigest: 1 << 61,
 		Extension: heartbeatExtension{
 			Answers: true, Ask: true, AnswerTo: "10.3.0.1", AskOf: "10.4.0.1", NearlyBarred: 1 << 59, Origins: true,
-			News: packGossip([]detector.PeerUpdate{{Address: "10.5.0.1", Incarnation: 1 << 31, Alive: true, Age: time.Second}}),
+			Parts: true, BarredParts: 1 << 58, NearlyBarredParts: 1 << 57,
+			PartSuspects: packPartReports(samplePartReports()),
+			News:         packGossip([]detector.PeerUpdate{{Address: "10.5.0.1", Incarnation: 1 << 31, Alive: true, Age: time.Second}}),
 		},
 	}
 }
 
+func samplePartReports() []quarantine.Report {
+	return []quarantine.Report{
+		{
+			Content: 1 << 60, Grave: true, Cleared: true, ClearAge: 90, Asked: true, AskAge: 7,
+			Crashes: []quarantine.CrashReport{{Server: 1 << 31, Age: 40, Hall: 1 << 15, Request: 1 << 14}, {Server: 5, Age: 1}},
+		},
+		{Content: 0x5c1e07a2, Crashes: []quarantine.CrashReport{{Server: 5, Age: 1, Hall: 2, Request: 3}}},
+		{Content: 7, Cleared: true, ClearAge: 5},
+	}
+}
+
 func frozenHeartbeat() heartbeat2739690 {
 	return heartbeat2739690{
 		Address: "10.1.0.33", Hall: "hall-1", Region: "north", Power: 0.3, Shed: 0.25, Yields: true, SourceLost: true,
--- a/gateway/cluster/heartbeats.go
+++ b/gateway/cluster/heartbeats.go
@@ -71,7 +71,7 @@
 		Headroom: float32(report.Headroom), SuspectsDigest: report.SuspectsDigest.Barred,
 		Extension: heartbeatExtension{
 			Answers: true, NearlyBarred: report.SuspectsDigest.NearlyBarred, Origins: true,
-			Parts: true, BarredParts: report.PartsDigest.Barred, NearlyBarredParts: report.PartsDigest.NearlyBarred,
+			Parts: report.HasParts, BarredParts: report.PartsDigest.Barred, NearlyBarredParts: report.PartsDigest.NearlyBarred,
 		},
 	}
 	last := b
--- a/gateway/feed/objectfeed.go
+++ b/gateway/feed/objectfeed.go
@@ -31,6 +31,9 @@
 	// current one is not offered, because every router would pull it. If equal is nil, every
 	// listing is offered.
 	equal func(a, b []T) bool
+	// skipEmpty leaves the feed without content until there is an object. Each revision that a router
+	// has is in all its heartbeats.
+	skipEmpty bool
 }
 
 func newObjectFeed[T any](o Options, spec Spec, source objectSource[T], apply func(Listing[T]), onChange func()) *objectFeed[T] {
@@ -80,6 +83,9 @@
 	// An equal listing of a newer era is offered nevertheless. Other routers would otherwise keep
 	// the old era in their revision and compare with that.
 	newest := f.Newest()
+	if newest == nil && len(all) == 0 && f.source.skipEmpty {
+		return
+	}
 	if newest != nil && EraOf(newest.Revision) == EraOf(revision) && f.source.equal != nil && f.source.equal(newest.All, all) {
 		return
 	}
--- a/quarantine/barring.go
+++ b/quarantine/barring.go
@@ -113,7 +113,11 @@
 	}
 	// Requests that survived for some time may still crash their servers.
 	all := s.weightOf(x, func(crash) bool { return true }) + further
-	return exceeds(partWeightLimit, all, explained, unexplained) && s.waitedForSurvivors(x)
+	if !exceeds(partWeightLimit, all, explained, unexplained) {
+		x.suspectedSince = optionalTime{}
+		return false
+	}
+	return s.waitedForSurvivors(x)
 }
 
 // exceeds reports whether the evidence against a fingerprint suffices to bar it.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -111,11 +111,7 @@
 		return
 	}
 	x := s.getOrAdd(r.Content)
-	changed := false
-	if at := now - r.ClearAge.duration(); r.Cleared && (!x.cleared.valid || at > x.cleared.at+ageTolerance) {
-		s.clear(x, at)
-		changed = true
-	}
+	changed := r.Cleared && s.applyClearing(x, now-r.ClearAge.duration())
 	stale := len(r.Crashes) > 0
 	for _, c := range r.Crashes {
 		at := now - c.Age.duration()
@@ -137,6 +133,18 @@
 	}
 }
 
+// applyClearing applies a clearing that another router has reported, and reports whether others may
+// not know it yet.
+func (s *Suspects) applyClearing(x *suspect, at time.Duration) bool {
+	isNew := !x.cleared.valid || at > x.cleared.at+ageTolerance
+	if !isNew && s.kind == Content {
+		return false
+	}
+	crashes := len(x.crashes)
+	s.clear(x, at)
+	return isNew || len(x.crashes) < crashes
+}
+
 // ageTolerance is how much the age of one event may differ between the reports of two routers.
 // It covers the delivery time of a list of reports.
 const ageTolerance = 100 * time.Millisecond
