--- a/direct/crashcheck.go
+++ b/direct/crashcheck.go
@@ -180,7 +180,7 @@
 func (m *Machine) recordCrash(now time.Duration, suspect CrashSuspect, s *server) {
 	m.suspects.RecordCrash(now, suspect.Fingerprint, quarantine.Server(s.loadKey))
 	crash := quarantine.Crash{
-		Server: quarantine.Server(s.loadKey), Hall: uint16(xxhash.Sum64String(s.Zone)), Request: uint16(suspect.Fingerprint),
+		Server: quarantine.Server(s.loadKey), Hall: uint16(xxhash.Sum64String(s.Zone)), Request: quarantine.RequestHash(suspect.Fingerprint),
 	}
 	m.partSuspects.RecordCrashOf(now, crash, suspect.partFingerprints()...)
 }
@@ -230,12 +230,9 @@
 // emitQuarantineChanges emits the changes of the quarantine since the last call, and a report
 // to the other routers if they are urgent.
 func (m *Machine) emitQuarantineChanges() {
-	urgent := m.suspects.TakeUrgent()
-	if m.partSuspects.TakeUrgent() || urgent {
-		m.emit(ReportCmd{})
-	}
 	for _, c := range m.suspects.TakeChanges() {
 		m.emit(QuarantineCmd{Change: c})
+		m.partSuspects.ContentsChanged()
 	}
 	abort := false
 	for _, c := range m.partSuspects.TakeChanges() {
@@ -245,6 +242,10 @@
 	if abort {
 		m.abortBarred()
 	}
+	urgent := m.suspects.TakeUrgent()
+	if m.partSuspects.TakeUrgent() || urgent {
+		m.emit(ReportCmd{})
+	}
 }
 
 // suspectsOf returns the state of the fingerprints of a kind.
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -88,22 +88,23 @@
 
 // NewMachine returns a machine without a configuration or servers.
 func NewMachine(o Options) *Machine {
-	return &Machine{
-		options:      o,
-		partSuspects: quarantine.NewSuspects(quarantine.Part),
-		hallRegions:  newHallRegions(o.Region, o.Zone, o.HallRegions),
-		services:     make(map[string]Service),
-		pools:        make(map[string]*pool),
-		byServer:     make(map[string]*server),
-		byKey:        make(map[uint32]*server),
-		requests:     make(map[RequestID]*requestState),
-		teams:        make(map[string]*teamUsage),
-		reach:        make(map[string]*hallReach),
-		evacuated:    make(map[string]bool),
-		peerReports:  make(map[string]peerReport),
-		routers:      1,
-		reportTTL:    time.Second,
+	m := &Machine{
+		options:     o,
+		hallRegions: newHallRegions(o.Region, o.Zone, o.HallRegions),
+		services:    make(map[string]Service),
+		pools:       make(map[string]*pool),
+		byServer:    make(map[string]*server),
+		byKey:       make(map[uint32]*server),
+		requests:    make(map[RequestID]*requestState),
+		teams:       make(map[string]*teamUsage),
+		reach:       make(map[string]*hallReach),
+		evacuated:   make(map[string]bool),
+		peerReports: make(map[string]peerReport),
+		routers:     1,
+		reportTTL:   time.Second,
 	}
+	m.partSuspects = quarantine.NewPartSuspects(&m.suspects)
+	return m
 }
 
 // Update processes a message and returns the commands to carry out. The slice is valid until
--- a/direct/partquarantine_test.go
+++ b/direct/partquarantine_test.go
@@ -19,9 +19,15 @@
 	return r
 }
 
-// crashPart crashes a server under each of n requests with a part.
+// crashPart crashes a server under each of n requests with a part, some time after a request with
+// other parts had a whole response.
 func (h *harness) crashPart(n int, shared ...uint64) {
 	h.t.Helper()
+	whole := h.partRequest(partMiddle)
+	h.sent(h.arrive(whole))
+	h.m.Update(FirstEventMsg{Now: h.now, ID: whole.ID, Streaming: true})
+	h.end(whole.ID, Done, false)
+	h.advance(2 * time.Second)
 	for range n {
 		r := h.partRequest(shared...)
 		r.Attempts = 1
@@ -88,7 +94,7 @@
 
 // crashedThrice returns another router's report of three crashes under a part.
 func crashedThrice(part uint64) quarantine.Report {
-	r := quarantine.Report{Content: quarantine.PartFingerprint(part), Grave: true}
+	r := quarantine.Report{Content: quarantine.PartFingerprint(part), Grave: true, Established: true}
 	for i := range uint16(3) {
 		r.Crashes = append(r.Crashes, quarantine.CrashReport{Server: quarantine.Server(1000 + uint32(i)), Hall: i, Request: i})
 	}
--- a/gateway/cluster/frozen_test.go
+++ b/gateway/cluster/frozen_test.go
@@ -120,7 +120,7 @@
 			Content: 1 << 60, Grave: true, Cleared: true, ClearAge: 90, Asked: true, AskAge: 7,
 			Crashes: []quarantine.CrashReport{{Server: 1 << 31, Age: 40, Hall: 1 << 15, Request: 1 << 14}, {Server: 5, Age: 1}},
 		},
-		{Content: 0x5c1e07a2, Crashes: []quarantine.CrashReport{{Server: 5, Age: 1, Hall: 2, Request: 3}}},
+		{Content: 0x5c1e07a2, Established: true, Crashes: []quarantine.CrashReport{{Server: 5, Age: 1, Hall: 2, Request: 3}}},
 		{Content: 7, Cleared: true, ClearAge: 5},
 	}
 }
--- a/gateway/cluster/partreport.go
+++ b/gateway/cluster/partreport.go
@@ -8,10 +8,11 @@
 
 // The bits of the flags of an encoded report. The others hold the number of crashes.
 const (
-	partGrave      = 1 << 7
-	partCleared    = 1 << 6
-	partAsked      = 1 << 5
-	partMaxCrashes = partAsked - 1
+	partGrave       = 1 << 7
+	partCleared     = 1 << 6
+	partAsked       = 1 << 5
+	partEstablished = 1 << 4
+	partMaxCrashes  = partEstablished - 1
 )
 
 const (
@@ -36,7 +37,7 @@
 	for _, bit := range []struct {
 		set  bool
 		mask byte
-	}{{r.Grave, partGrave}, {r.Cleared, partCleared}, {r.Asked, partAsked}} {
+	}{{r.Grave, partGrave}, {r.Cleared, partCleared}, {r.Asked, partAsked}, {r.Established, partEstablished}} {
 		if bit.set {
 			flags |= bit.mask
 		}
@@ -65,7 +66,7 @@
 		flags := in[8]
 		r := quarantine.Report{
 			Content: quarantine.Fingerprint(binary.BigEndian.Uint64(in)),
-			Grave:   flags&partGrave != 0, Cleared: flags&partCleared != 0, Asked: flags&partAsked != 0,
+			Grave:   flags&partGrave != 0, Cleared: flags&partCleared != 0, Asked: flags&partAsked != 0, Established: flags&partEstablished != 0,
 		}
 		in = in[partHeadSize:]
 		crashes := int(flags & partMaxCrashes)
--- a/quarantine/barring.go
+++ b/quarantine/barring.go
@@ -18,6 +18,9 @@
 	minPartRequests = 2
 	// correlatedCrashWindow is the time in which the servers of a data hall that fails end.
 	correlatedCrashWindow = 100 * time.Millisecond
+	// learningTime is how long after its first whole response a router can't tell parts without whole
+	// responses from those whose responses it has not seen yet.
+	learningTime = 2 * time.Second
 	// minCauseShare is the inverse of the share of all crashes that a part must be present at to be
 	// barred. Where many servers crash by themselves, each part is present at some of the crashes.
 	minCauseShare = 2
@@ -42,7 +45,7 @@
 
 // weightOf returns the weight of those crashes under a part that count.
 func (s *Suspects) weightOf(x *suspect, counts func(crash) bool) int {
-	if !x.cleared.valid {
+	if s.isUnproven(x) {
 		n := 0
 		for _, c := range x.crashes {
 			if counts(c) {
@@ -54,12 +57,25 @@
 	return x.independentCrashes(counts)
 }
 
+// isUnproven reports whether a part never had a whole response, as far as is known, and some router
+// had seen those of others for long enough when a server last crashed under it.
+func (s *Suspects) isUnproven(x *suspect) bool {
+	switch {
+	case x.cleared.valid:
+		return false
+	case x.established:
+		return true
+	}
+	n := len(x.crashes)
+	return s.firstWhole.valid && n > 0 && x.crashes[n-1].at-s.firstWhole.at >= learningTime
+}
+
 // rank orders the suspects of a crash: the one with the highest rank explains it. Contents and parts
 // of equal history rank by weight. A part without any whole response ranks before all others once
 // two servers have crashed under it.
 func (s *Suspects) rank(x *suspect) int {
 	weight := s.weight(x)
-	if s.kind == Part && !x.cleared.valid && len(x.crashes) > 1 {
+	if s.kind == Part && s.isUnproven(x) && len(x.crashes) > 1 {
 		return weight + unprovenRank
 	}
 	return weight
@@ -85,13 +101,24 @@
 func (s *Suspects) explained(x *suspect) int {
 	rank, n := s.rank(x), 0
 	for _, c := range x.crashes {
-		if s.serverRanks[c.server] > rank {
+		if s.serverRanks[c.server] > rank || s.contentExplains(c) {
 			n++
 		}
 	}
 	return n
 }
 
+// contentExplains reports whether a crash under a part has a barred content as its cause: that of
+// another request than the one with the part.
+func (s *Suspects) contentExplains(c crash) bool {
+	if s.contents == nil || c.request == severalRequests {
+		return false
+	}
+	return slices.ContainsFunc(s.contents.byServer[c.server], func(x *suspect) bool {
+		return x.barred && RequestHash(x.fingerprint) != c.request
+	})
+}
+
 // shouldBar reports whether to bar a fingerprint after the given number of further crashes that
 // nothing explains. Of two fingerprints that crash servers together, the one of higher rank explains
 // the other's crashes. A fingerprint beyond the limit is barred by a single unexplained
@@ -127,7 +154,7 @@
 
 // mayStillClear reports whether a part that has had whole responses may have further ones soon.
 func (s *Suspects) mayStillClear(x *suspect) bool {
-	if x.barred || !x.cleared.valid || s.now-x.crashes[0].at >= minProvenTime {
+	if x.barred || s.isUnproven(x) || s.now-x.crashes[0].at >= minProvenTime {
 		return false
 	}
 	s.postponed = true
@@ -160,7 +187,7 @@
 		if x.barred {
 			s.barredCount++
 		}
-		s.digest.add(x)
+		s.digest.add(s.kind, x)
 	}
 	slices.SortStableFunc(s.changed, func(a, b Change) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 }
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -19,13 +19,20 @@
 	return Crash{Server: Server(n), Hall: uint16(n), Request: uint16(n)}
 }
 
+// newLearned returns the state of a router that has had whole responses for some time.
+func newLearned() Suspects {
+	s := NewPartSuspects(nil)
+	s.RecordWhole(time.Second, time.Second, 0xfff)
+	return s
+}
+
 // moment returns the nth of several moments that are seconds apart.
 func moment(n int) time.Duration { return time.Duration(n+1) * 5 * time.Second }
 
 // TestPartIsBarredAfterThreeCrashes crashes servers under a part without any whole response. Crashes
 // under a single request bar nothing.
 func TestPartIsBarredAfterThreeCrashes(t *testing.T) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	for n := range 2 {
 		s.RecordCrashOf(moment(n), partCrash(n), deadly)
 		require.False(t, s.Barred(moment(n), deadly))
@@ -34,8 +41,10 @@
 	s.RecordCrashOf(moment(2), partCrash(2), deadly)
 	require.True(t, s.Barred(moment(2), deadly))
 	require.Equal(t, []Change{{Kind: Part, Fingerprint: deadly, Barred: true, Crashes: 3}}, s.TakeChanges())
+	require.Empty(t, s.Unrecorded(), "it may still be released")
+	s.Recheck(moment(3))
 	require.Equal(t, []Fingerprint{deadly}, s.Unrecorded())
-	one := NewSuspects(Part)
+	one := newLearned()
 	for n := range 6 {
 		c := partCrash(n)
 		c.Request = 1
@@ -47,7 +56,7 @@
 // TestPartWithWholeResponsesNeedsFiveCrashes crashes servers under a part that had a whole response
 // before. Crashes before a response that is whole later do not count.
 func TestPartWithWholeResponsesNeedsFiveCrashes(t *testing.T) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	s.RecordWhole(moment(0), moment(0), deadly)
 	for n := range 5 {
 		require.False(t, s.Barred(moment(n), deadly))
@@ -62,7 +71,7 @@
 // TestPartsOfHallAreNotBarred crashes all servers of a hall at once, all of which execute a part that
 // had whole responses.
 func TestPartsOfHallAreNotBarred(t *testing.T) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	s.RecordWhole(moment(0), moment(0), common)
 	for n := range 16 {
 		c := partCrash(n)
@@ -76,7 +85,7 @@
 // TestCompanionsAreNotBarred has a part crash servers that is always together with two others. Those
 // had whole responses before, and requests with one of them go on having them.
 func TestCompanionsAreNotBarred(t *testing.T) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	s.RecordWhole(moment(0), moment(0), common, seldom)
 	for n := range 8 {
 		s.RecordCrashOf(moment(n), partCrash(n), common, deadly, seldom)
@@ -90,7 +99,7 @@
 // TestRareCauseAmongCrashesIsNotBarred has many servers crash by themselves, three of them under a
 // part without whole responses.
 func TestRareCauseAmongCrashesIsNotBarred(t *testing.T) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	for n := range 12 {
 		s.RecordCrashOf(moment(0)+time.Duration(n)*time.Second, partCrash(n), Fingerprint(1000+n))
 		if n%4 == 0 {
@@ -105,7 +114,7 @@
 // sent by a router in its turn. Its success releases that part, its crash the other one.
 func TestTrialTellsPartsApart(t *testing.T) {
 	for _, crashes := range []bool{false, true} {
-		s := NewSuspects(Part)
+		s := newLearned()
 		for n := range 3 {
 			s.RecordCrashOf(moment(n), partCrash(n), seldom, deadly)
 		}
@@ -136,7 +145,7 @@
 // TestPartRecordOutlastsOldClearing lists a part as barred at a router that has served it before. What
 // began before the part was listed releases nothing, what began later does.
 func TestPartRecordOutlastsOldClearing(t *testing.T) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	s.SetRecorded(moment(1), []Fingerprint{deadly})
 	s.RecordWhole(moment(2), moment(0), deadly)
 	require.True(t, s.IsBarred(deadly))
@@ -149,7 +158,7 @@
 
 // TestPartRetryAfter checks that callers return soon while a part may still be released.
 func TestPartRetryAfter(t *testing.T) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	for n := range 3 {
 		s.RecordCrashOf(moment(n), partCrash(n), deadly)
 	}
@@ -161,7 +170,7 @@
 // TestSurvivorsPostponeBarring has a part that is barred at its fifth crash, unless requests with it
 // survive. If these have cleared nothing a second later, it is barred.
 func TestSurvivorsPostponeBarring(t *testing.T) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	s.RecordWhole(moment(0), moment(0), deadly)
 	for n := range 5 {
 		s.RecordCrashOf(moment(n+1), partCrash(n), deadly)
@@ -207,7 +216,7 @@
 // TestPartMemoryIsBounded has hostile requests crash servers under thousands of parts each. The deadly
 // part that they share stays known.
 func TestPartMemoryIsBounded(t *testing.T) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	next := Fingerprint(1 << 32)
 	for n := range 300 {
 		set := NewPartSet("red")
@@ -230,7 +239,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		routers := []*Suspects{}
 		for range 3 {
-			s := NewSuspects(Part)
+			s := newLearned()
 			routers = append(routers, &s)
 		}
 		now := time.Second
@@ -273,7 +282,7 @@
 // BenchmarkBarredParts measures the check of a request with five shared parts while one other part is
 // barred.
 func BenchmarkBarredParts(b *testing.B) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	for n := range 3 {
 		s.RecordCrashOf(moment(n), partCrash(n), deadly)
 	}
@@ -288,7 +297,7 @@
 
 // BenchmarkRecordWhole measures a whole response with five shared parts.
 func BenchmarkRecordWhole(b *testing.B) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	now := time.Second
 	for b.Loop() {
 		now++
@@ -298,7 +307,7 @@
 
 // BenchmarkCrashOfManyParts measures the crash of a server while the state is full.
 func BenchmarkCrashOfManyParts(b *testing.B) {
-	s := NewSuspects(Part)
+	s := newLearned()
 	next := Fingerprint(1)
 	n := 0
 	for b.Loop() {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -31,12 +31,13 @@
 	s.stale = true
 }
 
-// Unrecorded returns the fingerprints that are barred and not in the store.
+// Unrecorded returns the fingerprints that are barred and not in the store. A part that may still be
+// released soon is not among them.
 func (s *Suspects) Unrecorded() []Fingerprint {
 	s.refresh()
 	var out []Fingerprint
 	for f, x := range s.byFingerprint {
-		if x.barred && !s.listed[f] {
+		if x.barred && !s.listed[f] && !s.mayBeReleased(x) {
 			out = append(out, f)
 		}
 	}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -33,7 +33,10 @@
 	Cleared  bool
 	ClearAge Age  // since it was cleared
 	Asked    bool // a request was refused
-	AskAge   Age  // since a request was last refused
+	// Established is set for a part if the sender, or another router, has run for long enough to know
+	// that it never had a whole response. Reports of contents don't have it.
+	Established bool `msgpack:"-"`
+	AskAge      Age  // since a request was last refused
 }
 
 // CrashReport is one crash of a server that was executing the fingerprint.
@@ -68,6 +71,7 @@
 	var out []Report
 	for _, x := range due[:min(len(due), limit)] {
 		x.sendsLeft--
+		x.established = x.established || s.kind == Part && s.isUnproven(x)
 		x.refusedReported = x.refused
 		out = append(out, x.report(now))
 	}
@@ -77,11 +81,11 @@
 // mayClearSoon reports whether a crash under a part is so recent that a whole response, which most
 // parts have all the time, is likely to clear it before other routers need to know.
 func (s *Suspects) mayClearSoon(now time.Duration, x *suspect) bool {
-	return s.kind == Part && x.cleared.valid && len(x.crashes) == 1 && now-x.crashes[0].at < provenReportDelay
+	return s.kind == Part && !s.isUnproven(x) && len(x.crashes) == 1 && now-x.crashes[0].at < provenReportDelay
 }
 
 func (x *suspect) report(now time.Duration) Report {
-	r := Report{Content: x.fingerprint, Grave: x.multiCrash, Cleared: x.cleared.valid, Asked: x.refused.valid}
+	r := Report{Established: x.established, Content: x.fingerprint, Grave: x.multiCrash, Cleared: x.cleared.valid, Asked: x.refused.valid}
 	if r.Cleared {
 		r.ClearAge = ageOf(now - x.cleared.at)
 	}
@@ -118,7 +122,7 @@
 		reported := crash{server: c.Server, at: at, hall: c.Hall, request: c.Request}
 		stale = stale && x.clearedSince(at)
 		s.logCrash(reported)
-		changed = s.addCrash(x, reported) || changed
+		changed = s.addCrash(x, reported) || x.mergeRequest(reported) || changed
 	}
 	if s.kind == Part && !r.Cleared && x.cleared.valid && len(r.Crashes) > 0 {
 		x.sendsLeft = max(x.sendsLeft, relaySends) // the sender does not know that it was cleared
@@ -127,6 +131,7 @@
 		x.refused.advance(now - r.AskAge.duration())
 	}
 	x.multiCrash = x.multiCrash || r.Grave
+	x.established = x.established || r.Established
 	if x.multiCrash && (changed || stale) || s.kind == Part && stale {
 		// The sender of crashes that were already cleared has not received the clearing.
 		x.sendsLeft = max(x.sendsLeft, relaySends)
@@ -167,8 +172,11 @@
 }
 
 // add adds a fingerprint to the sum it belongs to.
-func (d *Digest) add(x *suspect) {
+func (d *Digest) add(kind Kind, x *suspect) {
 	switch {
+	case kind == Part && x.barred && len(x.crashes) == 0:
+		// A router that knows only the store's record needs the reports of the crashes.
+		d.Barred += uint64(x.fingerprint) * recordOnlyFactor
 	case x.barred:
 		d.Barred += uint64(x.fingerprint)
 	case x.nearlyBarred():
@@ -176,6 +184,9 @@
 	}
 }
 
+// recordOnlyFactor distinguishes fingerprints that only the store's record bars.
+const recordOnlyFactor = 0x9e3779b97f4a7c15
+
 // Digest returns the digest of the state that all routers should share.
 func (s *Suspects) Digest() Digest {
 	s.refresh()
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -10,9 +11,16 @@
 	server  Server
 	at      time.Duration
 	hall    uint16 // see Crash.Hall
-	request uint16 // see Crash.Request
+	request uint16 // see Crash.Request, or severalRequests
 }
 
+// severalRequests stands for more than one request with the same fingerprint on a server that
+// crashed.
+const severalRequests = 0
+
+// RequestHash returns the hash of a content for Crash.Request.
+func RequestHash(content Fingerprint) uint16 { return uint16(content%math.MaxUint16) + 1 }
+
 // suspect holds the state of one fingerprint under which servers crashed.
 type suspect struct {
 	fingerprint     Fingerprint
@@ -28,12 +36,15 @@
 	// routers must receive it.
 	multiCrash bool
 	sendsLeft  int // number of further lists to report it in
+	// established is set if any router has found that it is unproven.
+	established bool
 	// survivorBegan is when the latest response began that went on for some time without a crash.
 	survivorBegan optionalTime
 	// suspectedSince is when there were enough crashes to bar it, but for survivors.
 	suspectedSince optionalTime
 	barredAt       time.Duration
 	triedAt        optionalTime // see Suspects.MayTry
+	firstTriedAt   optionalTime
 }
 
 // optionalTime is a time, or none. Zero and negative times are valid: events that others report
@@ -62,6 +73,19 @@
 	})
 }
 
+// mergeRequest records that another request with the fingerprint was on a server that crashed, and
+// reports whether that is new.
+func (x *suspect) mergeRequest(other crash) bool {
+	i := slices.IndexFunc(x.crashes, func(c crash) bool {
+		return c.server == other.server && (c.at-other.at).Abs() < crashDedupWindow
+	})
+	if i < 0 || x.crashes[i].request == other.request || x.crashes[i].request == severalRequests {
+		return false
+	}
+	x.crashes[i].request = severalRequests
+	return true
+}
+
 // crashedServer reports whether s is known to have crashed under the fingerprint.
 func (x *suspect) crashedServer(s Server) bool {
 	return slices.ContainsFunc(x.crashes, func(c crash) bool { return c.server == s })
@@ -81,7 +105,10 @@
 func (x *suspect) requests() int {
 	n := 0
 	for i, c := range x.crashes {
-		if !slices.ContainsFunc(x.crashes[:i], func(other crash) bool { return other.request == c.request }) {
+		switch {
+		case c.request == severalRequests:
+			n += 2
+		case !slices.ContainsFunc(x.crashes[:i], func(other crash) bool { return other.request == c.request }):
 			n++
 		}
 	}
@@ -103,6 +130,17 @@
 	return len(counted)
 }
 
+// failedTrials returns the number of crashes since the first trial.
+func (x *suspect) failedTrials() int {
+	n := 0
+	for _, c := range x.crashes {
+		if x.firstTriedAt.valid && c.at > x.firstTriedAt.at {
+			n++
+		}
+	}
+	return n
+}
+
 // lastEvidence returns the time of the latest evidence against the fingerprint.
 func (x *suspect) lastEvidence() time.Duration {
 	if n := len(x.crashes); n > 0 {
@@ -111,11 +149,6 @@
 	return x.recordedAt
 }
 
-// covers reports whether x was on each server that crashed under other.
-func (x *suspect) covers(other *suspect) bool {
-	return !slices.ContainsFunc(other.crashes, func(c crash) bool { return !x.crashedServer(c.server) })
-}
-
 // lastUpdate returns the time of the last event of the fingerprint.
 func (x *suspect) lastUpdate() time.Duration {
 	var last optionalTime
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -34,8 +34,8 @@
 // Crash describes the crash of a server, as evidence against a fingerprint that it was executing.
 type Crash struct {
 	Server Server
-	// Hall and Request are hashes of the server's data hall and of the request's content. They tell
-	// whether several crashes are independent evidence.
+	// Hall is a hash of the server's data hall, and Request the RequestHash of the request's content.
+	// They tell whether several crashes are independent evidence.
 	Hall, Request uint16
 }
 
@@ -43,9 +43,11 @@
 // crashed. The zero value is empty and holds contents. Times are on the router's monotonic clock.
 type Suspects struct {
 	kind          Kind
+	contents      *Suspects     // of parts: the state of contents, which may explain crashes
 	stale         bool          // refresh is needed
 	now           time.Duration // of the last update
 	history       history       // of parts
+	firstWhole    optionalTime  // first whole response of any part
 	crashLog      crashLog      // of parts
 	barredCount   int
 	postponed     bool // parts are or were not barred at once because of survivors
@@ -59,8 +61,12 @@
 	lastResend    time.Duration // when the barred suspects were last sent again
 }
 
-// NewSuspects returns an empty state for fingerprints of a kind.
-func NewSuspects(kind Kind) Suspects { return Suspects{kind: kind} }
+// NewPartSuspects returns an empty state of prompt parts. Contents may be nil; otherwise those that
+// it bars explain crashes under parts.
+func NewPartSuspects(contents *Suspects) Suspects { return Suspects{kind: Part, contents: contents} }
+
+// ContentsChanged tells the state of parts that other contents than before are barred.
+func (s *Suspects) ContentsChanged() { s.stale = true }
 
 // Change reports that a fingerprint has become barred, or no longer is.
 type Change struct {
@@ -84,6 +90,7 @@
 	for _, f := range fingerprints {
 		x := s.getOrAdd(f)
 		if !s.addCrash(x, observed) {
+			changed = x.mergeRequest(observed) || changed
 			continue
 		}
 		x.sendsLeft = ownSends
@@ -104,7 +111,7 @@
 
 // isUrgent reports whether other routers must learn at once of a new crash under x.
 func (s *Suspects) isUrgent(x *suspect) bool {
-	return x.nearlyBarred() && (s.kind == Content || !x.cleared.valid)
+	return x.nearlyBarred() && (s.kind == Content || s.isUnproven(x))
 }
 
 // TakeUrgent reports whether anything happened since the last call that other routers must
@@ -136,6 +143,9 @@
 func (s *Suspects) RecordWhole(now, began time.Duration, fingerprints ...Fingerprint) {
 	s.now = now
 	changed := false
+	if len(fingerprints) > 0 && !s.firstWhole.valid {
+		s.firstWhole.advance(now)
+	}
 	for _, f := range fingerprints {
 		s.history.record(f, began)
 		x := s.byFingerprint[f]
@@ -242,12 +252,19 @@
 // RetryAfter returns when a caller may send a request with a barred fingerprint again. A part that
 // was barred just now may be released soon.
 func (s *Suspects) RetryAfter(now time.Duration, f Fingerprint) time.Duration {
-	if x := s.byFingerprint[f]; x != nil && s.kind == Part && !x.recorded && now-x.barredAt < confirmationTime {
+	s.now = max(s.now, now)
+	if x := s.byFingerprint[f]; x != nil && s.mayBeReleased(x) {
 		return confirmationTime
 	}
 	return Retention
 }
 
+// mayBeReleased reports whether a part was barred so recently that other routers may still report
+// whole responses.
+func (s *Suspects) mayBeReleased(x *suspect) bool {
+	return s.kind == Part && !x.recorded && s.now-x.barredAt < confirmationTime
+}
+
 // Crashes returns the number of crashes under the fingerprint, including those that another
 // one explains.
 func (s *Suspects) Crashes(f Fingerprint) int {
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -7,31 +7,36 @@
 
 // trialInterval is how long each router in turn may try a part, which it does once. A crash is known
 // to all routers by the end of it.
-const trialInterval = 2 * time.Second
+const trialInterval = time.Second
 
 // trialRouters is the number of routers whose turn it is at the same time.
 const trialRouters = 2
 
+// maxOwnCrashes is the number of crashes under a part without any other barred part from which it is
+// certainly a cause.
+const maxOwnCrashes = 2
+
+// maxFailedTrials is the number of crashes since the first trial of a part after which it is not tried
+// any more.
+const maxFailedTrials = 2
+
 // Candidate is a router that may send a request with a barred part as a trial.
 type Candidate struct {
 	Rank    int // among all routers, from 0
 	Routers int // at least 1
 }
 
-// MayTry reports whether a request may be sent although it has barred parts. Parts that were always
-// together when servers crashed are all barred, though perhaps only one of them is the cause. A
-// request with some of them, but not all, tells them apart: its success releases its parts, and its
-// crash releases the others. trialRouters at a time send one such request each.
+// MayTry reports whether a request may be sent although it has barred parts. Parts that were together
+// when servers crashed are all barred, though perhaps only one of them is the cause. A request with
+// some of them, but not all, tells them apart: its success releases its parts, and its crash speaks
+// against them. trialRouters at a time send one such request each.
 //
 // The arguments are the fingerprints of all shared parts of the request.
 func (s *Suspects) MayTry(now time.Duration, c Candidate, fingerprints ...Fingerprint) bool {
 	s.refresh()
 	for _, f := range fingerprints {
 		x := s.byFingerprint[f]
-		if x == nil || !x.barred {
-			continue
-		}
-		if !s.mayTry(now, c, x) || !s.hasAlternative(x, fingerprints) {
+		if x != nil && x.barred && !(s.isTurn(now, c, x) && s.isAmbiguous(x, fingerprints)) {
 			return false
 		}
 	}
@@ -43,12 +48,15 @@
 	for _, f := range fingerprints {
 		if x := s.byFingerprint[f]; x != nil && x.barred {
 			x.triedAt.advance(now)
+			if !x.firstTriedAt.valid {
+				x.firstTriedAt.advance(now)
+			}
 		}
 	}
 }
 
-// mayTry reports whether it is this router's turn to try a part.
-func (s *Suspects) mayTry(now time.Duration, c Candidate, x *suspect) bool {
+// isTurn reports whether it is this router's turn to try a part.
+func (s *Suspects) isTurn(now time.Duration, c Candidate, x *suspect) bool {
 	if x.triedAt.valid && now-x.triedAt.at < trialInterval {
 		return false
 	}
@@ -57,16 +65,43 @@
 	return position < trialRouters
 }
 
-// hasAlternative reports whether a barred part that a request does not have may be the cause of all
-// crashes under x.
-func (s *Suspects) hasAlternative(x *suspect, fingerprints []Fingerprint) bool {
+// isAmbiguous reports whether something else than x, that a request does not have, may be the cause of
+// the crashes under x. Without known crashes, after a restart of all routers, the request is the only
+// way to find out, once.
+func (s *Suspects) isAmbiguous(x *suspect, fingerprints []Fingerprint) bool {
 	if len(x.crashes) == 0 {
+		return !x.triedAt.valid && s.hasOtherBarred(fingerprints)
+	}
+	if x.failedTrials() >= maxFailedTrials {
 		return false
 	}
-	for _, other := range s.byServer[x.crashes[0].server] {
-		if other != x && other.barred && other.covers(x) && !slices.Contains(fingerprints, other.fingerprint) {
+	if !s.isUnproven(x) && s.crashesSince(x) > len(x.crashes) {
+		return true // servers crash without it, and it used to crash none
+	}
+	own := 0
+	for _, c := range x.crashes {
+		if !s.hasOtherCause(c.server, x, fingerprints) {
+			own++
+		}
+	}
+	return own < maxOwnCrashes
+}
+
+// hasOtherBarred reports whether a part is barred that a request does not have.
+func (s *Suspects) hasOtherBarred(fingerprints []Fingerprint) bool {
+	for f, x := range s.byFingerprint {
+		if x.barred && !slices.Contains(fingerprints, f) {
 			return true
 		}
 	}
 	return false
 }
+
+// hasOtherCause reports whether another suspect that may be the cause was present when a server
+// crashed: one that a request does not have, and that is barred or may soon be.
+func (s *Suspects) hasOtherCause(server Server, x *suspect, fingerprints []Fingerprint) bool {
+	return slices.ContainsFunc(s.byServer[server], func(other *suspect) bool {
+		mayBe := other.barred || s.isUnproven(other) && len(other.crashes) > 1
+		return mayBe && other != x && !slices.Contains(fingerprints, other.fingerprint)
+	})
+}
