--- a/cmd/croftvale/gatewaystate.go
+++ b/cmd/croftvale/gatewaystate.go
@@ -142,9 +142,9 @@
 }
 
 func suspectsTable(s gateway.State) *table {
-	t := newTable("requests under which servers crashed", "content", "crashes", "refused", "in the store", "last")
+	t := newTable("requests and parts of prompts under which servers crashed", "kind", "content or part", "crashes", "refused", "in the store", "last")
 	for _, x := range s.Suspects {
-		t.add(x.Content, x.Crashes, yes(x.Barred), yes(x.Recorded), shown(x.Known).String()+" ago")
+		t.add(x.Kind, x.Content, x.Crashes, yes(x.Barred), yes(x.Recorded), shown(x.Known).String()+" ago")
 	}
 	return t
 }
--- a/explain/summary.go
+++ b/explain/summary.go
@@ -30,6 +30,7 @@
 	"at_most_once":   "it may have run already, and must not run twice",
 	"deadline":       "its deadline passed before a server was free",
 	"timeout":        "its deadline passed before a server responded",
+	"quarantined":    "servers crash when they run its content or one of its parts; the lines quarantine_begun and the state of a router name those",
 	"stream_broken":  "its server broke off the stream, and its route does not allow it to continue on another server",
 	"pressure":       "the router was short of processor time",
 	"draining":       "the router was shutting down",
--- a/explain/timeline_test.go
+++ b/explain/timeline_test.go
@@ -68,7 +68,7 @@
 func TestEveryReasonIsExplained(t *testing.T) {
 	for _, reason := range []direct.Reason{
 		direct.ReasonNoServers, direct.ReasonOverload, direct.ReasonOverShare, direct.ReasonAttempts,
-		direct.ReasonRetryBudget, direct.ReasonAtMostOnce, direct.ReasonDeadline, direct.ReasonRegion, direct.ReasonVersion,
+		direct.ReasonRetryBudget, direct.ReasonAtMostOnce, direct.ReasonDeadline, direct.ReasonRegion, direct.ReasonVersion, direct.ReasonQuarantined, direct.ReasonBackoff,
 	} {
 		require.NotEmpty(t, reasonTexts[string(reason)], reason)
 	}
--- a/gateway/eventlog/events.go
+++ b/gateway/eventlog/events.go
@@ -88,15 +88,7 @@
 	if c.Barred {
 		name = "quarantine_begun"
 	}
-	l.Event(name).Str(c.Kind.String(), FingerprintText(c.Kind, c.Fingerprint)).Int("crashes", c.Crashes).Msg("")
-}
-
-// FingerprintText returns a fingerprint as operators know it: a part by its ID.
-func FingerprintText(kind quarantine.Kind, f quarantine.Fingerprint) string {
-	if kind == quarantine.Part {
-		return strconv.FormatUint(uint64(f), 16)
-	}
-	return f.String()
+	l.Event(name).Str(c.Kind.String(), c.Fingerprint.Text(c.Kind)).Int("crashes", c.Crashes).Msg("")
 }
 
 // Shares logs the capacity shares and the teams with the highest demand.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		err := w.write(ctx, now, f)
-		r.log.Event("quarantine_write").Str(w.kind.String(), eventlog.FingerprintText(w.kind, f)).Str("what", w.what).Err(err).Msg("")
+		r.log.Event("quarantine_write").Str(w.kind.String(), f.Text(w.kind)).Str("what", w.what).Err(err).Msg("")
 		if err != nil {
 			return false
 		}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -9,11 +9,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Fingerprint identifies equal requests: requests of one team with the same method, host,
-// target and body have the same fingerprint, at any router and on any retry. Request ids are
-// not included, since each attempt of a caller has its own. The zero value identifies no
-// request.
+// Fingerprint identifies equal requests or a part of prompts; see Kind. The zero value identifies
+// nothing.
 //
+// Requests of one team with the same method, host, target and body have the same fingerprint, at any
+// router and on any retry. Request ids are not included, since each attempt of a caller has its own.
 // It is a 64-bit hash. Requests whose fingerprints collide are treated as one: with a thousand
 // suspects and 10,000 other fingerprints a second, that is one request in 60,000 years.
 type Fingerprint uint64
@@ -45,5 +45,13 @@
 	return Fingerprint(n), nil
 }
 
+// Text returns a fingerprint of a kind as operators know it: a part by its ID in hexadecimal.
+func (f Fingerprint) Text(kind Kind) string {
+	if kind == Part {
+		return strconv.FormatUint(uint64(f), 16)
+	}
+	return f.String()
+}
+
 // String returns the fingerprint as 16 hexadecimal digits.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
--- a/quarantine/history.go
+++ b/quarantine/history.go
@@ -3,7 +3,7 @@
 import "time"
 
 // maxHistory is the number of fingerprints in one generation of a history. Two generations take
-// about 0.6 MB.
+// 0.6 MB.
 const maxHistory = 8192
 
 // history remembers when servers last began a response to a request with a fingerprint that turned
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -23,7 +23,7 @@
 	s.refresh()
 	out := make([]State, 0, len(s.byFingerprint))
 	for f, x := range s.byFingerprint {
-		out = append(out, State{Kind: s.kind.String(), Content: f.String(), Barred: x.barred, Recorded: s.listed[f], Crashes: len(x.crashes), Known: now - x.lastUpdate()})
+		out = append(out, State{Kind: s.kind.String(), Content: f.Text(s.kind), Barred: x.barred, Recorded: s.listed[f], Crashes: len(x.crashes), Known: now - x.lastUpdate()})
 	}
 	slices.SortFunc(out, func(a, b State) int {
 		if a.Barred != b.Barred {
