Prompt parts: each attempt is recorded as a survivor once

checkSurvivors went over all requests with each tick for as long as any part had a crash that nothing cleared, up to ten minutes, and recorded the same attempts again. Whether one more crash would bar a part no longer starts its wait for survivors.

--- a/direct/partquarantine.go
+++ b/direct/partquarantine.go
@@ -113,19 +113,28 @@
 		return
 	}
 	for _, r := range m.requests {
-		if r.currentServer == nil || r.firstEventAt == 0 || now-r.firstEventAt < survivorAge || len(r.Parts) < 2 {
-			continue
-		}
-		suspect := r.crashSuspect()
-		if r.clearedOfCrash(now) {
-			m.partSuspects.RecordWhole(now, r.firstEventAt, suspect.partFingerprints()...)
-		} else {
-			m.partSuspects.RecordSurvivor(now, r.firstEventAt, suspect.partFingerprints()...)
+		if r.currentServer != nil && r.firstEventAt > 0 && len(r.Parts) > 1 {
+			m.checkSurvivor(now, r)
 		}
 	}
 	m.partSuspects.Recheck(now)
 }
 
+// checkSurvivor records at most once that an attempt has survived for survivorAge, and once that it
+// can't be the cause of a crash any more.
+func (m *Machine) checkSurvivor(now time.Duration, r *requestState) {
+	switch {
+	case !r.cleared && r.clearedOfCrash(now):
+		r.cleared = true
+		suspect := r.crashSuspect()
+		m.partSuspects.RecordWhole(now, r.firstEventAt, suspect.partFingerprints()...)
+	case !r.survived && now-r.firstEventAt >= survivorAge:
+		r.survived = true
+		suspect := r.crashSuspect()
+		m.partSuspects.RecordSurvivor(now, r.firstEventAt, suspect.partFingerprints()...)
+	}
+}
+
 // suspectIfUnframed checks whether a server crashed when a response ended with its connection. The
 // end of such a response looks the same if it is whole and if its server has crashed.
 func (m *Machine) suspectIfUnframed(now time.Duration, r *requestState, s *server) {
--- a/direct/requeststate.go
+++ b/direct/requeststate.go
@@ -26,6 +26,8 @@
 	placement      placement
 	observed       observation
 	late           bool    // repeated by its caller so late that it can hardly meet its objective; no resumed stream
+	survived       bool    // this attempt was recorded as surviving, see checkSurvivors
+	cleared        bool    // this attempt was recorded as clearing its parts
 	aborted        bool    // its attempt is being aborted, as a part of its prompt was barred
 	trial          bool    // sent although parts of it are barred
 	throttled      bool    // its team's token bucket has nothing for it
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -12,6 +12,7 @@
 	r.currentServer = s
 	r.sentAt = now
 	r.firstEventAt = 0
+	r.survived, r.cleared = false, false
 	r.attempt++
 	r.triedServers = append(r.triedServers, s.ID)
 	basis := PlacementBasis{
--- a/quarantine/barring.go
+++ b/quarantine/barring.go
@@ -141,7 +141,11 @@
 	}
 	// Requests that survived for some time may still crash their servers.
 	all := s.weightOf(x, func(crash) bool { return true }) + further
-	if !exceeds(partWeightLimit, all, explained, unexplained) {
+	suspected := exceeds(partWeightLimit, all, explained, unexplained)
+	if further > 0 {
+		return suspected
+	}
+	if !suspected {
 		x.suspectedSince = optionalTime{}
 		return false
 	}
@@ -168,8 +172,9 @@
 	if !x.suspectedSince.valid {
 		x.suspectedSince.advance(s.now)
 	}
-	s.postponed = true
-	return x.barred || s.now-x.suspectedSince.at >= maxSurvivorWait
+	waited := x.barred || s.now-x.suspectedSince.at >= maxSurvivorWait
+	s.postponed = s.postponed || !waited
+	return waited
 }
 
 // refresh recomputes which fingerprints are barred, and the digest, after any change: a change to
