--- a/quarantine/barring.go
+++ b/quarantine/barring.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// PartCrashThreshold is the number of crashes under a part without any whole response after
+	// partCrashThreshold is the number of crashes under a part without any whole response after
 	// which it is barred. A part that has had whole responses needs unprovenWeight more, since most
 	// requests have parts in common and some of them run on any server that crashes.
-	PartCrashThreshold = 3
+	partCrashThreshold = 3
 	unprovenWeight     = 2
-	partWeightLimit    = PartCrashThreshold + unprovenWeight
+	partWeightLimit    = partCrashThreshold + unprovenWeight
 	// minPartRequests is the number of different requests with crashes from which a part is barred.
 	// The crashes of a single one are evidence against its content.
 	minPartRequests = 2
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -14,6 +14,12 @@
 // fingerprint with more than three crashes is barred by a single unexplained one. A complete
 // response clears a fingerprint of all crashes before it.
 //
+// Requests that differ may have the cause of a crash in common: a part of their prompts. A second
+// Suspects holds the fingerprints of parts, see NewPartSuspects. Most parts are shared by many
+// requests, so some of them run on any server that crashes. The rules for parts therefore also
+// weigh whole responses, requests that survive, and crashes elsewhere; see barring.go. A part that
+// may have been barred by mistake is tried again, see MayTry.
+//
 //	var s quarantine.Suspects
 //	s.RecordCrash(now, fingerprint, server)
 //	if s.Barred(now, fingerprint) { ... }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -44,7 +44,6 @@
 	suspectedSince optionalTime
 	barredAt       time.Duration
 	triedAt        optionalTime // see Suspects.MayTry
-	firstTriedAt   optionalTime
 }
 
 // optionalTime is a time, or none. Zero and negative times are valid: events that others report
@@ -137,11 +136,12 @@
 	return len(counted)
 }
 
-// failedTrials returns the number of crashes since the first trial.
+// failedTrials returns the number of crashes since it was barred, but for those of requests that
+// were running then.
 func (x *suspect) failedTrials() int {
 	n := 0
 	for _, c := range x.crashes {
-		if x.firstTriedAt.valid && c.at > x.firstTriedAt.at {
+		if x.barred && c.at > x.barredAt+trialInterval {
 			n++
 		}
 	}
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -16,8 +16,8 @@
 // certainly a cause.
 const maxOwnCrashes = 2
 
-// maxFailedTrials is the number of crashes since the first trial of a part after which it is not tried
-// any more.
+// maxFailedTrials is the number of crashes since a part was barred after which it is not tried any
+// more.
 const maxFailedTrials = 2
 
 // Candidate is a router that may send a request with a barred part as a trial.
@@ -48,9 +48,6 @@
 	for _, f := range fingerprints {
 		if x := s.byFingerprint[f]; x != nil && x.barred {
 			x.triedAt.advance(now)
-			if !x.firstTriedAt.valid {
-				x.firstTriedAt.advance(now)
-			}
 		}
 	}
 }
