--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -122,6 +122,8 @@
 		require.True(t, s.Barred(now, seldom) && s.Barred(now, deadly))
 		alone := Candidate{Routers: 1}
 		require.False(t, s.MayTry(now, alone, common, seldom, deadly), "it shows nothing")
+		require.False(t, s.MayTry(now, alone, common, seldom), "the other part is not known to be sound")
+		s.RecordWhole(now, now, common)
 		require.True(t, s.MayTry(now, alone, common, seldom))
 		turns := 0
 		for rank := range 10 {
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -36,7 +36,13 @@
 	s.refresh()
 	for _, f := range fingerprints {
 		x := s.byFingerprint[f]
-		if x != nil && x.barred && !(s.isTurn(now, c, x) && s.isAmbiguous(x, fingerprints)) {
+		if x == nil || !x.barred {
+			if !s.HasWhole(f) {
+				return false // its own crash would look like that of a barred part
+			}
+			continue
+		}
+		if !s.isTurn(now, c, x) || !s.isAmbiguous(x, fingerprints) {
 			return false
 		}
 	}
