--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -20,7 +20,7 @@
 	refusedReportInterval = Retention / 4
 	// maxCrashesKept limits the crashes kept per fingerprint; the oldest are dropped.
 	maxCrashesKept = 16
-	// maxSuspects limits the fingerprints kept, which take about 150 bytes each. It covers a
+	// maxSuspects limits the fingerprints kept, which take about 500 bytes each. It covers a
 	// hundred crashes of servers that each run forty requests that have just begun.
 	maxSuspects = 4096
 	// evictionBatch is how many suspects are removed at a time when the limit is reached. Finding
