Aborted attempts count towards the requests that a version has had

An attempt that is aborted since a part of its prompt was barred has reached its server, so it counts in the exposure of that server's version (read in the diff; no run showed it).

--- a/direct/ending.go
+++ b/direct/ending.go
@@ -32,7 +32,7 @@
 	aborted := r.aborted
 	r.aborted = false
 	if aborted && (msg.Outcome == Broken || msg.Outcome == Hung) {
-		m.endAborted(msg, p, r)
+		m.endAborted(msg, p, r, s)
 		return
 	}
 	m.recordCrashEvidence(msg.Now, r, s, msg.Outcome, msg.Unframed)
@@ -57,8 +57,10 @@
 	m.serveQueue(msg.Now, p, serveBatch)
 }
 
-// endAborted ends an attempt that this router has aborted, which is no evidence about its server.
-func (m *Machine) endAborted(msg AttemptEndMsg, p *pool, r *requestState) {
+// endAborted ends an attempt that this router has aborted, which is no evidence about its server. It
+// counts towards the requests that the server's version has had.
+func (m *Machine) endAborted(msg AttemptEndMsg, p *pool, r *requestState, s *server) {
+	p.recordEnded(r, s, msg.Outcome)
 	if msg.Retry {
 		m.retry(msg.Now, p, r, msg.Outcome)
 	} else {
