--- a/direct/arrival.go
+++ b/direct/arrival.go
@@ -32,8 +32,8 @@
 }
 
 // checkAdmission refuses a request whose team's token bucket can't cover it, or that no region
-// may serve, or whose prompt has a barred part. The router calls it before it reads the body, so that a refusal costs little
-// during a flood.
+// may serve, or whose prompt has a barred part. The router calls it before it reads the body, so that
+// a refusal costs little during a flood.
 func (m *Machine) checkAdmission(msg AdmissionCheckMsg) {
 	r := m.newRequestState(msg.Now, msg.Request)
 	p := m.pool(r.Service)
--- a/direct/commands.go
+++ b/direct/commands.go
@@ -78,8 +78,8 @@
 	Suspects []CrashSuspect
 }
 
-// QuarantineCmd reports that requests with a content or a prompt part are refused from now on, or no longer.
-// It is only logged.
+// QuarantineCmd reports that requests with a content or a prompt part are refused from now on, or no
+// longer. It is only logged.
 type QuarantineCmd struct{ Change quarantine.Change }
 
 // AbortCmd aborts the attempt of a request that its server has not begun to run. The attempt ends as
--- a/direct/partsim_test.go
+++ b/direct/partsim_test.go
@@ -136,10 +136,7 @@
 
 // send sends a request with the given shared parts to a random router.
 func (sim *partSim) send(class string, parts ...uint64) {
-	sim.sendTo(sim.random.IntN(len(sim.routers)), class, parts...)
-}
-
-func (sim *partSim) sendTo(router int, class string, parts ...uint64) {
+	router := sim.random.IntN(len(sim.routers))
 	sim.requestID++
 	r := Request{
 		ID: sim.requestID, Team: "red", Service: "llm", Kind: Stream, MayRepeat: true, Attempts: 2, Priority: 1, Route: class,
--- a/gateway/feed/quarantine.go
+++ b/gateway/feed/quarantine.go
@@ -24,8 +24,8 @@
 	WatchQuarantine(ctx context.Context, kind quarantine.Kind, since uint64, wait time.Duration) ([]Change[quarantine.Fingerprint], uint64, error)
 }
 
-// Quarantine is the feed of the fingerprints of one kind whose requests are barred. Without it, routers that lost
-// their state would let these requests crash servers again.
+// Quarantine is the feed of the fingerprints of one kind whose requests are barred. Without it,
+// routers that lost their state would let these requests crash servers again.
 type Quarantine struct {
 	*objectFeed[quarantine.Fingerprint]
 }
