Quarantine: grown files split by idea; one copy of what stood twice

Behaviour stays.

The test for two reports of one crash stood three times (crash.isSame), clearing a request's content and parts three times (clearSuspect), and the start of a response was worked out in two places (crashSuspect, which has it now).

Ruled out: merging partFingerprints and allPartFingerprints.

--- a/direct/crashcheck.go
+++ b/direct/crashcheck.go
@@ -45,13 +45,18 @@
 	Fingerprint quarantine.Fingerprint
 	Parts       []PromptPart // that other requests may share
 	// unframed reports that the response ended with its connection: it is whole unless the server has
-	// crashed. It began at the given time.
+	// crashed. began is when the response began, or when the request was sent.
 	unframed bool
 	began    time.Duration
 }
 
-func (r *Request) crashSuspect() CrashSuspect {
-	return CrashSuspect{Team: r.Team, Fingerprint: r.Fingerprint, Parts: r.sharedParts()}
+// crashSuspect returns the current attempt of a request as a suspect.
+func (r *requestState) crashSuspect() CrashSuspect {
+	began := r.firstEventAt
+	if began == 0 {
+		began = r.sentAt
+	}
+	return CrashSuspect{Team: r.Team, Fingerprint: r.Fingerprint, Parts: r.sharedParts(), began: began}
 }
 
 // partFingerprints returns the fingerprints of the parts that other requests may share.
@@ -105,8 +110,7 @@
 	case o == Done && unframed:
 		m.suspectIfUnframed(now, r, s)
 	case o == Done:
-		m.suspects.RecordSuccess(now, r.Fingerprint)
-		m.recordWhole(now, r)
+		m.clearSuspect(now, r.crashSuspect())
 	case r.clearedOfCrash(now): // a request that crashes servers does so sooner
 	case o == Broken, o == Hung:
 		// A server may crash after the attempt has timed out: a busy server starts to run it
@@ -170,8 +174,7 @@
 func (m *Machine) clearUnframed(now time.Duration, suspects []CrashSuspect) {
 	for _, suspect := range suspects {
 		if suspect.unframed {
-			m.suspects.RecordSuccess(now, suspect.Fingerprint)
-			m.partSuspects.RecordWhole(now, suspect.began, suspect.partFingerprints()...)
+			m.clearSuspect(now, suspect)
 		}
 	}
 }
@@ -200,70 +203,3 @@
 	clear(m.pendingReprobes[len(kept):])
 	m.pendingReprobes = kept
 }
-
-// mergeSuspects merges the suspects of another router's report.
-func (m *Machine) mergeSuspects(now time.Duration, report Report) {
-	if !m.enabled(Quarantine) {
-		return
-	}
-	m.suspects.ApplyReports(now, report.Suspects)
-	m.suspects.CompareDigest(now, report.SuspectsDigest)
-	m.partSuspects.ApplyReports(now, report.PartSuspects)
-	if report.PartsDigest != (quarantine.Digest{}) {
-		m.peerPartsAt = now
-	}
-	if report.HasParts {
-		m.partSuspects.CompareDigest(now, report.PartsDigest)
-	}
-}
-
-// expireSuspects removes old suspects, once per suspectExpiryInterval.
-func (m *Machine) expireSuspects(now time.Duration) {
-	if now-m.suspectsExpiredAt < suspectExpiryInterval {
-		return
-	}
-	m.suspectsExpiredAt = now
-	m.suspects.Expire(now)
-	m.partSuspects.Expire(now)
-}
-
-// emitQuarantineChanges emits the changes of the quarantine since the last call, and a report
-// to the other routers if they are urgent.
-func (m *Machine) emitQuarantineChanges() {
-	for _, c := range m.suspects.TakeChanges() {
-		m.emit(QuarantineCmd{Change: c})
-		m.partSuspects.ContentsChanged()
-	}
-	abort := false
-	for _, c := range m.partSuspects.TakeChanges() {
-		m.emit(QuarantineCmd{Change: c})
-		abort = abort || c.Barred
-	}
-	if abort {
-		m.abortBarred()
-	}
-	urgent := m.suspects.TakeUrgent()
-	if m.partSuspects.TakeUrgent() || urgent {
-		m.emit(ReportCmd{})
-	}
-}
-
-// suspectsOf returns the state of the fingerprints of a kind.
-func (m *Machine) suspectsOf(kind quarantine.Kind) *quarantine.Suspects {
-	if kind == quarantine.Part {
-		return &m.partSuspects
-	}
-	return &m.suspects
-}
-
-// PendingRecords returns the fingerprints of a kind whose quarantine records have to be added to
-// the store, and those whose records have to be removed.
-func (m *Machine) PendingRecords(kind quarantine.Kind) (add, remove []quarantine.Fingerprint) {
-	suspects := m.suspectsOf(kind)
-	return suspects.Unrecorded(), suspects.Outdated()
-}
-
-// QuarantineStates returns the state of at most limit suspects of each kind.
-func (m *Machine) QuarantineStates(now time.Duration, limit int) []quarantine.State {
-	return append(m.suspects.States(now, limit), m.partSuspects.States(now, limit)...)
-}
--- a/direct/partquarantine.go
+++ b/direct/partquarantine.go
@@ -97,14 +97,15 @@
 	return false
 }
 
-// recordWhole records that the current attempt of a request crashed nothing.
-func (m *Machine) recordWhole(now time.Duration, r *requestState) {
-	suspect := r.crashSuspect()
-	began := r.firstEventAt
-	if began == 0 {
-		began = r.sentAt
-	}
-	m.partSuspects.RecordWhole(now, began, suspect.partFingerprints()...)
+// clearSuspect records that a request crashed nothing.
+func (m *Machine) clearSuspect(now time.Duration, suspect CrashSuspect) {
+	m.suspects.RecordSuccess(now, suspect.Fingerprint)
+	m.clearParts(now, suspect)
+}
+
+// clearParts records that the parts of a request crashed nothing before its response began.
+func (m *Machine) clearParts(now time.Duration, suspect CrashSuspect) {
+	m.partSuspects.RecordWhole(now, suspect.began, suspect.partFingerprints()...)
 }
 
 // checkSurvivors records what the running requests show about parts under which servers crashed.
@@ -126,30 +127,28 @@
 	switch {
 	case !r.cleared && r.clearedOfCrash(now):
 		r.cleared = true
-		suspect := r.crashSuspect()
-		m.partSuspects.RecordWhole(now, r.firstEventAt, suspect.partFingerprints()...)
+		m.clearParts(now, r.crashSuspect())
 	case !r.survived && now-r.firstEventAt >= survivorAge:
 		r.survived = true
 		suspect := r.crashSuspect()
-		m.partSuspects.RecordSurvivor(now, r.firstEventAt, suspect.partFingerprints()...)
+		m.partSuspects.RecordSurvivor(now, suspect.began, suspect.partFingerprints()...)
 	}
 }
 
 // suspectIfUnframed checks whether a server crashed when a response ended with its connection. The
 // end of such a response looks the same if it is whole and if its server has crashed.
 func (m *Machine) suspectIfUnframed(now time.Duration, r *requestState, s *server) {
+	check, suspect := &s.crashState, r.crashSuspect()
 	if r.clearedOfCrash(now) {
-		m.suspects.RecordSuccess(now, r.Fingerprint)
-		m.recordWhole(now, r)
+		m.clearSuspect(now, suspect)
 		return
 	}
-	check, suspect := &s.crashState, r.crashSuspect()
 	known := m.partSuspects.HasHistory(suspect.partFingerprints()...)
 	if known && !m.partSuspects.HasCrashes() && m.suspects.Crashes(r.Fingerprint) == 0 {
 		check.addAbandoned(now, suspect)
 		return
 	}
-	suspect.unframed, suspect.began = true, r.firstEventAt
+	suspect.unframed = true
 	check.awaitingProbe = append(check.awaitingProbe, suspect)
 	if len(check.awaitingProbe) == 1 {
 		check.reachedAt = now
--- a/quarantine/crashlog.go
+++ b/quarantine/crashlog.go
@@ -13,10 +13,7 @@
 
 // add adds a crash unless it is known.
 func (l *crashLog) add(c crash) {
-	known := slices.ContainsFunc(*l, func(other crash) bool {
-		return other.server == c.server && (other.at-c.at).Abs() < crashDedupWindow
-	})
-	if known {
+	if slices.ContainsFunc(*l, c.isSame) {
 		return
 	}
 	if len(*l) >= maxCrashLog {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -65,19 +65,20 @@
 // Server value.
 const crashDedupWindow = 1500 * time.Millisecond
 
-// hasCrash reports whether a crash is already recorded, perhaps at a slightly different time.
+// hasCrash reports whether a crash is already recorded.
 func (x *suspect) hasCrash(other crash) bool {
-	return slices.ContainsFunc(x.crashes, func(c crash) bool {
-		return c.server == other.server && (c.at-other.at).Abs() < crashDedupWindow
-	})
+	return slices.ContainsFunc(x.crashes, other.isSame)
+}
+
+// isSame reports whether two crashes are the same one, perhaps at slightly different times.
+func (c crash) isSame(other crash) bool {
+	return c.server == other.server && (c.at-other.at).Abs() < crashDedupWindow
 }
 
 // mergeRequest records that another request with the fingerprint was on a server that crashed, and
 // reports whether that is new.
 func (x *suspect) mergeRequest(other crash) bool {
-	i := slices.IndexFunc(x.crashes, func(c crash) bool {
-		return c.server == other.server && (c.at-other.at).Abs() < crashDedupWindow
-	})
+	i := slices.IndexFunc(x.crashes, other.isSame)
 	if i < 0 || x.crashes[i].request == other.request || x.crashes[i].request == severalRequests {
 		return false
 	}
