The last build without prompt parts reads our heartbeats: a test; PROOF

TestOriginsBuildReadsOurs decodes a heartbeat with all fields of prompt parts into the extension as it was; it passes.

--- a/gateway/cluster/compatibility_test.go
+++ b/gateway/cluster/compatibility_test.go
@@ -120,6 +120,19 @@
 	require.Equal(t, frozenLoadList(), l)
 }
 
+// TestOriginsBuildReadsOurs decodes a heartbeat of this build as the last one without prompt parts does,
+// which must skip the fields that it does not know.
+func TestOriginsBuildReadsOurs(t *testing.T) {
+	var b heartbeat2739690
+	var extension heartbeatExtensionOrigins
+	require.NoError(t, decodeExtended(thisBuild(t)["heartbeat"], &b, &extension))
+	sample := sampleHeartbeat().Extension
+	require.Equal(t, heartbeatExtensionOrigins{
+		Answers: sample.Answers, Ask: sample.Ask, AnswerTo: sample.AnswerTo, AskOf: sample.AskOf,
+		NearlyBarred: sample.NearlyBarred, Origins: sample.Origins, News: sample.News,
+	}, extension)
+}
+
 // thisBuild returns the sample messages as encoded by this build.
 func thisBuild(t *testing.T) map[string][]byte {
 	b, err := encodeHeartbeat(sampleHeartbeat())
--- a/gateway/cluster/frozen_test.go
+++ b/gateway/cluster/frozen_test.go
@@ -46,6 +46,18 @@
 	Age    uint32
 }
 
+// heartbeatExtensionOrigins is the extension of build 2026-12-03-origins, the last that reports no
+// prompt parts. It must not change either.
+type heartbeatExtensionOrigins struct {
+	Answers      bool   `msgpack:"a,omitempty"`
+	Ask          bool   `msgpack:"q,omitempty"`
+	AnswerTo     string `msgpack:"t,omitempty"`
+	AskOf        string `msgpack:"o,omitempty"`
+	NearlyBarred uint64 `msgpack:"w,omitempty"`
+	Origins      bool   `msgpack:"g,omitempty"`
+	News         []byte `msgpack:"n,omitempty"`
+}
+
 type loadList2739690 struct {
 	From     string
 	Hall     string
