Quarantine: what belongs to parts alone stands apart; a rule a function

Behaviour stays. Cause: shouldBar took a number of further crashes and asked four times whether there were any, as it served two questions (is it barred, would one more crash bar it); the state and the suspects mixed fields of parts with those that both kinds have; limits of reports stood in the file of the probes.

Now shouldBar and wouldBar share exceedsLimit, partState and partEvidence hold what parts need, and the limits are beside their use. A comment says why a released connection is first unregistered.

Ruled out: a policy interface for the two kinds.

--- a/direct/crashcheck.go
+++ b/direct/crashcheck.go
@@ -20,12 +20,6 @@
 	// reprobeDelay is the delay before a server that a probe has reached is probed again. A
 	// process that exits may close its connections some time before it stops listening.
 	reprobeDelay = 100 * time.Millisecond
-	// maxReportedSuspects limits the suspects in one report; each takes about 40 bytes.
-	maxReportedSuspects = 16
-	// maxReportedParts limits the parts in one report; each takes 10 bytes, and 12 for each crash.
-	maxReportedParts = 32
-	// suspectExpiryInterval is the time between two removals of old suspects.
-	suspectExpiryInterval = time.Second
 )
 
 // crashCheck holds the requests that broke at a server, or were abandoned there, and may have
--- a/direct/quarantine.go
+++ b/direct/quarantine.go
@@ -6,6 +6,15 @@
 	"github.com/croftvale/croftvale/quarantine"
 )
 
+const (
+	// maxReportedSuspects limits the suspects in one report; each takes about 40 bytes.
+	maxReportedSuspects = 16
+	// maxReportedParts limits the parts in one report; each takes 10 bytes, and 12 for each crash.
+	maxReportedParts = 32
+	// suspectExpiryInterval is the time between two removals of old suspects.
+	suspectExpiryInterval = time.Second
+)
+
 // mergeSuspects merges the suspects of another router's report.
 func (m *Machine) mergeSuspects(now time.Duration, report Report) {
 	if !m.enabled(Quarantine) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -224,7 +224,7 @@
 // caller has left, since stopWatch then came too late: the watch may close the connection
 // at any time.
 func (a *attempt) release() {
-	a.x.front.core.endAttempt(a.x.id)
+	a.x.front.core.endAttempt(a.x.id) // a late abort must not close a connection of the pool
 	if !a.stopWatch() {
 		a.conn.Close()
 		return
--- a/quarantine/barring.go
+++ b/quarantine/barring.go
@@ -44,6 +44,11 @@
 	return s.weightOf(x, func(c crash) bool { return !x.survived(c) })
 }
 
+// fullWeight returns the weight of all crashes under a part, whatever survived.
+func (s *Suspects) fullWeight(x *suspect) int {
+	return s.weightOf(x, func(crash) bool { return true })
+}
+
 // weightOf returns the weight of those crashes under a part that count.
 func (s *Suspects) weightOf(x *suspect, counts func(crash) bool) int {
 	if s.isUnproven(x) {
@@ -120,43 +125,40 @@
 	})
 }
 
-// shouldBar reports whether to bar a fingerprint after the given number of further crashes that
-// nothing explains. Of two fingerprints that crash servers together, the one of higher rank explains
-// the other's crashes. A fingerprint beyond the limit is barred by a single unexplained
-// crash.
-func (s *Suspects) shouldBar(x *suspect, further int) bool {
-	explained := s.explained(x)
-	unexplained := len(x.crashes) - explained + further
+// shouldBar reports whether to bar a fingerprint. Of two fingerprints that crash servers together, the
+// one of higher rank explains the other's crashes.
+func (s *Suspects) shouldBar(x *suspect) bool {
 	if s.kind == Content {
-		return exceeds(CrashThreshold, s.weight(x)+further, explained, unexplained)
-	}
-	if further == 0 && (x.requests() < minPartRequests || len(x.crashes)*minCauseShare < s.crashesSince(x)) {
-		return false
-	}
-	if further == 0 && s.mayStillClear(x) {
-		return false
-	}
-	if exceeds(partWeightLimit, s.weight(x)+further, explained, unexplained) {
-		return true
-	}
-	// Requests that survived for some time may still crash their servers.
-	all := s.weightOf(x, func(crash) bool { return true }) + further
-	suspected := exceeds(partWeightLimit, all, explained, unexplained)
-	if further > 0 {
-		return suspected
-	}
-	if !suspected {
-		x.suspectedSince = optionalTime{}
-		return false
+		return s.exceedsLimit(x, s.weight(x), 0)
 	}
-	return s.waitedForSurvivors(x)
+	return s.isWidespread(x) && !s.mayStillClear(x) && (s.exceedsLimit(x, s.weight(x), 0) || s.isSuspectedLong(x))
+}
+
+// wouldBar reports whether one more crash that nothing explains would bar a fingerprint.
+func (s *Suspects) wouldBar(x *suspect) bool {
+	return s.exceedsLimit(x, s.weight(x), 1) || s.kind == Part && s.exceedsLimit(x, s.fullWeight(x), 1)
 }
 
-// exceeds reports whether the evidence against a fingerprint suffices to bar it.
-func exceeds(limit, weight, explained, unexplained int) bool {
+// exceedsLimit reports whether the evidence against a fingerprint, of the given weight and with a
+// number of further unexplained crashes, suffices to bar it. A fingerprint beyond the limit is barred
+// by a single unexplained crash.
+func (s *Suspects) exceedsLimit(x *suspect, weight, further int) bool {
+	limit := CrashThreshold
+	if s.kind == Part {
+		limit = partWeightLimit
+	}
+	explained := s.explained(x)
+	weight += further
+	unexplained := len(x.crashes) - explained + further
 	return weight-explained >= limit || weight > limit && unexplained > 0
 }
 
+// isWidespread reports whether servers crash under several requests with a part, and not as often
+// without it.
+func (s *Suspects) isWidespread(x *suspect) bool {
+	return x.requests() >= minPartRequests && len(x.crashes)*minCauseShare >= s.crashesSince(x)
+}
+
 // mayStillClear reports whether a part that has had whole responses may have further ones soon.
 func (s *Suspects) mayStillClear(x *suspect) bool {
 	if x.barred || s.isUnproven(x) || s.now-x.crashes[0].at >= minProvenTime {
@@ -166,9 +168,13 @@
 	return true
 }
 
-// waitedForSurvivors reports whether the requests with a part that survived for some time would have
-// cleared it by now.
-func (s *Suspects) waitedForSurvivors(x *suspect) bool {
+// isSuspectedLong reports whether a part would be barred but for requests that survived for some time,
+// and that these would have cleared it by now.
+func (s *Suspects) isSuspectedLong(x *suspect) bool {
+	if !s.exceedsLimit(x, s.fullWeight(x), 0) {
+		x.suspectedSince = optionalTime{}
+		return false
+	}
 	if !x.suspectedSince.valid {
 		x.suspectedSince.advance(s.now)
 	}
@@ -187,7 +193,7 @@
 	s.digest, s.barredCount, s.postponed = Digest{}, 0, false
 	s.serverRanks = s.maxRanks()
 	for _, x := range s.byFingerprint {
-		if barred := x.recorded || s.shouldBar(x, 0); barred != x.barred {
+		if barred := x.recorded || s.shouldBar(x); barred != x.barred {
 			s.setBarred(x, barred)
 		}
 		if x.barred {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -36,13 +36,18 @@
 	// routers must receive it.
 	multiCrash bool
 	sendsLeft  int // number of further lists to report it in
+	barredAt   time.Duration
+	partEvidence
+}
+
+// partEvidence is what is known of a part only.
+type partEvidence struct {
 	// established is set if any router has found that it is unproven.
 	established bool
 	// survivorBegan is when the latest response began that went on for some time without a crash.
 	survivorBegan optionalTime
 	// suspectedSince is when there were enough crashes to bar it, but for survivors.
 	suspectedSince optionalTime
-	barredAt       time.Duration
 	triedAt        optionalTime // see Suspects.MayTry
 }
 
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -42,15 +42,11 @@
 // Suspects holds one router's view of the fingerprints of one kind under which servers have
 // crashed. The zero value is empty and holds contents. Times are on the router's monotonic clock.
 type Suspects struct {
-	kind          Kind
-	contents      *Suspects     // of parts: the state of contents, which may explain crashes
+	kind Kind
+	partState
 	stale         bool          // refresh is needed
 	now           time.Duration // of the last update
-	history       history       // of parts
-	firstWhole    optionalTime  // first whole response of any part
-	crashLog      crashLog      // of parts
 	barredCount   int
-	postponed     bool // parts are or were not barred at once because of survivors
 	byFingerprint map[Fingerprint]*suspect
 	byServer      map[Server][]*suspect // suspects with a crash of the server
 	changed       []Change
@@ -61,9 +57,20 @@
 	lastResend    time.Duration // when the barred suspects were last sent again
 }
 
+// partState is what only the state of parts needs.
+type partState struct {
+	contents   *Suspects    // which may explain crashes; nil: none does
+	history    history      // of whole responses
+	firstWhole optionalTime // first whole response of any part
+	crashLog   crashLog
+	postponed  bool // a part is not barred yet only because it may be cleared soon
+}
+
 // NewPartSuspects returns an empty state of prompt parts. Contents may be nil; otherwise those that
 // it bars explain crashes under parts.
-func NewPartSuspects(contents *Suspects) Suspects { return Suspects{kind: Part, contents: contents} }
+func NewPartSuspects(contents *Suspects) Suspects {
+	return Suspects{kind: Part, partState: partState{contents: contents}}
+}
 
 // ContentsChanged tells the state of parts that other contents than before are barred.
 func (s *Suspects) ContentsChanged() { s.stale = true }
@@ -128,7 +135,7 @@
 func (s *Suspects) OneCrashFromBarred(f Fingerprint) bool {
 	s.refresh()
 	x := s.byFingerprint[f]
-	return x != nil && len(x.crashes) > 0 && s.shouldBar(x, 1)
+	return x != nil && len(x.crashes) > 0 && s.wouldBar(x)
 }
 
 // RetryAfter returns when a caller may send a request with a barred fingerprint again. A part that
