--- a/direct/partcrash_test.go
+++ b/direct/partcrash_test.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// sendDeadly sends a request with a deadly part in this step, four times a second on average.
+func (sim *partSim) sendDeadly(part uint64) {
+	if sim.every(4) {
+		sim.send("deadly", partCommon, part, partSubject+uint64(sim.random.IntN(40)))
+	}
+}
+
 // every reports whether an event that happens about rate times a second happens in this step.
 func (sim *partSim) every(rate float64) bool {
 	return sim.random.Float64() < rate*TickInterval.Seconds()
@@ -128,8 +135,8 @@
 		started := sim.now + 8*time.Second
 		sim.run(30*time.Second, 60, func() {
 			for i := range uint64(2) {
-				if sim.now > started+time.Duration(i*(seed%2)*10)*time.Second && sim.every(4) {
-					sim.send("deadly", partCommon, partDeadly+i, partSubject+uint64(sim.random.IntN(40)))
+				if sim.now > started+time.Duration(i*(seed%2)*10)*time.Second {
+					sim.sendDeadly(partDeadly + i)
 				}
 			}
 		})
@@ -150,9 +157,7 @@
 			if sim.now > 9*time.Second {
 				sim.deadly[partDeadly] = true
 			}
-			if sim.every(4) {
-				sim.send("deadly", partCommon, partDeadly, partSubject+uint64(sim.random.IntN(40)))
-			}
+			sim.sendDeadly(partDeadly)
 		})
 		t.Logf("seed %d: %d crashes", seed, len(sim.crashedBy[partDeadly]))
 		sim.checkDeadly(partDeadly, seed)
@@ -229,9 +234,7 @@
 		all := seed%2 == 0
 		sim.storeDown = !all && seed%4 == 1
 		sim.run(25*time.Second, 40, func() {
-			if sim.every(4) {
-				sim.send("deadly", partCommon, partDeadly, partSubject+uint64(sim.random.IntN(40)))
-			}
+			sim.sendDeadly(partDeadly)
 			switch {
 			case all && sim.now%(10*time.Second) == 0:
 				for i := range sim.routers {
