--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Plays case 3. Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+# TROUBLE=0 plays the same without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/croftvaled ] || go build -ldflags=-linkmode=external -o target/ ./cmd/... || exit 2
+[ -x target/review/harness ] || review/build.sh || exit 2
+exec target/review/harness -case outage-version -dir review/3 -daemon target/croftvaled
