--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/croftvaled ] || go build -ldflags=-linkmode=external -o target/ ./cmd/... || exit 2
 [ -x target/review/harness ] || review/build.sh || exit 2
+export TROUBLE="${TROUBLE:-1}"
 exec target/review/harness -case outage-version -dir review/3 -daemon target/croftvaled
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -37,6 +37,8 @@
 	"outage-version": outageVersion,
 	"copy-part":      copyPart,
 	"copy-version":   copyVersion,
+	"head-flood":     headFlood,
+	"lost-version":   lostVersion,
 	"copy-crash":     copyCrash,
 }
 
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -72,7 +72,7 @@
 
 // nameTable holds the platform's names.
 type nameTable struct {
-	SettingsVariable, ReadyPath, AttemptID, Deadline, LastEventID, Resumes, PromptPrefix, TokenCount, ServerStamp, VersionsKind, PartsKind string
+	SettingsVariable, ReadyPath, AttemptID, Deadline, LastEventID, Resumes, PromptPrefix, TokenCount, ServerStamp, VersionsKind, PartsKind, ColdRemaining string
 }
 
 var names nameTable
