--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -51,6 +52,8 @@
 	routers  []*router
 	restarts bool // the whole fleet has started before
 	closers  []func()
+	starting sync.Mutex // held while a process starts
+	closed   bool       // no process may start any more
 }
 
 // router is one machine with its process.
@@ -175,6 +178,11 @@
 	}
 	cmd.Env = append(cmd.Env, names.SettingsVariable+"="+r.settings)
 	cmd.Stdout, cmd.Stderr = r, r
+	r.fleet.starting.Lock()
+	defer r.fleet.starting.Unlock()
+	if r.fleet.closed {
+		return errors.New("the case has ended")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -208,45 +216,43 @@
 // restartEnded starts processes again, after a short delay, that end by themselves, until the returned
 // function is called.
 func (f *fleet) restartEnded() (stop func()) {
-	done, stopped := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(50 * time.Millisecond):
-			}
-			for _, r := range f.routers {
-				r.restartIfEnded()
+	done := make(chan struct{})
+	var watchers sync.WaitGroup
+	for _, r := range f.routers {
+		watchers.Go(func() {
+			for {
+				r.mu.Lock()
+				ended := r.ended
+				r.mu.Unlock()
+				select {
+				case <-done:
+					return
+				case <-ended:
+				}
+				if r.restart() != nil {
+					return
+				}
 			}
-		}
-	}()
+		})
+	}
 	return func() {
 		close(done)
-		<-stopped
+		watchers.Wait()
 	}
 }
 
 // restartDelay is the time from the end of a process until it is started again.
 const restartDelay = 500 * time.Millisecond
 
-func (r *router) restartIfEnded() {
-	r.mu.Lock()
-	ended := r.ended
-	r.mu.Unlock()
-	select {
-	case <-ended:
-	default:
-		return
-	}
+// restart starts a process that has ended by itself.
+func (r *router) restart() error {
 	r.mu.Lock()
 	r.ownEnds++
 	state, reason := r.cmd.ProcessState.String(), r.lastPanic()
 	r.mu.Unlock()
 	r.fleet.record.add("process  %s has ended by itself: %s: %s", r.name, state, reason)
 	time.Sleep(restartDelay)
-	_ = r.start() // a failure shows as a machine that answers nobody
+	return r.start()
 }
 
 // lastPanic returns the last line about a panic, and where it was. r.mu must be held.
@@ -341,6 +347,9 @@
 
 // close ends all that was started.
 func (f *fleet) close() {
+	f.starting.Lock()
+	f.closed = true
+	f.starting.Unlock()
 	for _, r := range f.routers {
 		if r.cmd != nil {
 			_ = r.cmd.Process.Kill()
