--- a/gateway/core.go
+++ b/gateway/core.go
@@ -17,6 +17,7 @@
 type core struct {
 	mu             sync.Mutex
 	machine        *direct.Machine
+	updating       bool                                 // an update is in progress, or has ended in a panic
 	waiters        map[direct.RequestID]chan direct.Cmd // by request, to its goroutine
 	aborters       map[direct.RequestID]func()          // by request, abort its attempt; must not block
 	nextID         direct.RequestID
@@ -66,6 +67,7 @@
 
 // updateLocked is Update for callers that hold the lock.
 func (c *core) updateLocked(msg direct.Msg) {
+	c.updating = true
 	for _, cmd := range c.machine.Update(msg) {
 		switch cmd := cmd.(type) {
 		case direct.SendCmd:
@@ -96,6 +98,14 @@
 			c.notifyRollouts(cmd.Response)
 		}
 	}
+	c.updating = false
+}
+
+// isConsistent reports whether no update has ended in a panic.
+func (c *core) isConsistent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.updating
 }
 
 // deliver passes a command to the goroutine of a request. The lock must be held.
--- a/gateway/feed/content.go
+++ b/gateway/feed/content.go
@@ -37,6 +37,16 @@
 // Newest returns the newest content, or nil if there is none.
 func (c *Content[T]) Newest() *T { return c.newest.Load() }
 
+// known returns the newest content, or its zero value if there is none: what was known before the
+// source is restored from a backup.
+func (c *Content[T]) known() T {
+	if newest := c.newest.Load(); newest != nil {
+		return *newest
+	}
+	var none T
+	return none
+}
+
 // HasContent reports whether there is any content.
 func (c *Content[T]) HasContent() bool { return c.newest.Load() != nil }
 
--- a/gateway/feed/evacuations.go
+++ b/gateway/feed/evacuations.go
@@ -66,7 +66,7 @@
 	}
 	e.halls.reset(listed)
 	if e.lastRead.advance(revision, e.Revision()) {
-		e.halls.retain(e.Newest().Halls)
+		e.halls.retain(e.known().Halls)
 	}
 	e.offerHalls(revision)
 	return revision, nil
--- a/gateway/feed/objectfeed.go
+++ b/gateway/feed/objectfeed.go
@@ -59,7 +59,7 @@
 	}
 	f.listed.reset(all)
 	if f.lastRead.advance(revision, f.Revision()) {
-		f.listed.retain(f.Newest().All)
+		f.listed.retain(f.known().All)
 	}
 	f.offerListed(revision)
 	return revision, nil
--- a/gateway/feed/servers.go
+++ b/gateway/feed/servers.go
@@ -56,7 +56,7 @@
 		return 0, err
 	}
 	if s.lastRead.advance(revision, s.Revision()) {
-		s.listed.restore(servers, s.Newest().Servers, time.Now())
+		s.listed.restore(servers, s.known().Servers, time.Now())
 		s.o.Log.Event("source_restored").Uint64("era", EraOf(revision)).Int("servers_missing", len(s.listed.missing)).Msg("")
 	} else {
 		s.listed.reset(servers)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -141,24 +141,36 @@
 
 // startTasks starts the background tasks.
 func (g *Gateway) startTasks(ctx context.Context) {
-	tasks := append(g.cluster.Tasks(), g.core.runTicks, g.puller.Run, g.runSweeps, g.logVitals)
+	for _, t := range g.tasks() {
+		go g.runTask(ctx, t)
+	}
+}
+
+// tasks returns the background tasks.
+func (g *Gateway) tasks() []task {
+	leads := g.cluster.Peers.Leads
+	tasks := []task{
+		{name: "ticks", run: g.core.runTicks},
+		{name: "pulls", run: g.puller.Run, restartable: true},
+		{name: "sweeps", run: g.runSweeps, restartable: true},
+		{name: "vitals", run: g.logVitals, restartable: true},
+		{name: "record_versions", run: newVersionRecorder(g.cluster.Origins, g.source, leads, g.log).run},
+	}
+	for _, run := range g.cluster.Tasks() {
+		tasks = append(tasks, task{name: "cluster", run: run})
+	}
 	for _, f := range g.feeds.Followed() {
-		tasks = append(tasks, func(ctx context.Context) error { return g.feeds.Follow(ctx, f, g.cluster.Peers) })
+		follow := func(ctx context.Context) error { return g.feeds.Follow(ctx, f, g.cluster.Peers) }
+		tasks = append(tasks, task{name: "follow_" + f.Spec().Name, run: follow, restartable: true})
 	}
 	if g.core.disabled.Enabled(direct.Quarantine) {
-		tasks = append(tasks, newQuarantineRecorder(g.core, g.source, g.cluster.Peers.Leads, g.log).run)
+		record := newQuarantineRecorder(g.core, g.source, leads, g.log).run
+		tasks = append(tasks, task{name: "record_quarantine", run: record, restartable: true})
 	}
-	tasks = append(tasks, newVersionRecorder(g.cluster.Origins, g.source, g.cluster.Peers.Leads, g.log).run)
 	if g.rollouts != nil {
-		tasks = append(tasks, func(ctx context.Context) error { return g.rollouts.Run(ctx, g.cluster.Peers) })
-	}
-	for _, task := range tasks {
-		go func() {
-			if err := task(ctx); err != nil {
-				g.log.Event("duty_ended").Err(err).Msg("")
-			}
-		}()
+		tasks = append(tasks, task{name: "rollouts", run: func(ctx context.Context) error { return g.rollouts.Run(ctx, g.cluster.Peers) }})
 	}
+	return tasks
 }
 
 // runSweeps closes connections and drops state that are no longer needed.
