--- a/gateway/cluster/cluster.go
+++ b/gateway/cluster/cluster.go
@@ -52,7 +52,7 @@
 	s.startNanos = time.Now().UnixNano()
 	c := &Cluster{heartbeatConn: heartbeatConn, Peers: newPeers(s, deps), loads: newLoadExchange(s, loadConn, deps)}
 	c.Origins = newOrigins(s, originConn, c.Peers, deps)
-	c.Peers.onLive, c.Peers.onOrigins = c.loads.setRouters, c.Origins.setRouters
+	c.Peers.onLive, c.Peers.onOrigins, c.Peers.onContactLost = c.loads.setRouters, c.Origins.setRouters, c.Origins.contactLost
 	c.heartbeats = newHeartbeats(s, heartbeatConn, c.Peers, deps)
 	c.discovery = discovery{
 		registry: deps.Registry, self: s.Self, onMember: func(m Member) { c.Peers.Add(m.Address) },
--- a/gateway/cluster/origins.go
+++ b/gateway/cluster/origins.go
@@ -15,10 +15,9 @@
 // storedVersionsTimeout bounds the call that reads the versions which the source keeps.
 const storedVersionsTimeout = 300 * time.Millisecond
 
-// StoredVersions reads the versions that the source keeps for the case that all routers restart.
+// StoredVersions reads the versions that the source keeps.
 type StoredVersions interface {
-	// ReadVersions returns the versions whose streams may still be resumed, for each service with
-	// several.
+	// ReadVersions returns the versions whose streams may still be resumed, for each service.
 	ReadVersions(ctx context.Context) ([]origin.StoredVersions, error)
 }
 
@@ -62,13 +61,13 @@
 // origin.LookupTimeout at most.
 func (o *Origins) Lookup(ctx context.Context, service string, key origin.Key) origin.Resolution {
 	result := make(chan origin.Resolution, 1)
-	isolated := o.peers.isolated()
+	contact := o.peers.contact()
 	o.mu.Lock()
 	o.updateVersions()
 	o.lastID++
 	id := o.lastID
 	o.waiting[id] = result
-	o.execute(o.machine.Update(origin.LookupMsg{Now: o.deps.StateMachine.Now(), ID: id, Service: service, Key: key, Isolated: isolated}))
+	o.execute(o.machine.Update(origin.LookupMsg{Now: o.deps.StateMachine.Now(), ID: id, Service: service, Key: key, Contact: contact}))
 	o.wakeUp()
 	o.mu.Unlock()
 	select {
@@ -82,20 +81,28 @@
 	}
 }
 
-// Keep returns the versions that the source should keep, by service, and whether they are complete.
-func (o *Origins) Keep() (map[string][]string, bool) {
+// contactLost reports that this router is in touch neither with the source nor with most others.
+func (o *Origins) contactLost(now time.Duration) { o.update(origin.ContactLostMsg{Now: now}) }
+
+// Keep returns the versions that the source should keep.
+func (o *Origins) Keep() []origin.KeptVersions {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.machine.Keep()
 }
 
-// Stored delivers the versions that the source keeps, or the error of reading them.
-func (o *Origins) Stored(stored []origin.StoredVersions, err error) {
+// Stored delivers the versions that the source keeps.
+func (o *Origins) Stored(stored []origin.StoredVersions) {
+	o.update(origin.StoredMsg{Now: o.deps.StateMachine.Now(), Services: versionsByService(stored)})
+}
+
+// versionsByService returns the versions that the source keeps, by service.
+func versionsByService(stored []origin.StoredVersions) map[string][]string {
 	services := make(map[string][]string, len(stored))
 	for _, s := range stored {
 		services[s.Service] = s.Versions
 	}
-	o.update(origin.StoredMsg{Now: o.deps.StateMachine.Now(), Services: services, Err: err})
+	return services
 }
 
 // setRouters sets the other live routers that keep records.
@@ -224,7 +231,7 @@
 	if err != nil {
 		o.deps.Log.Event("versions_unread").Err(err).Msg("")
 	}
-	o.Stored(stored, err)
+	o.update(origin.StoredMsg{Now: o.deps.StateMachine.Now(), Services: versionsByService(stored), Err: err, Requested: true})
 }
 
 // send sends a message to another router.
--- a/gateway/cluster/peers.go
+++ b/gateway/cluster/peers.go
@@ -37,6 +37,8 @@
 	newlyLive          []string              // routers that became live since the last round
 	onLive             func([]loads.Router)  // receives the live routers
 	onOrigins          func([]origin.Router) // receives the live routers that keep records of streams
+	onContactLost      func(now time.Duration)
+	members            int // routers of the fleet, see countMembers
 	power              float64
 	detector           *detector.Detector
 	behind             chan struct{} // signals that a peer has a newer revision
@@ -47,7 +49,7 @@
 		self: s.Self.Address, power: s.Power, detector: detector.New(s.Self.Address, incarnationOf(s.startNanos)),
 		place: s.place(), deps: deps, disabledMechanisms: s.DisabledMechanisms,
 		seedCount: len(s.Seeds), isSeed: s.isSeed(), startupWait: s.startupWait(), known: make(map[string]*peer),
-		behind: make(chan struct{}, 1), onLive: func([]loads.Router) {}, onOrigins: func([]origin.Router) {},
+		behind: make(chan struct{}, 1), onLive: func([]loads.Router) {}, onOrigins: func([]origin.Router) {}, onContactLost: func(time.Duration) {}, members: 1,
 	}
 }
 
@@ -82,8 +84,10 @@
 // startRound picks the targets of a heartbeat and the members it may name, and reports the state of
 // the fleet to the state machine.
 func (p *Peers) startRound() (targets, members []string) {
+	defer func() { p.reportContact(p.deps.StateMachine.Now()) }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.countMembers()
 	now := p.deps.StateMachine.Now()
 	timeout := p.peerTimeoutLocked()
 	var lost, dead []string
--- a/gateway/cluster/role.go
+++ b/gateway/cluster/role.go
@@ -59,24 +59,6 @@
 	return false
 }
 
-// isolated reports whether this router reaches neither the source nor any of the routers that it
-// knows. A router without others is not isolated.
-func (p *Peers) isolated() bool {
-	if !p.deps.Feeds.SourceFailing() {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	heard := false
-	for _, peer := range p.known {
-		if peer.live {
-			return false
-		}
-		heard = heard || peer.lastHeard > 0
-	}
-	return heard
-}
-
 // Follows reports whether this router is one of the few that follow the source, or has been behind
 // another router for too long.
 func (p *Peers) Follows() bool {
--- a/gateway/feed/set.go
+++ b/gateway/feed/set.go
@@ -77,6 +77,11 @@
 	return out
 }
 
+// ServersBehind reports whether the list of servers is older than the one among a router's revisions.
+func (s *Set) ServersBehind(other Revisions) bool {
+	return s.Servers.Revision() < other.get(slices.Index(s.feeds, Feed(s.Servers)))
+}
+
 // Era returns the latest era of the source that this router has seen. Each restore of the source from
 // a backup starts a new era.
 func (s *Set) Era() uint64 {
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -87,9 +87,9 @@
 	s.counter(counterKey{"rejected", "", reason}).Inc(1)
 }
 
-// StreamResumed counts a request that resumes a stream, by what is known of its origin.
-func (s *Stats) StreamResumed(c origin.Certainty) {
-	s.counter(counterKey{"streams_resumed", "", c.String()}).Inc(1)
+// StreamResumed counts a request that resumes a stream, by what is known of its origin and why.
+func (s *Stats) StreamResumed(r origin.Resolution) {
+	s.counter(counterKey{"streams_resumed", r.Evidence.String(), r.Certainty.String()}).Inc(1)
 }
 
 // ServerNotice counts the notices in a server's response.
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -51,8 +51,9 @@
 		return nil
 	}
 	resolution := x.front.origins.Lookup(x.ctx, x.service, x.stream.key)
-	x.front.stats.StreamResumed(resolution.Certainty)
+	x.front.stats.StreamResumed(resolution)
 	if resolution.Certainty == origin.Unknown {
+		x.logOriginUnknown(attemptID, resolution.Evidence)
 		return &refusal{http.StatusServiceUnavailable, reasonOriginUnknown, originRetryAfter}
 	}
 	x.stream.version = resolution.Version
@@ -61,6 +62,13 @@
 	return nil
 }
 
+// logOriginUnknown logs why a stream is not resumed.
+func (x *exchange) logOriginUnknown(attemptID string, e origin.Evidence) {
+	if x.front.log.AllowFailure() {
+		x.front.log.Event("origin_unknown").Str("request", x.info.ID).Str("resumes", attemptID).Str("why", e.String()).Msg("")
+	}
+}
+
 // endResumption ends what resolveOrigin began.
 func (x *exchange) endResumption() {
 	if x.stream.isResuming {
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -15,7 +15,7 @@
 const (
 	// versionsInterval is the time between checks for versions that the source should keep. The
 	// record of a new version must be there before the servers of the earlier ones have gone.
-	versionsInterval = 250 * time.Millisecond
+	versionsInterval = 100 * time.Millisecond
 	// versionsRetryDelay is the delay after a failed call, and versionsTimeout bounds one.
 	versionsRetryDelay = time.Second
 	versionsTimeout    = 1500 * time.Millisecond
@@ -34,8 +34,8 @@
 
 // versionKeeper knows the versions that the source should keep.
 type versionKeeper interface {
-	Keep() (map[string][]string, bool)
-	Stored([]origin.StoredVersions, error)
+	Keep() []origin.KeptVersions
+	Stored([]origin.StoredVersions)
 }
 
 // versionRecorder writes the versions that the source should keep while its router is the leader.
@@ -83,17 +83,18 @@
 			return err
 		}
 	}
-	keep, complete := r.keeper.Keep()
-	if !complete {
-		return nil // what was read has not been taken in yet
-	}
-	for service, versions := range keep {
-		if err := r.write(ctx, service, versions); err != nil {
+	used := make(map[string]bool)
+	for _, kept := range r.keeper.Keep() {
+		used[kept.Service] = true
+		if !kept.Complete {
+			continue
+		}
+		if err := r.write(ctx, kept.Service, kept.Versions); err != nil {
 			return err
 		}
 	}
 	for service := range r.stored {
-		if keep[service] != nil {
+		if used[service] {
 			continue
 		}
 		if err := r.write(ctx, service, nil); err != nil {
@@ -115,7 +116,7 @@
 	for _, v := range all {
 		r.stored[v.Service] = v
 	}
-	r.keeper.Stored(all, nil)
+	r.keeper.Stored(all)
 	return nil
 }
 
--- a/origin/commands.go
+++ b/origin/commands.go
@@ -49,9 +49,29 @@
 // String returns the name of the certainty for logs.
 func (c Certainty) String() string { return [...]string{"unknown", "inferred", "recorded"}[c] }
 
+// Evidence tells what a resolution without a record rests on, or why there is none.
+type Evidence uint8
+
+// Values of Evidence.
+const (
+	NoEvidence      Evidence = iota // a record is enough
+	SourceRead                      // the source was read: no other version has been in use
+	RoutersAgree                    // the source is away; most routers are in touch and use no other version
+	Contradicted                    // the records of the stream contradict one another
+	SeveralVersions                 // several versions may have begun it
+	HistoryUnknown                  // versions may have been in use before this router was in touch
+	OutOfTouch                      // other routers may use versions that this one does not know
+)
+
+// String returns the name of the evidence for logs.
+func (e Evidence) String() string {
+	return [...]string{"", "source", "routers", "contradiction", "several_versions", "history_unknown", "out_of_touch"}[e]
+}
+
 // Resolution is what is known of the version that began a stream.
 type Resolution struct {
 	Certainty Certainty
+	Evidence  Evidence
 	// Version is empty if it is unknown, or if the service has had no servers.
 	Version string
 }
--- a/origin/holders.go
+++ b/origin/holders.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -84,6 +85,16 @@
 	return out
 }
 
+// firstRouters returns the n routers with the highest weights for a stream, or all if there are fewer.
+func firstRouters(key Key, routers []Router, n int) []*Router {
+	out := make([]*Router, len(routers))
+	for i := range routers {
+		out[i] = &routers[i]
+	}
+	slices.SortFunc(out, func(a, b *Router) int { return cmp.Compare(b.weight(key), a.weight(key)) })
+	return out[:min(len(out), n)]
+}
+
 func contains(routers []*Router, r *Router) bool {
 	return slices.ContainsFunc(routers, func(other *Router) bool { return other.Address == r.Address && other.Start == r.Start })
 }
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -9,25 +9,30 @@
 const (
 	// queryRetryDelay is the time after which a question without an answer is sent once more.
 	queryRetryDelay = 40 * time.Millisecond
-	// queryTimeout is the time after which a router that has not answered is taken to be lost: the
-	// failure detector needs longer.
+	// queryTimeout is the time after which no further answer is expected.
 	queryTimeout = 120 * time.Millisecond
 	// LookupTimeout bounds a lookup, including a call to the source.
 	LookupTimeout = 500 * time.Millisecond
 	// maxLookups bounds the lookups in progress. More of them fail at once.
 	maxLookups = 512
+	// maxVouchers is the number of routers that are asked whether they are in touch with this one.
+	// In larger fleets they are a sample.
+	maxVouchers = 32
 )
 
 // lookup is a lookup in progress. It asks routers of this region first.
 type lookup struct {
 	id           uint64 // of the LookupMsg
 	query        Query
+	contact      Contact
 	startedAt    time.Duration
 	askedAt      time.Duration
-	unanswered   map[string]bool // routers that have not answered yet
+	asked        int             // routers that were asked last
+	unanswered   map[string]bool // those of them that have not answered yet
 	repeated     bool            // the question was sent once more to these
 	askedRegions bool            // routers of other regions were asked too
-	awaitsRead   bool            // the routers have answered; the source's versions are being read
+	askedMost    bool            // routers were asked whether they are in touch with this one
+	concluding   bool            // no router that has answered has a record
 }
 
 // startLookup looks a stream up, at this router and then at others.
@@ -36,27 +41,37 @@
 		m.resolve(msg.ID, recorded(e.version))
 		return
 	}
-	if msg.Isolated || len(m.lookups) >= maxLookups {
+	if msg.Contact.isolated() || len(m.lookups) >= maxLookups {
 		m.resolve(msg.ID, Resolution{})
 		return
 	}
 	m.lastNumber++
 	l := &lookup{
-		id: msg.ID, startedAt: msg.Now, unanswered: make(map[string]bool),
+		id: msg.ID, contact: msg.Contact, startedAt: msg.Now, unanswered: make(map[string]bool),
 		query: Query{Number: m.lastNumber, Service: msg.Service, Key: msg.Key},
 	}
 	m.lookups[l.query.Number] = l
+	if m.versions.several(msg.Service) {
+		m.ask(msg.Now, l, asked(msg.Key, m.home))
+		return
+	}
+	m.readFor(msg.Now, l)
+	if msg.Contact.SourceFailing {
+		m.askMost(msg.Now, l)
+		return
+	}
 	m.ask(msg.Now, l, asked(msg.Key, m.home))
 }
 
 // ask sends the question of a lookup to routers. Without any, it concludes the lookup.
 func (m *Machine) ask(now time.Duration, l *lookup, routers []*Router) {
-	l.askedAt, l.repeated = now, false
+	l.askedAt, l.asked, l.repeated = now, len(routers), false
+	clear(l.unanswered)
 	for _, r := range routers {
 		l.unanswered[r.Address] = true
 		m.emit(QueryCmd{To: r.Address, Query: l.query})
 	}
-	if len(l.unanswered) == 0 {
+	if len(routers) == 0 {
 		m.conclude(now, l)
 	}
 }
@@ -64,7 +79,7 @@
 // recorded returns the resolution of a stream with a record.
 func recorded(version string) Resolution {
 	if version == "" {
-		return Resolution{}
+		return Resolution{Evidence: Contradicted}
 	}
 	return Resolution{Certainty: Recorded, Version: version}
 }
@@ -72,7 +87,6 @@
 // askRegions asks routers of the other regions: a caller may have come from there.
 func (m *Machine) askRegions(now time.Duration, l *lookup) {
 	l.askedRegions = true
-	clear(l.unanswered)
 	regions := byRegion(m.routers)
 	var routers []*Router
 	for _, region := range slices.Sorted(maps.Keys(regions)) {
@@ -83,6 +97,12 @@
 	m.ask(now, l, routers)
 }
 
+// askMost asks whether most routers are in touch with this one.
+func (m *Machine) askMost(now time.Duration, l *lookup) {
+	l.askedMost = true
+	m.ask(now, l, firstRouters(l.query.Key, m.routers, maxVouchers))
+}
+
 // answer answers another router's question.
 func (m *Machine) answer(msg QueryMsg) {
 	q := msg.Query
@@ -94,43 +114,66 @@
 	m.emit(AnswerCmd{To: msg.From, Answer: a})
 }
 
-// handleAnswer ends a lookup with a record, or once enough routers have none.
+// handleAnswer ends a lookup with a record, or concludes it once enough routers have none.
 func (m *Machine) handleAnswer(msg AnswerMsg) {
 	a := msg.Answer
 	l := m.lookups[a.Number]
-	if l == nil || l.query.Service != a.Service {
+	if l == nil && m.probes[a.Number] != a.Service || l != nil && l.query.Service != a.Service {
 		return
 	}
-	delete(l.unanswered, msg.From)
 	m.versions.hear(msg.Now, a.Service, a.Versions, a.Complete)
 	m.updateSharing(msg.Now)
+	if l == nil {
+		delete(m.probes, a.Number)
+		return
+	}
+	delete(l.unanswered, msg.From)
 	switch {
 	case a.Found:
 		m.finish(l, recorded(a.Version))
-	case len(l.unanswered) == 0, m.versions.isComplete(a.Service) && !m.versions.several(a.Service):
+	case l.concluding, len(l.unanswered) == 0, m.versions.isComplete(a.Service) && !m.versions.several(a.Service):
 		m.conclude(msg.Now, l)
 	}
 }
 
-// conclude ends a lookup without a record: the version is known only if there has been a single
-// one.
+// conclude ends a lookup without a record if there is evidence that a single version can have begun
+// the stream, or that there will be none.
 func (m *Machine) conclude(now time.Duration, l *lookup) {
+	l.concluding = true
 	switch {
 	case m.versions.several(l.query.Service) && !l.askedRegions:
 		m.askRegions(now, l)
 	case m.versions.several(l.query.Service):
-		m.finish(l, Resolution{})
-	case m.versions.isComplete(l.query.Service):
-		m.finish(l, m.onlyVersion(l.query.Service))
-	case !l.awaitsRead:
-		l.awaitsRead = true
-		m.readStored()
+		m.finish(l, Resolution{Evidence: SeveralVersions})
+	case m.reading.isFreshFor(l):
+		m.finish(l, m.onlyVersion(l.query.Service, SourceRead))
+	case !m.reading.hasFailedSince(l.startedAt):
+		m.readFor(now, l)
+	case l.isVouchedFor():
+		m.finish(l, m.onlyVersion(l.query.Service, RoutersAgree))
+	case !l.contact.Majority || !l.contact.Current:
+		m.finish(l, Resolution{Evidence: OutOfTouch})
+	case !l.askedMost:
+		m.askMost(now, l)
+	case len(l.unanswered) == 0 || now-l.askedAt >= queryTimeout:
+		m.finish(l, Resolution{Evidence: OutOfTouch})
 	}
 }
 
-// onlyVersion returns the resolution of a stream of a service with a single version.
-func (m *Machine) onlyVersion(service string) Resolution {
-	r := Resolution{Certainty: Inferred}
+// isVouchedFor reports whether most routers are in touch with this one, so that it has heard of each
+// version that any of them may use. It is the evidence of last resort, while the source is away.
+func (l *lookup) isVouchedFor() bool {
+	answered := l.asked - len(l.unanswered)
+	return l.contact.Majority && l.contact.Current && l.askedMost && 2*(answered+1) > l.asked+1
+}
+
+// onlyVersion returns the resolution of a stream of a service with at most one known version, by the
+// evidence that no other one is in use.
+func (m *Machine) onlyVersion(service string, e Evidence) Resolution {
+	if !m.versions.isComplete(service) {
+		return Resolution{Evidence: HistoryUnknown}
+	}
+	r := Resolution{Certainty: Inferred, Evidence: e}
 	if versions := m.versions.of(service); len(versions) > 0 {
 		r.Version = versions[0]
 	}
@@ -151,8 +194,7 @@
 		age := now - l.askedAt
 		switch {
 		case now-l.startedAt >= LookupTimeout-TickInterval:
-			m.finish(l, Resolution{})
-		case l.awaitsRead:
+			m.finish(l, m.lateResolution(l))
 		case age >= queryTimeout:
 			m.conclude(now, l)
 		case age >= queryRetryDelay && !l.repeated:
@@ -164,34 +206,10 @@
 	}
 }
 
-// readStored reads the versions that the source keeps, unless a call is in progress.
-func (m *Machine) readStored() {
-	if m.reading {
-		return
-	}
-	m.reading = true
-	m.emit(ReadStoredCmd{})
-}
-
-// handleStored ends the lookups that waited for the source.
-func (m *Machine) handleStored(msg StoredMsg) {
-	m.reading = false
-	for service, versions := range msg.Services {
-		for _, version := range versions {
-			m.versions.stored.add(service, version, msg.Now+versionRetention)
-		}
-	}
-	m.versions.complete = m.versions.complete || msg.Err == nil
-	m.updateSharing(msg.Now)
-	for _, number := range slices.Sorted(maps.Keys(m.lookups)) {
-		l := m.lookups[number]
-		if !l.awaitsRead {
-			continue
-		}
-		if msg.Err != nil {
-			m.finish(l, Resolution{})
-			continue
-		}
-		m.conclude(msg.Now, l)
+// lateResolution returns the resolution of a lookup whose call to the source has not ended in time.
+func (m *Machine) lateResolution(l *lookup) Resolution {
+	if l.isVouchedFor() && !m.versions.several(l.query.Service) {
+		return m.onlyVersion(l.query.Service, RoutersAgree)
 	}
+	return Resolution{Evidence: OutOfTouch}
 }
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -26,8 +26,10 @@
 	previousHome []Router
 
 	lookups    map[uint64]*lookup // by number of the query
+	probes     map[uint64]string  // services that are asked for, by number of the query
 	lastNumber uint64
-	reading    bool // the source's versions are being read
+	reading    reading
+	history    history
 	expiredAt  time.Duration
 	cmds       []Cmd
 }
@@ -37,7 +39,7 @@
 func NewMachine(self Router, firstStart bool) *Machine {
 	return &Machine{
 		self: self, versions: newRecentVersions(firstStart), sharing: make(map[string]bool),
-		outgoing: make(map[string][]Record), lookups: make(map[uint64]*lookup),
+		outgoing: make(map[string][]Record), lookups: make(map[uint64]*lookup), probes: make(map[uint64]string),
 	}
 }
 
@@ -52,6 +54,8 @@
 		m.end(msg.Key)
 	case LookupMsg:
 		m.startLookup(msg)
+	case ContactLostMsg:
+		m.loseContact(msg.Now)
 	case RoutersMsg:
 		m.setRouters(msg.Routers)
 	case ListedMsg:
@@ -107,6 +111,7 @@
 		m.records.expire(now)
 		m.versions.expire(now)
 		m.updateSharing(now)
+		m.searchHistory(now)
 	}
 }
 
@@ -114,15 +119,3 @@
 func (m *Machine) Idle() bool {
 	return len(m.outgoing) == 0 && len(m.lookups) == 0 && len(m.unchecked) == 0
 }
-
-// Keep returns the versions that the source should keep, by service: those of services whose streams
-// may have begun at several. It returns false until the versions are complete.
-func (m *Machine) Keep() (map[string][]string, bool) {
-	out := make(map[string][]string)
-	for _, service := range m.versions.services() {
-		if m.versions.several(service) {
-			out[service] = m.versions.of(service)
-		}
-	}
-	return out, m.versions.complete
-}
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -23,11 +23,27 @@
 	ID      uint64
 	Service string
 	Key     Key
-	// Isolated reports that this router reaches neither other routers nor the source, so that
-	// versions may have come and gone without its knowledge.
-	Isolated bool
+	Contact Contact
 }
 
+// Contact tells how far this router is in touch with the source and the other routers.
+type Contact struct {
+	// Majority reports that heartbeats of most of the routers have arrived lately: of all that were
+	// live when a router in touch with this one last reached the source.
+	Majority bool
+	// Current reports that no router which this one has heard of has a newer list of servers.
+	Current bool
+	// SourceFailing reports that the last call to the source failed.
+	SourceFailing bool
+}
+
+// isolated reports whether nothing can tell this router which versions are in use.
+func (c Contact) isolated() bool { return c.SourceFailing && !c.Majority }
+
+// ContactLostMsg reports that this router is in touch neither with the source nor with most other
+// routers, so that versions may come and go without its knowledge.
+type ContactLostMsg struct{ Now time.Duration }
+
 // RoutersMsg delivers the other live routers that keep records.
 type RoutersMsg struct{ Routers []Router }
 
@@ -37,12 +53,14 @@
 	Services map[string][]string
 }
 
-// StoredMsg delivers the versions that the source keeps for the case that all routers restart, by
-// service. Err is set if they could not be read.
+// StoredMsg delivers the versions that the source keeps, by service: those that may have begun
+// streams which can still be resumed. Err is set if they could not be read.
 type StoredMsg struct {
 	Now      time.Duration
 	Services map[string][]string
 	Err      error
+	// Requested is set for the result of a ReadStoredCmd.
+	Requested bool
 }
 
 // RecordsMsg delivers records of another router.
@@ -72,17 +90,18 @@
 // idle.
 type TickMsg struct{ Now time.Duration }
 
-func (BegunMsg) isMsg()   {}
-func (EndedMsg) isMsg()   {}
-func (LookupMsg) isMsg()  {}
-func (RoutersMsg) isMsg() {}
-func (ListedMsg) isMsg()  {}
-func (StoredMsg) isMsg()  {}
-func (RecordsMsg) isMsg() {}
-func (QueryMsg) isMsg()   {}
-func (AnswerMsg) isMsg()  {}
-func (LeaveMsg) isMsg()   {}
-func (TickMsg) isMsg()    {}
+func (BegunMsg) isMsg()       {}
+func (EndedMsg) isMsg()       {}
+func (LookupMsg) isMsg()      {}
+func (ContactLostMsg) isMsg() {}
+func (RoutersMsg) isMsg()     {}
+func (ListedMsg) isMsg()      {}
+func (StoredMsg) isMsg()      {}
+func (RecordsMsg) isMsg()     {}
+func (QueryMsg) isMsg()       {}
+func (AnswerMsg) isMsg()      {}
+func (LeaveMsg) isMsg()       {}
+func (TickMsg) isMsg()        {}
 
 // Query asks which version began a stream.
 type Query struct {
--- a/origin/sharing.go
+++ b/origin/sharing.go
@@ -14,15 +14,16 @@
 	resharedPerTick = 256
 )
 
-// updateSharing begins to share the records of services that have come to have several versions, and
-// ends that for those with one. Streams that began while there was one are shared then.
+// updateSharing begins to share the records of services whose streams may have begun at several
+// versions, as far as this router knows, and ends that for the others. Streams that began before are
+// shared then.
 func (m *Machine) updateSharing(now time.Duration) {
 	for _, service := range m.versions.services() {
-		several := m.versions.several(service)
-		if several && !m.sharing[service] {
+		share := m.versions.several(service) || !m.versions.isComplete(service)
+		if share && !m.sharing[service] {
 			m.shareAll(now, service)
 		}
-		m.sharing[service] = several
+		m.sharing[service] = share
 	}
 }
 
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -47,6 +47,8 @@
 	// this router; completeOf holds services for which this is known.
 	complete   bool
 	completeOf map[string]bool
+	// since is when this router came into touch with the others.
+	since time.Duration
 }
 
 func newRecentVersions(complete bool) recentVersions {
@@ -72,10 +74,33 @@
 	}
 }
 
-// expire drops versions that count no longer.
+// setStored adds the versions that the source keeps. Where it keeps any of a service, none is missing.
+// Reading a version again does not make it count for longer: routers would keep it for one another.
+func (v *recentVersions) setStored(now time.Duration, services map[string][]string) {
+	for service, versions := range services {
+		for _, version := range versions {
+			if _, counts := v.stored[service][version]; !counts {
+				v.stored.add(service, version, now+versionRetention)
+			}
+		}
+		if len(versions) > 0 {
+			v.completeOf[service] = true
+		}
+	}
+}
+
+// forgetHistory reports that versions may have come and gone unseen until now.
+func (v *recentVersions) forgetHistory(now time.Duration) {
+	v.complete, v.since = false, now
+	clear(v.completeOf)
+}
+
+// expire drops versions that count no longer. Versions that this router may have missed count no longer
+// either once it has been in touch for long enough.
 func (v *recentVersions) expire(now time.Duration) {
 	v.known.expire(now)
 	v.stored.expire(now)
+	v.complete = v.complete || now-v.since >= versionRetention
 }
 
 // of returns the versions of a service in order.
