--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,7 +154,7 @@
 		{name: "pulls", run: g.puller.Run, restartable: true},
 		{name: "sweeps", run: g.runSweeps, restartable: true},
 		{name: "vitals", run: g.logVitals, restartable: true},
-		{name: "record_versions", run: newVersionRecorder(g.cluster.Origins, g.source, leads, g.log).run},
+		{name: "record_versions", run: newVersionRecorder(g.cluster.Origins, g.source, leads, g.feeds.Era, g.log).run},
 	}
 	for _, run := range g.cluster.Tasks() {
 		tasks = append(tasks, task{name: "cluster", run: run})
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -43,12 +43,14 @@
 	keeper versionKeeper
 	store  VersionStore
 	leads  func() bool
+	era    func() uint64 // of the source, which may have lost records in a restore from a backup
 	log    *eventlog.Log
 	stored map[string]origin.StoredVersions // by service; nil: to be read
+	readIn uint64                           // era in which the stored versions were read
 }
 
-func newVersionRecorder(k versionKeeper, s VersionStore, leads func() bool, l *eventlog.Log) *versionRecorder {
-	return &versionRecorder{keeper: k, store: s, leads: leads, log: l}
+func newVersionRecorder(k versionKeeper, s VersionStore, leads func() bool, era func() uint64, l *eventlog.Log) *versionRecorder {
+	return &versionRecorder{keeper: k, store: s, leads: leads, era: era, log: l}
 }
 
 // run writes the versions until ctx ends.
@@ -78,10 +80,11 @@
 
 // update makes the source keep what it should.
 func (r *versionRecorder) update(ctx context.Context) error {
-	if r.stored == nil {
+	if era := r.era(); r.stored == nil || r.readIn != era {
 		if err := r.read(ctx); err != nil {
 			return err
 		}
+		r.readIn = era
 	}
 	used := make(map[string]bool)
 	for _, kept := range r.keeper.Keep() {
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -16,6 +16,7 @@
 type memoryVersions struct {
 	down          bool
 	othersLead    bool
+	era           uint64
 	reads, writes int
 	revision      uint64
 	kept          map[string]origin.StoredVersions
@@ -78,7 +79,8 @@
 	log := eventlog.New(io.Discard, "test")
 	t.Cleanup(log.Close)
 	keeper := machineKeeper{origin.NewMachine(origin.Router{Address: "10.0.0.1"}, complete)}
-	return newVersionRecorder(keeper, store, func() bool { return !store.othersLead }, log), keeper
+	era := func() uint64 { return store.era }
+	return newVersionRecorder(keeper, store, func() bool { return !store.othersLead }, era, log), keeper
 }
 
 // TestVersionsAreKept runs the recorder through several versions, an outage of the store, a change
@@ -136,6 +138,21 @@
 	require.Empty(t, store.kept, "the service has had no servers for long")
 }
 
+// TestVersionsAreWrittenAgain guards against versions that the store lost in a restore from a backup and
+// that nobody writes again, as no call of the leader failed.
+func TestVersionsAreWrittenAgain(t *testing.T) {
+	store := &memoryVersions{}
+	recorder, keeper := newTestRecorder(t, store, true)
+	keeper.list(time.Second, "v1", "v2")
+	require.True(t, recorder.step(t.Context()))
+	for _, lost := range [][]string{nil, {"v1"}} {
+		store.put("llm", lost...)
+		store.era++
+		require.True(t, recorder.step(t.Context()))
+		require.Equal(t, []string{"v1", "v2"}, store.kept["llm"].Versions)
+	}
+}
+
 // TestIncompleteVersionsAreNotKept guards against a leader that writes the versions which it has seen for
 // all that there were: versions may have gone before it was in touch.
 func TestIncompleteVersionsAreNotKept(t *testing.T) {
@@ -145,7 +162,7 @@
 	require.True(t, recorder.step(t.Context()))
 	require.Zero(t, store.writes)
 	store.put("llm", "v1")
-	recorder.stored = nil // it is read again
+	store.era++
 	require.True(t, recorder.step(t.Context()))
 	require.Equal(t, []string{"v1", "v2"}, store.kept["llm"].Versions)
 }
