A metric with other labels costs no request

Callers who resumed streams at a router got no answer (a panic in the handler), once it had counted a stream by another evidence: left the label out of streams_resumed where it was empty, and the reporter of metrics panics in whatever counts first with other labels.

Found by TestAllRoutersRestartBetweenTries (status 0; the stack in the router's log). Now the label is never empty, and a metric that can't be registered is logged (metric_failed), not a panic.

--- a/admin/server.go
+++ b/admin/server.go
@@ -23,6 +23,9 @@
 type Source struct {
 	Ready func() error // nil when the process takes work, else why not
 	State func(context.Context) (any, error)
+	// MetricFailed is called for a metric that is not registered, as another one of its name has other
+	// labels. It may be nil.
+	MetricFailed func(error)
 }
 
 // Server is the admin server of one process.
@@ -35,7 +38,7 @@
 
 // New returns a server and the root of the process's metrics.
 func New(src Source) *Server {
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	reporter := promreporter.NewReporter(promreporter.Options{OnRegisterError: src.metricFailed})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "croftvale",
 		CachedReporter:         reporter,
@@ -53,6 +56,14 @@
 	return s
 }
 
+// metricFailed reports a metric that is not registered. Without it, the reporter would panic in whatever
+// request counts first.
+func (s Source) metricFailed(err error) {
+	if s.MetricFailed != nil {
+		s.MetricFailed(err)
+	}
+}
+
 // Scope returns the root of the process's metrics.
 func (s *Server) Scope() tally.Scope { return s.scope }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,7 @@
 		Zone: s.Zone, Region: s.Region, HallRegions: s.HallRegions, RetryBudget: s.RetryBudget, Drain: s.MaxDrainTime, DisabledMechanisms: s.DisabledMechanisms,
 		Gated: s.RolloutBounds.Enabled(),
 	}, g.log)
-	g.admin = admin.New(admin.Source{Ready: g.ready, State: g.dump})
+	g.admin = admin.New(admin.Source{Ready: g.ready, State: g.dump, MetricFailed: g.logMetricFailed})
 	g.stats = stats.New(g.admin.Scope())
 	g.traffic = traffic.NewCounter(g.admin.Scope())
 	if err := g.setUpCluster(); err != nil {
@@ -89,6 +89,8 @@
 	return g, nil
 }
 
+func (g *Gateway) logMetricFailed(err error) { g.log.Event("metric_failed").Err(err).Msg("") }
+
 // setUpCluster creates the feeds, the cluster member and the rollouts, which the router
 // shares with other routers.
 func (g *Gateway) setUpCluster() error {
--- a/origin/commands.go
+++ b/origin/commands.go
@@ -65,7 +65,7 @@
 
 // String returns the name of the evidence for logs.
 func (e Evidence) String() string {
-	return [...]string{"", "source", "routers", "contradiction", "several_versions", "history_unknown", "out_of_touch"}[e]
+	return [...]string{"record", "source", "routers", "contradiction", "several_versions", "history_unknown", "out_of_touch"}[e]
 }
 
 // Resolution is what is known of the version that began a stream.
