--- a/gateway/cluster/origins.go
+++ b/gateway/cluster/origins.go
@@ -96,6 +96,32 @@
 	o.update(origin.StoredMsg{Now: o.deps.StateMachine.Now(), Services: versionsByService(stored)})
 }
 
+// OwnStreams returns the streams of this router that the source should keep.
+func (o *Origins) OwnStreams() []origin.StoredStreams {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.machine.OwnStreams(o.deps.StateMachine.Now())
+}
+
+// NeedsStoredStreams reports whether streams that this router's previous life has stored may be resumed.
+func (o *Origins) NeedsStoredStreams() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.machine.NeedsStoredStreams()
+}
+
+// SeveralServe reports whether servers of several versions of a service are listed.
+func (o *Origins) SeveralServe() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.machine.SeveralServe()
+}
+
+// Recovered delivers the streams that this router's previous life has stored.
+func (o *Origins) Recovered(streams []origin.StoredStreams) {
+	o.update(origin.RecoveredMsg{Now: o.deps.StateMachine.Now(), Streams: streams})
+}
+
 // versionsByService returns the versions that the source keeps, by service.
 func versionsByService(stored []origin.StoredVersions) map[string][]string {
 	services := make(map[string][]string, len(stored))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,6 +157,7 @@
 		{name: "sweeps", run: g.runSweeps, restartable: true},
 		{name: "vitals", run: g.logVitals, restartable: true},
 		{name: "record_versions", run: newVersionRecorder(g.cluster.Origins, g.source, leads, g.feeds.Era, g.log).run},
+		{name: "record_streams", run: g.newStreamRecorder().run},
 	}
 	for _, run := range g.cluster.Tasks() {
 		tasks = append(tasks, task{name: "cluster", run: run})
@@ -175,6 +176,13 @@
 	return tasks
 }
 
+func (g *Gateway) newStreamRecorder() *streamRecorder {
+	return &streamRecorder{
+		keeper: g.cluster.Origins, store: g.source, router: g.settings.Name,
+		routers: g.cluster.Peers.Routers, era: g.feeds.Era, log: g.log,
+	}
+}
+
 // runSweeps closes connections and drops state that are no longer needed.
 func (g *Gateway) runSweeps(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -7,11 +7,12 @@
 )
 
 // Source provides the state that all routers share and the list of other routers, and
-// stores records of rollouts, quarantine and versions.
+// stores records of rollouts, quarantine, versions and streams.
 type Source interface {
 	feed.Source
 	cluster.Registry
 	rollouts.Store
 	QuarantineStore
 	VersionStore
+	StreamStore
 }
--- a/origin/evidence_test.go
+++ b/origin/evidence_test.go
@@ -124,3 +124,35 @@
 	}
 	require.LessOrEqual(t, s.reads, len(s.routers))
 }
+
+// TestStoredStreamsOutliveAllRouters guards against the refusal of all streams after all routers were
+// killed at once while several versions serve: each stores its streams, and sends those of its previous
+// life to their holders when it has started again.
+func TestStoredStreamsOutliveAllRouters(t *testing.T) {
+	s := newFleetSim(t, 5, "v1", "v2")
+	s.beginMany(s.routers[0], 20, "v1")
+	s.begin(s.routers[0], "delivered", "v2")
+	s.update(s.routers[0], EndedMsg{Key: KeyOf(service, "red", "delivered")})
+	s.beginMany(s.routers[1], 20, "v2")
+	stored := make([][]StoredStreams, len(s.routers))
+	for i, r := range s.routers {
+		stored[i] = r.m.OwnStreams(s.now)
+	}
+	require.Len(t, stored[0], 1, "a stream that was delivered is not stored")
+	require.Len(t, stored[0][0].Keys, 20)
+	require.Empty(t, stored[2], "records of other routers are not stored")
+	for _, r := range s.routers {
+		s.restart(r)
+	}
+	s.exchangeRouters()
+	s.advance(TickInterval)
+	require.Equal(t, Unknown, s.lookup(s.routers[3], "v1-0").Certainty)
+	for i, r := range s.routers {
+		require.True(t, r.m.NeedsStoredStreams())
+		s.update(r, RecoveredMsg{Now: s.now, Streams: stored[i]})
+	}
+	s.advance(4 * TickInterval)
+	s.requireRecorded(20, "v1")
+	s.requireRecorded(20, "v2")
+	require.Len(t, s.routers[0].m.OwnStreams(s.now)[0].Keys, 20, "what was recovered is stored again")
+}
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -56,6 +56,8 @@
 		m.startLookup(msg)
 	case ContactLostMsg:
 		m.loseContact(msg.Now)
+	case RecoveredMsg:
+		m.recoverStreams(msg)
 	case RoutersMsg:
 		m.setRouters(msg.Routers)
 	case ListedMsg:
@@ -97,9 +99,16 @@
 
 // end drops the entry of a stream of this router, unless other routers may ask for it.
 func (m *Machine) end(key Key) {
-	if e := m.records.entries[key]; !e.shared {
+	e, ok := m.records.entries[key]
+	if !ok {
+		return
+	}
+	if !e.shared {
 		m.records.remove(key)
+		return
 	}
+	e.delivered = true
+	m.records.entries[key] = e
 }
 
 func (m *Machine) tick(now time.Duration) {
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -63,6 +63,12 @@
 	Requested bool
 }
 
+// RecoveredMsg delivers the streams that this router's previous life has stored.
+type RecoveredMsg struct {
+	Now     time.Duration
+	Streams []StoredStreams
+}
+
 // RecordsMsg delivers records of another router.
 type RecordsMsg struct {
 	Now     time.Duration
@@ -94,6 +100,7 @@
 func (EndedMsg) isMsg()       {}
 func (LookupMsg) isMsg()      {}
 func (ContactLostMsg) isMsg() {}
+func (RecoveredMsg) isMsg()   {}
 func (RoutersMsg) isMsg()     {}
 func (ListedMsg) isMsg()      {}
 func (StoredMsg) isMsg()      {}
--- a/origin/table.go
+++ b/origin/table.go
@@ -14,6 +14,7 @@
 	expiresAt time.Duration
 	service   string // of a stream that this router serves or served; empty: a record of another router
 	shared    bool   // sent to other routers, or received from one
+	delivered bool   // to its end, by this router
 }
 
 // table holds the entries of streams. The oldest are dropped when it is full.
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -103,6 +103,17 @@
 	v.complete = v.complete || now-v.since >= versionRetention
 }
 
+// listedCount returns the number of versions of a service that have servers.
+func (v *recentVersions) listedCount(service string) int {
+	n := 0
+	for _, until := range v.known[service] {
+		if until == listed {
+			n++
+		}
+	}
+	return n
+}
+
 // of returns the versions of a service in order.
 func (v *recentVersions) of(service string) []string {
 	all := slices.Collect(maps.Keys(v.known[service]))
