A record that the store lost in a drill is no release (copy-part)

Callers lost up to six more servers to a part of prompts that was barred: after a drill nobody wrote its record again, and the next reading without it counted as a release by the operator.

Change: the leader adds all records that it knows once in each new era of the store. Ruled out: a write that was lost (none was made), a lapse (the part was barred for seconds).

--- a/direct/quarantine.go
+++ b/direct/quarantine.go
@@ -77,6 +77,12 @@
 	return suspects.Unrecorded(), suspects.Outdated()
 }
 
+// QuarantineRecords returns the fingerprints of a kind that are barred and have a record in the store,
+// as far as is known.
+func (m *Machine) QuarantineRecords(kind quarantine.Kind) []quarantine.Fingerprint {
+	return m.suspectsOf(kind).Recorded()
+}
+
 // QuarantineStates returns the state of at most limit suspects of each kind.
 func (m *Machine) QuarantineStates(now time.Duration, limit int) []quarantine.State {
 	return append(m.suspects.States(now, limit), m.partSuspects.States(now, limit)...)
--- a/gateway/corestate.go
+++ b/gateway/corestate.go
@@ -59,6 +59,14 @@
 	return c.machine.PendingRecords(kind)
 }
 
+// quarantineRecords returns the fingerprints of a kind that are barred and have a record in the store,
+// as far as is known.
+func (c *core) quarantineRecords(kind quarantine.Kind) []quarantine.Fingerprint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.QuarantineRecords(kind)
+}
+
 // quarantineStates returns the states of at most limit request fingerprints under which
 // servers crashed.
 func (c *core) quarantineStates(limit int) []quarantine.State {
--- a/gateway/feed/objectfeed.go
+++ b/gateway/feed/objectfeed.go
@@ -34,6 +34,8 @@
 	// skipEmpty leaves the feed without content until there is an object. Each revision that a router
 	// has is in all its heartbeats.
 	skipEmpty bool
+	// writtenAgain is set if a router writes the objects again that a restored source lacks.
+	writtenAgain bool
 }
 
 func newObjectFeed[T any](o Options, spec Spec, source objectSource[T], apply func(Listing[T]), onChange func()) *objectFeed[T] {
@@ -59,8 +61,9 @@
 	}
 	f.listed.reset(all)
 	if f.lastRead.advance(revision, f.Revision()) {
-		f.listed.retain(f.known().All)
+		f.keepKnown()
 	}
+	f.listed.dropAwaited(time.Now())
 	f.offerListed(revision)
 	return revision, nil
 }
@@ -72,12 +75,21 @@
 		return 0, err
 	}
 	f.listed.apply(changes)
-	if len(changes) > 0 {
+	if f.listed.dropAwaited(time.Now()) || len(changes) > 0 {
 		f.offerListed(revision)
 	}
 	return revision, nil
 }
 
+// keepKnown keeps the objects that were known before the source was restored from a backup.
+func (f *objectFeed[T]) keepKnown() {
+	previous := f.known().All
+	if f.source.writtenAgain {
+		f.listed.await(previous, time.Now())
+	}
+	f.listed.retain(previous)
+}
+
 func (f *objectFeed[T]) offerListed(revision uint64) {
 	all := f.listed.all()
 	// An equal listing of a newer era is offered nevertheless. Other routers would otherwise keep
--- a/gateway/feed/quarantine.go
+++ b/gateway/feed/quarantine.go
@@ -49,6 +49,6 @@
 			return o.Source.WatchQuarantine(ctx, kind, since, wait)
 		},
 		name: quarantine.Fingerprint.String, countKey: quarantineFeeds[kind].countKey, equal: slices.Equal[[]quarantine.Fingerprint],
-		skipEmpty: kind == quarantine.Part,
+		skipEmpty: kind == quarantine.Part, writtenAgain: true,
 	}, apply, onChange)}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -167,7 +167,7 @@
 		tasks = append(tasks, task{name: "follow_" + f.Spec().Name, run: follow, restartable: true})
 	}
 	if g.core.disabled.Enabled(direct.Quarantine) {
-		record := newQuarantineRecorder(g.core, g.source, leads, g.log).run
+		record := newQuarantineRecorder(g.core, g.source, leads, g.feeds.Era, g.log).run
 		tasks = append(tasks, task{name: "record_quarantine", run: record, restartable: true})
 	}
 	if g.rollouts != nil {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -37,8 +37,11 @@
 type quarantineRecorder struct {
 	core  *core
 	leads func() bool
+	era   func() uint64 // of the store, which may have lost records in a restore from a backup
 	log   *eventlog.Log
 	kinds []recordedKind
+	// renewedIn is the era in which this router, as the leader, has made sure of all records.
+	renewedIn uint64
 }
 
 // recordedKind writes the records of the fingerprints of one kind.
@@ -47,8 +50,8 @@
 	add, remove *recordWriter
 }
 
-func newQuarantineRecorder(c *core, s QuarantineStore, leads func() bool, l *eventlog.Log) *quarantineRecorder {
-	r := &quarantineRecorder{core: c, leads: leads, log: l}
+func newQuarantineRecorder(c *core, s QuarantineStore, leads func() bool, era func() uint64, l *eventlog.Log) *quarantineRecorder {
+	r := &quarantineRecorder{core: c, leads: leads, era: era, log: l}
 	for _, kind := range []quarantine.Kind{quarantine.Content, quarantine.Part} {
 		r.kinds = append(r.kinds, recordedKind{
 			kind: kind, add: newRecordWriter("add", kind, s.AddQuarantine), remove: newRecordWriter("remove", kind, s.RemoveQuarantine),
@@ -64,13 +67,31 @@
 		if !r.leads() {
 			continue
 		}
-		if !r.writeAll(ctx) {
+		if !r.renewAll(ctx) || !r.writeAll(ctx) {
 			wait.Sleep(ctx, recordRetryDelay)
 		}
 	}
 	return nil
 }
 
+// renewAll writes the records again that routers know, once in each later era of the store: a backup may
+// lack them. It reports whether all calls succeeded.
+func (r *quarantineRecorder) renewAll(ctx context.Context) bool {
+	era := r.era()
+	if era == r.renewedIn {
+		return true
+	}
+	for _, k := range r.kinds {
+		clear(k.add.writtenAt)
+		clear(k.remove.writtenAt)
+		if !r.write(ctx, k.add, r.core.quarantineRecords(k.kind)) {
+			return false
+		}
+	}
+	r.renewedIn = era
+	return true
+}
+
 // writeAll writes all records that are due, and reports whether all calls succeeded.
 func (r *quarantineRecorder) writeAll(ctx context.Context) bool {
 	for _, k := range r.kinds {
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -56,8 +56,8 @@
 }
 
 // TestQuarantineRecorder checks that only the leader writes records. It writes a record once
-// the store is back, with one call for each change while the store responds, and removes the
-// record once the fingerprint is no longer barred.
+// the store is back, with one call for each change while the store responds, writes it again after the
+// store was restored from a backup, and removes it once the fingerprint is no longer barred.
 func TestQuarantineRecorder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
@@ -67,7 +67,8 @@
 		store := &recordStore{records: make(map[quarantine.Fingerprint]bool), down: true}
 		leads := false
 		var mu sync.Mutex
-		recorder := newQuarantineRecorder(core, store, func() bool { mu.Lock(); defer mu.Unlock(); return leads }, log)
+		era := uint64(0)
+		recorder := newQuarantineRecorder(core, store, func() bool { mu.Lock(); defer mu.Unlock(); return leads }, func() uint64 { mu.Lock(); defer mu.Unlock(); return era }, log)
 		ended := make(chan error)
 		go func() { ended <- recorder.run(ctx) }()
 		crashes := quarantine.Report{Content: 7}
@@ -91,6 +92,15 @@
 		core.Update(direct.QuarantineMsg{Now: core.Now(), Fingerprints: []quarantine.Fingerprint{7}})
 		time.Sleep(time.Minute)
 		require.LessOrEqual(t, store.callCount(), 2)
+		store.mu.Lock()
+		store.calls, store.records = 0, make(map[quarantine.Fingerprint]bool)
+		store.mu.Unlock()
+		mu.Lock()
+		era++
+		mu.Unlock()
+		time.Sleep(time.Minute)
+		require.True(t, store.has(7), "the store lost it in a restore from a backup")
+		require.Equal(t, 1, store.callCount())
 		core.Update(direct.PeerReportMsg{Now: core.Now(), Peer: "b", Report: direct.Report{Suspects: []quarantine.Report{{Content: 7, Cleared: true}}}})
 		time.Sleep(2 * time.Second)
 		require.False(t, store.has(7), "it is no longer barred")
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -45,6 +45,18 @@
 	return out
 }
 
+// Recorded returns the fingerprints that are barred and in the store, as far as is known.
+func (s *Suspects) Recorded() []Fingerprint {
+	s.refresh()
+	var out []Fingerprint
+	for _, f := range slices.Sorted(maps.Keys(s.listed)) {
+		if x := s.byFingerprint[f]; x != nil && x.barred {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // Outdated returns the fingerprints that are in the store and no longer barred.
 func (s *Suspects) Outdated() []Fingerprint {
 	s.refresh()
