A response's head and a stream's event have a size limit (head-flood)

Callers lost all requests of routers that a faulty server brought over their memory limit: 400 MB without a line end were read as the head of an answer, which had no limit.

Change: 64 KB for a head.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -27,7 +27,8 @@
 	net.Conn
 	pool      *Pool
 	address   string
-	reader    *bufio.Reader
+	head      *headReader
+	reader    *bufio.Reader // reads from head
 	idleUntil time.Time
 	response  *http.Response
 	sent      bool
@@ -72,7 +73,7 @@
 func (c *Conn) ReadResponse(method string, matches func(*http.Response) bool) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	for range maxStaleResponses + 1 {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, err
 		}
@@ -93,6 +94,13 @@
 	return nil, ErrWrongResponse
 }
 
+// readHead reads the head of a response. It returns ErrHeadTooLarge for one beyond maxHeadBytes.
+func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
+	c.head.limit()
+	defer c.head.unlimit()
+	return http.ReadResponse(c.reader, request)
+}
+
 // Release returns the connection to the pool after the response was read to its end. It
 // closes the connection if unread bytes remain or the server asked to close it.
 func (c *Conn) Release() {
--- /dev/null
+++ b/backend/conn_test.go
@@ -0,0 +1,80 @@
+package backend
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// floodBytes is how much a faulty server sends, far more than a response's head may hold.
+const floodBytes = 64 << 20
+
+// serveOnce returns a connection to a server that sends text and then a pattern over and over.
+func serveOnce(t *testing.T, text, pattern string) *Conn {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		raw, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer raw.Close()
+		_, _ = io.WriteString(raw, text)
+		block := bytes.Repeat([]byte(pattern), 1<<20/max(len(pattern), 1))
+		for sent := 0; len(block) > 0 && sent < floodBytes; sent += len(block) {
+			if _, err := raw.Write(block); err != nil {
+				return
+			}
+		}
+	}()
+	conn, err := NewPool(Options{DialTimeout: time.Minute}).Dial(t.Context(), listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func always(*http.Response) bool { return true }
+
+// TestHeadFloodIsBounded guards against routers that run out of memory, since a faulty server sends a
+// status line, a header or headers without an end.
+func TestHeadFloodIsBounded(t *testing.T) {
+	for name, flood := range map[string][2]string{
+		"status line":   {"", "x"},
+		"header":        {"HTTP/1.1 200 OK\r\nA: ", "x"},
+		"headers":       {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"informational": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := serveOnce(t, flood[0], flood[1])
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := conn.ReadResponse(http.MethodGet, always)
+			runtime.ReadMemStats(&after)
+			require.Error(t, err)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(64*maxHeadBytes))
+		})
+	}
+}
+
+// TestHeadLimitEndsWithTheHead reads a body that is larger than a head may be, on a connection that has
+// delivered a response before.
+func TestHeadLimitEndsWithTheHead(t *testing.T) {
+	body := strings.Repeat("b", 4*maxHeadBytes)
+	response := "HTTP/1.1 200 OK\r\nContent-Length: 262144\r\nA: " + strings.Repeat("a", maxHeadBytes/2) + "\r\n\r\n" + body
+	conn := serveOnce(t, response+response, "")
+	for range 2 {
+		got, err := conn.ReadResponse(http.MethodGet, always)
+		require.NoError(t, err)
+		read, err := io.ReadAll(got.Body)
+		require.NoError(t, err)
+		require.Equal(t, body, string(read))
+	}
+}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -109,7 +109,8 @@
 		}
 		return nil, err
 	}
-	return &Conn{Conn: raw, pool: p, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	head := &headReader{source: raw}
+	return &Conn{Conn: raw, pool: p, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 func (p *Pool) put(c *Conn) {
--- a/gateway/feed/pull.go
+++ b/gateway/feed/pull.go
@@ -28,7 +28,9 @@
 	// pullDialTimeout bounds connection setup, because a host without power does not respond.
 	// A connection between regions takes about 40 ms.
 	pullDialTimeout = 100 * time.Millisecond
-	maxPullBytes    = 32 << 20
+	// maxPullBytes bounds the body of one pull, and maxPullHeaderBytes its headers.
+	maxPullBytes       = 16 << 20
+	maxPullHeaderBytes = 64 << 10
 )
 
 // PullOptions configures a Puller.
@@ -61,6 +63,8 @@
 		DialContext:         (&net.Dialer{Timeout: pullDialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     5 * time.Second,
+
+		MaxResponseHeaderBytes: maxPullHeaderBytes,
 	}
 	p := &Puller{o: o, client: &http.Client{Transport: transport}, port: port, set: set}
 	for _, f := range set.feeds {
@@ -214,7 +218,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("%s%s: %s", address, target, resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPullBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPullBytes+1))
 	meter.Add(p.o.Peers.PathTo(hostOf(address)), len(body))
+	if len(body) > maxPullBytes {
+		return nil, errors.Newf("%s%s: the content exceeds %d bytes", address, target, maxPullBytes)
+	}
 	return body, err
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -195,10 +195,10 @@
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		e.buffer = append(e.buffer, line...)
+		if len(e.buffer) > maxEventBytes {
+			return event{}, errTooLarge
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(e.buffer) > maxEventBytes {
-				return event{}, errTooLarge
-			}
 			continue
 		}
 		if err != nil {
