A listing without a lost record is no release either

Callers lost further servers to a barred part after a drill: a router that started after it read the store, which lacked the record, and the other routers pulled its listing and released the part 12 ms later.

Change: listings name the objects that the source lost and has not listed again; a router keeps those that it knows as lost, also over pulls of a later era.

--- a/gateway/feed/objectset_test.go
+++ b/gateway/feed/lostobjects_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/croftvale/croftvale/quarantine"
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // lossySource has fingerprints, which a restore from a backup loses.
@@ -78,9 +79,45 @@
 // TestLostRecordLapses ends the wait for a record that nobody writes again.
 func TestLostRecordLapses(t *testing.T) {
 	q, source := newLossyFeed(t)
-	q.listed.awaitedUntil = time.Now()
+	q.lost.until = time.Now()
 	source.revision++
 	_, err := q.Watch(t.Context(), 0, 0)
 	require.NoError(t, err)
 	require.Empty(t, q.Newest().All)
 }
+
+// pull applies the listing of one feed at another, as a pull does.
+func pull(t *testing.T, from, to *Quarantine) {
+	body, err := msgpack.Marshal(from.ContentSince(0))
+	require.NoError(t, err)
+	require.NoError(t, to.ApplyPulled(body, "from"))
+}
+
+// TestListingWithoutLostRecordIsNoRelease guards against a barred fingerprint that is released by the
+// listing of a router that has just started: it read the restored source and does not know what that
+// lost. A router that never reads the source must keep it too.
+func TestListingWithoutLostRecordIsNoRelease(t *testing.T) {
+	follower, source := newLossyFeed(t)
+	o := newTestSet().Evacuations.o
+	o.Source = source
+	other := newQuarantine(o, quarantine.Part, func() {})
+	pull(t, follower, other)
+	started := newQuarantine(o, quarantine.Part, func() {})
+	source.fingerprints = []quarantine.Fingerprint{9}
+	source.revision++
+	read(t, started)
+	for _, q := range []*Quarantine{follower, other} {
+		pull(t, started, q)
+		require.Equal(t, []quarantine.Fingerprint{7, 9}, q.Newest().All)
+	}
+	pull(t, other, started)
+	source.fingerprints = []quarantine.Fingerprint{7, 9}
+	source.revision++
+	read(t, started)
+	pull(t, started, other)
+	source.fingerprints = []quarantine.Fingerprint{9}
+	source.revision++
+	read(t, started)
+	pull(t, started, other)
+	require.Equal(t, []quarantine.Fingerprint{9}, other.Newest().All, "an operator has released it after it was written again")
+}
--- a/gateway/feed/objectfeed.go
+++ b/gateway/feed/objectfeed.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"slices"
 	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Listing holds all objects of one kind at one revision of the source.
 type Listing[T any] struct {
 	Revision uint64
 	All      []T // sorted by name
+	// Lost are those of All that the source lost in a restore from a backup and has not listed since.
+	Lost []T `msgpack:",omitempty"`
 }
 
 // objectFeed is a feed of objects of one kind, each with a unique name.
@@ -17,6 +22,7 @@
 	spec     Spec
 	source   objectSource[T]
 	listed   objectSet[T]
+	lost     *lostObjects[T]
 	lastRead readRevision
 }
 
@@ -39,7 +45,7 @@
 }
 
 func newObjectFeed[T any](o Options, spec Spec, source objectSource[T], apply func(Listing[T]), onChange func()) *objectFeed[T] {
-	f := &objectFeed[T]{spec: spec, source: source, listed: newObjectSet(source.name)}
+	f := &objectFeed[T]{spec: spec, source: source, listed: newObjectSet(source.name), lost: newLostObjects(source.name)}
 	f.init(contentHooks[Listing[T]]{
 		revision: func(l *Listing[T]) uint64 { return l.Revision },
 		apply:    func(l *Listing[T]) { apply(*l) },
@@ -60,10 +66,10 @@
 		return 0, err
 	}
 	f.listed.reset(all)
+	f.lost.found(all)
 	if f.lastRead.advance(revision, f.Revision()) {
-		f.keepKnown()
+		f.keepKnown(all)
 	}
-	f.listed.dropAwaited(time.Now())
 	f.offerListed(revision)
 	return revision, nil
 }
@@ -75,31 +81,64 @@
 		return 0, err
 	}
 	f.listed.apply(changes)
-	if f.listed.dropAwaited(time.Now()) || len(changes) > 0 {
+	for _, c := range changes {
+		f.lost.found([]T{c.Object})
+	}
+	if len(changes) > 0 || f.lostHaveLapsed() {
 		f.offerListed(revision)
 	}
 	return revision, nil
 }
 
 // keepKnown keeps the objects that were known before the source was restored from a backup.
-func (f *objectFeed[T]) keepKnown() {
-	previous := f.known().All
+func (f *objectFeed[T]) keepKnown(listed []T) {
+	known := f.known().All
 	if f.source.writtenAgain {
-		f.listed.await(previous, time.Now())
+		f.lost.compare(known, listed, time.Now())
+		return
+	}
+	f.listed.retain(known)
+}
+
+// lostHaveLapsed reports whether the current listing holds lost objects that nobody has written again in
+// time.
+func (f *objectFeed[T]) lostHaveLapsed() bool {
+	return len(f.known().Lost) > 0 && len(f.lost.current(time.Now())) == 0
+}
+
+// ApplyPulled decodes and offers a listing of another router. That router may have started after a
+// restore, and not know what the source lost.
+func (f *objectFeed[T]) ApplyPulled(body []byte, from string) error {
+	var pulled Listing[T]
+	if err := msgpack.Unmarshal(body, &pulled); err != nil {
+		return err
 	}
-	f.listed.retain(previous)
+	now := time.Now()
+	if current := f.Newest(); f.source.writtenAgain && current != nil && EraOf(current.Revision) < EraOf(pulled.Revision) {
+		f.lost.compare(current.All, pulled.All, now)
+	}
+	f.lost.add(pulled.Lost, now)
+	f.lost.found(slices.DeleteFunc(slices.Clone(pulled.All), func(object T) bool { return f.lost.contains(pulled.Lost, object) }))
+	pulled.Lost = f.lost.current(now)
+	pulled.All = f.lost.merge(pulled.All, pulled.Lost)
+	f.Offer(&pulled, from)
+	return nil
 }
 
 func (f *objectFeed[T]) offerListed(revision uint64) {
-	all := f.listed.all()
+	lost := f.lost.current(time.Now())
+	all := f.lost.merge(f.listed.all(), lost)
 	// An equal listing of a newer era is offered nevertheless. Other routers would otherwise keep
 	// the old era in their revision and compare with that.
 	newest := f.Newest()
 	if newest == nil && len(all) == 0 && f.source.skipEmpty {
 		return
 	}
-	if newest != nil && EraOf(newest.Revision) == EraOf(revision) && f.source.equal != nil && f.source.equal(newest.All, all) {
+	if newest != nil && EraOf(newest.Revision) == EraOf(revision) && f.isEqual(newest.All, all) && f.isEqual(newest.Lost, lost) {
 		return
 	}
-	f.Offer(&Listing[T]{Revision: revision, All: all}, fromSource)
+	f.Offer(&Listing[T]{Revision: revision, All: all, Lost: lost}, fromSource)
 }
+
+// isEqual reports whether two lists hold the same objects, as far as the feed can tell.
+func (f *objectFeed[T]) isEqual(a, b []T) bool { return f.source.equal != nil && f.source.equal(a, b) }
