--- a/gateway/feed/lostobjects_test.go
+++ b/gateway/feed/lostobjects_test.go
@@ -110,6 +110,9 @@
 		pull(t, started, q)
 		require.Equal(t, []quarantine.Fingerprint{7, 9}, q.Newest().All)
 	}
+	old, _ := newLossyFeed(t)
+	old.Content.Newest().Revision = NewRevision(0, 60)
+	pull(t, old, other)
 	pull(t, other, started)
 	source.fingerprints = []quarantine.Fingerprint{7, 9}
 	source.revision++
--- a/gateway/feed/objectfeed.go
+++ b/gateway/feed/objectfeed.go
@@ -113,9 +113,12 @@
 	if err := msgpack.Unmarshal(body, &pulled); err != nil {
 		return err
 	}
+	if pulled.Revision <= f.Revision() {
+		return nil // of an earlier era, it says nothing of what was lost
+	}
 	now := time.Now()
-	if current := f.Newest(); f.source.writtenAgain && current != nil && EraOf(current.Revision) < EraOf(pulled.Revision) {
-		f.lost.compare(current.All, pulled.All, now)
+	if known := f.known(); f.source.writtenAgain && EraOf(known.Revision) < EraOf(pulled.Revision) {
+		f.lost.compare(known.All, pulled.All, now)
 	}
 	f.lost.add(pulled.Lost, now)
 	f.lost.found(slices.DeleteFunc(slices.Clone(pulled.All), func(object T) bool { return f.lost.contains(pulled.Lost, object) }))
