Contact, stored origins and lost objects: read as a newcomer

Files by idea, names that say what happens (readPrevious, IsLost, noteLost); a deferred closure is a deferred call. Behaviour is the same; tests of origin and gateway pass.

--- a/gateway/cluster/contact.go
+++ b/gateway/cluster/contact.go
@@ -1,10 +1,6 @@
 package cluster
 
-import (
-	"time"
-
-	"github.com/croftvale/croftvale/origin"
-)
+import "github.com/croftvale/croftvale/origin"
 
 // contact returns how far this router is in touch with the source and the other routers.
 func (p *Peers) contact() origin.Contact {
@@ -42,9 +38,9 @@
 	p.members = known
 }
 
-// reportContact tells the records of streams that this router is out of touch.
-func (p *Peers) reportContact(now time.Duration) {
-	if c := p.contact(); c.SourceFailing && !c.Majority {
-		p.onContactLost(now)
+// reportContact reports if this router is out of touch.
+func (p *Peers) reportContact() {
+	if p.contact().IsLost() {
+		p.onContactLost(p.deps.StateMachine.Now())
 	}
 }
--- a/gateway/cluster/origins.go
+++ b/gateway/cluster/origins.go
@@ -12,15 +12,6 @@
 	"github.com/croftvale/croftvale/origin"
 )
 
-// storedVersionsTimeout bounds the call that reads the versions which the source keeps.
-const storedVersionsTimeout = 300 * time.Millisecond
-
-// StoredVersions reads the versions that the source keeps.
-type StoredVersions interface {
-	// ReadVersions returns the versions whose streams may still be resumed, for each service.
-	ReadVersions(ctx context.Context) ([]origin.StoredVersions, error)
-}
-
 // Origins executes the commands of an origin.Machine: it tells which version began a stream.
 type Origins struct {
 	self    string
@@ -84,53 +75,6 @@
 // contactLost reports that this router is in touch neither with the source nor with most others.
 func (o *Origins) contactLost(now time.Duration) { o.update(origin.ContactLostMsg{Now: now}) }
 
-// Keep returns the versions that the source should keep.
-func (o *Origins) Keep() []origin.KeptVersions {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.machine.Keep()
-}
-
-// Stored delivers the versions that the source keeps.
-func (o *Origins) Stored(stored []origin.StoredVersions) {
-	o.update(origin.StoredMsg{Now: o.deps.StateMachine.Now(), Services: versionsByService(stored)})
-}
-
-// OwnStreams returns the streams of this router that the source should keep.
-func (o *Origins) OwnStreams() []origin.StoredStreams {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.machine.OwnStreams(o.deps.StateMachine.Now())
-}
-
-// NeedsStoredStreams reports whether streams that this router's previous life has stored may be resumed.
-func (o *Origins) NeedsStoredStreams() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.machine.NeedsStoredStreams()
-}
-
-// SeveralServe reports whether servers of several versions of a service are listed.
-func (o *Origins) SeveralServe() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.machine.SeveralServe()
-}
-
-// Recovered delivers the streams that this router's previous life has stored.
-func (o *Origins) Recovered(streams []origin.StoredStreams) {
-	o.update(origin.RecoveredMsg{Now: o.deps.StateMachine.Now(), Streams: streams})
-}
-
-// versionsByService returns the versions that the source keeps, by service.
-func versionsByService(stored []origin.StoredVersions) map[string][]string {
-	services := make(map[string][]string, len(stored))
-	for _, s := range stored {
-		services[s.Service] = s.Versions
-	}
-	return services
-}
-
 // setRouters sets the other live routers that keep records.
 func (o *Origins) setRouters(routers []origin.Router) {
 	paths := make(map[string]traffic.Path, len(routers))
@@ -248,18 +192,6 @@
 	}
 }
 
-// readStored reads the versions that the source keeps.
-func (o *Origins) readStored() {
-	ctx, cancel := context.WithTimeout(context.Background(), storedVersionsTimeout)
-	defer cancel()
-	o.deps.Stats.CountSourceCall("versions")
-	stored, err := o.deps.Versions.ReadVersions(ctx)
-	if err != nil {
-		o.deps.Log.Event("versions_unread").Err(err).Msg("")
-	}
-	o.update(origin.StoredMsg{Now: o.deps.StateMachine.Now(), Services: versionsByService(stored), Err: err, Requested: true})
-}
-
 // send sends a message to another router.
 func (o *Origins) send(to string, m originMessage) {
 	body, err := encodeOrigin(m)
--- a/gateway/cluster/peers.go
+++ b/gateway/cluster/peers.go
@@ -84,7 +84,7 @@
 // startRound picks the targets of a heartbeat and the members it may name, and reports the state of
 // the fleet to the state machine.
 func (p *Peers) startRound() (targets, members []string) {
-	defer func() { p.reportContact(p.deps.StateMachine.Now()) }()
+	defer p.reportContact() // once the lock is released
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.countMembers()
--- a/gateway/feed/objectfeed.go
+++ b/gateway/feed/objectfeed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -117,17 +116,29 @@
 		return nil // of an earlier era, it says nothing of what was lost
 	}
 	now := time.Now()
-	if known := f.known(); f.source.writtenAgain && EraOf(known.Revision) < EraOf(pulled.Revision) {
-		f.lost.compare(known.All, pulled.All, now)
-	}
-	f.lost.add(pulled.Lost, now)
-	f.lost.found(slices.DeleteFunc(slices.Clone(pulled.All), func(object T) bool { return f.lost.contains(pulled.Lost, object) }))
+	f.noteLost(pulled, now)
 	pulled.Lost = f.lost.current(now)
 	pulled.All = f.lost.merge(pulled.All, pulled.Lost)
 	f.Offer(&pulled, from)
 	return nil
 }
 
+// noteLost records which objects the source has lost, and which it has listed again, by a newer listing of
+// another router.
+func (f *objectFeed[T]) noteLost(pulled Listing[T], now time.Time) {
+	if known := f.known(); f.source.writtenAgain && EraOf(known.Revision) < EraOf(pulled.Revision) {
+		f.lost.compare(known.All, pulled.All, now)
+	}
+	f.lost.add(pulled.Lost, now)
+	var listed []T
+	for _, object := range pulled.All {
+		if !f.lost.contains(pulled.Lost, object) {
+			listed = append(listed, object)
+		}
+	}
+	f.lost.found(listed)
+}
+
 func (f *objectFeed[T]) offerListed(revision uint64) {
 	lost := f.lost.current(time.Now())
 	all := f.lost.merge(f.listed.all(), lost)
--- a/gateway/storedstreams.go
+++ b/gateway/storedstreams.go
@@ -93,7 +93,7 @@
 		if len(streams) == 0 && !r.keeper.NeedsStoredStreams() {
 			return nil
 		}
-		if err := r.recover(ctx); err != nil {
+		if err := r.readPrevious(ctx); err != nil {
 			return err
 		}
 		streams = r.keeper.OwnStreams()
@@ -105,8 +105,8 @@
 	return r.write(ctx, streams, era)
 }
 
-// recover reads the streams of the previous life.
-func (r *streamRecorder) recover(ctx context.Context) error {
+// readPrevious reads the streams of the previous life.
+func (r *streamRecorder) readPrevious(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, streamsTimeout)
 	defer cancel()
 	streams, revision, err := r.store.ReadStreams(ctx, r.router)
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -41,7 +41,7 @@
 		m.resolve(msg.ID, recorded(e.version))
 		return
 	}
-	if msg.Contact.isolated() || len(m.lookups) >= maxLookups {
+	if msg.Contact.IsLost() || len(m.lookups) >= maxLookups {
 		m.resolve(msg.ID, Resolution{})
 		return
 	}
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -37,8 +37,8 @@
 	SourceFailing bool
 }
 
-// isolated reports whether nothing can tell this router which versions are in use.
-func (c Contact) isolated() bool { return c.SourceFailing && !c.Majority }
+// IsLost reports whether nothing can tell this router which versions are in use.
+func (c Contact) IsLost() bool { return c.SourceFailing && !c.Majority }
 
 // ContactLostMsg reports that this router is in touch neither with the source nor with most other
 // routers, so that versions may come and go without its knowledge.
