A router registers again if the store was restored right after its first start

Other routers did not find a router for up to 30 s: the store came back from a backup after the router had registered and before it took note of the era, at most 2.5 s later, so it never noticed the restore.

Change: the era is noted before the registration.

--- a/gateway/cluster/discovery.go
+++ b/gateway/cluster/discovery.go
@@ -51,9 +51,12 @@
 
 // run registers this router and finds the others, until ctx ends.
 func (d discovery) run(ctx context.Context) error {
-	registered, lists, restored := d.firstStart && d.register(ctx), 0, false
-	d.awaitPeer(ctx)
 	era := d.era()
+	registered, lists := d.firstStart && d.register(ctx), 0
+	d.awaitPeer(ctx)
+	restored := registered && d.era() > era // the registration may be lost
+	registered = registered && !restored
+	era = d.era()
 	for ctx.Err() == nil {
 		// Heartbeats name the routers that have joined since a stale list was made. Only a router
 		// that has received no heartbeat, because its seeds are down, needs an up-to-date list.
--- a/gateway/cluster/discovery_test.go
+++ b/gateway/cluster/discovery_test.go
@@ -148,3 +148,27 @@
 		require.Equal(t, []bool{true, false}, stale)
 	})
 }
+
+// TestRegistersAgainAfterItsStart guards against a router that nobody finds for half a minute: the registry
+// was restored from a backup right after the router had registered, while it waited for other routers.
+func TestRegistersAgainAfterItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry, era := &memoryRegistry{}, atomic.Uint64{}
+		ctx, cancel := context.WithCancel(t.Context())
+		d := discovery{
+			registry: registry, self: Member{Name: "self", Address: "10.0.0.1"}, onMember: func(Member) {},
+			hasLivePeers: func() bool { return true }, firstStart: true, era: era.Load, countCall: func(string) {},
+		}
+		go func() { _ = d.run(ctx) }()
+		time.Sleep(firstListDelay / 2)
+		registered, _ := registry.taken()
+		require.Len(t, registered, 1)
+		era.Store(1)
+		time.Sleep(firstListDelay)
+		cancel()
+		synctest.Wait()
+		registered, stale := registry.taken()
+		require.Len(t, registered, 1)
+		require.Equal(t, []bool{false}, stale)
+	})
+}
