--- a/origin/evidence_test.go
+++ b/origin/evidence_test.go
@@ -156,3 +156,35 @@
 	s.requireRecorded(20, "v2")
 	require.Len(t, s.routers[0].m.OwnStreams(s.now)[0].Keys, 20, "what was recovered is stored again")
 }
+
+// TestLateRecordIsNotMissed guards against the refusal of a stream whose record arrives after the first
+// answers without one: with several versions, all routers that were asked must have answered, or be late.
+func TestLateRecordIsNotMissed(t *testing.T) {
+	m := NewMachine(Router{Address: "10.0.0.1", Region: "south"}, true)
+	routers := []Router{{Address: "10.0.0.2", Region: "south"}, {Address: "10.0.0.3", Region: "south"}}
+	for i := range 4 {
+		routers = append(routers, Router{Address: fmt.Sprintf("10.1.0.%d", i), Region: "north"})
+	}
+	m.Update(RoutersMsg{Routers: routers})
+	m.Update(ListedMsg{Now: time.Second, Services: map[string][]string{service: {"v1", "v2"}}})
+	cmds := m.Update(LookupMsg{Now: time.Second, ID: 1, Service: service, Key: 7, Contact: Contact{Majority: true, Current: true}})
+	for range 2 { // the region of the caller, then the other one
+		var asked []string
+		var number uint64
+		for _, c := range cmds {
+			query, ok := c.(QueryCmd)
+			require.True(t, ok, "%T", c)
+			asked, number = append(asked, query.To), query.Query.Number
+		}
+		require.GreaterOrEqual(t, len(asked), 2)
+		for i, from := range asked {
+			isLast := i == len(asked)-1
+			answer := Answer{Number: number, Service: service, Found: isLast && from[:4] == "10.1", Version: "v2"}
+			cmds = m.Update(AnswerMsg{Now: time.Second, From: from, Answer: answer})
+			if !isLast {
+				require.Empty(t, cmds, "answer %d of %d", i+1, len(asked))
+			}
+		}
+	}
+	require.Equal(t, []Cmd{ResolvedCmd{ID: 1, Resolution: Resolution{Certainty: Recorded, Version: "v2"}}}, cmds)
+}
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -140,10 +140,12 @@
 // the stream, or that there will be none.
 func (m *Machine) conclude(now time.Duration, l *lookup) {
 	l.concluding = true
+	several := m.versions.several(l.query.Service)
 	switch {
-	case m.versions.several(l.query.Service) && !l.askedRegions:
+	case several && !l.hasHeardAll(now):
+	case several && !l.askedRegions:
 		m.askRegions(now, l)
-	case m.versions.several(l.query.Service):
+	case several:
 		m.finish(l, Resolution{Evidence: SeveralVersions})
 	case m.reading.isFreshFor(l):
 		m.finish(l, m.onlyVersion(l.query.Service, SourceRead))
@@ -155,11 +157,16 @@
 		m.finish(l, Resolution{Evidence: OutOfTouch})
 	case !l.askedMost:
 		m.askMost(now, l)
-	case len(l.unanswered) == 0 || now-l.askedAt >= queryTimeout:
+	case l.hasHeardAll(now):
 		m.finish(l, Resolution{Evidence: OutOfTouch})
 	}
 }
 
+// hasHeardAll reports whether no further answer is expected.
+func (l *lookup) hasHeardAll(now time.Duration) bool {
+	return len(l.unanswered) == 0 || now-l.askedAt >= queryTimeout
+}
+
 // isVouchedFor reports whether most routers are in touch with this one, so that it has heard of each
 // version that any of them may use. It is the evidence of last resort, while the source is away.
 func (l *lookup) isVouchedFor() bool {
