Suspects are reported together with what explains their crashes

Cause: reports of suspects went out one by one, each until it had been sent often enough. A sound part that was relayed once more than the deadly one reached the new router alone, with up to 8 crashes and nothing to explain them, and was barred until the next resend, up to half a second later. The lines quarantine_begun of five failures show it: companions barred where the deadly part isn't, or 2 ms earlier.

Now the barred suspects that were on the same crashed servers go in the same list, and a barred content that explains crashes under a part in the same heartbeat. Reports that do not fit wait for the next list, each with its causes.

TestCompanionIsReportedWithItsCause, TestCausesDoNotCrowdOutReports and TestPartIsReportedWithTheContentThatExplainsIt fail on the code before.

--- a/direct/peers.go
+++ b/direct/peers.go
@@ -70,10 +70,11 @@
 // Report returns this router's current report for the others. Each suspect is included in only
 // a few reports.
 func (m *Machine) Report(now time.Duration) Report {
-	parts := m.partSuspects.Digest()
+	digest := m.partSuspects.Digest()
+	parts := m.partSuspects.TakeReports(now, maxReportedParts) // before contents, some of which are then due
 	return Report{
 		Headroom: m.ownHeadroom, Suspects: m.suspects.TakeReports(now, maxReportedSuspects), SuspectsDigest: m.suspects.Digest(),
-		HasParts: parts != (quarantine.Digest{}) || m.hasPeerParts(now), PartSuspects: m.partSuspects.TakeReports(now, maxReportedParts), PartsDigest: parts,
+		HasParts: digest != (quarantine.Digest{}) || m.hasPeerParts(now), PartSuspects: parts, PartsDigest: digest,
 	}
 }
 
--- a/quarantine/report_test.go
+++ b/quarantine/report_test.go
@@ -228,3 +228,78 @@
 	}
 	return out
 }
+
+// TestCompanionIsReportedWithItsCause guards against a part that a router bars just after its start: it
+// was told of a part that is always sound, and not, in the same list, of the one that crashed the servers.
+func TestCompanionIsReportedWithItsCause(t *testing.T) {
+	s := newLearned()
+	s.RecordWhole(moment(0), moment(0), common)
+	for n := range 6 {
+		s.RecordCrashOf(moment(n+1), partCrash(n), common, deadly)
+	}
+	for range ownSends {
+		s.TakeReports(moment(7), 8)
+	}
+	require.Empty(t, s.TakeReports(moment(7), 8))
+	s.byFingerprint[common].sendsLeft = relaySends
+	started := NewPartSuspects(nil)
+	started.ApplyReports(time.Second, s.TakeReports(moment(7), 8))
+	require.Equal(t, 6, started.Crashes(common))
+	require.True(t, started.Barred(time.Second, deadly))
+	require.False(t, started.Barred(time.Second, common))
+	require.Empty(t, s.TakeReports(moment(7), 8))
+}
+
+// TestCausesDoNotCrowdOutReports has suspects whose causes alone are as many as a list can hold.
+func TestCausesDoNotCrowdOutReports(t *testing.T) {
+	const causes, limit = 8, 8
+	s := newLearned()
+	s.RecordWhole(moment(0), moment(0), common, seldom)
+	crashed := []Fingerprint{common, seldom}
+	for n := range causes {
+		crashed = append(crashed, deadly+Fingerprint(n))
+	}
+	for n := range 6 {
+		s.RecordCrashOf(moment(n+1), partCrash(n), crashed...)
+	}
+	for range ownSends * len(crashed) {
+		s.TakeReports(moment(7), limit)
+	}
+	require.Empty(t, s.TakeReports(moment(7), limit))
+	s.byFingerprint[common].sendsLeft, s.byFingerprint[seldom].sendsLeft = relaySends, relaySends
+	started := NewPartSuspects(nil)
+	for range 2 {
+		reports := s.TakeReports(moment(7), limit)
+		require.Len(t, reports, limit)
+		started.ApplyReports(time.Second, reports)
+	}
+	require.Equal(t, 6, started.Crashes(common))
+	require.Equal(t, 6, started.Crashes(seldom))
+	require.False(t, started.Barred(time.Second, common))
+	require.Empty(t, s.TakeReports(moment(7), limit))
+}
+
+// TestPartIsReportedWithTheContentThatExplainsIt has a barred content explain the crashes under a sound
+// part.
+func TestPartIsReportedWithTheContentThatExplainsIt(t *testing.T) {
+	var contents Suspects
+	s := NewPartSuspects(&contents)
+	for n := range 6 {
+		contents.RecordCrash(moment(n), bad, Server(n+1))
+		s.RecordCrashOf(moment(n), Crash{Server: Server(n + 1), Hall: uint16(n), Request: RequestHash(bad + 1 + Fingerprint(n))}, common)
+	}
+	for range ownSends {
+		s.TakeReports(moment(6), 8)
+		contents.TakeReports(moment(6), 8)
+	}
+	require.Empty(t, contents.TakeReports(moment(6), 8))
+	s.byFingerprint[common].sendsLeft = relaySends
+	parts := s.TakeReports(moment(6), 8)
+	var startedContents Suspects
+	started := NewPartSuspects(&startedContents)
+	startedContents.ApplyReports(time.Second, contents.TakeReports(moment(6), 8))
+	require.True(t, startedContents.IsBarred(bad))
+	started.ApplyReports(time.Second, parts)
+	require.Equal(t, 6, started.Crashes(common))
+	require.False(t, started.Barred(time.Second, common))
+}
