Of two suspects with as many crashes, the one never served explains the other

Callers of sound requests got 503 (quarantined) after a cold start: in 4 of 120 runs of TestBarredPartOutlivesRouters, six at a time, a deadly part and its two sound companions were all barred, in three of them with equal numbers of crashes and before any restart.

Cause: for two seconds after its first whole response a router can't tell which parts never had one, so all parts ranked by crashes alone and none explained the other's, although the companions were known to have been served and the deadly part was not.

Now that decides between parts of equal weight. One more crash outweighs it, so that a part that has turned deadly is still found.

TestCompanionsAreNotBarredAfterAColdStart fails on the code before.

--- a/quarantine/barring.go
+++ b/quarantine/barring.go
@@ -77,18 +77,30 @@
 }
 
 // rank orders the suspects of a crash: the one with the highest rank explains it. Contents and parts
-// of equal history rank by weight. A part without any whole response ranks before all others once
+// of equal history rank by weight. Of two parts of equal weight, one without any known whole response
+// ranks before one that has had some. A part that certainly never had any ranks before all others once
 // two servers have crashed under it.
 func (s *Suspects) rank(x *suspect) int {
-	weight := s.weight(x)
-	if s.kind == Part && s.isUnproven(x) && len(x.crashes) > 1 {
-		return weight + unprovenRank
+	rank := s.weight(x) * rankOfCrash
+	if s.kind == Content {
+		return rank
+	}
+	if !x.cleared.valid {
+		rank += neverWholeRank
+	}
+	if s.isUnproven(x) && len(x.crashes) > 1 {
+		rank += unprovenRank
 	}
-	return weight
+	return rank
 }
 
-// unprovenRank is more than any weight.
-const unprovenRank = maxCrashesKept + unprovenWeight + 1
+const (
+	// neverWholeRank is less than one crash counts in a rank.
+	neverWholeRank = 1
+	rankOfCrash    = 2
+	// unprovenRank is more than the rank of any other part.
+	unprovenRank = (maxCrashesKept+unprovenWeight)*rankOfCrash + neverWholeRank + 1
+)
 
 // maxRanks returns the highest rank among the suspects of each server that crashed.
 func (s *Suspects) maxRanks() map[Server]int {
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -96,6 +96,21 @@
 	require.False(t, s.Barred(moment(8), seldom), "explained by the deadly part")
 }
 
+// TestCompanionsAreNotBarredAfterAColdStart guards against sound parts that are barred together with the
+// one that crashes servers: within seconds of the first whole responses of all, as many servers had crashed
+// under each of them.
+func TestCompanionsAreNotBarredAfterAColdStart(t *testing.T) {
+	s := NewPartSuspects(nil)
+	s.RecordWhole(time.Second, time.Second, common, seldom)
+	for n := range 6 {
+		s.RecordCrashOf(time.Second+time.Duration(n+1)*200*time.Millisecond, partCrash(n), common, deadly, seldom)
+	}
+	s.Recheck(time.Second + 1300*time.Millisecond)
+	require.True(t, s.Barred(s.now, deadly))
+	require.False(t, s.Barred(s.now, common))
+	require.False(t, s.Barred(s.now, seldom))
+}
+
 // TestRareCauseAmongCrashesIsNotBarred has many servers crash by themselves, three of them under a
 // part without whole responses.
 func TestRareCauseAmongCrashesIsNotBarred(t *testing.T) {
