--- a/gateway/cluster/discovery_test.go
+++ b/gateway/cluster/discovery_test.go
@@ -99,17 +99,27 @@
 	})
 }
 
+// startDiscovery starts the discovery of a router at its first start, in a synctest bubble, and returns a
+// function that stops it.
+func startDiscovery(t *testing.T, registry *memoryRegistry, era *atomic.Uint64) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	d := discovery{
+		registry: registry, self: Member{Name: "self", Address: "10.0.0.1"}, onMember: func(Member) {},
+		hasLivePeers: func() bool { return true }, firstStart: true, era: era.Load, countCall: func(string) {},
+	}
+	go func() { _ = d.run(ctx) }()
+	return func() {
+		cancel()
+		synctest.Wait()
+	}
+}
+
 // TestRegistersAgain restores the registry from a backup that lacks a router. The router must look
 // for itself in an up-to-date list, register once, and make no other call because of it.
 func TestRegistersAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		registry, era := &memoryRegistry{}, atomic.Uint64{}
-		ctx, cancel := context.WithCancel(t.Context())
-		d := discovery{
-			registry: registry, self: Member{Name: "self", Address: "10.0.0.1"}, onMember: func(Member) {},
-			hasLivePeers: func() bool { return true }, firstStart: true, era: era.Load, countCall: func(string) {},
-		}
-		go func() { _ = d.run(ctx) }()
+		registry, era := &memoryRegistry{}, new(atomic.Uint64)
+		stop := startDiscovery(t, registry, era)
 		time.Sleep(2 * time.Minute)
 		registered, _ := registry.taken()
 		require.Len(t, registered, 1)
@@ -122,8 +132,7 @@
 		registry.registered = registered // it is listed again
 		registry.mu.Unlock()
 		time.Sleep(2 * time.Minute)
-		cancel()
-		synctest.Wait()
+		stop()
 		registered, _ = registry.taken()
 		require.Len(t, registered, 1)
 	})
@@ -133,17 +142,11 @@
 // look for itself in an up-to-date list soon after, not at the next interval.
 func TestEraDuringAList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		registry, era := &memoryRegistry{}, atomic.Uint64{}
+		registry, era := &memoryRegistry{}, new(atomic.Uint64)
 		registry.during = func() { era.Store(1) }
-		ctx, cancel := context.WithCancel(t.Context())
-		d := discovery{
-			registry: registry, self: Member{Name: "self", Address: "10.0.0.1"}, onMember: func(Member) {},
-			hasLivePeers: func() bool { return true }, firstStart: true, era: era.Load, countCall: func(string) {},
-		}
-		go func() { _ = d.run(ctx) }()
+		stop := startDiscovery(t, registry, era)
 		time.Sleep(firstListDelay + eraPollInterval + reregisterSpread)
-		cancel()
-		synctest.Wait()
+		stop()
 		_, stale := registry.taken()
 		require.Equal(t, []bool{true, false}, stale)
 	})
@@ -153,20 +156,14 @@
 // was restored from a backup right after the router had registered, while it waited for other routers.
 func TestRegistersAgainAfterItsStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		registry, era := &memoryRegistry{}, atomic.Uint64{}
-		ctx, cancel := context.WithCancel(t.Context())
-		d := discovery{
-			registry: registry, self: Member{Name: "self", Address: "10.0.0.1"}, onMember: func(Member) {},
-			hasLivePeers: func() bool { return true }, firstStart: true, era: era.Load, countCall: func(string) {},
-		}
-		go func() { _ = d.run(ctx) }()
+		registry, era := &memoryRegistry{}, new(atomic.Uint64)
+		stop := startDiscovery(t, registry, era)
 		time.Sleep(firstListDelay / 2)
 		registered, _ := registry.taken()
 		require.Len(t, registered, 1)
 		era.Store(1)
 		time.Sleep(firstListDelay)
-		cancel()
-		synctest.Wait()
+		stop()
 		registered, stale := registry.taken()
 		require.Len(t, registered, 1)
 		require.Equal(t, []bool{false}, stale)
