--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/traffic"
+	"github.com/croftvale/croftvale/internal/socket"
 )
 
 const (
@@ -49,6 +50,9 @@
 	connRefused           bool // the server's host refused the connection
 	dialOverdue           bool // this process ran too late to connect
 	unframed              bool // the response ended with its connection
+	// unreadWhenHung reports that the attempt ended as Hung while bytes of the server waited to
+	// be read: this process was late, not the server.
+	unreadWhenHung bool
 }
 
 // countBytes counts bytes sent to the server or received from it.
@@ -121,8 +125,9 @@
 		return info.RequestID == a.x.info.ID
 	})
 	if err != nil {
+		outcome := a.readOutcome(err, bounded)
 		a.conn.Close()
-		return a.endWithoutResponse(a.readOutcome(err, bounded))
+		return a.endWithoutResponse(outcome)
 	}
 	info := a.x.front.dialect.ParseResponse(resp.StatusCode, resp.Header)
 	switch {
@@ -175,6 +180,7 @@
 // if its connection failed.
 func (a *attempt) readOutcome(err error, bounded bool) direct.Outcome {
 	if bounded && errors.Is(err, os.ErrDeadlineExceeded) {
+		a.unreadWhenHung = socket.Peek(a.conn.Conn) == socket.Readable
 		return direct.Hung
 	}
 	return direct.Broken
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -122,7 +122,7 @@
 		if ended {
 			return true
 		}
-		x.logRetry(outcome)
+		x.logRetry(&a, outcome)
 	case direct.RefuseCmd:
 		x.lastSend.PlacementBasis.Share = cmd.Share
 		x.refuse(string(cmd.Reason), cmd.RetryAfter)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -16,8 +16,13 @@
 	"github.com/croftvale/croftvale/gateway/traffic"
 )
 
-// reasonPressure is the reason of refusals by a router that lacks processor time.
-const reasonPressure = "pressure"
+const (
+	// reasonPressure is the reason of refusals by a router that lacks processor time.
+	reasonPressure = "pressure"
+	// reasonIdleClose is the reason why a request gets no response: the router had closed its
+	// connection as idle.
+	reasonIdleClose = "idle_close"
+)
 
 const (
 	// noConfigRetryAfter is the retry delay for callers of a router that has no
@@ -66,7 +71,9 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
+	defer f.reportPanic(r)
 	if f.conns.closedByRouter(r.Context()) {
+		f.logDropped(r)
 		panic(http.ErrAbortHandler)
 	}
 	start := f.core.Now()
@@ -116,6 +123,19 @@
 	}
 }
 
+// reportPanic makes a panic of a handler visible, and lets net/http end it. A panic with
+// http.ErrAbortHandler is how a handler closes its connection.
+func (f *front) reportPanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		f.logPanic(r, cause, f.core.isConsistent())
+	}
+	panic(cause)
+}
+
 // refusal is a response of the router itself to a request that was not admitted.
 type refusal struct {
 	status     int
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"runtime/debug"
 
+	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/eventlog"
 	"github.com/phuslu/log"
@@ -26,12 +28,30 @@
 }
 
 // logRetry logs an attempt that did not end its request.
-func (x *exchange) logRetry(o direct.Outcome) {
+func (x *exchange) logRetry(a *attempt, o direct.Outcome) {
 	if x.front.log.AllowFailure() {
-		x.describe(x.front.log.Event("attempt_ended")).Str("outcome", o.String()).Dur("after", x.front.core.Now()-x.start).Msg("")
+		x.describe(x.front.log.Event("attempt_ended")).Str("outcome", o.String()).Bool("unread", a.unreadWhenHung).
+			Dur("after", x.front.core.Now()-x.start).Msg("")
 	}
 }
 
+// logDropped logs a request that arrived on a connection which the router had closed as idle. Its
+// caller gets no response.
+func (f *front) logDropped(r *http.Request) {
+	f.stats.Rejected(reasonIdleClose)
+	if f.log.AllowFailure() {
+		f.log.Event("request_dropped").Str("request", f.dialect.RequestID(r.Header)).Str("reason", reasonIdleClose).Msg("")
+	}
+}
+
+// logPanic logs a panic of a handler, which net/http recovers: the caller's connection is closed.
+// consistent reports whether no update of the state machine was in progress.
+func (f *front) logPanic(r *http.Request, cause any, consistent bool) {
+	f.stats.HandlerPanicked()
+	f.log.Event("handler_panicked").Str("request", f.dialect.RequestID(r.Header)).Bool("consistent", consistent).
+		Err(errors.Newf("%v", cause)).Bytes("stack", debug.Stack()).Msg("")
+}
+
 // describe adds the fields common to all log lines on a request: its origin, its target,
 // and the basis of its placement, with ages and revisions.
 func (x *exchange) describe(e *log.Entry) *log.Entry {
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -77,6 +77,9 @@
 // TaskPanicked counts a panic of a background task that was restarted.
 func (s *Stats) TaskPanicked(name string) { s.counter(counterKey{"task_panics", "", name}).Inc(1) }
 
+// HandlerPanicked counts a panic of a request's handler.
+func (s *Stats) HandlerPanicked() { s.counter(counterKey{"handler_panics", "", ""}).Inc(1) }
+
 // Request counts an ended request, by its result and the reason for it.
 func (s *Stats) Request(result, reason string) {
 	s.counter(counterKey{"requests", result, reason}).Inc(1)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -41,8 +41,9 @@
 			return a.endStream()
 		}
 		if err != nil {
+			outcome := a.readOutcome(err, a.mayRetry())
 			a.conn.Close()
-			return a.endBrokenStream(a.readOutcome(err, a.mayRetry()))
+			return a.endBrokenStream(outcome)
 		}
 		if !a.isNext(event) {
 			a.conn.Close()
