A silent server keeps its request until another has begun to respond

Cause: after .8 s of silence a router closed the connection to the server and only then looked for another one. If that one was full, the attempts used up or the retry budget spent, the stream had no server left, though its own went on a moment later. Silence was taken for an end, and 'another server could go on' for 'another server has it'. The same held before the first event and for repeatable requests that are no streams.

Change: a silent server is backed up, not given up. The machine places a backup as a request of its own (BackupMsg) or says why not; the first attempt goes on meanwhile. Whichever server responds first keeps the request. A backup that was declined uses up no attempt, as it has not run, but it spends a retry. Read deadlines no longer stand for silence, so a late router whose bytes wait in the socket asks for no backup.

--- a/backend/head.go
+++ b/backend/head.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,8 +18,9 @@
 
 // headReader limits what is read from a connection while the head of a response is read.
 type headReader struct {
-	source io.Reader
-	left   int64
+	source   io.Reader
+	left     int64
+	received *atomic.Uint64 // counts reads that returned bytes
 }
 
 // limit begins the head of a response; unlimit ends it.
@@ -32,5 +34,8 @@
 	}
 	n, err := h.source.Read(p[:min(int64(len(p)), h.left)])
 	h.left -= int64(n)
+	if n > 0 {
+		h.received.Add(1)
+	}
 	return n, err
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,11 +48,13 @@
 	dialer  net.Dialer
 	mu      sync.Mutex
 	idle    map[string][]*Conn
+	// received counts the reads that returned bytes, by address.
+	received map[string]*atomic.Uint64
 }
 
 // NewPool returns an empty pool.
 func NewPool(o Options) *Pool {
-	p := &Pool{options: o, idle: make(map[string][]*Conn)}
+	p := &Pool{options: o, idle: make(map[string][]*Conn), received: make(map[string]*atomic.Uint64)}
 	p.dialer = net.Dialer{
 		Timeout:   o.DialTimeout,
 		KeepAlive: -1,
@@ -109,7 +112,7 @@
 		}
 		return nil, err
 	}
-	head := &headReader{source: raw}
+	head := &headReader{source: raw, received: p.receivedFrom(address)}
 	return &Conn{Conn: raw, pool: p, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
@@ -123,12 +126,32 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// Received returns a number that grows whenever the server at an address sends bytes on any
+// connection of the pool.
+func (p *Pool) Received(address string) uint64 { return p.receivedFrom(address).Load() }
+
+func (p *Pool) receivedFrom(address string) *atomic.Uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.received[address]
+	if n == nil {
+		n = &atomic.Uint64{}
+		p.received[address] = n
+	}
+	return n
+}
+
 // Sweep closes connections that have been idle too long, and all idle connections to
 // addresses that are no longer wanted.
 func (p *Pool) Sweep(wanted func(address string) bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for address := range p.received {
+		if !wanted(address) {
+			delete(p.received, address)
+		}
+	}
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
--- a/direct/commands.go
+++ b/direct/commands.go
@@ -125,6 +125,7 @@
 	ReasonDeadline    Reason = "deadline"
 	ReasonQuarantined Reason = "quarantined" // servers crash when they run requests with its content or a part of its prompt
 	ReasonRegion      Reason = "region"      // no server in the request's allowed regions accepts requests
+	ReasonEnded       Reason = "ended"       // the request whose backup was asked for has ended
 	ReasonVersion     Reason = "version"     // no server of the version that began the stream accepts requests
 )
 
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -28,6 +28,10 @@
 	s := r.currentServer
 	r.currentServer = nil
 	s.release(r)
+	if r.backupOf != nil {
+		r.backupOf.recordBackupEnd(s, msg.Outcome)
+		msg.Retry = false
+	}
 	m.refund(msg.Now, r, msg.Outcome)
 	aborted := r.aborted
 	r.aborted = false
@@ -121,8 +125,7 @@
 		}
 	}
 	switch {
-	// The probe that detects a crash is still running, and a retry might crash a fourth server.
-	case (o == Broken || o == Hung) && !r.clearedOfCrash(now) && (m.suspects.OneCrashFromBarred(r.Fingerprint) || m.nearlyBarredPart(&r.Request)):
+	case (o == Broken || o == Hung) && m.mayCrashAnother(now, r):
 		m.giveUp(now, p, r, ReasonQuarantined)
 	case now >= r.Deadline:
 		m.giveUp(now, p, r, ReasonDeadline)
@@ -135,6 +138,12 @@
 	}
 }
 
+// mayCrashAnother reports whether a request might crash one server too many: the probe that detects
+// a crash of its current server is still running.
+func (m *Machine) mayCrashAnother(now time.Duration, r *requestState) bool {
+	return !r.clearedOfCrash(now) && (m.suspects.OneCrashFromBarred(r.Fingerprint) || m.nearlyBarredPart(&r.Request))
+}
+
 // refuseWaiting refuses a queued request.
 func (m *Machine) refuseWaiting(now time.Duration, p *pool, r *requestState) {
 	p.queue.remove(r)
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -138,6 +138,10 @@
 		team.admitted.add(msg.Now, cost)
 	case FirstEventMsg:
 		m.handleFirstEvent(msg)
+	case BackupMsg:
+		m.startBackup(msg)
+	case TakeOverMsg:
+		m.takeOver(msg)
 	case NoticeMsg:
 		m.applyNotice(msg)
 	case AttemptEndMsg:
--- a/direct/outcome.go
+++ b/direct/outcome.go
@@ -16,6 +16,15 @@
 	Withheld                 // placed, but not sent because of a notice of the server
 )
 
+// MayHaveRun reports whether a server may have run the request, at least in part.
+func (o Outcome) MayHaveRun() bool {
+	switch o {
+	case Unsent, NotRun, Elsewhere, Withheld:
+		return false
+	}
+	return true
+}
+
 // String returns the outcome's name for logs.
 func (o Outcome) String() string {
 	return [...]string{"done", "unsent", "not_run", "elsewhere", "failed", "broken", "hung", "given_up", "withheld"}[o]
--- a/direct/requeststate.go
+++ b/direct/requeststate.go
@@ -16,6 +16,7 @@
 	mayHaveRun     bool // an attempt may have run
 	triedServers   []string
 	currentServer  *server
+	backupOf       *requestState // the request that this attempt backs up; nil: it is the request itself
 	sentAt         time.Duration
 	pendingTokens  int           // that the server has yet to read for it
 	tokensAhead    int           // that the server had to read before its first event, when it was sent
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -54,7 +54,7 @@
 // nothing. If a server may have begun to read it, the team's token bucket stays charged with
 // the work.
 func (m *Machine) refund(now time.Duration, r *requestState, o Outcome) {
-	if !r.charged || r.started || o == Done || o == Failed {
+	if !r.charged || r.backupOf != nil || r.started || o == Done || o == Failed {
 		return
 	}
 	r.charged = false
--- a/direct/version_test.go
+++ b/direct/version_test.go
@@ -206,6 +206,19 @@
 					Objective: 300 * time.Millisecond, Deadline: now + 5*time.Second, PromptTokens: 600, OutputTokens: 50,
 				}})
 			},
+			"backup": func(t *rapid.T) {
+				of, ok := drawRunning()
+				if !ok {
+					return
+				}
+				lastID++
+				begun[lastID] = begun[of]
+				update(BackupMsg{Now: now, ID: lastID, Of: of})
+				if _, sent := at[lastID]; sent && rapid.Bool().Draw(t, "takes over") {
+					update(TakeOverMsg{Now: now, ID: lastID, Outcome: Hung})
+					delete(at, of)
+				}
+			},
 			"first": func(t *rapid.T) {
 				if id, ok := drawRunning(); ok {
 					begun[id] = at[id]
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"syscall"
 	"time"
 
@@ -12,16 +12,15 @@
 	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/traffic"
-	"github.com/croftvale/croftvale/internal/socket"
 )
 
 const (
-	// A stream that may continue on another server does so after a pause of minStreamStall,
-	// or of streamStallPauseFactor times the route's longest pause if that is longer.
+	// A backup of a stream is asked for after a pause of minStreamStall, or of
+	// streamStallPauseFactor times the route's longest pause if that is longer.
 	minStreamStall         = 800 * time.Millisecond
 	streamStallPauseFactor = 4
-	// stallObjectiveFactor times the objective is the time after which a repeatable request
-	// without a response is tried on another server. Streams use streamStallObjectiveFactor.
+	// stallObjectiveFactor times the objective is the time after which a backup is asked for
+	// of a repeatable request without a response. Streams use streamStallObjectiveFactor.
 	stallObjectiveFactor       = 0.6
 	streamStallObjectiveFactor = 3.0
 	// stallEstimateFactor is the shortest stall timeout, as a multiple of the estimated time
@@ -37,55 +36,122 @@
 // attempt is one try of a request on one server.
 type attempt struct {
 	x         *exchange
+	id        direct.RequestID // of the request, or of the backup that this attempt began as
+	ctx       context.Context  // ends when the caller leaves, or when a backup is canceled
+	cancel    func()           // ends ctx
+	isBackup  bool             // began as a backup
 	cmd       direct.SendCmd
 	conn      *backend.Conn
-	stopWatch func() bool // stops watching whether the caller leaves
-	// forwarding is set once the first event of a stream has been forwarded.
-	forwarding bool
-	path       traffic.Path
-	// canContinue reports whether another server could continue the stream, as of
-	// continuationCheckedAt.
-	canContinue           bool
-	continuationCheckedAt time.Duration
-	connRefused           bool // the server's host refused the connection
-	dialOverdue           bool // this process ran too late to connect
-	unframed              bool // the response ended with its connection
-	// unreadWhenHung reports that the attempt ended as Hung while bytes of the server waited to
-	// be read: this process was late, not the server.
-	unreadWhenHung bool
+	stopWatch func() bool // stops watching ctx
+	path      traffic.Path
+	startedAt time.Duration
+	// afterEvent is the id of the last event that the caller got from other servers; empty: none.
+	afterEvent string
+	notice     direct.Notice // sent by the server
+	watch      silenceWatch
+	// successor is the backup that has taken over; nil: none has.
+	successor *backup
+
+	response   *http.Response
+	info       ResponseInfo
+	events     *eventReader // nil: the response is not a stream
+	forwarding bool         // the first event of the stream has been forwarded
+
+	connRefused bool // the server's host refused the connection
+	dialOverdue bool // this process ran too late to connect
+	unframed    bool // the response ended with its connection
+}
+
+// newAttempt returns an attempt at the server that the machine has chosen.
+func newAttempt(x *exchange, cmd direct.SendCmd) *attempt {
+	a := &attempt{x: x, id: cmd.ID, cmd: cmd, afterEvent: x.info.AfterEvent}
+	a.ctx, a.cancel = context.WithCancel(x.ctx)
+	if x.headSent {
+		a.afterEvent = formatID(x.lastEventID)
+	}
+	a.watch.primary, a.startedAt = a, x.front.core.Now()
+	return a
 }
 
 // countBytes counts bytes sent to the server or received from it.
 func (a *attempt) countBytes(n int) { a.x.front.traffic.Add(a.path, n) }
 
 // run sends the request and forwards the response. It returns the outcome of the attempt
-// and whether the caller's request has ended.
+// and whether the caller's request has ended. If successor is set, another attempt has taken over
+// and neither is valid.
 func (a *attempt) run() (direct.Outcome, bool) {
 	// Time for which the host was suspended counts towards the caller's deadline.
 	a.x.front.core.checkSuspension()
-	timeLeft := a.x.deadline - a.x.front.core.Now()
-	if timeLeft < minTimeLeft {
+	if a.timeLeft() < minTimeLeft {
 		a.endExpired(direct.GivenUp)
 		return direct.GivenUp, true
 	}
-	conn, err := a.x.front.pool.Get(a.x.ctx, a.cmd.Server.Address)
+	a.watch.enable()
+	return a.proceed(a.start())
+}
+
+// startResult tells how the first part of an attempt has ended: the response has begun, or else the
+// attempt has ended with an outcome.
+type startResult struct {
+	begun   bool
+	outcome direct.Outcome // if the response has not begun
+	// event and err are the first result of reading the stream, if the response is one.
+	event event
+	err   error
+}
+
+// failedStart returns the result of an attempt that ended before its response began.
+func failedStart(o direct.Outcome) startResult { return startResult{outcome: o} }
+
+// start sends the request and reads the beginning of the response. It changes nothing of the exchange, so that a
+// backup can run beside the attempt that it backs up.
+func (a *attempt) start() startResult {
+	if outcome, sent := a.send(); !sent {
+		return failedStart(outcome)
+	}
+	return a.awaitResponse()
+}
+
+// proceed forwards a response that has begun, or ends an attempt without one.
+func (a *attempt) proceed(begun startResult) (direct.Outcome, bool) {
+	switch {
+	case a.successor != nil:
+		return direct.Hung, false
+	case !begun.begun:
+		return a.endWithoutResponse(begun.outcome)
+	case a.events != nil:
+		return a.stream(begun.event, begun.err)
+	}
+	_ = a.conn.SetReadDeadline(time.Now().Add(a.timeLeft()))
+	return a.bufferResponse(a.response, a.info)
+}
+
+// timeLeft returns the time until the request's deadline.
+func (a *attempt) timeLeft() time.Duration { return a.x.deadline - a.x.front.core.Now() }
+
+// hasEnded reports whether the attempt has ended by no fault of its server: the caller has left, the
+// attempt was canceled, or the request's deadline has passed.
+func (a *attempt) hasEnded() bool { return a.ctx.Err() != nil || a.timeLeft() < minTimeLeft }
+
+// send sends the request. If it fails, it returns the outcome of the attempt and false.
+func (a *attempt) send() (direct.Outcome, bool) {
+	conn, err := a.x.front.pool.Get(a.ctx, a.cmd.Server.Address)
 	if err != nil {
 		a.connRefused = errors.Is(err, syscall.ECONNREFUSED)
 		a.dialOverdue = errors.Is(err, backend.ErrRouterLate)
-		return a.endWithoutResponse(direct.Unsent)
+		return direct.Unsent, false
 	}
-	if !a.x.front.core.beginAttempt(a.x.id, func() { conn.Close() }) {
+	if !a.x.front.core.beginAttempt(a.id, func() { conn.Close() }) {
 		conn.Close()
-		return a.endWithoutResponse(direct.Withheld)
+		return direct.Withheld, false
 	}
-	defer a.x.front.core.endAttempt(a.x.id)
 	a.conn = conn
-	a.stopWatch = context.AfterFunc(a.x.ctx, func() { conn.Close() })
-	defer a.stopWatch()
-	timeLeft = a.x.deadline - a.x.front.core.Now()
+	a.stopWatch = context.AfterFunc(a.ctx, func() { conn.Close() })
+	timeLeft := a.timeLeft()
 	_ = conn.SetDeadline(time.Now().Add(timeLeft)) // here and below: it fails on a closed connection, whose next use returns the error
 	a.path = a.x.front.pathTo(a.cmd)
 	a.countBytes(len(a.x.body))
+	a.watch.arm(a.firstEventTimeout())
 	err = conn.Send(&backend.Request{
 		Method: a.x.r.Method,
 		Target: a.x.r.RequestURI,
@@ -93,55 +159,76 @@
 		Header: a.x.front.dialect.OutboundHeader(a.x.r.Header, a.callInfo(timeLeft)),
 		Body:   a.x.body,
 	})
-	if err != nil {
-		conn.Close()
-		if errors.Is(err, backend.ErrUnsent) {
-			return a.endWithoutResponse(direct.Unsent)
-		}
-		return a.endWithoutResponse(direct.Broken)
+	switch {
+	case err == nil:
+		return 0, true
+	case a.takenOver(err):
+		return direct.Hung, false
 	}
-	return a.receive(timeLeft)
+	conn.Close()
+	if errors.Is(err, backend.ErrUnsent) {
+		return direct.Unsent, false
+	}
+	return direct.Broken, false
 }
 
 // callInfo returns what is sent to the server along with the request.
 func (a *attempt) callInfo(timeLeft time.Duration) CallInfo {
-	info := CallInfo{TimeLeft: timeLeft, Server: a.cmd.Server.Name(), Team: a.x.team, AfterEvent: a.x.info.AfterEvent}
-	if a.x.headSent {
-		info.AfterEvent = formatID(a.x.lastEventID)
-	}
-	return info
+	return CallInfo{TimeLeft: timeLeft, Server: a.cmd.Server.Name(), Team: a.x.team, AfterEvent: a.afterEvent}
 }
 
-// receive reads the header of the response and passes the response to the reader of its
-// body.
-func (a *attempt) receive(timeLeft time.Duration) (direct.Outcome, bool) {
-	timeout, bounded := a.stallTimeout(timeLeft)
-	if bounded {
-		_ = a.conn.SetReadDeadline(time.Now().Add(timeout))
-	}
+// awaitResponse reads the header of the response and, if it is a stream, its first event.
+func (a *attempt) awaitResponse() startResult {
+	a.watch.arm(a.firstEventTimeout())
 	resp, err := a.conn.ReadResponse(a.x.r.Method, func(h *http.Response) bool {
 		info := a.x.front.dialect.ParseResponse(h.StatusCode, h.Header)
 		a.applyNotice(info)
 		return info.RequestID == a.x.info.ID
 	})
+	if a.takenOver(err) {
+		return startResult{}
+	}
 	if err != nil {
-		outcome := a.readOutcome(err, bounded)
 		a.conn.Close()
-		return a.endWithoutResponse(outcome)
+		return failedStart(direct.Broken)
 	}
-	info := a.x.front.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	a.response, a.info = resp, a.x.front.dialect.ParseResponse(resp.StatusCode, resp.Header)
 	switch {
-	case info.WrongServer:
+	case a.info.WrongServer:
 		a.discard(resp)
-		return direct.Elsewhere, false
-	case info.NotRun && resp.StatusCode != http.StatusBadRequest:
+		return failedStart(direct.Elsewhere)
+	case a.info.NotRun && resp.StatusCode != http.StatusBadRequest:
 		a.discard(resp)
-		return direct.NotRun, false
-	case a.isStream(resp):
-		return a.stream(resp, info)
+		return failedStart(direct.NotRun)
+	case !a.isStream(resp) && a.isBackup && !a.canReplace(resp):
+		a.discard(resp)
+		return failedStart(direct.Failed)
+	case !a.isStream(resp):
+		return startResult{begun: true}
+	case !isForwardable(resp, a.info):
+		a.conn.Close()
+		return failedStart(direct.Broken)
 	}
-	_ = a.conn.SetReadDeadline(time.Now().Add(a.x.deadline - a.x.front.core.Now()))
-	return a.bufferResponse(resp, info)
+	a.events = &eventReader{reader: bufio.NewReaderSize(resp.Body, eventBufferBytes)}
+	event, err := a.nextEvent()
+	if err != nil && err != io.EOF {
+		a.conn.Close()
+		return failedStart(direct.Broken)
+	}
+	return startResult{begun: true, event: event, err: err}
+}
+
+// canReplace reports whether the response of a backup is worth more than a server that is silent: it
+// is a success, and not one that should have continued a stream.
+func (a *attempt) canReplace(resp *http.Response) bool {
+	return a.afterEvent == "" && resp.StatusCode/100 != 5 && !claimsNotRun(resp.StatusCode) && isForwardable(resp, a.info)
+}
+
+// takenOver resolves the race with a backup after a read that returned err, and reports whether the
+// backup has won.
+func (a *attempt) takenOver(err error) bool {
+	a.successor = a.watch.disarm(err)
+	return a.successor != nil
 }
 
 // applyNotice processes the server's notice in a response header, including that of a late
@@ -156,34 +243,30 @@
 	if info.Notice.IsZero() {
 		return
 	}
-	a.x.notice = info.Notice
+	a.notice = info.Notice
 	a.x.front.stats.ServerNotice(info.Notice)
 	a.x.front.core.Update(direct.NoticeMsg{Now: a.x.front.core.Now(), Server: a.cmd.Server.ID, Notice: info.Notice})
 }
 
-// stallTimeout returns how long the server may stay silent before the request is tried on
-// another server, and whether that limit applies.
-func (a *attempt) stallTimeout(timeLeft time.Duration) (time.Duration, bool) {
+// firstEventTimeout returns how long the server may stay silent before its response until a backup is
+// asked for. It returns 0 if there is no limit.
+func (a *attempt) firstEventTimeout() time.Duration {
 	route := a.x.route
-	if !a.mayRetry() || !a.x.front.core.disabled.Enabled(direct.StallTimeout) {
-		return 0, false
-	}
 	factor := stallObjectiveFactor
 	if route.Kind == direct.Stream {
 		factor = streamStallObjectiveFactor
 	}
 	timeout := max(time.Duration(factor*float64(route.Objective)), stallEstimateFactor*a.cmd.PlacementBasis.Estimate)
-	return timeout, timeout < timeLeft
+	return a.limitSilence(timeout)
 }
 
-// readOutcome returns Hung if the server sent nothing before the stall timeout, and Broken
-// if its connection failed.
-func (a *attempt) readOutcome(err error, bounded bool) direct.Outcome {
-	if bounded && errors.Is(err, os.ErrDeadlineExceeded) {
-		a.unreadWhenHung = socket.Peek(a.conn.Conn) == socket.Readable
-		return direct.Hung
+// limitSilence returns a limit on the server's silence, or 0 if no other attempt is allowed or the
+// request's deadline comes first.
+func (a *attempt) limitSilence(timeout time.Duration) time.Duration {
+	if !a.x.route.MayRepeat() || !a.x.front.core.disabled.Enabled(direct.StallTimeout) || timeout >= a.timeLeft() {
+		return 0
 	}
-	return direct.Broken
+	return timeout
 }
 
 // endWithoutResponse ends an attempt without a usable response. It also ends the request if
@@ -214,7 +297,7 @@
 
 // reportEnd reports the outcome of the attempt to the machine, before a panic.
 func (a *attempt) reportEnd(o direct.Outcome) {
-	a.x.front.core.Update(direct.AttemptEndMsg{Now: a.x.front.core.Now(), ID: a.x.id, Outcome: o})
+	a.x.front.core.Update(direct.AttemptEndMsg{Now: a.x.front.core.Now(), ID: a.id, Outcome: o})
 }
 
 // discard drops a response of which only the header matters.
@@ -230,7 +313,7 @@
 // caller has left, since stopWatch then came too late: the watch may close the connection
 // at any time.
 func (a *attempt) release() {
-	a.x.front.core.endAttempt(a.x.id) // a late abort must not close a connection of the pool
+	a.x.front.core.endAttempt(a.id) // a late abort must not close a connection of the pool
 	if !a.stopWatch() {
 		a.conn.Close()
 		return
@@ -238,5 +321,15 @@
 	a.conn.Release()
 }
 
+// finish ends all that watches the attempt. It may be called more than once.
+func (a *attempt) finish() {
+	a.x.front.core.endAttempt(a.id)
+	if a.stopWatch != nil {
+		a.stopWatch()
+	}
+	a.watch.stop()
+	a.cancel()
+}
+
 // maxDiscardBytes bounds a body that is read only to reuse its connection.
 const maxDiscardBytes = 64 << 10
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -127,6 +127,22 @@
 	return r.ID, commands
 }
 
+// submitBackup asks the machine for a backup of a request. It returns the machine's answer and the
+// channel of the backup's later commands.
+func (c *core) submitBackup(of direct.RequestID) (direct.Cmd, <-chan direct.Cmd) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextID++
+	id, commands := c.nextID, make(chan direct.Cmd, 2)
+	c.waiters[id] = commands
+	c.updateLocked(direct.BackupMsg{Now: c.Now(), ID: id, Of: of})
+	cmd := <-commands
+	if _, sent := cmd.(direct.SendCmd); !sent {
+		delete(c.waiters, id)
+	}
+	return cmd, commands
+}
+
 // checkAdmission returns the refusal of a request that the machine would refuse on arrival,
 // and reports whether there is one. It does not submit the request.
 func (c *core) checkAdmission(r direct.Request) (direct.RefuseCmd, bool) {
--- a/gateway/corestate.go
+++ b/gateway/corestate.go
@@ -37,13 +37,6 @@
 	return c.machine.Teams(c.Now())
 }
 
-// canContinueElsewhere reports whether another server could continue a request.
-func (c *core) canContinueElsewhere(id direct.RequestID) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.machine.CanContinueElsewhere(c.Now(), id)
-}
-
 // teamWeight returns the share of this router's work that a team requests.
 func (c *core) teamWeight(team string) float64 {
 	c.mu.Lock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -45,7 +45,8 @@
 	age         time.Duration // estimated time since the caller's first try; 0: this may be it
 	deadline    time.Duration
 
-	id            direct.RequestID
+	id            direct.RequestID // of the request or, once a backup has taken over, of that backup
+	commands      <-chan direct.Cmd
 	attempts      int
 	headSent      bool
 	lastEventID   int64             // id of the last event that was forwarded
@@ -53,8 +54,8 @@
 	forwardedAt   time.Duration     // when events were last forwarded
 	serverFailure *bufferedResponse // a server's own failure, kept while another server is tried
 	lastSend      direct.SendCmd
-	notice        direct.Notice // sent by the last server that responded
-	callerGone    bool          // the caller has left; nothing may be written any more
+	current       *attempt // the last one; nil: none was made
+	callerGone    bool     // the caller has left; nothing may be written any more
 }
 
 // request returns the request in the form that the machine needs.
@@ -83,23 +84,22 @@
 // run serves the request until its final response.
 func (x *exchange) run() {
 	core := x.front.core
-	id, commands := core.submit(x.request())
-	x.id = id
-	defer core.removeWaiter(id)
+	x.id, x.commands = core.submit(x.request())
+	defer func() { core.removeWaiter(x.id) }()
 	timer := time.NewTimer(x.deadline - core.Now())
 	defer timer.Stop()
 	for {
 		select {
-		case cmd := <-commands:
+		case cmd := <-x.commands:
 			if x.execute(cmd) {
 				return
 			}
 		case <-x.ctx.Done():
-			core.cancel(id, commands)
+			core.cancel(x.id, x.commands)
 			x.callerLeft(0)
 			return
 		case <-timer.C:
-			core.cancel(id, commands)
+			core.cancel(x.id, x.commands)
 			x.timedOut()
 			return
 		}
@@ -110,19 +110,7 @@
 func (x *exchange) execute(cmd direct.Cmd) bool {
 	switch cmd := cmd.(type) {
 	case direct.SendCmd:
-		x.attempts++
-		x.lastSend, x.notice = cmd, direct.Notice{}
-		a := attempt{x: x, cmd: cmd}
-		start := x.front.core.Now()
-		outcome, ended := a.run()
-		x.front.core.Update(direct.AttemptEndMsg{
-			Now: x.front.core.Now(), ID: x.id, Outcome: outcome, Retry: !ended, ConnRefused: a.connRefused, RouterLate: a.dialOverdue || x.front.core.pressure.Slow(), Unframed: a.unframed,
-		})
-		x.front.stats.Attempt(outcome, x.front.core.Now()-start)
-		if ended {
-			return true
-		}
-		x.logRetry(&a, outcome)
+		return x.attempt(cmd)
 	case direct.RefuseCmd:
 		x.lastSend.PlacementBasis.Share = cmd.Share
 		x.refuse(string(cmd.Reason), cmd.RetryAfter)
@@ -134,6 +122,45 @@
 	return false
 }
 
+// attempt makes an attempt, and follows the backups that take over from it. It reports whether the
+// request has ended.
+func (x *exchange) attempt(cmd direct.SendCmd) bool {
+	x.begin(newAttempt(x, cmd))
+	defer func() { x.current.finish() }()
+	outcome, ended := x.current.run()
+	for x.current.successor != nil {
+		next := x.current.successor
+		x.follow(next)
+		outcome, ended = next.attempt.proceed(next.result)
+	}
+	a := x.current
+	x.front.core.Update(direct.AttemptEndMsg{
+		Now: x.front.core.Now(), ID: x.id, Outcome: outcome, Retry: !ended, ConnRefused: a.connRefused, RouterLate: a.dialOverdue || x.front.core.pressure.Slow(), Unframed: a.unframed,
+	})
+	x.front.stats.Attempt(outcome, x.front.core.Now()-a.startedAt)
+	if !ended {
+		x.logRetry(outcome)
+	}
+	return ended
+}
+
+// begin makes an attempt the current one.
+func (x *exchange) begin(a *attempt) {
+	x.attempts++
+	x.current, x.lastSend = a, a.cmd
+}
+
+// follow makes a backup that has taken over the current attempt.
+func (x *exchange) follow(next *backup) {
+	replaced := x.current
+	x.front.stats.Attempt(direct.Hung, x.front.core.Now()-replaced.startedAt)
+	x.logRetry(direct.Hung)
+	replaced.finish()
+	x.front.core.removeWaiter(x.id)
+	x.id, x.commands = next.attempt.id, next.commands
+	x.begin(next.attempt)
+}
+
 // refuse ends a request that has not run.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) {
 	if x.headSent {
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -28,10 +28,9 @@
 }
 
 // logRetry logs an attempt that did not end its request.
-func (x *exchange) logRetry(a *attempt, o direct.Outcome) {
+func (x *exchange) logRetry(o direct.Outcome) {
 	if x.front.log.AllowFailure() {
-		x.describe(x.front.log.Event("attempt_ended")).Str("outcome", o.String()).Bool("unread", a.unreadWhenHung).
-			Dur("after", x.front.core.Now()-x.start).Msg("")
+		x.describe(x.front.log.Event("attempt_ended")).Str("outcome", o.String()).Dur("after", x.front.core.Now()-x.start).Msg("")
 	}
 }
 
@@ -80,16 +79,28 @@
 		if basis.Side != "" {
 			e.Str("side", string(basis.Side))
 		}
-		if x.notice.Leaving {
-			e.Bool("server_leaving", true)
-		}
-		if x.notice.Backoff > 0 {
-			e.Dur("server_backoff", x.notice.Backoff)
-		}
+		x.current.describe(e)
 	}
 	return e
 }
 
+// describe adds what the server announced, how long it has been silent, and why there was no backup.
+func (a *attempt) describe(e *log.Entry) {
+	if a.notice.Leaving {
+		e.Bool("server_leaving", true)
+	}
+	if a.notice.Backoff > 0 {
+		e.Dur("server_backoff", a.notice.Backoff)
+	}
+	silent, declined := a.watch.state()
+	if silent > 0 {
+		e.Dur("silent", silent)
+	}
+	if declined != "" {
+		e.Str("no_backup", string(declined))
+	}
+}
+
 // logRejected logs a request that was not admitted.
 func (f *front) logRejected(r *http.Request, refused refusal) {
 	// Under pressure there are too many rejections to log each of them.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -79,7 +79,7 @@
 	if a.x.respondedAt == 0 {
 		a.x.respondedAt = now
 	}
-	a.x.front.core.Update(direct.FirstEventMsg{Now: now, ID: a.x.id, Streaming: streaming})
+	a.x.front.core.Update(direct.FirstEventMsg{Now: now, ID: a.id, Streaming: streaming})
 }
 
 // isForwardable reports whether a response may be forwarded: a success must carry the
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,34 +23,22 @@
 		strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// stream forwards whole events as they arrive. If the server fails, the stream may continue
-// on another server after the last event that was forwarded.
-func (a *attempt) stream(resp *http.Response, info ResponseInfo) (direct.Outcome, bool) {
-	if !isForwardable(resp, info) {
-		a.conn.Close()
-		return a.endWithoutResponse(direct.Broken)
-	}
-	events := eventReader{reader: bufio.NewReaderSize(resp.Body, eventBufferBytes)}
+// stream forwards whole events as they arrive, beginning with the first result of reading the stream.
+// If the server fails, the stream may continue on another server after the last event that was
+// forwarded.
+func (a *attempt) stream(event event, err error) (direct.Outcome, bool) {
 	for {
-		a.setStallDeadline()
-		event, err := events.next()
-		if err == io.EOF && isUnframed(resp) {
-			err = a.checkUnframedEnd(a.forwarding)
-		}
-		if err == io.EOF {
+		switch {
+		case a.successor != nil:
+			return direct.Hung, false
+		case err == io.EOF:
 			return a.endStream()
-		}
-		if err != nil {
-			outcome := a.readOutcome(err, a.mayRetry())
-			a.conn.Close()
-			return a.endBrokenStream(outcome)
-		}
-		if !a.isNext(event) {
+		case err != nil || !a.isNext(event):
 			a.conn.Close()
 			return a.endBrokenStream(direct.Broken)
 		}
-		last := !events.hasNext()
-		if a.forward(resp, event, last) != nil {
+		last := !a.events.hasNext()
+		if a.forward(a.response, event, last) != nil {
 			a.conn.Close()
 			a.x.callerLeft(http.StatusOK)
 			return direct.GivenUp, true
@@ -58,45 +46,35 @@
 		if last && a.x.front.core.disabled.Enabled(direct.EventBatching) {
 			time.Sleep(pressure.BatchDelay(a.x.front.core.Now(), a.x.front.core.pressure.Lag(), a.x.front.maxEventDelay))
 		}
+		event, err = a.nextEvent()
 	}
 }
 
-// eventBufferBytes is the size of the read buffer for a stream.
-const eventBufferBytes = 1 << 10
-
-// setStallDeadline sets how long the server may stay silent.
-func (a *attempt) setStallDeadline() {
-	timeLeft := a.x.deadline - a.x.front.core.Now()
-	if a.x.headSent && a.mayContinueElsewhere() {
-		timeLeft = min(timeLeft, max(minStreamStall, streamStallPauseFactor*a.x.route.Pause))
-	} else if timeout, bounded := a.stallTimeout(timeLeft); bounded && !a.x.headSent {
-		timeLeft = timeout
+// nextEvent reads the next event of the stream. It returns io.EOF at the end of the stream. If
+// successor is set afterwards, another attempt has taken over and the result is not valid.
+func (a *attempt) nextEvent() (event, error) {
+	a.watch.arm(a.eventTimeout())
+	event, err := a.events.next()
+	if a.takenOver(err) {
+		return event, err
+	}
+	if err == io.EOF && isUnframed(a.response) {
+		err = a.checkUnframedEnd(a.forwarding)
 	}
-	_ = a.conn.SetReadDeadline(time.Now().Add(timeLeft)) // it fails on a closed connection, which the next read reports
+	return event, err
 }
 
-// continuationCheckInterval is the time between two checks for a server that could continue a
-// stream. It is shorter than any stall timeout of a stream.
-const continuationCheckInterval = minStreamStall / 2
-
-// mayContinueElsewhere reports whether another server could continue the stream. If none could, the
-// attempt waits for a silent server: a stream that arrives late is better than one that is cut.
-func (a *attempt) mayContinueElsewhere() bool {
-	if !a.mayRetry() {
-		return false
+// eventTimeout returns how long the server may stay silent before the next event until a backup is
+// asked for. It returns 0 if there is no limit.
+func (a *attempt) eventTimeout() time.Duration {
+	if !a.forwarding && a.afterEvent == "" {
+		return a.firstEventTimeout()
 	}
-	now := a.x.front.core.Now()
-	if a.continuationCheckedAt == 0 || now-a.continuationCheckedAt >= continuationCheckInterval {
-		a.continuationCheckedAt = now
-		a.canContinue = a.x.front.core.canContinueElsewhere(a.x.id)
-	}
-	return a.canContinue
+	return a.limitSilence(max(minStreamStall, streamStallPauseFactor*a.x.route.Pause))
 }
 
-// mayRetry reports whether the route allows another attempt after this one.
-func (a *attempt) mayRetry() bool {
-	return a.x.route.MayRepeat() && a.cmd.Attempt < a.x.route.Attempts
-}
+// eventBufferBytes is the size of the read buffer for a stream.
+const eventBufferBytes = 1 << 10
 
 // isNext reports whether an event is the next one of the stream, and records its id.
 func (a *attempt) isNext(event event) bool {
