A retry that a server declined uses up no attempt of a request that has run

What callers saw: a stream whose server had crashed or fallen silent ended cut as 'attempts' though other servers had free slots, since the one server that was asked next was full and said so.

Cause: each send counted towards max_attempts. One that has run can't be refused any more, so the next server is asked, each at most once and each for a retry of the budget.

Change: retry() gives the attempt back if the request may have run. TestRules counts so too: sends that may have run against max_attempts, all retries against the budget, no server twice; requests that have not run as before.

Result: TestDeclinedRetryLeavesAttempts fails without the change ('nothing was sent') and passes with it.

--- a/direct/ending.go
+++ b/direct/ending.go
@@ -117,6 +117,9 @@
 		m.enqueue(now, p, r)
 		return
 	case NotRun, Elsewhere:
+		if r.mayHaveRun {
+			r.attempt-- // a retry that did not run: other servers may still have a slot
+		}
 	default:
 		r.mayHaveRun = true
 		if !r.MayRepeat {
--- a/direct/ending_test.go
+++ b/direct/ending_test.go
@@ -134,3 +134,31 @@
 		}
 	}
 }
+
+// TestDeclinedRetryLeavesAttempts guards against a stream that is cut after its server failed, since the next server
+// was full: a retry that did not run uses up the retry budget, but no attempt.
+func TestDeclinedRetryLeavesAttempts(t *testing.T) {
+	for _, o := range []Outcome{NotRun, Elsewhere} {
+		t.Run(o.String(), func(t *testing.T) {
+			h := newVersionHarness(t, 4, "v1")
+			r := h.request("red")
+			tried := []string{h.sent(h.arrive(r))}
+			h.m.Update(FirstEventMsg{Now: h.now, ID: r.ID, Streaming: true})
+			tried = append(tried, h.sent(h.end(r.ID, Broken, true)))
+			for range 2 {
+				next := h.sent(h.end(r.ID, o, true))
+				require.NotContains(t, tried, next)
+				tried = append(tried, next)
+			}
+			_, failed := findCmd[FailCmd](h.end(r.ID, o, true))
+			require.True(t, failed, "every server has declined it")
+
+			h.advance(10 * time.Second) // no server is in a pause any more
+			fresh := h.request("red")
+			h.sent(h.arrive(fresh))
+			h.sent(h.end(fresh.ID, o, true))
+			_, refused := findCmd[RefuseCmd](h.end(fresh.ID, o, true))
+			require.True(t, refused, "a request that no server has run is refused")
+		})
+	}
+}
--- a/direct/oracle_test.go
+++ b/direct/oracle_test.go
@@ -156,6 +156,9 @@
 		r.sends--
 		r.unsent++
 	case NotRun, Elsewhere:
+		if r.mayHaveRun {
+			r.sends-- // a retry that was declined: it is bounded by the retry budget and by the servers
+		}
 	default:
 		r.mayHaveRun = true
 	}
