A part without known whole responses counts as another cause in a trial

Cause: a barred part is tried if something else may have caused the crashes under it. The second deadly part was not barred yet, and as unproven it counted only once the router had seen whole responses of others for some time, which a restart had ended. So no trial released the sound part.

Change: another part with several crashes and no known whole response may be the cause. A trial is still one request in a second and two routers.

Result: TestTrialReleasesCompanionOfTwoDeadlyParts fails before and passes now; the simulations and tests of quarantine and direct pass.

--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -159,6 +159,37 @@
 	}
 }
 
+// TestTrialReleasesCompanionOfTwoDeadlyParts guards against a sound part that stays barred after all routers have
+// restarted: it was beside two deadly parts, one of them barred, and the other, of which nobody knows any
+// whole response, did not count as a possible cause, so that no trial released it.
+func TestTrialReleasesCompanionOfTwoDeadlyParts(t *testing.T) {
+	const secondDeadly Fingerprint = 0xdeae
+	s := NewPartSuspects(nil)
+	s.RecordWhole(time.Second, time.Second, common)
+	crash := func(n int, parts ...Fingerprint) {
+		s.RecordCrashOf(time.Second+time.Duration(n+1)*150*time.Millisecond, partCrash(n), parts...)
+	}
+	for n := range 6 {
+		crash(n, deadly, seldom)
+	}
+	for n := 6; n < 8; n++ {
+		crash(n, deadly)
+	}
+	for n := 8; n < 10; n++ {
+		crash(n, secondDeadly, seldom)
+	}
+	now := 4 * time.Second
+	s.Recheck(now)
+	require.True(t, s.Barred(now, deadly))
+	require.True(t, s.Barred(now, seldom))
+	require.False(t, s.Barred(now, secondDeadly))
+	require.True(t, s.MayTry(now, Candidate{Routers: 1}, common, seldom))
+	s.RecordTrial(now, common, seldom)
+	s.RecordWhole(now, now, seldom)
+	require.False(t, s.Barred(now, seldom))
+	require.True(t, s.Barred(now, deadly))
+}
+
 // TestPartRecordOutlastsOldClearing lists a part as barred at a router that has served it before. What
 // began before the part was listed releases nothing, what began later does.
 func TestPartRecordOutlastsOldClearing(t *testing.T) {
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -101,10 +101,11 @@
 }
 
 // hasOtherCause reports whether another suspect that may be the cause was present when a server
-// crashed: one that a request does not have, and that is barred or may soon be.
+// crashed: one that a request does not have, and that is barred, or has several crashes and no known
+// whole response.
 func (s *Suspects) hasOtherCause(server Server, x *suspect, fingerprints []Fingerprint) bool {
 	return slices.ContainsFunc(s.byServer[server], func(other *suspect) bool {
-		mayBe := other.barred || s.isUnproven(other) && len(other.crashes) > 1
+		mayBe := other.barred || !other.cleared.valid && len(other.crashes) > 1
 		return mayBe && other != x && !slices.Contains(fingerprints, other.fingerprint)
 	})
 }
