A connection counts as lost after three seconds without acknowledgement

What callers saw: requests that may not be repeated failed with 502 (at_most_once), streams of that kind too, when a sound server took nothing in for two seconds: 24 of 24 in TestPausedServerKeepsItsRequests.

Cause: TCP_USER_TIMEOUT and the keep-alive probes ended a connection whose peer acknowledged nothing, or left no room in its window, for 1.2 s. A silence of a second or two was taken for a loss, as in the streams before.

Requests that may be repeated don't depend on it, as a backup is asked for long before; those that may not could go nowhere else, so that on a server dark for good their callers learn of it up to 1.8 s later, at their own deadline at the latest. Idle connections that went silent for good are found after 3 s in place of 1.2 to 1.8 s.

Result: 24 of 24 answered; TestStreamsOfDarkServerGoOn passes as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,7 +25,7 @@
 
 const (
 	dialTimeout          = 300 * time.Millisecond
-	serverSilenceTimeout = 1200 * time.Millisecond // a connection whose server acknowledges nothing for so long fails
+	serverSilenceTimeout = 3 * time.Second // a connection whose server acknowledges nothing for so long fails
 	maxIdlePerServer     = 64
 	sweepInterval        = time.Second
 	vitalsInterval       = 2 * time.Second
