--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -34,6 +34,14 @@
 	}
 }
 
+// logBackup logs a backup that has ended without taking over.
+func (f *front) logBackup(a *attempt, o direct.Outcome) {
+	if f.log.AllowFailure() {
+		f.log.Event("backup_ended").Str("request", a.x.info.ID).Str("route", a.x.route.Name).Str("server", a.cmd.Server.ID).
+			Str("outcome", o.String()).Dur("after", f.core.Now()-a.startedAt).Msg("")
+	}
+}
+
 // logDropped logs a request that arrived on a connection which the router had closed as idle. Its
 // caller gets no response.
 func (f *front) logDropped(r *http.Request) {
--- a/gateway/silencewatch.go
+++ b/gateway/silencewatch.go
@@ -238,4 +238,6 @@
 		Now: core.Now(), ID: a.id, Outcome: outcome, ConnRefused: a.connRefused, RouterLate: a.dialOverdue || core.pressure.Slow(),
 	})
 	core.removeWaiter(a.id)
+	a.x.front.stats.Attempt(outcome, core.Now()-a.startedAt)
+	a.x.front.logBackup(a, outcome)
 }
