A request whose backup may have run is never refused

Cause: the end of a backup used up an attempt of its request, but did not record that the request may have run. If the first server then declined it, the router refused it.

Change: the end of a backup that may have run marks its request. A backup that takes over since the first server declined may still be refused: until then no server has run the request.

Result: TestRunBackupIsNotRefused and TestDeclinedRequestKeepsItsBackup fail without the change and pass with it.

--- a/direct/backup.go
+++ b/direct/backup.go
@@ -96,6 +96,9 @@
 	backup.backupOf = nil
 	backup.charged = replaced.charged
 	replaced.charged = false
+	if !msg.Outcome.MayHaveRun() {
+		backup.mayHaveRun = replaced.mayHaveRun
+	}
 	m.endAttempt(AttemptEndMsg{Now: msg.Now, ID: replaced.ID, Outcome: msg.Outcome, RouterLate: msg.RouterLate})
 }
 
@@ -104,5 +107,6 @@
 	r.triedServers = append(r.triedServers, s.ID)
 	if o.MayHaveRun() {
 		r.attempt++
+		r.mayHaveRun = true
 	}
 }
--- a/direct/backup_test.go
+++ b/direct/backup_test.go
@@ -153,3 +153,44 @@
 	require.Equal(t, 1, h.m.requests[stuck.ID].attempt)
 	h.requireNoBackup(stuck.ID, ReasonRetryBudget)
 }
+
+// TestRunBackupIsNotRefused guards against a refusal that promises a request has not run, though a backup of it
+// may have: the first server declines after the backup was canceled.
+func TestRunBackupIsNotRefused(t *testing.T) {
+	for _, o := range []Outcome{Failed, Broken, GivenUp} {
+		t.Run(o.String(), func(t *testing.T) {
+			h := newHarness(t, 2)
+			r := h.request("red")
+			r.Attempts = 2
+			h.sent(h.arrive(r))
+			id, cmds := h.backup(r.ID)
+			h.sent(cmds)
+			h.end(id, o, false)
+			cmds = h.end(r.ID, NotRun, true)
+			_, refused := findCmd[RefuseCmd](cmds)
+			require.False(t, refused, "%v", cmds)
+			if waiting := h.m.requests[r.ID]; waiting != nil {
+				require.True(t, waiting.mayHaveRun)
+			}
+		})
+	}
+}
+
+// TestDeclinedRequestKeepsItsBackup verifies that a request which its first server declined goes on at its backup,
+// and is refused only if no server has run it.
+func TestDeclinedRequestKeepsItsBackup(t *testing.T) {
+	for _, o := range []Outcome{NotRun, Elsewhere} {
+		t.Run(o.String(), func(t *testing.T) {
+			h := newHarness(t, 2)
+			r := h.request("red")
+			r.Attempts = 2
+			h.sent(h.arrive(r))
+			id, cmds := h.backup(r.ID)
+			h.sent(cmds)
+			h.m.Update(TakeOverMsg{Now: h.now, ID: id, Outcome: o})
+			require.Equal(t, 1, h.running())
+			_, refused := findCmd[RefuseCmd](h.end(id, NotRun, true))
+			require.True(t, refused, "no server has run it")
+		})
+	}
+}
