A request that its silent server declines goes on at its backup

What callers saw: a request whose server had fallen silent was refused or failed when that server declined it in the end, though a backup was running elsewhere.

Cause: any response of the first server canceled the backup, also one that says that the request has not run.

Change: a response that declines the request ends the first attempt, and the backup takes over.

Result: TestDeclineLeavesBackupRunning fails without the change (503, attempts) and passes with it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -185,21 +185,21 @@
 		a.applyNotice(info)
 		return info.RequestID == a.x.info.ID
 	})
-	if a.takenOver(err) {
-		return startResult{}
-	}
 	if err != nil {
-		a.conn.Close()
+		if !a.takenOver(err) {
+			a.conn.Close()
+		}
 		return failedStart(direct.Broken)
 	}
 	a.response, a.info = resp, a.x.front.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	outcome, declined := a.declined()
+	if a.handOver(outcome) {
+		return startResult{}
+	}
 	switch {
-	case a.info.WrongServer:
+	case declined:
 		a.discard(resp)
-		return failedStart(direct.Elsewhere)
-	case a.info.NotRun && resp.StatusCode != http.StatusBadRequest:
-		a.discard(resp)
-		return failedStart(direct.NotRun)
+		return failedStart(outcome)
 	case !a.isStream(resp) && a.isBackup && !a.canReplace(resp):
 		a.discard(resp)
 		return failedStart(direct.Failed)
@@ -224,10 +224,30 @@
 	return a.afterEvent == "" && resp.StatusCode/100 != 5 && !claimsNotRun(resp.StatusCode) && isForwardable(resp, a.info)
 }
 
+// declined returns the outcome of an attempt whose server says that it did not run the request, and true.
+func (a *attempt) declined() (direct.Outcome, bool) {
+	switch {
+	case a.info.WrongServer:
+		return direct.Elsewhere, true
+	case a.info.NotRun && a.response.StatusCode != http.StatusBadRequest:
+		return direct.NotRun, true
+	}
+	return direct.Done, false
+}
+
 // takenOver resolves the race with a backup after a read that returned err, and reports whether the
 // backup has won.
 func (a *attempt) takenOver(err error) bool {
-	a.successor = a.watch.disarm(err)
+	if err != nil && err != io.EOF {
+		return a.handOver(direct.Broken)
+	}
+	return a.handOver(direct.Done)
+}
+
+// handOver ends the wait for the server with an outcome, and reports whether a backup has taken over. Done
+// stands for a response that is worth reading on.
+func (a *attempt) handOver(o direct.Outcome) bool {
+	a.successor = a.watch.disarm(o)
 	return a.successor != nil
 }
 
--- a/gateway/silencewatch.go
+++ b/gateway/silencewatch.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"sync"
 	"time"
 
@@ -84,18 +83,18 @@
 	w.timer.Reset(d)
 }
 
-// disarm ends the watch after a read from the server that returned err. It cancels a backup that has
-// not taken over, unless the read failed: then the backup takes over. It returns the backup that has
-// taken over, or nil.
-func (w *silenceWatch) disarm(err error) *backup {
+// disarm ends the watch after a read from the server. It cancels a backup that has not taken over if o is
+// Done. Otherwise the attempt ends with that outcome and the backup takes over. It returns the backup that
+// has taken over, or nil.
+func (w *silenceWatch) disarm(o direct.Outcome) *backup {
 	w.mu.Lock()
 	w.armed = false
 	b := w.backup
 	if b != nil && !w.tookOver {
-		if err == nil || err == io.EOF || w.primary.hasEnded() {
+		if o == direct.Done || w.primary.hasEnded() {
 			b.attempt.cancel()
 		} else {
-			w.takeOver(direct.Broken)
+			w.takeOver(o)
 		}
 	}
 	tookOver := w.tookOver
