A server that is listed for another service gets no more requests of the old one

Callers of a service could get their request run by another service: a server whose entry changed its service under the same ID stayed in the pool of the old one. Its requests, health and load there went on under the new name.

Cause: applyListed replaced the entry of a known server and kept its pool.

Change: such a server leaves the old pool as one that is gone, and is listed anew. Its own notices (backoff, leaving) stay, since the process is the same.

--- a/direct/listing.go
+++ b/direct/listing.go
@@ -39,6 +39,10 @@
 // applyListed adds or updates one listed server and reports whether it is new.
 func (m *Machine) applyListed(now time.Duration, listed Server) bool {
 	s := m.byServer[listed.ID]
+	if s != nil && s.Service != listed.Service {
+		m.dropMoved(now, s)
+		s = nil
+	}
 	if s == nil {
 		s = &server{Server: listed, loadKey: loads.ServerKey(listed.ID), idHash: xxhash.Sum64String(listed.ID), listedAt: now}
 		m.byServer[listed.ID] = s
@@ -74,6 +78,16 @@
 	return false
 }
 
+// dropMoved removes a server whose entry names another service now. What is known of it was learnt about
+// the old service, except for its own notices. Its attempts end as those of a server that is gone.
+func (m *Machine) dropMoved(now time.Duration, s *server) {
+	m.dropServer(now, s, "listed for another service")
+	m.forgottenNotices.add(now, s)
+	p := m.pool(s.Service)
+	delete(p.servers, s.ID)
+	p.refreshServers()
+}
+
 func (s *server) markLeaving(now time.Duration) {
 	if !s.leaving {
 		s.leaving = true
--- a/direct/listing_test.go
+++ b/direct/listing_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -83,3 +84,25 @@
 	list(7, "e3", "e4", "e5")
 	require.Equal(t, 5, usable(), "one of the missing servers was leaving")
 }
+
+// TestServerThatMovesGetsOnlyItsServicesRequests guards against requests that reach another service: a
+// server that is listed for another service under the same ID gets no more requests of the old one, and
+// keeps its own notices.
+func TestServerThatMovesGetsOnlyItsServicesRequests(t *testing.T) {
+	h := newHarness(t, 1)
+	running := h.request("red")
+	require.Equal(t, "e0", h.sent(h.arrive(running)))
+	h.m.Update(NoticeMsg{Now: h.now, Server: "p0", Notice: Notice{Backoff: time.Minute}})
+	moved := newDirectory(2, 1)
+	moved.Servers[0].Service, moved.Servers[1].Service = "app", "llm"
+	h.list(moved)
+
+	refused, ok := findCmd[RefuseCmd](h.arrive(h.request("red")))
+	require.True(t, ok, "the only server of the service has asked for a backoff")
+	require.Equal(t, ReasonBackoff, refused.Reason)
+	plain := h.request("red")
+	plain.Service = "app"
+	require.Equal(t, "e0", h.sent(h.arrive(plain)))
+	h.end(running.ID, Done, false)
+	require.Equal(t, 1, h.m.byServer["e0"].running, "the attempt of the old service does not count for the new one")
+}
