--- a/direct/ending_test.go
+++ b/direct/ending_test.go
@@ -1,9 +1,11 @@
 package direct
 
 import (
+	"math"
 	"testing"
 	"time"
 
+	"github.com/croftvale/croftvale/loads"
 	"github.com/stretchr/testify/require"
 )
 
@@ -162,3 +164,16 @@
 		})
 	}
 }
+
+// TestRefusalNamesATimeForAbsurdTokens guards against refusals without a time to return, as the backlog
+// of a server exceeded what a duration holds.
+func TestRefusalNamesATimeForAbsurdTokens(t *testing.T) {
+	h := newHarness(t, 1)
+	h.m.Update(PeerLoadsMsg{Now: h.now, Loads: []loads.Load{{Server: loads.ServerKey("e0"), Running: 48}}})
+	h.m.byServer["e0"].pendingTokens = math.MaxInt
+	r := h.request("red")
+	h.arrive(r)
+	refused, ok := findCmd[RefuseCmd](h.advance(r.Objective))
+	require.True(t, ok)
+	require.Positive(t, refused.RetryAfter)
+}
