A configuration with an absurd capacity leaves no estimate that is not a number

After a configuration whose tokens_per_s is near the largest number, a pool's reading speed was infinite, then not a number after its first response, and stayed so under later configurations: callers were placed by estimates that mean nothing, and refused without a time to return. A negative capacity gave a negative speed.

Change: the speed that is assumed before any measurement stays within the bound of a measured one.

TestAbsurdCapacityIsForgotten was seen red (NaN) and passes now.

--- a/direct/pool.go
+++ b/direct/pool.go
@@ -39,10 +39,10 @@
 // initialTokenRate estimates, in tokens per millisecond, how fast a server reads prompts before
 // any measurement: twice its part of the tokens that all servers read and generate together.
 func initialTokenRate(tokensPerSecond float64, servers int) float64 {
-	if tokensPerSecond == 0 || servers == 0 {
+	if tokensPerSecond <= 0 || servers == 0 {
 		return 60
 	}
-	return 2 * tokensPerSecond / 1000 / float64(servers)
+	return min(2*tokensPerSecond/1000/float64(servers), maxTokenRate)
 }
 
 // tokenRateOf returns how fast a server reads prompts, in tokens per millisecond.
