A panic of a handler is answered, or ends the process if state is inconsistent

A caller whose handler panicked saw its connection close without an answer, and the request kept its place and its connection at the server for ever. If the panic came from within an update of the state machine, the router went on with half-updated state: net/http recovers the panic, and the next update cleared the mark (updating) that the tasks look at. An admission check ran without the mark, and commands other than its refusal were dropped.

Change: a panic costs its own request, which gets a 500 if no response has begun and leaves its server. One within an update ends the process, as in a task, after its log line is written. Until then each further update panics too, so that it does not matter which goroutine comes first. Admission checks are updates as any other.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -42,6 +42,7 @@
 	isBackup  bool             // began as a backup
 	cmd       direct.SendCmd
 	conn      *backend.Conn
+	released  bool        // conn is the pool's again
 	stopWatch func() bool // stops watching ctx
 	path      traffic.Path
 	startedAt time.Duration
@@ -338,9 +339,17 @@
 		a.conn.Close()
 		return
 	}
+	a.released = true
 	a.conn.Release()
 }
 
+// closeConn closes the connection to the server, unless the pool has it again.
+func (a *attempt) closeConn() {
+	if a.conn != nil && !a.released {
+		a.conn.Close()
+	}
+}
+
 // finish ends all that watches the attempt. It may be called more than once.
 func (a *attempt) finish() {
 	a.x.front.core.endAttempt(a.id)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -99,7 +99,8 @@
 
 // receiveBody reads the body as it arrives.
 func (x *exchange) receiveBody(maxSize int64) ([]byte, error) {
-	var source io.Reader = http.MaxBytesReader(x.w, x.r.Body, maxSize)
+	// It tells net/http, which has to know the writer, of a body that is too large.
+	var source io.Reader = http.MaxBytesReader(x.w.ResponseWriter, x.r.Body, maxSize)
 	if caller := callerConnOf(x.ctx); caller != nil {
 		source = &watchedBody{source, caller}
 		defer caller.bodyReadAt.Store(0)
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/eventlog"
 	"github.com/croftvale/croftvale/gateway/pressure"
@@ -65,10 +66,19 @@
 	c.updateLocked(msg)
 }
 
-// updateLocked is Update for callers that hold the lock.
-func (c *core) updateLocked(msg direct.Msg) {
+// errInconsistent is the cause of the panic of an update after one that ended in a panic.
+var errInconsistent = errors.New("an earlier update of the state machine ended in a panic")
+
+// updateLocked is Update for callers that hold the lock. It returns the commands, which are valid until
+// the next update. Once an update has ended in a panic, all later ones panic as well: the state is
+// inconsistent, and the process is about to end.
+func (c *core) updateLocked(msg direct.Msg) []direct.Cmd {
+	if c.updating {
+		panic(errInconsistent)
+	}
 	c.updating = true
-	for _, cmd := range c.machine.Update(msg) {
+	cmds := c.machine.Update(msg)
+	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case direct.SendCmd:
 			c.deliver(cmd.ID, cmd)
@@ -99,6 +109,7 @@
 		}
 	}
 	c.updating = false
+	return cmds
 }
 
 // isConsistent reports whether no update has ended in a panic.
@@ -153,7 +164,7 @@
 	defer c.mu.Unlock()
 	c.nextID++
 	r.ID = c.nextID
-	for _, cmd := range c.machine.Update(direct.AdmissionCheckMsg{Now: c.Now(), Request: r}) {
+	for _, cmd := range c.updateLocked(direct.AdmissionCheckMsg{Now: c.Now(), Request: r}) {
 		if refused, ok := cmd.(direct.RefuseCmd); ok {
 			return refused, true
 		}
@@ -201,6 +212,15 @@
 	}
 }
 
+// abandon ends a request whose goroutine carries out no more commands, wherever the machine has it.
+func (c *core) abandon(id direct.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Now()
+	c.updateLocked(direct.CancelMsg{Now: now, ID: id})
+	c.updateLocked(direct.AttemptEndMsg{Now: now, ID: id, Outcome: direct.GivenUp})
+}
+
 // runTicks sends ticks to the machine until ctx ends.
 func (c *core) runTicks(ctx context.Context) error {
 	ticker := time.NewTicker(direct.TickInterval)
--- a/gateway/eventlog/log.go
+++ b/gateway/eventlog/log.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,7 @@
 	dropped      atomic.Uint64
 	failures     *rate.Limiter
 	serverStatus *rate.Limiter
+	closeOnce    sync.Once
 	closing      chan struct{} // closed to make write drain the queue and return
 	done         chan struct{} // closed when write has returned
 }
@@ -75,12 +77,15 @@
 	}
 }
 
-// Close writes the queued lines. Lines that are logged later are not written.
+// Close writes the queued lines. Lines that are logged later are not written. It may be called more than
+// once.
 func (l *Log) Close() {
-	if n := l.dropped.Load(); n > 0 {
-		l.logger.Warn().Str("event", "log_dropped").Uint64("lines", n).Msg("")
-	}
-	close(l.closing)
+	l.closeOnce.Do(func() {
+		if n := l.dropped.Load(); n > 0 {
+			l.logger.Warn().Str("event", "log_dropped").Uint64("lines", n).Msg("")
+		}
+		close(l.closing)
+	})
 	<-l.done
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -28,7 +28,7 @@
 // clock of the core.
 type exchange struct {
 	front       *front
-	w           http.ResponseWriter
+	w           *watchedWriter
 	r           *http.Request
 	ctx         context.Context // ends when the caller leaves
 	info        RequestInfo
@@ -85,7 +85,20 @@
 func (x *exchange) run() {
 	core := x.front.core
 	x.id, x.commands = core.submit(x.request())
-	defer func() { core.removeWaiter(x.id) }()
+	ended := false
+	defer func() {
+		if !ended {
+			x.abandon()
+		}
+		core.removeWaiter(x.id)
+	}()
+	x.followCommands()
+	ended = true
+}
+
+// followCommands carries out the machine's commands until the final response.
+func (x *exchange) followCommands() {
+	core := x.front.core
 	timer := time.NewTimer(x.deadline - core.Now())
 	defer timer.Stop()
 	for {
@@ -106,6 +119,17 @@
 	}
 }
 
+// abandon ends a request whose handler panics, so that it takes no place at a server any more.
+func (x *exchange) abandon() {
+	if !x.front.core.isConsistent() {
+		return // another update would hide the cause
+	}
+	if x.current != nil {
+		x.current.closeConn()
+	}
+	x.front.core.abandon(x.id)
+}
+
 // execute carries out one command and reports whether the request has ended.
 func (x *exchange) execute(cmd direct.Cmd) bool {
 	switch cmd := cmd.(type) {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -59,19 +59,26 @@
 	conns      *callerConns
 	ages       ageEstimator
 	outcomes   outcomeCounters
-	hall       string  // data hall of this router
-	origins    origins // which versions began streams
+	hall       string          // data hall of this router
+	origins    origins         // which versions began streams
+	endProcess func(cause any) // after a panic that leaves the state machine inconsistent; must not return
 	resuming   resumingStreams
 	traffic    *traffic.Meter // bytes of requests
 	// maxEventDelay is the longest time that an event may take to reach its caller.
 	maxEventDelay time.Duration
 }
 
-// ServeHTTP serves a request until its final response.
+// ServeHTTP implements http.Handler. It serves a request until its final response.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	defer f.reportPanic(r)
+	watched := &watchedWriter{ResponseWriter: w}
+	defer f.handlePanic(watched, r)
+	f.serve(watched, r)
+}
+
+// serve serves a request. It may panic.
+func (f *front) serve(w *watchedWriter, r *http.Request) {
 	if f.conns.closedByRouter(r.Context()) {
 		f.logDropped(r)
 		panic(http.ErrAbortHandler)
@@ -123,19 +130,6 @@
 	}
 }
 
-// reportPanic makes a panic of a handler visible, and lets net/http end it. A panic with
-// http.ErrAbortHandler is how a handler closes its connection.
-func (f *front) reportPanic(r *http.Request) {
-	cause := recover()
-	if cause == nil {
-		return
-	}
-	if cause != http.ErrAbortHandler {
-		f.logPanic(r, cause, f.core.isConsistent())
-	}
-	panic(cause)
-}
-
 // refusal is a response of the router itself to a request that was not admitted.
 type refusal struct {
 	status     int
@@ -144,7 +138,7 @@
 }
 
 // admit finds the route and the team of a request, or returns a refusal.
-func (f *front) admit(w http.ResponseWriter, r *http.Request, table *direct.Table, start time.Duration) (*exchange, *refusal) {
+func (f *front) admit(w *watchedWriter, r *http.Request, table *direct.Table, start time.Duration) (*exchange, *refusal) {
 	route := table.Route(r.Host, pathOf(r.RequestURI))
 	if route == nil {
 		return nil, f.refuseUnknown(http.StatusNotFound, "no_route")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 		pool:       backend.NewPool(backend.Options{DialTimeout: dialTimeout, AckTimeout: serverSilenceTimeout, MaxIdlePerAddress: maxIdlePerServer}),
 		sendQueues: queues, conns: newCallerConns(maxCallers(s.Descriptors), s.Cores, queues), maxEventDelay: s.MaxEventDelay,
 		hall: s.Zone, traffic: g.traffic.Meter(traffic.Requests), origins: g.cluster.Origins,
+		endProcess: panicOutside,
 	}
 	g.core.probe = (&prober{core: g.core, pool: g.front.pool}).probe
 	g.server = &http.Server{
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// logPanic logs a panic of a handler, which net/http recovers: the caller's connection is closed.
+// logPanic logs a panic of a handler.
 // consistent reports whether no update of the state machine was in progress.
 func (f *front) logPanic(r *http.Request, cause any, consistent bool) {
 	f.stats.HandlerPanicked()
