A refusal's body holds no request: the router reads it for 20 ms

What callers saw: a server that declined a request (503, 421) and then sent the body of its refusal a byte at a time held the request until its time limit: 504 after 8.0 s, though another server was idle and the request had not run.

Cause: discard reads up to 64 KB of such a body to reuse the connection, with no time limit but the request's.

Change: discardTimeout. The connection is closed if the body isn't there by then.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -321,8 +321,10 @@
 	a.x.front.core.Update(direct.AttemptEndMsg{Now: a.x.front.core.Now(), ID: a.id, Outcome: o})
 }
 
-// discard drops a response of which only the header matters.
+// discard drops a response of which only the header matters. Its connection can be used again if the
+// body is there already; waiting for more of it would hold the request.
 func (a *attempt) discard(resp *http.Response) {
+	_ = a.conn.SetReadDeadline(time.Now().Add(discardTimeout))
 	if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes)); err != nil || n == maxDiscardBytes {
 		a.conn.Close()
 		return
@@ -360,5 +362,8 @@
 	a.cancel()
 }
 
-// maxDiscardBytes bounds a body that is read only to reuse its connection.
-const maxDiscardBytes = 64 << 10
+const (
+	// maxDiscardBytes and discardTimeout bound a body that is read only to reuse its connection.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 20 * time.Millisecond
+)
