A long line of an event is one line

What callers saw: nothing yet; found while reading what bounds an event. A line of exactly the read buffer's size (1 KB) ended its event early: what followed came as another event. If the server failed in between, the stream would have continued after half an event. A longer line whose rest began with "id:" gave the event a wrong ID, so that a whole stream counted as broken.

Cause: the rest of a line that exceeds the read buffer was taken for a line of its own, and an empty rest for the blank line that ends an event.

Change: readLine reads up to the line's end. TestLongLineIsOneLine was red before (both texts split or misnumbered) and is green.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -172,30 +172,39 @@
 	e.buffer = e.buffer[:0]
 	var out event
 	for {
-		line, err := e.reader.ReadSlice('\n')
-		e.buffer = append(e.buffer, line...)
-		if len(e.buffer) > maxEventBytes {
-			return event{}, errTooLarge
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
+		line, err := e.readLine()
 		if err != nil {
 			if err == io.EOF && len(e.buffer) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		if len(line) == 0 {
 			out.raw = e.buffer
 			return out, nil
 		}
-		if rest, ok := bytes.CutPrefix(text, idField); ok {
+		if rest, ok := bytes.CutPrefix(line, idField); ok {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64)
 			out.id, out.hasID = id, err == nil
 		}
 	}
 }
 
+// readLine appends a line to the buffer and returns it without its end. A line may be longer than the
+// reader's buffer.
+func (e *eventReader) readLine() ([]byte, error) {
+	start := len(e.buffer)
+	for {
+		part, err := e.reader.ReadSlice('\n')
+		e.buffer = append(e.buffer, part...)
+		switch {
+		case len(e.buffer) > maxEventBytes:
+			return nil, errTooLarge
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		}
+		return bytes.TrimRight(e.buffer[start:], "\r\n"), err
+	}
+}
+
 func formatID(id int64) string { return strconv.FormatInt(id, 10) }
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -35,3 +35,21 @@
 		require.LessOrEqual(t, len(events.buffer), maxEventBytes+eventBufferBytes)
 	}
 }
+
+// TestLongLineIsOneLine guards against events that are split, or get a wrong ID, where a line is longer
+// than the read buffer.
+func TestLongLineIsOneLine(t *testing.T) {
+	const field = "data: "
+	for _, text := range []string{
+		"id: 1\n" + field + strings.Repeat("x", eventBufferBytes-len(field)) + "\nevent: a\n\n",
+		"id: 1\n" + field + strings.Repeat("x", eventBufferBytes-len(field)) + "id: 7\n\n",
+	} {
+		events := eventReader{reader: bufio.NewReaderSize(strings.NewReader(text), eventBufferBytes)}
+		event, err := events.next()
+		require.NoError(t, err)
+		require.Equal(t, text, string(event.raw))
+		require.EqualValues(t, 1, event.id)
+		_, err = events.next()
+		require.Equal(t, io.EOF, err)
+	}
+}
