Comments and blank lines are no events of a stream

What callers saw: a server that sent blank lines, comments or events without an ID or data, each half second or as fast as possible, held a stream that another server could have gone on with until its time limit. A router forwarded 13 to 56 MB of them to one caller in 8 s, with status 200 and cut at the end, even if no event had come before.

Cause: each blank line ended an event. It counted as progress, and before the first event as the response.

Change: only an ID or data make an event, as for the readers of event streams. A stream of comments alone is no response.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -149,21 +149,40 @@
 	hasID bool
 }
 
-// eventReader reads whole events.
+// eventReader reads whole events. Only an ID or data make an event: comments, unknown fields and blank
+// lines are forwarded with the event that follows. Otherwise a server could seem to make progress by
+// sending them without an end.
 type eventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	begun  bool // an event has been read
 }
 
 var (
-	idField  = []byte("id:")
-	eventEnd = []byte("\n\n")
+	idField   = []byte("id:")
+	dataField = []byte("data:")
 )
 
+// isContent reports whether a line makes an event of the lines around it.
+func isContent(line []byte) bool {
+	return bytes.HasPrefix(line, idField) || bytes.HasPrefix(line, dataField)
+}
+
 // hasNext reports whether another whole event can be read without waiting.
 func (e *eventReader) hasNext() bool {
 	buffered, err := e.reader.Peek(e.reader.Buffered())
-	return err == nil && bytes.Contains(buffered, eventEnd)
+	if err != nil {
+		return false
+	}
+	hasContent := false
+	for line := range bytes.Lines(buffered) {
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 && hasContent {
+			return true
+		}
+		hasContent = hasContent || isContent(text)
+	}
+	return false
 }
 
 // next returns the next whole event, valid until the next call. It returns io.EOF if the
@@ -171,18 +190,22 @@
 func (e *eventReader) next() (event, error) {
 	e.buffer = e.buffer[:0]
 	var out event
+	hasContent := false
+	betweenEvents := true // the last line was blank, or there was none
 	for {
 		line, err := e.readLine()
+		if err == io.EOF {
+			return e.end(betweenEvents && len(line) == 0)
+		}
 		if err != nil {
-			if err == io.EOF && len(e.buffer) > 0 {
-				err = io.ErrUnexpectedEOF
-			}
 			return event{}, err
 		}
-		if len(line) == 0 {
-			out.raw = e.buffer
+		betweenEvents = len(line) == 0
+		if betweenEvents && hasContent {
+			out.raw, e.begun = e.buffer, true
 			return out, nil
 		}
+		hasContent = hasContent || isContent(line)
 		if rest, ok := bytes.CutPrefix(line, idField); ok {
 			id, err := strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64)
 			out.id, out.hasID = id, err == nil
@@ -190,6 +213,18 @@
 	}
 }
 
+// end returns the result at the end of a stream: what follows the last event, if anything does, and
+// io.EOF afterwards.
+func (e *eventReader) end(betweenEvents bool) (event, error) {
+	switch {
+	case !betweenEvents:
+		return event{}, io.ErrUnexpectedEOF
+	case e.begun && len(e.buffer) > 0:
+		return event{raw: e.buffer}, nil
+	}
+	return event{}, io.EOF
+}
+
 // readLine appends a line to the buffer and returns it without its end. A line may be longer than the
 // reader's buffer.
 func (e *eventReader) readLine() ([]byte, error) {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -25,9 +25,9 @@
 }
 
 // TestEventFloodIsBounded guards against routers that run out of memory, since a faulty server sends an
-// event without an end: one long line, or lines without a blank one.
+// event without an end: one long line, lines without a blank one, or blank ones without an event.
 func TestEventFloodIsBounded(t *testing.T) {
-	for _, pattern := range []string{"x", "data: x\n"} {
+	for _, pattern := range []string{"x", "data: x\n", "\n", ":\n\n", "x\n\n"} {
 		flood := &endless{pattern: pattern}
 		events := eventReader{reader: bufio.NewReaderSize(flood, eventBufferBytes)}
 		_, err := events.next()
@@ -53,3 +53,31 @@
 		require.Equal(t, io.EOF, err)
 	}
 }
+
+// TestCommentsMakeNoEvent verifies that comments, unknown fields and blank lines are forwarded with the
+// event that follows, or at the end of the stream, and that a stream may not end within them.
+func TestCommentsMakeNoEvent(t *testing.T) {
+	const first, last = ":\n\n\nx\n\nid: 1\r\ndata: a\r\n\r\n", ": end\n\n"
+	events := eventReader{reader: bufio.NewReaderSize(strings.NewReader(first+last), eventBufferBytes)}
+	event, err := events.next()
+	require.NoError(t, err)
+	require.Equal(t, first, string(event.raw))
+	require.EqualValues(t, 1, event.id)
+	require.False(t, events.hasNext(), "comments would keep the event from being flushed")
+	event, err = events.next()
+	require.NoError(t, err)
+	require.Equal(t, last, string(event.raw))
+	require.False(t, event.hasID)
+	_, err = events.next()
+	require.Equal(t, io.EOF, err)
+
+	events = eventReader{reader: bufio.NewReaderSize(strings.NewReader(last), eventBufferBytes)}
+	_, err = events.next()
+	require.Equal(t, io.EOF, err, "comments alone are no response")
+
+	for _, cut := range []string{":", ":\n", ":\n\n:\n", "data: a\n"} {
+		events := eventReader{reader: bufio.NewReaderSize(strings.NewReader(cut), eventBufferBytes)}
+		_, err := events.next()
+		require.Equal(t, io.ErrUnexpectedEOF, err, "%q", cut)
+	}
+}
