A body that makes no progress is backed up

What callers saw: a server that sent a body a byte at a time, with or without a length, in a chunk's size or extension, in trailers, or as the body of a 500, held a request that may be repeated until its time limit: 504 after 8.0 s, with another server idle.

Cause: the silence watch ended with the response's head. A body that is buffered had no limit but the request's.

Change: the watch goes on until the body is whole. It asks for a backup after .8 s, or the time for a response if that is longer, without 1 KB of the body. Progress within that time cancels the backup. A body is not given up: where no other server responds, it goes on.

TestSlowBodyIsWhole holds the other side: a sound body of 1 KB each 200 ms is not sent again, and one with a pause of 2 s is whole when the other server declines.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -271,14 +271,16 @@
 
 // firstEventTimeout returns how long the server may stay silent before its response until a backup is
 // asked for. It returns 0 if there is no limit.
-func (a *attempt) firstEventTimeout() time.Duration {
+func (a *attempt) firstEventTimeout() time.Duration { return a.limitSilence(a.firstEventStall()) }
+
+// firstEventStall returns how long no response means that the server is slower than it should be.
+func (a *attempt) firstEventStall() time.Duration {
 	route := a.x.route
 	factor := stallObjectiveFactor
 	if route.Kind == direct.Stream {
 		factor = streamStallObjectiveFactor
 	}
-	timeout := max(time.Duration(factor*float64(route.Objective)), stallEstimateFactor*a.cmd.PlacementBasis.Estimate)
-	return a.limitSilence(timeout)
+	return max(time.Duration(factor*float64(route.Objective)), stallEstimateFactor*a.cmd.PlacementBasis.Estimate)
 }
 
 // limitSilence returns a limit on the server's silence, or 0 if no other attempt is allowed or the
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -4,13 +4,20 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/direct"
 )
 
-// maxBufferedBytes bounds a response that is buffered before it is forwarded.
-const maxBufferedBytes = 4 << 20
+const (
+	// maxBufferedBytes bounds a response that is buffered before it is forwarded.
+	maxBufferedBytes = 4 << 20
+	// bodyProgressBytes is the part of a body that counts as progress.
+	bodyProgressBytes = 1 << 10
+	// minBodyStall is the shortest time without progress after which a backup is asked for.
+	minBodyStall = 800 * time.Millisecond
+)
 
 // bufferedResponse is a response that was read to its end.
 type bufferedResponse struct {
@@ -21,8 +28,11 @@
 
 // bufferResponse reads a response that is not a stream, and forwards it if it is valid.
 func (a *attempt) bufferResponse(resp *http.Response, info ResponseInfo) (direct.Outcome, bool) {
-	body, err := readBuffered(resp.Body, bufferedSize(resp), maxBufferedBytes, a.x.grow)
+	body, err := a.readBody(resp)
 	a.countBytes(len(body))
+	if a.successor != nil {
+		return direct.Hung, false
+	}
 	if errors.Is(err, errNoMemory) {
 		// The request has run, but its response does not fit into memory. The server is
 		// not at fault, and another server would not help.
@@ -55,6 +65,49 @@
 	return direct.Done, true
 }
 
+// readBody reads the body of a response that is not a stream. If successor is set afterwards, another
+// attempt has taken over and the result is not valid.
+func (a *attempt) readBody(resp *http.Response) ([]byte, error) {
+	source := &progressReader{source: resp.Body, onProgress: func() {
+		if !a.takenOver(nil) {
+			a.watch.arm(a.bodyTimeout())
+		}
+	}}
+	a.watch.arm(a.bodyTimeout())
+	body, err := readBuffered(source, bufferedSize(resp), maxBufferedBytes, a.x.grow)
+	if errors.Is(err, errNoMemory) {
+		a.takenOver(nil) // a backup would not help
+		return nil, err
+	}
+	a.takenOver(err)
+	return body, err
+}
+
+// bodyTimeout returns how long the server may take for bodyProgressBytes of a body, or for its end,
+// until a backup is asked for. It returns 0 if there is no limit.
+func (a *attempt) bodyTimeout() time.Duration {
+	return a.limitSilence(max(minBodyStall, a.firstEventStall()))
+}
+
+// progressReader reports progress whenever bodyProgressBytes have been read. Fewer bytes are none,
+// however steadily they come.
+type progressReader struct {
+	source     io.Reader
+	unreported int
+	onProgress func()
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	r.unreported += n
+	if r.unreported >= bodyProgressBytes {
+		r.unreported = 0
+		r.onProgress()
+	}
+	return n, err
+}
+
 // bufferedSize returns the length of a response's body. It is negative if the length is
 // unknown or above the limit.
 func bufferedSize(resp *http.Response) int64 {
