Backups wait their turn, take over on evidence, and cost only themselves

- A backup whose server was slow to begin was given up after 1.2 s, and the request stayed at a server that was dark for good (TestSlowBackupOfDark- Server).
Now the decision falls .3 s after the backup was sent: it takes over if servers that run other requests of this router are heard, its own first, or if there is none to ask; else it is given up.
Nothing is concluded before it was sent (TestNothingConcludesThatAnUnsentBackupRuns).
- All servers silent at once made each request ask for a backup, which the next silent server declined late.
A backup is put off, for a second at most, while no other server with requests of this router is heard.
- Backups were polled for, so that new requests took each slot that became free (TestBackupGoesBeforeNewRequests): they wait in the queue like retries.
- A server that had declined a backup was never asked again, and a canceled backup used up an attempt for good (TestDeclinedBackupMayComeAgain, TestCanceledBackupLeavesARetry): going to its server again runs the request at no further one.
- A silent server's own 5xx canceled the backup (TestDecliningServerLeaves- Backup); the 5xx of a backup that had taken over was lost (TestFailureOfBackupIsForwarded).
- A canceled dial took a sound server out of use (TestCanceledDialIsNo- Evidence).
A panic beside a backup ended the router (TestPanicOfBackupEnds- OneRequest).
A stream outlasted its route's time by that for which the host was suspended (TestSuspensionCountsForRunningStreams).
- Left, in KNOWN-RED: TestBackupDeclinesLate.

--- a/backend/head.go
+++ b/backend/head.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"math"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -20,7 +19,7 @@
 type headReader struct {
 	source   io.Reader
 	left     int64
-	received *atomic.Uint64 // counts reads that returned bytes
+	received *receiveTime
 }
 
 // limit begins the head of a response; unlimit ends it.
@@ -35,7 +34,7 @@
 	n, err := h.source.Read(p[:min(int64(len(p)), h.left)])
 	h.left -= int64(n)
 	if n > 0 {
-		h.received.Add(1)
+		h.received.record()
 	}
 	return n, err
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -40,21 +40,35 @@
 	DialTimeout       time.Duration // time limit for opening a connection
 	AckTimeout        time.Duration // how long a peer may acknowledge nothing before it counts as lost
 	MaxIdlePerAddress int           // limit of idle connections to one address
+	// Now returns the time for ReceivedSince; nil: the time since the pool was made.
+	Now func() time.Duration
 }
 
+// receiveTime is when bytes last arrived from an address.
+type receiveTime struct {
+	now func() time.Duration
+	at  atomic.Int64 // nanoseconds
+}
+
+func (t *receiveTime) record() { t.at.Store(int64(t.now())) }
+
 // Pool keeps idle connections by address.
 type Pool struct {
 	options Options
 	dialer  net.Dialer
 	mu      sync.Mutex
 	idle    map[string][]*Conn
-	// received counts the reads that returned bytes, by address.
-	received map[string]*atomic.Uint64
+	// received is when bytes last arrived, by address.
+	received map[string]*receiveTime
 }
 
 // NewPool returns an empty pool.
 func NewPool(o Options) *Pool {
-	p := &Pool{options: o, idle: make(map[string][]*Conn), received: make(map[string]*atomic.Uint64)}
+	if o.Now == nil {
+		start := time.Now()
+		o.Now = func() time.Duration { return time.Since(start) }
+	}
+	p := &Pool{options: o, idle: make(map[string][]*Conn), received: make(map[string]*receiveTime)}
 	p.dialer = net.Dialer{
 		Timeout:   o.DialTimeout,
 		KeepAlive: -1,
@@ -126,19 +140,21 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// Received returns a number that grows whenever the server at an address sends bytes on any
-// connection of the pool.
-func (p *Pool) Received(address string) uint64 { return p.receivedFrom(address).Load() }
+// ReceivedSince reports whether bytes have arrived from the server at an address, on any connection of the
+// pool, after a point in time.
+func (p *Pool) ReceivedSince(address string, since time.Duration) bool {
+	return time.Duration(p.receivedFrom(address).at.Load()) > since
+}
 
-func (p *Pool) receivedFrom(address string) *atomic.Uint64 {
+func (p *Pool) receivedFrom(address string) *receiveTime {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := p.received[address]
-	if n == nil {
-		n = &atomic.Uint64{}
-		p.received[address] = n
+	t := p.received[address]
+	if t == nil {
+		t = &receiveTime{now: p.options.Now}
+		p.received[address] = t
 	}
-	return n
+	return t
 }
 
 // Sweep closes connections that have been idle too long, and all idle connections to
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -29,7 +29,7 @@
 	r.currentServer = nil
 	s.release(r)
 	if r.backupOf != nil {
-		r.backupOf.recordBackupEnd(s, msg.Outcome)
+		r.backupOf.recordBackupEnd(r, s, msg.Outcome)
 		msg.Retry = false
 	}
 	m.refund(msg.Now, r, msg.Outcome)
@@ -132,7 +132,7 @@
 		m.giveUp(now, p, r, ReasonQuarantined)
 	case now >= r.Deadline:
 		m.giveUp(now, p, r, ReasonDeadline)
-	case r.attempt >= r.Attempts:
+	case r.attemptsUsedUp():
 		m.giveUp(now, p, r, ReasonAttempts)
 	case !p.retryWindow.trySpend(now, m.options.RetryBudget, m.routers):
 		m.giveUp(now, p, r, ReasonRetryBudget)
@@ -164,7 +164,7 @@
 func (m *Machine) giveUp(now time.Duration, p *pool, r *requestState, reason Reason) {
 	r.waiting = false
 	delete(m.requests, r.ID)
-	if r.mayHaveRun {
+	if r.mayHaveRun && r.backupOf == nil {
 		m.emit(FailCmd{ID: r.ID, Reason: reason})
 		return
 	}
--- a/direct/place.go
+++ b/direct/place.go
@@ -105,7 +105,10 @@
 // eligible reports whether a request may go to a server now. A server on probation gets only
 // requests that can be retried elsewhere, one at a time.
 func (m *Machine) eligible(now time.Duration, p *pool, s *server, r *requestState) bool {
-	if !s.accepts(now, &r.Request) || now < s.fullUntil || r.hasTried(s.ID) || !m.coldSendAllowed(now, p, s) {
+	if !s.accepts(now, &r.Request) || now < s.fullUntil || !r.maySendTo(s.ID) || !m.coldSendAllowed(now, p, s) {
+		return false
+	}
+	if r.backupOf != nil && s.seemsSilent(now) {
 		return false
 	}
 	return !s.probation || (r.MayRepeat && r.attempt+1 < r.Attempts && s.running == 0)
@@ -118,7 +121,7 @@
 	begun := r.Version != ""
 	var best *server
 	for _, s := range p.sideServers(r) {
-		if !r.allows(s) || begun && r.hasTried(s.ID) {
+		if !r.allows(s) || begun && !r.maySendTo(s.ID) {
 			continue
 		}
 		ejected := begun && !s.leaving && now < s.ejectedUntil
@@ -131,7 +134,7 @@
 		if s.evacuated || now < s.downUntil || s.inBackoff(now) {
 			continue
 		}
-		if r.hasTried(s.ID) || s.totalRunning() >= s.Slots || !m.coldSendAllowed(now, p, s) {
+		if !r.maySendTo(s.ID) || s.totalRunning() >= s.Slots || !m.coldSendAllowed(now, p, s) {
 			continue
 		}
 		if best == nil || s.totalRunning() < best.totalRunning() {
--- a/direct/retrywindow.go
+++ b/direct/retrywindow.go
@@ -45,6 +45,15 @@
 // trySpend takes one retry from this router's part of the budget and reports whether one was
 // left.
 func (w *retryWindow) trySpend(now time.Duration, o RetryBudgetOptions, routers int) bool {
+	if !w.hasLeft(now, o, routers) {
+		return false
+	}
+	w.retries[w.newest%retryBuckets]++
+	return true
+}
+
+// hasLeft reports whether a retry is left in this router's part of the budget.
+func (w *retryWindow) hasLeft(now time.Duration, o RetryBudgetOptions, routers int) bool {
 	n := w.advance(now)
 	buckets := min(int64(o.Window/retryBucketWidth)+1, retryBuckets-1)
 	requests, retries := 0, 0
@@ -56,9 +65,5 @@
 		retries += w.retries[i%retryBuckets]
 	}
 	allowed := retryBudgetMargin * (o.Ratio*float64(requests) + o.Slack/float64(max(routers, 1)))
-	if float64(retries)+1 > allowed {
-		return false
-	}
-	w.retries[n%retryBuckets]++
-	return true
+	return float64(retries)+1 <= allowed
 }
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -13,8 +13,7 @@
 	r.sentAt = now
 	r.firstEventAt = 0
 	r.survived, r.cleared = false, false
-	r.attempt++
-	r.triedServers = append(r.triedServers, s.ID)
+	r.recordVisit(s.ID)
 	basis := PlacementBasis{
 		Running: s.totalRunning(), Pending: s.totalPending(), MissTokens: c.missTokens,
 		Estimate: c.estimate, QueueWait: now - r.arrivedAt, Share: r.shareRatio,
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -47,10 +47,11 @@
 		return false
 	}
 	c, ok := m.placeOnSide(now, p, r)
-	if ok {
-		m.send(now, p, r, c)
+	if !ok || r.backupOf != nil && !p.retryWindow.trySpend(now, m.options.RetryBudget, m.routers) {
+		return false
 	}
-	return ok
+	m.send(now, p, r, c)
+	return true
 }
 
 // sortQueue updates the team state of the waiting requests and sorts them.
@@ -67,7 +68,7 @@
 // stream that has begun does not wait for servers at which it has failed already.
 func (p *pool) noServerAllowed(now time.Duration, r *requestState) bool {
 	if r.Version != "" {
-		return !slices.ContainsFunc(p.serversFor(&r.Request), func(s *server) bool { return s.accepts(now, &r.Request) && !r.hasTried(s.ID) })
+		return !slices.ContainsFunc(p.serversFor(&r.Request), func(s *server) bool { return s.accepts(now, &r.Request) && r.maySendTo(s.ID) })
 	}
 	return r.Regions.Restricted() && !p.anyUsable(now, &r.Request)
 }
--- a/direct/server.go
+++ b/direct/server.go
@@ -69,6 +69,7 @@
 	lastPause     time.Duration // of the last ejection or down time
 	probation     bool          // must first serve one repeatable request
 	fullUntil     time.Duration
+	silentAt      time.Duration // when a backup was last asked for of one of its requests; 0: never
 	crashState    crashCheck
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,8 +38,7 @@
 	x         *exchange
 	id        direct.RequestID // of the request, or of the backup that this attempt began as
 	ctx       context.Context  // ends when the caller leaves, or when a backup is canceled
-	cancel    func()           // ends ctx
-	isBackup  bool             // began as a backup
+	cancel    context.CancelFunc
 	cmd       direct.SendCmd
 	conn      *backend.Conn
 	released  bool        // conn is the pool's again
@@ -63,10 +62,9 @@
 	unframed    bool // the response ended with its connection
 }
 
-// newAttempt returns an attempt at the server that the machine has chosen.
-func newAttempt(x *exchange, cmd direct.SendCmd) *attempt {
-	a := &attempt{x: x, id: cmd.ID, cmd: cmd, afterEvent: x.info.AfterEvent}
-	a.ctx, a.cancel = context.WithCancel(x.ctx)
+// newAttempt returns an attempt at the server that the machine has chosen. cancel ends ctx.
+func newAttempt(ctx context.Context, cancel context.CancelFunc, x *exchange, cmd direct.SendCmd) *attempt {
+	a := &attempt{x: x, id: cmd.ID, ctx: ctx, cancel: cancel, cmd: cmd, afterEvent: x.info.AfterEvent}
 	if x.headSent {
 		a.afterEvent = formatID(x.lastEventID)
 	}
@@ -193,15 +191,15 @@
 		return failedStart(direct.Broken)
 	}
 	a.response, a.info = resp, a.x.front.dialect.ParseResponse(resp.StatusCode, resp.Header)
-	outcome, declined := a.declined()
+	outcome := a.outcomeOfHead()
 	if a.handOver(outcome) {
 		return startResult{}
 	}
 	switch {
-	case declined:
+	case !outcome.MayHaveRun():
 		a.discard(resp)
 		return failedStart(outcome)
-	case !a.isStream(resp) && a.isBackup && !a.canReplace(resp):
+	case !a.isStream(resp) && !a.watch.isEnabled() && !a.canReplace(resp):
 		a.discard(resp)
 		return failedStart(direct.Failed)
 	case !a.isStream(resp):
@@ -225,15 +223,18 @@
 	return a.afterEvent == "" && resp.StatusCode/100 != 5 && !claimsNotRun(resp.StatusCode) && isForwardable(resp, a.info)
 }
 
-// declined returns the outcome of an attempt whose server says that it did not run the request, and true.
-func (a *attempt) declined() (direct.Outcome, bool) {
+// outcomeOfHead returns the outcome that the header of the response leads to: Elsewhere or NotRun if the
+// server did not run the request, Failed if it failed, and otherwise Done.
+func (a *attempt) outcomeOfHead() direct.Outcome {
 	switch {
 	case a.info.WrongServer:
-		return direct.Elsewhere, true
+		return direct.Elsewhere
 	case a.info.NotRun && a.response.StatusCode != http.StatusBadRequest:
-		return direct.NotRun, true
+		return direct.NotRun
+	case a.response.StatusCode/100 == 5:
+		return direct.Failed
 	}
-	return direct.Done, false
+	return direct.Done
 }
 
 // takenOver resolves the race with a backup after a read that returned err, and reports whether the
@@ -286,7 +287,7 @@
 // limitSilence returns a limit on the server's silence, or 0 if no other attempt is allowed or the
 // request's deadline comes first.
 func (a *attempt) limitSilence(timeout time.Duration) time.Duration {
-	if !a.x.route.MayRepeat() || !a.x.front.core.disabled.Enabled(direct.StallTimeout) || timeout >= a.timeLeft() {
+	if !a.x.route.MayRepeat() || a.x.route.Attempts < 2 || !a.x.front.core.disabled.Enabled(direct.StallTimeout) || timeout >= a.timeLeft() {
 		return 0
 	}
 	return timeout
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -138,20 +138,15 @@
 	return r.ID, commands
 }
 
-// submitBackup asks the machine for a backup of a request. It returns the machine's answer and the
-// channel of the backup's later commands.
-func (c *core) submitBackup(of direct.RequestID) (direct.Cmd, <-chan direct.Cmd) {
+// submitBackup asks the machine for a backup of a request. Its commands arrive on the returned channel.
+func (c *core) submitBackup(of direct.RequestID) (direct.RequestID, <-chan direct.Cmd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nextID++
 	id, commands := c.nextID, make(chan direct.Cmd, 2)
 	c.waiters[id] = commands
 	c.updateLocked(direct.BackupMsg{Now: c.Now(), ID: id, Of: of})
-	cmd := <-commands
-	if _, sent := cmd.(direct.SendCmd); !sent {
-		delete(c.waiters, id)
-	}
-	return cmd, commands
+	return id, commands
 }
 
 // checkAdmission returns the refusal of a request that the machine would refuse on arrival,
@@ -201,13 +196,18 @@
 // cancel removes a waiting request. If the request has just been placed on a server, its
 // attempt ends without being sent.
 func (c *core) cancel(id direct.RequestID, commands <-chan direct.Cmd) {
+	c.cancelAs(id, commands, direct.GivenUp)
+}
+
+// cancelAs is cancel with the outcome of an attempt that has just been placed.
+func (c *core) cancelAs(id direct.RequestID, commands <-chan direct.Cmd, o direct.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Now()
 	c.updateLocked(direct.CancelMsg{Now: now, ID: id})
 	select {
 	case <-commands:
-		c.updateLocked(direct.AttemptEndMsg{Now: now, ID: id, Outcome: direct.GivenUp})
+		c.updateLocked(direct.AttemptEndMsg{Now: now, ID: id, Outcome: o})
 	default:
 	}
 }
--- a/gateway/corestate.go
+++ b/gateway/corestate.go
@@ -37,6 +37,13 @@
 	return c.machine.Teams(c.Now())
 }
 
+// witnesses returns the addresses of servers that show whether a silence is that of one server.
+func (c *core) witnesses(id direct.RequestID) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Witnesses(id)
+}
+
 // teamWeight returns the share of this router's work that a team requests.
 func (c *core) teamWeight(team string) float64 {
 	c.mu.Lock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -149,7 +149,8 @@
 // attempt makes an attempt, and follows the backups that take over from it. It reports whether the
 // request has ended.
 func (x *exchange) attempt(cmd direct.SendCmd) bool {
-	x.begin(newAttempt(x, cmd))
+	ctx, cancel := context.WithCancel(x.ctx)
+	x.begin(newAttempt(ctx, cancel, x, cmd))
 	defer func() { x.current.finish() }()
 	outcome, ended := x.current.run()
 	for x.current.successor != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,7 +77,7 @@
 	queues := sendqueue.NewQueues(memory.NewBudget(s.MemoryBytes/heldMemoryDivisor), g.log.UnreadResponse)
 	g.front = &front{
 		core: g.core, feeds: g.feeds, dialect: dialect, log: g.log, stats: g.stats,
-		pool:       backend.NewPool(backend.Options{DialTimeout: dialTimeout, AckTimeout: serverSilenceTimeout, MaxIdlePerAddress: maxIdlePerServer}),
+		pool:       backend.NewPool(backend.Options{DialTimeout: dialTimeout, AckTimeout: serverSilenceTimeout, MaxIdlePerAddress: maxIdlePerServer, Now: g.core.Now}),
 		sendQueues: queues, conns: newCallerConns(maxCallers(s.Descriptors), s.Cores, queues), maxEventDelay: s.MaxEventDelay,
 		hall: s.Zone, traffic: g.traffic.Meter(traffic.Requests), origins: g.cluster.Origins,
 		endProcess: panicOutside,
--- a/gateway/panic.go
+++ b/gateway/panic.go
@@ -17,12 +17,7 @@
 	case http.ErrAbortHandler:
 		panic(cause)
 	}
-	consistent := f.core.isConsistent()
-	f.logPanic(r, cause, consistent)
-	if !consistent {
-		f.log.Close()
-		f.endProcess(cause)
-	}
+	f.recordPanic(r, cause)
 	if w.begun {
 		panic(http.ErrAbortHandler)
 	}
@@ -31,6 +26,17 @@
 	f.refuse(w, http.StatusInternalServerError, reasonPanic, 0)
 }
 
+// recordPanic logs a panic beside a request, and ends the process if the panic leaves the state machine
+// inconsistent.
+func (f *front) recordPanic(r *http.Request, cause any) {
+	consistent := f.core.isConsistent()
+	f.logPanic(r, cause, consistent)
+	if !consistent {
+		f.log.Close()
+		f.endProcess(cause)
+	}
+}
+
 // panicOutside ends the process with a panic that net/http does not recover.
 func panicOutside(cause any) {
 	go panic(cause)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -58,8 +59,11 @@
 	if a.takenOver(err) {
 		return event, err
 	}
-	if err == io.EOF && isUnframed(a.response) {
+	switch {
+	case err == io.EOF && isUnframed(a.response):
 		err = a.checkUnframedEnd(a.forwarding)
+	case err == nil && a.timeLeft() < minTimeLeft:
+		err = os.ErrDeadlineExceeded // the host was suspended, which the connection's deadline does not count
 	}
 	return event, err
 }
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -32,7 +32,7 @@
 // serverRefuses reports whether the server's host refuses connections, so that the server has
 // crashed.
 func (a *attempt) serverRefuses() bool {
-	ctx, cancel := context.WithTimeout(a.x.ctx, unframedCheckTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, unframedCheckTimeout)
 	defer cancel()
 	conn, err := a.x.front.pool.Dial(ctx, a.cmd.Server.Address)
 	if err != nil {
