A first request is read although the time for its headers has passed

A caller whose first request on a new connection arrived while the router lacked processor time could find its connection closed unread: the time for headers runs from the accept, and the read ended with it, though the request waited in the socket.

Change: a read that ends by its deadline is repeated if nothing of the next request was read yet and bytes are waiting, on new connections as on idle ones.

Measured: TestFirstRequestIsReadAfterTheHeaderTimeout was seen red (i/o timeout) and passes now.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -51,6 +51,7 @@
 	active    bool // a request is in progress
 	idleMu    sync.Mutex
 	idleSince time.Time // zero before the first request, and from the first byte of a request until its response
+	unread    bool      // nothing of the next request has been read
 	expired   bool      // the pending read was ended, as the connection was idle for too long
 	// bodyReadAt is when the body in progress was last read, in nanoseconds on the clock
 	// of the send queues; 0 if no body is being read.
@@ -68,7 +69,7 @@
 
 // add registers a new connection, which already holds a slot.
 func (c *callerConns) add(conn net.Conn) *callerConn {
-	caller := &callerConn{conns: c, accepted: pressure.AcceptedConn{At: time.Now()}}
+	caller := &callerConn{conns: c, unread: true, accepted: pressure.AcceptedConn{At: time.Now()}}
 	caller.Conn = c.queues.Wrap(conn, caller.onClose)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -216,7 +217,7 @@
 func (c *callerConn) setIdle(since time.Time) {
 	c.idleMu.Lock()
 	defer c.idleMu.Unlock()
-	c.idleSince = since
+	c.idleSince, c.unread = since, !since.IsZero()
 }
 
 // expire ends the pending read of a connection that has been idle for longer than idleTimeout.
@@ -245,12 +246,12 @@
 	return n, err
 }
 
-// hasRequest reports whether a request arrived on an idle connection just as its read was ended. The
-// read may then be repeated.
+// hasRequest reports whether a request arrived on an idle or a new connection just as its read was
+// ended. The read may then be repeated.
 func (c *callerConn) hasRequest() bool {
 	c.idleMu.Lock()
 	defer c.idleMu.Unlock()
-	if c.idleSince.IsZero() || socket.Peek(c.Conn) != socket.Readable {
+	if !c.unread || socket.Peek(c.Conn) != socket.Readable {
 		return false
 	}
 	c.clearExpiry()
@@ -261,7 +262,7 @@
 func (c *callerConn) endIdle() {
 	c.idleMu.Lock()
 	defer c.idleMu.Unlock()
-	c.idleSince = time.Time{}
+	c.idleSince, c.unread = time.Time{}, false
 	if c.expired {
 		c.clearExpiry()
 	}
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -30,20 +30,26 @@
 	return sendqueue.NewQueues(memory.NewBudget(maxBytes), func(sendqueue.UnreadResponse) {})
 }
 
-// idleConns returns n connections of callers, all of which are idle, with the callers' ends.
-func idleConns(t *testing.T, c *callerConns, n int) (clients []net.Conn, conns []*callerConn) {
+// newConn returns a new connection of a caller, with the caller's end.
+func newConn(t *testing.T, c *callerConns) (net.Conn, *callerConn) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = inner.Close() })
+	defer inner.Close()
+	client, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = client.Close() })
+	conn, err := callerListener{inner, c, func() bool { return false }, time.Sleep}.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return client, conn.(*callerConn)
+}
+
+// idleConns returns n connections of callers, all of which are idle, with the callers' ends.
+func idleConns(t *testing.T, c *callerConns, n int) (clients []net.Conn, conns []*callerConn) {
 	for range n {
-		client, err := net.Dial("tcp", inner.Addr().String())
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = client.Close() })
-		conn, err := callerListener{inner, c, func() bool { return false }, time.Sleep}.Accept()
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = conn.Close() })
+		client, conn := newConn(t, c)
 		c.connState(conn, http.StateIdle)
-		clients, conns = append(clients, client), append(conns, conn.(*callerConn))
+		clients, conns = append(clients, client), append(conns, conn)
 	}
 	return clients, conns
 }
@@ -120,6 +126,22 @@
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "idle again")
 }
 
+// TestFirstRequestIsReadAfterTheHeaderTimeout guards against a first request that a late router leaves unread,
+// since the time for the headers of a new connection has passed when it gets to it.
+func TestFirstRequestIsReadAfterTheHeaderTimeout(t *testing.T) {
+	c := newTestCallerConns(1, 0)
+	client, conn := newConn(t, c)
+	sendTestRequest(t, client, conn)
+	require.NoError(t, conn.SetReadDeadline(longAgo))
+	buf := make([]byte, len(testRequest))
+	_, err := conn.Read(buf[:4])
+	require.NoError(t, err)
+
+	require.NoError(t, conn.SetReadDeadline(longAgo))
+	_, err = conn.Read(buf[4:])
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the deadline holds within a request")
+}
+
 // keptCallers is the number of connections of TestEveryRequestThatIsReadIsAnswered.
 const keptCallers = 1200
 
