A refusal names a time to return on a route without an objective

Callers of a route whose configuration gives no latency objective, or an absurd one, were refused without Retry-After: the delay is derived from the objective, and came out as 0 or negative.

Change: a refusal names 20 ms at least.

--- a/direct/ending.go
+++ b/direct/ending.go
@@ -16,6 +16,8 @@
 	// exceeded its rate limit.
 	minRefillDelay = time.Second
 	maxRefillDelay = 10 * time.Second
+	// minRetryAfter is the shortest retry delay, as a route may have no objective to derive one from.
+	minRetryAfter = 20 * time.Millisecond
 )
 
 // endAttempt handles the end of an attempt and decides whether to retry.
@@ -168,7 +170,7 @@
 		m.emit(FailCmd{ID: r.ID, Reason: reason})
 		return
 	}
-	m.emit(RefuseCmd{ID: r.ID, Reason: reason, RetryAfter: m.retryAfter(now, p, r, reason), Share: r.shareRatio})
+	m.emit(RefuseCmd{ID: r.ID, Reason: reason, RetryAfter: max(m.retryAfter(now, p, r, reason), minRetryAfter), Share: r.shareRatio})
 }
 
 // retryAfter returns when a refused request is expected to find capacity: when the servers have
--- a/direct/ending_test.go
+++ b/direct/ending_test.go
@@ -177,3 +177,16 @@
 	require.True(t, ok)
 	require.Positive(t, refused.RetryAfter)
 }
+
+// TestRefusalNamesATimeWithoutObjective guards against refusals without a time to return on a route whose
+// objective is 0 or absurd.
+func TestRefusalNamesATimeWithoutObjective(t *testing.T) {
+	for _, objective := range []time.Duration{0, -time.Second} {
+		h := newHarness(t, 0)
+		r := h.request("red")
+		r.Objective = objective
+		refused, ok := findCmd[RefuseCmd](h.arrive(r))
+		require.True(t, ok)
+		require.Equal(t, minRetryAfter, refused.RetryAfter)
+	}
+}
