Test: random configurations meet crashes, barred contents and servers long gone

TestConfigurationsForgetNoRequest draws more servers than a request examines, crashes of servers with their requests, barred contents and parts, copies of other routers, and pauses of up to 12 s, after which servers that left are forgotten.

--- a/direct/config_oracle_test.go
+++ b/direct/config_oracle_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/loads"
+	"github.com/croftvale/croftvale/quarantine"
 	"github.com/croftvale/croftvale/rollout"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -77,6 +78,9 @@
 			"probe":        func(*rapid.T) { s.probe() },
 			"cancel":       func(*rapid.T) { s.cancel() },
 			"tick":         func(*rapid.T) { s.tick(rapid.IntRange(1, 12).Draw(s.t, "ticks")) },
+			"wait":         func(*rapid.T) { s.tick(rapid.IntRange(40, 500).Draw(s.t, "ticks")) },
+			"crash":        func(*rapid.T) { s.crash() },
+			"bar":          func(*rapid.T) { s.bar() },
 			"read":         func(*rapid.T) { s.readState() },
 			"":             func(*rapid.T) { s.check() },
 		})
@@ -128,6 +132,12 @@
 
 func isRunning(r *simulatedRequest) bool { return r.state == simRunning && r.of == 0 }
 
+// configServers is the number of servers, more than are examined for most requests.
+const configServers = 16
+
+// simFingerprint is the fingerprint of all requests.
+const simFingerprint = quarantine.Fingerprint(7)
+
 var (
 	simServices = []string{"llm", "app", "new"}
 	simVersions = []string{"v1", "v2", "v3"}
@@ -180,7 +190,7 @@
 func (s *configSim) list() {
 	s.revision++
 	d := Directory{Revision: s.revision}
-	for i := range 8 {
+	for i := range configServers {
 		state := rapid.IntRange(0, 9).Draw(s.t, "state")
 		if state == 0 {
 			continue
@@ -233,11 +243,20 @@
 func (s *configSim) hearPeers() {
 	s.update(PeerReportMsg{Now: s.now, Peer: "other", Report: Report{Headroom: s.drawRate("headroom")}})
 	s.update(PeerTeamsMsg{Now: s.now, Teams: []loads.TeamUse{{Team: "red", Offered: 90000, Served: rapid.Float32Range(0, 90000).Draw(s.t, "served")}}})
+	s.update(PeerCopiesMsg{Now: s.now, Copies: []loads.Copy{{Part: 1, Server: loads.ServerKey("s1")}}})
 	s.update(PeerLoadsMsg{Now: s.now, Loads: []loads.Load{{
 		Server: loads.ServerKey("s0"), Running: rapid.Int32Range(0, 9).Draw(s.t, "load"), Pending: rapid.SampledFrom([]int32{0, 4000, math.MaxInt32}).Draw(s.t, "pending"),
 	}}})
 }
 
+// bar lists fingerprints as barred, or none.
+func (s *configSim) bar() {
+	s.update(QuarantineMsg{
+		Now: s.now, Kind: rapid.SampledFrom([]quarantine.Kind{quarantine.Content, quarantine.Part}).Draw(s.t, "kind"),
+		Fingerprints: rapid.SampledFrom([][]quarantine.Fingerprint{nil, {simFingerprint}, {quarantine.PartFingerprint(1)}}).Draw(s.t, "barred"),
+	})
+}
+
 // drawRequest draws a request as a route of some configuration would yield it.
 func (s *configSim) drawRequest() Request {
 	s.lastID++
@@ -248,7 +267,7 @@
 		Attempts: rapid.IntRange(1, 3).Draw(s.t, "attempts"), Priority: rapid.IntRange(0, 2).Draw(s.t, "priority"),
 		Objective: rapid.SampledFrom([]time.Duration{0, -time.Second, time.Millisecond, 300 * time.Millisecond, 4 * time.Second}).Draw(s.t, "objective"),
 		Age:       rapid.SampledFrom([]time.Duration{0, time.Second}).Draw(s.t, "age"), Deadline: s.now + rapid.SampledFrom([]time.Duration{0, 5 * time.Second}).Draw(s.t, "left"),
-		PromptTokens: s.drawCount("tokens"), OutputTokens: s.drawCount("output"), Fingerprint: 7,
+		PromptTokens: s.drawCount("tokens"), OutputTokens: s.drawCount("output"), Fingerprint: simFingerprint,
 		Version: rapid.SampledFrom([]string{"", "", "v1", "v9"}).Draw(s.t, "version"), Resumed: rapid.Bool().Draw(s.t, "resumed"),
 	}
 	for part := range rapid.IntRange(0, 3).Draw(s.t, "parts") {
@@ -285,9 +304,13 @@
 	if r == nil {
 		return
 	}
-	s.abandonBackup(r)
 	o := Outcome(rapid.IntRange(int(Done), int(Withheld)).Draw(s.t, "outcome"))
-	retry := o != Done && o != GivenUp && rapid.IntRange(0, 3).Draw(s.t, "retry") > 0
+	s.endWith(r, o, o != Done && o != GivenUp && rapid.IntRange(0, 3).Draw(s.t, "retry") > 0)
+}
+
+// endWith ends the current attempt of a request.
+func (s *configSim) endWith(r *simulatedRequest, o Outcome, retry bool) {
+	s.abandonBackup(r)
 	r.state, r.waitingSince = simEnded, s.now
 	if retry {
 		r.state = simWaiting
@@ -298,6 +321,22 @@
 	})
 }
 
+// crash breaks all attempts at a server, with a probe that finds its process gone or running.
+func (s *configSim) crash() {
+	first := s.pick(isRunning)
+	if first == nil {
+		return
+	}
+	server := first.server
+	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
+		if r := s.requests[id]; isRunning(r) && r.server == server {
+			s.endWith(r, Broken, true)
+		}
+	}
+	gone := rapid.Bool().Draw(s.t, "gone")
+	s.update(ProbeResultMsg{Now: s.now, Server: server, Reached: !gone, ConnRefused: gone})
+}
+
 func (s *configSim) startBackup() {
 	of := s.pick(func(r *simulatedRequest) bool { return isRunning(r) && s.backupState(r) == simEnded })
 	if of == nil {
@@ -343,7 +382,7 @@
 }
 
 func (s *configSim) notice() {
-	s.update(NoticeMsg{Now: s.now, Server: fmt.Sprint("s", rapid.IntRange(0, 7).Draw(s.t, "server")), Notice: Notice{
+	s.update(NoticeMsg{Now: s.now, Server: fmt.Sprint("s", rapid.IntRange(0, configServers-1).Draw(s.t, "server")), Notice: Notice{
 		Leaving: rapid.Bool().Draw(s.t, "leaving"), Backoff: s.drawDuration("backoff"),
 	}})
 }
@@ -351,7 +390,7 @@
 func (s *configSim) probe() {
 	reached := rapid.Bool().Draw(s.t, "reached")
 	s.update(ProbeResultMsg{
-		Now: s.now, Server: fmt.Sprint("s", rapid.IntRange(0, 7).Draw(s.t, "server")), Reached: reached,
+		Now: s.now, Server: fmt.Sprint("s", rapid.IntRange(0, configServers-1).Draw(s.t, "server")), Reached: reached,
 		ConnRefused: !reached && rapid.Bool().Draw(s.t, "refused"), RouterLate: rapid.Bool().Draw(s.t, "late"),
 	})
 }
@@ -380,6 +419,9 @@
 	s.m.Servers(s.now)
 	s.m.AllOldRunning()
 	s.m.RequestCounts()
+	s.m.PendingRecords(quarantine.Content)
+	s.m.QuarantineRecords(quarantine.Part)
+	s.m.QuarantineStates(s.now, 3)
 	for _, team := range simTeams {
 		s.m.TeamWeight(s.now, team)
 	}
