Bytes that are no response are no sign that a server is alive

What callers saw: a stream at a sound server that paused for 2.5 s ended cut after 4.0 s, its time limit, if the server asked for a backup sent bytes of a head or an event without end.

Cause: any bytes from a backup's server, also those of the backup itself, were taken as a sign that it has the request. After .3 s the backup took over, and the connection to the sound server was closed.

Change: only responses to requests, events of streams and each KB of a body count (Pool.Progress). A backup whose server sends anything else is given up after 1.2 s, like one whose server is silent.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -32,6 +32,7 @@
 	idleUntil time.Time
 	response  *http.Response
 	sent      bool
+	progress  *progressTime // of the server, shared by its connections
 }
 
 // Request is an HTTP request as it is written to a connection.
@@ -82,6 +83,7 @@
 		}
 		if matches(response) {
 			c.response = response
+			c.CountProgress()
 			return response, nil
 		}
 		if response.Close {
@@ -94,6 +96,10 @@
 	return nil, ErrWrongResponse
 }
 
+// CountProgress records that the server has sent a part of the response that can be used, such as an event
+// of a stream. The head counts by itself.
+func (c *Conn) CountProgress() { c.progress.record() }
+
 // readHead reads the head of a response. It returns ErrHeadTooLarge for one beyond maxHeadBytes.
 func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
 	c.head.limit()
--- a/backend/head.go
+++ b/backend/head.go
@@ -17,9 +17,8 @@
 
 // headReader limits what is read from a connection while the head of a response is read.
 type headReader struct {
-	source   io.Reader
-	left     int64
-	received *receiveTime
+	source io.Reader
+	left   int64
 }
 
 // limit begins the head of a response; unlimit ends it.
@@ -33,8 +32,5 @@
 	}
 	n, err := h.source.Read(p[:min(int64(len(p)), h.left)])
 	h.left -= int64(n)
-	if n > 0 {
-		h.received.record()
-	}
 	return n, err
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -40,17 +40,17 @@
 	DialTimeout       time.Duration // time limit for opening a connection
 	AckTimeout        time.Duration // how long a peer may acknowledge nothing before it counts as lost
 	MaxIdlePerAddress int           // limit of idle connections to one address
-	// Now returns the time for ReceivedSince; nil: the time since the pool was made.
+	// Now returns the time for ProgressSince; nil: the time since the pool was made.
 	Now func() time.Duration
 }
 
-// receiveTime is when bytes last arrived from an address.
-type receiveTime struct {
+// progressTime is when the server at an address last made progress with a response.
+type progressTime struct {
 	now func() time.Duration
 	at  atomic.Int64 // nanoseconds
 }
 
-func (t *receiveTime) record() { t.at.Store(int64(t.now())) }
+func (t *progressTime) record() { t.at.Store(int64(t.now())) }
 
 // Pool keeps idle connections by address.
 type Pool struct {
@@ -58,8 +58,8 @@
 	dialer  net.Dialer
 	mu      sync.Mutex
 	idle    map[string][]*Conn
-	// received is when bytes last arrived, by address.
-	received map[string]*receiveTime
+	// progress is when a server last made progress with a response, by address.
+	progress map[string]*progressTime
 }
 
 // NewPool returns an empty pool.
@@ -68,7 +68,7 @@
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
-	p := &Pool{options: o, idle: make(map[string][]*Conn), received: make(map[string]*receiveTime)}
+	p := &Pool{options: o, idle: make(map[string][]*Conn), progress: make(map[string]*progressTime)}
 	p.dialer = net.Dialer{
 		Timeout:   o.DialTimeout,
 		KeepAlive: -1,
@@ -126,8 +126,10 @@
 		}
 		return nil, err
 	}
-	head := &headReader{source: raw, received: p.receivedFrom(address)}
-	return &Conn{Conn: raw, pool: p, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
+	head := &headReader{source: raw}
+	return &Conn{
+		Conn: raw, pool: p, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize), progress: p.progressOf(address),
+	}, nil
 }
 
 func (p *Pool) put(c *Conn) {
@@ -140,19 +142,20 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// ReceivedSince reports whether bytes have arrived from the server at an address, on any connection of the
-// pool, after a point in time.
-func (p *Pool) ReceivedSince(address string, since time.Duration) bool {
-	return time.Duration(p.receivedFrom(address).at.Load()) > since
+// ProgressSince reports whether the server at an address has responded on any connection of the pool, or
+// gone on with a response, after a point in time; see Conn.CountProgress. Bytes that are no response are no
+// progress.
+func (p *Pool) ProgressSince(address string, since time.Duration) bool {
+	return time.Duration(p.progressOf(address).at.Load()) > since
 }
 
-func (p *Pool) receivedFrom(address string) *receiveTime {
+func (p *Pool) progressOf(address string) *progressTime {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := p.received[address]
+	t := p.progress[address]
 	if t == nil {
-		t = &receiveTime{now: p.options.Now}
-		p.received[address] = t
+		t = &progressTime{now: p.options.Now}
+		p.progress[address] = t
 	}
 	return t
 }
@@ -163,9 +166,9 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address := range p.received {
+	for address := range p.progress {
 		if !wanted(address) {
-			delete(p.received, address)
+			delete(p.progress, address)
 		}
 	}
 	for address, list := range p.idle {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -69,6 +69,7 @@
 // attempt has taken over and the result is not valid.
 func (a *attempt) readBody(resp *http.Response) ([]byte, error) {
 	source := &progressReader{source: resp.Body, onProgress: func() {
+		a.conn.CountProgress()
 		if !a.takenOver(nil) {
 			a.watch.arm(a.bodyTimeout())
 		}
--- a/gateway/silencewatch.go
+++ b/gateway/silencewatch.go
@@ -279,7 +279,7 @@
 	if !w.isRunning(b) {
 		return
 	}
-	b.heard = len(b.witnesses) == 0 || w.anyReceived(b.witnesses, b.checkedAt)
+	b.heard = len(b.witnesses) == 0 || w.anyProgress(b.witnesses, b.checkedAt)
 	time.AfterFunc(overlapCheckInterval, func() { w.endOverlap(b) })
 }
 
@@ -310,13 +310,13 @@
 		return false
 	}
 	witnesses := w.primary.x.front.core.witnesses(w.primary.id)
-	return len(witnesses) > 0 && !w.anyReceived(witnesses, w.armedAt)
+	return len(witnesses) > 0 && !w.anyProgress(witnesses, w.armedAt)
 }
 
-// anyReceived reports whether any of the servers has sent something after a point in time.
-func (w *silenceWatch) anyReceived(addresses []string, since time.Duration) bool {
+// anyProgress reports whether any of the servers has made progress with a response after a point in time.
+func (w *silenceWatch) anyProgress(addresses []string, since time.Duration) bool {
 	return slices.ContainsFunc(addresses, func(address string) bool {
-		return w.primary.x.front.pool.ReceivedSince(address, since)
+		return w.primary.x.front.pool.ProgressSince(address, since)
 	})
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -56,6 +56,9 @@
 func (a *attempt) nextEvent() (event, error) {
 	a.watch.arm(a.eventTimeout())
 	event, err := a.events.next()
+	if err == nil {
+		a.conn.CountProgress()
+	}
 	if a.takenOver(err) {
 		return event, err
 	}
