A connection on which bytes follow a whole response is closed

What a server saw: it sent bytes without end after a whole response, and its connection stayed open for up to 19 s, idle in the router's pool. No caller got any of it.

Cause: bytes on an idle connection are noticed when it is used again, or when it has been idle for too long.

It holds the pool's lock for one address at a time, as it now makes a system call for each connection.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -160,30 +160,50 @@
 	return t
 }
 
-// Sweep closes connections that have been idle too long, and all idle connections to
-// addresses that are no longer wanted.
+// Sweep closes connections that have been idle too long or cannot be used again, and all idle
+// connections to addresses that are no longer wanted. A faulty server may go on sending after its
+// response, until the connection is closed.
 func (p *Pool) Sweep(wanted func(address string) bool) {
-	now := time.Now()
+	for _, address := range p.addresses() {
+		p.sweepAddress(address, wanted(address))
+	}
+}
+
+// addresses returns the addresses that the pool holds anything of.
+func (p *Pool) addresses() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	all := make([]string, 0, len(p.progress))
 	for address := range p.progress {
-		if !wanted(address) {
-			delete(p.progress, address)
-		}
+		all = append(all, address)
 	}
-	for address, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now.After(c.idleUntil) || !wanted(address) {
-				c.Close()
-				continue
-			}
-			kept = append(kept, c)
+	for address := range p.idle {
+		if p.progress[address] == nil {
+			all = append(all, address)
 		}
-		clear(list[len(kept):])
-		p.idle[address] = kept
-		if len(kept) == 0 {
-			delete(p.idle, address)
+	}
+	return all
+}
+
+func (p *Pool) sweepAddress(address string, wanted bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !wanted {
+		delete(p.progress, address)
+	}
+	list := p.idle[address]
+	kept := list[:0]
+	for _, c := range list {
+		if !wanted || now.After(c.idleUntil) || !c.isReusable() {
+			c.Close()
+			continue
 		}
+		kept = append(kept, c)
+	}
+	clear(list[len(kept):])
+	p.idle[address] = kept
+	if len(kept) == 0 {
+		delete(p.idle, address)
 	}
 }
