A head that never ends has a time limit

What callers saw: a server that sent bytes which are no response, or a head or a late response without an end, each 100 ms or each second, held a request that may not be repeated until its time limit: 504 after 8.0 s. Requests that may be repeated had a backup, but where no other server had room they were held, too.

Cause: heads and late responses had limits on bytes only, which a byte a second reaches after 18 hours.

Change: maxHeadTime, 4 s from the first bytes of a head or of a late response's body, and bytes that don't begin with the protocol's name end the attempt at once. The limit is checked before a read if nothing waits in the socket: it holds for bytes that keep coming, not for a pause, and not for a late router. The attempt counts as broken: 502, or another attempt.

Interim responses are limited each, three of them: 8 s here.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -89,7 +89,7 @@
 		if response.Close {
 			break
 		}
-		if _, err := io.CopyN(io.Discard, response.Body, maxStaleBodyBytes); err != io.EOF {
+		if c.skipBody(response) != nil {
 			break
 		}
 	}
@@ -100,13 +100,25 @@
 // of a stream. The head counts by itself.
 func (c *Conn) CountProgress() { c.progress.record() }
 
-// readHead reads the head of a response. It returns ErrHeadTooLarge for one beyond maxHeadBytes.
+// readHead reads the head of a response. It returns ErrHeadTooLarge for one beyond maxHeadBytes, and
+// ErrHeadTooSlow for one beyond maxHeadTime.
 func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
-	c.head.limit()
+	c.head.limit(maxHeadBytes)
 	defer c.head.unlimit()
+	if err := awaitProtocol(c.reader); err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(c.reader, request)
 }
 
+// skipBody reads the body of a stale response to its end, within the limits.
+func (c *Conn) skipBody(response *http.Response) error {
+	c.head.limit(maxStaleBodyBytes)
+	defer c.head.unlimit()
+	_, err := io.Copy(io.Discard, response.Body)
+	return err
+}
+
 // Release returns the connection to the pool after the response was read to its end. It
 // closes the connection if unread bytes remain or the server asked to close it.
 func (c *Conn) Release() {
--- a/backend/conn_test.go
+++ b/backend/conn_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/croftvale/croftvale/internal/socket"
 	"github.com/stretchr/testify/require"
 )
 
@@ -78,3 +80,29 @@
 		require.Equal(t, body, string(read))
 	}
 }
+
+// TestSlowHeadEnds guards against servers that hold a request by sending a head slowly and without an
+// end. Bytes that have arrived are read however late this process is.
+func TestSlowHeadEnds(t *testing.T) {
+	conn := serveOnce(t, "HTTP/1.1 200 OK\r\n", "")
+	require.Eventually(t, func() bool { return socket.Peek(conn.Conn) == socket.Readable }, 10*time.Second, time.Millisecond)
+	late := time.Now().Add(-2 * maxHeadTime)
+	conn.head.limit(maxHeadBytes)
+	conn.head.begunAt = late
+	_, err := conn.head.Read(make([]byte, floodBytes))
+	require.NoError(t, err, "the bytes were there")
+	_, err = conn.head.Read(make([]byte, 1))
+	require.ErrorIs(t, err, ErrHeadTooSlow)
+	conn.head.limit(maxHeadBytes)
+	_, err = conn.head.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err, "each head has its own time")
+}
+
+// TestProtocolPrefix checks that bytes which begin no response are detected at the first wrong one.
+func TestProtocolPrefix(t *testing.T) {
+	for text, want := range map[string]error{
+		"x": ErrNoResponse, "HTTP/x": ErrNoResponse, "\r\n": ErrNoResponse, "HTTP/1.1": nil, "HTTP/1.0": nil, "HTTP/": io.EOF, "": io.EOF,
+	} {
+		require.Equal(t, want, awaitProtocol(bufio.NewReader(strings.NewReader(text))), "%q", text)
+	}
+}
