Test: other responses of a backup's server are whole KBs

Since bytes that are no response are no sign of life, a byte each 20 ms is none: TestFailureOfBackupIsForwarded failed in one of four runs, as its backup was given up. Its other responses now make progress as the code counts it; the check is the same.

--- a/gateway/silencewatch_test.go
+++ b/gateway/silencewatch_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"reflect"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -285,7 +286,7 @@
 		switch {
 		case r.Header.Get("X-Id") != "a":
 			for range 100 {
-				fmt.Fprint(w, "x")
+				fmt.Fprint(w, strings.Repeat("x", bodyProgressBytes))
 				_ = http.NewResponseController(w).Flush()
 				if !pause(r, 20*time.Millisecond) {
 					return
