The head of a body is no response that ends a wait

What callers saw: a request that may be repeated ended with 504 at its time limit of 4.0 s, with a sound server at hand, if the other one sent the head of a response and then a byte now and then: as the backup it replaced a sound server that paused for 2.5 s, and as the first it ended a backup that would have responded .6 s later. The attempts were then used up.

Cause: the head counted as the response, in both directions.

Change: a backup takes over with the whole body or its first KB, and what the first server sends ends a running backup only once it is an event, a KB of the body or its end. A refusal ends the wait as before.

Result: TestBegunBodyIsNoResponse was red in both cases (504 after 4.0 s), and is green (whole after 2.5 and 1.5 s).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -192,7 +192,7 @@
 	}
 	a.response, a.info = resp, a.x.front.dialect.ParseResponse(resp.StatusCode, resp.Header)
 	outcome := a.outcomeOfHead()
-	if a.handOver(outcome) {
+	if outcome != direct.Done && a.handOver(outcome) {
 		return startResult{}
 	}
 	switch {
@@ -202,10 +202,14 @@
 	case !a.isStream(resp) && !a.watch.isEnabled() && !a.canReplace(resp):
 		a.discard(resp)
 		return failedStart(direct.Failed)
+	case !a.isStream(resp) && !a.watch.isEnabled():
+		return a.awaitBody(resp)
 	case !a.isStream(resp):
 		return startResult{begun: true}
 	case !isForwardable(resp, a.info):
-		a.conn.Close()
+		if !a.handOver(direct.Broken) {
+			a.conn.Close()
+		}
 		return failedStart(direct.Broken)
 	}
 	a.events = &eventReader{reader: bufio.NewReaderSize(resp.Body, eventBufferBytes)}
@@ -217,6 +221,22 @@
 	return startResult{begun: true, event: event, err: err}
 }
 
+// awaitBody waits for the body of a backup's response, or for as much of it as counts as progress. A head
+// alone is no response that could replace a silent server.
+func (a *attempt) awaitBody(resp *http.Response) startResult {
+	body := bufio.NewReaderSize(resp.Body, bodyProgressBytes)
+	resp.Body = io.NopCloser(body)
+	a.watch.arm(a.bodyTimeout())
+	_, err := body.Peek(bodyProgressBytes)
+	if err != nil && err != io.EOF {
+		if !a.takenOver(err) {
+			a.conn.Close()
+		}
+		return failedStart(direct.Broken)
+	}
+	return startResult{begun: true}
+}
+
 // canReplace reports whether the response of a backup is worth more than a server that is silent: it
 // is a success, and not one that should have continued a stream.
 func (a *attempt) canReplace(resp *http.Response) bool {
--- a/gateway/silencewatch.go
+++ b/gateway/silencewatch.go
@@ -68,7 +68,8 @@
 	}
 }
 
-// arm starts the watch before a read from the server. A timeout of 0 sets no limit.
+// arm starts the watch before a read from the server, or goes on with it if the last read made no
+// progress. A timeout of 0 sets no limit, but a running backup goes on.
 func (w *silenceWatch) arm(timeout time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
