--- a/explain/summary.go
+++ b/explain/summary.go
@@ -13,7 +13,6 @@
 	"request_failed":      "failed and may have run",
 	"request_cut":         "was cut off after its response had started",
 	"request_caller_left": "ended because its caller disconnected",
-	"request_dropped":     "was dropped and has not run",
 	"handler_panicked":    "ended with a panic of its handler and may have run",
 	"backup_ended":        "went on at its server after a backup; its end is not in these logs",
 	"attempt_ended":       "continued after an attempt; its end is not in these logs",
@@ -42,7 +41,6 @@
 	"no_route":       "no route matched its host and path",
 	"unknown_key":    "its key belongs to no team",
 	"body":           "its body could not be read, or was too large",
-	"idle_close":     "it arrived on a connection that the router had just closed as idle",
 	"bad_header":     "one of its headers could not be read",
 }
 
