--- a/backend/conn.go
+++ b/backend/conn.go
@@ -98,7 +98,14 @@
 
 // CountProgress records that the server has sent a part of the response that can be used, such as an event
 // of a stream. The head counts by itself.
-func (c *Conn) CountProgress() { c.progress.record() }
+func (c *Conn) CountProgress() {
+	c.head.unfinished.Store(0)
+	c.progress.record()
+}
+
+// HasUnfinished reports whether bytes have come since the last progress that finish no part of a response.
+// A sound server sends them only for a moment; it may be called at any time.
+func (c *Conn) HasUnfinished() bool { return c.head.unfinished.Load() > 0 }
 
 // readHead reads the head of a response. It returns ErrHeadTooLarge for one beyond maxHeadBytes, and
 // ErrHeadTooSlow for one beyond maxHeadTime.
--- a/backend/head.go
+++ b/backend/head.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"math"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,8 @@
 	left    int64
 	limited bool
 	begunAt time.Time // when the first bytes came; zero: none has
+	// unfinished counts the bytes since the last whole part of a response.
+	unfinished atomic.Int64
 }
 
 // limit begins a head or a stale body of at most n bytes; unlimit ends it.
@@ -53,6 +56,7 @@
 	}
 	n, err := h.source.Read(p[:min(int64(len(p)), h.left)])
 	h.left -= int64(n)
+	h.unfinished.Add(int64(n))
 	if h.limited && n > 0 && h.begunAt.IsZero() {
 		h.begunAt = time.Now()
 	}
