--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -14,21 +12,8 @@
 	"github.com/croftvale/croftvale/gateway/traffic"
 )
 
-const (
-	// A backup of a stream is asked for after a pause of minStreamStall, or of
-	// streamStallPauseFactor times the route's longest pause if that is longer.
-	minStreamStall         = 800 * time.Millisecond
-	streamStallPauseFactor = 4
-	// stallObjectiveFactor times the objective is the time after which a backup is asked for
-	// of a repeatable request without a response. Streams use streamStallObjectiveFactor.
-	stallObjectiveFactor       = 0.6
-	streamStallObjectiveFactor = 3.0
-	// stallEstimateFactor is the shortest stall timeout, as a multiple of the estimated time
-	// to the first event.
-	stallEstimateFactor = 3
-	// minTimeLeft is the shortest remaining time for which a request is still sent.
-	minTimeLeft = 2 * time.Millisecond
-)
+// minTimeLeft is the shortest remaining time for which a request is still sent.
+const minTimeLeft = 2 * time.Millisecond
 
 // errTooLarge is returned for a body or a stream event that exceeds its size limit.
 var errTooLarge = errors.New("the body or event exceeds its size limit")
@@ -89,19 +74,6 @@
 	return a.proceed(a.start())
 }
 
-// startResult tells how the first part of an attempt has ended: the response has begun, or else the
-// attempt has ended with an outcome.
-type startResult struct {
-	begun   bool
-	outcome direct.Outcome // if the response has not begun
-	// event and err are the first result of reading the stream, if the response is one.
-	event event
-	err   error
-}
-
-// failedStart returns the result of an attempt that ended before its response began.
-func failedStart(o direct.Outcome) startResult { return startResult{outcome: o} }
-
 // start sends the request and reads the beginning of the response. It changes nothing of the exchange, so that a
 // backup can run beside the attempt that it backs up.
 func (a *attempt) start() startResult {
@@ -176,143 +148,6 @@
 	return CallInfo{TimeLeft: timeLeft, Server: a.cmd.Server.Name(), Team: a.x.team, AfterEvent: a.afterEvent}
 }
 
-// awaitResponse reads the header of the response and, if it is a stream, its first event.
-func (a *attempt) awaitResponse() startResult {
-	a.watch.arm(a.firstEventTimeout())
-	resp, err := a.conn.ReadResponse(a.x.r.Method, func(h *http.Response) bool {
-		info := a.x.front.dialect.ParseResponse(h.StatusCode, h.Header)
-		a.applyNotice(info)
-		return info.RequestID == a.x.info.ID
-	})
-	if err != nil {
-		if !a.takenOver(err) {
-			a.conn.Close()
-		}
-		return failedStart(direct.Broken)
-	}
-	a.response, a.info = resp, a.x.front.dialect.ParseResponse(resp.StatusCode, resp.Header)
-	outcome := a.outcomeOfHead()
-	if outcome != direct.Done && a.handOver(outcome) {
-		return startResult{}
-	}
-	switch {
-	case !outcome.MayHaveRun():
-		a.discard(resp)
-		return failedStart(outcome)
-	case !a.isStream(resp) && !a.watch.isEnabled() && !a.canReplace(resp):
-		a.discard(resp)
-		return failedStart(direct.Failed)
-	case !a.isStream(resp) && !a.watch.isEnabled():
-		return a.awaitBody(resp)
-	case !a.isStream(resp):
-		return startResult{begun: true}
-	case !isForwardable(resp, a.info):
-		if !a.handOver(direct.Broken) {
-			a.conn.Close()
-		}
-		return failedStart(direct.Broken)
-	}
-	a.events = &eventReader{reader: bufio.NewReaderSize(resp.Body, eventBufferBytes)}
-	event, err := a.nextEvent()
-	if err != nil && err != io.EOF {
-		a.conn.Close()
-		return failedStart(direct.Broken)
-	}
-	return startResult{begun: true, event: event, err: err}
-}
-
-// awaitBody waits for the body of a backup's response, or for as much of it as counts as progress. A head
-// alone is no response that could replace a silent server.
-func (a *attempt) awaitBody(resp *http.Response) startResult {
-	body := bufio.NewReaderSize(resp.Body, bodyProgressBytes)
-	resp.Body = io.NopCloser(body)
-	a.watch.arm(a.bodyTimeout())
-	_, err := body.Peek(bodyProgressBytes)
-	if err != nil && err != io.EOF {
-		if !a.takenOver(err) {
-			a.conn.Close()
-		}
-		return failedStart(direct.Broken)
-	}
-	return startResult{begun: true}
-}
-
-// canReplace reports whether the response of a backup is worth more than a server that is silent: it
-// is a success, and not one that should have continued a stream.
-func (a *attempt) canReplace(resp *http.Response) bool {
-	return a.afterEvent == "" && resp.StatusCode/100 != 5 && !claimsNotRun(resp.StatusCode) && isForwardable(resp, a.info)
-}
-
-// outcomeOfHead returns the outcome that the header of the response leads to: Elsewhere or NotRun if the
-// server did not run the request, Failed if it failed, and otherwise Done.
-func (a *attempt) outcomeOfHead() direct.Outcome {
-	switch {
-	case a.info.WrongServer:
-		return direct.Elsewhere
-	case a.info.NotRun && a.response.StatusCode != http.StatusBadRequest:
-		return direct.NotRun
-	case a.response.StatusCode/100 == 5:
-		return direct.Failed
-	}
-	return direct.Done
-}
-
-// takenOver resolves the race with a backup after a read that returned err, and reports whether the
-// backup has won.
-func (a *attempt) takenOver(err error) bool {
-	if err != nil && err != io.EOF {
-		return a.handOver(direct.Broken)
-	}
-	return a.handOver(direct.Done)
-}
-
-// handOver ends the wait for the server with an outcome, and reports whether a backup has taken over. Done
-// stands for a response that is worth reading on.
-func (a *attempt) handOver(o direct.Outcome) bool {
-	a.successor = a.watch.disarm(o)
-	return a.successor != nil
-}
-
-// applyNotice processes the server's notice in a response header, including that of a late
-// response to an earlier request.
-func (a *attempt) applyNotice(info ResponseInfo) {
-	if info.WrongServer {
-		return // the response comes from another server
-	}
-	if info.NoticeErr != nil {
-		a.x.front.log.UnreadableNotice(a.cmd.Server, info.NoticeErr)
-	}
-	if info.Notice.IsZero() {
-		return
-	}
-	a.notice = info.Notice
-	a.x.front.stats.ServerNotice(info.Notice)
-	a.x.front.core.Update(direct.NoticeMsg{Now: a.x.front.core.Now(), Server: a.cmd.Server.ID, Notice: info.Notice})
-}
-
-// firstEventTimeout returns how long the server may stay silent before its response until a backup is
-// asked for. It returns 0 if there is no limit.
-func (a *attempt) firstEventTimeout() time.Duration { return a.limitSilence(a.firstEventStall()) }
-
-// firstEventStall returns how long no response means that the server is slower than it should be.
-func (a *attempt) firstEventStall() time.Duration {
-	route := a.x.route
-	factor := stallObjectiveFactor
-	if route.Kind == direct.Stream {
-		factor = streamStallObjectiveFactor
-	}
-	return max(time.Duration(factor*float64(route.Objective)), stallEstimateFactor*a.cmd.PlacementBasis.Estimate)
-}
-
-// limitSilence returns a limit on the server's silence, or 0 if no other attempt is allowed or the
-// request's deadline comes first.
-func (a *attempt) limitSilence(timeout time.Duration) time.Duration {
-	if !a.x.route.MayRepeat() || a.x.route.Attempts < 2 || !a.x.front.core.disabled.Enabled(direct.StallTimeout) || timeout >= a.timeLeft() {
-		return 0
-	}
-	return timeout
-}
-
 // endWithoutResponse ends an attempt without a usable response. It also ends the request if
 // its caller has left or its deadline has passed.
 func (a *attempt) endWithoutResponse(o direct.Outcome) (direct.Outcome, bool) {
@@ -344,17 +179,6 @@
 	a.x.front.core.Update(direct.AttemptEndMsg{Now: a.x.front.core.Now(), ID: a.id, Outcome: o})
 }
 
-// discard drops a response of which only the header matters. Its connection can be used again if the
-// body is there already; waiting for more of it would hold the request.
-func (a *attempt) discard(resp *http.Response) {
-	_ = a.conn.SetReadDeadline(time.Now().Add(discardTimeout))
-	if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes)); err != nil || n == maxDiscardBytes {
-		a.conn.Close()
-		return
-	}
-	a.release()
-}
-
 // release returns the connection to the pool. It closes the connection instead if the
 // caller has left, since stopWatch then came too late: the watch may close the connection
 // at any time.
@@ -384,9 +208,3 @@
 	a.watch.stop()
 	a.cancel()
 }
-
-const (
-	// maxDiscardBytes and discardTimeout bound a body that is read only to reuse its connection.
-	maxDiscardBytes = 64 << 10
-	discardTimeout  = 20 * time.Millisecond
-)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"net/http"
 	"os"
@@ -10,14 +8,10 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/pressure"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
-
 // isStream reports whether a response is a stream of events.
 func (a *attempt) isStream(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusOK && a.x.route.Kind == direct.Stream &&
@@ -71,18 +65,6 @@
 	return event, err
 }
 
-// eventTimeout returns how long the server may stay silent before the next event until a backup is
-// asked for. It returns 0 if there is no limit.
-func (a *attempt) eventTimeout() time.Duration {
-	if !a.forwarding && a.afterEvent == "" {
-		return a.firstEventTimeout()
-	}
-	return a.limitSilence(max(minStreamStall, streamStallPauseFactor*a.x.route.Pause))
-}
-
-// eventBufferBytes is the size of the read buffer for a stream.
-const eventBufferBytes = 1 << 10
-
 // isNext reports whether an event is the next one of the stream, and records its id.
 func (a *attempt) isNext(event event) bool {
 	if !event.hasID {
@@ -149,77 +131,6 @@
 	return o, false
 }
 
-// event is one event of a stream, as the server wrote it.
-type event struct {
-	raw   []byte
-	id    int64
-	hasID bool
-}
-
-// eventReader reads whole events. Only an ID or data make an event: comments, unknown fields and blank
-// lines are forwarded with the event that follows. Otherwise a server could seem to make progress by
-// sending them without an end.
-type eventReader struct {
-	reader *bufio.Reader
-	buffer []byte
-	begun  bool // an event has been read
-}
-
-var (
-	idField   = []byte("id:")
-	dataField = []byte("data:")
-)
-
-// isContent reports whether a line makes an event of the lines around it.
-func isContent(line []byte) bool {
-	return bytes.HasPrefix(line, idField) || bytes.HasPrefix(line, dataField)
-}
-
-// hasNext reports whether another whole event can be read without waiting.
-func (e *eventReader) hasNext() bool {
-	buffered, err := e.reader.Peek(e.reader.Buffered())
-	if err != nil {
-		return false
-	}
-	hasContent := false
-	for line := range bytes.Lines(buffered) {
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 && hasContent {
-			return true
-		}
-		hasContent = hasContent || isContent(text)
-	}
-	return false
-}
-
-// next returns the next whole event, valid until the next call. It returns io.EOF if the
-// stream ends between two events.
-func (e *eventReader) next() (event, error) {
-	e.buffer = e.buffer[:0]
-	var out event
-	hasContent := false
-	betweenEvents := true // the last line was blank, or there was none
-	for {
-		line, err := e.readLine()
-		if err == io.EOF {
-			return e.end(betweenEvents && len(line) == 0)
-		}
-		if err != nil {
-			return event{}, err
-		}
-		betweenEvents = len(line) == 0
-		if betweenEvents && hasContent {
-			out.raw, e.begun = e.buffer, true
-			return out, nil
-		}
-		hasContent = hasContent || isContent(line)
-		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			id, err := strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64)
-			out.id, out.hasID = id, err == nil
-		}
-	}
-}
-
 // end returns the result at the end of a stream: what follows the last event, if anything does, and
 // io.EOF afterwards.
 func (e *eventReader) end(betweenEvents bool) (event, error) {
@@ -232,21 +143,4 @@
 	return event{}, io.EOF
 }
 
-// readLine appends a line to the buffer and returns it without its end. A line may be longer than the
-// reader's buffer.
-func (e *eventReader) readLine() ([]byte, error) {
-	start := len(e.buffer)
-	for {
-		part, err := e.reader.ReadSlice('\n')
-		e.buffer = append(e.buffer, part...)
-		switch {
-		case len(e.buffer) > maxEventBytes:
-			return nil, errTooLarge
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		}
-		return bytes.TrimRight(e.buffer[start:], "\r\n"), err
-	}
-}
-
 func formatID(id int64) string { return strconv.FormatInt(id, 10) }
