A visit to a spare server is no attempt, whatever becomes of it

Found by a second reader, each with a test that failed before and passes now:

- A request could run at more servers than max_attempts: sending it to a server at which a backup had been canceled added no attempt, but a decline there took one off (TestDeclinedRetryAtSpareServerIsNoFurtherServer).
- A first server's late decline used up an attempt where its backup took over (TestDeclinedAttemptBehindBackupCountsForNothing).
- A backup that reached no server spent a retry of the budget (TestUnsentBackupSpendsNoRetry).
- The last resort of a backup could be a server that was silent itself (TestBackupAvoidsSilentServerAsLastResort).

--- a/direct/backup.go
+++ b/direct/backup.go
@@ -89,7 +89,9 @@
 
 // recordVisit records that a request is sent to a server.
 func (r *requestState) recordVisit(id string) {
-	if i := slices.Index(r.spareServers, id); i >= 0 {
+	i := slices.Index(r.spareServers, id)
+	r.countedVisit = i < 0
+	if i >= 0 {
 		r.spareServers = slices.Delete(r.spareServers, i, i+1)
 	} else {
 		r.attempt++
@@ -114,6 +116,9 @@
 	replaced.charged = false
 	if !msg.Outcome.MayHaveRun() {
 		backup.mayHaveRun = replaced.mayHaveRun
+		if replaced.mayHaveRun && replaced.countedVisit {
+			backup.attempt-- // as in a retry that was declined
+		}
 	}
 	m.endAttempt(AttemptEndMsg{Now: msg.Now, ID: replaced.ID, Outcome: msg.Outcome, RouterLate: msg.RouterLate})
 }
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -33,6 +33,9 @@
 	if r.backupOf != nil {
 		r.backupOf.recordBackupEnd(r, s, msg.Outcome)
 		msg.Retry = false
+		if msg.Outcome == Unsent || msg.Outcome == Withheld {
+			p.retryWindow.giveBack()
+		}
 	}
 	m.refund(msg.Now, r, msg.Outcome)
 	aborted := r.aborted
@@ -110,7 +113,9 @@
 func (m *Machine) retry(now time.Duration, p *pool, r *requestState, o Outcome) {
 	switch o {
 	case Unsent, Withheld:
-		r.attempt--
+		if r.countedVisit {
+			r.attempt--
+		}
 		r.unsentAttempts++
 		if r.unsentAttempts >= maxUnsentAttempts {
 			m.giveUp(now, p, r, ReasonNoServers)
@@ -119,7 +124,7 @@
 		m.enqueue(now, p, r)
 		return
 	case NotRun, Elsewhere:
-		if r.mayHaveRun {
+		if r.mayHaveRun && r.countedVisit {
 			r.attempt-- // a retry that did not run: other servers may still have a slot
 		}
 	default:
--- a/direct/place.go
+++ b/direct/place.go
@@ -121,7 +121,7 @@
 	begun := r.Version != ""
 	var best *server
 	for _, s := range p.sideServers(r) {
-		if !r.allows(s) || begun && !r.maySendTo(s.ID) {
+		if !r.allows(s) || begun && !r.maySendTo(s.ID) || r.backupOf != nil && s.seemsSilent(now) {
 			continue
 		}
 		ejected := begun && !s.leaving && now < s.ejectedUntil
--- a/direct/requeststate.go
+++ b/direct/requeststate.go
@@ -15,6 +15,7 @@
 	unsentAttempts int
 	mayHaveRun     bool // an attempt may have run
 	triedServers   []string
+	countedVisit   bool     // the last send counts as an attempt
 	spareServers   []string // at which a backup was canceled
 	currentServer  *server
 	backupOf       *requestState // the request that this attempt backs up; nil: it is the request itself
--- a/direct/retrywindow.go
+++ b/direct/retrywindow.go
@@ -67,3 +67,10 @@
 	allowed := retryBudgetMargin * (o.Ratio*float64(requests) + o.Slack/float64(max(routers, 1)))
 	return float64(retries)+1 <= allowed
 }
+
+// giveBack returns a retry that was spent a moment ago and reached no server.
+func (w *retryWindow) giveBack() {
+	if i := w.newest % retryBuckets; w.retries[i] > 0 {
+		w.retries[i]--
+	}
+}
