A first server that closes its connection leaves the backup at work

Found by a second reader, each with a test that failed before and passes now:

- A clean close, or a stream without events, of the silent server canceled the backup that was about to respond; with the retry budget spent the caller got 502 (TestClosedConnectionLeavesBackup, TestEmptyStreamLeavesBackup).
- A backup took over up to 20 ms after its server had declined, while the rest of the refusal was read: the stream was cut (TestDeclinedBackupDoesNotTake- Over).
- A panic beside a backup left its connection open, so that its server worked on (TestPanicOfBackupEndsItsAttempt).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,6 +46,8 @@
 	connRefused bool // the server's host refused the connection
 	dialOverdue bool // this process ran too late to connect
 	unframed    bool // the response ended with its connection
+	// declined is set as soon as the server says that it did not run the request.
+	declined atomic.Bool
 }
 
 // newAttempt returns an attempt at the server that the machine has chosen. cancel ends ctx.
--- a/gateway/backup.go
+++ b/gateway/backup.go
@@ -67,6 +67,7 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			w.primary.x.front.recordPanic(w.primary.x.r, cause)
+			b.attempt.closeConn()
 			result = failedStart(direct.Broken)
 		}
 	}()
--- /dev/null
+++ b/gateway/backup_test.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/stretchr/testify/require"
+)
+
+// TestClosedConnectionLeavesBackup guards against a backup that is canceled since the silent server has closed its
+// connection without a response: the backup's server is at work on the request.
+func TestClosedConnectionLeavesBackup(t *testing.T) {
+	for _, reset := range []bool{true, false} {
+		t.Run(fmt.Sprint("reset=", reset), func(t *testing.T) {
+			var o order
+			f := newSilenceFront(t, 2, func(*direct.Route) {}, func(i int, w http.ResponseWriter, r *http.Request) {
+				if o.role(r.Header.Get("X-Id"), i) == 0 {
+					pause(r, 500*time.Millisecond) // 200 ms after the backup was sent
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						return
+					}
+					if reset {
+						_ = conn.(interface{ SetLinger(int) error }).SetLinger(0)
+					}
+					conn.Close()
+					return
+				}
+				pause(r, 280*time.Millisecond)
+				fmt.Fprint(w, "ok")
+			})
+			f.core.Update(direct.RetryBudgetMsg{RetryBudget: direct.RetryBudgetOptions{Slack: 1.3, Window: 10 * time.Second}}) // one retry
+			got, body, err := f.get(t.Context(), "a")
+			require.NoError(t, err)
+			n := f.servers[0].requests.Load() + f.servers[1].requests.Load()
+			require.Equal(t, http.StatusOK, got, "%s; %d sends", body, n)
+			require.EqualValues(t, 2, n)
+		})
+	}
+}
+
+// TestDeclinedBackupDoesNotTakeOver guards against a backup that takes over while the body of its refusal is
+// thrown away.
+func TestDeclinedBackupDoesNotTakeOver(t *testing.T) {
+	for _, ms := range []int{100, 200, 250, 270, 275, 281, 287, 293} {
+		t.Run(fmt.Sprint(ms), func(t *testing.T) {
+			t.Parallel()
+			var o order
+			f := newSilenceFront(t, 2, isStreamRoute, func(i int, w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X-Id") != "a" {
+					startStream(w)
+					for n := 1; n < 70; n++ {
+						sendEvents(w, n, n)
+						if !pause(r, 30*time.Millisecond) {
+							return
+						}
+					}
+					return
+				}
+				if o.role("a", i) == 0 {
+					startStream(w)
+					sendEvents(w, 1, 2)
+					if pause(r, 1700*time.Millisecond) {
+						sendEvents(w, 3, 4)
+					}
+					return
+				}
+				pause(r, time.Duration(ms)*time.Millisecond)
+				w.Header().Set("X-Not-Run", "1")
+				w.Header().Set("Content-Length", "5")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_ = http.NewResponseController(w).Flush()
+				pause(r, 200*time.Millisecond)
+				fmt.Fprint(w, "later")
+			})
+			for n := range 8 {
+				go func() { _, _, _ = f.get(t.Context(), fmt.Sprint("other-", n)) }()
+			}
+			time.Sleep(100 * time.Millisecond)
+			_, body, err := f.get(t.Context(), "a")
+			require.NoError(t, err, body)
+			require.Equal(t, wholeStream(4), body)
+		})
+	}
+}
+
+// TestPanicOfBackupEndsItsAttempt guards against a server that goes on with a backup that has ended in a panic.
+func TestPanicOfBackupEndsItsAttempt(t *testing.T) {
+	var o order
+	f := newSilenceFront(t, 2, func(*direct.Route) {}, func(i int, w http.ResponseWriter, r *http.Request) {
+		if o.role(r.Header.Get("X-Id"), i) == 0 {
+			pause(r, 2*time.Second)
+			fmt.Fprint(w, "ok")
+			return
+		}
+		w.Header().Set("X-Panic", "1")
+		_ = http.NewResponseController(w).Flush()
+		pause(r, 8*time.Second)
+	})
+	f.dialect = panickingDialect{}
+	time.AfterFunc(1200*time.Millisecond, func() {
+		t.Logf("after 1.2 s (the backups panicked from 0.3 s on): %d and %d running", f.servers[0].running.Load(), f.servers[1].running.Load())
+	})
+	status, body, err := f.get(t.Context(), "a")
+	require.NoError(t, err)
+	time.Sleep(600 * time.Millisecond)
+	require.Zero(t, f.servers[0].running.Load()+f.servers[1].running.Load(), "%d %s", status, body)
+}
+
+// TestEmptyStreamLeavesBackup guards against a backup that is canceled since the silent server has ended its stream
+// without an event.
+func TestEmptyStreamLeavesBackup(t *testing.T) {
+	var o order
+	f := newSilenceFront(t, 2, isStreamRoute, func(i int, w http.ResponseWriter, r *http.Request) {
+		startStream(w)
+		_ = http.NewResponseController(w).Flush()
+		if o.role(r.Header.Get("X-Id"), i) == 0 {
+			pause(r, 1700*time.Millisecond) // 200 ms after the backup was sent
+			return
+		}
+		pause(r, 280*time.Millisecond)
+		sendEvents(w, 1, 4)
+	})
+	f.core.Update(direct.RetryBudgetMsg{RetryBudget: direct.RetryBudgetOptions{Slack: 1.3, Window: 10 * time.Second}}) // one retry
+	status, body, err := f.get(t.Context(), "a")
+	n := f.servers[0].requests.Load() + f.servers[1].requests.Load()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status, "%s; %d sends", body, n)
+	require.Equal(t, wholeStream(4), body)
+}
--- a/gateway/overlap.go
+++ b/gateway/overlap.go
@@ -45,7 +45,7 @@
 // endOverlap decides which of two servers keeps the request if neither has responded. If other responses
 // have arrived, only the first server is silent, and the backup takes over: its server has not declined the
 // request. If none has, the backup's server is silent too, and the backup is given up. So it is if its server
-// has sent bytes that are no whole part of a response.
+// has sent bytes that are no whole part of a response, or has declined.
 func (w *silenceWatch) endOverlap(b *backup) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -53,7 +53,7 @@
 	case !w.isRunning(b):
 	case socket.Peek(w.primary.conn.Conn) == socket.Readable: // the first server may be responding
 		time.AfterFunc(overlapCheckInterval, func() { w.endOverlap(b) })
-	case b.heard && !b.attempt.conn.HasUnfinished():
+	case b.heard && !b.attempt.declined.Load() && !b.attempt.conn.HasUnfinished():
 		w.takeOver(direct.Hung)
 	default:
 		b.cancel()
--- a/gateway/responsestart.go
+++ b/gateway/responsestart.go
@@ -37,7 +37,7 @@
 		return info.RequestID == a.x.info.ID
 	})
 	if err != nil {
-		if !a.takenOver(err) {
+		if !a.handOver(direct.Broken) {
 			a.conn.Close()
 		}
 		return failedStart(direct.Broken)
@@ -49,6 +49,7 @@
 	}
 	switch {
 	case !outcome.MayHaveRun():
+		a.declined.Store(true)
 		a.discard(resp)
 		return failedStart(outcome)
 	case !a.isStream(resp) && !a.watch.isEnabled() && !a.canReplace(resp):
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,6 +53,9 @@
 	if err == nil {
 		a.conn.CountProgress()
 	}
+	if err == io.EOF && a.afterEvent == "" && !a.forwarding {
+		err = io.ErrUnexpectedEOF // a stream without an event is no response
+	}
 	if a.takenOver(err) {
 		return event, err
 	}
