Logs: whether a server is the start that its entry names

Nothing in the logs told a stream that goes on properly from one that goes on at a server which has restarted under its name as another version. A router now asks a server for its report, once on each connection that carries a stream which others may continue, and compares the start that it tells (born) with that of the entry. A difference is logged (other_start, with whether the stream had begun), counted (server_incarnations) and stands in the lines of requests (incarnation).

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -32,6 +32,8 @@
 	idleUntil time.Time
 	response  *http.Response
 	sent      bool
+	reused    bool // it has served a request before
+	start     serverStart
 	progress  *progressTime // of the server, shared by its connections
 }
 
@@ -129,13 +131,13 @@
 // Release returns the connection to the pool after the response was read to its end. It
 // closes the connection if unread bytes remain or the server asked to close it.
 func (c *Conn) Release() {
-	if c.response == nil || c.response.Close || c.reader.Buffered() > 0 {
+	response := c.response
+	if c.EndExchange() != nil {
 		c.Close()
 		return
 	}
-	c.idleUntil = time.Now().Add(idleTimeout(c.response.Header.Get("Keep-Alive")))
-	c.response = nil
-	c.sent = false
+	c.idleUntil = time.Now().Add(idleTimeout(response.Header.Get("Keep-Alive")))
+	c.reused = true
 	if c.SetDeadline(time.Time{}) != nil {
 		c.Close()
 		return
--- a/direct/commands.go
+++ b/direct/commands.go
@@ -134,12 +134,13 @@
 
 // Values of Status.
 const (
-	StatusListed   Status = "listed"
-	StatusGone     Status = "gone"
-	StatusLapsed   Status = "lapsed" // its entry vanished together with many others; still used for a short time
-	StatusDraining Status = "draining"
-	StatusBackoff  Status = "backoff" // asked to get no requests for some time
-	StatusEjected  Status = "ejected"
-	StatusRestored Status = "back"
-	StatusCold     Status = "cold" // takes only a limited request rate for some time
+	StatusListed    Status = "listed"
+	StatusGone      Status = "gone"
+	StatusLapsed    Status = "lapsed" // its entry vanished together with many others; still used for a short time
+	StatusDraining  Status = "draining"
+	StatusBackoff   Status = "backoff" // asked to get no requests for some time
+	StatusEjected   Status = "ejected"
+	StatusRestored  Status = "back"
+	StatusRestarted Status = "restarted" // its process is newer than its entry, so its version is unknown
+	StatusCold      Status = "cold"      // takes only a limited request rate for some time
 )
--- a/direct/config.go
+++ b/direct/config.go
@@ -130,6 +130,40 @@
 	return name
 }
 
+// Incarnation tells whether a connection leads to the start of a server that its entry names.
+type Incarnation uint8
+
+// Values of Incarnation.
+const (
+	UnknownIncarnation Incarnation = iota // the server or its entry doesn't tell
+	SameIncarnation
+	OtherIncarnation
+)
+
+// String names the value, for logs and metrics.
+func (i Incarnation) String() string {
+	switch i {
+	case SameIncarnation:
+		return "same"
+	case OtherIncarnation:
+		return "other"
+	}
+	return "unknown"
+}
+
+// MatchStart compares the start that a server itself has told, as Unix time in milliseconds, with that of
+// its entry. Clocks of hosts may be wrong, so neither of two starts counts as the later one.
+func (s *Server) MatchStart(millis int64) Incarnation {
+	_, started, ok := strings.Cut(s.ID, incarnationSeparator)
+	switch {
+	case !ok:
+		return UnknownIncarnation
+	case started == strconv.FormatInt(millis, 10):
+		return SameIncarnation
+	}
+	return OtherIncarnation
+}
+
 // Directory is the list of servers at one revision of its source.
 type Directory struct {
 	Revision uint64
--- /dev/null
+++ b/direct/incarnation.go
@@ -0,0 +1,19 @@
+package direct
+
+// recordIncarnation records to which start of its server the connection of an attempt leads.
+func (m *Machine) recordIncarnation(msg IncarnationMsg) {
+	r := m.requests[msg.ID]
+	if r == nil || r.currentServer == nil {
+		return
+	}
+	r.incarnation = msg.Incarnation
+	s := r.currentServer
+	switch {
+	case !msg.NewConn:
+	case msg.Incarnation == OtherIncarnation && !s.restarted:
+		s.restarted = true
+		m.emit(ServerStatusCmd{Server: s.Server, Status: StatusRestarted, Cause: "said so itself"})
+	case msg.Incarnation == SameIncarnation:
+		s.restarted = false
+	}
+}
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -138,6 +138,8 @@
 		team.admitted.add(msg.Now, cost)
 	case FirstEventMsg:
 		m.handleFirstEvent(msg)
+	case IncarnationMsg:
+		m.recordIncarnation(msg)
 	case BackupMsg:
 		m.startBackup(msg)
 	case TakeOverMsg:
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -87,6 +87,15 @@
 	Streaming bool
 }
 
+// IncarnationMsg reports whether the connection of an attempt leads to the start of the server that its
+// entry names.
+type IncarnationMsg struct {
+	Now         time.Duration
+	ID          RequestID
+	Incarnation Incarnation
+	NewConn     bool // the connection is new, so it leads to the process that accepts connections now
+}
+
 // NoticeMsg delivers the notice that a server has put into a response. The router sends it
 // before it forwards the response.
 type NoticeMsg struct {
@@ -179,6 +188,7 @@
 func (AdmissionCheckMsg) isMsg() {}
 func (ShedMsg) isMsg()           {}
 func (FirstEventMsg) isMsg()     {}
+func (IncarnationMsg) isMsg()    {}
 func (AttemptEndMsg) isMsg()     {}
 func (NoticeMsg) isMsg()         {}
 func (ProbeResultMsg) isMsg()    {}
--- a/direct/requeststate.go
+++ b/direct/requeststate.go
@@ -18,6 +18,7 @@
 	countedVisit   bool     // the last send counts as an attempt
 	spareServers   []string // at which a backup was canceled
 	currentServer  *server
+	incarnation    Incarnation   // of currentServer that this attempt's connection leads to
 	backupOf       *requestState // the request that this attempt backs up; nil: it is the request itself
 	sentAt         time.Duration
 	pendingTokens  int           // that the server has yet to read for it
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -12,6 +12,7 @@
 	r.currentServer = s
 	r.sentAt = now
 	r.firstEventAt = 0
+	r.incarnation = UnknownIncarnation
 	r.survived, r.cleared = false, false
 	r.recordVisit(s.ID)
 	basis := PlacementBasis{
--- a/direct/server.go
+++ b/direct/server.go
@@ -47,6 +47,7 @@
 
 	listedAt      time.Duration // when it was first listed, or last listed again after draining
 	respondedAt   time.Duration // of the last response to this router
+	restarted     bool          // its process is another one than its entry names
 	target        bool          // runs the version that is rolled out
 	versionBarred bool          // its version gets no requests at present
 	soleOfVersion bool          // no other available server has its version, though others have more
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -16,6 +16,9 @@
 // minTimeLeft is the shortest remaining time for which a request is still sent.
 const minTimeLeft = 2 * time.Millisecond
 
+// errWithheld is the error of an attempt that was not sent, as it was withdrawn before.
+var errWithheld = errors.New("the request was withdrawn before it was sent")
+
 // errTooLarge is returned for a body or a stream event that exceeds its size limit.
 var errTooLarge = errors.New("the body or event exceeds its size limit")
 
@@ -34,7 +37,9 @@
 	// afterEvent is the id of the last event that the caller got from other servers; empty: none.
 	afterEvent string
 	notice     direct.Notice // sent by the server
-	watch      silenceWatch
+	// incarnation tells whether conn leads to the start of the server that its entry names.
+	incarnation direct.Incarnation
+	watch       silenceWatch
 	// successor is the backup that has taken over; nil: none has.
 	successor *backup
 
@@ -109,24 +114,22 @@
 
 // send sends the request. If it fails, it returns the outcome of the attempt and false.
 func (a *attempt) send() (direct.Outcome, bool) {
-	conn, err := a.x.front.pool.Get(a.ctx, a.cmd.Server.Address)
-	if err != nil {
-		a.connRefused = errors.Is(err, syscall.ECONNREFUSED)
-		a.dialOverdue = errors.Is(err, backend.ErrRouterLate)
-		return direct.Unsent, false
+	if outcome, connected := a.connect(); !connected {
+		return outcome, false
 	}
+	conn := a.conn
 	if !a.x.front.core.beginAttempt(a.id, func() { conn.Close() }) {
+		if a.takenOver(errWithheld) {
+			return direct.Hung, false
+		}
 		conn.Close()
 		return direct.Withheld, false
 	}
-	a.conn = conn
-	a.stopWatch = context.AfterFunc(a.ctx, func() { conn.Close() })
 	timeLeft := a.timeLeft()
-	_ = conn.SetDeadline(time.Now().Add(timeLeft)) // here and below: it fails on a closed connection, whose next use returns the error
 	a.path = a.x.front.pathTo(a.cmd)
 	a.countBytes(len(a.x.body))
 	a.watch.arm(a.firstEventTimeout())
-	err = conn.Send(&backend.Request{
+	err := conn.Send(&backend.Request{
 		Method: a.x.r.Method,
 		Target: a.x.r.RequestURI,
 		Host:   a.x.r.Host,
@@ -146,6 +149,35 @@
 	return direct.Broken, false
 }
 
+// connect opens a connection to the server, or takes one from the pool, and finds out to which start of the
+// server it leads if that matters. If it fails, it returns the outcome of the attempt and false.
+func (a *attempt) connect() (direct.Outcome, bool) {
+	for tries := 1; ; tries++ {
+		conn, err := a.getConn()
+		if err != nil {
+			a.connRefused = errors.Is(err, syscall.ECONNREFUSED)
+			a.dialOverdue = errors.Is(err, backend.ErrRouterLate)
+			return direct.Unsent, false
+		}
+		reused := conn.IsReused()
+		a.conn = conn
+		a.stopWatch = context.AfterFunc(a.ctx, func() { conn.Close() })
+		_ = conn.SetDeadline(time.Now().Add(a.timeLeft())) // here and below: it fails on a closed connection, whose next use returns the error
+		err = a.identify(conn)
+		if err == nil {
+			return 0, true
+		}
+		if a.takenOver(err) {
+			return direct.Hung, false
+		}
+		conn.Close()
+		if a.hasEnded() || !reused && (tries == maxIdentifyTries || !errors.Is(err, backend.ErrClosing)) {
+			return direct.Unsent, false
+		}
+		a.stopWatch()
+	}
+}
+
 // callInfo returns what is sent to the server along with the request.
 func (a *attempt) callInfo(timeLeft time.Duration) CallInfo {
 	return CallInfo{TimeLeft: timeLeft, Server: a.cmd.Server.Name(), Team: a.x.team, AfterEvent: a.afterEvent}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -62,6 +62,11 @@
 	// SetRetryAfter sets the header with the time after which a refused caller should
 	// retry.
 	SetRetryAfter(h http.Header, after time.Duration)
+	// ReportPath returns the path at which a server tells its own state; empty: servers don't.
+	ReportPath() string
+	// ParseReport returns the start of a server, as Unix time in milliseconds, from its report. It
+	// returns false if the report doesn't tell it.
+	ParseReport(body []byte) (startMillis int64, ok bool)
 	// ReadyPath returns the path of the balancer's readiness check.
 	ReadyPath() string
 }
--- a/gateway/fakeserver_test.go
+++ b/gateway/fakeserver_test.go
@@ -41,6 +41,10 @@
 	return ResponseInfo{RequestID: h.Get("X-Id"), NotRun: h.Get("X-Not-Run") != "", Signed: true}
 }
 
+func (silenceDialect) ReportPath() string { return "" }
+
+func (silenceDialect) ParseReport([]byte) (int64, bool) { return 0, false }
+
 func (silenceDialect) SetRetryAfter(http.Header, time.Duration) {}
 func (silenceDialect) ReadyPath() string                        { return "/ready" }
 
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/eventlog"
 	"github.com/phuslu/log"
@@ -34,6 +35,17 @@
 	}
 }
 
+// logOtherStart logs that the server has another start than its entry names, so that its version is not
+// known. begun tells whether the request needs the version that began its stream.
+func (a *attempt) logOtherStart(conn *backend.Conn) {
+	if a.x.front.log.AllowFailure() {
+		started, _ := conn.ServerStart()
+		a.x.front.log.Event("other_start").Str("request", a.x.info.ID).Str("server", a.cmd.Server.ID).Int64("started", started).
+			Str("version", a.cmd.Server.Version).Bool("begun", a.x.needsVersion()).Bool("new_conn", !conn.IsReused()).
+			Uint64("servers", a.x.front.feeds.Servers.Revision()).Msg("")
+	}
+}
+
 // logBackup logs a backup that has ended without taking over.
 func (f *front) logBackup(a *attempt, o direct.Outcome) {
 	if f.log.AllowFailure() {
@@ -87,6 +99,9 @@
 	if a.notice.Leaving {
 		e.Bool("server_leaving", true)
 	}
+	if a.incarnation != direct.UnknownIncarnation {
+		e.Str("incarnation", a.incarnation.String())
+	}
 	if a.notice.Backoff > 0 {
 		e.Dur("server_backoff", a.notice.Backoff)
 	}
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -74,6 +74,11 @@
 	s.serverTime.RecordDuration(took)
 }
 
+// ServerIdentified counts a comparison of a server's own start with that of its entry.
+func (s *Stats) ServerIdentified(i direct.Incarnation) {
+	s.counter(counterKey{"server_incarnations", "", i.String()}).Inc(1)
+}
+
 // TaskPanicked counts a panic of a background task that was restarted.
 func (s *Stats) TaskPanicked(name string) { s.counter(counterKey{"task_panics", "", name}).Inc(1) }
 
