A server that has restarted since its entry continues no stream

What callers saw: a stream of 200 whose first events come from one version and the rest from another (ORDER). Servers that restart in place, under their name and at their address, with another version, got what the version before began, for as long as their entries were older than their processes.

Cause: the version of the entry was taken for that of the process, after evidence that it may have ended. Change: a stream that has begun is sent only on a connection whose server has told, on that connection, the start that its entry names; a connection leads to one process for as long as it lasts. Otherwise it is withheld, and goes to another server or is refused as 'version'. No time limit is involved: a server that only lost its connections tells the same start at once and goes on being used. New requests still go to a restarted server. Servers that don't tell their start are taken at their entries' word, as before.

--- a/direct/incarnation.go
+++ b/direct/incarnation.go
@@ -17,3 +17,9 @@
 		s.restarted = false
 	}
 }
+
+// startsElsewhere reports whether the request needs a version that the process at the other end of its
+// connection may not run.
+func (r *requestState) startsElsewhere() bool {
+	return r.Version != "" && r.incarnation == OtherIncarnation
+}
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -54,15 +54,16 @@
 func (s *server) inBackoff(now time.Duration) bool { return now < s.notices.backoffUntil }
 
 // ShouldWithhold reports whether a placed request must not be sent any more because a part of its
-// prompt was barred, or because its server has since announced a backoff or that it is leaving. A
-// router that runs late may have placed many requests by then.
+// prompt was barred, because its server has since announced a backoff or that it is leaving, or because the
+// server may run another version than the request needs. A router that runs late may have placed many
+// requests by then.
 func (m *Machine) ShouldWithhold(now time.Duration, id RequestID) bool {
 	r := m.requests[id]
 	if r == nil || r.currentServer == nil {
 		return false
 	}
 	s := r.currentServer
-	return r.aborted || s.inBackoff(now) || (s.notices.leaving && s.notices.leavingAt > r.sentAt)
+	return r.aborted || r.startsElsewhere() || s.inBackoff(now) || (s.notices.leaving && s.notices.leavingAt > r.sentAt)
 }
 
 // shortestBackoff returns the shortest remaining backoff of the servers that would otherwise
