A server listed with another start is gone, and does not lapse

What callers saw: requests sent to servers whose entries already named a newer start, for up to 1.2 s, and streams of the former version continued there. Cause: entries that vanish together count as lost by the store, and their servers stay in use; the former start of a name that is listed with a new one was taken for such a server. Each start has an ID of its own, so a restart of many looks like a mass lapse. Change: a server whose name is listed with another start is dropped at once, and counts in no mass lapse. TestRestartedServersDoNotLapse and TestRestartedServersAreNoMassLapse failed before and pass.

--- a/direct/incarnation_test.go
+++ b/direct/incarnation_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -64,3 +65,48 @@
 	h.reach(next.ID, SameIncarnation, true)
 	require.False(t, h.m.ShouldWithhold(h.now, next.ID))
 }
+
+// startsDirectory returns servers n-0, n-1 and so on, each at a start.
+func startsDirectory(revision uint64, version string, starts ...int) Directory {
+	d := Directory{Revision: revision}
+	for i, start := range starts {
+		id := fmt.Sprintf("n-%d@%d", i, start)
+		d.Servers = append(d.Servers, Server{ID: id, Service: "llm", Zone: "a", Version: version, Slots: 48})
+	}
+	return d
+}
+
+// TestRestartedServersDoNotLapse guards against servers whose former starts stay in use for some time, as
+// if their entries had been lost, though their names are listed with new ones.
+func TestRestartedServersDoNotLapse(t *testing.T) {
+	h := newHarness(t, 0)
+	h.list(startsDirectory(2, "v1", 1, 1, 1, 1))
+	resumed := h.request("red")
+	resumed.Version = "v1"
+	for _, c := range h.list(startsDirectory(3, "v2", 2, 2, 2, 2)) {
+		if c, ok := c.(ServerStatusCmd); ok {
+			require.NotEqual(t, StatusLapsed, c.Status, c.Server.ID)
+		}
+	}
+	refused, ok := findCmd[RefuseCmd](h.arrive(resumed))
+	require.True(t, ok)
+	require.Equal(t, ReasonVersion, refused.Reason)
+	for range 20 {
+		require.Contains(t, h.sent(h.arrive(h.request("red"))), "@2")
+	}
+}
+
+// TestRestartedServersAreNoMassLapse verifies that servers which have restarted don't count among those
+// whose entries vanished at once.
+func TestRestartedServersAreNoMassLapse(t *testing.T) {
+	h := newHarness(t, 0)
+	h.list(startsDirectory(2, "v1", 1, 1, 1, 1, 1, 1, 1, 1))
+	cmds := h.list(startsDirectory(3, "v1", 2, 2, 2, 2, 2, 1, 1))
+	gone := 0
+	for _, c := range cmds {
+		if c, ok := c.(ServerStatusCmd); ok && c.Status == StatusGone {
+			gone++
+		}
+	}
+	require.Equal(t, 6, gone, "five restarts, and n-7 by itself")
+}
--- a/direct/lapse.go
+++ b/direct/lapse.go
@@ -1,15 +1,21 @@
 package direct
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // dropUnlisted removes the servers that a newer list no longer contains. If many servers of a
 // service disappear at once, their entries have expired while the source was unavailable: they
 // have lapsed. Servers that are still alive are listed again within moments, so lapsed servers
 // are used a little longer and removed only if they are not listed again.
-func (m *Machine) dropUnlisted(now time.Duration, listed map[string]bool) {
+//
+// A server whose name is listed with another start has restarted: its former process has ended.
+func (m *Machine) dropUnlisted(now time.Duration, listed, names map[string]bool) {
 	for _, name := range m.poolNames() {
 		p := m.pools[name]
 		unlisted := p.newlyUnlisted(listed)
+		unlisted = m.dropRestarted(now, unlisted, names)
 		admitted := countAdmitted(unlisted)
 		lapsed := m.enabled(LapseGrace) && admitted >= minMassLapse && float64(admitted) >= massLapseFraction*float64(p.countPresent())
 		for _, s := range unlisted {
@@ -24,6 +30,18 @@
 	}
 }
 
+// dropRestarted removes the servers whose names are listed with another start, and returns the others.
+func (m *Machine) dropRestarted(now time.Duration, unlisted []*server, names map[string]bool) []*server {
+	return slices.DeleteFunc(unlisted, func(s *server) bool {
+		if !names[s.Name()] {
+			return false
+		}
+		s.restarted = true
+		m.dropServer(now, s, "listed with another start")
+		return true
+	})
+}
+
 // dropLapsed removes the servers whose entries have lapsed and were not listed again.
 func (m *Machine) dropLapsed(now time.Duration) {
 	dropped := false
--- a/direct/listing.go
+++ b/direct/listing.go
@@ -14,14 +14,15 @@
 	}
 	m.serversRevision = msg.Directory.Revision
 	listed := make(map[string]bool, len(msg.Directory.Servers))
+	names := make(map[string]bool, len(msg.Directory.Servers))
 	changed := make(map[*pool]bool)
 	for _, s := range msg.Directory.Servers {
-		listed[s.ID] = true
+		listed[s.ID], names[s.Name()] = true, true
 		if m.applyListed(msg.Now, s) {
 			changed[m.pool(s.Service)] = true
 		}
 	}
-	m.dropUnlisted(msg.Now, listed)
+	m.dropUnlisted(msg.Now, listed, names)
 	for _, name := range m.poolNames() {
 		p := m.pools[name]
 		if changed[p] {
