Streams that begin at a server restarted since its entry are of no known version

Cause: the record, and the bound of the request, took the version from the entry that the request was placed by. Change: both take that of the start that the server has told on the connection: of an entry of that start, if it has come since, or else none. A stream without a known version is continued by nobody, and counts as of a version of its own while it may be resumed, so that it is not taken for one of the only version that is listed.

--- a/direct/config.go
+++ b/direct/config.go
@@ -151,6 +151,10 @@
 	return "unknown"
 }
 
+// UnknownVersion is the version of a server that has restarted since its entry was written. No server is
+// listed with it.
+const UnknownVersion = "\x00"
+
 // MatchStart compares the start that a server itself has told, as Unix time in milliseconds, with that of
 // its entry. Clocks of hosts may be wrong, so neither of two starts counts as the later one.
 func (s *Server) MatchStart(millis int64) Incarnation {
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -85,6 +85,7 @@
 	// Streaming reports that the caller is about to get events of a stream. The request is from
 	// now on restricted to servers of the same version, as those of others can't continue it.
 	Streaming bool
+	Version   string // of the server; empty: that of its entry
 }
 
 // IncarnationMsg reports whether the connection of an attempt leads to the start of the server that its
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -73,7 +74,7 @@
 	}
 	p := m.pool(r.Service)
 	if msg.Streaming {
-		r.Version = r.currentServer.Version
+		r.Version = cmp.Or(msg.Version, r.currentServer.Version)
 	}
 	r.firstEventAt = msg.Now
 	m.observeFirstEvent(msg.Now, p, r)
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -95,3 +95,16 @@
 	}
 	return conn.EndExchange()
 }
+
+// serverVersion returns the version of the server that the connection leads to, or direct.UnknownVersion.
+func (a *attempt) serverVersion() string {
+	if a.incarnation != direct.OtherIncarnation {
+		return a.cmd.Server.Version
+	}
+	for _, s := range a.x.front.feeds.Servers.Newest().Servers {
+		if s.Name() == a.cmd.Server.Name() && matchStart(a.conn, &s) == direct.SameIncarnation {
+			return s.Version // its entry has come since
+		}
+	}
+	return direct.UnknownVersion
+}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -49,7 +49,7 @@
 	}
 	a.release()
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
-	a.reportResponse(false)
+	a.reportResponse(direct.FirstEventMsg{})
 	if resp.StatusCode/100 == 5 {
 		return a.keepFailure(buffered)
 	}
@@ -126,14 +126,19 @@
 	return a.endWithoutResponse(direct.Failed)
 }
 
-// reportResponse reports to the machine that the server has responded, and whether the caller
-// gets events of a stream.
-func (a *attempt) reportResponse(streaming bool) {
-	now := a.x.front.core.Now()
+// reportStreamBegun reports to the machine that the caller gets events of a stream, from a server of a
+// version.
+func (a *attempt) reportStreamBegun(version string) {
+	a.reportResponse(direct.FirstEventMsg{Streaming: true, Version: version})
+}
+
+// reportResponse reports to the machine that the server has responded.
+func (a *attempt) reportResponse(msg direct.FirstEventMsg) {
+	msg.Now, msg.ID = a.x.front.core.Now(), a.id
 	if a.x.respondedAt == 0 {
-		a.x.respondedAt = now
+		a.x.respondedAt = msg.Now
 	}
-	a.x.front.core.Update(direct.FirstEventMsg{Now: now, ID: a.id, Streaming: streaming})
+	a.x.front.core.Update(msg)
 }
 
 // isForwardable reports whether a response may be forwarded: a success must carry the
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -91,8 +91,9 @@
 	}
 	if !a.forwarding {
 		a.forwarding = true
-		a.reportResponse(true)
-		a.x.recordOrigin(a.cmd.Server.Version)
+		version := a.serverVersion()
+		a.reportStreamBegun(version)
+		a.x.recordOrigin(version)
 	}
 	a.countBytes(len(event.raw))
 	if _, err := a.x.w.Write(event.raw); err != nil {
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -78,7 +78,7 @@
 
 // recorded returns the resolution of a stream with a record.
 func recorded(version string) Resolution {
-	if version == "" {
+	if version == unknownVersion {
 		return Resolution{Evidence: Contradicted}
 	}
 	return Resolution{Certainty: Recorded, Version: version}
@@ -131,11 +131,17 @@
 	switch {
 	case a.Found:
 		m.finish(l, recorded(a.Version))
-	case l.concluding, len(l.unanswered) == 0, m.versions.isComplete(a.Service) && !m.versions.several(a.Service):
+	case l.concluding, len(l.unanswered) == 0, m.knowsOnlyVersion(a.Service) && msg.Now-l.askedAt >= queryRetryDelay:
 		m.conclude(msg.Now, l)
 	}
 }
 
+// knowsOnlyVersion reports whether at most one version of a service can have begun streams, as far as this
+// router knows. The holders of a record may know better, so they get a moment to answer.
+func (m *Machine) knowsOnlyVersion(service string) bool {
+	return m.versions.isComplete(service) && !m.versions.several(service)
+}
+
 // conclude ends a lookup without a record if there is evidence that a single version can have begun
 // the stream, or that there will be none.
 func (m *Machine) conclude(now time.Duration, l *lookup) {
@@ -183,6 +189,9 @@
 	r := Resolution{Certainty: Inferred, Evidence: e}
 	if versions := m.versions.of(service); len(versions) > 0 {
 		r.Version = versions[0]
+		if r.Version == unknownVersion {
+			return Resolution{Evidence: SeveralVersions}
+		}
 	}
 	return r
 }
@@ -206,6 +215,10 @@
 			m.conclude(now, l)
 		case age >= queryRetryDelay && !l.repeated:
 			l.repeated = true
+			if len(l.unanswered) < l.asked && m.knowsOnlyVersion(l.query.Service) {
+				m.conclude(now, l)
+				continue
+			}
 			for _, address := range slices.Sorted(maps.Keys(l.unanswered)) {
 				m.emit(QueryCmd{To: address, Query: l.query})
 			}
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -90,7 +90,11 @@
 func (m *Machine) begin(msg BegunMsg) {
 	r := msg.Record
 	m.records.put(msg.Now, r.Key, entry{version: r.Version, expiresAt: msg.Now + clampLifetime(r.Lifetime), service: msg.Service})
-	m.versions.known.add(msg.Service, r.Version, msg.Now+versionRetention)
+	retention := versionRetention
+	if r.Version == unknownVersion {
+		retention = clampLifetime(r.Lifetime)
+	}
+	m.versions.known.add(msg.Service, r.Version, msg.Now+retention)
 	m.updateSharing(msg.Now)
 	if m.sharing[msg.Service] {
 		m.share(msg.Now, r.Key)
--- a/origin/record.go
+++ b/origin/record.go
@@ -27,10 +27,15 @@
 	return Key(d.Sum64())
 }
 
+// unknownVersion stands for a version that nobody knows, since routers contradict one another or the server
+// had restarted since its entry was written. It counts as a version of its own while such a stream may be
+// resumed, so that no stream is taken for one of the only version that is listed.
+const unknownVersion = ""
+
 // Record tells which version began a stream.
 type Record struct {
 	Key     Key
-	Version string
+	Version string // empty: nobody knows, so the stream can't be continued
 	// Lifetime is how long the stream may still be resumed.
 	Lifetime time.Duration
 }
--- a/origin/sharing.go
+++ b/origin/sharing.go
@@ -39,7 +39,7 @@
 // share queues a record for its holders.
 func (m *Machine) share(now time.Duration, key Key) {
 	e, ok := m.records.get(now, key)
-	if !ok || e.version == "" {
+	if !ok {
 		return
 	}
 	for _, h := range holders(key, m.home) {
@@ -72,7 +72,7 @@
 	n := min(len(m.unchecked), resharedPerTick)
 	for _, key := range m.unchecked[:n] {
 		e, ok := m.records.get(now, key)
-		if !ok || !e.shared || e.version == "" {
+		if !ok || !e.shared {
 			continue
 		}
 		old := holders(key, m.previousHome)
--- a/origin/stored.go
+++ b/origin/stored.go
@@ -28,7 +28,10 @@
 func (m *Machine) Keep() []KeptVersions {
 	var out []KeptVersions
 	for _, service := range m.versions.services() {
-		out = append(out, KeptVersions{Service: service, Versions: m.versions.of(service), Complete: m.versions.isComplete(service)})
+		versions := slices.DeleteFunc(m.versions.of(service), func(version string) bool { return version == unknownVersion })
+		if len(versions) > 0 {
+			out = append(out, KeptVersions{Service: service, Versions: versions, Complete: m.versions.isComplete(service)})
+		}
 	}
 	return out
 }
@@ -50,7 +53,7 @@
 	n := 0
 	for _, key := range slices.Backward(m.records.order) {
 		e, ok := m.records.get(now, key)
-		if !ok || e.version == "" || e.delivered || !m.sharing[e.service] {
+		if !ok || e.delivered || !m.sharing[e.service] {
 			continue
 		}
 		if n == maxStoredStreams {
--- a/origin/table.go
+++ b/origin/table.go
@@ -10,7 +10,7 @@
 
 // entry is what a router knows of a stream.
 type entry struct {
-	version   string // empty: routers contradict one another
+	version   string // unknownVersion: routers contradict one another, or nobody knows
 	expiresAt time.Duration
 	service   string // of a stream that this router serves or served; empty: a record of another router
 	shared    bool   // sent to other routers, or received from one
@@ -40,7 +40,7 @@
 			e.service = old.service
 		}
 		if e.version != old.version {
-			e.version = ""
+			e.version = unknownVersion
 		}
 		t.entries[key] = e
 		return
