--- a/direct/config.go
+++ b/direct/config.go
@@ -155,6 +155,9 @@
 // listed with it.
 const UnknownVersion = "\x00"
 
+// TellsStart reports whether the server's entry tells its start.
+func (s *Server) TellsStart() bool { return strings.Contains(s.ID, incarnationSeparator) }
+
 // MatchStart compares the start that a server itself has told, as Unix time in milliseconds, with that of
 // its entry. Clocks of hosts may be wrong, so neither of two starts counts as the later one.
 func (s *Server) MatchStart(millis int64) Incarnation {
--- a/direct/incarnation_test.go
+++ b/direct/incarnation_test.go
@@ -110,3 +110,15 @@
 	}
 	require.Equal(t, 6, gone, "five restarts, and n-7 by itself")
 }
+
+// TestMatchStart checks that only two equal starts are the same, whichever seems the later one, and that
+// nothing is concluded from an entry without a start.
+func TestMatchStart(t *testing.T) {
+	told, untold := Server{ID: "n-0@1764900000123"}, Server{ID: "n-0"}
+	require.Equal(t, SameIncarnation, told.MatchStart(1764900000123))
+	require.Equal(t, OtherIncarnation, told.MatchStart(1764900000122))
+	require.Equal(t, OtherIncarnation, told.MatchStart(1764900000124))
+	require.Equal(t, UnknownIncarnation, untold.MatchStart(1764900000123))
+	require.True(t, told.TellsStart())
+	require.False(t, untold.TellsStart())
+}
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -43,10 +43,11 @@
 // needsVersion reports whether only servers of the version that began the stream may continue it.
 func (x *exchange) needsVersion() bool { return x.stream.version != "" || x.headSent }
 
-// needsIncarnation reports whether it matters for the request which version its server runs. The entry of
-// a server that has restarted may be older than its process.
+// needsIncarnation reports whether it matters for the request which version its server runs, and whether
+// that can be found out. The entry of a server that has restarted may be older than its process.
 func (a *attempt) needsIncarnation() bool {
-	return a.x.route.Kind == direct.Stream && a.x.route.MayRepeat() && a.x.front.dialect.ReportPath() != ""
+	return a.x.route.Kind == direct.Stream && a.x.route.MayRepeat() &&
+		a.cmd.Server.TellsStart() && a.x.front.dialect.ReportPath() != ""
 }
 
 // identify finds out to which start of the server a connection leads. It asks the server once for each
