A server that refuses to report its state continues no stream on that connection

A report may be refused for the moment (503, 429, with Server-Leaving or Retry-After): that is no word on the server's start. A stream that has begun goes elsewhere then; a new one is served, as of no known version. What the report's head announces counts like that of any response.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,8 +38,9 @@
 	afterEvent string
 	notice     direct.Notice // sent by the server
 	// incarnation tells whether conn leads to the start of the server that its entry names.
-	incarnation direct.Incarnation
-	watch       silenceWatch
+	incarnation    direct.Incarnation
+	versionInDoubt bool // the server has refused to tell its start
+	watch          silenceWatch
 	// successor is the backup that has taken over; nil: none has.
 	successor *backup
 
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -16,6 +16,9 @@
 	maxIdentifyTries = 2
 )
 
+// errReportRefused is returned if a server answers a request for its report with a failure, which may pass.
+var errReportRefused = errors.New("the backend server refused to report its state")
+
 // errReportTooLarge is returned for a report that exceeds its size limit.
 var errReportTooLarge = errors.New("the report of the backend server exceeds its size limit")
 
@@ -58,7 +61,12 @@
 	}
 	if !conn.HasBeenAsked() {
 		a.watch.arm(a.firstEventTimeout())
-		if err := a.askStart(conn); err != nil {
+		err := a.askStart(conn)
+		if errors.Is(err, errReportRefused) && !a.x.needsVersion() {
+			a.versionInDoubt = true
+			return nil
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -74,12 +82,13 @@
 // askStart asks the server for its report. It fails if the connection can't be used for another request.
 func (a *attempt) askStart(conn *backend.Conn) error {
 	dialect := a.x.front.dialect
-	conn.MarkAsked()
 	if err := conn.Send(&backend.Request{Method: http.MethodGet, Target: dialect.ReportPath(), Host: a.cmd.Server.Address}); err != nil {
 		return err
 	}
 	resp, err := conn.ReadResponse(http.MethodGet, func(h *http.Response) bool {
-		return dialect.ParseResponse(h.StatusCode, h.Header).RequestID == ""
+		info := dialect.ParseResponse(h.StatusCode, h.Header)
+		a.applyNotice(info)
+		return info.RequestID == ""
 	})
 	if err != nil {
 		return err
@@ -91,14 +100,24 @@
 	case len(body) > maxReportBytes:
 		return errReportTooLarge
 	}
+	if err := conn.EndExchange(); err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode/100 == 5 {
+		return errReportRefused
+	}
+	conn.MarkAsked()
 	if millis, ok := dialect.ParseReport(body); ok && resp.StatusCode == http.StatusOK {
 		conn.SetServerStart(millis)
 	}
-	return conn.EndExchange()
+	return nil
 }
 
 // serverVersion returns the version of the server that the connection leads to, or direct.UnknownVersion.
 func (a *attempt) serverVersion() string {
+	if a.versionInDoubt {
+		return direct.UnknownVersion
+	}
 	if a.incarnation != direct.OtherIncarnation {
 		return a.cmd.Server.Version
 	}
