A stream of unknown version costs the others of its service nothing

What callers saw: 503 origin_unknown for streams of the only version, after a server had restarted as that same version and its entry was a moment late. Cause: one stream of unknown version counted as a second version of its service for as long as it could be resumed, and stayed unknown for the rest of its life. Change: only its own record says so. The record goes to all routers that may be asked for the stream, also of other regions, whether records are shared or not; an entry that comes later replaces it there. Two versions still contradict each other.

--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -79,7 +79,7 @@
 // recordOrigin records which version serves the stream, before its caller gets an event.
 func (x *exchange) recordOrigin(version string) {
 	if version == direct.UnknownVersion {
-		version = "" // of an origin.Record: nobody may continue the stream
+		version = origin.UnknownVersion
 	}
 	if x.stream.resumable {
 		x.front.origins.Begun(x.service, origin.Record{Key: x.stream.key, Version: version, Lifetime: x.streamLifetime()})
--- a/origin/commands.go
+++ b/origin/commands.go
@@ -61,11 +61,12 @@
 	SeveralVersions                 // several versions may have begun it
 	HistoryUnknown                  // versions may have been in use before this router was in touch
 	OutOfTouch                      // other routers may use versions that this one does not know
+	VersionUnlisted                 // it began at a server that had restarted since its entry
 )
 
 // String returns the name of the evidence for logs.
 func (e Evidence) String() string {
-	return [...]string{"record", "source", "routers", "contradiction", "several_versions", "history_unknown", "out_of_touch"}[e]
+	return [...]string{"record", "source", "routers", "contradiction", "several_versions", "history_unknown", "out_of_touch", "version_unlisted"}[e]
 }
 
 // Resolution is what is known of the version that began a stream.
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -33,6 +33,7 @@
 	askedRegions bool            // routers of other regions were asked too
 	askedMost    bool            // routers were asked whether they are in touch with this one
 	concluding   bool            // no router that has answered has a record
+	unlisted     bool            // a router that has answered has a record of an unknown version
 }
 
 // startLookup looks a stream up, at this router and then at others.
@@ -78,8 +79,11 @@
 
 // recorded returns the resolution of a stream with a record.
 func recorded(version string) Resolution {
-	if version == unknownVersion {
+	switch version {
+	case contradicted:
 		return Resolution{Evidence: Contradicted}
+	case UnknownVersion:
+		return Resolution{Evidence: VersionUnlisted}
 	}
 	return Resolution{Certainty: Recorded, Version: version}
 }
@@ -129,6 +133,8 @@
 	}
 	delete(l.unanswered, msg.From)
 	switch {
+	case a.Found && a.Version == UnknownVersion && len(l.unanswered) > 0:
+		l.unlisted = true // another router may know the version by now
 	case a.Found:
 		m.finish(l, recorded(a.Version))
 	case l.concluding, len(l.unanswered) == 0, m.knowsOnlyVersion(a.Service) && msg.Now-l.askedAt >= queryRetryDelay:
@@ -148,7 +154,9 @@
 	l.concluding = true
 	several := m.versions.several(l.query.Service)
 	switch {
-	case several && !l.hasHeardAll(now):
+	case (several || l.unlisted) && !l.hasHeardAll(now):
+	case l.unlisted:
+		m.finish(l, recorded(UnknownVersion))
 	case several && !l.askedRegions:
 		m.askRegions(now, l)
 	case several:
@@ -189,9 +197,6 @@
 	r := Resolution{Certainty: Inferred, Evidence: e}
 	if versions := m.versions.of(service); len(versions) > 0 {
 		r.Version = versions[0]
-		if r.Version == unknownVersion {
-			return Resolution{Evidence: SeveralVersions}
-		}
 	}
 	return r
 }
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -86,17 +86,19 @@
 func clampLifetime(d time.Duration) time.Duration { return min(max(d, MinLifetime), MaxLifetime) }
 
 // begin records a stream of this router. Its record is sent to other routers if streams of the
-// service may have begun at several versions.
+// service may have begun at several versions, or if its own version is unknown.
 func (m *Machine) begin(msg BegunMsg) {
 	r := msg.Record
+	old, known := m.records.get(msg.Now, r.Key)
 	m.records.put(msg.Now, r.Key, entry{version: r.Version, expiresAt: msg.Now + clampLifetime(r.Lifetime), service: msg.Service})
-	retention := versionRetention
-	if r.Version == unknownVersion {
-		retention = clampLifetime(r.Lifetime)
+	if r.Version != UnknownVersion {
+		m.versions.known.add(msg.Service, r.Version, msg.Now+versionRetention)
 	}
-	m.versions.known.add(msg.Service, r.Version, msg.Now+retention)
 	m.updateSharing(msg.Now)
-	if m.sharing[msg.Service] {
+	switch {
+	case r.Version == UnknownVersion, known && old.version == UnknownVersion:
+		m.shareWidely(msg.Now, r.Key)
+	case m.sharing[msg.Service]:
 		m.share(msg.Now, r.Key)
 	}
 }
--- a/origin/record.go
+++ b/origin/record.go
@@ -27,15 +27,17 @@
 	return Key(d.Sum64())
 }
 
-// unknownVersion stands for a version that nobody knows, since routers contradict one another or the server
-// had restarted since its entry was written. It counts as a version of its own while such a stream may be
-// resumed, so that no stream is taken for one of the only version that is listed.
-const unknownVersion = ""
+// UnknownVersion is the version in the record of a stream that began at a server which had restarted since
+// its entry. The entry that comes later tells the version; until then the stream can't be continued.
+const UnknownVersion = "\x00"
+
+// contradicted is the version of a stream for which routers have recorded different ones.
+const contradicted = ""
 
 // Record tells which version began a stream.
 type Record struct {
 	Key     Key
-	Version string // empty: nobody knows, so the stream can't be continued
+	Version string
 	// Lifetime is how long the stream may still be resumed.
 	Lifetime time.Duration
 }
--- a/origin/sharing.go
+++ b/origin/sharing.go
@@ -39,11 +39,33 @@
 // share queues a record for its holders.
 func (m *Machine) share(now time.Duration, key Key) {
 	e, ok := m.records.get(now, key)
-	if !ok {
+	if !ok || e.version == contradicted {
 		return
 	}
-	for _, h := range holders(key, m.home) {
-		m.queue(now, h.Address, key, e)
+	m.shareWith(now, key, e, holders(key, m.home))
+}
+
+// shareWidely queues the record of a stream whose version is or was unknown for all routers that may be asked
+// for it, since those that know a single version need no record to continue a stream.
+func (m *Machine) shareWidely(now time.Duration, key Key) {
+	e, ok := m.records.get(now, key)
+	if !ok || e.version == contradicted {
+		return
+	}
+	routers := asked(key, m.home)
+	for _, inRegion := range byRegion(m.routers) {
+		for _, r := range asked(key, inRegion) {
+			if !contains(routers, r) {
+				routers = append(routers, r)
+			}
+		}
+	}
+	m.shareWith(now, key, e, routers)
+}
+
+func (m *Machine) shareWith(now time.Duration, key Key, e entry, routers []*Router) {
+	for _, r := range routers {
+		m.queue(now, r.Address, key, e)
 	}
 	e.shared = true
 	m.records.entries[key] = e
@@ -72,7 +94,7 @@
 	n := min(len(m.unchecked), resharedPerTick)
 	for _, key := range m.unchecked[:n] {
 		e, ok := m.records.get(now, key)
-		if !ok || !e.shared {
+		if !ok || !e.shared || e.version == contradicted {
 			continue
 		}
 		old := holders(key, m.previousHome)
--- a/origin/stored.go
+++ b/origin/stored.go
@@ -28,10 +28,7 @@
 func (m *Machine) Keep() []KeptVersions {
 	var out []KeptVersions
 	for _, service := range m.versions.services() {
-		versions := slices.DeleteFunc(m.versions.of(service), func(version string) bool { return version == unknownVersion })
-		if len(versions) > 0 {
-			out = append(out, KeptVersions{Service: service, Versions: versions, Complete: m.versions.isComplete(service)})
-		}
+		out = append(out, KeptVersions{Service: service, Versions: m.versions.of(service), Complete: m.versions.isComplete(service)})
 	}
 	return out
 }
@@ -53,7 +50,7 @@
 	n := 0
 	for _, key := range slices.Backward(m.records.order) {
 		e, ok := m.records.get(now, key)
-		if !ok || e.delivered || !m.sharing[e.service] {
+		if !ok || e.version == contradicted || e.delivered || e.service == "" || !m.sharing[e.service] && e.version != UnknownVersion {
 			continue
 		}
 		if n == maxStoredStreams {
@@ -82,7 +79,9 @@
 func (m *Machine) recoverStreams(msg RecoveredMsg) {
 	for _, s := range msg.Streams {
 		left := clampLifetime(s.Left)
-		m.versions.stored.add(s.Service, s.Version, msg.Now+left)
+		if s.Version != UnknownVersion {
+			m.versions.stored.add(s.Service, s.Version, msg.Now+left)
+		}
 		for _, key := range s.Keys {
 			m.records.put(msg.Now, key, entry{version: s.Version, expiresAt: msg.Now + left, service: s.Service})
 			m.share(msg.Now, key)
--- a/origin/table.go
+++ b/origin/table.go
@@ -10,7 +10,7 @@
 
 // entry is what a router knows of a stream.
 type entry struct {
-	version   string // unknownVersion: routers contradict one another, or nobody knows
+	version   string // or contradicted, or UnknownVersion
 	expiresAt time.Duration
 	service   string // of a stream that this router serves or served; empty: a record of another router
 	shared    bool   // sent to other routers, or received from one
@@ -29,8 +29,7 @@
 	return e, ok && e.expiresAt > now
 }
 
-// put adds an entry or merges it into the one that exists. Two versions for one stream contradict
-// each other: its version is then unknown.
+// put adds an entry or merges it into the one that exists.
 func (t *table) put(now time.Duration, key Key, e entry) {
 	old, known := t.get(now, key)
 	if known {
@@ -39,9 +38,7 @@
 		if e.service == "" {
 			e.service = old.service
 		}
-		if e.version != old.version {
-			e.version = unknownVersion
-		}
+		e.version = merge(old.version, e.version)
 		t.entries[key] = e
 		return
 	}
@@ -55,6 +52,17 @@
 	t.evict()
 }
 
+// merge returns the version of a stream of which two versions are recorded.
+func merge(a, b string) string {
+	switch {
+	case a == b, b == UnknownVersion:
+		return a
+	case a == UnknownVersion:
+		return b
+	}
+	return contradicted
+}
+
 // evict drops the oldest entries beyond maxRecords.
 func (t *table) evict() {
 	for len(t.entries) > maxRecords {
