A server that is listed again, or tells its start, is no longer taken for restarted

What callers saw: streams refused as 'version' though servers of their version serve, after the store had come back from a copy for a moment, or after a former process had ended. Cause: the mark of a restarted server was cleared on a new connection of a stream only. It only keeps requests from trying in vain, as each connection is checked; so a newer list with this start, or its own word on any connection, ends it.

--- a/direct/incarnation.go
+++ b/direct/incarnation.go
@@ -9,8 +9,7 @@
 	r.incarnation = msg.Incarnation
 	s := r.currentServer
 	switch {
-	case !msg.NewConn:
-	case msg.Incarnation == OtherIncarnation && !s.restarted:
+	case msg.Incarnation == OtherIncarnation && msg.NewConn && !s.restarted:
 		s.restarted = true
 		m.emit(ServerStatusCmd{Server: s.Server, Status: StatusRestarted, Cause: "said so itself"})
 	case msg.Incarnation == SameIncarnation:
@@ -23,3 +22,10 @@
 func (r *requestState) startsElsewhere() bool {
 	return r.Version != "" && r.incarnation == OtherIncarnation
 }
+
+// setVersion binds a stream to the version of its server, which has become known after its first event.
+func (m *Machine) setVersion(msg VersionMsg) {
+	if r := m.requests[msg.ID]; r != nil && r.currentServer != nil {
+		r.Version = msg.Version
+	}
+}
--- a/direct/listing.go
+++ b/direct/listing.go
@@ -64,7 +64,7 @@
 	wasDraining := s.Draining
 	s.Server = listed
 	s.region = m.hallRegions.regionOf(listed.Zone)
-	s.gone = false
+	s.gone, s.restarted = false, false
 	s.evacuated = m.evacuated[listed.Zone]
 	m.markCold(now, s, listed.ColdFor, "listed as cold")
 	switch {
--- a/direct/machine.go
+++ b/direct/machine.go
@@ -140,6 +140,8 @@
 		m.handleFirstEvent(msg)
 	case IncarnationMsg:
 		m.recordIncarnation(msg)
+	case VersionMsg:
+		m.setVersion(msg)
 	case BackupMsg:
 		m.startBackup(msg)
 	case TakeOverMsg:
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -97,6 +97,12 @@
 	NewConn     bool // the connection is new, so it leads to the process that accepts connections now
 }
 
+// VersionMsg reports the version of the server that sends a stream, once it has become known.
+type VersionMsg struct {
+	ID      RequestID
+	Version string
+}
+
 // NoticeMsg delivers the notice that a server has put into a response. The router sends it
 // before it forwards the response.
 type NoticeMsg struct {
@@ -190,6 +196,7 @@
 func (ShedMsg) isMsg()           {}
 func (FirstEventMsg) isMsg()     {}
 func (IncarnationMsg) isMsg()    {}
+func (VersionMsg) isMsg()        {}
 func (AttemptEndMsg) isMsg()     {}
 func (NoticeMsg) isMsg()         {}
 func (ProbeResultMsg) isMsg()    {}
