A server that can't be identified costs streams nothing that no restart concerns

What callers saw: 503 no_servers at servers that close each connection, as those that leave do, reset a new one, or are silent for a moment; data halls left for it; new streams that waited for a slow report; a stream continued at a server that told its start before and now tells none. Cause: an attempt that ended before the server had told its start counted as a server that can't be reached, the report had no time limit but the request's, and no report at all counted like one without a start. Change: such an attempt has an outcome of its own (unidentified): nothing was sent, the server has failed once, and the request goes elsewhere. A new stream waits half an objective for the report, one that has begun 2 s; then the new one is sent on another connection, as of unknown version. A start that is told before the connection is closed counts for the next one. Where a server of the service has told its start, a report without one is a refusal. A stream whose server's entry comes after its first event is of that version from then on, at this router too; streams avoid to begin at servers of unknown version.

--- a/backend/start.go
+++ b/backend/start.go
@@ -19,11 +19,13 @@
 // HasBeenAsked reports whether the server was asked for its start on this connection.
 func (c *Conn) HasBeenAsked() bool { return c.start.asked }
 
-// MarkAsked records that the server is asked for its start.
+// MarkAsked records that the server was asked for its start.
 func (c *Conn) MarkAsked() { c.start.asked = true }
 
 // SetServerStart records the start that the server has told, as Unix time in milliseconds.
-func (c *Conn) SetServerStart(millis int64) { c.start.told, c.start.millis = true, millis }
+func (c *Conn) SetServerStart(millis int64) {
+	c.start = serverStart{asked: true, told: true, millis: millis}
+}
 
 // ServerStart returns the start that the server has told on this connection, if it has.
 func (c *Conn) ServerStart() (millis int64, told bool) { return c.start.millis, c.start.told }
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -33,7 +33,7 @@
 	if r.backupOf != nil {
 		r.backupOf.recordBackupEnd(r, s, msg.Outcome)
 		msg.Retry = false
-		if msg.Outcome == Unsent || msg.Outcome == Withheld {
+		if msg.Outcome.isUnsent() {
 			p.retryWindow.giveBack()
 		}
 	}
@@ -94,7 +94,7 @@
 		s.fullUntil = now + defaultFullPause
 	case Unsent, Elsewhere:
 		m.emit(ServerStatusCmd{Server: s.Server, Status: StatusEjected, Cause: o.String(), For: s.markDown(now)})
-	case Failed, Broken:
+	case Failed, Broken, Unidentified:
 		m.recordFailure(now, p, s, 1, o)
 	case Hung:
 		m.recordFailure(now, p, s, hungFailureWeight, o)
@@ -112,7 +112,7 @@
 // retry decides whether a request whose last attempt was unsuccessful gets another one.
 func (m *Machine) retry(now time.Duration, p *pool, r *requestState, o Outcome) {
 	switch o {
-	case Unsent, Withheld:
+	case Unsent, Withheld, Unidentified:
 		if r.countedVisit {
 			r.attempt--
 		}
--- a/direct/place.go
+++ b/direct/place.go
@@ -26,6 +26,9 @@
 	// soleVersionCost is for a stream that begins at the only server of its version: if that server
 	// fails, no other can continue the stream.
 	soleVersionCost = 25.0
+	// unknownVersionCost is for a stream that begins at a server of unknown version: no other can
+	// continue the stream.
+	unknownVersionCost = 100.0
 	// rankCost is the fraction of a part's read cost by which servers without the part differ
 	// in cost, so that all routers copy it to the same one.
 	rankCost = 0.25
@@ -174,6 +177,9 @@
 	if s.soleOfVersion && r.beginsResumableStream() {
 		cost += soleVersionCost
 	}
+	if s.restarted && r.beginsResumableStream() {
+		cost += unknownVersionCost
+	}
 	if preferred != nil && s != preferred {
 		cost += copyPlacementCost(r, s, missTokens)
 	}
--- a/direct/sending.go
+++ b/direct/sending.go
@@ -61,7 +61,7 @@
 	r.charged = false
 	cost, team := r.cost(), m.team(r.Team)
 	team.served.subtract(now, cost, now-r.sentAt)
-	if o == Unsent || o == Withheld || o == NotRun || o == Elsewhere {
+	if o.isUnsent() || o == NotRun || o == Elsewhere {
 		team.tokenBucket.subtract(-cost)
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,7 +39,10 @@
 	notice     direct.Notice // sent by the server
 	// incarnation tells whether conn leads to the start of the server that its entry names.
 	incarnation    direct.Incarnation
-	versionInDoubt bool // the server has refused to tell its start
+	versionInDoubt bool   // the server has not told its start as it should
+	told           *int64 // start that the server has told before it closed the connection
+	versionPending bool   // the caller gets events of a server whose version is unknown
+	listRevision   uint64 // of the list of servers in which its version was last looked up
 	watch          silenceWatch
 	// successor is the backup that has taken over; nil: none has.
 	successor *backup
@@ -153,14 +156,13 @@
 // connect opens a connection to the server, or takes one from the pool, and finds out to which start of the
 // server it leads if that matters. If it fails, it returns the outcome of the attempt and false.
 func (a *attempt) connect() (direct.Outcome, bool) {
-	for tries := 1; ; tries++ {
+	for {
 		conn, err := a.getConn()
 		if err != nil {
 			a.connRefused = errors.Is(err, syscall.ECONNREFUSED)
 			a.dialOverdue = errors.Is(err, backend.ErrRouterLate)
 			return direct.Unsent, false
 		}
-		reused := conn.IsReused()
 		a.conn = conn
 		a.stopWatch = context.AfterFunc(a.ctx, func() { conn.Close() })
 		_ = conn.SetDeadline(time.Now().Add(a.timeLeft())) // here and below: it fails on a closed connection, whose next use returns the error
@@ -172,10 +174,13 @@
 			return direct.Hung, false
 		}
 		conn.Close()
-		if a.hasEnded() || !reused && (tries == maxIdentifyTries || !errors.Is(err, backend.ErrClosing)) {
-			return direct.Unsent, false
-		}
 		a.stopWatch()
+		switch {
+		case a.hasEnded():
+			return direct.Withheld, false
+		case !a.mayConnectAgain(conn, err):
+			return direct.Unidentified, false
+		}
 	}
 }
 
@@ -192,7 +197,7 @@
 		a.x.callerLeft(0)
 		return direct.GivenUp, true
 	case a.x.front.core.Now()+minTimeLeft >= a.x.deadline:
-		if o != direct.Unsent && o != direct.Withheld {
+		if o.MayHaveRun() {
 			o = direct.GivenUp
 		}
 		a.endExpired(o)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -58,6 +58,7 @@
 	origins    origins         // which versions began streams
 	endProcess func(cause any) // after a panic that leaves the state machine inconsistent; must not return
 	resuming   resumingStreams
+	tellers    startTellers
 	traffic    *traffic.Meter // bytes of requests
 	// maxEventDelay is the longest time that an event may take to reach its caller.
 	maxEventDelay time.Duration
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -3,6 +3,9 @@
 import (
 	"io"
 	"net/http"
+	"os"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/backend"
@@ -12,16 +15,31 @@
 const (
 	// maxReportBytes bounds a server's report.
 	maxReportBytes = 64 << 10
-	// maxIdentifyTries bounds the new connections on which a server that closes them is asked for its start.
-	maxIdentifyTries = 2
+	// maxReportTime bounds the time that a server takes for its report. A sound server may be silent for
+	// a second or so.
+	maxReportTime = 2 * time.Second
+	// minReportTime and reportObjectives bound it for a new stream, which any start of the server may
+	// serve; reportObjectives is a fraction of the route's objective.
+	minReportTime    = 100 * time.Millisecond
+	reportObjectives = 0.5
 )
 
-// errReportRefused is returned if a server answers a request for its report with a failure, which may pass.
-var errReportRefused = errors.New("the backend server refused to report its state")
+// errReportRefused is returned if a server that should tell its start doesn't.
+var errReportRefused = errors.New("the backend server did not tell its start")
 
 // errReportTooLarge is returned for a report that exceeds its size limit.
 var errReportTooLarge = errors.New("the report of the backend server exceeds its size limit")
 
+// startTellers are the services of which a server has told its start. The zero value is ready to use.
+type startTellers struct{ services sync.Map }
+
+func (t *startTellers) add(service string) { t.services.Store(service, true) }
+
+func (t *startTellers) has(service string) bool {
+	_, ok := t.services.Load(service)
+	return ok
+}
+
 // getConn returns a connection to the server. A request that needs a version gets none that leads to
 // another start of the server than its entry names, unless it is new.
 func (a *attempt) getConn() (*backend.Conn, error) {
@@ -56,9 +74,12 @@
 // identify finds out to which start of the server a connection leads. It asks the server once for each
 // connection. An error means that the connection can't be used any more; the request has not been sent.
 func (a *attempt) identify(conn *backend.Conn) error {
-	if !a.needsIncarnation() {
+	if !a.needsIncarnation() || a.versionInDoubt {
 		return nil
 	}
+	if a.told != nil {
+		conn.SetServerStart(*a.told)
+	}
 	if !conn.HasBeenAsked() {
 		a.watch.arm(a.firstEventTimeout())
 		err := a.askStart(conn)
@@ -79,9 +100,37 @@
 	return nil
 }
 
+// mayConnectAgain reports whether to try another connection to the server after it was not identified on
+// one.
+func (a *attempt) mayConnectAgain(conn *backend.Conn, err error) bool {
+	millis, told := conn.ServerStart()
+	switch {
+	case conn.IsReused(): // the server may close idle connections
+		return true
+	case errors.Is(err, backend.ErrClosing) && told:
+		a.told = &millis
+		return true
+	case errors.Is(err, os.ErrDeadlineExceeded) && !a.x.needsVersion():
+		a.versionInDoubt = true
+		return true
+	}
+	return false
+}
+
+// reportTimeout returns how long the server may take for its report.
+func (a *attempt) reportTimeout() time.Duration {
+	if a.x.needsVersion() {
+		return maxReportTime
+	}
+	objective := time.Duration(reportObjectives * float64(a.x.route.Objective))
+	return min(max(objective, minReportTime), maxReportTime)
+}
+
 // askStart asks the server for its report. It fails if the connection can't be used for another request.
 func (a *attempt) askStart(conn *backend.Conn) error {
 	dialect := a.x.front.dialect
+	_ = conn.SetDeadline(time.Now().Add(min(a.reportTimeout(), a.timeLeft()))) // as in connect
+	defer func() { _ = conn.SetDeadline(time.Now().Add(a.timeLeft())) }()
 	if err := conn.Send(&backend.Request{Method: http.MethodGet, Target: dialect.ReportPath(), Host: a.cmd.Server.Address}); err != nil {
 		return err
 	}
@@ -100,31 +149,48 @@
 	case len(body) > maxReportBytes:
 		return errReportTooLarge
 	}
-	if err := conn.EndExchange(); err != nil {
-		return err
+	millis, told := dialect.ParseReport(body)
+	if told = told && resp.StatusCode == http.StatusOK; told {
+		conn.SetServerStart(millis)
+		a.x.front.tellers.add(a.x.service)
 	}
-	if resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode/100 == 5 {
+	switch err := conn.EndExchange(); {
+	case err != nil:
+		return err
+	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode/100 == 5, !told && a.x.front.tellers.has(a.x.service):
 		return errReportRefused
 	}
 	conn.MarkAsked()
-	if millis, ok := dialect.ParseReport(body); ok && resp.StatusCode == http.StatusOK {
-		conn.SetServerStart(millis)
-	}
 	return nil
 }
 
 // serverVersion returns the version of the server that the connection leads to, or direct.UnknownVersion.
 func (a *attempt) serverVersion() string {
-	if a.versionInDoubt {
+	switch {
+	case a.versionInDoubt:
 		return direct.UnknownVersion
-	}
-	if a.incarnation != direct.OtherIncarnation {
+	case a.incarnation != direct.OtherIncarnation:
 		return a.cmd.Server.Version
 	}
-	for _, s := range a.x.front.feeds.Servers.Newest().Servers {
+	list := a.x.front.feeds.Servers.Newest()
+	a.listRevision = list.Revision
+	for _, s := range list.Servers {
 		if s.Name() == a.cmd.Server.Name() && matchStart(a.conn, &s) == direct.SameIncarnation {
 			return s.Version // its entry has come since
 		}
 	}
+	a.versionPending = true
 	return direct.UnknownVersion
 }
+
+// resolveVersion looks the version of a server up again if its entry may have come since its first event.
+func (a *attempt) resolveVersion() {
+	if !a.versionPending || a.x.front.feeds.Servers.Revision() == a.listRevision {
+		return
+	}
+	a.versionPending = false
+	if version := a.serverVersion(); version != direct.UnknownVersion {
+		a.x.front.core.Update(direct.VersionMsg{ID: a.id, Version: version})
+		a.x.recordOrigin(version)
+	}
+}
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -46,7 +46,7 @@
 		LoadsAge:      scope.Histogram("loads_age", durationBuckets),
 		ConfigAge:     scope.Histogram("config_age", ageBuckets),
 	}
-	for o := direct.Done; o <= direct.Withheld; o++ {
+	for o := direct.Done; o <= direct.Unidentified; o++ {
 		s.attempts[o] = scope.Tagged(map[string]string{"outcome": o.String()}).Counter("attempts")
 	}
 	return s
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -95,6 +95,7 @@
 		a.reportStreamBegun(version)
 		a.x.recordOrigin(version)
 	}
+	a.resolveVersion()
 	a.countBytes(len(event.raw))
 	if _, err := a.x.w.Write(event.raw); err != nil {
 		return err
