Former processes of a server cost no stream, and what a new one announces holds on

And a server that had asked for no requests, before its entry came, got them once it was listed: the notice counted for its former start (TestNoticeOfNewStartOutlivesTheOldEntry; the message now says so, so the test sets that field).

--- a/direct/forgottennotices.go
+++ b/direct/forgottennotices.go
@@ -17,15 +17,20 @@
 }
 
 // add stores the notices of a server that is being forgotten.
-func (f *forgottenNotices) add(now time.Duration, s *server) {
-	if !s.notices.active(now) {
+func (f *forgottenNotices) add(now time.Duration, s *server) { f.put(now, s.ID, s.notices) }
+
+// put stores notices by an ID, or by a name for the start that is listed next under it.
+func (f *forgottenNotices) put(now time.Duration, id string, n serverNotices) {
+	if !n.active(now) {
 		return
 	}
 	if f.byServer == nil {
 		f.byServer = make(map[string]serverNotices)
 	}
-	f.byServer[s.ID] = s.notices
-	f.order = append(f.order, s.ID)
+	if _, known := f.byServer[id]; !known {
+		f.order = append(f.order, id)
+	}
+	f.byServer[id] = n
 	if len(f.order) > maxForgottenNotices {
 		delete(f.byServer, f.order[0])
 		f.order = slices.Delete(f.order, 0, 1)
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -109,6 +109,9 @@
 	Now    time.Duration
 	Server string
 	Notice Notice
+	// OfNextStart reports that the server has restarted and its entry still names its former start. The
+	// notice then also holds for the start that is listed next under its name.
+	OfNextStart bool
 }
 
 // AttemptEndMsg reports the end of an attempt. Retry asks for another one; a SendCmd, RefuseCmd
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -38,6 +38,9 @@
 	if msg.Notice.Leaving && !s.notices.leaving {
 		m.applyLeaving(msg.Now, s)
 	}
+	if msg.OfNextStart {
+		m.forgottenNotices.put(msg.Now, s.Name(), s.notices)
+	}
 }
 
 // applyBackoff stops sending to a server for the time that it asked for. Responses to requests
@@ -98,6 +101,9 @@
 // restoreNotices restores the notices of a server that is listed again after it was forgotten.
 func (m *Machine) restoreNotices(s *server) {
 	s.notices = m.forgottenNotices.take(s.ID)
+	if s.notices == (serverNotices{}) {
+		s.notices = m.forgottenNotices.take(s.Name())
+	}
 	if s.notices.leaving {
 		s.markLeaving(s.notices.leavingAt)
 	}
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -27,6 +27,10 @@
 // errReportRefused is returned if a server that should tell its start doesn't.
 var errReportRefused = errors.New("the backend server did not tell its start")
 
+// errFormerStart is returned for a pooled connection that leads to another start of the server than its entry
+// names, such as a former process that ends what it has.
+var errFormerStart = errors.New("the connection leads to another start of the backend server")
+
 // errReportTooLarge is returned for a report that exceeds its size limit.
 var errReportTooLarge = errors.New("the report of the backend server exceeds its size limit")
 
@@ -92,6 +96,9 @@
 		}
 	}
 	a.incarnation = matchStart(conn, &a.cmd.Server)
+	if a.incarnation == direct.OtherIncarnation && conn.IsReused() && a.x.needsVersion() {
+		return errFormerStart
+	}
 	a.x.front.stats.ServerIdentified(a.incarnation)
 	if a.incarnation == direct.OtherIncarnation {
 		a.logOtherStart(conn)
@@ -100,6 +107,12 @@
 	return nil
 }
 
+// leadsToNextStart reports whether the server is known to have restarted since its entry: a new connection
+// leads to another start.
+func (a *attempt) leadsToNextStart() bool {
+	return a.incarnation == direct.OtherIncarnation && !a.conn.IsReused()
+}
+
 // mayConnectAgain reports whether to try another connection to the server after it was not identified on
 // one.
 func (a *attempt) mayConnectAgain(conn *backend.Conn, err error) bool {
--- a/gateway/responsestart.go
+++ b/gateway/responsestart.go
@@ -140,7 +140,7 @@
 	}
 	a.notice = info.Notice
 	a.x.front.stats.ServerNotice(info.Notice)
-	a.x.front.core.Update(direct.NoticeMsg{Now: a.x.front.core.Now(), Server: a.cmd.Server.ID, Notice: info.Notice})
+	a.x.front.core.Update(direct.NoticeMsg{Now: a.x.front.core.Now(), Server: a.cmd.Server.ID, Notice: info.Notice, OfNextStart: a.leadsToNextStart()})
 }
 
 // discard drops a response of which only the header matters. Its connection can be used again if the
