--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -59,7 +59,7 @@
 func newAttempt(ctx context.Context, cancel context.CancelFunc, x *exchange, cmd direct.SendCmd) *attempt {
 	a := &attempt{x: x, id: cmd.ID, ctx: ctx, cancel: cancel, cmd: cmd, afterEvent: x.info.AfterEvent}
 	if x.headSent {
-		a.afterEvent = formatID(x.lastEventID)
+		a.afterEvent = x.position.afterEvent()
 	}
 	a.watch.primary, a.startedAt = a, x.front.core.Now()
 	return a
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -40,7 +40,7 @@
 	commands      <-chan direct.Cmd
 	attempts      int
 	headSent      bool
-	lastEventID   int64             // id of the last event that was forwarded
+	position      streamPosition    // of the caller in the stream
 	respondedAt   time.Duration     // when the first response or event arrived; 0: not yet
 	forwardedAt   time.Duration     // when events were last forwarded
 	serverFailure *bufferedResponse // a server's own failure, kept while another server is tried
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -141,6 +141,7 @@
 	x := &exchange{
 		front: f, w: w, r: r, ctx: r.Context(), info: info, route: route,
 		service: table.Service(route, cmp.Or(info.firstAttempt(), info.ID)), regions: direct.RegionsOf(route.Regions), priority: route.Priority, start: start,
+		position: positionOf(info.AfterEvent),
 	}
 	if table.HasTeams() {
 		team := table.Team(info.TeamKey)
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -78,8 +78,8 @@
 	if x.info.AfterEvent != "" {
 		e.Str("resumes", x.info.Resumes).Str("after_event", x.info.AfterEvent).Str("begun_at", x.stream.version).Bool("recorded", x.stream.recorded)
 	}
-	if x.lastEventID != 0 {
-		e.Int64("last_event", x.lastEventID)
+	if x.headSent && x.position.hasID {
+		e.Int64("last_event", x.position.id)
 	}
 	if x.attempts > 0 {
 		basis := x.lastSend.PlacementBasis
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -28,10 +27,11 @@
 			return direct.Hung, false
 		case err == io.EOF:
 			return a.endStream()
-		case err != nil || !a.isNext(event):
+		case err != nil:
 			a.conn.Close()
 			return a.endBrokenStream(direct.Broken)
 		}
+		a.x.position = a.x.position.after(event)
 		last := !a.events.hasNext()
 		if a.forward(a.response, event, last) != nil {
 			a.conn.Close()
@@ -50,7 +50,10 @@
 func (a *attempt) nextEvent() (event, error) {
 	a.watch.arm(a.eventTimeout())
 	event, err := a.events.next()
-	if err == nil {
+	switch {
+	case err == nil && !a.x.position.precedes(event, !a.forwarding):
+		err = errEventOutOfOrder
+	case err == nil:
 		a.conn.CountProgress()
 	}
 	if err == io.EOF && a.afterEvent == "" && !a.forwarding {
@@ -68,18 +71,6 @@
 	return event, err
 }
 
-// isNext reports whether an event is the next one of the stream, and records its id.
-func (a *attempt) isNext(event event) bool {
-	if !event.hasID {
-		return true
-	}
-	if a.x.lastEventID != 0 && event.id != a.x.lastEventID+1 {
-		return false
-	}
-	a.x.lastEventID = event.id
-	return true
-}
-
 // forward writes one event, after the response header if it is the first event. Events that
 // arrive together are sent together: only the last is flushed.
 func (a *attempt) forward(resp *http.Response, event event, flush bool) error {
@@ -146,5 +137,3 @@
 	}
 	return event{}, io.EOF
 }
-
-func formatID(id int64) string { return strconv.FormatInt(id, 10) }
