A stream whose last event has no ID goes on nowhere

What callers saw: events without IDs, or with IDs that are no numbers, and then the stream once more from its beginning, after its server had broken it off or had fallen silent.

Cause: a retry and a backup named the ID of the last event that had one, or 0 if none had.

Change: a stream can be continued only while the last event of its caller has an ID. Otherwise it is broken off as one that may not be repeated, and a silent server gets no backup. Comments after the last event count for nothing.

--- a/gateway/eventreader.go
+++ b/gateway/eventreader.go
@@ -20,6 +20,8 @@
 	raw   []byte
 	id    int64
 	hasID bool
+	// isTrailer is set for what follows the last event, such as comments.
+	isTrailer bool
 }
 
 // eventReader reads whole events. Only an ID or data make an event: comments, unknown fields and blank
--- a/gateway/silencewatch.go
+++ b/gateway/silencewatch.go
@@ -137,6 +137,9 @@
 		return nil
 	}
 	a := w.primary
+	if !a.x.canContinue() {
+		return nil
+	}
 	if socket.Peek(a.conn.Conn) == socket.Readable {
 		// This process is late, not the server.
 		w.setTimer(backupRetryInterval)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -119,7 +119,7 @@
 	if ended {
 		return o, true
 	}
-	if a.x.headSent && !a.x.route.MayRepeat() {
+	if !a.x.canContinue() {
 		a.reportEnd(o)
 		a.x.abort("stream_broken")
 	}
@@ -133,7 +133,7 @@
 	case !betweenEvents:
 		return event{}, io.ErrUnexpectedEOF
 	case e.begun && len(e.buffer) > 0:
-		return event{raw: e.buffer}, nil
+		return event{raw: e.buffer, isTrailer: true}, nil
 	}
 	return event{}, io.EOF
 }
--- a/gateway/streamposition_test.go
+++ b/gateway/streamposition_test.go
@@ -113,6 +113,61 @@
 	require.Equal(t, "id: 0\ndata: x\n\n"+wholeStream(6), body)
 }
 
+// breakAfter returns a handler of which the first server that a request reaches sends text and breaks off. The
+// others go on where they are told to, up to the sixth event.
+func breakAfter(text string) func(int, http.ResponseWriter, *http.Request) {
+	var o order
+	return func(i int, w http.ResponseWriter, r *http.Request) {
+		startStream(w)
+		if o.role(r.Header.Get("X-Id"), i) == 0 {
+			sendRaw(w, text)
+			panic(http.ErrAbortHandler)
+		}
+		sendEvents(w, nextEvent(r), 6)
+	}
+}
+
+// TestUnnumberedStreamGoesOnNowhere guards against a stream that begins again at another server, after its
+// caller got events without IDs.
+func TestUnnumberedStreamGoesOnNowhere(t *testing.T) {
+	const unnumbered = "data: x\n\n"
+	for name, text := range map[string]string{
+		"none has an ID":     unnumbered,
+		"the last has none":  wholeStream(2) + unnumbered,
+		"an ID is no number": "id: a\ndata: x\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newSilenceFront(t, 2, isStreamRoute, breakAfter(text))
+			status, body, err := f.get(t.Context(), "a")
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, text, body)
+			require.Error(t, err, "the stream is not whole")
+		})
+	}
+}
+
+// TestUnnumberedStreamHasNoBackup guards against a backup that begins a stream again after its caller got
+// events without IDs, while its silent server would go on.
+func TestUnnumberedStreamHasNoBackup(t *testing.T) {
+	const unnumbered = "data: x\n\n"
+	var o order
+	f := newSilenceFront(t, 2, isStreamRoute, func(i int, w http.ResponseWriter, r *http.Request) {
+		startStream(w)
+		if o.role(r.Header.Get("X-Id"), i) == 0 {
+			sendRaw(w, unnumbered)
+			if pause(r, 2*time.Second) {
+				sendRaw(w, unnumbered)
+			}
+			return
+		}
+		sendEvents(w, nextEvent(r), 6)
+	})
+	status, body, err := f.get(t.Context(), "a")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, unnumbered+unnumbered, body)
+}
+
 // TestBackupOutOfOrderDoesNotTakeOver guards against a stream that is cut, since the server of its backup begins
 // elsewhere than after the last event, while its silent server would go on.
 func TestBackupOutOfOrderDoesNotTakeOver(t *testing.T) {
