A server that has restarted amid an unframed response did not end it

What callers saw: streams without a length and without chunks that ended as complete before their last event, when their servers restarted in place. The same holds for other unframed responses.

Cause: the end of the connection counts as the end of the response unless the server's host refuses connections, and where another process has started at the address nothing refuses them.

Change: the connection that checks this also asks the server for its start. If it is not that of the process which sent the response, the response has been broken off. A server that has told no start, or does not answer within the time of the check, is taken at its word as before.

Cost: a report for each unframed response of a server whose start is known.

--- a/direct/config.go
+++ b/direct/config.go
@@ -155,6 +155,9 @@
 // listed with it.
 const UnknownVersion = "\x00"
 
+// HasStart reports whether the entry of the server names its start.
+func (s *Server) HasStart() bool { return strings.Contains(s.ID, incarnationSeparator) }
+
 // MatchStart compares the start that a server itself has told, as Unix time in milliseconds, with that of
 // its entry. Clocks of hosts may be wrong, so neither of two starts counts as the later one.
 func (s *Server) MatchStart(millis int64) Incarnation {
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/backend"
+	"github.com/croftvale/croftvale/direct"
 )
 
 // unframedCheckTimeout bounds the check whether a server has crashed at the end of an unframed
@@ -22,22 +24,43 @@
 // checkUnframedEnd returns io.EOF if an unframed response is whole. If it has no content or its
 // server has crashed, it returns io.ErrUnexpectedEOF.
 func (a *attempt) checkUnframedEnd(hasContent bool) error {
-	if !hasContent || a.serverRefuses() {
+	if !hasContent || a.serverHasEnded() {
 		return io.ErrUnexpectedEOF
 	}
 	a.unframed = true
 	return io.EOF
 }
 
-// serverRefuses reports whether the server's host refuses connections, so that the server has
-// crashed.
-func (a *attempt) serverRefuses() bool {
+// serverHasEnded reports whether the process that sent a response has ended: its host refuses connections,
+// or another process serves at its address.
+func (a *attempt) serverHasEnded() bool {
 	ctx, cancel := context.WithTimeout(a.ctx, unframedCheckTimeout)
 	defer cancel()
 	conn, err := a.x.front.pool.Dial(ctx, a.cmd.Server.Address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	conn.Close()
-	return false
+	defer conn.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+	}
+	return a.hasRestarted(conn)
+}
+
+// hasRestarted reports whether a new connection leads to another start of the server than that of the
+// attempt. A server that does not tell its start has not restarted as far as is known.
+func (a *attempt) hasRestarted(conn *backend.Conn) bool {
+	earlier, told := a.conn.ServerStart()
+	if a.x.front.dialect.ReportPath() == "" || !told && !a.cmd.Server.HasStart() {
+		return false
+	}
+	err := a.askStart(conn)
+	if err != nil && !errors.Is(err, backend.ErrClosing) {
+		return false
+	}
+	now, tells := conn.ServerStart()
+	if told && tells {
+		return now != earlier
+	}
+	return matchStart(conn, &a.cmd.Server) == direct.OtherIncarnation
 }
