--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -11,10 +11,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// resumingDialect is startDialect for callers that take streams up.
-type resumingDialect struct{ startDialect }
+// resumingStartDialect is startDialect for callers that take streams up.
+type resumingStartDialect struct{ startDialect }
 
-func (d resumingDialect) ParseRequest(h http.Header) (RequestInfo, error) {
+func (d resumingStartDialect) ParseRequest(h http.Header) (RequestInfo, error) {
 	info, err := d.startDialect.ParseRequest(h)
 	info.AfterEvent = h.Get("X-After")
 	return info, err
@@ -43,7 +43,7 @@
 			sendEvents(w, nextEvent(r), 4)
 		}
 	})
-	f.dialect, f.origins = resumingDialect{}, recordedOrigins{}
+	f.dialect, f.origins = resumingStartDialect{}, recordedOrigins{}
 	conn, err := f.pool.Get(t.Context(), f.servers[0].Listener.Addr().String())
 	require.NoError(t, err)
 	require.NoError(t, conn.Send(&backend.Request{Method: http.MethodGet, Target: "/report", Host: "h"}))
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -86,7 +86,7 @@
 	}
 	if !conn.HasBeenAsked() {
 		a.watch.arm(a.firstEventTimeout())
-		err := a.askStart(conn)
+		err := a.askStart(conn, a.reportTimeout())
 		if errors.Is(err, errReportRefused) && !a.x.needsVersion() {
 			a.versionInDoubt = true
 			return nil
@@ -140,9 +140,9 @@
 }
 
 // askStart asks the server for its report. It fails if the connection can't be used for another request.
-func (a *attempt) askStart(conn *backend.Conn) error {
+func (a *attempt) askStart(conn *backend.Conn, timeout time.Duration) error {
 	dialect := a.x.front.dialect
-	_ = conn.SetDeadline(time.Now().Add(min(a.reportTimeout(), a.timeLeft()))) // as in connect
+	_ = conn.SetDeadline(time.Now().Add(min(timeout, a.timeLeft()))) // as in connect
 	defer func() { _ = conn.SetDeadline(time.Now().Add(a.timeLeft())) }()
 	if err := conn.Send(&backend.Request{Method: http.MethodGet, Target: dialect.ReportPath(), Host: a.cmd.Server.Address}); err != nil {
 		return err
