A server that sends garbage for its report is no evidence about its hall

What callers saw: requests of other services refused as no_servers, though their servers were sound, when three servers of a data hall sent bytes without end, or anything unreadable, for their reports. Cause: such an attempt ends as unsent, and unsent attempts count as servers that can't be reached; three of them make the hall count as lost. Change: an attempt whose connection was made says so, and counts against its server only, as one that the server's host refused.

TestServersWithoutReportLoseNoHall fails without the change. Package direct passes.

--- a/direct/ending.go
+++ b/direct/ending.go
@@ -47,9 +47,9 @@
 	m.recordCrashEvidence(msg.Now, r, s, msg.Outcome, msg.Unframed)
 	m.observeEnd(p, msg, r, s)
 	p.recordEnded(r, s, msg.Outcome)
-	// A host that refuses a connection can be reached: its process has ended, which is no evidence
-	// about the other servers of its hall.
-	if msg.Outcome == Unsent && !msg.ConnRefused && !msg.RouterLate {
+	// A host that accepts or refuses a connection can be reached: that its process sends garbage or has
+	// ended is no evidence about the other servers of its hall.
+	if msg.Outcome == Unsent && !msg.ConnRefused && !msg.Connected && !msg.RouterLate {
 		m.recordUnreachable(msg.Now, s)
 	}
 	switch {
--- a/direct/reach_test.go
+++ b/direct/reach_test.go
@@ -185,3 +185,16 @@
 	r.Version = "v2"
 	h.sent(h.arrive(r))
 }
+
+// TestServersWithoutReportLoseNoHall guards against data halls that are left because some of their servers
+// accept connections and then send garbage: the others are still sound.
+func TestServersWithoutReportLoseNoHall(t *testing.T) {
+	for _, connected := range []bool{true, false} {
+		h := newHallHarness(t, 16)
+		for range 4 * minUnreachable {
+			h.arrive(h.request("red"))
+			h.m.Update(AttemptEndMsg{Now: h.now, ID: h.lastID, Outcome: Unsent, Connected: connected})
+		}
+		require.Equal(t, !connected, h.m.reachOf("a").lost || h.m.reachOf("b").lost)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,6 +49,7 @@
 	forwarding bool         // the first event of the stream has been forwarded
 
 	connRefused bool // the server's host refused the connection
+	connected   bool // a new connection to the server was made, but the server could not be identified
 	dialOverdue bool // this process ran too late to connect
 	unframed    bool // the response ended with its connection
 	// declined is set as soon as the server says that it did not run the request.
@@ -172,6 +173,7 @@
 		}
 		conn.Close()
 		if a.hasEnded() || !reused && (tries == maxIdentifyTries || !errors.Is(err, backend.ErrClosing)) {
+			a.connected = !reused
 			return direct.Unsent, false
 		}
 		a.stopWatch()
--- a/gateway/backup.go
+++ b/gateway/backup.go
@@ -111,7 +111,8 @@
 	a.finish()
 	core := a.x.front.core
 	core.Update(direct.AttemptEndMsg{
-		Now: core.Now(), ID: a.id, Outcome: outcome, ConnRefused: a.connRefused, RouterLate: a.dialOverdue || core.pressure.Slow(),
+		Now: core.Now(), ID: a.id, Outcome: outcome, ConnRefused: a.connRefused, Connected: a.connected,
+		RouterLate: a.dialOverdue || core.pressure.Slow(),
 	})
 	a.x.front.stats.Attempt(outcome, core.Now()-a.startedAt)
 	a.x.front.logBackup(a, outcome)
