A server that doesn't end its report is left in time

What callers saw: streams that nobody had run were held to their deadline and failed with 504, though another server was free, where the route allows a single attempt: the server that was asked for its report first sent nothing, or its bytes slowly without an end. Where two attempts are allowed, a backup served them. Cause: the report had no time limit but the request's. Change: it has one of 2 s; a sound server may be silent for a second or so. Nothing has been sent by then, so the request goes to another server, and counts as not run.

--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/backend"
@@ -12,6 +13,9 @@
 const (
 	// maxReportBytes bounds a server's report.
 	maxReportBytes = 64 << 10
+	// maxReportTime bounds the time that a server takes for its report. A sound server may be silent for a
+	// second or so.
+	maxReportTime = 2 * time.Second
 	// maxIdentifyTries bounds the new connections on which a server that closes them is asked for its start.
 	maxIdentifyTries = 2
 )
@@ -70,10 +74,13 @@
 	return nil
 }
 
-// askStart asks the server for its report. It fails if the connection can't be used for another request.
+// askStart asks the server for its report, within maxReportTime. It fails if the connection can't be used for
+// another request.
 func (a *attempt) askStart(conn *backend.Conn) error {
 	dialect := a.x.front.dialect
 	conn.MarkAsked()
+	_ = conn.SetDeadline(time.Now().Add(min(maxReportTime, a.timeLeft()))) // as in connect
+	defer func() { _ = conn.SetDeadline(time.Now().Add(a.timeLeft())) }()
 	if err := conn.Send(&backend.Request{Method: http.MethodGet, Target: dialect.ReportPath(), Host: a.cmd.Server.Address}); err != nil {
 		return err
 	}
