What routers send each other is checked before it is decoded

What callers could see: a router that runs out of memory, and all its requests with it, by a few bytes from another process: a garbled datagram, or a pull that is answered by something else than a router. Cause: the decoder allocates an array of the announced length before it reads an element (its limit does not hold for slices of structs in the version used), and it follows any depth of nesting on its stack. Change: the lengths and the depth are checked first; every element needs a byte at least, so a length may not exceed the bytes that are left. What is sound is decoded as before.

Found by reading; not seen at users.

--- a/gateway/cluster/datagram.go
+++ b/gateway/cluster/datagram.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"github.com/croftvale/croftvale/internal/msgpackcheck"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -34,10 +35,18 @@
 }
 
 // decode decodes a datagram into a message.
-func decode(body []byte, message any) error { return msgpack.Unmarshal(body, message) }
+func decode(body []byte, message any) error {
+	if err := msgpackcheck.Check(body, 1); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(body, message)
+}
 
 // decodeExtended decodes a datagram into a message and, if present, an extension.
 func decodeExtended(body []byte, message, extension any) error {
+	if err := msgpackcheck.Check(body, 2); err != nil {
+		return err
+	}
 	in := bytes.NewReader(body)
 	decoder := msgpack.NewDecoder(in)
 	if err := decoder.Decode(message); err != nil {
--- a/gateway/feed/content.go
+++ b/gateway/feed/content.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/croftvale/croftvale/internal/wait"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Content holds the newest content of one feed that this router has received, from the
@@ -101,7 +100,7 @@
 // ApplyPulled decodes and offers content that was pulled from another router.
 func (c *Content[T]) ApplyPulled(body []byte, from string) error {
 	var pulled T
-	if err := msgpack.Unmarshal(body, &pulled); err != nil {
+	if err := decodePulled(body, &pulled); err != nil {
 		return err
 	}
 	c.Offer(&pulled, from)
--- a/gateway/feed/objectfeed.go
+++ b/gateway/feed/objectfeed.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Listing holds all objects of one kind at one revision of the source.
@@ -109,7 +107,7 @@
 // restore, and not know what the source lost.
 func (f *objectFeed[T]) ApplyPulled(body []byte, from string) error {
 	var pulled Listing[T]
-	if err := msgpack.Unmarshal(body, &pulled); err != nil {
+	if err := decodePulled(body, &pulled); err != nil {
 		return err
 	}
 	if pulled.Revision <= f.Revision() {
--- a/gateway/feed/pull.go
+++ b/gateway/feed/pull.go
@@ -13,7 +13,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/gateway/traffic"
+	"github.com/croftvale/croftvale/internal/msgpackcheck"
 	"github.com/croftvale/croftvale/internal/wait"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 const (
@@ -160,6 +162,14 @@
 	return order
 }
 
+// decodePulled decodes the content of a feed that another router has sent.
+func decodePulled(body []byte, content any) error {
+	if err := msgpackcheck.Check(body, 1); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(body, content)
+}
+
 // hostOf returns the host of an address, or an empty string if it has no port.
 func hostOf(address string) string {
 	host, _, err := net.SplitHostPort(address)
--- a/gateway/feed/servers.go
+++ b/gateway/feed/servers.go
@@ -7,7 +7,6 @@
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/serverlist"
 	"github.com/croftvale/croftvale/internal/wait"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // serverChangesPause is the pause between two calls for changes of servers. Changes
@@ -138,7 +137,7 @@
 // ApplyPulled decodes and applies an update that was pulled from another router.
 func (s *Servers) ApplyPulled(body []byte, from string) error {
 	var u serverlist.Update
-	if err := msgpack.Unmarshal(body, &u); err != nil {
+	if err := decodePulled(body, &u); err != nil {
 		return err
 	}
 	s.offerUpdate(&u, from)
