--- a/direct/reach_test.go
+++ b/direct/reach_test.go
@@ -185,3 +185,16 @@
 	r.Version = "v2"
 	h.sent(h.arrive(r))
 }
+
+// TestServersWithoutReportLoseNoHall guards against data halls that are left because some of their servers
+// accept connections and then send garbage: the others are still sound.
+func TestServersWithoutReportLoseNoHall(t *testing.T) {
+	for _, outcome := range []Outcome{Unidentified, Unsent} {
+		h := newHallHarness(t, 16)
+		for range 4 * minUnreachable {
+			h.arrive(h.request("red"))
+			h.m.Update(AttemptEndMsg{Now: h.now, ID: h.lastID, Outcome: outcome})
+		}
+		require.Equal(t, outcome == Unsent, h.m.reachOf("a").lost || h.m.reachOf("b").lost)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -16,9 +16,6 @@
 // minTimeLeft is the shortest remaining time for which a request is still sent.
 const minTimeLeft = 2 * time.Millisecond
 
-// errWithheld is the error of an attempt that was not sent, as it was withdrawn before.
-var errWithheld = errors.New("the request was withdrawn before it was sent")
-
 // errTooLarge is returned for a body or a stream event that exceeds its size limit.
 var errTooLarge = errors.New("the body or event exceeds its size limit")
 
@@ -123,7 +120,7 @@
 	}
 	conn := a.conn
 	if !a.x.front.core.beginAttempt(a.id, func() { conn.Close() }) {
-		if a.takenOver(errWithheld) {
+		if a.handOver(direct.Withheld) {
 			return direct.Hung, false
 		}
 		conn.Close()
@@ -170,7 +167,7 @@
 		if err == nil {
 			return 0, true
 		}
-		if a.takenOver(err) {
+		if a.handOver(direct.Unidentified) { // it also ends the watch, which uses a.conn
 			return direct.Hung, false
 		}
 		conn.Close()
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -31,6 +31,9 @@
 // names, such as a former process that ends what it has.
 var errFormerStart = errors.New("the connection leads to another start of the backend server")
 
+// errReportUnfinished is returned for a report that does not end, or breaks off.
+var errReportUnfinished = errors.New("the report of the backend server did not end")
+
 // errReportTooLarge is returned for a report that exceeds its size limit.
 var errReportTooLarge = errors.New("the report of the backend server exceeds its size limit")
 
@@ -123,7 +126,7 @@
 	case errors.Is(err, backend.ErrClosing) && told:
 		a.told = &millis
 		return true
-	case errors.Is(err, os.ErrDeadlineExceeded) && !a.x.needsVersion():
+	case errors.Is(err, os.ErrDeadlineExceeded) && !conn.HasUnfinished() && !a.x.needsVersion():
 		a.versionInDoubt = true
 		return true
 	}
@@ -158,7 +161,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes+1))
 	switch {
 	case err != nil:
-		return err
+		return errReportUnfinished
 	case len(body) > maxReportBytes:
 		return errReportTooLarge
 	}
--- a/gateway/memory/account.go
+++ b/gateway/memory/account.go
@@ -9,6 +9,9 @@
 	// to servers, or a response still being received from one. Bodies still being received, and
 	// responses waiting for their callers to read, are not pinned.
 	Pinned bool
+	// Receiving marks a pinned account that also grows with a response from a server. It may be dropped
+	// for a team that holds less.
+	Receiving bool
 
 	bytes    int64
 	sequence uint64 // order in which accounts began to hold memory
--- a/gateway/memory/budget.go
+++ b/gateway/memory/budget.go
@@ -38,6 +38,9 @@
 	for b.held+int64(n) > b.capacity {
 		victim := b.selectVictim(a, int64(n))
 		if victim == nil || victim == a {
+			victim = b.largestReceiving(a, int64(n))
+		}
+		if victim == nil {
 			return dropped, false
 		}
 		b.Close(victim)
@@ -110,6 +113,27 @@
 	return own.largest(a, a.bytes+n)
 }
 
+// largestReceiving returns the largest response that a server is sending for a team which would hold more
+// than that of a, or nil if there is none: a faulty server must not take the memory of other teams.
+func (b *Budget) largestReceiving(a *Account, n int64) *Account {
+	var found *Account
+	ownBytes := n
+	if own := b.teams[a.Team]; own != nil {
+		ownBytes += own.bytes
+	}
+	for name, t := range b.teams {
+		if name == a.Team || t.bytes <= ownBytes {
+			continue
+		}
+		for other := range t.accounts {
+			if other.Receiving && (found == nil || other.bytes > found.bytes || other.bytes == found.bytes && other.sequence < found.sequence) {
+				found = other
+			}
+		}
+	}
+	return found
+}
+
 // droppable reports whether any account of the team may be dropped.
 func (t *teamAccounts) droppable() bool {
 	for a := range t.accounts {
--- a/gateway/memory/budget_test.go
+++ b/gateway/memory/budget_test.go
@@ -125,3 +125,27 @@
 	require.True(t, ok)
 	require.Empty(t, dropped)
 }
+
+// TestResponsesGiveWayToOtherTeams guards against responses without an end that take the memory of all teams:
+// the largest of the team that holds the most is dropped, for a team that holds less.
+func TestResponsesGiveWayToOtherTeams(t *testing.T) {
+	b := NewBudget(100)
+	small := &Account{Team: "red", Pinned: true, Receiving: true}
+	large := &Account{Team: "red", Pinned: true, Receiving: true}
+	body := &Account{Team: "red", Pinned: true}
+	for account, n := range map[*Account]int{small: 20, large: 40, body: 40} {
+		dropped, ok := b.Grow(account, n)
+		require.True(t, ok)
+		require.Empty(t, dropped)
+	}
+	_, ok := b.Grow(small, 1)
+	require.False(t, ok, "not for its own team")
+	other := &Account{Team: "blue", Pinned: true, Receiving: true}
+	dropped, ok := b.Grow(other, 30)
+	require.True(t, ok)
+	require.Equal(t, []*Account{large}, dropped)
+	dropped, ok = b.Grow(other, 30)
+	require.False(t, ok, "its team would hold as much as the other")
+	require.Empty(t, dropped)
+	require.False(t, small.Closed() || body.Closed())
+}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -75,7 +75,12 @@
 		}
 	}}
 	a.watch.arm(a.bodyTimeout())
-	body, err := readBuffered(source, bufferedSize(resp), maxBufferedBytes, a.x.grow)
+	queues, account := a.x.front.sendQueues, &a.x.memory
+	queues.SetReceiving(account, true)
+	body, err := readBuffered(source, bufferedSize(resp), maxBufferedBytes, func(n int) bool { return queues.Grow(account, n, a.cancel) })
+	if !queues.SetReceiving(account, false) {
+		err = errNoMemory
+	}
 	if errors.Is(err, errNoMemory) {
 		a.takenOver(nil) // a backup would not help
 		return nil, err
--- a/gateway/sendqueue/queues.go
+++ b/gateway/sendqueue/queues.go
@@ -71,6 +71,15 @@
 	return !a.Closed()
 }
 
+// SetReceiving sets whether an account grows with a response from a server, and reports whether it is
+// still open.
+func (q *Queues) SetReceiving(a *memory.Account, receiving bool) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a.Receiving = receiving
+	return !a.Closed()
+}
+
 // Close closes an account and frees its memory.
 func (q *Queues) Close(a *memory.Account) {
 	q.mu.Lock()
