A router that ends answers what it has not served, in words

What callers saw: in a planned stop of one of two routers, in calm, requests were cut without a word at the end of the grace period, though they had run: with a grace of 8 s, 42 of 133 of 9 s of work, and with 3 s, 3 of 50 of 2 s of work and 17 of 50 of 4 s; plain requests of both kinds alike. Cause: the process ended with whatever still waited for its body, an origin, a place, a retry or a server. Change: half a second before the end of the grace period (earlier in a late process, at most a sixth of it) the router stops the work on every request. What has not run is refused with 503, what may have run fails with 502 in words, and a stream that has begun breaks off without its end; their runs are canceled. The rest of a body that comes afterwards is read, as unread bytes would reset the connection and destroy the response.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -190,6 +190,8 @@
 	case a.x.ctx.Err() != nil:
 		a.x.callerLeft(0)
 		return direct.GivenUp, true
+	case a.x.hasStopped():
+		return a.endStopped(o)
 	case a.x.front.core.Now()+minTimeLeft >= a.x.deadline:
 		if o != direct.Unsent && o != direct.Withheld {
 			o = direct.GivenUp
--- a/gateway/backup.go
+++ b/gateway/backup.go
@@ -71,6 +71,7 @@
 			result = failedStart(direct.Broken)
 		}
 	}()
+	w.primary.x.mayHaveRun.Store(true) // whatever the first server says
 	outcome, sent := b.attempt.send()
 	if !sent {
 		return failedStart(outcome)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -18,6 +19,9 @@
 // errNoMemory is returned when a body or a response does not fit into the memory budget.
 var errNoMemory = errors.New("the memory budget for request bodies and unread responses is exhausted")
 
+// errStopped is returned for a body that had not arrived when the router stopped the work on its request.
+var errStopped = errors.New("the router ends")
+
 // readBuffered reads size bytes. If size is negative, it reads to the end, but at most
 // maxSize bytes. It calls grow before each allocation and fails with errNoMemory if grow
 // returns false.
@@ -85,7 +89,11 @@
 	// The response writers of tests do not support deadlines.
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(time.Now().Add(x.deadline - x.front.core.Now()))
+	unwatch := context.AfterFunc(x.work, x.abortBodyRead)
 	body, err := x.receiveBody(maxSize)
+	if !unwatch() && x.hasStopped() {
+		return errStopped
+	}
 	if !x.front.sendQueues.Pin(&x.memory) {
 		return errNoMemory
 	}
@@ -139,6 +147,8 @@
 	switch {
 	case errors.As(err, &tooLarge), errors.Is(err, errTooLarge):
 		return &refusal{http.StatusRequestEntityTooLarge, "body", 0}
+	case errors.Is(err, errStopped):
+		return &drainRefusal
 	case errors.Is(err, errNoMemory):
 		return &refusal{http.StatusServiceUnavailable, "memory", memoryRetryAfter}
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -146,3 +156,14 @@
 	}
 	return &refusal{http.StatusBadRequest, "body", 0}
 }
+
+// discardBody reads the rest of a body that was refused as the router ends: unread bytes at the end of the
+// process would reset the connection, and the caller might lose its response.
+func (x *exchange) discardBody() {
+	if !x.hasStopped() || x.r.ContentLength == 0 {
+		return
+	}
+	_ = x.front.flush(x.w) // here and below: it fails if the caller has left
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(x.deadline - x.front.core.Now()))
+	_, _ = io.Copy(io.Discard, x.r.Body)
+}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -9,8 +9,13 @@
 )
 
 const (
-	drainAcceptTime   = 2500 * time.Millisecond // for new connections, after the router becomes unready
-	shutdownReserve   = 300 * time.Millisecond  // before the end of the grace period
+	drainAcceptTime = 2500 * time.Millisecond // for new connections, after the router becomes unready
+	shutdownReserve = 300 * time.Millisecond  // before the end of the grace period
+	// answerReserve is how long before the end of the grace period every request in progress is answered,
+	// beside answerLags times the lag of the process, but at most a fraction of the grace period.
+	answerReserve     = 500 * time.Millisecond
+	answerLags        = 4
+	answerFraction    = 6
 	drainPollInterval = 50 * time.Millisecond
 	drainQuietPolls   = 8 // consecutive polls without a request before the router ends
 	// drainIdleTimeout is how long a connection must have been idle to be closed once the
@@ -44,7 +49,7 @@
 // new connections until the balancer has stopped sending them, and completes the requests
 // in progress within the grace period.
 func (g *Gateway) drain() {
-	start := time.Now()
+	start := g.core.Now()
 	g.front.draining.Store(true)
 	g.log.Event("drain").Int64("active", g.front.active.Load()).Msg("")
 	g.cluster.Origins.Leave()
@@ -54,17 +59,31 @@
 	}
 	time.Sleep(min(drainAcceptTime, grace/3))
 	g.front.refusing.Store(true)
+	g.awaitQuiet(start, grace)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownReserve/3)
+	defer cancel()
+	_ = g.server.Shutdown(ctx) // it fails if callers still hold connections; the process ends with them
+}
+
+// awaitQuiet waits until all requests in progress have ended. Near the end of the grace period, which began at
+// start, it stops those that have not.
+func (g *Gateway) awaitQuiet(start, grace time.Duration) {
 	// A late router may still have unread requests, so it ends only after several polls
 	// without any request.
-	for quietPolls := 0; quietPolls < drainQuietPolls && time.Since(start) < grace-shutdownReserve; {
+	for quietPolls := 0; quietPolls < drainQuietPolls && g.core.Now()-start < grace-shutdownReserve; {
 		time.Sleep(drainPollInterval)
+		if g.core.Now()-start >= grace-g.answerTime(grace) {
+			g.front.stopping.end()
+		}
 		g.front.conns.closeIdle(drainIdleTimeout)
 		quietPolls++
 		if g.front.active.Load() > 0 || g.front.conns.hasUnreadRequests() || g.front.conns.hasPendingResponses() {
 			quietPolls = 0
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownReserve/3)
-	defer cancel()
-	_ = g.server.Shutdown(ctx) // it fails if callers still hold connections; the process ends with them
+}
+
+// answerTime returns the time before the end of the grace period that is left for the last responses.
+func (g *Gateway) answerTime(grace time.Duration) time.Duration {
+	return min(answerReserve+answerLags*g.core.pressure.Lag(), grace/answerFraction)
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
@@ -22,6 +23,8 @@
 	w           *watchedWriter
 	r           *http.Request
 	ctx         context.Context // ends when the caller leaves
+	work        context.Context // ends with ctx, or when the router ends
+	stopWork    context.CancelFunc
 	info        RequestInfo
 	route       *direct.Route
 	service     string
@@ -45,8 +48,9 @@
 	forwardedAt   time.Duration     // when events were last forwarded
 	serverFailure *bufferedResponse // a server's own failure, kept while another server is tried
 	lastSend      direct.SendCmd
-	current       *attempt // the last one; nil: none was made
-	callerGone    bool     // the caller has left; nothing may be written any more
+	current       *attempt    // the last one; nil: none was made
+	callerGone    bool        // the caller has left; nothing may be written any more
+	mayHaveRun    atomic.Bool // at a server, at least in part
 }
 
 // request returns the request in the form that the machine needs.
@@ -98,8 +102,12 @@
 			if x.execute(cmd) {
 				return
 			}
-		case <-x.ctx.Done():
+		case <-x.work.Done():
 			core.cancel(x.id, x.commands)
+			if x.hasStopped() {
+				x.stopped()
+				return
+			}
 			x.callerLeft(0)
 			return
 		case <-timer.C:
@@ -140,7 +148,7 @@
 // attempt makes an attempt, and follows the backups that take over from it. It reports whether the
 // request has ended.
 func (x *exchange) attempt(cmd direct.SendCmd) bool {
-	ctx, cancel := context.WithCancel(x.ctx)
+	ctx, cancel := context.WithCancel(x.work)
 	x.begin(newAttempt(ctx, cancel, x, cmd))
 	defer func() { x.current.finish() }()
 	outcome, ended := x.current.run()
@@ -149,6 +157,9 @@
 		x.follow(next)
 		outcome, ended = next.attempt.proceed(next.result)
 	}
+	if outcome.MayHaveRun() {
+		x.mayHaveRun.Store(true)
+	}
 	a := x.current
 	x.front.core.Update(direct.AttemptEndMsg{
 		Now: x.front.core.Now(), ID: x.id, Outcome: outcome, Retry: !ended, ConnRefused: a.connRefused, RouterLate: a.dialOverdue || x.front.core.pressure.Slow(), Unframed: a.unframed,
@@ -168,6 +179,7 @@
 
 // follow makes a backup that has taken over the current attempt.
 func (x *exchange) follow(next *backup) {
+	x.mayHaveRun.Store(true)
 	replaced := x.current
 	x.front.stats.Attempt(direct.Hung, x.front.core.Now()-replaced.startedAt)
 	x.logRetry(direct.Hung)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -58,6 +58,7 @@
 	origins    origins         // which versions began streams
 	endProcess func(cause any) // after a panic that leaves the state machine inconsistent; must not return
 	resuming   resumingStreams
+	stopping   stopping
 	traffic    *traffic.Meter // bytes of requests
 	// maxEventDelay is the longest time that an event may take to reach its caller.
 	maxEventDelay time.Duration
@@ -77,7 +78,7 @@
 	start := f.core.Now()
 	switch {
 	case f.refusing.Load():
-		f.reject(w, r, refusal{http.StatusServiceUnavailable, "draining", drainRetryAfter})
+		f.reject(w, r, drainRefusal)
 		return
 	case !f.feeds.Complete():
 		f.reject(w, r, refusal{http.StatusServiceUnavailable, "no_config", noConfigRetryAfter})
@@ -89,6 +90,8 @@
 		f.reject(w, r, *refused)
 		return
 	}
+	f.stopping.add(x)
+	defer f.stopping.remove(x)
 	if refused = x.resolveOrigin(); refused != nil {
 		f.reject(w, r, *refused)
 		return
@@ -105,6 +108,7 @@
 	}
 	if refused != nil {
 		f.reject(w, r, *refused)
+		x.discardBody()
 		return
 	}
 	if f.core.pressure.Shedding() && f.conns.closedByCaller(x.ctx) {
--- a/gateway/silencewatch.go
+++ b/gateway/silencewatch.go
@@ -147,7 +147,7 @@
 		return nil
 	}
 	b := &backup{ended: make(chan struct{})}
-	b.ctx, b.cancel = context.WithCancel(a.x.ctx)
+	b.ctx, b.cancel = context.WithCancel(a.x.work)
 	b.id, b.commands = a.x.front.core.submitBackup(a.id)
 	w.backup = b
 	return b
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -50,7 +50,10 @@
 	if x.info.AfterEvent == "" {
 		return nil
 	}
-	resolution := x.front.origins.Lookup(x.ctx, x.service, x.stream.key)
+	resolution := x.front.origins.Lookup(x.work, x.service, x.stream.key)
+	if x.hasStopped() {
+		return &drainRefusal
+	}
 	x.front.stats.StreamResumed(resolution)
 	if resolution.Certainty == origin.Unknown {
 		x.logOriginUnknown(attemptID, resolution.Evidence)
