A router that ends takes and sends on what ends before it

Cause: a fixed time alone decided, once, before the body was read. Change: the router keeps an estimate per route of how long its requests take at a server (package gateway/servicetime, pure), and compares it with what is left of the grace period: when the head is read, every 50 ms while the request waits for its body, an origin, a place or a retry, and before it is sent. What can be repeated is tried if it ends typically; what can't, if it hardly ever takes longer. Whatever comes after the balancer has stopped must be known to end, and no stream is taken then, as one that is cut would be lost. Requests of routes of which none was served yet are taken as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -78,6 +78,9 @@
 		a.endExpired(direct.GivenUp)
 		return direct.GivenUp, true
 	}
+	if !a.x.headSent && a.x.front.stopping.isTooLate(a.startedAt, a.x) {
+		return a.endStopped(direct.Withheld)
+	}
 	a.watch.enable()
 	return a.proceed(a.start())
 }
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -16,6 +16,9 @@
 // for the announced length, so that a caller cannot claim memory with a header alone.
 const initialAllocation = 32 << 10
 
+// discardBodyTime bounds how long the rest of a refused body is read.
+const discardBodyTime = 2 * time.Second
+
 // errNoMemory is returned when a body or a response does not fit into the memory budget.
 var errNoMemory = errors.New("the memory budget for request bodies and unread responses is exhausted")
 
@@ -164,6 +167,6 @@
 		return
 	}
 	_ = x.front.flush(x.w) // here and below: it fails if the caller has left
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(x.deadline - x.front.core.Now()))
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(discardBodyTime))
 	_, _ = io.Copy(io.Discard, x.r.Body)
 }
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -45,35 +45,36 @@
 	}
 }
 
-// drain shuts the router down without losing requests. It becomes unready at once, accepts
-// new connections until the balancer has stopped sending them, and completes the requests
-// in progress within the grace period.
+// drain shuts the router down without losing requests. It becomes unready at once, takes requests until the
+// balancer has stopped sending them, and completes those in progress within the grace period. What would not
+// end within it is refused.
 func (g *Gateway) drain() {
 	start := g.core.Now()
-	g.front.draining.Store(true)
-	g.log.Event("drain").Int64("active", g.front.active.Load()).Msg("")
-	g.cluster.Origins.Leave()
 	grace := time.Duration(g.grace.Load())
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	time.Sleep(min(drainAcceptTime, grace/3))
-	g.front.refusing.Store(true)
-	g.awaitQuiet(start, grace)
+	acceptUntil := start + min(drainAcceptTime, grace/3)
+	g.front.stopping.begin(acceptUntil, start+grace-g.answerTime(grace))
+	g.front.draining.Store(true)
+	g.log.Event("drain").Int64("active", g.front.active.Load()).Msg("")
+	g.cluster.Origins.Leave()
+	g.awaitQuiet(start, acceptUntil, grace)
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownReserve/3)
 	defer cancel()
 	_ = g.server.Shutdown(ctx) // it fails if callers still hold connections; the process ends with them
 }
 
-// awaitQuiet waits until all requests in progress have ended. Near the end of the grace period, which began at
-// start, it stops those that have not.
-func (g *Gateway) awaitQuiet(start, grace time.Duration) {
+// awaitQuiet waits until the balancer sends no more and all requests in progress have ended. It stops those that
+// would not end within the grace period, which began at start.
+func (g *Gateway) awaitQuiet(start, acceptUntil, grace time.Duration) {
 	// A late router may still have unread requests, so it ends only after several polls
 	// without any request.
 	for quietPolls := 0; quietPolls < drainQuietPolls && g.core.Now()-start < grace-shutdownReserve; {
 		time.Sleep(drainPollInterval)
-		if g.core.Now()-start >= grace-g.answerTime(grace) {
-			g.front.stopping.end()
+		g.front.stopping.stopLate(g.core.Now(), start+grace-g.answerTime(grace))
+		if g.core.Now() < acceptUntil {
+			continue
 		}
 		g.front.conns.closeIdle(drainIdleTimeout)
 		quietPolls++
--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -74,6 +74,7 @@
 	if result == resultServed && x.lastSend.PlacementBasis.Share < firstTryShare {
 		x.front.ages.observeFirstTry(x.route.Name, x.info.TimeLeft)
 	}
+	x.observeTime(result == resultServed)
 	x.front.outcomes.record(x, result, x.front.core.Now())
 	x.log(result, status, reason)
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -50,6 +50,7 @@
 	lastSend      direct.SendCmd
 	current       *attempt    // the last one; nil: none was made
 	callerGone    bool        // the caller has left; nothing may be written any more
+	busy          atomic.Bool // at a server, or its response has begun
 	mayHaveRun    atomic.Bool // at a server, at least in part
 }
 
@@ -148,6 +149,8 @@
 // attempt makes an attempt, and follows the backups that take over from it. It reports whether the
 // request has ended.
 func (x *exchange) attempt(cmd direct.SendCmd) bool {
+	x.busy.Store(true)
+	defer func() { x.busy.Store(x.headSent) }()
 	ctx, cancel := context.WithCancel(x.work)
 	x.begin(newAttempt(ctx, cancel, x, cmd))
 	defer func() { x.current.finish() }()
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -49,7 +49,6 @@
 	stats      *stats.Stats
 	sendQueues *sendqueue.Queues // unread responses, and the memory for bodies
 	draining   atomic.Bool       // responses close their connections
-	refusing   atomic.Bool       // new requests are refused
 	active     atomic.Int64
 	conns      *callerConns
 	ages       ageEstimator
@@ -76,11 +75,7 @@
 // serve serves a request. It may panic.
 func (f *front) serve(w *watchedWriter, r *http.Request) {
 	start := f.core.Now()
-	switch {
-	case f.refusing.Load():
-		f.reject(w, r, drainRefusal)
-		return
-	case !f.feeds.Complete():
+	if !f.feeds.Complete() {
 		f.reject(w, r, refusal{http.StatusServiceUnavailable, "no_config", noConfigRetryAfter})
 		return
 	}
@@ -92,6 +87,11 @@
 	}
 	f.stopping.add(x)
 	defer f.stopping.remove(x)
+	if x.hasStopped() {
+		f.reject(w, r, drainRefusal)
+		x.discardBody()
+		return
+	}
 	if refused = x.resolveOrigin(); refused != nil {
 		f.reject(w, r, *refused)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,6 +196,7 @@
 		}
 		if table := g.feeds.Config.Table(); table != nil {
 			g.front.ages.retainRoutes(table.HasRoute)
+			g.front.stopping.retainRoutes(table.HasRoute)
 		}
 		g.front.conns.closeIdle(g.callerIdleTimeout())
 		g.front.pool.Sweep(func(address string) bool { return listed[address] })
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/gateway/servicetime"
 )
 
 // reasonDraining is the reason of the responses to requests that a router no longer serves, as it ends.
@@ -14,20 +17,31 @@
 // drainRefusal refuses a request that has not run.
 var drainRefusal = refusal{http.StatusServiceUnavailable, reasonDraining, drainRetryAfter}
 
-// stopping holds the requests in progress, so that a router that ends can stop them. The zero value is ready
-// to use.
+// stopping holds the requests in progress, and decides which of them a router that ends still sends to servers.
+// The zero value is that of a router that goes on. Points in time are on the clock of the core.
 type stopping struct {
-	mu        sync.Mutex
-	ended     bool // no request may be in progress any more
-	exchanges map[*exchange]struct{}
+	mu          sync.Mutex
+	begun       bool
+	acceptUntil time.Duration // until then, the balancer may send requests
+	endsAt      time.Duration // by then, every request has ended
+	exchanges   map[*exchange]struct{}
+	times       map[string]*servicetime.Estimate // by route
 }
 
-// add begins the work on a request. It must be removed again.
+// begin begins the end of the router.
+func (s *stopping) begin(acceptUntil, endsAt time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.begun, s.acceptUntil, s.endsAt = true, acceptUntil, endsAt
+}
+
+// add begins the work on a request, and stops it at once if it would not end in time. The request must be
+// removed again.
 func (s *stopping) add(x *exchange) {
 	x.work, x.stopWork = context.WithCancel(x.ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended {
+	if s.exceeds(x.start, x) {
 		x.stopWork()
 		return
 	}
@@ -44,13 +58,82 @@
 	delete(s.exchanges, x)
 }
 
-// end stops the work on all requests, so that they are answered now.
-func (s *stopping) end() {
+// stopLate stops the work on requests that are at no server and would not end in time, and in the end on all.
+func (s *stopping) stopLate(now, endsAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ended = true
+	s.endsAt = endsAt
 	for x := range s.exchanges {
-		x.stopWork()
+		if now >= endsAt || !x.busy.Load() && s.exceeds(now, x) {
+			x.stopWork()
+		}
+	}
+}
+
+// isTooLate reports whether a request is no longer sent to a server.
+func (s *stopping) isTooLate(now time.Duration, x *exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.exceeds(now, x)
+}
+
+// exceeds reports whether a request that is sent now may not end before the router. One that can be repeated
+// is worth a try if most would end; one that can't be repeated would be lost. s.mu is held.
+func (s *stopping) exceeds(now time.Duration, x *exchange) bool {
+	if !s.begun {
+		return false
+	}
+	left, times := s.endsAt-now, s.estimate(x.route.Name)
+	isStream := x.route.Kind == direct.Stream
+	switch {
+	case left <= 0 || isStream && x.start >= s.acceptUntil:
+		return true
+	case x.start >= s.acceptUntil, isStream && now >= s.acceptUntil:
+		return !times.IsKnown() || times.Longest() > left
+	case x.route.MayRepeat():
+		return times.Typical() > left
+	}
+	return times.Longest() > left
+}
+
+func (s *stopping) estimate(route string) servicetime.Estimate {
+	if times := s.times[route]; times != nil {
+		return *times
+	}
+	return servicetime.Estimate{}
+}
+
+// observe records how long a request took at its last server.
+func (s *stopping) observe(route string, took time.Duration, served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	times := s.times[route]
+	if times == nil {
+		if s.times == nil {
+			s.times = make(map[string]*servicetime.Estimate)
+		}
+		times = &servicetime.Estimate{}
+		s.times[route] = times
+	}
+	if served {
+		times.Observe(took)
+		return
+	}
+	times.ObserveAtLeast(took)
+}
+
+// retainRoutes drops the routes that are no longer configured.
+func (s *stopping) retainRoutes(configured func(route string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.times, func(route string, _ *servicetime.Estimate) bool { return !configured(route) })
+}
+
+// observeTime records how long the request took at its last server. What is left of a stream tells nothing
+// about a whole one.
+func (x *exchange) observeTime(served bool) {
+	if x.current != nil && x.info.AfterEvent == "" {
+		x.front.stopping.observe(x.route.Name, x.front.core.Now()-x.current.startedAt, served)
 	}
 }
 
