Stops: answers later, also to what is read last, and suspended routers

Change: the last responses begin 350 ms before the end, and the process waits until 200 ms before it; a late process still begins earlier.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -10,10 +10,10 @@
 
 const (
 	drainAcceptTime = 2500 * time.Millisecond // for new connections, after the router becomes unready
-	shutdownReserve = 300 * time.Millisecond  // before the end of the grace period
+	shutdownReserve = 200 * time.Millisecond  // before the end of the grace period
 	// answerReserve is how long before the end of the grace period every request in progress is answered,
 	// beside answerLags times the lag of the process, but at most a fraction of the grace period.
-	answerReserve     = 500 * time.Millisecond
+	answerReserve     = 350 * time.Millisecond
 	answerLags        = 4
 	answerFraction    = 6
 	drainPollInterval = 50 * time.Millisecond
@@ -60,6 +60,7 @@
 	g.log.Event("drain").Int64("active", g.front.active.Load()).Msg("")
 	g.cluster.Origins.Leave()
 	g.awaitQuiet(start, acceptUntil, grace)
+	g.front.stopping.stopLate(g.core.Now(), g.core.Now()) // also what is read from now on
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownReserve/3)
 	defer cancel()
 	_ = g.server.Shutdown(ctx) // it fails if callers still hold connections; the process ends with them
