--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -79,6 +79,9 @@
 		a.endExpired(direct.GivenUp)
 		return direct.GivenUp, true
 	}
+	if !a.x.headSent && a.x.front.stopping.isTooLate(a.startedAt, a.x) {
+		return a.endStopped(direct.Withheld)
+	}
 	a.watch.enable()
 	return a.proceed(a.start())
 }
@@ -193,6 +196,8 @@
 	case a.x.ctx.Err() != nil:
 		a.x.callerLeft(0)
 		return direct.GivenUp, true
+	case a.x.hasStopped():
+		return a.endStopped(o)
 	case a.x.front.core.Now()+minTimeLeft >= a.x.deadline:
 		if o.MayHaveRun() {
 			o = direct.GivenUp
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -49,7 +49,6 @@
 	stats      *stats.Stats
 	sendQueues *sendqueue.Queues // unread responses, and the memory for bodies
 	draining   atomic.Bool       // responses close their connections
-	refusing   atomic.Bool       // new requests are refused
 	active     atomic.Int64
 	conns      *callerConns
 	ages       ageEstimator
@@ -59,6 +58,7 @@
 	endProcess func(cause any) // after a panic that leaves the state machine inconsistent; must not return
 	resuming   resumingStreams
 	tellers    startTellers
+	stopping   stopping
 	traffic    *traffic.Meter // bytes of requests
 	// maxEventDelay is the longest time that an event may take to reach its caller.
 	maxEventDelay time.Duration
@@ -76,11 +76,7 @@
 // serve serves a request. It may panic.
 func (f *front) serve(w *watchedWriter, r *http.Request) {
 	start := f.core.Now()
-	switch {
-	case f.refusing.Load():
-		f.reject(w, r, refusal{http.StatusServiceUnavailable, "draining", drainRetryAfter})
-		return
-	case !f.feeds.Complete():
+	if !f.feeds.Complete() {
 		f.reject(w, r, refusal{http.StatusServiceUnavailable, "no_config", noConfigRetryAfter})
 		return
 	}
@@ -90,6 +86,13 @@
 		f.reject(w, r, *refused)
 		return
 	}
+	f.stopping.add(x)
+	defer f.stopping.remove(x)
+	if x.hasStopped() {
+		f.reject(w, r, drainRefusal)
+		x.discardBody()
+		return
+	}
 	if refused = x.resolveOrigin(); refused != nil {
 		f.reject(w, r, *refused)
 		return
@@ -106,6 +109,7 @@
 	}
 	if refused != nil {
 		f.reject(w, r, *refused)
+		x.discardBody()
 		return
 	}
 	if f.core.pressure.Shedding() && f.conns.closedByCaller(x.ctx) {
