A stream is taken up at its version also if its route is not resumable now

What callers saw: streams that go on at another version, if the configuration made their route not resumable between the tries: their callers still name the last event that they have.

Cause: the origin of a stream was looked up for resumable routes only, but Last-Event-Id goes to the server on any route.

Change: whoever names the last event of a stream gets the version that began it, or a refusal if several may have, whatever the route says now.

--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -46,7 +46,7 @@
 // needsIncarnation reports whether it matters for the request which version its server runs. The entry of
 // a server that has restarted may be older than its process.
 func (a *attempt) needsIncarnation() bool {
-	return a.x.route.Kind == direct.Stream && a.x.route.MayRepeat() && a.x.front.dialect.ReportPath() != ""
+	return a.x.route.Kind == direct.Stream && (a.x.route.MayRepeat() || a.x.needsVersion()) && a.x.front.dialect.ReportPath() != ""
 }
 
 // identify finds out to which start of the server a connection leads. It asks the server once for each
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -39,9 +39,9 @@
 }
 
 // resolveOrigin restricts a request that resumes a stream to the version that began it. It returns
-// a refusal if several versions may have.
+// a refusal if several versions may have. A route may have ceased to be resumable since.
 func (x *exchange) resolveOrigin() *refusal {
-	if x.route.Kind != direct.Stream || !x.route.MayRepeat() {
+	if x.route.Kind != direct.Stream || !x.route.MayRepeat() && x.info.AfterEvent == "" {
 		return nil
 	}
 	attemptID := x.info.firstAttempt()
