An unframed response that ends at its deadline has been broken off

What callers saw: streams and other responses without a length and without chunks that ended as complete, amid them, when their time was up.

Cause: a server ceases to work at the deadline that it is told, which is rounded down to milliseconds. It closes the connection up to one of them before the router's own deadline, and its process is well, so the end of the connection counted as the end of the response.

Change: an unframed response that ends with less time left than a request needs to be sent is broken off, as one whose time has passed.

TestEarlyEndIsNoEnd, twelve ways to end amid a framed or an unframed stream, held before and holds.

--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -21,10 +21,10 @@
 	return resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0
 }
 
-// checkUnframedEnd returns io.EOF if an unframed response is whole. If it has no content or its
-// server has crashed, it returns io.ErrUnexpectedEOF.
+// checkUnframedEnd returns io.EOF if an unframed response is whole. If it has no content, it ends at the
+// deadline, at which servers cease to work, or its server has crashed, it returns io.ErrUnexpectedEOF.
 func (a *attempt) checkUnframedEnd(hasContent bool) error {
-	if !hasContent || a.serverHasEnded() {
+	if !hasContent || a.timeLeft() < minTimeLeft || a.serverHasEnded() {
 		return io.ErrUnexpectedEOF
 	}
 	a.unframed = true
