A router that restarts after its clock was set back is heard again

What callers saw: nothing that was traced to this. Other routers took such a router for lost until they had forgotten it, and gave it no records of streams to keep.

Cause: a heartbeat whose start is before the last known one counted as one of a life before, however long ago the later one had been heard. The start is the time of day, which may be set back before a restart.

Change: an earlier start is accepted once the later one counts as lost.

Measured: TestRestartAfterClockWasSetBack failed before and passes; so do the packages cluster and detector. No run with real processes: their clocks can't be set here.

--- a/gateway/cluster/peers.go
+++ b/gateway/cluster/peers.go
@@ -147,15 +147,15 @@
 	}
 	p.mu.Lock()
 	peer := p.known[b.Address]
-	if peer == nil || b.Life < peer.startNanos || (b.Life == peer.startNanos && b.Seq <= peer.seq) {
+	now := p.deps.StateMachine.Now()
+	if peer == nil || p.isOvertaken(peer, b, now) {
 		p.mu.Unlock()
 		return nil
 	}
-	now := p.deps.StateMachine.Now()
 	if peer.lastHeard > 0 {
 		p.deps.Stats.RouterSilence.RecordDuration(now - peer.lastHeard)
 	}
-	if peer.startNanos > 0 && b.Life > peer.startNanos {
+	if peer.startNanos > 0 && b.Life != peer.startNanos {
 		peer.restartedAt = now
 	}
 	peer.startNanos, peer.seq, peer.lastHeard = b.Life, b.Seq, now
@@ -182,6 +182,15 @@
 	return cmds
 }
 
+// isOvertaken reports whether a heartbeat was overtaken by a later one of its router. An earlier start is that of
+// a life before, unless the later one counts as lost: the clock of a router may be set back before it restarts.
+func (p *Peers) isOvertaken(peer *peer, b heartbeat, now time.Duration) bool {
+	if b.Life == peer.startNanos {
+		return b.Seq <= peer.seq
+	}
+	return b.Life < peer.startNanos && peer.heardWithin(now, p.peerTimeoutLocked())
+}
+
 // pickTargets picks the targets of a heartbeat at random: most from the live routers, and one from
 // those that count as dead, so that parts of a fleet that were disconnected find one another again.
 func pickTargets(alive, dead []string) []string {
