A restarted server's whole responses are not broken off

What callers saw, since: whole unframed responses of a server that had restarted were broken off until its entry followed, on connections on which it had not been asked for its start.

Cause: its start was compared with that of the entry alone, which is older than the process.

Change: the start that a server has told last, on any connection, is kept by address. A response is whole if its server's start is one that was known before the request was sent. Until a router has heard of a new start at all, the first such response is still broken off: nothing then tells the process that began it from the one that is there at its end.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -60,6 +60,8 @@
 	idle    map[string][]*Conn
 	// progress is when a server last made progress with a response, by address.
 	progress map[string]*progressTime
+	// starts are the starts that servers have told last, by address.
+	starts map[string]int64
 }
 
 // NewPool returns an empty pool.
@@ -68,7 +70,7 @@
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
-	p := &Pool{options: o, idle: make(map[string][]*Conn), progress: make(map[string]*progressTime)}
+	p := &Pool{options: o, idle: make(map[string][]*Conn), progress: make(map[string]*progressTime), starts: make(map[string]int64)}
 	p.dialer = net.Dialer{
 		Timeout:   o.DialTimeout,
 		KeepAlive: -1,
@@ -191,6 +193,7 @@
 	defer p.mu.Unlock()
 	if !wanted {
 		delete(p.progress, address)
+		delete(p.starts, address)
 	}
 	list := p.idle[address]
 	kept := list[:0]
--- a/backend/start.go
+++ b/backend/start.go
@@ -23,11 +23,28 @@
 func (c *Conn) MarkAsked() { c.start.asked = true }
 
 // SetServerStart records the start that the server has told, as Unix time in milliseconds.
-func (c *Conn) SetServerStart(millis int64) { c.start.told, c.start.millis = true, millis }
+func (c *Conn) SetServerStart(millis int64) {
+	c.start.told, c.start.millis = true, millis
+	c.pool.recordStart(c.address, millis)
+}
 
 // ServerStart returns the start that the server has told on this connection, if it has.
 func (c *Conn) ServerStart() (millis int64, told bool) { return c.start.millis, c.start.told }
 
+// LastStart returns the start that a server at the address has told last, on any connection of the pool.
+func (p *Pool) LastStart(address string) (millis int64, told bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	millis, told = p.starts[address]
+	return millis, told
+}
+
+func (p *Pool) recordStart(address string, millis int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.starts[address] = millis
+}
+
 // EndExchange makes the connection ready for another request after a response was read to its end, or
 // returns ErrClosing.
 func (c *Conn) EndExchange() error {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,7 +39,9 @@
 	notice     direct.Notice // sent by the server
 	// incarnation tells whether conn leads to the start of the server that its entry names.
 	incarnation direct.Incarnation
-	watch       silenceWatch
+	// starts are the starts of the server that were known before the request was sent.
+	starts knownStarts
+	watch  silenceWatch
 	// successor is the backup that has taken over; nil: none has.
 	successor *backup
 
@@ -127,6 +129,7 @@
 	}
 	timeLeft := a.timeLeft()
 	a.path = a.x.front.pathTo(a.cmd)
+	a.starts = a.startsSoFar()
 	a.countBytes(len(a.x.body))
 	a.watch.arm(a.firstEventTimeout())
 	err := conn.Send(&backend.Request{
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -47,11 +47,10 @@
 	return a.hasRestarted(conn)
 }
 
-// hasRestarted reports whether a new connection leads to another start of the server than that of the
-// attempt. A server that does not tell its start has not restarted as far as is known.
+// hasRestarted reports whether a new connection leads to a start of the server that was not known when the
+// request was sent. A server that does not tell its start has not restarted as far as is known.
 func (a *attempt) hasRestarted(conn *backend.Conn) bool {
-	earlier, told := a.conn.ServerStart()
-	if a.x.front.dialect.ReportPath() == "" || !told && !a.cmd.Server.HasStart() {
+	if a.x.front.dialect.ReportPath() == "" || a.starts.areUnknown() {
 		return false
 	}
 	err := a.askStart(conn)
@@ -59,8 +58,31 @@
 		return false
 	}
 	now, tells := conn.ServerStart()
-	if told && tells {
-		return now != earlier
+	return tells && !a.starts.include(now)
+}
+
+// knownStarts are the starts of a server that a router knows of. Its entry may be older than its process.
+type knownStarts struct {
+	entry   *direct.Server
+	told    int64 // by the server itself
+	hasTold bool
+	onConn  bool // told on the connection of the request, so that it is the only one
+}
+
+// startsSoFar returns the starts of the server that are known now.
+func (a *attempt) startsSoFar() knownStarts {
+	known := knownStarts{entry: &a.cmd.Server}
+	known.told, known.onConn = a.conn.ServerStart()
+	known.hasTold = known.onConn
+	if !known.onConn {
+		known.told, known.hasTold = a.x.front.pool.LastStart(a.cmd.Server.Address)
 	}
-	return matchStart(conn, &a.cmd.Server) == direct.OtherIncarnation
+	return known
+}
+
+func (k knownStarts) areUnknown() bool { return !k.hasTold && !k.entry.HasStart() }
+
+// include reports whether a start is one of those known.
+func (k knownStarts) include(millis int64) bool {
+	return k.hasTold && k.told == millis || !k.onConn && k.entry.MatchStart(millis) != direct.OtherIncarnation
 }
