--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -40,7 +40,9 @@
 	told           *int64 // start that the server has told before it closed the connection
 	versionPending bool   // the caller gets events of a server whose version is unknown
 	listRevision   uint64 // of the list of servers in which its version was last looked up
-	watch          silenceWatch
+	// starts are the starts of the server that were known before the request was sent.
+	starts knownStarts
+	watch  silenceWatch
 	// successor is the backup that has taken over; nil: none has.
 	successor *backup
 
@@ -131,6 +133,7 @@
 	}
 	timeLeft := a.timeLeft()
 	a.path = a.x.front.pathTo(a.cmd)
+	a.starts = a.startsSoFar()
 	a.countBytes(len(a.x.body))
 	a.watch.arm(a.firstEventTimeout())
 	err := conn.Send(&backend.Request{
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -74,7 +74,7 @@
 // needsIncarnation reports whether it matters for the request which version its server runs, and whether
 // that can be found out. The entry of a server that has restarted may be older than its process.
 func (a *attempt) needsIncarnation() bool {
-	return a.x.route.Kind == direct.Stream && a.x.route.MayRepeat() &&
+	return a.x.route.Kind == direct.Stream && (a.x.route.MayRepeat() || a.x.needsVersion()) &&
 		a.cmd.Server.TellsStart() && a.x.front.dialect.ReportPath() != ""
 }
 
