A request that waited for its server's report has not run there

What callers saw: 502, as if the request might have run, and fewer tries than its route allows, when a server was silent or sent bytes without end for its report, a backup took over, and the backup's server did the same. Nothing had been sent to either. Cause: a backup that takes over ends the first attempt as hung or broken, which may have run; the wait for the report comes before the request is sent. Such a request also counted as a suspect if the server crashed meanwhile. Change: the first attempt says whether anything was sent. If not, it uses up no attempt, has not run and is no suspect; it counts against the server as before.

--- a/direct/backup.go
+++ b/direct/backup.go
@@ -20,6 +20,7 @@
 	Now        time.Duration
 	ID         RequestID // of the backup
 	Outcome    Outcome
+	NotSent    bool // see AttemptEndMsg
 	RouterLate bool // see AttemptEndMsg
 }
 
@@ -114,13 +115,13 @@
 	backup.backupOf = nil
 	backup.charged = replaced.charged
 	replaced.charged = false
-	if !msg.Outcome.MayHaveRun() {
+	if msg.NotSent || !msg.Outcome.MayHaveRun() {
 		backup.mayHaveRun = replaced.mayHaveRun
-		if replaced.mayHaveRun && replaced.countedVisit {
-			backup.attempt-- // as in a retry that was declined
+		if (msg.NotSent || replaced.mayHaveRun) && replaced.countedVisit {
+			backup.attempt-- // as in a retry that was not sent, or declined
 		}
 	}
-	m.endAttempt(AttemptEndMsg{Now: msg.Now, ID: replaced.ID, Outcome: msg.Outcome, RouterLate: msg.RouterLate})
+	m.endAttempt(AttemptEndMsg{Now: msg.Now, ID: replaced.ID, Outcome: msg.Outcome, NotSent: msg.NotSent, RouterLate: msg.RouterLate})
 }
 
 // recordBackupEnd records in a running request that its backup has ended without taking over.
--- a/direct/backup_test.go
+++ b/direct/backup_test.go
@@ -362,3 +362,31 @@
 	_, sent := findCmd[SendCmd](cmds)
 	require.True(t, sent, "%v", cmds)
 }
+
+// TestUnsentTakeOverUsesNoAttempt guards against requests that fail as if they might have run, or that may not go on,
+// since a server was silent before it got them: their backup is then the first server that runs them.
+func TestUnsentTakeOverUsesNoAttempt(t *testing.T) {
+	for _, o := range []Outcome{Hung, Broken} {
+		h := newHarness(t, 3)
+		r := h.request("red")
+		r.Attempts = 2
+		h.sent(h.arrive(r))
+		id, cmds := h.backup(r.ID)
+		h.sent(cmds)
+		h.m.Update(TakeOverMsg{Now: h.now, ID: id, Outcome: o, NotSent: true})
+		cmds = h.end(id, Broken, true)
+		_, sent := findCmd[SendCmd](cmds)
+		require.True(t, sent, "%v", cmds)
+
+		h = newHarness(t, 2)
+		r = h.request("red")
+		h.sent(h.arrive(r))
+		id, cmds = h.backup(r.ID)
+		h.sent(cmds)
+		h.m.Update(TakeOverMsg{Now: h.now, ID: id, Outcome: o, NotSent: true})
+		h.end(id, Unsent, true)
+		cmds = h.advance(r.Deadline)
+		_, refused := findCmd[RefuseCmd](cmds)
+		require.True(t, refused, "%v", cmds)
+	}
+}
--- a/direct/ending.go
+++ b/direct/ending.go
@@ -44,7 +44,9 @@
 		m.endAborted(msg, p, r, s)
 		return
 	}
-	m.recordCrashEvidence(msg.Now, r, s, msg.Outcome, msg.Unframed)
+	if !msg.NotSent {
+		m.recordCrashEvidence(msg.Now, r, s, msg.Outcome, msg.Unframed)
+	}
 	m.observeEnd(p, msg, r, s)
 	p.recordEnded(r, s, msg.Outcome)
 	// A host that accepts or refuses a connection can be reached: that its process sends garbage or has
--- a/direct/messages.go
+++ b/direct/messages.go
@@ -114,6 +114,7 @@
 	Retry       bool
 	ConnRefused bool // for the outcome Unsent: the server's host refused the connection
 	Connected   bool // for the outcome Unsent: the connection to the server was made, so its host can be reached
+	NotSent     bool // the server failed before the request was sent to it, whatever the outcome
 	RouterLate  bool // the router itself was late, so a silence is no evidence against the server
 	Unframed    bool // for the outcome Done: the response had neither a length nor chunks, and ended with its connection
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -130,6 +130,7 @@
 	a.path = a.x.front.pathTo(a.cmd)
 	a.countBytes(len(a.x.body))
 	a.watch.arm(a.firstEventTimeout())
+	a.watch.beginSend()
 	err := conn.Send(&backend.Request{
 		Method: a.x.r.Method,
 		Target: a.x.r.RequestURI,
--- a/gateway/silencewatch.go
+++ b/gateway/silencewatch.go
@@ -28,6 +28,7 @@
 	declined  direct.Reason // why there was no backup when it was last asked for
 	backup    *backup       // nil: there is none
 	tookOver  bool          // the backup has replaced the attempt
+	sent      bool          // the server may have got the request, or a part of it
 	silentFor time.Duration // before the backup took over; 0: none has
 }
 
@@ -97,6 +98,13 @@
 	return b
 }
 
+// beginSend records that the request is being sent. If a backup has taken over, the connection is closed.
+func (w *silenceWatch) beginSend() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent = true
+}
+
 // stop ends the watch for good.
 func (w *silenceWatch) stop() {
 	w.mu.Lock()
@@ -158,7 +166,7 @@
 	w.tookOver = true
 	w.silentFor = w.now() - w.armedAt
 	core := w.primary.x.front.core
-	core.Update(direct.TakeOverMsg{Now: w.now(), ID: w.backup.id, Outcome: o, RouterLate: core.pressure.Slow()})
+	core.Update(direct.TakeOverMsg{Now: w.now(), ID: w.backup.id, Outcome: o, NotSent: !w.sent, RouterLate: core.pressure.Slow()})
 	w.primary.conn.Close() // ends the read from the silent server
 	w.backup.attempt.watch.enable()
 }
