A late response has one time limit for its head and its body

What callers saw: a failure up to two bytes' pauses later than the 4 s that a slow late response may take. Cause: the limit began anew with the first byte of the body. Change: the body ends within the time of its head.

TestSlowStaleBodyEnds failed before, after 6.00 s (5.5 s allowed). Package backend passes.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -122,7 +122,7 @@
 
 // skipBody reads the body of a stale response to its end, within the limits.
 func (c *Conn) skipBody(response *http.Response) error {
-	c.head.limit(maxStaleBodyBytes)
+	c.head.limitBody(maxStaleBodyBytes)
 	defer c.head.unlimit()
 	_, err := io.Copy(io.Discard, response.Body)
 	return err
--- a/backend/conn_test.go
+++ b/backend/conn_test.go
@@ -106,3 +106,24 @@
 		require.Equal(t, want, awaitProtocol(bufio.NewReader(strings.NewReader(text))), "%q", text)
 	}
 }
+
+// TestSlowStaleBodyEnds guards against requests that are held since a server goes on sending a response to an
+// earlier request: its head and its body have one time limit.
+func TestSlowStaleBodyEnds(t *testing.T) {
+	const interval = 1500 * time.Millisecond
+	server, raw := net.Pipe()
+	head := &headReader{source: raw}
+	conn := &Conn{Conn: raw, head: head, reader: bufio.NewReader(head), progress: &progressTime{now: func() time.Duration { return 0 }}}
+	t.Cleanup(func() { conn.Close() })
+	go func() {
+		_, err := io.WriteString(server, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for err == nil {
+			time.Sleep(interval)
+			_, err = io.WriteString(server, "1;x\r\nx\r\n")
+		}
+	}()
+	start := time.Now()
+	_, err := conn.ReadResponse(http.MethodGet, func(*http.Response) bool { return false })
+	require.Error(t, err)
+	require.Less(t, time.Since(start), maxHeadTime+interval)
+}
--- a/backend/head.go
+++ b/backend/head.go
@@ -16,7 +16,8 @@
 	// maxHeadBytes bounds the status line and the headers of a response, including what its first read
 	// takes of the body.
 	maxHeadBytes = 64 << 10
-	// maxHeadTime bounds the time from the first bytes of a head, or of a stale body, to its last ones.
+	// maxHeadTime bounds the time from the first bytes of a head to its last ones, or for a stale response to
+	// the last ones of its body.
 	// Silence alone never exceeds it: a sound server may pause.
 	maxHeadTime = 4 * time.Second
 )
@@ -42,10 +43,13 @@
 	unfinished atomic.Int64
 }
 
-// limit begins a head or a stale body of at most n bytes; unlimit ends it.
+// limit begins a head of at most n bytes; unlimit ends it.
 func (h *headReader) limit(n int64) { h.left, h.limited, h.begunAt = n, true, time.Time{} }
 func (h *headReader) unlimit()      { h.left, h.limited = math.MaxInt64, false }
 
+// limitBody begins a stale body of at most n bytes, which ends within the time of its head.
+func (h *headReader) limitBody(n int64) { h.left, h.limited = n, true }
+
 // Read reads from the connection, within the limits.
 func (h *headReader) Read(p []byte) (int, error) {
 	switch {
