Servers that close the connection after their report serve streams

What callers saw: streams that may be resumed were refused with 503 (no_servers) by servers that answer, but end the connection with their report, as one without a length does; other requests were served there. Cause: the request was sent only on the connection on which the report had come. Change: if the server closes that, the request goes out on the next new one, with the start that the server has just told. A stream that has begun, and needs its version, is still sent only where the start was told on the connection itself.

Left: a stream that has begun does not go on at such a server.

--- a/backend/start.go
+++ b/backend/start.go
@@ -28,6 +28,9 @@
 // ServerStart returns the start that the server has told on this connection, if it has.
 func (c *Conn) ServerStart() (millis int64, told bool) { return c.start.millis, c.start.told }
 
+// AdoptStart takes over what the server has told on another connection, which it closed afterwards.
+func (c *Conn) AdoptStart(from *Conn) { c.start = from.start }
+
 // EndExchange makes the connection ready for another request after a response was read to its end, or
 // returns ErrClosing.
 func (c *Conn) EndExchange() error {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -154,6 +154,7 @@
 // connect opens a connection to the server, or takes one from the pool, and finds out to which start of the
 // server it leads if that matters. If it fails, it returns the outcome of the attempt and false.
 func (a *attempt) connect() (direct.Outcome, bool) {
+	var closed *backend.Conn // on which the server has sent its report, and nothing else
 	for tries := 1; ; tries++ {
 		conn, err := a.getConn()
 		if err != nil {
@@ -162,6 +163,9 @@
 			return direct.Unsent, false
 		}
 		reused := conn.IsReused()
+		if closed != nil && !reused && a.mayAdoptStart(closed) {
+			conn.AdoptStart(closed)
+		}
 		a.conn = conn
 		a.stopWatch = context.AfterFunc(a.ctx, func() { conn.Close() })
 		_ = conn.SetDeadline(time.Now().Add(a.timeLeft())) // here and below: it fails on a closed connection, whose next use returns the error
@@ -177,6 +181,9 @@
 			a.connected = !reused
 			return direct.Unsent, false
 		}
+		if errors.Is(err, backend.ErrClosing) {
+			closed = conn
+		}
 		a.stopWatch()
 	}
 }
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -74,6 +74,13 @@
 	return nil
 }
 
+// mayAdoptStart reports whether the request may be sent on a new connection to a server that has sent its report
+// on another one and closed that. A stream that has begun goes on only where the server has told its start.
+func (a *attempt) mayAdoptStart(closed *backend.Conn) bool {
+	_, told := closed.ServerStart()
+	return !told || !a.x.needsVersion()
+}
+
 // askStart asks the server for its report, within maxReportTime. It fails if the connection can't be used for
 // another request.
 func (a *attempt) askStart(conn *backend.Conn) error {
