--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -37,6 +37,7 @@
 	// incarnation tells whether conn leads to the start of the server that its entry names.
 	incarnation    direct.Incarnation
 	versionInDoubt bool   // the server has not told its start as it should
+	skipsReport    bool   // the server closes the connection after a report without a start
 	told           *int64 // start that the server has told before it closed the connection
 	versionPending bool   // the caller gets events of a server whose version is unknown
 	listRevision   uint64 // of the list of servers in which its version was last looked up
@@ -136,6 +137,7 @@
 	a.starts = a.startsSoFar()
 	a.countBytes(len(a.x.body))
 	a.watch.arm(a.firstEventTimeout())
+	a.watch.beginSend()
 	err := conn.Send(&backend.Request{
 		Method: a.x.r.Method,
 		Target: a.x.r.RequestURI,
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -81,7 +81,7 @@
 // identify finds out to which start of the server a connection leads. It asks the server once for each
 // connection. An error means that the connection can't be used any more; the request has not been sent.
 func (a *attempt) identify(conn *backend.Conn) error {
-	if !a.needsIncarnation() || a.versionInDoubt {
+	if !a.needsIncarnation() || a.versionInDoubt || a.skipsReport {
 		return nil
 	}
 	if a.told != nil {
@@ -126,6 +126,9 @@
 	case errors.Is(err, backend.ErrClosing) && told:
 		a.told = &millis
 		return true
+	case errors.Is(err, backend.ErrClosing) && !a.x.front.tellers.has(a.x.service):
+		a.skipsReport = true
+		return true
 	case errors.Is(err, os.ErrDeadlineExceeded) && !conn.HasUnfinished() && !a.x.needsVersion():
 		a.versionInDoubt = true
 		return true
