A record of unknown version names the server's start, so that its entry tells the version later

Change: the record names the start that the server has told; whoever resumes the stream looks it up in the list. Until it is listed the stream may go on at that very start only.

--- a/direct/config.go
+++ b/direct/config.go
@@ -151,10 +151,28 @@
 	return "unknown"
 }
 
-// UnknownVersion is the version of a server that has restarted since its entry was written. No server is
-// listed with it.
+// UnknownVersion is the version of a server that may have restarted since its entry was written, if its
+// start is not known either. No server is listed with it.
 const UnknownVersion = "\x00"
 
+// UnlistedVersion returns the version of a start of a server whose entry has not come yet: UnknownVersion and
+// the ID of the start.
+func UnlistedVersion(name string, startMillis int64) string {
+	return UnknownVersion + name + incarnationSeparator + strconv.FormatInt(startMillis, 10)
+}
+
+// UnlistedID returns the ID of the start that an unlisted version stands for; empty: none.
+func UnlistedID(version string) string {
+	id, _ := strings.CutPrefix(version, UnknownVersion)
+	if len(id) == len(version) {
+		return ""
+	}
+	return id
+}
+
+// IsUnknownVersion reports whether a version is UnknownVersion or an unlisted one.
+func IsUnknownVersion(version string) bool { return strings.HasPrefix(version, UnknownVersion) }
+
 // TellsStart reports whether the server's entry tells its start.
 func (s *Server) TellsStart() bool { return strings.Contains(s.ID, incarnationSeparator) }
 
--- a/direct/request.go
+++ b/direct/request.go
@@ -46,7 +46,7 @@
 
 // allows reports whether the request may go to a server, by its region and version.
 func (r *Request) allows(s *server) bool {
-	return r.Regions.Allows(s.region) && (r.Version == "" || r.Version == s.Version && !s.restarted)
+	return r.Regions.Allows(s.region) && (r.Version == "" || !s.restarted && (r.Version == s.Version || UnlistedID(r.Version) == s.ID))
 }
 
 // ownTokens returns the tokens of the prompt that are in no shared part.
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -183,23 +183,23 @@
 	return nil
 }
 
-// serverVersion returns the version of the server that the connection leads to, or direct.UnknownVersion.
+// serverVersion returns the version of the server that the connection leads to; one for which
+// direct.IsUnknownVersion reports true if no entry tells it.
 func (a *attempt) serverVersion() string {
+	millis, told := a.conn.ServerStart()
 	switch {
 	case a.versionInDoubt:
 		return direct.UnknownVersion
-	case a.incarnation != direct.OtherIncarnation:
+	case a.incarnation != direct.OtherIncarnation || !told:
 		return a.cmd.Server.Version
 	}
-	list := a.x.front.feeds.Servers.Newest()
-	a.listRevision = list.Revision
-	for _, s := range list.Servers {
-		if s.Name() == a.cmd.Server.Name() && matchStart(a.conn, &s) == direct.SameIncarnation {
-			return s.Version // its entry has come since
-		}
+	a.listRevision = a.x.front.feeds.Servers.Revision()
+	unlisted := direct.UnlistedVersion(a.cmd.Server.Name(), millis)
+	if version, listed := a.x.front.listedVersion(direct.UnlistedID(unlisted)); listed {
+		return version // its entry has come since
 	}
 	a.versionPending = true
-	return direct.UnknownVersion
+	return unlisted
 }
 
 // resolveVersion looks the version of a server up again if its entry may have come since its first event.
@@ -208,7 +208,7 @@
 		return
 	}
 	a.versionPending = false
-	if version := a.serverVersion(); version != direct.UnknownVersion {
+	if version := a.serverVersion(); !direct.IsUnknownVersion(version) {
 		a.x.front.core.Update(direct.VersionMsg{ID: a.id, Version: version})
 		a.x.recordOrigin(version)
 	}
--- a/gateway/incarnation_test.go
+++ b/gateway/incarnation_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/origin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -180,3 +181,11 @@
 	require.Equal(t, wholeStream(4), body)
 	require.Less(t, time.Since(began), time.Second)
 }
+
+// TestUnknownVersionsAreOne guards against records of unknown versions that package origin takes for known ones.
+func TestUnknownVersionsAreOne(t *testing.T) {
+	require.Equal(t, origin.UnknownVersion, direct.UnknownVersion)
+	require.Equal(t, "n-0@5", direct.UnlistedID(direct.UnlistedVersion("n-0", 5)))
+	require.Empty(t, direct.UnlistedID("v1"))
+	require.Empty(t, direct.UnlistedID(direct.UnknownVersion))
+}
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -54,6 +54,9 @@
 	if x.hasStopped() {
 		return &drainRefusal
 	}
+	if id := direct.UnlistedID(resolution.Version); id != "" {
+		resolution = x.front.resolveStart(id)
+	}
 	x.front.stats.StreamResumed(resolution)
 	if resolution.Certainty == origin.Unknown {
 		x.logOriginUnknown(attemptID, resolution.Evidence)
@@ -65,6 +68,24 @@
 	return nil
 }
 
+// resolveStart returns the version of a start of a server that began a stream before its entry came.
+func (f *front) resolveStart(id string) origin.Resolution {
+	if version, listed := f.listedVersion(id); listed {
+		return origin.Resolution{Certainty: origin.Recorded, Version: version}
+	}
+	return origin.Resolution{Evidence: origin.VersionUnlisted}
+}
+
+// listedVersion returns the version of a server by its ID, if it is listed.
+func (f *front) listedVersion(id string) (string, bool) {
+	for _, s := range f.feeds.Servers.Newest().Servers {
+		if s.ID == id {
+			return s.Version, true
+		}
+	}
+	return "", false
+}
+
 // logOriginUnknown logs why a stream is not resumed.
 func (x *exchange) logOriginUnknown(attemptID string, e origin.Evidence) {
 	if x.front.log.AllowFailure() {
@@ -81,9 +102,6 @@
 
 // recordOrigin records which version serves the stream, before its caller gets an event.
 func (x *exchange) recordOrigin(version string) {
-	if version == direct.UnknownVersion {
-		version = origin.UnknownVersion
-	}
 	if x.stream.resumable {
 		x.front.origins.Begun(x.service, origin.Record{Key: x.stream.key, Version: version, Lifetime: x.streamLifetime()})
 	}
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -33,7 +33,7 @@
 	askedRegions bool            // routers of other regions were asked too
 	askedMost    bool            // routers were asked whether they are in touch with this one
 	concluding   bool            // no router that has answered has a record
-	unlisted     bool            // a router that has answered has a record of an unknown version
+	unlisted     string          // unknown version in the record of a router that has answered; empty: none
 }
 
 // startLookup looks a stream up, at this router and then at others.
@@ -79,10 +79,10 @@
 
 // recorded returns the resolution of a stream with a record.
 func recorded(version string) Resolution {
-	switch version {
-	case contradicted:
+	switch {
+	case version == contradicted:
 		return Resolution{Evidence: Contradicted}
-	case UnknownVersion:
+	case version == UnknownVersion:
 		return Resolution{Evidence: VersionUnlisted}
 	}
 	return Resolution{Certainty: Recorded, Version: version}
@@ -133,8 +133,8 @@
 	}
 	delete(l.unanswered, msg.From)
 	switch {
-	case a.Found && a.Version == UnknownVersion && len(l.unanswered) > 0:
-		l.unlisted = true // another router may know the version by now
+	case a.Found && isUnknown(a.Version) && len(l.unanswered) > 0:
+		l.unlisted = a.Version // another router may know the version by now
 	case a.Found:
 		m.finish(l, recorded(a.Version))
 	case l.concluding, len(l.unanswered) == 0, m.knowsOnlyVersion(a.Service) && msg.Now-l.askedAt >= queryRetryDelay:
@@ -154,9 +154,9 @@
 	l.concluding = true
 	several := m.versions.several(l.query.Service)
 	switch {
-	case (several || l.unlisted) && !l.hasHeardAll(now):
-	case l.unlisted:
-		m.finish(l, recorded(UnknownVersion))
+	case (several || l.unlisted != "") && !l.hasHeardAll(now):
+	case l.unlisted != "":
+		m.finish(l, recorded(l.unlisted))
 	case several && !l.askedRegions:
 		m.askRegions(now, l)
 	case several:
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -91,12 +91,12 @@
 	r := msg.Record
 	old, known := m.records.get(msg.Now, r.Key)
 	m.records.put(msg.Now, r.Key, entry{version: r.Version, expiresAt: msg.Now + clampLifetime(r.Lifetime), service: msg.Service})
-	if r.Version != UnknownVersion {
+	if !isUnknown(r.Version) {
 		m.versions.known.add(msg.Service, r.Version, msg.Now+versionRetention)
 	}
 	m.updateSharing(msg.Now)
 	switch {
-	case r.Version == UnknownVersion, known && old.version == UnknownVersion:
+	case isUnknown(r.Version), known && isUnknown(old.version):
 		m.shareWidely(msg.Now, r.Key)
 	case m.sharing[msg.Service]:
 		m.share(msg.Now, r.Key)
--- a/origin/record.go
+++ b/origin/record.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,10 +28,12 @@
 	return Key(d.Sum64())
 }
 
-// UnknownVersion is the version in the record of a stream that began at a server which had restarted since
-// its entry. The entry that comes later tells the version; until then the stream can't be continued.
+// UnknownVersion begins the version in the record of a stream that began at a server which had restarted since
+// its entry. What follows names the start of the server, if it is known; its entry tells the version.
 const UnknownVersion = "\x00"
 
+func isUnknown(version string) bool { return strings.HasPrefix(version, UnknownVersion) }
+
 // contradicted is the version of a stream for which routers have recorded different ones.
 const contradicted = ""
 
--- a/origin/stored.go
+++ b/origin/stored.go
@@ -50,7 +50,7 @@
 	n := 0
 	for _, key := range slices.Backward(m.records.order) {
 		e, ok := m.records.get(now, key)
-		if !ok || e.version == contradicted || e.delivered || e.service == "" || !m.sharing[e.service] && e.version != UnknownVersion {
+		if !ok || e.version == contradicted || e.delivered || e.service == "" || !m.sharing[e.service] && !isUnknown(e.version) {
 			continue
 		}
 		if n == maxStoredStreams {
@@ -79,7 +79,7 @@
 func (m *Machine) recoverStreams(msg RecoveredMsg) {
 	for _, s := range msg.Streams {
 		left := clampLifetime(s.Left)
-		if s.Version != UnknownVersion {
+		if !isUnknown(s.Version) {
 			m.versions.stored.add(s.Service, s.Version, msg.Now+left)
 		}
 		for _, key := range s.Keys {
--- a/origin/table.go
+++ b/origin/table.go
@@ -55,9 +55,13 @@
 // merge returns the version of a stream of which two versions are recorded.
 func merge(a, b string) string {
 	switch {
-	case a == b, b == UnknownVersion:
+	case a == b:
 		return a
-	case a == UnknownVersion:
+	case isUnknown(a) && isUnknown(b): // of two servers; neither is known to be right
+		return contradicted
+	case isUnknown(b):
+		return a
+	case isUnknown(a):
 		return b
 	}
 	return contradicted
