A stream that is resumed at its end has ended

What callers saw: 502, from each server in turn, when they resumed a stream of which they had all events but not its end; the same with an ID that no event had.

Cause: a whole response without an event counted as broken, though it is all that a server has to send after the last event; and since, a negative Last-Event-Id was taken for a position.

Change: the end of a whole response ends a resumed stream, as it does within one response. An unframed one without an event still counts as broken off: it can't be told from a crash.

Measured: TestStreamResumedAtItsEnd failed before in its three cases and passes.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -74,12 +74,7 @@
 // forward writes one event, after the response header if it is the first event. Events that
 // arrive together are sent together: only the last is flushed.
 func (a *attempt) forward(resp *http.Response, event event, flush bool) error {
-	if !a.x.headSent {
-		copyHeader(a.x.w.Header(), resp.Header)
-		a.x.front.setConnectionClose(a.x.w)
-		a.x.w.WriteHeader(resp.StatusCode)
-		a.x.headSent = true
-	}
+	a.x.sendHead(resp)
 	if !a.forwarding {
 		a.forwarding = true
 		version := a.serverVersion()
@@ -101,12 +96,21 @@
 	return a.x.front.flush(a.x.w)
 }
 
-// endStream ends a stream whose last event has arrived.
+// sendHead writes the response header, unless it has been sent.
+func (x *exchange) sendHead(resp *http.Response) {
+	if x.headSent {
+		return
+	}
+	copyHeader(x.w.Header(), resp.Header)
+	x.front.setConnectionClose(x.w)
+	x.w.WriteHeader(resp.StatusCode)
+	x.headSent = true
+}
+
+// endStream ends a stream whose last event has arrived, now or before its caller resumed it.
 func (a *attempt) endStream() (direct.Outcome, bool) {
 	a.release()
-	if !a.x.headSent {
-		return a.endWithoutResponse(direct.Broken)
-	}
+	a.x.sendHead(a.response)
 	a.x.forgetOrigin()
 	a.x.finish(resultServed, http.StatusOK, "")
 	return direct.Done, true
--- a/gateway/streamposition.go
+++ b/gateway/streamposition.go
@@ -18,10 +18,10 @@
 }
 
 // positionOf returns the position of a caller that names the last event that it has. It is the zero value
-// if the caller names none, or one whose ID is no number.
+// if the caller names none, or one that no event can have.
 func positionOf(afterEvent string) streamPosition {
 	id, err := strconv.ParseInt(afterEvent, 10, 64)
-	return streamPosition{id: id, hasID: err == nil}
+	return streamPosition{id: id, hasID: err == nil && id >= 0}
 }
 
 // isKnown reports whether another server can go on after the position.
--- a/gateway/streamposition_test.go
+++ b/gateway/streamposition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -188,3 +189,30 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, wholeStream(6), body)
 }
+
+// TestStreamResumedAtItsEnd guards against callers that never get the end of a stream of which they have all
+// events, and against sound servers that count as failing since callers name events that never were.
+func TestStreamResumedAtItsEnd(t *testing.T) {
+	for _, after := range []string{"6", "1000", "-5"} {
+		t.Run(after, func(t *testing.T) {
+			f := newSilenceFront(t, 2, isStreamRoute, func(_ int, w http.ResponseWriter, r *http.Request) {
+				startStream(w)
+				sendEvents(w, max(nextEvent(r), 1), 6)
+			})
+			f.dialect, f.origins = resumingDialect{}, anyOrigin{}
+			want := ""
+			if after == "-5" {
+				want = wholeStream(6)
+			}
+			for n := range 20 {
+				status, body, err := f.resume(fmt.Sprint("r", n), after)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status, body)
+				require.Equal(t, want, body)
+			}
+			for _, s := range f.core.serverStates() {
+				require.Zero(t, s.Failures, "%+v", s)
+			}
+		})
+	}
+}
