A stop reads settings that have just changed

What callers saw: where the grace period was shortened just before a planned stop (8 s to 3 s), with a SIGHUP or without, 42 of 50 requests of 4 s got no answer: the router took the former grace period, and was killed at the end of the new one. Cause: the settings file is looked at every second, and a SIGTERM ends that at once, also if a SIGHUP waits. Change: on SIGTERM the file is looked at once more, before the router begins to end.

--- a/cmd/croftvaled/gateway.go
+++ b/cmd/croftvaled/gateway.go
@@ -40,16 +40,21 @@
 		return err
 	}
 	store.Report = g.Unreadable
-	ctx := untilSignal(func() {})
-	go reload(ctx, path, func() {
-		s, err := platform.LoadSettings(path)
-		if err != nil {
-			g.ReloadFailed(err)
-			return
-		}
-		store.SetAddress(s.StoreAddress)
-		g.Reload(s.Gateway)
-	})
+	signaled := untilSignal(func() {})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		reload(signaled, path, func() {
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				g.ReloadFailed(err)
+				return
+			}
+			store.SetAddress(s.StoreAddress)
+			g.Reload(s.Gateway)
+		})
+		stop() // only now, as the settings bound how long the router may take to end
+	}()
 	return g.Run(ctx)
 }
 
@@ -57,7 +62,8 @@
 // without a signal.
 const reloadEvery = time.Second
 
-// reload calls changed on SIGHUP, and when the file has another time or size.
+// reload calls changed on SIGHUP, and when the file has another time or size, until ctx ends. It looks at the
+// file once more then.
 func reload(ctx context.Context, path string, changed func()) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -67,6 +73,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			if stamp(path) != last {
+				changed()
+			}
 			return
 		case <-hangups:
 			last = stamp(path)
