--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -34,16 +34,8 @@
 	// afterEvent is the id of the last event that the caller got from other servers; empty: none.
 	afterEvent string
 	notice     direct.Notice // sent by the server
-	// incarnation tells whether conn leads to the start of the server that its entry names.
-	incarnation    direct.Incarnation
-	versionInDoubt bool   // the server has not told its start as it should
-	skipsReport    bool   // the server closes the connection after a report without a start
-	told           *int64 // start that the server has told before it closed the connection
-	versionPending bool   // the caller gets events of a server whose version is unknown
-	listRevision   uint64 // of the list of servers in which its version was last looked up
-	// starts are the starts of the server that were known before the request was sent.
-	starts knownStarts
-	watch  silenceWatch
+	identity   identity
+	watch      silenceWatch
 	// successor is the backup that has taken over; nil: none has.
 	successor *backup
 
@@ -134,7 +126,7 @@
 	}
 	timeLeft := a.timeLeft()
 	a.path = a.x.front.pathTo(a.cmd)
-	a.starts = a.startsSoFar()
+	a.identity.starts = a.startsSoFar()
 	a.countBytes(len(a.x.body))
 	a.watch.arm(a.firstEventTimeout())
 	a.watch.beginSend()
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -99,8 +99,8 @@
 	if a.notice.Leaving {
 		e.Bool("server_leaving", true)
 	}
-	if a.incarnation != direct.UnknownIncarnation {
-		e.Str("incarnation", a.incarnation.String())
+	if a.identity.incarnation != direct.UnknownIncarnation {
+		e.Str("incarnation", a.identity.incarnation.String())
 	}
 	if a.notice.Backoff > 0 {
 		e.Dur("server_backoff", a.notice.Backoff)
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -47,7 +47,7 @@
 // hasRestarted reports whether a new connection leads to a start of the server that was not known when the
 // request was sent. A server that does not tell its start has not restarted as far as is known.
 func (a *attempt) hasRestarted(conn *backend.Conn) bool {
-	if a.x.front.dialect.ReportPath() == "" || a.starts.areUnknown() {
+	if a.x.front.dialect.ReportPath() == "" || a.identity.starts.areUnknown() {
 		return false
 	}
 	err := a.askStart(conn, unframedCheckTimeout)
@@ -55,7 +55,7 @@
 		return false
 	}
 	now, tells := conn.ServerStart()
-	return tells && !a.starts.include(now)
+	return tells && !a.identity.starts.include(now)
 }
 
 // knownStarts are the starts of a server that a router knows of. Its entry may be older than its process.
