A record of unknown version is sent at once

Cause, by the routers' lines: it began at edge-5, at a server that had restarted before its entry; its caller left 31 ms later and resumed at edge-9, whose lookup was answered without a record (recorded false, begun_at v1): records wait for the next tick, and a router that knows a single version takes a missing one for that version. Ruled out: a wrong start on the connection (other_start names the new one on both). Change: such a record is sent with the first event.

--- a/origin/sharing.go
+++ b/origin/sharing.go
@@ -45,8 +45,8 @@
 	m.shareWith(now, key, e, holders(key, m.home))
 }
 
-// shareWidely queues the record of a stream whose version is or was unknown for all routers that may be asked
-// for it, since those that know a single version need no record to continue a stream.
+// shareWidely sends the record of a stream whose version is or was unknown to all routers that may be asked
+// for it, at once, since those that know a single version need no record to continue a stream.
 func (m *Machine) shareWidely(now time.Duration, key Key) {
 	e, ok := m.records.get(now, key)
 	if !ok || e.version == contradicted {
@@ -61,6 +61,7 @@
 		}
 	}
 	m.shareWith(now, key, e, routers)
+	m.flush() // a router that knows a single version takes a missing record for that version
 }
 
 func (m *Machine) shareWith(now time.Duration, key Key, e entry, routers []*Router) {
--- a/origin/unknown_test.go
+++ b/origin/unknown_test.go
@@ -72,3 +72,13 @@
 	s.advance(4 * TickInterval)
 	require.Equal(t, Unknown, s.lookup(s.routers[2], "odd").Certainty)
 }
+
+// TestUnknownVersionIsToldAtOnce guards against a stream that is resumed at another router, and goes on at the only
+// version that is listed, before the record that its version is unknown was sent.
+func TestUnknownVersionIsToldAtOnce(t *testing.T) {
+	m := NewMachine(Router{Address: "10.0.0.1"}, true)
+	m.Update(RoutersMsg{Routers: []Router{{Address: "10.0.0.2"}, {Address: "10.0.0.3"}}})
+	cmds := m.Update(BegunMsg{Service: service, Record: Record{Key: 1, Version: UnknownVersion, Lifetime: MinLifetime}})
+	require.Len(t, cmds, 2)
+	require.IsType(t, RecordsCmd{}, cmds[0])
+}
