Log how the end of an unframed response was judged

Nothing that a router logged told how a stream had ended: request_served named neither its framing nor its last event, nor what the check of the server at the end of a response without a length had found. That check's result was a bool, in which a refused connection, a timeout and an answer of the same start could not be told apart.

The check now returns what it found; the verdict is as before. A line unframed_end names it wherever the same start has not answered, lines of requests hold it as well, and the metric unframed_ends counts all.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,7 +46,7 @@
 
 	connRefused bool // the server's host refused the connection
 	dialOverdue bool // this process ran too late to connect
-	unframed    bool // the response ended with its connection
+	unframedEnd unframedEnd
 	// declined is set as soon as the server says that it did not run the request.
 	declined atomic.Bool
 }
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -46,6 +46,20 @@
 	}
 }
 
+// logUnframedEnd logs how the end of an unframed response was judged, unless its server has answered since.
+func (a *attempt) logUnframedEnd() {
+	end := a.unframedEnd
+	if end.evidence == sameStart || !a.x.front.log.AllowFailure() {
+		return
+	}
+	e := a.x.front.log.Event("unframed_end").Str("request", a.x.info.ID).Str("route", a.x.route.Name).Str("server", a.cmd.Server.ID).
+		Str("evidence", end.evidence.String()).Bool("whole", end.whole).Dur("took", end.took).Bool("server_leaving", a.notice.Leaving)
+	if a.x.position.hasID {
+		e.Int64("last_event", a.x.position.id)
+	}
+	e.Msg("")
+}
+
 // logBackup logs a backup that has ended without taking over.
 func (f *front) logBackup(a *attempt, o direct.Outcome) {
 	if f.log.AllowFailure() {
@@ -102,6 +116,12 @@
 	if a.identity.incarnation != direct.UnknownIncarnation {
 		e.Str("incarnation", a.identity.incarnation.String())
 	}
+	if end := a.unframedEnd; end.checked {
+		e.Str("unframed_end", end.evidence.String()).Bool("whole", end.whole).Dur("end_check", end.took)
+	}
+	if a.response != nil && a.events != nil {
+		e.Str("framing", framingOf(a.response)).Bool("brought_events", a.forwarding)
+	}
 	if a.notice.Backoff > 0 {
 		e.Dur("server_backoff", a.notice.Backoff)
 	}
@@ -114,6 +134,17 @@
 	}
 }
 
+// framingOf returns how the end of a response is told.
+func framingOf(resp *http.Response) string {
+	switch {
+	case isUnframed(resp):
+		return "connection"
+	case resp.ContentLength >= 0:
+		return "length"
+	}
+	return "chunks"
+}
+
 // logRejected logs a request that was not admitted.
 func (f *front) logRejected(r *http.Request, refused refusal) {
 	// Under pressure there are too many rejections to log each of them.
--- a/gateway/stats/stats.go
+++ b/gateway/stats/stats.go
@@ -74,6 +74,15 @@
 	s.serverTime.RecordDuration(took)
 }
 
+// UnframedEnd counts an end of a response that has neither a length nor chunks, by what its server was found to
+// do afterwards.
+func (s *Stats) UnframedEnd(evidence string, whole bool) {
+	s.counter(counterKey{"unframed_ends", resultOfEnd[whole], evidence}).Inc(1)
+}
+
+// resultOfEnd is the label of whole ends and of others.
+var resultOfEnd = map[bool]string{true: "whole", false: "broken"}
+
 // ServerIdentified counts a comparison of a server's own start with that of its entry.
 func (s *Stats) ServerIdentified(i direct.Incarnation) {
 	s.counter(counterKey{"server_incarnations", "", i.String()}).Inc(1)
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -21,41 +21,85 @@
 	return resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0
 }
 
+// endEvidence is what the check at the end of an unframed response has found out about its server.
+type endEvidence int
+
+const (
+	endUnchecked endEvidence = iota
+	hostRefuses              // its host refuses connections
+	unreachable              // no connection could be opened for another reason
+	accepts                  // its host accepts connections; nothing was asked
+	noReport                 // its host accepts connections, and no report came
+	startNotTold             // a process answers that does not tell its start
+	sameStart                // the start that sent the response answers
+	anotherStart             // another start answers
+)
+
+// String returns the name of the evidence for logs and metrics.
+func (e endEvidence) String() string {
+	return [...]string{"unchecked", "refused", "unreachable", "accepts", "no_report", "start_not_told", "same_start", "other_start"}[e]
+}
+
+// unframedEnd is the end of an unframed response. The zero value is that of a response that has not ended so.
+type unframedEnd struct {
+	checked  bool
+	whole    bool
+	evidence endEvidence
+	took     time.Duration // of the check
+}
+
 // checkUnframedEnd returns io.EOF if an unframed response is whole. If it has no content, it ends at the
 // deadline, at which servers cease to work, or its server has crashed, it returns io.ErrUnexpectedEOF.
 func (a *attempt) checkUnframedEnd(hasContent bool) error {
-	if !hasContent || a.timeLeft() < minTimeLeft || a.serverHasEnded() {
+	end := unframedEnd{checked: true}
+	if hasContent && a.timeLeft() >= minTimeLeft {
+		start := a.x.front.core.Now()
+		end.evidence = a.findEndEvidence()
+		end.took = a.x.front.core.Now() - start
+		end.whole = end.evidence != hostRefuses && end.evidence != anotherStart
+	}
+	a.unframedEnd = end
+	a.x.front.stats.UnframedEnd(end.evidence.String(), end.whole)
+	a.logUnframedEnd()
+	if !end.whole {
 		return io.ErrUnexpectedEOF
 	}
-	a.unframed = true
 	return io.EOF
 }
 
-// serverHasEnded reports whether the process that sent a response has ended: its host refuses connections,
-// or another process serves at its address.
-func (a *attempt) serverHasEnded() bool {
+// findEndEvidence finds out what has become of the process that sent a response.
+func (a *attempt) findEndEvidence() endEvidence {
 	ctx, cancel := context.WithTimeout(a.ctx, unframedCheckTimeout)
 	defer cancel()
 	conn, err := a.x.front.pool.Dial(ctx, a.cmd.Server.Address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return hostRefuses
+	case err != nil:
+		return unreachable
 	}
 	defer conn.Close()
-	return a.hasRestarted(conn)
+	return a.compareStart(conn)
 }
 
-// hasRestarted reports whether a new connection leads to a start of the server that was not known when the
-// request was sent. A server that does not tell its start has not restarted as far as is known.
-func (a *attempt) hasRestarted(conn *backend.Conn) bool {
+// compareStart compares the start that a new connection leads to with those that were known when the request was
+// sent.
+func (a *attempt) compareStart(conn *backend.Conn) endEvidence {
 	if a.x.front.dialect.ReportPath() == "" || a.identity.starts.areUnknown() {
-		return false
+		return accepts
 	}
 	err := a.askStart(conn, unframedCheckTimeout)
 	if err != nil && !errors.Is(err, backend.ErrClosing) {
-		return false
+		return noReport
 	}
 	now, tells := conn.ServerStart()
-	return tells && !a.identity.starts.include(now)
+	switch {
+	case !tells:
+		return startNotTold
+	case a.identity.starts.include(now):
+		return sameStart
+	}
+	return anotherStart
 }
 
 // knownStarts are the starts of a server that a router knows of. Its entry may be older than its process.
