An unframed response is whole only if its server is known to go on

At the end of such a response the router asked whether anything spoke against it, and a connection that could not be opened, a report that did not come and a start that nobody tells spoke for it.

Now the end has to be shown. A second connection to the server, which carries no request, is open while its unframed responses run (a sentinel). If it answers and still holds the sentinel, or an idle connection older than the request, it neither ended nor was closing its connections. If it answers and has closed the sentinel, the response was broken off. Without a sentinel in time its start is compared, and a server that leaves is not believed. No answer within 1.5 s (.4 s if another server can go on) is an end too early. It waits 20 ms at least, in which a server that stops closes its connections one after the other. A resumed attempt without events may now end whole too, by the same evidence.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -29,6 +29,7 @@
 	address   string
 	head      *headReader
 	reader    *bufio.Reader // reads from head
+	openedAt  time.Time
 	idleUntil time.Time
 	response  *http.Response
 	sent      bool
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -61,7 +62,8 @@
 	// progress is when a server last made progress with a response, by address.
 	progress map[string]*progressTime
 	// starts are the starts that servers have told last, by address.
-	starts map[string]int64
+	starts    map[string]int64
+	sentinels map[string]*sentinel
 }
 
 // NewPool returns an empty pool.
@@ -70,7 +72,10 @@
 		start := time.Now()
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
-	p := &Pool{options: o, idle: make(map[string][]*Conn), progress: make(map[string]*progressTime), starts: make(map[string]int64)}
+	p := &Pool{
+		options: o, idle: make(map[string][]*Conn), progress: make(map[string]*progressTime), starts: make(map[string]int64),
+		sentinels: make(map[string]*sentinel),
+	}
 	p.dialer = net.Dialer{
 		Timeout:   o.DialTimeout,
 		KeepAlive: -1,
@@ -116,6 +121,14 @@
 	return c
 }
 
+// HoldsSince reports whether the server at an address still holds an idle connection that was open before a point in
+// time.
+func (p *Pool) HoldsSince(address string, t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[address], func(c *Conn) bool { return c.openedAt.Before(t) && c.isReusable() })
+}
+
 // Dial opens a new connection to an address within DialTimeout. An error is marked with
 // ErrUnsent, and also with ErrRouterLate if this process ran late.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
@@ -130,7 +143,7 @@
 	}
 	head := &headReader{source: raw}
 	return &Conn{
-		Conn: raw, pool: p, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize), progress: p.progressOf(address),
+		Conn: raw, pool: p, openedAt: time.Now(), address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize), progress: p.progressOf(address),
 	}, nil
 }
 
--- /dev/null
+++ b/backend/sentinel.go
@@ -0,0 +1,195 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/internal/socket"
+)
+
+const (
+	// maxSentinelAge is when the connection of a sentinel is replaced by a new one. Servers state their idle timeouts
+	// in whole seconds.
+	maxSentinelAge = 700 * time.Millisecond
+	// minSentinelAge is the same for servers that close idle connections early.
+	minSentinelAge = 200 * time.Millisecond
+	// sentinelPause is the time after which a sentinel is opened again. A server that stops closes its connections
+	// one after the other; all of them must have ended by then.
+	sentinelPause = 50 * time.Millisecond
+	// sentinelLinger is how long a sentinel stays open after its last use.
+	sentinelLinger = 2 * time.Second
+	// recentBreak is the largest age of the end of a sentinel that still says something about another connection.
+	recentBreak = 500 * time.Millisecond
+)
+
+// sentinel keeps a connection to an address open that carries no request. As long as it is open, the process that
+// accepted it runs and has not closed its connections.
+type sentinel struct {
+	pool    *Pool
+	address string
+	cancel  context.CancelFunc
+	linger  *time.Timer // the pool's mu guards it; nil: it has never been without witnesses
+
+	mu        sync.Mutex
+	conn      *Conn  // nil: none is open
+	span      uint64 // number of the current series of connections without a gap
+	brokenAt  time.Time
+	witnesses map[*Witness]bool
+}
+
+// Witness tells whether a server still holds a connection that was open while a response was running.
+type Witness struct {
+	sentinel *sentinel
+	response *Conn
+	span     uint64 // of the sentinel while the response was running; 0: none was open
+}
+
+// Holding is what a Witness knows of a server.
+type Holding int
+
+const (
+	HoldingUnknown Holding = iota // no other connection was open while the response was running
+	HoldsConns                    // the server still holds one
+	ClosedConns                   // the server has just closed it
+)
+
+// Watch returns a witness for the response that is being read on a connection. Release ends it.
+func (p *Pool) Watch(response *Conn) *Witness {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.sentinels[response.address]
+	if s == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		s = &sentinel{pool: p, address: response.address, cancel: cancel, witnesses: make(map[*Witness]bool)}
+		p.sentinels[response.address] = s
+		go s.run(ctx)
+	}
+	if s.linger != nil {
+		s.linger.Stop()
+	}
+	w := &Witness{sentinel: s, response: response}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.witnesses[w] = true
+	s.assign(w)
+	return w
+}
+
+// assign records the current span for a witness whose response is still running.
+func (s *sentinel) assign(w *Witness) {
+	if s.conn != nil && !socket.IsEnding(w.response.Conn) {
+		w.span = s.span
+	}
+}
+
+// Holding returns what is known of the server now.
+func (w *Witness) Holding() Holding {
+	s := w.sentinel
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case w.span == 0:
+		return HoldingUnknown
+	case s.conn != nil && w.span == s.span && socket.Peek(s.conn.Conn) == socket.Idle:
+		return HoldsConns
+	case s.conn != nil && w.span == s.span, time.Since(s.brokenAt) < recentBreak:
+		return ClosedConns
+	}
+	return HoldingUnknown
+}
+
+// Release ends the use of the witness.
+func (w *Witness) Release() {
+	s := w.sentinel
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.witnesses, w)
+	switch {
+	case len(s.witnesses) > 0:
+	case s.linger == nil:
+		s.linger = time.AfterFunc(sentinelLinger, s.close)
+	default:
+		s.linger.Reset(sentinelLinger)
+	}
+}
+
+// close ends the sentinel if it has no witnesses.
+func (s *sentinel) close() {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.witnesses) > 0 || s.pool.sentinels[s.address] != s {
+		return
+	}
+	delete(s.pool.sentinels, s.address)
+	s.cancel()
+	if s.conn != nil {
+		s.conn.Close()
+	}
+}
+
+// run keeps a connection open until ctx ends. It replaces the connection before the server's idle timeout ends it.
+func (s *sentinel) run(ctx context.Context) {
+	age := maxSentinelAge
+	for ctx.Err() == nil {
+		conn, err := s.pool.Dial(ctx, s.address)
+		if err == nil {
+			s.replace(conn)
+			lasted, ended := s.hold(conn, age)
+			if !ended {
+				continue
+			}
+			age = max(min(age, lasted/2), minSentinelAge)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(sentinelPause):
+		}
+	}
+	s.replace(nil)
+}
+
+// replace makes conn the open connection. A new span begins unless the server still holds the previous one.
+func (s *sentinel) replace(conn *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.conn
+	if last == nil || socket.Peek(last.Conn) != socket.Idle {
+		s.span++
+	}
+	s.conn = conn
+	if last != nil {
+		last.Close()
+	}
+	for w := range s.witnesses {
+		if w.span != s.span {
+			s.assign(w)
+		}
+	}
+}
+
+// hold waits until a connection ends, or for a time. It returns how long the connection was open, and whether it has
+// ended.
+func (s *sentinel) hold(conn *Conn, age time.Duration) (lasted time.Duration, ended bool) {
+	_ = conn.SetReadDeadline(time.Now().Add(age)) // it fails on a closed connection, as the read does
+	_, err := conn.Conn.Read(make([]byte, 1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conn = nil
+	conn.Close()
+	lasted = time.Since(conn.openedAt)
+	if errors.Is(err, io.EOF) {
+		s.brokenAt = time.Now() // a reset may come from a server that has too many connections
+	}
+	return lasted, true
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,6 +47,8 @@
 	connRefused bool // the server's host refused the connection
 	dialOverdue bool // this process ran too late to connect
 	unframedEnd unframedEnd
+	witness     *backend.Witness // nil: the response is not unframed
+	sentAt      time.Time
 	// declined is set as soon as the server says that it did not run the request.
 	declined atomic.Bool
 }
@@ -130,6 +132,7 @@
 	a.countBytes(len(a.x.body))
 	a.watch.arm(a.firstEventTimeout())
 	a.watch.beginSend()
+	a.sentAt = time.Now()
 	err := conn.Send(&backend.Request{
 		Method: a.x.r.Method,
 		Target: a.x.r.RequestURI,
@@ -246,5 +249,9 @@
 		a.stopWatch()
 	}
 	a.watch.stop()
+	if a.witness != nil {
+		a.witness.Release()
+		a.witness = nil
+	}
 	a.cancel()
 }
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -64,6 +64,9 @@
 	SetRetryAfter(h http.Header, after time.Duration)
 	// ReportPath returns the path at which a server tells its own state; empty: servers don't.
 	ReportPath() string
+	// ReportHeader returns the headers of a request for the report of the server with a name. Another one at its
+	// address responds as WrongServer.
+	ReportHeader(server string) http.Header
 	// ParseReport returns the start of a server, as Unix time in milliseconds, from its report. It
 	// returns false if the report doesn't tell it.
 	ParseReport(body []byte) (startMillis int64, ok bool)
--- a/gateway/fakeserver_test.go
+++ b/gateway/fakeserver_test.go
@@ -43,6 +43,8 @@
 
 func (silenceDialect) ReportPath() string { return "" }
 
+func (silenceDialect) ReportHeader(string) http.Header { return nil }
+
 func (silenceDialect) ParseReport([]byte) (int64, bool) { return 0, false }
 
 func (silenceDialect) SetRetryAfter(http.Header, time.Duration) {}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -49,11 +49,11 @@
 // logUnframedEnd logs how the end of an unframed response was judged, unless its server has answered since.
 func (a *attempt) logUnframedEnd() {
 	end := a.unframedEnd
-	if end.evidence == sameStart || !a.x.front.log.AllowFailure() {
+	if end.evidence >= sameStart || !a.x.front.log.AllowFailure() {
 		return
 	}
 	e := a.x.front.log.Event("unframed_end").Str("request", a.x.info.ID).Str("route", a.x.route.Name).Str("server", a.cmd.Server.ID).
-		Str("evidence", end.evidence.String()).Bool("whole", end.whole).Dur("took", end.took).Bool("server_leaving", a.notice.Leaving)
+		Str("evidence", end.evidence.String()).Bool("whole", end.isWhole()).Dur("took", end.took).Bool("server_leaving", a.notice.Leaving)
 	if a.x.position.hasID {
 		e.Int64("last_event", a.x.position.id)
 	}
@@ -117,7 +117,7 @@
 		e.Str("incarnation", a.identity.incarnation.String())
 	}
 	if end := a.unframedEnd; end.checked {
-		e.Str("unframed_end", end.evidence.String()).Bool("whole", end.whole).Dur("end_check", end.took)
+		e.Str("unframed_end", end.evidence.String()).Bool("whole", end.isWhole()).Dur("end_check", end.took)
 	}
 	if a.response != nil && a.events != nil {
 		e.Str("framing", framingOf(a.response)).Bool("brought_events", a.forwarding)
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -40,7 +40,7 @@
 		a.x.fail("memory")
 		return direct.GivenUp, true
 	}
-	if err == nil && isUnframed(resp) && a.checkUnframedEnd(true) != io.EOF {
+	if err == nil && isUnframed(resp) && a.checkUnframedEnd() != io.EOF {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil || !isForwardable(resp, info) {
--- a/gateway/responsestart.go
+++ b/gateway/responsestart.go
@@ -43,6 +43,7 @@
 		return failedStart(direct.Broken)
 	}
 	a.response, a.info = resp, a.x.front.dialect.ParseResponse(resp.StatusCode, resp.Header)
+	a.watchUnframed(resp)
 	outcome := a.outcomeOfHead()
 	if outcome != direct.Done && a.handOver(outcome) {
 		return startResult{}
--- a/gateway/serverreport.go
+++ b/gateway/serverreport.go
@@ -50,38 +50,59 @@
 	return min(max(objective, minReportTime), maxReportTime)
 }
 
-// askStart asks the server for its report. It fails if the connection can't be used for another request.
-func (a *attempt) askStart(conn *backend.Conn, timeout time.Duration) error {
-	dialect := a.x.front.dialect
-	_ = conn.SetDeadline(time.Now().Add(min(timeout, a.timeLeft()))) // as in connect
-	defer func() { _ = conn.SetDeadline(time.Now().Add(a.timeLeft())) }()
-	if err := conn.Send(&backend.Request{Method: http.MethodGet, Target: dialect.ReportPath(), Host: a.cmd.Server.Address}); err != nil {
-		return err
+// serverReport is what a server has answered when it was asked for its report.
+type serverReport struct {
+	status int
+	info   ResponseInfo
+	start  int64 // valid if told
+	told   bool
+}
+
+// readReport asks the server at the other end of a connection for its report. observe gets what each response head
+// says, also those of late responses to earlier requests.
+func (f *front) readReport(conn *backend.Conn, request *backend.Request, observe func(ResponseInfo)) (serverReport, error) {
+	if err := conn.Send(request); err != nil {
+		return serverReport{}, err
 	}
+	var report serverReport
 	resp, err := conn.ReadResponse(http.MethodGet, func(h *http.Response) bool {
-		info := dialect.ParseResponse(h.StatusCode, h.Header)
-		a.applyNotice(info)
-		return info.RequestID == ""
+		report.info = f.dialect.ParseResponse(h.StatusCode, h.Header)
+		observe(report.info)
+		return report.info.RequestID == ""
 	})
 	if err != nil {
-		return err
+		return serverReport{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes+1))
 	switch {
 	case err != nil:
-		return errReportUnfinished
+		return serverReport{}, errReportUnfinished
 	case len(body) > maxReportBytes:
-		return errReportTooLarge
+		return serverReport{}, errReportTooLarge
+	}
+	report.status = resp.StatusCode
+	report.start, report.told = f.dialect.ParseReport(body)
+	report.told = report.told && resp.StatusCode == http.StatusOK
+	return report, nil
+}
+
+// askStart asks the server for its report. It fails if the connection can't be used for another request.
+func (a *attempt) askStart(conn *backend.Conn, timeout time.Duration) error {
+	_ = conn.SetDeadline(time.Now().Add(min(timeout, a.timeLeft()))) // as in connect
+	defer func() { _ = conn.SetDeadline(time.Now().Add(a.timeLeft())) }()
+	request := &backend.Request{Method: http.MethodGet, Target: a.x.front.dialect.ReportPath(), Host: a.cmd.Server.Address}
+	report, err := a.x.front.readReport(conn, request, a.applyNotice)
+	if err != nil {
+		return err
 	}
-	millis, told := dialect.ParseReport(body)
-	if told = told && resp.StatusCode == http.StatusOK; told {
-		conn.SetServerStart(millis)
+	if report.told {
+		conn.SetServerStart(report.start)
 		a.x.front.tellers.add(a.x.service)
 	}
 	switch err := conn.EndExchange(); {
 	case err != nil:
 		return err
-	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode/100 == 5, !told && a.x.front.tellers.has(a.x.service):
+	case report.status == http.StatusTooManyRequests, report.status/100 == 5, !report.told && a.x.front.tellers.has(a.x.service):
 		return errReportRefused
 	}
 	conn.MarkAsked()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -64,7 +64,7 @@
 	}
 	switch {
 	case err == io.EOF && isUnframed(a.response):
-		err = a.checkUnframedEnd(a.forwarding)
+		err = a.checkUnframedEnd()
 	case err == nil && a.timeLeft() < minTimeLeft:
 		err = os.ErrDeadlineExceeded // the host was suspended, which the connection's deadline does not count
 	}
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -1,105 +1,139 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"net/http"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
 )
 
-// unframedCheckTimeout bounds the check whether a server has crashed at the end of an unframed
-// response. It delays the end of the caller's response.
-const unframedCheckTimeout = 100 * time.Millisecond
+const (
+	// maxEndCheck bounds the check of the server at the end of an unframed response, which delays the end of the
+	// caller's response. A sound server may be silent for a second or so.
+	maxEndCheck = 1500 * time.Millisecond
+	// maxReplaceableEndCheck bounds it if another server can send the rest of the response, or send it again.
+	maxReplaceableEndCheck = 400 * time.Millisecond
+	// teardownTime is how long a server that stops may take to close its connections one after the other.
+	teardownTime = 20 * time.Millisecond
+)
 
 // isUnframed reports whether the end of a response is the end of its connection.
 func isUnframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0
+	return resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
 
-// endEvidence is what the check at the end of an unframed response has found out about its server.
+// endEvidence is what is known of a server after the end of its unframed response.
 type endEvidence int
 
 const (
 	endUnchecked endEvidence = iota
 	hostRefuses              // its host refuses connections
-	unreachable              // no connection could be opened for another reason
-	accepts                  // its host accepts connections; nothing was asked
-	noReport                 // its host accepts connections, and no report came
-	startNotTold             // a process answers that does not tell its start
-	sameStart                // the start that sent the response answers
-	anotherStart             // another start answers
+	noAnswer                 // it has not answered
+	anotherStart             // another process answers
+	connsClosed              // it answers, and has closed other connections as well
+	leaves                   // it answers, and leaves
+	startNotTold             // a process of its name answers; whether it is the same start is not known
+	sameStart                // the same start answers
+	holdsConn                // it answers, and holds a connection that was open before the end
 )
 
 // String returns the name of the evidence for logs and metrics.
 func (e endEvidence) String() string {
-	return [...]string{"unchecked", "refused", "unreachable", "accepts", "no_report", "start_not_told", "same_start", "other_start"}[e]
+	return [...]string{
+		"unchecked", "refused", "no_answer", "other_start", "connections_closed", "leaves", "start_not_told", "same_start", "holds_connection",
+	}[e]
 }
 
+// isWhole reports whether the server has ended the response, rather than broken off.
+func (e endEvidence) isWhole() bool { return e >= startNotTold }
+
 // unframedEnd is the end of an unframed response. The zero value is that of a response that has not ended so.
 type unframedEnd struct {
 	checked  bool
-	whole    bool
 	evidence endEvidence
 	took     time.Duration // of the check
 }
 
-// checkUnframedEnd returns io.EOF if an unframed response is whole. If it has no content, it ends at the
-// deadline, at which servers cease to work, or its server has crashed, it returns io.ErrUnexpectedEOF.
-func (a *attempt) checkUnframedEnd(hasContent bool) error {
+// isWhole reports whether there was such an end, and the response is whole.
+func (e unframedEnd) isWhole() bool { return e.checked && e.evidence.isWhole() }
+
+// watchUnframed prepares for the end of a response if it is unframed.
+func (a *attempt) watchUnframed(resp *http.Response) {
+	if isUnframed(resp) && a.witness == nil {
+		a.witness = a.x.front.pool.Watch(a.conn)
+	}
+}
+
+// checkUnframedEnd returns io.EOF if an unframed response is whole, and else io.ErrUnexpectedEOF: also at
+// the deadline, at which servers cease to work.
+func (a *attempt) checkUnframedEnd() error {
 	end := unframedEnd{checked: true}
-	if hasContent && a.timeLeft() >= minTimeLeft {
-		start := a.x.front.core.Now()
-		end.evidence = a.findEndEvidence()
-		end.took = a.x.front.core.Now() - start
-		end.whole = end.evidence != hostRefuses && end.evidence != anotherStart
+	if a.timeLeft() >= minTimeLeft {
+		start := time.Now()
+		end.evidence = a.findEndEvidence(start)
+		end.took = time.Since(start)
 	}
 	a.unframedEnd = end
-	a.x.front.stats.UnframedEnd(end.evidence.String(), end.whole)
+	a.x.front.stats.UnframedEnd(end.evidence.String(), end.isWhole())
 	a.logUnframedEnd()
-	if !end.whole {
+	if !end.isWhole() {
 		return io.ErrUnexpectedEOF
 	}
 	return io.EOF
 }
 
-// findEndEvidence finds out what has become of the process that sent a response.
-func (a *attempt) findEndEvidence() endEvidence {
-	ctx, cancel := context.WithTimeout(a.ctx, unframedCheckTimeout)
-	defer cancel()
-	conn, err := a.x.front.pool.Dial(ctx, a.cmd.Server.Address)
+// findEndEvidence finds out what has become of the process that sent a response which ended at a point in time.
+func (a *attempt) findEndEvidence(endedAt time.Time) endEvidence {
+	answer, evidence := a.askAfterEnd()
+	if evidence != endUnchecked {
+		return evidence
+	}
+	a.applyNotice(answer.info)
+	if answer.told && !a.identity.starts.areUnknown() && !a.identity.starts.include(answer.start) {
+		return anotherStart
+	}
+	a.awaitTeardown(endedAt)
+	holding := a.witness.Holding()
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return hostRefuses
-	case err != nil:
-		return unreachable
+	case holding == backend.HoldsConns, a.x.front.pool.HoldsSince(a.cmd.Server.Address, a.sentAt):
+		return holdsConn
+	case holding == backend.ClosedConns:
+		return connsClosed
+	case a.notice.Leaving, a.x.front.isLeaving(a.cmd.Server.ID):
+		return leaves
+	case answer.told && !a.identity.starts.areUnknown():
+		return sameStart
 	}
-	defer conn.Close()
-	return a.compareStart(conn)
+	return startNotTold
 }
 
-// compareStart compares the start that a new connection leads to with those that were known when the request was
-// sent.
-func (a *attempt) compareStart(conn *backend.Conn) endEvidence {
-	if a.x.front.dialect.ReportPath() == "" || a.identity.starts.areUnknown() {
-		return accepts
+// awaitTeardown waits until a server that stops would have closed all its connections.
+func (a *attempt) awaitTeardown(endedAt time.Time) {
+	select {
+	case <-time.After(teardownTime - time.Since(endedAt)):
+	case <-a.ctx.Done():
 	}
-	err := a.askStart(conn, unframedCheckTimeout)
-	if err != nil && !errors.Is(err, backend.ErrClosing) {
-		return noReport
+}
+
+// endCheckLimit returns how long the check at the end of an unframed response may take.
+func (a *attempt) endCheckLimit() time.Duration {
+	limit := maxEndCheck
+	if a.x.route.MayRepeat() && a.x.canContinue() {
+		limit = maxReplaceableEndCheck
 	}
-	now, tells := conn.ServerStart()
-	switch {
-	case !tells:
-		return startNotTold
-	case a.identity.starts.include(now):
-		return sameStart
+	return min(limit, a.timeLeft())
+}
+
+// isLeaving reports whether a server is listed as draining, or not at all any more.
+func (f *front) isLeaving(id string) bool {
+	for _, s := range f.feeds.Servers.Newest().Servers {
+		if s.ID == id {
+			return s.Draining
+		}
 	}
-	return anotherStart
+	return true
 }
 
 // knownStarts are the starts of a server that a router knows of. Its entry may be older than its process.
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -45,3 +45,26 @@
 	}
 	return state
 }
+
+// IsEnding reports whether the peer of a connection has closed its side, also if data that it sent before has not
+// been read. A connection that is not a socket is not ending as far as is known.
+func IsEnding(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ending := true
+	err = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(poll, 0)
+		for err == unix.EINTR { // a signal is pending, such as the runtime's own
+			n, err = unix.Poll(poll, 0)
+		}
+		ending = err != nil || n > 0
+	})
+	return ending || err != nil
+}
