--- a/agent/backend.go
+++ b/agent/backend.go
@@ -7,6 +7,7 @@
 
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/internal/httpstatus"
 	"github.com/croftvale/croftvale/relay"
 )
 
@@ -53,6 +54,10 @@
 		return
 	}
 	defer func() { _ = res.Body.Close() }()
+	if err := httpstatus.Check(res.StatusCode); err != nil {
+		p.handleFailure(w, r, &sent, err)
+		return
+	}
 	p.health.recordSuccess()
 	p.applyRetryAfter(res)
 	relay.CopyHeader(w.Header(), res.Header, relay.HeaderRan)
--- a/agent/health.go
+++ b/agent/health.go
@@ -10,6 +10,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/internal/httpstatus"
 	"github.com/croftvale/croftvale/internal/retryafter"
 )
 
@@ -210,7 +211,7 @@
 		p.health.setLoad(load)
 	}
 	p.applyRetryAfter(res)
-	return res.StatusCode < http.StatusInternalServerError
+	return httpstatus.Check(res.StatusCode) == nil && res.StatusCode < http.StatusInternalServerError
 }
 
 // applyRetryAfter starts a backoff if the server rejects a request with a
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/internal/httpstatus"
 	"github.com/croftvale/croftvale/internal/socket"
 )
 
@@ -110,15 +111,22 @@
 // A sound server sends them only for a moment; it may be called at any time.
 func (c *Conn) HasUnfinished() bool { return c.head.unfinished.Load() > 0 }
 
-// readHead reads the head of a response. It returns ErrHeadTooLarge for one beyond maxHeadBytes, and
-// ErrHeadTooSlow for one beyond maxHeadTime.
+// readHead reads the head of a response. It returns ErrHeadTooLarge for one beyond maxHeadBytes,
+// ErrHeadTooSlow for one beyond maxHeadTime, and httpstatus.ErrInvalid.
 func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
 	c.head.limit(maxHeadBytes)
 	defer c.head.unlimit()
 	if err := awaitProtocol(c.reader); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, request)
+	response, err := http.ReadResponse(c.reader, request)
+	if err == nil {
+		err = httpstatus.Check(response.StatusCode)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 // skipBody reads the body of a stale response to its end, within the limits.
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/internal/httpstatus"
 	"golang.org/x/time/rate"
 )
 
@@ -178,6 +179,9 @@
 // statusError returns the error for the status of a response, or nil if the call
 // succeeded.
 func statusError(res *http.Response) error {
+	if err := httpstatus.Check(res.StatusCode); err != nil {
+		return wrapKind(err, ErrOutcomeUnknown)
+	}
 	switch {
 	case res.StatusCode == http.StatusNotFound, res.StatusCode == http.StatusNotModified:
 		return ErrNotFound
--- a/objectapi/client_test.go
+++ b/objectapi/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -26,6 +27,13 @@
 		return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
 	}
 	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	noStatus := func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 000 Odd\r\nETag: \"8\"\r\nContent-Length: 2\r\n\r\n{}")
+			_ = conn.Close()
+		}
+	}
 	cases := []struct {
 		name    string
 		handler http.HandlerFunc
@@ -37,6 +45,7 @@
 		{"too many calls", status(429), ErrUnavailable, ErrUnavailable},
 		{"outage", status(503), ErrUnavailable, ErrUnavailable},
 		{"gateway gave up", status(504), ErrOutcomeUnknown, ErrOutcomeUnknown},
+		{"no valid status", noStatus, ErrOutcomeUnknown, ErrOutcomeUnknown},
 		{"nobody there", abort, ErrUnavailable, ErrOutcomeUnknown},
 	}
 	for _, c := range cases {
--- a/router/handler.go
+++ b/router/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/internal/httpstatus"
 	"github.com/croftvale/croftvale/link"
 	"github.com/croftvale/croftvale/queue"
 	"github.com/croftvale/croftvale/relay"
@@ -156,6 +157,10 @@
 		return queue.OutcomeNotRun
 	}
 	defer func() { _ = res.Body.Close() }()
+	if err := httpstatus.Check(res.StatusCode); err != nil {
+		h.log.Warn().Str("request", a.id).Str("agent", g.address).Err(err).Msg("no response from agent")
+		return queue.OutcomeUnknown
+	}
 	switch res.Header.Get(relay.HeaderRan) {
 	case "yes":
 	case "no":
