--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -46,10 +46,11 @@
 	}
 }
 
-// logUnframedEnd logs how the end of an unframed response was judged, unless its server has answered since.
+// logUnframedEnd logs how the end of an unframed response was judged, unless the same start of its server has answered
+// since. Of those judged whole, a sample is logged.
 func (a *attempt) logUnframedEnd() {
 	end := a.unframedEnd
-	if end.evidence >= sameStart || !a.x.front.log.AllowFailure() {
+	if end.evidence >= sameStart || end.isWhole() && !eventlog.Sampled(a.x.info.ID) || !a.x.front.log.AllowFailure() {
 		return
 	}
 	e := a.x.front.log.Event("unframed_end").Str("request", a.x.info.ID).Str("route", a.x.route.Name).Str("server", a.cmd.Server.ID).
