A backup's response without a body ends with its head

Callers got 500: the response of a backup to HEAD that closes its connection and has no length counted as unframed once its body was wrapped, and was judged without a witness, which panicked. A response without a body is not wrapped. TestBackupWithoutBodyIsWhole: 500 before, 200 now.

--- /dev/null
+++ b/gateway/backupbody_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/croftvale/croftvale/direct"
+	"github.com/stretchr/testify/require"
+)
+
+// unframedHead begins a response of the server that ends with its connection.
+func unframedHead(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", id)
+}
+
+// TestBackupWithoutBodyIsWhole guards against a panic over a backup's response to HEAD: it has no length and no body.
+func TestBackupWithoutBodyIsWhole(t *testing.T) {
+	var o order
+	f := newSilenceFront(t, 2, func(*direct.Route) {}, func(i int, w http.ResponseWriter, r *http.Request) {
+		if o.role(r.Header.Get("X-Id"), i) == 0 {
+			pause(r, 5*time.Second)
+			return
+		}
+		serveRaw(w, r, func(conn net.Conn, r *http.Request) {
+			_, _ = fmt.Fprint(conn, unframedHead(r.Header.Get("X-Id")))
+			_ = conn.Close()
+		})
+	})
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodHead, f.callers.URL+"/x", nil)
+	require.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("X-Id", "a")
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
--- a/gateway/responsestart.go
+++ b/gateway/responsestart.go
@@ -78,6 +78,9 @@
 // awaitBody waits for the body of a backup's response, or for as much of it as counts as progress. A head
 // alone is no response that could replace a silent server.
 func (a *attempt) awaitBody(resp *http.Response) startResult {
+	if resp.Body == http.NoBody {
+		return startResult{begun: true}
+	}
 	body := bufio.NewReaderSize(resp.Body, bodyProgressBytes)
 	resp.Body = io.NopCloser(body)
 	a.watch.arm(a.bodyTimeout())
