An idle timeout of a server is no teardown

Callers lost sound responses without a length, or got 502 (at most once): opening the next connection of the sentinel took longer than what was left of the server's idle timeout (a lost SYN, a late router), the server ended the idle one, and that counted as closing its connections. The end of a connection that is old enough for an idle timeout of a second tells nothing. TestIdleTimeoutIsNoTeardown: broken off after 1.0 s before, never in 3 s now.

--- a/backend/sentinel.go
+++ b/backend/sentinel.go
@@ -17,6 +17,8 @@
 	maxSentinelAge = 700 * time.Millisecond
 	// minSentinelAge is the same for servers that close idle connections early.
 	minSentinelAge = 200 * time.Millisecond
+	// maxTellingAge is the largest age of a sentinel whose end tells something: later, an idle timeout may have ended it.
+	maxTellingAge = 950 * time.Millisecond
 	// sentinelPause is the time after which a sentinel is opened again. A server that stops closes its connections
 	// one after the other; all of them must have ended by then.
 	sentinelPause = 50 * time.Millisecond
@@ -96,7 +98,7 @@
 		return HoldingUnknown
 	case s.conn != nil && w.span == s.span && socket.Peek(s.conn.Conn) == socket.Idle:
 		return HoldsConns
-	case s.conn != nil && w.span == s.span, time.Since(s.brokenAt) < recentBreak:
+	case s.conn != nil && w.span == s.span && time.Since(s.conn.openedAt) < maxTellingAge, time.Since(s.brokenAt) < recentBreak:
 		return ClosedConns
 	}
 	return HoldingUnknown
@@ -188,8 +190,13 @@
 	s.conn = nil
 	conn.Close()
 	lasted = time.Since(conn.openedAt)
-	if errors.Is(err, io.EOF) {
-		s.brokenAt = time.Now() // a reset may come from a server that has too many connections
+	if isTeardown(err, lasted) {
+		s.brokenAt = time.Now()
 	}
 	return lasted, true
 }
+
+// isTeardown reports whether the end of a connection after a time tells that the server closes its connections.
+func isTeardown(err error, lasted time.Duration) bool {
+	return errors.Is(err, io.EOF) && lasted < maxTellingAge // a reset may come from a server that has too many connections
+}
--- /dev/null
+++ b/backend/sentinel_test.go
@@ -0,0 +1,73 @@
+package backend
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// startSilentServer starts a server that sends nothing and calls handle for each connection.
+func startSilentServer(t *testing.T, handle func(n int, conn *net.TCPConn)) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go handle(n, conn.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// closeIdle closes a connection on which nothing has come for a time.
+func closeIdle(conn net.Conn, timeout time.Duration) {
+	_ = conn.SetReadDeadline(time.Now().Add(timeout))
+	_, _ = conn.Read(make([]byte, 1))
+	_ = conn.Close()
+}
+
+func newTestPool() *Pool {
+	return NewPool(Options{DialTimeout: 2 * time.Second, AckTimeout: 5 * time.Second, MaxIdlePerAddress: 4})
+}
+
+// watchResponse opens a connection as that of a response, and a witness for it that has a sentinel.
+func watchResponse(t *testing.T, p *Pool, address string) (*Conn, *Witness) {
+	response, err := p.Dial(t.Context(), address)
+	require.NoError(t, err)
+	w := p.Watch(response)
+	t.Cleanup(func() { w.Release(); _ = response.Close() })
+	require.Eventually(t, func() bool { return w.Holding() == HoldsConns }, 5*time.Second, time.Millisecond)
+	return response, w
+}
+
+// TestIdleTimeoutIsNoTeardown guards against sound responses that are broken off since the server has ended the idle
+// connection beside them: opening the next one took longer than what was left of the idle timeout.
+func TestIdleTimeoutIsNoTeardown(t *testing.T) {
+	const idleTimeout = time.Second
+	address := startSilentServer(t, func(n int, conn *net.TCPConn) {
+		if n > 0 { // the first one is that of the response
+			closeIdle(conn, idleTimeout)
+		}
+	})
+	p := newTestPool()
+	var slow atomic.Bool
+	p.dialer.Control = func(string, string, syscall.RawConn) error {
+		if slow.Load() {
+			time.Sleep(600 * time.Millisecond)
+		}
+		return nil
+	}
+	_, w := watchResponse(t, p, address)
+	slow.Store(true)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		require.NotEqual(t, ClosedConns, w.Holding(), "the server lives and has closed nothing but an idle connection")
+	}
+}
