A reset of the connection beside a response is the end of its server

Responses without a length that ended early looked whole: a process that ends resets connections that it had not taken up, and that counted as unknown; another process that tells no start answered. A reset tells the same as an end, unless the connection is new: servers that have too many reset new ones. TestResetSentinelIsATeardown: unknown before, closed now.

--- a/backend/sentinel.go
+++ b/backend/sentinel.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,9 @@
 	minSentinelAge = 200 * time.Millisecond
 	// maxTellingAge is the largest age of a sentinel whose end tells something: later, an idle timeout may have ended it.
 	maxTellingAge = 950 * time.Millisecond
+	// minResetAge is the age from which a reset tells the same as an end. A server that has too many connections resets
+	// new ones.
+	minResetAge = 100 * time.Millisecond
 	// sentinelPause is the time after which a sentinel is opened again. A server that stops closes its connections
 	// one after the other; all of them must have ended by then.
 	sentinelPause = 50 * time.Millisecond
@@ -198,5 +202,11 @@
 
 // isTeardown reports whether the end of a connection after a time tells that the server closes its connections.
 func isTeardown(err error, lasted time.Duration) bool {
-	return errors.Is(err, io.EOF) && lasted < maxTellingAge // a reset may come from a server that has too many connections
+	switch {
+	case lasted >= maxTellingAge:
+		return false
+	case errors.Is(err, syscall.ECONNRESET):
+		return lasted >= minResetAge
+	}
+	return errors.Is(err, io.EOF)
 }
--- a/backend/sentinel_test.go
+++ b/backend/sentinel_test.go
@@ -71,3 +71,19 @@
 		require.NotEqual(t, ClosedConns, w.Holding(), "the server lives and has closed nothing but an idle connection")
 	}
 }
+
+// TestResetSentinelIsATeardown guards against responses that look whole since the connection beside them ended with a
+// reset, as those do that a process had not taken up when it ended.
+func TestResetSentinelIsATeardown(t *testing.T) {
+	conns := make(chan *net.TCPConn, 8)
+	address := startSilentServer(t, func(_ int, conn *net.TCPConn) { conns <- conn })
+	p := newTestPool()
+	_, w := watchResponse(t, p, address)
+	<-conns
+	beside := <-conns
+	time.Sleep(2 * minSentinelAge)
+	require.NoError(t, beside.SetLinger(0))
+	require.NoError(t, beside.Close())
+	require.Eventually(t, func() bool { return w.Holding() != HoldsConns }, time.Second, time.Millisecond)
+	require.Equal(t, ClosedConns, w.Holding())
+}
