The end of an unframed response is judged by the start that sent it

A server that had restarted under an entry older than its process answered the question at the end with another start than its entry's, so that each of its sound responses on routes that are not asked for the start before was broken off. And a kept connection may lead to a former process, while the sentinel, the question and the entry are those of the next one: its early end looked whole.

A response on a new connection is now beside a question for the start that is asked at its head; that start is the one that has to answer. A start that was told to the router counts for a connection only if it was told before that was opened, and connections are kept for the server that was listed when they were opened.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -30,6 +30,7 @@
 	address   string
 	head      *headReader
 	reader    *bufio.Reader // reads from head
+	serverID  string        // of the server that was listed at the address when the connection was opened
 	openedAt  time.Time
 	idleUntil time.Time
 	response  *http.Response
@@ -107,6 +108,10 @@
 	c.progress.record()
 }
 
+// IsEnding reports whether the server has closed its side of the connection, also if data that it sent before has not
+// been read.
+func (c *Conn) IsEnding() bool { return socket.IsEnding(c.Conn) }
+
 // HasUnfinished reports whether bytes have come since the last progress that finish no part of a response.
 // A sound server sends them only for a moment; it may be called at any time.
 func (c *Conn) HasUnfinished() bool { return c.head.unfinished.Load() > 0 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -60,9 +60,8 @@
 	mu      sync.Mutex
 	idle    map[string][]*Conn
 	// progress is when a server last made progress with a response, by address.
-	progress map[string]*progressTime
-	// starts are the starts that servers have told last, by address.
-	starts    map[string]int64
+	progress  map[string]*progressTime
+	starts    map[string]toldStart // by address
 	sentinels map[string]*sentinel
 }
 
@@ -73,7 +72,7 @@
 		o.Now = func() time.Duration { return time.Since(start) }
 	}
 	p := &Pool{
-		options: o, idle: make(map[string][]*Conn), progress: make(map[string]*progressTime), starts: make(map[string]int64),
+		options: o, idle: make(map[string][]*Conn), progress: make(map[string]*progressTime), starts: make(map[string]toldStart),
 		sentinels: make(map[string]*sentinel),
 	}
 	p.dialer = net.Dialer{
@@ -95,14 +94,21 @@
 	return p
 }
 
-// Get returns a connection to an address: an idle one that is still usable, or else a new one.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+// Get returns a connection to the server that is listed with an ID at an address: an idle one that is still usable, or
+// else a new one. A connection that was opened while another ID was listed there may lead to a former process, which
+// still ends what it has.
+func (p *Pool) Get(ctx context.Context, address, id string) (*Conn, error) {
 	for {
 		c := p.take(address)
 		if c == nil {
-			return p.Dial(ctx, address)
+			c, err := p.Dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			c.serverID = id
+			return c, nil
 		}
-		if time.Now().Before(c.idleUntil) && c.isReusable() {
+		if c.serverID == id && time.Now().Before(c.idleUntil) && c.isReusable() {
 			return c, nil
 		}
 		c.Close()
--- a/backend/sentinel.go
+++ b/backend/sentinel.go
@@ -87,7 +87,7 @@
 
 // assign records the current span for a witness whose response is still running.
 func (s *sentinel) assign(w *Witness) {
-	if s.conn != nil && !socket.IsEnding(w.response.Conn) {
+	if s.conn != nil && !w.response.IsEnding() {
 		w.span = s.span
 	}
 }
--- a/backend/start.go
+++ b/backend/start.go
@@ -1,6 +1,10 @@
 package backend
 
-import "github.com/cockroachdb/errors"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 // ErrClosing means that the server closes the connection after the response that was read.
 var ErrClosing = errors.New("the backend server closes the connection after this response")
@@ -31,18 +35,27 @@
 // ServerStart returns the start that the server has told on this connection, if it has.
 func (c *Conn) ServerStart() (millis int64, told bool) { return c.start.millis, c.start.told }
 
-// LastStart returns the start that a server at the address has told last, on any connection of the pool.
-func (p *Pool) LastStart(address string) (millis int64, told bool) {
+// toldStart is the start that a server at an address has told last.
+type toldStart struct {
+	millis int64
+	since  time.Time // when it was first told
+}
+
+// StartBefore returns the start of the server that a connection leads to, as far as others have told it: the last one
+// that was told at its address, if that was before the connection was opened.
+func (p *Pool) StartBefore(c *Conn) (millis int64, told bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	millis, told = p.starts[address]
-	return millis, told
+	last, told := p.starts[c.address]
+	return last.millis, told && last.since.Before(c.openedAt)
 }
 
 func (p *Pool) recordStart(address string, millis int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.starts[address] = millis
+	if last, told := p.starts[address]; !told || last.millis != millis {
+		p.starts[address] = toldStart{millis: millis, since: time.Now()}
+	}
 }
 
 // EndExchange makes the connection ready for another request after a response was read to its end, or
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,6 +49,7 @@
 	unframedEnd unframedEnd
 	witness     *backend.Witness // nil: the response is not unframed
 	sentAt      time.Time
+	startBeside atomic.Pointer[int64] // of the server, told while its unframed response ran; nil: it has not
 	// declined is set as soon as the server says that it did not run the request.
 	declined atomic.Bool
 }
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/backend"
+	"github.com/croftvale/croftvale/direct"
 )
 
 const (
@@ -30,11 +31,10 @@
 	ctx, cancel := context.WithTimeout(a.ctx, a.endCheckLimit())
 	defer cancel()
 	answers := make(chan endAnswer, maxEndQuestions)
-	ask := func(connect func(context.Context, string) (*backend.Conn, error)) {
-		go func() { answers <- a.x.front.askServer(ctx, connect, a.cmd.Server.Address, a.cmd.Server.Name()) }()
+	ask := func(connect connector) {
+		go func() { answers <- a.x.front.askServer(ctx, connect, &a.cmd.Server) }()
 	}
-	pool := a.x.front.pool
-	ask(pool.Get)
+	ask(a.x.front.getConn)
 	delay := endHedgeDelay
 	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
@@ -45,7 +45,7 @@
 		case <-hedge.C:
 			if asked < maxEndQuestions {
 				asked++
-				ask(pool.Dial)
+				ask(a.x.front.dialConn)
 				delay *= 2
 				hedge.Reset(delay)
 			}
@@ -65,18 +65,32 @@
 	return endAnswer{}, noAnswer
 }
 
+// connector returns a connection to a server.
+type connector func(context.Context, *direct.Server) (*backend.Conn, error)
+
+func (f *front) getConn(ctx context.Context, s *direct.Server) (*backend.Conn, error) {
+	return f.pool.Get(ctx, s.Address, s.ID)
+}
+
+func (f *front) dialConn(ctx context.Context, s *direct.Server) (*backend.Conn, error) {
+	return f.pool.Dial(ctx, s.Address)
+}
+
 // askServer asks a server for its report on a connection. Any response counts as an answer, whatever its status.
-func (f *front) askServer(ctx context.Context, connect func(context.Context, string) (*backend.Conn, error), address, name string) endAnswer {
-	conn, err := connect(ctx, address)
+func (f *front) askServer(ctx context.Context, connect connector, s *direct.Server) endAnswer {
+	conn, err := connect(ctx, s)
 	if err != nil {
 		return endAnswer{err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	var answer endAnswer
 	if f.dialect.ReportPath() != "" {
-		request := &backend.Request{Method: http.MethodGet, Target: f.dialect.ReportPath(), Host: address, Header: f.dialect.ReportHeader(name)}
+		request := &backend.Request{Method: http.MethodGet, Target: f.dialect.ReportPath(), Host: s.Address, Header: f.dialect.ReportHeader(s.Name())}
 		answer.serverReport, answer.err = f.readReport(conn, request, func(ResponseInfo) {})
 	}
+	if answer.err == nil && answer.told {
+		conn.SetServerStart(answer.start)
+	}
 	if !stop() || answer.err != nil {
 		conn.Close()
 		return answer
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -44,7 +44,7 @@
 		}
 	})
 	f.dialect, f.origins = resumingStartDialect{}, recordedOrigins{}
-	conn, err := f.pool.Get(t.Context(), f.servers[0].Listener.Addr().String())
+	conn, err := f.pool.Get(t.Context(), f.servers[0].Listener.Addr().String(), "i-0")
 	require.NoError(t, err)
 	require.NoError(t, conn.Send(&backend.Request{Method: http.MethodGet, Target: "/report", Host: "h"}))
 	resp, err := conn.ReadResponse(http.MethodGet, func(*http.Response) bool { return true })
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -27,7 +27,7 @@
 // another start of the server than its entry names, unless it is new.
 func (a *attempt) getConn() (*backend.Conn, error) {
 	for {
-		conn, err := a.x.front.pool.Get(a.ctx, a.cmd.Server.Address)
+		conn, err := a.x.front.pool.Get(a.ctx, a.cmd.Server.Address, a.cmd.Server.ID)
 		if err != nil || !a.x.needsVersion() || !conn.IsReused() || matchStart(conn, &a.cmd.Server) != direct.OtherIncarnation {
 			return conn, err
 		}
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -61,9 +62,32 @@
 
 // watchUnframed prepares for the end of a response if it is unframed.
 func (a *attempt) watchUnframed(resp *http.Response) {
-	if isUnframed(resp) && a.witness == nil {
-		a.witness = a.x.front.pool.Watch(a.conn)
+	if !isUnframed(resp) || a.witness != nil {
+		return
 	}
+	a.witness = a.x.front.pool.Watch(a.conn)
+	if _, told := a.conn.ServerStart(); !told && !a.conn.IsReused() && a.cmd.Server.TellsStart() {
+		go a.askBeside(a.conn)
+	}
+}
+
+// askBeside asks the server for its start while a response runs whose connection is new, so that it leads to the
+// process which now accepts connections. Its entry may be older than that.
+func (a *attempt) askBeside(response *backend.Conn) {
+	ctx, cancel := context.WithTimeout(a.ctx, maxEndCheck)
+	defer cancel()
+	answer := a.x.front.askServer(ctx, a.x.front.getConn, &a.cmd.Server)
+	if answer.err == nil && answer.told && !response.IsEnding() {
+		a.startBeside.Store(&answer.start)
+	}
+}
+
+// isOtherStart reports whether a start is not the one that sent the response, as far as that one is known.
+func (a *attempt) isOtherStart(millis int64) bool {
+	if beside := a.startBeside.Load(); beside != nil {
+		return *beside != millis
+	}
+	return !a.identity.starts.areUnknown() && !a.identity.starts.include(millis)
 }
 
 // checkUnframedEnd returns io.EOF if an unframed response is whole, and else io.ErrUnexpectedEOF: also at
@@ -91,7 +115,7 @@
 		return evidence
 	}
 	a.applyNotice(answer.info)
-	if answer.told && !a.identity.starts.areUnknown() && !a.identity.starts.include(answer.start) {
+	if answer.told && a.isOtherStart(answer.start) {
 		return anotherStart
 	}
 	a.awaitTeardown(endedAt)
@@ -150,7 +174,7 @@
 	known.told, known.onConn = a.conn.ServerStart()
 	known.hasTold = known.onConn
 	if !known.onConn {
-		known.told, known.hasTold = a.x.front.pool.LastStart(a.cmd.Server.Address)
+		known.told, known.hasTold = a.x.front.pool.StartBefore(a.conn)
 	}
 	return known
 }
