The connection beside a response does not hold a server of one connection

Callers got 502 though a sound response had come to its end, or the request ran again: a server that serves one connection at a time (a simple script) took up the connection that the router keeps beside the response, and the question at the end waited behind it for up to .7 s, longer than it may on a repeatable route. If a server does not answer at once, what that connection tells is kept and the connection closed, unless other responses need it.

--- a/backend/sentinel.go
+++ b/backend/sentinel.go
@@ -108,6 +108,21 @@
 	return HoldingUnknown
 }
 
+// Yield returns what Holding does. If no other response needs the sentinel, it ends it: a server that serves one
+// connection at a time would serve no other.
+func (w *Witness) Yield() Holding {
+	holding := w.Holding()
+	s := w.sentinel
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.witnesses) == 1 && s.witnesses[w] {
+		s.end()
+	}
+	return holding
+}
+
 // Release ends the use of the witness.
 func (w *Witness) Release() {
 	s := w.sentinel
@@ -131,7 +146,14 @@
 	defer s.pool.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.witnesses) > 0 || s.pool.sentinels[s.address] != s {
+	if len(s.witnesses) == 0 {
+		s.end()
+	}
+}
+
+// end closes the connection, and opens no other. The caller holds the pool's mu and that of the sentinel.
+func (s *sentinel) end() {
+	if s.pool.sentinels[s.address] != s {
 		return
 	}
 	delete(s.pool.sentinels, s.address)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,6 +48,7 @@
 	dialOverdue bool // this process ran too late to connect
 	unframedEnd unframedEnd
 	witness     *backend.Witness // nil: the response is not unframed
+	yielded     *backend.Holding // what witness knew when it was given up; nil: it was not
 	sentAt      time.Time
 	// declined is set as soon as the server says that it did not run the request.
 	declined atomic.Bool
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -43,6 +43,7 @@
 		case <-ctx.Done():
 			return endAnswer{}, noAnswer
 		case <-hedge.C:
+			a.yieldWitness()
 			if asked < maxEndQuestions {
 				asked++
 				ask(pool.Dial)
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -95,7 +95,7 @@
 		return anotherStart
 	}
 	a.awaitTeardown(endedAt)
-	holding := a.witness.Holding()
+	holding := a.holding()
 	switch {
 	case holding == backend.HoldsConns, a.x.front.pool.HoldsSince(a.cmd.Server.Address, a.sentAt):
 		return holdsConn
@@ -109,6 +109,23 @@
 	return startNotTold
 }
 
+// yieldWitness ends the use of the witness for a server that does not answer at once: the connection beside the
+// response may be what holds it.
+func (a *attempt) yieldWitness() {
+	if a.yielded == nil {
+		held := a.witness.Yield()
+		a.yielded = &held
+	}
+}
+
+// holding returns what the witness knows, or knew when it was given up.
+func (a *attempt) holding() backend.Holding {
+	if a.yielded != nil {
+		return *a.yielded
+	}
+	return a.witness.Holding()
+}
+
 // awaitTeardown waits until a server that stops would have closed all its connections.
 func (a *attempt) awaitTeardown(endedAt time.Time) {
 	select {
