502 and 504 to the question at the end are no answer of the server

Responses without a length that ended early looked whole: something in front of a server that had ended answered the question, and any status counted as an answer of the server. 502 and 504 say that the server did not respond; it is asked again, and then counts as silent. TestAnswerOfGatewayIsNoAnswer: whole before, broken off now (both statuses).

--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -54,7 +54,7 @@
 			switch {
 			case errors.Is(answer.err, syscall.ECONNREFUSED):
 				return endAnswer{}, hostRefuses
-			case answer.err != nil:
+			case answer.err != nil, isFromGateway(answer.status):
 				failed++
 			case answer.info.WrongServer:
 				return endAnswer{}, anotherStart
@@ -66,7 +66,12 @@
 	return endAnswer{}, noAnswer
 }
 
-// askServer asks a server for its report on a connection. Any response counts as an answer, whatever its status.
+// isFromGateway reports whether a status is that of something in front of a server which does not respond.
+func isFromGateway(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusGatewayTimeout
+}
+
+// askServer asks a server for its report on a connection. Any response of it counts as an answer, whatever its status.
 func (f *front) askServer(ctx context.Context, connect func(context.Context, string) (*backend.Conn, error), address, name string) endAnswer {
 	conn, err := connect(ctx, address)
 	if err != nil {
