--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -43,6 +43,7 @@
 		case <-ctx.Done():
 			return endAnswer{}, noAnswer
 		case <-hedge.C:
+			a.yieldWitness()
 			if asked < maxEndQuestions {
 				asked++
 				ask(a.x.front.dialConn)
@@ -53,7 +54,7 @@
 			switch {
 			case errors.Is(answer.err, syscall.ECONNREFUSED):
 				return endAnswer{}, hostRefuses
-			case answer.err != nil:
+			case answer.err != nil, isFromGateway(answer.status):
 				failed++
 			case answer.info.WrongServer:
 				return endAnswer{}, anotherStart
@@ -65,6 +66,11 @@
 	return endAnswer{}, noAnswer
 }
 
+// isFromGateway reports whether a status is that of something in front of a server which does not respond.
+func isFromGateway(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusGatewayTimeout
+}
+
 // connector returns a connection to a server.
 type connector func(context.Context, *direct.Server) (*backend.Conn, error)
 
@@ -76,7 +82,7 @@
 	return f.pool.Dial(ctx, s.Address)
 }
 
-// askServer asks a server for its report on a connection. Any response counts as an answer, whatever its status.
+// askServer asks a server for its report on a connection. Any response of it counts as an answer, whatever its status.
 func (f *front) askServer(ctx context.Context, connect connector, s *direct.Server) endAnswer {
 	conn, err := connect(ctx, s)
 	if err != nil {
