A part of an object is no object

A read of the platform's object API whose response had neither a length nor chunks returned whatever had come when its connection ended, also nothing, as the whole object with its version (TestPartOfAnObjectIsNoObject, red before; other framings passed). An object's bytes can't show that they are whole, so that such a response is now ErrUnavailable. The check whether a response is unframed moves to internal/framing.

--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -8,6 +8,7 @@
 	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/eventlog"
+	"github.com/croftvale/croftvale/internal/framing"
 	"github.com/phuslu/log"
 )
 
@@ -137,7 +138,7 @@
 // framingOf returns how the end of a response is told.
 func framingOf(resp *http.Response) string {
 	switch {
-	case isUnframed(resp):
+	case framing.IsUnframed(resp):
 		return "connection"
 	case resp.ContentLength >= 0:
 		return "length"
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/pressure"
+	"github.com/croftvale/croftvale/internal/framing"
 )
 
 // isStream reports whether a response is a stream of events.
@@ -63,7 +64,7 @@
 		return event, err
 	}
 	switch {
-	case err == io.EOF && isUnframed(a.response):
+	case err == io.EOF && framing.IsUnframed(a.response):
 		err = a.checkUnframedEnd()
 	case err == nil && a.timeLeft() < minTimeLeft:
 		err = os.ErrDeadlineExceeded // the host was suspended, which the connection's deadline does not count
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -7,6 +7,7 @@
 
 	"github.com/croftvale/croftvale/backend"
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/internal/framing"
 )
 
 const (
@@ -19,11 +20,6 @@
 	teardownTime = 20 * time.Millisecond
 )
 
-// isUnframed reports whether the end of a response is the end of its connection.
-func isUnframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && resp.Close && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-}
-
 // endEvidence is what is known of a server after the end of its unframed response.
 type endEvidence int
 
@@ -61,7 +57,7 @@
 
 // watchUnframed prepares for the end of a response if it is unframed.
 func (a *attempt) watchUnframed(resp *http.Response) {
-	if isUnframed(resp) && a.witness == nil {
+	if framing.IsUnframed(resp) && a.witness == nil {
 		a.witness = a.x.front.pool.Watch(a.conn)
 	}
 }
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/croftvale/croftvale/internal/framing"
 	"github.com/croftvale/croftvale/internal/httpstatus"
 	"golang.org/x/time/rate"
 )
@@ -150,7 +151,7 @@
 		return Object{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, MaxObjectBytes+1))
-	if err != nil || len(body) > MaxObjectBytes {
+	if err != nil || len(body) > MaxObjectBytes || framing.IsUnframed(res) {
 		return Object{}, errors.Wrapf(ErrUnavailable, "read %s/%s", ref.Kind, ref.Name)
 	}
 	return Object{Ref: ref, Version: parseETag(res.Header.Get("ETag")), Body: body}, nil
