Times of a rollout record don't overflow

A record's age of 2^63-1 ms, or -1, became negative, and one of 100 years added to the time since a record of the year 1 as well: the order counted as new, with all its time left.

--- a/rollout/reconcile.go
+++ b/rollout/reconcile.go
@@ -108,7 +108,7 @@
 	r := newRollout(*s.order, now)
 	s.rollout = r
 	if s.record.Target == r.order.Target && s.record.Made == r.order.Made {
-		r.recordedAge = s.record.Age + max(0, m.wall.Sub(s.record.Wall))
+		r.recordedAge = s.record.ageAt(m.wall, r.order.Within+maxOverdue)
 	}
 	m.emitStep(s, StepBegan, causeOrder)
 	if !r.order.valid() {
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -18,3 +18,9 @@
 	Age    time.Duration // age of the order when the record was written
 	Wall   time.Time     // time of day at which the record was written
 }
+
+// ageAt returns the age of the record's order at a time of day. Beyond a limit it is inexact: another writer's values may
+// be any, and must not overflow.
+func (r *Record) ageAt(wall time.Time, limit time.Duration) time.Duration {
+	return min(r.Age, limit) + min(max(0, wall.Sub(r.Wall)), limit)
+}
