An agent's response without a length or chunks is a part

A router passed on what had come of such a response, also nothing, as the whole (TestCutResponseIsNoResponse, red before at the end of the head). Agents always send one or the other, so that it is broken off. Heads and framed bodies cut at each byte and invalid statuses were errors already (TestInvalidStatusIsNoResponse).

--- a/router/handler.go
+++ b/router/handler.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/internal/framing"
 	"github.com/croftvale/croftvale/internal/httpstatus"
 	"github.com/croftvale/croftvale/link"
 	"github.com/croftvale/croftvale/queue"
@@ -174,13 +177,23 @@
 	relay.CopyHeader(w.Header(), res.Header)
 	w.Header().Set(relay.HeaderRequestID, a.id)
 	w.WriteHeader(res.StatusCode)
-	if err := relay.Copy(w, res.Body); err != nil {
+	if err := copyResponse(w, res); err != nil {
 		h.abortResponse(n, a, err)
 	}
 	h.stats.served()
 	return queue.OutcomeDone
 }
 
+// copyResponse forwards the body of an agent's response. One with neither a length nor chunks, which agents always send,
+// is a part: its end shows nothing.
+func copyResponse(w http.ResponseWriter, res *http.Response) error {
+	err := relay.Copy(w, res.Body)
+	if err == nil && framing.IsUnframed(res) {
+		err = errors.Mark(io.ErrUnexpectedEOF, relay.ErrRead)
+	}
+	return err
+}
+
 // cancelOnAbort cancels a call to an agent that is lost before it responds.
 func cancelOnAbort(abort, responded <-chan struct{}, cancel context.CancelFunc) {
 	select {
