An agent asks its server at the end of a response without a length

It probes the server now, and breaks the response off unless it answers. Streams of model engines have an end of their own. TestUnframedResponseOfEndedServer, red before. Left: a server that lives on and closed the connection too early can't be told.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -5,8 +5,10 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/internal/framing"
 	"github.com/croftvale/croftvale/internal/httpstatus"
 	"github.com/croftvale/croftvale/relay"
 )
@@ -42,6 +44,9 @@
 	return b.unpooled
 }
 
+// errEndUnproven is returned for a response without a length or chunks whose server does not answer after its end.
+var errEndUnproven = errors.New("the backend server has stopped, so that its response may not be whole")
+
 // forward sends a started request to the backend server and streams the response
 // back.
 func (p *proxy) forward(w http.ResponseWriter, r *http.Request, t *target) {
@@ -64,7 +69,11 @@
 	w.Header().Set(relay.HeaderRan, "yes")
 	w.WriteHeader(res.StatusCode)
 	body := p.checkStreamEnd(res, t, r)
-	if err := relay.Copy(w, body); err != nil {
+	err = relay.Copy(w, body)
+	if err == nil && body == res.Body && res.StatusCode/100 == 2 && framing.IsUnframed(res) && !p.answers(r.Context()) {
+		err = errEndUnproven
+	}
+	if err != nil {
 		p.log.Warn().Str("request", r.Header.Get(relay.HeaderRequestID)).Err(err).Msg("response aborted")
 		// Abort the connection, so that a truncated response can't be taken for a
 		// complete one.
--- a/agent/health.go
+++ b/agent/health.go
@@ -214,6 +214,11 @@
 	return httpstatus.Check(res.StatusCode) == nil && res.StatusCode < http.StatusInternalServerError
 }
 
+// answers reports whether the server answers now. One that has asked for a backoff must not be asked.
+func (p *proxy) answers(ctx context.Context) bool {
+	return p.health.remainingBackoff() <= 0 && p.probeServer(ctx)
+}
+
 // applyRetryAfter starts a backoff if the server rejects a request with a
 // Retry-After time. Only the agent calls the server, so no request reaches it
 // during the backoff.
