Times that follow from a rate don't overflow

At a cold rate of 1e-12 a second, the time between two requests to a cold server became negative: it got any number. The time for which an engine of 2^63-1 tokens keeps parts became negative too (TestLowColdRateIsNoFreeRate, TestLargeEnginesKeepParts, red before).

--- a/direct/cold.go
+++ b/direct/cold.go
@@ -33,9 +33,17 @@
 	rank    int // of this router among them, from 0
 }
 
+// maxColdInterval bounds times that follow from a rate, which may be any above 0.
+const maxColdInterval = 24 * time.Hour
+
+// timeFor returns the time in which a server accepts n requests at the limit's rate.
+func (l ColdLimit) timeFor(n int) time.Duration {
+	return time.Duration(min(float64(n)/l.PerSecond*float64(time.Second), float64(maxColdInterval)))
+}
+
 // interval returns the time between two requests of this router to one server.
 func (c coldPacing) interval(limit ColdLimit) time.Duration {
-	return time.Duration(float64(max(c.routers, 1)) / limit.PerSecond * float64(time.Second))
+	return limit.timeFor(max(c.routers, 1))
 }
 
 // firstDelay returns how long this router waits before its first request to a server that has
@@ -44,7 +52,7 @@
 func (c coldPacing) firstDelay(limit ColdLimit, key uint32) time.Duration {
 	routers := max(c.routers, 1)
 	turn := (c.rank + int(key%uint32(routers))) % routers
-	return time.Duration(float64(turn) / limit.PerSecond * float64(time.Second))
+	return limit.timeFor(turn)
 }
 
 // markCold extends a server's cold period by the given duration. The period never gets shorter:
--- a/direct/pool.go
+++ b/direct/pool.go
@@ -113,5 +113,5 @@
 		return
 	}
 	seconds := promptCacheFraction * float64(p.engine.KVTokens) * float64(len(p.admitted)) / tokens
-	p.cacheTTL = min(maxCacheTTL, time.Duration(seconds*float64(time.Second)))
+	p.cacheTTL = time.Duration(min(seconds*float64(time.Second), float64(maxCacheTTL)))
 }
