--- a/gateway/body.go
+++ b/gateway/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"time"
@@ -29,7 +30,7 @@
 // maxSize bytes. It calls grow before each allocation and fails with errNoMemory if grow
 // returns false.
 func readBuffered(r io.Reader, size, maxSize int64, grow func(n int) bool) ([]byte, error) {
-	limit := maxSize + 1
+	limit := min(maxSize, math.MaxInt64-1) + 1
 	if size >= 0 {
 		limit = size
 	}
