The agent passes on unframed responses as whole only if their server goes on

A backend server that ended amid a response with neither a length nor chunks left callers with a part that looked whole (TestUnframedEndIsNoEnd, red before: "ans" of "answer"). While such a response runs, the agent holds a second connection to its server, which carries no request, and replaces it each 500 ms as long as the one before is held. If the server has closed it 20 ms after the end, or it could not be opened, the response is broken off. Streams with an end mark need none. Servers that go on, also those that serve one connection at a time, are believed (TestUnframedSoundResponseIsWhole; 5 plays of each, and 3 with -race). Not covered: a server that runs on and closes its connections only later.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -7,6 +7,7 @@
 
 	"github.com/croftvale/croftvale/bundle"
 	"github.com/croftvale/croftvale/fleet"
+	"github.com/croftvale/croftvale/internal/framing"
 	"github.com/croftvale/croftvale/internal/httpstatus"
 	"github.com/croftvale/croftvale/relay"
 )
@@ -64,6 +65,11 @@
 	w.Header().Set(relay.HeaderRan, "yes")
 	w.WriteHeader(res.StatusCode)
 	body := p.checkStreamEnd(res, t, r)
+	if _, hasMark := body.(*terminatedStream); !hasMark && framing.IsUnframed(res) {
+		witness := newWitness(r.Context(), t.server.Address.String())
+		defer witness.Close()
+		body = &witnessedBody{body: body, witness: witness}
+	}
 	if err := relay.Copy(w, body); err != nil {
 		p.log.Warn().Str("request", r.Header.Get(relay.HeaderRequestID)).Err(err).Msg("response aborted")
 		// Abort the connection, so that a truncated response can't be taken for a
