A backup whose response broke off replaces no server

The end was judged only afterwards. It is judged before the backup takes over. TestBackupThatBreaksOffReplacesNoServer: 502 before, 200 now.

--- a/gateway/backupbody_test.go
+++ b/gateway/backupbody_test.go
@@ -38,3 +38,27 @@
 	defer resp.Body.Close()
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 }
+
+// TestBackupThatBreaksOffReplacesNoServer guards against requests that fail since a backup whose response without a
+// length ended early replaced a silent server, which goes on.
+func TestBackupThatBreaksOffReplacesNoServer(t *testing.T) {
+	var o order
+	var f *silenceFront
+	f = newSilenceFront(t, 2, func(*direct.Route) {}, func(i int, w http.ResponseWriter, r *http.Request) {
+		if o.role(r.Header.Get("X-Id"), i) == 0 {
+			pause(r, time.Second)
+			_, _ = fmt.Fprint(w, "whole")
+			return
+		}
+		serveRaw(w, r, func(conn net.Conn, r *http.Request) {
+			_, _ = fmt.Fprint(conn, unframedHead(r.Header.Get("X-Id")), "first,")
+			time.Sleep(50 * time.Millisecond)
+			_ = f.servers[i].Listener.Close()
+			_ = conn.Close()
+		})
+	})
+	status, body, err := f.get(t.Context(), "a")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status, body)
+	require.Equal(t, "whole", body)
+}
--- a/gateway/responsestart.go
+++ b/gateway/responsestart.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/croftvale/croftvale/direct"
+	"github.com/croftvale/croftvale/internal/framing"
 )
 
 const (
@@ -85,6 +86,9 @@
 	resp.Body = io.NopCloser(body)
 	a.watch.arm(a.bodyTimeout())
 	_, err := body.Peek(bodyProgressBytes)
+	if err == io.EOF && framing.IsUnframed(resp) {
+		err = a.checkUnframedEnd()
+	}
 	if err != nil && err != io.EOF {
 		if !a.takenOver(err) {
 			a.conn.Close()
