--- a/backend/sentinel_test.go
+++ b/backend/sentinel_test.go
@@ -75,13 +75,16 @@
 // TestResetSentinelIsATeardown guards against responses that look whole since the connection beside them ended with a
 // reset, as those do that a process had not taken up when it ended.
 func TestResetSentinelIsATeardown(t *testing.T) {
-	conns := make(chan *net.TCPConn, 8)
-	address := startSilentServer(t, func(_ int, conn *net.TCPConn) { conns <- conn })
+	besides := make(chan *net.TCPConn, 1)
+	address := startSilentServer(t, func(n int, conn *net.TCPConn) {
+		if n == 1 { // the first one is that of the response
+			besides <- conn
+		}
+	})
 	p := newTestPool()
 	_, w := watchResponse(t, p, address)
-	<-conns
-	beside := <-conns
-	time.Sleep(2 * minSentinelAge)
+	beside := <-besides
+	time.Sleep(2 * minResetAge)
 	require.NoError(t, beside.SetLinger(0))
 	require.NoError(t, beside.Close())
 	require.Eventually(t, func() bool { return w.Holding() != HoldsConns }, time.Second, time.Millisecond)
