Silent routers confirm no version

Cause, no evidence taken for evidence: a reading of croftvale-versions that names one version counted as the only one in use, also where no other router had answered. The object is as current as the router that leads: one that is cut off or stands still writes nothing, for a second and more. The same beside a store that is away: routers that count as lost are not asked, so two routers, both cut off, were most of each other.

Now most of those that should have been asked have to answer, counted by members; else the list of servers is read as well, where nobody else answers.

--- a/gateway/cluster/cluster.go
+++ b/gateway/cluster/cluster.go
@@ -19,6 +19,7 @@
 	Pressure     *pressure.Gauge
 	Registry     Registry
 	Versions     StoredVersions
+	ServerList   ServerList
 	Log          *eventlog.Log
 	Stats        *stats.Stats
 	Traffic      *traffic.Counter
--- a/gateway/cluster/contact.go
+++ b/gateway/cluster/contact.go
@@ -16,7 +16,7 @@
 			c.Current = false
 		}
 	}
-	c.Majority = 2*live > p.members
+	c.Majority, c.Members = 2*live > p.members, p.members
 	return c
 }
 
--- a/gateway/cluster/origins.go
+++ b/gateway/cluster/origins.go
@@ -182,7 +182,7 @@
 		case origin.AnswerCmd:
 			o.send(cmd.To, originMessage{From: o.self, Answer: packOriginAnswer(cmd.Answer)})
 		case origin.ReadStoredCmd:
-			go o.readStored()
+			go o.readStored(cmd.Servers)
 		case origin.ResolvedCmd:
 			if result := o.waiting[cmd.ID]; result != nil {
 				delete(o.waiting, cmd.ID)
--- a/gateway/cluster/storedorigins.go
+++ b/gateway/cluster/storedorigins.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/origin"
 )
 
@@ -16,6 +17,12 @@
 	ReadVersions(ctx context.Context) ([]origin.StoredVersions, error)
 }
 
+// ServerList reads the list of servers.
+type ServerList interface {
+	// ReadServers returns all servers, and the revision of the list.
+	ReadServers(ctx context.Context) ([]direct.Server, uint64, error)
+}
+
 // Keep returns the versions that the source should keep.
 func (o *Origins) Keep() []origin.KeptVersions {
 	o.mu.Lock()
@@ -63,14 +70,22 @@
 	return services
 }
 
-// readStored reads the versions that the source keeps.
-func (o *Origins) readStored() {
+// readStored reads the versions that the source keeps, and those of its list of servers if servers is set.
+func (o *Origins) readStored(servers bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), storedVersionsTimeout)
 	defer cancel()
 	o.deps.Stats.CountSourceCall("versions")
 	stored, err := o.deps.Versions.ReadVersions(ctx)
+	msg := origin.StoredMsg{Services: versionsByService(stored), Requested: true}
+	if servers && err == nil {
+		var listed []direct.Server
+		o.deps.Stats.CountSourceCall("listed_versions")
+		listed, _, err = o.deps.ServerList.ReadServers(ctx)
+		msg.Listed, msg.ServersRead = listedVersions(listed), err == nil
+	}
 	if err != nil {
 		o.deps.Log.Event("versions_unread").Err(err).Msg("")
 	}
-	o.update(origin.StoredMsg{Now: o.deps.StateMachine.Now(), Services: versionsByService(stored), Err: err, Requested: true})
+	msg.Now, msg.Err = o.deps.StateMachine.Now(), err
+	o.update(msg)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,7 +98,7 @@
 	s := g.settings
 	feeds := feed.Options{Source: g.source, StateMachine: g.core, Log: g.log, Stats: g.stats, EvacuationDeadline: s.MaxEvacuationTime}
 	deps := cluster.Dependencies{
-		StateMachine: g.core, Pressure: &g.core.pressure, Registry: g.source, Versions: g.source, Log: g.log, Stats: g.stats, Traffic: g.traffic,
+		StateMachine: g.core, Pressure: &g.core.pressure, Registry: g.source, Versions: g.source, ServerList: g.source, Log: g.log, Stats: g.stats, Traffic: g.traffic,
 	}
 	if s.RolloutBounds.Enabled() {
 		g.rollouts = rollouts.NewRunner(rollouts.Options{
--- a/origin/commands.go
+++ b/origin/commands.go
@@ -22,7 +22,10 @@
 }
 
 // ReadStoredCmd reads the versions that the source keeps. A StoredMsg follows.
-type ReadStoredCmd struct{}
+type ReadStoredCmd struct {
+	// Servers asks for the versions of the listed servers, too.
+	Servers bool
+}
 
 // ResolvedCmd answers a LookupMsg.
 type ResolvedCmd struct {
@@ -55,7 +58,7 @@
 // Values of Evidence.
 const (
 	NoEvidence      Evidence = iota // a record is enough
-	SourceRead                      // the source was read: no other version has been in use
+	SourceRead                      // the source was read, and most routers or its list of servers know no other version
 	RoutersAgree                    // the source is away; most routers are in touch and use no other version
 	Contradicted                    // the records of the stream contradict one another
 	SeveralVersions                 // several versions may have begun it
--- a/origin/fleet_test.go
+++ b/origin/fleet_test.go
@@ -105,7 +105,11 @@
 				if isCut {
 					return StoredMsg{Now: now, Err: errCut, Requested: true}
 				}
-				return StoredMsg{Now: now, Services: s.stored, Err: s.storeErr, Requested: true}
+				m := StoredMsg{Now: now, Services: s.stored, Err: s.storeErr, Requested: true}
+				if c.Servers {
+					m.Listed, m.ServersRead = s.listed, s.storeErr == nil
+				}
+				return m
 			})
 		case ResolvedCmd:
 			s.results[c.ID] = c.Resolution
--- a/origin/history.go
+++ b/origin/history.go
@@ -16,7 +16,7 @@
 // loseContact reports that versions may come and go without this router's knowledge.
 func (m *Machine) loseContact(now time.Duration) {
 	m.versions.forgetHistory(now)
-	m.history, m.reading.succeeded = history{since: now}, false
+	m.history, m.reading.succeeded, m.reading.hasServers = history{since: now}, false, false
 	m.updateSharing(now)
 }
 
@@ -32,7 +32,7 @@
 		}
 	}
 	if incomplete && !m.history.hasRead && now-m.history.since >= historyReadDelay {
-		m.readStored(now)
+		m.readStored(now, false)
 	}
 }
 
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -148,59 +148,6 @@
 	return m.versions.isComplete(service) && !m.versions.several(service)
 }
 
-// conclude ends a lookup without a record if there is evidence that a single version can have begun
-// the stream, or that there will be none.
-func (m *Machine) conclude(now time.Duration, l *lookup) {
-	l.concluding = true
-	several := m.versions.several(l.query.Service)
-	switch {
-	case (several || l.unlisted != "") && !l.hasHeardAll(now):
-	case l.unlisted != "":
-		m.finish(l, recorded(l.unlisted))
-	case several && !l.askedRegions:
-		m.askRegions(now, l)
-	case several:
-		m.finish(l, Resolution{Evidence: SeveralVersions})
-	case m.reading.isFreshFor(l):
-		m.finish(l, m.onlyVersion(l.query.Service, SourceRead))
-	case !m.reading.hasFailedSince(l.startedAt):
-		m.readFor(now, l)
-	case l.isVouchedFor():
-		m.finish(l, m.onlyVersion(l.query.Service, RoutersAgree))
-	case !l.contact.Majority || !l.contact.Current:
-		m.finish(l, Resolution{Evidence: OutOfTouch})
-	case !l.askedMost:
-		m.askMost(now, l)
-	case l.hasHeardAll(now):
-		m.finish(l, Resolution{Evidence: OutOfTouch})
-	}
-}
-
-// hasHeardAll reports whether no further answer is expected.
-func (l *lookup) hasHeardAll(now time.Duration) bool {
-	return len(l.unanswered) == 0 || now-l.askedAt >= queryTimeout
-}
-
-// isVouchedFor reports whether most routers are in touch with this one, so that it has heard of each
-// version that any of them may use. It is the evidence of last resort, while the source is away.
-func (l *lookup) isVouchedFor() bool {
-	answered := l.asked - len(l.unanswered)
-	return l.contact.Majority && l.contact.Current && l.askedMost && 2*(answered+1) > l.asked+1
-}
-
-// onlyVersion returns the resolution of a stream of a service with at most one known version, by the
-// evidence that no other one is in use.
-func (m *Machine) onlyVersion(service string, e Evidence) Resolution {
-	if !m.versions.isComplete(service) {
-		return Resolution{Evidence: HistoryUnknown}
-	}
-	r := Resolution{Certainty: Inferred, Evidence: e}
-	if versions := m.versions.of(service); len(versions) > 0 {
-		r.Version = versions[0]
-	}
-	return r
-}
-
 func (m *Machine) finish(l *lookup, r Resolution) {
 	delete(m.lookups, l.query.Number)
 	m.resolve(l.id, r)
@@ -230,11 +177,3 @@
 		}
 	}
 }
-
-// lateResolution returns the resolution of a lookup whose call to the source has not ended in time.
-func (m *Machine) lateResolution(l *lookup) Resolution {
-	if l.isVouchedFor() && !m.versions.several(l.query.Service) {
-		return m.onlyVersion(l.query.Service, RoutersAgree)
-	}
-	return Resolution{Evidence: OutOfTouch}
-}
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -31,6 +31,8 @@
 	// Majority reports that heartbeats of most of the routers have arrived lately: of all that were
 	// live when a router in touch with this one last reached the source.
 	Majority bool
+	// Members is the number of these routers, with this one; 0: it is not known.
+	Members int
 	// Current reports that no router which this one has heard of has a newer list of servers.
 	Current bool
 	// SourceFailing reports that the last call to the source failed.
@@ -61,6 +63,10 @@
 	Err      error
 	// Requested is set for the result of a ReadStoredCmd.
 	Requested bool
+	// Listed holds the versions that have servers, by service, if ServersRead is set: the list of
+	// servers was read, too.
+	Listed      map[string][]string
+	ServersRead bool
 }
 
 // RecoveredMsg delivers the streams that this router's previous life has stored.
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// addListed adds versions that have servers as the source lists them, which this router may not have been told yet.
+func (v *recentVersions) addListed(now time.Duration, services map[string][]string) {
+	for service, versions := range services {
+		for _, version := range versions {
+			v.known.add(service, version, now+versionRetention)
+		}
+	}
+}
+
 // setStored adds the versions that the source keeps. Where it keeps any of a service, none is missing.
 // Reading a version again does not make it count for longer: routers would keep it for one another.
 func (v *recentVersions) setStored(now time.Duration, services map[string][]string) {
