A record that comes during a lookup counts

Callers could get a stream of two versions at a router that wakes up: it reads its datagrams and its requests at once, and a lookup that had begun looked at its answers only. By the test, which fails before; not seen in a play.

--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -148,8 +148,12 @@
 	return m.versions.isComplete(service) && !m.versions.several(service)
 }
 
+// finish ends a lookup. A record that has come meanwhile counts for more than any conclusion.
 func (m *Machine) finish(l *lookup, r Resolution) {
 	delete(m.lookups, l.query.Number)
+	if e, ok := m.records.get(l.startedAt, l.query.Key); ok && r.Certainty != Recorded {
+		r = recorded(e.version)
+	}
 	m.resolve(l.id, r)
 }
 
--- a/origin/outofstep_test.go
+++ b/origin/outofstep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -45,3 +46,15 @@
 	s.update(s.routers[0], RoutersMsg{Routers: []Router{s.routers[1].self}})
 	require.Equal(t, OutOfTouch, s.lookupKey(s.routers[0], 1).Evidence)
 }
+
+// TestRecordDuringLookupCounts guards against a stream that goes on at the only version that is known, though its
+// record came while it was looked up: a router that wakes up reads its datagrams and its requests at once.
+func TestRecordDuringLookupCounts(t *testing.T) {
+	m := NewMachine(Router{Address: "10.0.0.1"}, true)
+	m.Update(ListedMsg{Now: time.Second, Services: map[string][]string{service: {"v1"}}})
+	cmds := m.Update(LookupMsg{Now: time.Second, ID: 1, Service: service, Key: 7, Contact: Contact{Majority: true, Current: true, Members: 1}})
+	require.Equal(t, []Cmd{ReadStoredCmd{}}, cmds)
+	m.Update(RecordsMsg{Now: time.Second, Records: []Record{{Key: 7, Version: "v2", Lifetime: time.Minute}}})
+	cmds = m.Update(StoredMsg{Now: time.Second, Services: map[string][]string{service: {"v1"}}, Requested: true})
+	require.Equal(t, []Cmd{ResolvedCmd{ID: 1, Resolution: Resolution{Certainty: Recorded, Version: "v2"}}}, cmds)
+}
