Streams are stored as soon as they begin, a tenth of a second apart at the least

Cause: each router wrote its streams each .5 s, or 2 s after it had last seen a single version serve.

Change: the origin machine tells when there are new streams to store (StoreStreamsCmd). The recorder writes them at once, .1 s after its last call at the earliest; fleets write 100 times a second at most, as before. A version that comes ends the wait of 2 s.

TestUnknownVersionIsToldAtOnce counted commands; it now requires the exact commands, of which there is one more. The test machine of the recorder has a lock, as the recorder now runs beside it.

--- a/gateway/cluster/origins.go
+++ b/gateway/cluster/origins.go
@@ -25,6 +25,7 @@
 	waiting map[uint64]chan<- origin.Resolution // lookups in progress
 	lastID  uint64
 	wake    chan struct{} // signals that the machine is no longer idle
+	store   chan struct{} // signals that there are streams to store
 	// serversRevision is the revision of the list of servers that the machine knows.
 	serversRevision uint64
 }
@@ -34,6 +35,7 @@
 	return &Origins{
 		self: s.Self.Address, conn: conn, peers: p, place: s.place(), deps: deps,
 		machine: origin.NewMachine(self, s.FirstStart), waiting: make(map[uint64]chan<- origin.Resolution), wake: make(chan struct{}, 1),
+		store: make(chan struct{}, 1),
 	}
 }
 
@@ -183,6 +185,8 @@
 			o.send(cmd.To, originMessage{From: o.self, Answer: packOriginAnswer(cmd.Answer)})
 		case origin.ReadStoredCmd:
 			go o.readStored()
+		case origin.StoreStreamsCmd:
+			notify(o.store)
 		case origin.ResolvedCmd:
 			if result := o.waiting[cmd.ID]; result != nil {
 				delete(o.waiting, cmd.ID)
--- a/gateway/cluster/storedorigins.go
+++ b/gateway/cluster/storedorigins.go
@@ -35,6 +35,9 @@
 	return o.machine.OwnStreams(o.deps.StateMachine.Now())
 }
 
+// StreamsToStore signals that OwnStreams returns streams which it has not returned before.
+func (o *Origins) StreamsToStore() <-chan struct{} { return o.store }
+
 // NeedsStoredStreams reports whether streams that this router's previous life has stored may be resumed.
 func (o *Origins) NeedsStoredStreams() bool {
 	o.mu.Lock()
--- a/gateway/storedstreams.go
+++ b/gateway/storedstreams.go
@@ -15,10 +15,13 @@
 	// streamsInterval is the shortest time between two writes of a router's streams while servers of
 	// several versions serve. Streams that began since the last write are lost to their callers if all
 	// routers with their records are lost at once.
-	streamsInterval = 500 * time.Millisecond
+	streamsInterval = 100 * time.Millisecond
 	// quietStreamsInterval is the same while a single version serves and streams of another one may
 	// still be resumed, for minutes.
 	quietStreamsInterval = 2 * time.Second
+	// streamsCheckInterval is the longest time until a router writes what no new stream has changed, such
+	// as streams that have ended, or reads the streams of its previous life.
+	streamsCheckInterval = 500 * time.Millisecond
 	// streamsIntervalPerRouter bounds the writes of a large fleet to 100 a second.
 	streamsIntervalPerRouter = 10 * time.Millisecond
 	// streamsRetryDelay is the delay after a failed call, and streamsTimeout bounds one.
@@ -43,6 +46,8 @@
 // streamKeeper knows the streams of this router.
 type streamKeeper interface {
 	OwnStreams() []origin.StoredStreams
+	// StreamsToStore signals that OwnStreams returns streams which it has not returned before.
+	StreamsToStore() <-chan struct{}
 	NeedsStoredStreams() bool
 	SeveralServe() bool
 	Recovered([]origin.StoredStreams)
@@ -61,13 +66,15 @@
 	hasRead  bool // the streams of the previous life were read
 	revision uint64
 	stored   []origin.StoredStreams
-	storedIn uint64 // era of the last write
+	storedIn uint64    // era of the last write
+	calledAt time.Time // of the last call
 }
 
 // run stores the streams until ctx ends.
 func (r *streamRecorder) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		wait.Sleep(ctx, r.interval())
+		wait.Until(ctx, r.keeper.StreamsToStore(), streamsCheckInterval)
+		r.awaitTurn(ctx)
 		if err := r.step(ctx); err != nil {
 			r.log.Event("streams_store").Err(err).Msg("")
 			wait.Sleep(ctx, streamsRetryDelay)
@@ -76,7 +83,19 @@
 	return nil
 }
 
-// interval returns the time until the next write.
+// awaitTurn waits until the streams may be written again. The interval shrinks at once when servers of
+// another version come.
+func (r *streamRecorder) awaitTurn(ctx context.Context) {
+	for ctx.Err() == nil {
+		left := r.interval() - time.Since(r.calledAt)
+		if left <= 0 {
+			return
+		}
+		wait.Sleep(ctx, min(left, streamsInterval))
+	}
+}
+
+// interval returns the shortest time between two writes.
 func (r *streamRecorder) interval() time.Duration {
 	interval := streamsInterval
 	if r.hasRead && !r.keeper.SeveralServe() {
@@ -109,6 +128,7 @@
 func (r *streamRecorder) readPrevious(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, streamsTimeout)
 	defer cancel()
+	r.calledAt = time.Now()
 	streams, revision, err := r.store.ReadStreams(ctx, r.router)
 	if err != nil {
 		return err
@@ -127,6 +147,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, streamsTimeout)
 	defer cancel()
+	r.calledAt = time.Now()
 	revision, err := r.store.WriteStreams(ctx, r.router, streams, r.revision)
 	if err != nil {
 		r.hasRead = false // what the store holds now is not known
--- a/gateway/storedstreams_test.go
+++ b/gateway/storedstreams_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 
 // memoryStreams stores the streams of one router in memory, or fails.
 type memoryStreams struct {
+	mu            sync.Mutex
 	down          bool
 	reads, writes int
 	revision      uint64 // of the object; 0: there is none
@@ -22,6 +24,8 @@
 }
 
 func (s *memoryStreams) ReadStreams(context.Context, string) ([]origin.StoredStreams, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.reads++
 	if s.down {
 		return nil, 0, errors.New("the store is down")
@@ -30,6 +34,8 @@
 }
 
 func (s *memoryStreams) WriteStreams(_ context.Context, _ string, streams []origin.StoredStreams, revision uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.writes++
 	switch {
 	case s.down:
@@ -46,27 +52,62 @@
 }
 
 // streamMachine is an origin.Machine as a streamKeeper.
-type streamMachine struct{ *origin.Machine }
+type streamMachine struct {
+	mu    sync.Mutex
+	inner *origin.Machine
+	store chan struct{}
+}
+
+func (m *streamMachine) OwnStreams() []origin.StoredStreams {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inner.OwnStreams(time.Second)
+}
+
+func (m *streamMachine) NeedsStoredStreams() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inner.NeedsStoredStreams()
+}
 
-func (m streamMachine) OwnStreams() []origin.StoredStreams { return m.Machine.OwnStreams(time.Second) }
+func (m *streamMachine) SeveralServe() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.inner.SeveralServe()
+}
+
+func (m *streamMachine) StreamsToStore() <-chan struct{} { return m.store }
 
-func (m streamMachine) Recovered(streams []origin.StoredStreams) {
-	m.Update(origin.RecoveredMsg{Now: time.Second, Streams: streams})
+func (m *streamMachine) Recovered(streams []origin.StoredStreams) {
+	m.update(origin.RecoveredMsg{Now: time.Second, Streams: streams})
 }
 
-func (m streamMachine) begin(key origin.Key, version string) {
-	m.Update(origin.BegunMsg{Now: time.Second, Service: "llm", Record: origin.Record{Key: key, Version: version, Lifetime: time.Minute}})
+func (m *streamMachine) begin(key origin.Key, version string) {
+	m.update(origin.BegunMsg{Now: time.Second, Service: "llm", Record: origin.Record{Key: key, Version: version, Lifetime: time.Minute}})
 }
 
-func (m streamMachine) list(versions ...string) {
-	m.Update(origin.ListedMsg{Now: time.Second, Services: map[string][]string{"llm": versions}})
+func (m *streamMachine) list(versions ...string) {
+	m.update(origin.ListedMsg{Now: time.Second, Services: map[string][]string{"llm": versions}})
+}
+
+func (m *streamMachine) update(msg origin.Msg) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, cmd := range m.inner.Update(msg) {
+		if _, ok := cmd.(origin.StoreStreamsCmd); ok {
+			select {
+			case m.store <- struct{}{}:
+			default:
+			}
+		}
+	}
 }
 
 // newStreamLife returns the recorder of a life of a router.
-func newStreamLife(t *testing.T, store *memoryStreams, era *uint64, versions ...string) (*streamRecorder, streamMachine) {
+func newStreamLife(t *testing.T, store *memoryStreams, era *uint64, versions ...string) (*streamRecorder, *streamMachine) {
 	log := eventlog.New(io.Discard, "test")
 	t.Cleanup(log.Close)
-	m := streamMachine{origin.NewMachine(origin.Router{Address: "10.0.0.1"}, true)}
+	m := &streamMachine{inner: origin.NewMachine(origin.Router{Address: "10.0.0.1"}, true), store: make(chan struct{}, 1)}
 	m.list(versions...)
 	return &streamRecorder{
 		keeper: m, store: store, router: "edge-1", log: log,
@@ -127,7 +168,7 @@
 	recorder, m := newStreamLife(t, store, &era, "v1", "v2")
 	m.begin(1, "v1")
 	require.NoError(t, recorder.step(t.Context()))
-	m.Update(origin.EndedMsg{Key: 1})
+	m.update(origin.EndedMsg{Key: 1})
 	require.NoError(t, recorder.step(t.Context()))
 	require.Zero(t, store.revision)
 	writes := store.writes
--- a/origin/commands.go
+++ b/origin/commands.go
@@ -24,17 +24,21 @@
 // ReadStoredCmd reads the versions that the source keeps. A StoredMsg follows.
 type ReadStoredCmd struct{}
 
+// StoreStreamsCmd reports that OwnStreams returns streams which it has not returned before.
+type StoreStreamsCmd struct{}
+
 // ResolvedCmd answers a LookupMsg.
 type ResolvedCmd struct {
 	ID         uint64
 	Resolution Resolution
 }
 
-func (RecordsCmd) isCmd()    {}
-func (QueryCmd) isCmd()      {}
-func (AnswerCmd) isCmd()     {}
-func (ReadStoredCmd) isCmd() {}
-func (ResolvedCmd) isCmd()   {}
+func (RecordsCmd) isCmd()      {}
+func (QueryCmd) isCmd()        {}
+func (AnswerCmd) isCmd()       {}
+func (ReadStoredCmd) isCmd()   {}
+func (StoreStreamsCmd) isCmd() {}
+func (ResolvedCmd) isCmd()     {}
 
 // Certainty tells how the version of a stream is known.
 type Certainty uint8
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -100,7 +100,10 @@
 		m.shareWidely(msg.Now, r.Key)
 	case m.sharing[msg.Service]:
 		m.share(msg.Now, r.Key)
+	default:
+		return
 	}
+	m.emit(StoreStreamsCmd{})
 }
 
 // end drops the entry of a stream of this router, unless other routers may ask for it.
--- a/origin/sharing.go
+++ b/origin/sharing.go
@@ -22,6 +22,7 @@
 		share := m.versions.several(service) || !m.versions.isComplete(service)
 		if share && !m.sharing[service] {
 			m.shareAll(now, service)
+			m.emit(StoreStreamsCmd{})
 		}
 		m.sharing[service] = share
 	}
--- a/origin/unknown_test.go
+++ b/origin/unknown_test.go
@@ -78,7 +78,7 @@
 func TestUnknownVersionIsToldAtOnce(t *testing.T) {
 	m := NewMachine(Router{Address: "10.0.0.1"}, true)
 	m.Update(RoutersMsg{Routers: []Router{{Address: "10.0.0.2"}, {Address: "10.0.0.3"}}})
-	cmds := m.Update(BegunMsg{Service: service, Record: Record{Key: 1, Version: UnknownVersion, Lifetime: MinLifetime}})
-	require.Len(t, cmds, 2)
-	require.IsType(t, RecordsCmd{}, cmds[0])
+	records := []Record{{Key: 1, Version: UnknownVersion, Lifetime: MinLifetime}}
+	cmds := m.Update(BegunMsg{Service: service, Record: records[0]})
+	require.Equal(t, []Cmd{RecordsCmd{To: "10.0.0.2", Records: records}, RecordsCmd{To: "10.0.0.3", Records: records}, StoreStreamsCmd{}}, cmds)
 }
