A sentinel opened amid a teardown, or seen late, tells nothing

The new connection, which the server did not close, counted as held since before, as the end of the old one had not been seen yet; and a router that woke up late took the time limit of the connection for its state, so that its end was forgotten and the start of the server, which answered for another .3 s, decided.

A new connection now joins the series of the one before only if that is open .05 s later; a first one tells nothing of a response that ends within that time. An end found late counts as an end, and an end is compared with that of the response, not with the time of the answer.

--- a/backend/sentinel.go
+++ b/backend/sentinel.go
@@ -23,8 +23,8 @@
 	// minResetAge is the age from which a reset tells the same as an end. A server that has too many connections resets
 	// new ones.
 	minResetAge = 100 * time.Millisecond
-	// sentinelPause is the time after which a sentinel is opened again. A server that stops closes its connections
-	// one after the other; all of them must have ended by then.
+	// sentinelPause is the time after which a sentinel is opened again, and after which a new one counts. A server
+	// that stops closes its connections one after the other; all of them must have ended by then.
 	sentinelPause = 50 * time.Millisecond
 	// sentinelLinger is how long a sentinel stays open after its last use.
 	sentinelLinger = 2 * time.Second
@@ -42,7 +42,9 @@
 
 	mu        sync.Mutex
 	conn      *Conn  // nil: none is open
+	replacing bool   // the next one is being opened, as conn was about to reach the server's idle timeout
 	span      uint64 // number of the current series of connections without a gap
+	spanAt    time.Time
 	brokenAt  time.Time
 	witnesses map[*Witness]bool
 }
@@ -92,8 +94,8 @@
 	}
 }
 
-// Holding returns what is known of the server now.
-func (w *Witness) Holding() Holding {
+// Holding returns what is known of the server now, after its response ended at a point in time.
+func (w *Witness) Holding(endedAt time.Time) Holding {
 	s := w.sentinel
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,17 +103,26 @@
 	case w.span == 0:
 		return HoldingUnknown
 	case s.conn != nil && w.span == s.span && socket.Peek(s.conn.Conn) == socket.Idle:
+		if endedAt.Sub(s.spanAt) < sentinelPause {
+			return HoldingUnknown // the server may have been closing its connections as this one was opened
+		}
 		return HoldsConns
-	case s.conn != nil && w.span == s.span && time.Since(s.conn.openedAt) < maxTellingAge, time.Since(s.brokenAt) < recentBreak:
+	case s.conn != nil && w.span == s.span && !s.mayBeIdleTimeout(), s.brokenAt.After(endedAt.Add(-recentBreak)):
 		return ClosedConns
 	}
 	return HoldingUnknown
 }
 
+// mayBeIdleTimeout reports whether an idle timeout of the server explains that the connection has ended by now: opening
+// the next one has taken too long. If this process is late instead, nothing tells when the connection ended.
+func (s *sentinel) mayBeIdleTimeout() bool {
+	return s.replacing && time.Since(s.conn.openedAt) >= maxTellingAge
+}
+
 // Yield returns what Holding does. If no other response needs the sentinel, it ends it: a server that serves one
 // connection at a time would serve no other.
-func (w *Witness) Yield() Holding {
-	holding := w.Holding()
+func (w *Witness) Yield(endedAt time.Time) Holding {
+	holding := w.Holding(endedAt)
 	s := w.sentinel
 	s.pool.mu.Lock()
 	defer s.pool.mu.Unlock()
@@ -169,6 +180,9 @@
 	for ctx.Err() == nil {
 		conn, err := s.pool.Dial(ctx, s.address)
 		if err == nil {
+			if s.isOpen() {
+				pause(ctx) // if the server was closing its connections just now, the one before has ended by then
+			}
 			s.replace(conn)
 			lasted, ended := s.hold(conn, age)
 			if !ended {
@@ -176,23 +190,36 @@
 			}
 			age = max(min(age, lasted/2), minSentinelAge)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(sentinelPause):
-		}
+		pause(ctx)
 	}
 	s.replace(nil)
 }
 
+func (s *sentinel) isOpen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn != nil
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(sentinelPause):
+	}
+}
+
 // replace makes conn the open connection. A new span begins unless the server still holds the previous one.
 func (s *sentinel) replace(conn *Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last := s.conn
 	if last == nil || socket.Peek(last.Conn) != socket.Idle {
-		s.span++
+		if last != nil && !s.mayBeIdleTimeout() {
+			s.brokenAt = time.Now()
+		}
+		s.span, s.spanAt = s.span+1, time.Now()
 	}
-	s.conn = conn
+	s.conn, s.replacing = conn, false
 	if last != nil {
 		last.Close()
 	}
@@ -208,11 +235,15 @@
 func (s *sentinel) hold(conn *Conn, age time.Duration) (lasted time.Duration, ended bool) {
 	_ = conn.SetReadDeadline(time.Now().Add(age)) // it fails on a closed connection, as the read does
 	_, err := conn.Conn.Read(make([]byte, 1))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return 0, false
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if socket.Peek(conn.Conn) == socket.Idle {
+			s.replacing = true
+			return 0, false
+		}
+		err = io.EOF // it had ended when this process was late
+	}
 	s.conn = nil
 	conn.Close()
 	lasted = time.Since(conn.openedAt)
@@ -224,10 +255,7 @@
 
 // isTeardown reports whether the end of a connection after a time tells that the server closes its connections.
 func isTeardown(err error, lasted time.Duration) bool {
-	switch {
-	case lasted >= maxTellingAge:
-		return false
-	case errors.Is(err, syscall.ECONNRESET):
+	if errors.Is(err, syscall.ECONNRESET) {
 		return lasted >= minResetAge
 	}
 	return errors.Is(err, io.EOF)
--- a/backend/sentinel_leak_test.go
+++ b/backend/sentinel_leak_test.go
@@ -45,8 +45,8 @@
 				defer b.Close()
 				w := p.Watch(&Conn{Conn: a, pool: p, address: address})
 				time.Sleep(100 * time.Millisecond)
-				w.Yield()
-				w.Holding()
+				w.Yield(time.Now())
+				w.Holding(time.Now())
 				w.Release()
 			})
 		}
--- a/backend/sentinel_test.go
+++ b/backend/sentinel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -44,7 +45,7 @@
 	require.NoError(t, err)
 	w := p.Watch(response)
 	t.Cleanup(func() { w.Release(); _ = response.Close() })
-	require.Eventually(t, func() bool { return w.Holding() == HoldsConns }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return w.Holding(time.Now()) == HoldsConns }, 5*time.Second, time.Millisecond)
 	return response, w
 }
 
@@ -68,7 +69,7 @@
 	_, w := watchResponse(t, p, address)
 	slow.Store(true)
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		require.NotEqual(t, ClosedConns, w.Holding(), "the server lives and has closed nothing but an idle connection")
+		require.NotEqual(t, ClosedConns, w.Holding(time.Now()), "the server lives and has closed nothing but an idle connection")
 	}
 }
 
@@ -87,6 +88,70 @@
 	time.Sleep(2 * minResetAge)
 	require.NoError(t, beside.SetLinger(0))
 	require.NoError(t, beside.Close())
-	require.Eventually(t, func() bool { return w.Holding() != HoldsConns }, time.Second, time.Millisecond)
-	require.Equal(t, ClosedConns, w.Holding())
+	require.Eventually(t, func() bool { return w.Holding(time.Now()) != HoldsConns }, time.Second, time.Millisecond)
+	require.Equal(t, ClosedConns, w.Holding(time.Now()))
+}
+
+// TestLateRouterSeesTeardown guards against responses that look whole since this process was late, such as frozen, while
+// their server closed its connections: the time limit of the connection beside a response had passed as well.
+func TestLateRouterSeesTeardown(t *testing.T) {
+	conns := make(chan *net.TCPConn, 8)
+	address := startSilentServer(t, func(_ int, conn *net.TCPConn) { conns <- conn })
+	p := newTestPool()
+	response, w := watchResponse(t, p, address)
+	far, beside := <-conns, <-conns
+	s := w.sentinel
+	s.mu.Lock() // the sentinel can record nothing meanwhile
+	require.NoError(t, beside.Close())
+	require.NoError(t, far.Close())
+	require.Eventually(t, response.IsEnding, 5*time.Second, time.Millisecond)
+	time.Sleep(2 * maxTellingAge)
+	s.mu.Unlock()
+	endedAt := time.Now()
+	for time.Since(endedAt) < 2*recentBreak {
+		require.Equal(t, ClosedConns, w.Holding(endedAt))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestSentinelOpenedAmidTeardownTellsNothing guards against responses that look whole since the connection beside them was
+// opened, or replaced, while their server was closing its connections: those that it had closed seemed open.
+func TestSentinelOpenedAmidTeardownTellsNothing(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		var stops atomic.Bool
+		var mu sync.Mutex
+		var open []*net.TCPConn
+		address := startSilentServer(t, func(_ int, conn *net.TCPConn) {
+			mu.Lock()
+			defer mu.Unlock()
+			if !stops.Load() {
+				open = append(open, conn)
+				return
+			}
+			// The server is closing its connections as it accepts this one.
+			time.Sleep(sentinelPause / 2)
+			for _, c := range open {
+				_ = c.Close()
+			}
+		})
+		p := newTestPool()
+		response, err := p.Dial(t.Context(), address)
+		require.NoError(t, err)
+		if !replaced {
+			require.Eventually(t, func() bool { mu.Lock(); defer mu.Unlock(); return len(open) == 1 }, 5*time.Second, time.Millisecond)
+			stops.Store(true)
+		}
+		w := p.Watch(response)
+		if replaced {
+			require.Eventually(t, func() bool { return w.Holding(time.Now()) == HoldsConns }, 5*time.Second, time.Millisecond)
+			stops.Store(true)
+		}
+		require.Eventually(t, response.IsEnding, 5*time.Second, time.Millisecond)
+		endedAt := time.Now()
+		for time.Sleep(sentinelPause / 2); time.Since(endedAt) < 4*sentinelPause; time.Sleep(time.Millisecond) {
+			require.NotEqual(t, HoldsConns, w.Holding(endedAt), "replaced %v", replaced)
+		}
+		w.Release()
+		_ = response.Close()
+	}
 }
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -27,7 +27,7 @@
 
 // askAfterEnd asks the server of a response that has ended whether it still answers. If it doesn't, or another one
 // does, it returns evidence of that.
-func (a *attempt) askAfterEnd() (endAnswer, endEvidence) {
+func (a *attempt) askAfterEnd(endedAt time.Time) (endAnswer, endEvidence) {
 	ctx, cancel := context.WithTimeout(a.ctx, a.endCheckLimit())
 	defer cancel()
 	answers := make(chan endAnswer, maxEndQuestions)
@@ -43,7 +43,7 @@
 		case <-ctx.Done():
 			return endAnswer{}, noAnswer
 		case <-hedge.C:
-			a.yieldWitness()
+			a.yieldWitness(endedAt)
 			if asked < maxEndQuestions {
 				asked++
 				ask(a.x.front.dialConn)
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -106,7 +106,7 @@
 
 // findEndEvidence finds out what has become of the process that sent a response which ended at a point in time.
 func (a *attempt) findEndEvidence(endedAt time.Time) endEvidence {
-	answer, evidence := a.askAfterEnd()
+	answer, evidence := a.askAfterEnd(endedAt)
 	if evidence != endUnchecked {
 		return evidence
 	}
@@ -115,7 +115,7 @@
 		return anotherStart
 	}
 	a.awaitTeardown(endedAt)
-	holding := a.holding()
+	holding := a.holding(endedAt)
 	switch {
 	case holding == backend.HoldsConns, a.x.front.pool.HoldsSince(a.cmd.Server.Address, a.sentAt):
 		return holdsConn
@@ -131,19 +131,19 @@
 
 // yieldWitness ends the use of the witness for a server that does not answer at once: the connection beside the
 // response may be what holds it.
-func (a *attempt) yieldWitness() {
+func (a *attempt) yieldWitness(endedAt time.Time) {
 	if a.yielded == nil {
-		held := a.witness.Yield()
+		held := a.witness.Yield(endedAt)
 		a.yielded = &held
 	}
 }
 
 // holding returns what the witness knows, or knew when it was given up.
-func (a *attempt) holding() backend.Holding {
+func (a *attempt) holding(endedAt time.Time) backend.Holding {
 	if a.yielded != nil {
 		return *a.yielded
 	}
-	return a.witness.Holding()
+	return a.witness.Holding(endedAt)
 }
 
 // awaitTeardown waits until a server that stops would have closed all its connections.
