--- a/backend/sentinel.go
+++ b/backend/sentinel.go
@@ -26,10 +26,6 @@
 	// sentinelPause is the time after which a sentinel is opened again, and after which a new one counts. A server
 	// that stops closes its connections one after the other; all of them must have ended by then.
 	sentinelPause = 50 * time.Millisecond
-	// sentinelLinger is how long a sentinel stays open after its last use.
-	sentinelLinger = 2 * time.Second
-	// recentBreak is the largest age of the end of a sentinel that still says something about another connection.
-	recentBreak = 500 * time.Millisecond
 )
 
 // sentinel keeps a connection to an address open that carries no request. As long as it is open, the process that
@@ -49,44 +45,6 @@
 	witnesses map[*Witness]bool
 }
 
-// Witness tells whether a server still holds a connection that was open while a response was running.
-type Witness struct {
-	sentinel *sentinel
-	response *Conn
-	span     uint64 // of the sentinel while the response was running; 0: none was open
-}
-
-// Holding is what a Witness knows of a server.
-type Holding int
-
-const (
-	HoldingUnknown Holding = iota // no other connection was open while the response was running
-	HoldsConns                    // the server still holds one
-	ClosedConns                   // the server has just closed it
-)
-
-// Watch returns a witness for the response that is being read on a connection. Release ends it.
-func (p *Pool) Watch(response *Conn) *Witness {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.sentinels[response.address]
-	if s == nil {
-		ctx, cancel := context.WithCancel(context.Background())
-		s = &sentinel{pool: p, address: response.address, cancel: cancel, witnesses: make(map[*Witness]bool)}
-		p.sentinels[response.address] = s
-		go s.run(ctx)
-	}
-	if s.linger != nil {
-		s.linger.Stop()
-	}
-	w := &Witness{sentinel: s, response: response}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.witnesses[w] = true
-	s.assign(w)
-	return w
-}
-
 // assign records the current span for a witness whose response is still running.
 func (s *sentinel) assign(w *Witness) {
 	if s.conn != nil && !w.response.IsEnding() {
@@ -94,63 +52,12 @@
 	}
 }
 
-// Holding returns what is known of the server now, after its response ended at a point in time.
-func (w *Witness) Holding(endedAt time.Time) Holding {
-	s := w.sentinel
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case w.span == 0:
-		return HoldingUnknown
-	case s.conn != nil && w.span == s.span && socket.Peek(s.conn.Conn) == socket.Idle:
-		if endedAt.Sub(s.spanAt) < sentinelPause {
-			return HoldingUnknown // the server may have been closing its connections as this one was opened
-		}
-		return HoldsConns
-	case s.conn != nil && w.span == s.span && !s.mayBeIdleTimeout(), s.brokenAt.After(endedAt.Add(-recentBreak)):
-		return ClosedConns
-	}
-	return HoldingUnknown
-}
-
 // mayBeIdleTimeout reports whether an idle timeout of the server explains that the connection has ended by now: opening
 // the next one has taken too long. If this process is late instead, nothing tells when the connection ended.
 func (s *sentinel) mayBeIdleTimeout() bool {
 	return s.replacing && time.Since(s.conn.openedAt) >= maxTellingAge
 }
 
-// Yield returns what Holding does. If no other response needs the sentinel, it ends it: a server that serves one
-// connection at a time would serve no other.
-func (w *Witness) Yield(endedAt time.Time) Holding {
-	holding := w.Holding(endedAt)
-	s := w.sentinel
-	s.pool.mu.Lock()
-	defer s.pool.mu.Unlock()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.witnesses) == 1 && s.witnesses[w] {
-		s.end()
-	}
-	return holding
-}
-
-// Release ends the use of the witness.
-func (w *Witness) Release() {
-	s := w.sentinel
-	s.pool.mu.Lock()
-	defer s.pool.mu.Unlock()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.witnesses, w)
-	switch {
-	case len(s.witnesses) > 0:
-	case s.linger == nil:
-		s.linger = time.AfterFunc(sentinelLinger, s.close)
-	default:
-		s.linger.Reset(sentinelLinger)
-	}
-}
-
 // close ends the sentinel if it has no witnesses.
 func (s *sentinel) close() {
 	s.pool.mu.Lock()
--- a/backend/sentinel_leak_test.go
+++ b/backend/sentinel_leak_test.go
@@ -46,7 +46,7 @@
 				w := p.Watch(&Conn{Conn: a, pool: p, address: address})
 				time.Sleep(100 * time.Millisecond)
 				w.Yield(time.Now())
-				w.Holding(time.Now())
+				w.HoldingAfter(time.Now())
 				w.Release()
 			})
 		}
--- a/backend/sentinel_test.go
+++ b/backend/sentinel_test.go
@@ -45,7 +45,7 @@
 	require.NoError(t, err)
 	w := p.Watch(response)
 	t.Cleanup(func() { w.Release(); _ = response.Close() })
-	require.Eventually(t, func() bool { return w.Holding(time.Now()) == HoldsConns }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return w.HoldingAfter(time.Now()) == HoldsConns }, 5*time.Second, time.Millisecond)
 	return response, w
 }
 
@@ -69,7 +69,7 @@
 	_, w := watchResponse(t, p, address)
 	slow.Store(true)
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		require.NotEqual(t, ClosedConns, w.Holding(time.Now()), "the server lives and has closed nothing but an idle connection")
+		require.NotEqual(t, ClosedConns, w.HoldingAfter(time.Now()), "the server lives and has closed nothing but an idle connection")
 	}
 }
 
@@ -88,8 +88,8 @@
 	time.Sleep(2 * minResetAge)
 	require.NoError(t, beside.SetLinger(0))
 	require.NoError(t, beside.Close())
-	require.Eventually(t, func() bool { return w.Holding(time.Now()) != HoldsConns }, time.Second, time.Millisecond)
-	require.Equal(t, ClosedConns, w.Holding(time.Now()))
+	require.Eventually(t, func() bool { return w.HoldingAfter(time.Now()) != HoldsConns }, time.Second, time.Millisecond)
+	require.Equal(t, ClosedConns, w.HoldingAfter(time.Now()))
 }
 
 // TestLateRouterSeesTeardown guards against responses that look whole since this process was late, such as frozen, while
@@ -109,7 +109,7 @@
 	s.mu.Unlock()
 	endedAt := time.Now()
 	for time.Since(endedAt) < 2*recentBreak {
-		require.Equal(t, ClosedConns, w.Holding(endedAt))
+		require.Equal(t, ClosedConns, w.HoldingAfter(endedAt))
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -143,13 +143,13 @@
 		}
 		w := p.Watch(response)
 		if replaced {
-			require.Eventually(t, func() bool { return w.Holding(time.Now()) == HoldsConns }, 5*time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return w.HoldingAfter(time.Now()) == HoldsConns }, 5*time.Second, time.Millisecond)
 			stops.Store(true)
 		}
 		require.Eventually(t, response.IsEnding, 5*time.Second, time.Millisecond)
 		endedAt := time.Now()
 		for time.Sleep(sentinelPause / 2); time.Since(endedAt) < 4*sentinelPause; time.Sleep(time.Millisecond) {
-			require.NotEqual(t, HoldsConns, w.Holding(endedAt), "replaced %v", replaced)
+			require.NotEqual(t, HoldsConns, w.HoldingAfter(endedAt), "replaced %v", replaced)
 		}
 		w.Release()
 		_ = response.Close()
--- /dev/null
+++ b/backend/witness.go
@@ -0,0 +1,104 @@
+package backend
+
+import (
+	"context"
+	"time"
+
+	"github.com/croftvale/croftvale/internal/socket"
+)
+
+const (
+	// sentinelLinger is how long a sentinel stays open after its last use.
+	sentinelLinger = 2 * time.Second
+	// recentBreak is the largest age of the end of a sentinel that still says something about another connection.
+	recentBreak = 500 * time.Millisecond
+)
+
+// Witness tells whether a server still holds a connection that was open while a response was running.
+type Witness struct {
+	sentinel *sentinel
+	response *Conn
+	span     uint64 // of the sentinel while the response was running; 0: none was open
+}
+
+// Holding is what a Witness knows of a server.
+type Holding int
+
+const (
+	HoldingUnknown Holding = iota // no other connection was open while the response was running
+	HoldsConns                    // the server still holds one
+	ClosedConns                   // the server has just closed it
+)
+
+// Watch returns a witness for the response that is being read on a connection. Release ends it.
+func (p *Pool) Watch(response *Conn) *Witness {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.sentinels[response.address]
+	if s == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		s = &sentinel{pool: p, address: response.address, cancel: cancel, witnesses: make(map[*Witness]bool)}
+		p.sentinels[response.address] = s
+		go s.run(ctx)
+	}
+	if s.linger != nil {
+		s.linger.Stop()
+	}
+	w := &Witness{sentinel: s, response: response}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.witnesses[w] = true
+	s.assign(w)
+	return w
+}
+
+// HoldingAfter returns what is known of the server now, after its response ended at a point in time.
+func (w *Witness) HoldingAfter(endedAt time.Time) Holding {
+	s := w.sentinel
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case w.span == 0:
+		return HoldingUnknown
+	case s.conn != nil && w.span == s.span && socket.Peek(s.conn.Conn) == socket.Idle:
+		if endedAt.Sub(s.spanAt) < sentinelPause {
+			return HoldingUnknown // the server may have been closing its connections as this one was opened
+		}
+		return HoldsConns
+	case s.conn != nil && w.span == s.span && !s.mayBeIdleTimeout(), s.brokenAt.After(endedAt.Add(-recentBreak)):
+		return ClosedConns
+	}
+	return HoldingUnknown
+}
+
+// Yield returns what HoldingAfter does. If no other response needs the sentinel, it ends it: a server that serves one
+// connection at a time would serve no other.
+func (w *Witness) Yield(endedAt time.Time) Holding {
+	holding := w.HoldingAfter(endedAt)
+	s := w.sentinel
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.witnesses) == 1 && s.witnesses[w] {
+		s.end()
+	}
+	return holding
+}
+
+// Release ends the use of the witness.
+func (w *Witness) Release() {
+	s := w.sentinel
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.witnesses, w)
+	switch {
+	case len(s.witnesses) > 0:
+	case s.linger == nil:
+		s.linger = time.AfterFunc(sentinelLinger, s.close)
+	default:
+		s.linger.Reset(sentinelLinger)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,11 +46,8 @@
 
 	connRefused bool // the server's host refused the connection
 	dialOverdue bool // this process ran too late to connect
-	unframedEnd unframedEnd
-	witness     *backend.Witness // nil: the response is not unframed
-	yielded     *backend.Holding // what witness knew when it was given up; nil: it was not
+	unframed    unframedResponse
 	sentAt      time.Time
-	startBeside atomic.Pointer[int64] // of the server, told while its unframed response ran; nil: it has not
 	// declined is set as soon as the server says that it did not run the request.
 	declined atomic.Bool
 }
@@ -190,70 +187,3 @@
 func (a *attempt) callInfo(timeLeft time.Duration) CallInfo {
 	return CallInfo{TimeLeft: timeLeft, Server: a.cmd.Server.Name(), Team: a.x.team, AfterEvent: a.afterEvent}
 }
-
-// endWithoutResponse ends an attempt without a usable response. It also ends the request if
-// its caller has left or its deadline has passed.
-func (a *attempt) endWithoutResponse(o direct.Outcome) (direct.Outcome, bool) {
-	switch {
-	case a.x.ctx.Err() != nil:
-		a.x.callerLeft(0)
-		return direct.GivenUp, true
-	case a.x.hasStopped():
-		return a.endStopped(o)
-	case a.x.front.core.Now()+minTimeLeft >= a.x.deadline:
-		if o.MayHaveRun() {
-			o = direct.GivenUp
-		}
-		a.endExpired(o)
-		return o, true
-	}
-	return o, false
-}
-
-// endExpired ends a request whose deadline has passed. It may panic to abort a stream, so
-// it reports the outcome to the machine first.
-func (a *attempt) endExpired(o direct.Outcome) {
-	if a.x.headSent {
-		a.reportEnd(o)
-	}
-	a.x.timedOut()
-}
-
-// reportEnd reports the outcome of the attempt to the machine, before a panic.
-func (a *attempt) reportEnd(o direct.Outcome) {
-	a.x.front.core.Update(direct.AttemptEndMsg{Now: a.x.front.core.Now(), ID: a.id, Outcome: o})
-}
-
-// release returns the connection to the pool. It closes the connection instead if the
-// caller has left, since stopWatch then came too late: the watch may close the connection
-// at any time.
-func (a *attempt) release() {
-	a.x.front.core.endAttempt(a.id) // a late abort must not close a connection of the pool
-	if !a.stopWatch() {
-		a.conn.Close()
-		return
-	}
-	a.released = true
-	a.conn.Release()
-}
-
-// closeConn closes the connection to the server, unless the pool has it again.
-func (a *attempt) closeConn() {
-	if a.conn != nil && !a.released {
-		a.conn.Close()
-	}
-}
-
-// finish ends all that watches the attempt. It may be called more than once.
-func (a *attempt) finish() {
-	a.x.front.core.endAttempt(a.id)
-	if a.stopWatch != nil {
-		a.stopWatch()
-	}
-	a.watch.stop()
-	if a.witness != nil {
-		a.witness.Release()
-		a.witness = nil
-	}
-	a.cancel()
-}
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -34,7 +34,7 @@
 	ask := func(connect connector) {
 		go func() { answers <- a.x.front.askServer(ctx, connect, &a.cmd.Server) }()
 	}
-	ask(a.x.front.getConn)
+	ask(a.x.front.pooledConn)
 	delay := endHedgeDelay
 	hedge := time.NewTimer(delay)
 	defer hedge.Stop()
@@ -43,10 +43,10 @@
 		case <-ctx.Done():
 			return endAnswer{}, noAnswer
 		case <-hedge.C:
-			a.yieldWitness(endedAt)
+			a.unframed.yield(endedAt)
 			if asked < maxEndQuestions {
 				asked++
-				ask(a.x.front.dialConn)
+				ask(a.x.front.newConn)
 				delay *= 2
 				hedge.Reset(delay)
 			}
@@ -74,11 +74,11 @@
 // connector returns a connection to a server.
 type connector func(context.Context, *direct.Server) (*backend.Conn, error)
 
-func (f *front) getConn(ctx context.Context, s *direct.Server) (*backend.Conn, error) {
+func (f *front) pooledConn(ctx context.Context, s *direct.Server) (*backend.Conn, error) {
 	return f.pool.Get(ctx, s.Address, s.ID)
 }
 
-func (f *front) dialConn(ctx context.Context, s *direct.Server) (*backend.Conn, error) {
+func (f *front) newConn(ctx context.Context, s *direct.Server) (*backend.Conn, error) {
 	return f.pool.Dial(ctx, s.Address)
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -165,7 +165,7 @@
 	}
 	a := x.current
 	x.front.core.Update(direct.AttemptEndMsg{
-		Now: x.front.core.Now(), ID: x.id, Outcome: outcome, Retry: !ended, ConnRefused: a.connRefused, RouterLate: a.dialOverdue || x.front.core.pressure.Slow(), Unframed: a.unframedEnd.isWhole(),
+		Now: x.front.core.Now(), ID: x.id, Outcome: outcome, Retry: !ended, ConnRefused: a.connRefused, RouterLate: a.dialOverdue || x.front.core.pressure.Slow(), Unframed: a.unframed.end.isWhole(),
 	})
 	x.front.stats.Attempt(outcome, x.front.core.Now()-a.startedAt)
 	if !ended {
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -50,7 +50,7 @@
 // logUnframedEnd logs how the end of an unframed response was judged, unless the same start of its server has answered
 // since. Of those judged whole, a sample is logged.
 func (a *attempt) logUnframedEnd() {
-	end := a.unframedEnd
+	end := a.unframed.end
 	if end.evidence >= sameStart || end.isWhole() && !eventlog.Sampled(a.x.info.ID) || !a.x.front.log.AllowFailure() {
 		return
 	}
@@ -118,7 +118,7 @@
 	if a.identity.incarnation != direct.UnknownIncarnation {
 		e.Str("incarnation", a.identity.incarnation.String())
 	}
-	if end := a.unframedEnd; end.checked {
+	if end := a.unframed.end; end.checked {
 		e.Str("unframed_end", end.evidence.String()).Bool("whole", end.isWhole()).Dur("end_check", end.took)
 	}
 	if a.response != nil && a.events != nil {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -41,7 +41,7 @@
 		a.x.fail("memory")
 		return direct.GivenUp, true
 	}
-	if err == nil && framing.IsUnframed(resp) && !a.unframedEnd.isWhole() && a.checkUnframedEnd() != io.EOF {
+	if err == nil && framing.IsUnframed(resp) && !a.unframed.end.isWhole() && a.checkUnframedEnd() != io.EOF {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil || !isForwardable(resp, info) {
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -4,10 +4,10 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/croftvale/croftvale/backend"
-	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/internal/framing"
 )
 
@@ -56,12 +56,46 @@
 // isWhole reports whether there was such an end, and the response is whole.
 func (e unframedEnd) isWhole() bool { return e.checked && e.evidence.isWhole() }
 
+// unframedResponse is what an attempt knows of its server if the response is unframed. The zero value is that of
+// another response.
+type unframedResponse struct {
+	witness     *backend.Witness      // nil: the response is not unframed
+	yielded     *backend.Holding      // what witness knew when it was given up; nil: it was not
+	startBeside atomic.Pointer[int64] // of the server, told while the response ran; nil: it has not
+	end         unframedEnd
+}
+
+// release ends the use of the witness. It may be called more than once.
+func (u *unframedResponse) release() {
+	if u.witness != nil {
+		u.witness.Release()
+		u.witness = nil
+	}
+}
+
+// yield ends the use of the witness for a server that does not answer at once: the connection beside the response may
+// be what holds it.
+func (u *unframedResponse) yield(endedAt time.Time) {
+	if u.yielded == nil {
+		held := u.witness.Yield(endedAt)
+		u.yielded = &held
+	}
+}
+
+// holding returns what the witness knows, or knew when it was given up.
+func (u *unframedResponse) holding(endedAt time.Time) backend.Holding {
+	if u.yielded != nil {
+		return *u.yielded
+	}
+	return u.witness.HoldingAfter(endedAt)
+}
+
 // watchUnframed prepares for the end of a response if it is unframed.
 func (a *attempt) watchUnframed(resp *http.Response) {
-	if !framing.IsUnframed(resp) || a.witness != nil {
+	if !framing.IsUnframed(resp) || a.unframed.witness != nil {
 		return
 	}
-	a.witness = a.x.front.pool.Watch(a.conn)
+	a.unframed.witness = a.x.front.pool.Watch(a.conn)
 	if _, told := a.conn.ServerStart(); !told && !a.conn.IsReused() && a.cmd.Server.TellsStart() {
 		go a.askBeside(a.conn)
 	}
@@ -72,15 +106,15 @@
 func (a *attempt) askBeside(response *backend.Conn) {
 	ctx, cancel := context.WithTimeout(a.ctx, maxEndCheck)
 	defer cancel()
-	answer := a.x.front.askServer(ctx, a.x.front.getConn, &a.cmd.Server)
+	answer := a.x.front.askServer(ctx, a.x.front.pooledConn, &a.cmd.Server)
 	if answer.err == nil && answer.told && !response.IsEnding() {
-		a.startBeside.Store(&answer.start)
+		a.unframed.startBeside.Store(&answer.start)
 	}
 }
 
 // isOtherStart reports whether a start is not the one that sent the response, as far as that one is known.
 func (a *attempt) isOtherStart(millis int64) bool {
-	if beside := a.startBeside.Load(); beside != nil {
+	if beside := a.unframed.startBeside.Load(); beside != nil {
 		return *beside != millis
 	}
 	return !a.identity.starts.areUnknown() && !a.identity.starts.include(millis)
@@ -95,7 +129,7 @@
 		end.evidence = a.findEndEvidence(start)
 		end.took = time.Since(start)
 	}
-	a.unframedEnd = end
+	a.unframed.end = end
 	a.x.front.stats.UnframedEnd(end.evidence.String(), end.isWhole())
 	a.logUnframedEnd()
 	if !end.isWhole() {
@@ -115,7 +149,7 @@
 		return anotherStart
 	}
 	a.awaitTeardown(endedAt)
-	holding := a.holding(endedAt)
+	holding := a.unframed.holding(endedAt)
 	switch {
 	case holding == backend.HoldsConns, a.x.front.pool.HoldsSince(a.cmd.Server.Address, a.sentAt):
 		return holdsConn
@@ -129,23 +163,6 @@
 	return startNotTold
 }
 
-// yieldWitness ends the use of the witness for a server that does not answer at once: the connection beside the
-// response may be what holds it.
-func (a *attempt) yieldWitness(endedAt time.Time) {
-	if a.yielded == nil {
-		held := a.witness.Yield(endedAt)
-		a.yielded = &held
-	}
-}
-
-// holding returns what the witness knows, or knew when it was given up.
-func (a *attempt) holding(endedAt time.Time) backend.Holding {
-	if a.yielded != nil {
-		return *a.yielded
-	}
-	return a.witness.Holding(endedAt)
-}
-
 // awaitTeardown waits until a server that stops would have closed all its connections.
 func (a *attempt) awaitTeardown(endedAt time.Time) {
 	select {
@@ -172,29 +189,3 @@
 	}
 	return true
 }
-
-// knownStarts are the starts of a server that a router knows of. Its entry may be older than its process.
-type knownStarts struct {
-	entry   *direct.Server
-	told    int64 // by the server itself
-	hasTold bool
-	onConn  bool // told on the connection of the request, so that it is the only one
-}
-
-// startsSoFar returns the starts of the server that are known now.
-func (a *attempt) startsSoFar() knownStarts {
-	known := knownStarts{entry: &a.cmd.Server}
-	known.told, known.onConn = a.conn.ServerStart()
-	known.hasTold = known.onConn
-	if !known.onConn {
-		known.told, known.hasTold = a.x.front.pool.StartBefore(a.conn)
-	}
-	return known
-}
-
-func (k knownStarts) areUnknown() bool { return !k.hasTold && !k.entry.TellsStart() }
-
-// include reports whether a start is one of those known.
-func (k knownStarts) include(millis int64) bool {
-	return k.hasTold && k.told == millis || !k.onConn && k.entry.MatchStart(millis) != direct.OtherIncarnation
-}
