--- a/gateway/backupbody_test.go
+++ b/gateway/backupbody_test.go
@@ -11,11 +11,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-// unframedHead begins a response of the server that ends with its connection.
-func unframedHead(id string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", id)
-}
-
 // TestBackupWithoutBodyIsWhole guards against a panic over a backup's response to HEAD: it has no length and no body.
 func TestBackupWithoutBodyIsWhole(t *testing.T) {
 	var o order
--- a/gateway/endanswer_test.go
+++ b/gateway/endanswer_test.go
@@ -1,11 +1,8 @@
 package gateway
 
 import (
-	"fmt"
-	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -19,11 +16,7 @@
 				w.WriteHeader(status)
 				return
 			}
-			serveRaw(w, r, func(conn net.Conn, r *http.Request) {
-				_, _ = fmt.Fprint(conn, unframedHead(r.Header.Get("X-Id")), "first,")
-				time.Sleep(100 * time.Millisecond)
-				_ = conn.Close()
-			})
+			sendUnframed(w, r, "first,", "")
 		})
 		f.dialect = reportingDialect{}
 		got, body, err := f.get(t.Context(), "a")
--- a/gateway/formerprocess_test.go
+++ b/gateway/formerprocess_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/croftvale/croftvale/direct"
 	"github.com/stretchr/testify/require"
@@ -29,11 +27,7 @@
 		case r.Header.Get("X-Id") == "first":
 			_, _ = fmt.Fprint(w, "whole")
 		case former.Load() == r.RemoteAddr:
-			serveRaw(w, r, func(conn net.Conn, r *http.Request) {
-				_, _ = fmt.Fprint(conn, unframedHead(r.Header.Get("X-Id")), "first,")
-				time.Sleep(300 * time.Millisecond)
-				_ = conn.Close()
-			})
+			sendUnframed(w, r, "first,", "")
 		default:
 			_, _ = fmt.Fprint(w, "whole")
 		}
@@ -49,25 +43,3 @@
 	status, body, err = f.get(t.Context(), "second")
 	require.False(t, err == nil && status == http.StatusOK && body != "whole", "%q looks whole", body)
 }
-
-// TestRestartedServerEndsItsResponses guards against sound responses that are broken off again and again since the entry
-// of their server is older than its process. The first end tells its start.
-func TestRestartedServerEndsItsResponses(t *testing.T) {
-	f := newStartFront(t, 1, isAtMostOnce, func(_ int, w http.ResponseWriter, r *http.Request) {
-		if isReport(r) {
-			sendStart(w, entryStart+1)
-			return
-		}
-		serveRaw(w, r, func(conn net.Conn, r *http.Request) {
-			_, _ = fmt.Fprint(conn, unframedHead(r.Header.Get("X-Id")), "first,")
-			time.Sleep(300 * time.Millisecond)
-			_, _ = fmt.Fprint(conn, "second")
-			_ = conn.Close()
-		})
-	})
-	_, _, _ = f.get(t.Context(), "a") // it may be broken off
-	status, body, err := f.get(t.Context(), "b")
-	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, status, body)
-	require.Equal(t, "first,second", body)
-}
--- a/gateway/oneconn_test.go
+++ b/gateway/oneconn_test.go
@@ -14,8 +14,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-func isAtMostOnce(r *direct.Route) { r.Kind, r.Resumable = direct.AtMostOnce, false }
-
 // serveOneAtATime starts a server that accepts a connection when the one before has ended, and returns its address.
 func serveOneAtATime(t *testing.T, runs *atomic.Int64) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
