A response that has begun ends its watch in time

What callers saw: for up to 30 s after the store had recovered, a router learned of no barred content, and for 10 s of no version.

Cause: a watch's timeout covers the time for which the store waits for a change (30 s for quarantine, 10 s for versions). A watch whose response had begun, and trickled on, lasted as long. The operators' client has the same cause: 32 s.

Change: internal/responselimit bounds a head, and a body, from its first byte on (1.5 s; 2 s for the operators' client). A quiet watch waits as before, also where the store sends the head first.

--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -16,11 +16,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/internal/framing"
 	"github.com/croftvale/croftvale/internal/httpstatus"
+	"github.com/croftvale/croftvale/internal/responselimit"
 	"golang.org/x/time/rate"
 )
 
 const (
-	// DefaultTimeout is the timeout of a call that is not a watch.
+	// DefaultTimeout is the timeout of a call that is not a watch, and of a watch's response once it has begun.
 	DefaultTimeout = 2 * time.Second
 	// WatchTimeout is the time that a watch waits for a change.
 	WatchTimeout = 30 * time.Second
@@ -138,6 +139,8 @@
 }
 
 func (c *Client) read(ctx context.Context, ref Ref, u string) (Object, error) {
+	ctx, limit := responselimit.New(ctx, DefaultTimeout)
+	defer limit.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
 		return Object{}, err
@@ -150,6 +153,7 @@
 	if err := statusError(res); err != nil {
 		return Object{}, err
 	}
+	limit.AwaitBody(res)
 	body, err := io.ReadAll(io.LimitReader(res.Body, MaxObjectBytes+1))
 	if err != nil || len(body) > MaxObjectBytes || framing.IsUnframed(res) {
 		return Object{}, errors.Wrapf(ErrUnavailable, "read %s/%s", ref.Kind, ref.Name)
