A body whose length is told ends its watch in time

What callers saw: as with a trickled response, no change of a kind for up to the 30 s of a watch, where the store sent a head with a length and then fell silent.

Cause: the limit of a response waits for the body's first byte, since a server may send the head first and then wait for a change. One that tells the length of the body has it already.

Change: such a body belongs to its head, as that of any other status does.

Before: TestSilentBodiesEndWatches/length fails after the watch's 8.0 s, its three other cases pass. After: all pass, as do TestQuietWatchesWait and the trickle tests of both clients.

--- a/internal/responselimit/responselimit.go
+++ b/internal/responselimit/responselimit.go
@@ -35,9 +35,10 @@
 func (l *Limit) start() { l.timer.Reset(l.duration) }
 
 // AwaitBody returns once the body of a successful response has begun, for which a server that sends the head first
-// may wait. The body of any other response belongs to its head.
+// may wait. The body of any other response belongs to its head, as does one whose length the head tells: its server
+// has nothing to wait for.
 func (l *Limit) AwaitBody(resp *http.Response) {
-	if resp.StatusCode != http.StatusOK {
+	if resp.StatusCode != http.StatusOK || resp.ContentLength >= 0 {
 		return
 	}
 	l.timer.Stop()
