A redirected write is not done, and only 200 holds an object

What callers saw: a write of a record, a registration, a barred content or its removal, or of an operator's object that the other side only redirected counted as done; an operator's read that got 201, 202, 204, 206 or 3xx returned an empty object.

Cause: net/http follows 301, 302 and 303 with a GET, whose 200 was taken for the response to the write. objectapi took all statuses below 400 for success.

--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -64,9 +64,15 @@
 	for _, o := range opts {
 		o(c)
 	}
+	client := *c.http
+	client.CheckRedirect = returnRedirect
+	c.http = &client
 	return c
 }
 
+// returnRedirect makes redirects responses like any other: net/http would repeat writes as reads.
+func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Calls returns the number of calls made so far. A watch counts as one call.
 func (c *Client) Calls() int64 { return c.calls.Load() }
 
@@ -124,7 +130,7 @@
 		return nil, wrapKind(err, ErrUnavailable)
 	}
 	defer drainBody(res)
-	if err := statusError(res); err != nil {
+	if err := readError(res); err != nil {
 		return nil, err
 	}
 	var hosts []Host
@@ -150,7 +156,7 @@
 		return Object{}, wrapKind(err, ErrUnavailable)
 	}
 	defer drainBody(res)
-	if err := statusError(res); err != nil {
+	if err := readError(res); err != nil {
 		return Object{}, err
 	}
 	limit.AwaitBody(res)
@@ -194,7 +200,19 @@
 		return ErrConflict
 	case res.StatusCode == http.StatusGatewayTimeout:
 		return errors.Wrapf(ErrOutcomeUnknown, "status %d", res.StatusCode)
-	case res.StatusCode >= http.StatusBadRequest:
+	case res.StatusCode/100 != 2:
+		return errors.Wrapf(ErrUnavailable, "status %d", res.StatusCode)
+	}
+	return nil
+}
+
+// readError returns the error for the status of a response to a read, or nil if the response holds all that was asked
+// for.
+func readError(res *http.Response) error {
+	if err := statusError(res); err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
 		return errors.Wrapf(ErrUnavailable, "status %d", res.StatusCode)
 	}
 	return nil
