A 101 that nobody asked for is no response

What callers saw: an agent's, or its server's, 101 Switching Protocols was passed on as the response and counted as done. The store's 101 to a write counted as refused, so not done.

Cause: net/http skips interim responses but for 101, which it returns; httpstatus.Check allows it, as it allows interim ones.

Change: httpstatus.CheckFinal, for all readers of net/http's responses. The gateway's own connections skip 1xx by themselves.

After: all tests of ./agent ./router ./platform ./objectapi pass.

--- a/agent/backend.go
+++ b/agent/backend.go
@@ -55,7 +55,7 @@
 		return
 	}
 	defer func() { _ = res.Body.Close() }()
-	if err := httpstatus.Check(res.StatusCode); err != nil {
+	if err := httpstatus.CheckFinal(res.StatusCode); err != nil {
 		p.handleFailure(w, r, &sent, err)
 		return
 	}
--- a/agent/cutresponse_test.go
+++ b/agent/cutresponse_test.go
@@ -64,7 +64,7 @@
 
 // TestInvalidStatusIsNoResponse guards against statuses that no HTTP response has.
 func TestInvalidStatusIsNoResponse(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "+20", "600", "999"} {
+	for _, status := range []string{"000", "001", "099", "+20", "600", "999", "101"} {
 		url := newRawProxy(t, func() string { return "HTTP/1.1 " + status + " Odd\r\nContent-Length: 4\r\n\r\nodd\n" })
 		res, _, err := post(t, url)
 		require.NoError(t, err, status)
--- a/agent/health.go
+++ b/agent/health.go
@@ -211,7 +211,7 @@
 		p.health.setLoad(load)
 	}
 	p.applyRetryAfter(res)
-	return httpstatus.Check(res.StatusCode) == nil && res.StatusCode < http.StatusInternalServerError
+	return httpstatus.CheckFinal(res.StatusCode) == nil && res.StatusCode < http.StatusInternalServerError
 }
 
 // applyRetryAfter starts a backoff if the server rejects a request with a
--- a/internal/httpstatus/httpstatus.go
+++ b/internal/httpstatus/httpstatus.go
@@ -10,8 +10,9 @@
 
 // The range of status codes (RFC 9110, section 15).
 const (
-	lowest  = 100
-	highest = 599
+	lowest      = 100
+	lowestFinal = 200
+	highest     = 599
 )
 
 // Check returns ErrInvalid unless HTTP allows a status code.
@@ -21,3 +22,12 @@
 	}
 	return nil
 }
+
+// CheckFinal returns ErrInvalid unless HTTP allows a status code for the last response to a request that asks for no
+// other protocol. net/http returns 101 as such a one.
+func CheckFinal(code int) error {
+	if code < lowestFinal {
+		return errors.Wrapf(ErrInvalid, "status %d", code)
+	}
+	return Check(code)
+}
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -190,7 +190,7 @@
 // statusError returns the error for the status of a response, or nil if the call
 // succeeded.
 func statusError(res *http.Response) error {
-	if err := httpstatus.Check(res.StatusCode); err != nil {
+	if err := httpstatus.CheckFinal(res.StatusCode); err != nil {
 		return wrapKind(err, ErrOutcomeUnknown)
 	}
 	switch {
--- a/router/cutresponse_test.go
+++ b/router/cutresponse_test.go
@@ -67,7 +67,7 @@
 
 // TestInvalidStatusIsNoResponse guards against statuses that no HTTP response has.
 func TestInvalidStatusIsNoResponse(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "+20", "600", "999"} {
+	for _, status := range []string{"000", "001", "099", "+20", "600", "999", "101"} {
 		outcome, got, _ := callRawAgent(t, "HTTP/1.1 "+status+" Odd\r\nCroftvale-Ran: yes\r\nContent-Length: 4\r\n\r\nodd\n")
 		require.Equal(t, queue.OutcomeUnknown, outcome, status)
 		require.Empty(t, got)
--- a/router/handler.go
+++ b/router/handler.go
@@ -160,7 +160,7 @@
 		return queue.OutcomeNotRun
 	}
 	defer func() { _ = res.Body.Close() }()
-	if err := httpstatus.Check(res.StatusCode); err != nil {
+	if err := httpstatus.CheckFinal(res.StatusCode); err != nil {
 		h.log.Warn().Str("request", a.id).Str("agent", g.address).Err(err).Msg("no response from agent")
 		return queue.OutcomeUnknown
 	}
