A start that was told is known, also if the entry tells none

What callers saw: a response without a length that ended early looked whole where its server restarted amid it, tells its start in reports but not in its entry, and no other connection was open beside the response.

Cause: an entry without a start matched every start, so the one that the router had been told before the response did not count, and the answer of another process was that of the same one.

Change: an entry that tells no start matches none. Where a start is known from reports alone, the server is asked for it beside the response too, as where the entry tells it, so that a restart in between cuts no sound one.

As with an entry that is older, a response that is over before the question beside it is answered is broken off once after an unnoticed restart.

--- a/gateway/knownstarts.go
+++ b/gateway/knownstarts.go
@@ -25,5 +25,5 @@
 
 // include reports whether a start is one of those known.
 func (k knownStarts) include(millis int64) bool {
-	return k.hasTold && k.told == millis || !k.onConn && k.entry.MatchStart(millis) != direct.OtherIncarnation
+	return k.hasTold && k.told == millis || !k.onConn && k.entry.MatchStart(millis) == direct.SameIncarnation
 }
--- a/gateway/unframed.go
+++ b/gateway/unframed.go
@@ -96,7 +96,7 @@
 		return
 	}
 	a.unframed.witness = a.x.front.pool.Watch(a.conn)
-	if _, told := a.conn.ServerStart(); !told && !a.conn.IsReused() && a.cmd.Server.TellsStart() {
+	if _, told := a.conn.ServerStart(); !told && !a.conn.IsReused() && !a.identity.starts.areUnknown() {
 		go a.askBeside(a.conn)
 	}
 }
