A response without a list of hosts is no list

What callers saw: nothing yet. A platform's 200 with null in place of the list of hosts was an empty one, at which a router has no agents left; bytes after the list were ignored.

Cause: null decodes into any slice, and a json.Decoder stops after the first value.

Change: the whole body has to be one list.

Before: TestResponseWithoutAListIsNoList of ./objectapi fails in 4 of 7 cases (null, and three with bytes after the list). After: it passes, with the other tests of ./objectapi and ./router.

--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -133,10 +133,17 @@
 	if err := readError(res); err != nil {
 		return nil, err
 	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, MaxObjectBytes+1))
+	if err != nil || len(body) > MaxObjectBytes {
+		return nil, errors.Wrap(ErrUnavailable, "read the list of hosts")
+	}
 	var hosts []Host
-	if err := json.NewDecoder(io.LimitReader(res.Body, MaxObjectBytes)).Decode(&hosts); err != nil {
+	if err := json.Unmarshal(body, &hosts); err != nil {
 		return nil, wrapKind(err, ErrUnavailable)
 	}
+	if hosts == nil {
+		return nil, errors.Wrap(ErrUnavailable, "the response holds no list of hosts")
+	}
 	return hosts, nil
 }
 
