Only a line of its own ends the stream of a model engine

What callers saw: at agents, an event stream that broke off right after the text "data: [DONE]" within a line looked whole; one with more than eight line ends after its last line was cut.

Cause: the agent compared the last bytes of the stream, of which it kept eight more than the mark has.

Change: it compares the last line that is not blank.

Before: TestOnlyALineEndsAStream fails, among others at a line that ends with the mark and at 20 line ends. After: it passes, with the other tests of ./agent.

--- a/agent/stream.go
+++ b/agent/stream.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -30,25 +29,36 @@
 // without streamEnd.
 type terminatedStream struct {
 	r    io.Reader
-	tail []byte
+	line []byte // the start of the current line, enough to tell it from streamEnd
+	last []byte // the start of the last line before it that is not blank
 }
 
 // Read implements io.Reader.
 func (s *terminatedStream) Read(p []byte) (int, error) {
 	n, err := s.r.Read(p)
-	s.recordTail(p[:n])
-	if err == io.EOF && !bytes.HasSuffix(bytes.TrimRight(s.tail, "\r\n"), []byte(streamEnd)) {
-		return n, io.ErrUnexpectedEOF
+	for _, c := range p[:n] {
+		s.record(c)
+	}
+	if err == io.EOF {
+		s.endLine()
+		if string(s.last) != streamEnd {
+			return n, io.ErrUnexpectedEOF
+		}
 	}
 	return n, err
 }
 
-// recordTail keeps the last bytes of the stream, enough for streamEnd and its line
-// ends.
-func (s *terminatedStream) recordTail(p []byte) {
-	const maxTail = len(streamEnd) + 8
-	s.tail = append(s.tail, p...)
-	if len(s.tail) > maxTail {
-		s.tail = append(s.tail[:0], s.tail[len(s.tail)-maxTail:]...)
+func (s *terminatedStream) record(c byte) {
+	switch {
+	case c == '\r', c == '\n':
+		s.endLine()
+	case len(s.line) <= len(streamEnd):
+		s.line = append(s.line, c)
+	}
+}
+
+func (s *terminatedStream) endLine() {
+	if len(s.line) > 0 {
+		s.last, s.line = append(s.last[:0], s.line...), s.line[:0]
 	}
 }
