A transfer coding under HTTP/1.0 is no framing

What callers saw: chunk sizes of a server as content of their response, and, where a length stood beside, a part of it as the whole.

Cause: net/http ignores Transfer-Encoding under HTTP/1.0, removes the header and takes the body as it comes. HTTP calls such framing faulty (RFC 9112, section 6.1).

Change: a server's head of HTTP/1.0 is also read for that header; one that has it is a broken response. Other heads are read as before.

Before: TestCodingUnderHTTP10IsNoResponse fails in 8 of 8 cases. After: it passes, with the tests of ./backend and those of heads, connections and unframed responses of ./gateway. The agent of the older data path uses net/http's transport, which hides the header: unchanged.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -117,14 +117,14 @@
 func (c *Conn) HasUnfinished() bool { return c.head.unfinished.Load() > 0 }
 
 // readHead reads the head of a response. It returns ErrHeadTooLarge for one beyond maxHeadBytes,
-// ErrHeadTooSlow for one beyond maxHeadTime, and httpstatus.ErrInvalid.
+// ErrHeadTooSlow for one beyond maxHeadTime, ErrCodedOldProtocol and httpstatus.ErrInvalid.
 func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
 	c.head.limit(maxHeadBytes)
 	defer c.head.unlimit()
 	if err := awaitProtocol(c.reader); err != nil {
 		return nil, err
 	}
-	response, err := http.ReadResponse(c.reader, request)
+	response, err := c.parseHead(request)
 	if err == nil {
 		err = httpstatus.Check(response.StatusCode)
 	}
@@ -134,6 +134,24 @@
 	return response, nil
 }
 
+// parseHead parses the head of a response. It returns ErrCodedOldProtocol for a transfer coding under HTTP/1.0.
+func (c *Conn) parseHead(request *http.Request) (*http.Response, error) {
+	if !isOldProtocol(c.reader) {
+		return http.ReadResponse(c.reader, request)
+	}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.head.record(buffered)
+	response, err := http.ReadResponse(c.reader, request)
+	data := c.head.takeRecord()
+	if err != nil {
+		return nil, err
+	}
+	return response, checkOldHead(data)
+}
+
 // skipBody reads the body of a stale response to its end, within the limits.
 func (c *Conn) skipBody(response *http.Response) error {
 	c.head.limitBody(maxStaleBodyBytes)
--- a/backend/head.go
+++ b/backend/head.go
@@ -39,6 +39,9 @@
 	left    int64
 	limited bool
 	begunAt time.Time // when the first bytes came; zero: none has
+	// recorded holds what was read since record.
+	recorded  []byte
+	recording bool
 	// unfinished counts the bytes since the last whole part of a response.
 	unfinished atomic.Int64
 }
@@ -47,6 +50,15 @@
 func (h *headReader) limit(n int64) { h.left, h.limited, h.begunAt = n, true, time.Time{} }
 func (h *headReader) unlimit()      { h.left, h.limited = math.MaxInt64, false }
 
+// record begins to record what is read, after bytes that were read before. takeRecord ends it.
+func (h *headReader) record(before []byte) { h.recorded, h.recording = bytes.Clone(before), true }
+
+func (h *headReader) takeRecord() []byte {
+	recorded := h.recorded
+	h.recorded, h.recording = nil, false
+	return recorded
+}
+
 // limitBody begins a stale body of at most n bytes, which ends within the time of its head.
 func (h *headReader) limitBody(n int64) { h.left, h.limited = n, true }
 
@@ -60,6 +72,9 @@
 	}
 	n, err := h.source.Read(p[:min(int64(len(p)), h.left)])
 	h.left -= int64(n)
+	if h.recording {
+		h.recorded = append(h.recorded, p[:n]...)
+	}
 	h.unfinished.Add(int64(n))
 	if h.limited && n > 0 && h.begunAt.IsZero() {
 		h.begunAt = time.Now()
