Objects of a platform that compresses are whole

What callers saw: nothing yet. Where the operators' platform compresses and closes the connection, each object of it counted as a part: unavailable.

Cause: net/http asks for gzip by itself and forgets the length of what it decompresses, so that the response looks unframed.

Change: the client asks for plain content.

Before: TestCompressingPlatformServesObjects fails. After: it passes, with the other tests of ./objectapi. The other readers that look at the framing ask for no compression.

--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -179,6 +179,7 @@
 		return nil, err
 	}
 	c.calls.Add(1)
+	req.Header.Set("Accept-Encoding", "identity") // net/http forgets the length of what it decompresses
 	return c.http.Do(req)
 }
 
