An object whose version is not told is no object

What callers saw: nothing yet. A response of the operators' platform without an ETag, or with one that is no number, counted as an object at version 0: the next watch, after version 0, returns at once, again and again.

Cause: an ETag that can't be read became 0, the version of an object that does not exist.

Change: such a response is unavailable. A weak ETag, as something that compresses makes it, is read as well.

Before: TestObjectWithoutAVersionIsNoObject fails (at the missing ETag). After: it passes, with the tests of ./objectapi ./operate ./standin/....

--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -171,7 +171,11 @@
 	if err != nil || len(body) > MaxObjectBytes || framing.IsUnframed(res) {
 		return Object{}, errors.Wrapf(ErrUnavailable, "read %s/%s", ref.Kind, ref.Name)
 	}
-	return Object{Ref: ref, Version: parseETag(res.Header.Get("ETag")), Body: body}, nil
+	version := parseETag(res.Header.Get("ETag"))
+	if version == 0 {
+		return Object{}, errors.Wrapf(ErrUnavailable, "read %s/%s: the response names no version", ref.Kind, ref.Name)
+	}
+	return Object{Ref: ref, Version: version, Body: body}, nil
 }
 
 func (c *Client) do(req *http.Request) (*http.Response, error) {
@@ -228,8 +232,9 @@
 
 func etag(v Version) string { return strconv.Quote(strconv.FormatUint(uint64(v), 10)) }
 
+// parseETag returns the version in an ETag, or 0 if it names none. Something that compresses makes it a weak one.
 func parseETag(s string) Version {
-	n, err := strconv.ParseUint(strings.Trim(s, `"`), 10, 64)
+	n, err := strconv.ParseUint(strings.Trim(strings.TrimPrefix(s, "W/"), `"`), 10, 64)
 	if err != nil {
 		return 0
 	}
