--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -64,9 +64,15 @@
 	for _, o := range opts {
 		o(c)
 	}
+	client := *c.http
+	client.CheckRedirect = returnRedirect
+	c.http = &client
 	return c
 }
 
+// returnRedirect makes redirects responses like any other: net/http would repeat writes as reads.
+func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Calls returns the number of calls made so far. A watch counts as one call.
 func (c *Client) Calls() int64 { return c.calls.Load() }
 
@@ -124,13 +130,20 @@
 		return nil, wrapKind(err, ErrUnavailable)
 	}
 	defer drainBody(res)
-	if err := statusError(res); err != nil {
+	if err := readError(res); err != nil {
 		return nil, err
 	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, MaxObjectBytes+1))
+	if err != nil || len(body) > MaxObjectBytes {
+		return nil, errors.Wrap(ErrUnavailable, "read the list of hosts")
+	}
 	var hosts []Host
-	if err := json.NewDecoder(io.LimitReader(res.Body, MaxObjectBytes)).Decode(&hosts); err != nil {
+	if err := json.Unmarshal(body, &hosts); err != nil {
 		return nil, wrapKind(err, ErrUnavailable)
 	}
+	if hosts == nil {
+		return nil, errors.Wrap(ErrUnavailable, "the response holds no list of hosts")
+	}
 	return hosts, nil
 }
 
@@ -150,7 +163,7 @@
 		return Object{}, wrapKind(err, ErrUnavailable)
 	}
 	defer drainBody(res)
-	if err := statusError(res); err != nil {
+	if err := readError(res); err != nil {
 		return Object{}, err
 	}
 	limit.AwaitBody(res)
@@ -158,7 +171,11 @@
 	if err != nil || len(body) > MaxObjectBytes || framing.IsUnframed(res) {
 		return Object{}, errors.Wrapf(ErrUnavailable, "read %s/%s", ref.Kind, ref.Name)
 	}
-	return Object{Ref: ref, Version: parseETag(res.Header.Get("ETag")), Body: body}, nil
+	version := parseETag(res.Header.Get("ETag"))
+	if version == 0 {
+		return Object{}, errors.Wrapf(ErrUnavailable, "read %s/%s: the response names no version", ref.Kind, ref.Name)
+	}
+	return Object{Ref: ref, Version: version, Body: body}, nil
 }
 
 func (c *Client) do(req *http.Request) (*http.Response, error) {
@@ -166,6 +183,7 @@
 		return nil, err
 	}
 	c.calls.Add(1)
+	req.Header.Set("Accept-Encoding", "identity") // net/http forgets the length of what it decompresses
 	return c.http.Do(req)
 }
 
@@ -184,7 +202,7 @@
 // statusError returns the error for the status of a response, or nil if the call
 // succeeded.
 func statusError(res *http.Response) error {
-	if err := httpstatus.Check(res.StatusCode); err != nil {
+	if err := httpstatus.CheckFinal(res.StatusCode); err != nil {
 		return wrapKind(err, ErrOutcomeUnknown)
 	}
 	switch {
@@ -194,7 +212,19 @@
 		return ErrConflict
 	case res.StatusCode == http.StatusGatewayTimeout:
 		return errors.Wrapf(ErrOutcomeUnknown, "status %d", res.StatusCode)
-	case res.StatusCode >= http.StatusBadRequest:
+	case res.StatusCode/100 != 2:
+		return errors.Wrapf(ErrUnavailable, "status %d", res.StatusCode)
+	}
+	return nil
+}
+
+// readError returns the error for the status of a response to a read, or nil if the response holds all that was asked
+// for.
+func readError(res *http.Response) error {
+	if err := statusError(res); err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
 		return errors.Wrapf(ErrUnavailable, "status %d", res.StatusCode)
 	}
 	return nil
@@ -202,8 +232,9 @@
 
 func etag(v Version) string { return strconv.Quote(strconv.FormatUint(uint64(v), 10)) }
 
+// parseETag returns the version in an ETag, or 0 if it names none. Something that compresses makes it a weak one.
 func parseETag(s string) Version {
-	n, err := strconv.ParseUint(strings.Trim(s, `"`), 10, 64)
+	n, err := strconv.ParseUint(strings.Trim(strings.TrimPrefix(s, "W/"), `"`), 10, 64)
 	if err != nil {
 		return 0
 	}
