A request whose body the router stops reading is refused as draining

If the body ended just then: the connection closed without any response.

Cause: the router stops reading a body by a read deadline in the past. net/http takes any read error for a caller that has left and ends the request's context, by which hasStopped then concluded that the caller had left and the router had stopped nothing.

Change: the work ends with a cause, and the cause that came first counts.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -23,7 +23,8 @@
 // errNoMemory is returned when a body or a response does not fit into the memory budget.
 var errNoMemory = errors.New("the memory budget for request bodies and unread responses is exhausted")
 
-// errStopped is returned for a body that had not arrived when the router stopped the work on its request.
+// errStopped is the cause by which the router ends the work on a request that would not end before the router.
+// It is returned for a body that had not arrived by then.
 var errStopped = errors.New("the router ends")
 
 // readBuffered reads size bytes. If size is negative, it reads to the end, but at most
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -24,7 +24,7 @@
 	r           *http.Request
 	ctx         context.Context // ends when the caller leaves
 	work        context.Context // ends with ctx, or when the router ends
-	stopWork    context.CancelFunc
+	endWork     context.CancelCauseFunc
 	info        RequestInfo
 	route       *direct.Route
 	service     string
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/servicetime"
 )
@@ -38,11 +39,11 @@
 // add begins the work on a request, and stops it at once if it would not end in time. The request must be
 // removed again.
 func (s *stopping) add(x *exchange) {
-	x.work, x.stopWork = context.WithCancel(x.ctx)
+	x.work, x.endWork = context.WithCancelCause(x.ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.exceeds(x.start, x) {
-		x.stopWork()
+		x.endWork(errStopped)
 		return
 	}
 	if s.exchanges == nil {
@@ -52,7 +53,7 @@
 }
 
 func (s *stopping) remove(x *exchange) {
-	x.stopWork()
+	x.endWork(nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.exchanges, x)
@@ -65,7 +66,7 @@
 	s.endsAt = endsAt
 	for x := range s.exchanges {
 		if now >= endsAt || !x.busy.Load() && s.exceeds(now, x) {
-			x.stopWork()
+			x.endWork(errStopped)
 		}
 	}
 }
@@ -137,8 +138,9 @@
 	}
 }
 
-// hasStopped reports whether the router has stopped the work on the request.
-func (x *exchange) hasStopped() bool { return x.work.Err() != nil && x.ctx.Err() == nil }
+// hasStopped reports whether the router has stopped the work on the request. It remains so if ctx ends
+// afterwards: net/http takes a read deadline that ends the read of a body for a caller that leaves.
+func (x *exchange) hasStopped() bool { return errors.Is(context.Cause(x.work), errStopped) }
 
 // stopped ends a request whose work was stopped.
 func (x *exchange) stopped() {
