A router that ends refuses nothing for a stall of its own

Callers saw, of a router that ends: 503 draining for plain requests that would have ended half a second before the last sixth of the grace period.

Cause: the time of a request at its server is measured to its last byte, so a stall of the router counts once for each request that is at a server. Five of 300 ms that are late by up to 450 ms make the longest time 1.04 s in place of .3 s, beside the lag that the grace period allows for already, and all that waits for its body is stopped at once.

Change: what a request takes beyond the mean while the router's ticks are overdue does not count. The first of a route counts in full.

Tests: TestStallOfRouterStopsNothing and TestStallIsNoServiceTime fail in the one play with the stall left in the estimate, and pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,6 +31,7 @@
 	stopWatch func() bool // stops watching ctx
 	path      traffic.Path
 	startedAt time.Duration
+	stalled   time.Duration // total of this process's stalls at the start
 	// afterEvent is the id of the last event that the caller got from other servers; empty: none.
 	afterEvent string
 	notice     direct.Notice // sent by the server
@@ -59,6 +60,7 @@
 		a.afterEvent = x.position.afterEvent()
 	}
 	a.watch.primary, a.startedAt = a, x.front.core.Now()
+	a.stalled = x.front.core.stalls.Total(a.startedAt)
 	return a
 }
 
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -29,6 +29,8 @@
 	notifyRollouts func(rollout.Msg)     // must not block
 	// pressure measures how late this process runs.
 	pressure pressure.Gauge
+	// stalls measures for how long this process has not run.
+	stalls   pressure.Stalls
 	disabled direct.DisabledMechanisms // mechanisms that are switched off
 }
 
@@ -236,6 +238,7 @@
 			now := c.Now()
 			lag := now - last - direct.TickInterval
 			last = now
+			c.stalls.Tick(now)
 			// The goroutine of a timer runs before most others. Requests wait longer, and
 			// the probe measures that.
 			c.pressure.Observe(now, max(lag, probe.Lag()))
--- a/gateway/servicetime/estimate.go
+++ b/gateway/servicetime/estimate.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// WithoutStall returns how long a request took, without what it took beyond the mean while the process that
+// measured it stalled. Other requests were as late for the same reason, which says nothing about the server.
+func (e Estimate) WithoutStall(took, stalled time.Duration) time.Duration {
+	if !e.known {
+		return took
+	}
+	return min(took, max(took-stalled, e.Typical()))
+}
+
 // IsKnown reports whether a request was served.
 func (e Estimate) IsKnown() bool { return e.known }
 
--- a/gateway/servicetime/estimate_test.go
+++ b/gateway/servicetime/estimate_test.go
@@ -63,3 +63,21 @@
 	e.ObserveAtLeast(9 * time.Second)
 	require.Equal(t, 2*time.Second, e.Typical())
 }
+
+// TestStallIsNoServiceTime guards against requests that are refused since this process stalled: every request that
+// was at a server is late then.
+func TestStallIsNoServiceTime(t *testing.T) {
+	const usual, stall = 300 * time.Millisecond, 450 * time.Millisecond
+	var e Estimate
+	require.Equal(t, usual+stall, e.WithoutStall(usual+stall, stall), "nothing else is known")
+	for range 50 {
+		e.Observe(usual)
+	}
+	for sentBefore := range 5 {
+		e.Observe(e.WithoutStall(usual+stall-time.Duration(sentBefore)*60*time.Millisecond, stall))
+	}
+	require.InDelta(t, usual, e.Longest(), float64(time.Millisecond))
+	require.Equal(t, 100*time.Millisecond, e.WithoutStall(100*time.Millisecond, stall), "it took less than the mean")
+	e.Observe(e.WithoutStall(2*time.Second, stall))
+	require.Greater(t, e.Longest(), 1500*time.Millisecond, "what the stall does not explain counts")
+}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -104,8 +104,8 @@
 	return servicetime.Estimate{}
 }
 
-// observe records how long a request took at its last server.
-func (s *stopping) observe(route string, took time.Duration, served bool) {
+// observe records how long a request took at its last server, and for how much of that this process stalled.
+func (s *stopping) observe(route string, took, stalled time.Duration, served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	times := s.times[route]
@@ -116,6 +116,7 @@
 		times = &servicetime.Estimate{}
 		s.times[route] = times
 	}
+	took = times.WithoutStall(took, stalled)
 	if served {
 		times.Observe(took)
 		return
@@ -134,7 +135,8 @@
 // about a whole one.
 func (x *exchange) observeTime(served bool) {
 	if x.current != nil && x.info.AfterEvent == "" {
-		x.front.stopping.observe(x.route.Name, x.front.core.Now()-x.current.startedAt, served)
+		now := x.front.core.Now()
+		x.front.stopping.observe(x.route.Name, now-x.current.startedAt, x.front.core.stalls.Total(now)-x.current.stalled, served)
 	}
 }
 
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -44,8 +44,8 @@
 			var s stopping
 			for _, route := range []direct.Route{once, safe, resumable, single} {
 				for range 50 { // 2 s typically, and hardly ever longer than 3.6 s
-					s.observe(route.Name, 1600*time.Millisecond, true)
-					s.observe(route.Name, 2400*time.Millisecond, true)
+					s.observe(route.Name, 1600*time.Millisecond, 0, true)
+					s.observe(route.Name, 2400*time.Millisecond, 0, true)
 				}
 			}
 			x := &exchange{ctx: context.Background(), route: &c.route, start: c.readAt}
@@ -61,7 +61,7 @@
 func TestStoppingStopsWhatWaits(t *testing.T) {
 	route := &direct.Route{Name: "once", Kind: direct.AtMostOnce}
 	var s stopping
-	s.observe(route.Name, time.Second, true)
+	s.observe(route.Name, time.Second, 0, true)
 	waiting := &exchange{ctx: context.Background(), route: route}
 	running := &exchange{ctx: context.Background(), route: route}
 	s.add(waiting)
@@ -79,3 +79,26 @@
 	s.add(late)
 	require.True(t, late.hasStopped())
 }
+
+// TestStallOfRouterStopsNothing guards against requests that are refused though they fit, as this process stalled
+// while others of their route were at servers.
+func TestStallOfRouterStopsNothing(t *testing.T) {
+	const usual, stall = 300 * time.Millisecond, 450 * time.Millisecond
+	route := &direct.Route{Name: "once", Kind: direct.AtMostOnce}
+	var s stopping
+	for range 50 {
+		s.observe(route.Name, usual, 0, true)
+	}
+	waiting := &exchange{ctx: context.Background(), route: route}
+	s.add(waiting)
+	const endsAt = 7 * time.Second
+	s.begin(2*time.Second, endsAt)
+	for sentBefore := range 5 {
+		s.observe(route.Name, usual+stall-time.Duration(sentBefore)*60*time.Millisecond, stall, true)
+	}
+	s.stopLate(endsAt-2*usual, endsAt)
+	require.False(t, waiting.hasStopped())
+	s.observe(route.Name, usual+stall, 0, true)
+	s.stopLate(endsAt-2*usual, endsAt)
+	require.True(t, waiting.hasStopped(), "the server was as late")
+}
