--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/croftvale/croftvale/direct"
 	"github.com/croftvale/croftvale/gateway/servicetime"
 )
@@ -38,11 +39,11 @@
 // add begins the work on a request, and stops it at once if it would not end in time. The request must be
 // removed again.
 func (s *stopping) add(x *exchange) {
-	x.work, x.stopWork = context.WithCancel(x.ctx)
+	x.work, x.endWork = context.WithCancelCause(x.ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.exceeds(x.start, x) {
-		x.stopWork()
+		x.endWork(errStopped)
 		return
 	}
 	if s.exchanges == nil {
@@ -52,7 +53,7 @@
 }
 
 func (s *stopping) remove(x *exchange) {
-	x.stopWork()
+	x.endWork(nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.exchanges, x)
@@ -65,7 +66,7 @@
 	s.endsAt = endsAt
 	for x := range s.exchanges {
 		if now >= endsAt || !x.busy.Load() && s.exceeds(now, x) {
-			x.stopWork()
+			x.endWork(errStopped)
 		}
 	}
 }
@@ -103,8 +104,8 @@
 	return servicetime.Estimate{}
 }
 
-// observe records how long a request took at its last server.
-func (s *stopping) observe(route string, took time.Duration, served bool) {
+// observe records how long a request took at its last server, and for how much of that this process stalled.
+func (s *stopping) observe(route string, took, stalled time.Duration, served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	times := s.times[route]
@@ -115,6 +116,7 @@
 		times = &servicetime.Estimate{}
 		s.times[route] = times
 	}
+	took = times.WithoutStall(took, stalled)
 	if served {
 		times.Observe(took)
 		return
@@ -133,12 +135,14 @@
 // about a whole one.
 func (x *exchange) observeTime(served bool) {
 	if x.current != nil && x.info.AfterEvent == "" {
-		x.front.stopping.observe(x.route.Name, x.front.core.Now()-x.current.startedAt, served)
+		now := x.front.core.Now()
+		x.front.stopping.observe(x.route.Name, now-x.current.startedAt, x.front.core.stalls.Total(now)-x.current.stalled, served)
 	}
 }
 
-// hasStopped reports whether the router has stopped the work on the request.
-func (x *exchange) hasStopped() bool { return x.work.Err() != nil && x.ctx.Err() == nil }
+// hasStopped reports whether the router has stopped the work on the request. It remains so if ctx ends
+// afterwards: net/http takes a read deadline that ends the read of a body for a caller that leaves.
+func (x *exchange) hasStopped() bool { return errors.Is(context.Cause(x.work), errStopped) }
 
 // stopped ends a request whose work was stopped.
 func (x *exchange) stopped() {
