Records of unknown versions are sent until they are confirmed

What callers saw: a stream that began at a server restarted in place, whose entry had not come, could go on at the listed version at another router.

Cause: the record that its version is unknown was sent once, to the routers that counted as live then. Where a datagram of it was lost, or the sender was cut off for less than it takes to count as lost, no other router ever had it, and a missing record of a single listed version is taken for that version. To routers heard of later it went only if they became holders, not if they were merely asked.

Change: the sender asks the routers that may be asked whether they hold the record, and sends it again, after 40 ms and then twice as long up to a second, until they do, also to those heard of or restarted later.

--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -121,6 +121,9 @@
 // handleAnswer ends a lookup with a record, or concludes it once enough routers have none.
 func (m *Machine) handleAnswer(msg AnswerMsg) {
 	a := msg.Answer
+	if m.handleConfirmation(msg) {
+		return
+	}
 	l := m.lookups[a.Number]
 	if l == nil && m.probes[a.Number] != a.Service || l != nil && l.query.Service != a.Service {
 		return
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -25,6 +25,10 @@
 	unchecked    []Key
 	previousHome []Router
 
+	confirmations map[Key]*confirmation // of records that are sent until they are confirmed
+	confirming    map[uint64]Key        // streams of confirmations, by number of the query
+	unconfirmed   []Key                 // confirmations that some routers may still lack
+
 	lookups    map[uint64]*lookup // by number of the query
 	probes     map[uint64]string  // services that are asked for, by number of the query
 	lastNumber uint64
@@ -40,6 +44,7 @@
 	return &Machine{
 		self: self, versions: newRecentVersions(firstStart), sharing: make(map[string]bool),
 		outgoing: make(map[string][]Record), lookups: make(map[uint64]*lookup), probes: make(map[uint64]string),
+		confirmations: make(map[Key]*confirmation), confirming: make(map[uint64]Key),
 	}
 }
 
@@ -108,6 +113,7 @@
 
 // end drops the entry of a stream of this router, unless other routers may ask for it.
 func (m *Machine) end(key Key) {
+	m.endConfirmation(key)
 	e, ok := m.records.entries[key]
 	if !ok {
 		return
@@ -123,10 +129,11 @@
 func (m *Machine) tick(now time.Duration) {
 	m.advanceLookups(now)
 	m.reshare(now)
-	m.flush()
+	m.advanceConfirmations(now)
 	if now-m.expiredAt >= IdleInterval {
 		m.expiredAt = now
 		m.records.expire(now)
+		m.expireConfirmations(now)
 		m.versions.expire(now)
 		m.updateSharing(now)
 		m.searchHistory(now)
@@ -135,5 +142,5 @@
 
 // Idle reports whether nothing is to be done for an IdleInterval.
 func (m *Machine) Idle() bool {
-	return len(m.outgoing) == 0 && len(m.lookups) == 0 && len(m.unchecked) == 0
+	return len(m.outgoing) == 0 && len(m.lookups) == 0 && len(m.unchecked) == 0 && len(m.unconfirmed) == 0
 }
--- a/origin/sharing.go
+++ b/origin/sharing.go
@@ -53,16 +53,9 @@
 	if !ok || e.version == contradicted {
 		return
 	}
-	routers := asked(key, m.home)
-	for _, inRegion := range byRegion(m.routers) {
-		for _, r := range asked(key, inRegion) {
-			if !contains(routers, r) {
-				routers = append(routers, r)
-			}
-		}
-	}
-	m.shareWith(now, key, e, routers)
+	m.shareWith(now, key, e, m.askedAnywhere(key))
 	m.flush() // a router that knows a single version takes a missing record for that version
+	m.confirm(now, key)
 }
 
 func (m *Machine) shareWith(now time.Duration, key Key, e entry, routers []*Router) {
@@ -89,6 +82,7 @@
 	}
 	m.routers, m.home = routers, ofRegion(m.self.Region, routers)
 	m.unchecked = slices.Clone(m.records.order)
+	m.confirmAgain()
 }
 
 // reshare sends some of the records whose holders have changed to their new holders.
