Recovered streams of unknown versions are told to all that may be asked

Cause: a router that had restarted sent the records of its previous life to the two holders only, also those of unknown versions, which routers with a single listed version need in order not to take the stream for one of it.

Change: they go to all routers that may be asked, and are confirmed.

Measured: with 12 routers, one of those asked had no record; now all have it.

--- a/origin/stored.go
+++ b/origin/stored.go
@@ -84,7 +84,11 @@
 		}
 		for _, key := range s.Keys {
 			m.records.put(msg.Now, key, entry{version: s.Version, expiresAt: msg.Now + left, service: s.Service})
-			m.share(msg.Now, key)
+			if isUnknown(s.Version) {
+				m.shareWidely(msg.Now, key)
+			} else {
+				m.share(msg.Now, key)
+			}
 		}
 	}
 	m.updateSharing(msg.Now)
--- a/origin/unlisted_loss_test.go
+++ b/origin/unlisted_loss_test.go
@@ -88,6 +88,25 @@
 	}
 }
 
+// TestUnknownVersionOfAFormerLifeIsToldWidely guards against a stream of a router's previous life that goes on at the
+// only listed version at routers that keep no record of it.
+func TestUnknownVersionOfAFormerLifeIsToldWidely(t *testing.T) {
+	s := newUnlistedSim(t, 12)
+	s.begin(s.routers[0], "odd", UnknownVersion)
+	stored := s.routers[0].m.OwnStreams(s.now)
+	s.inFlight = nil
+	for _, r := range s.routers {
+		s.restart(r)
+	}
+	s.exchangeRouters()
+	s.update(s.routers[0], RecoveredMsg{Now: s.now, Streams: stored})
+	s.advance(4 * TickInterval)
+	for _, r := range asked(KeyOf(service, "red", "odd"), s.routers[0].m.home) {
+		_, holds := s.at(r.Address).m.records.get(s.now, KeyOf(service, "red", "odd"))
+		require.True(t, holds, r.Address)
+	}
+}
+
 // at returns the router at an address.
 func (s *fleetSim) at(address string) *simRouter {
 	for _, r := range s.routers {
