A router that has met a restarted server infers a version only from all others

What callers saw: a stream held events of two versions. A server had restarted in place as v3 under an entry of v1; one router began the stream there as of unknown version, and another, which had met the same start, went on with it as of v1, the single listed version, without a record.

Cause: most routers without a record were evidence enough, or the source's list of servers. Neither knows of a start whose entry has not come; a router that is cut off, or was lost with its record, may have begun streams there.

Change: a router keeps the starts that it meets and no entry names. While a service has one, a stream without a record is inferred only if all routers that were asked have answered, and all members are in touch.

--- a/gateway/cluster/contact.go
+++ b/gateway/cluster/contact.go
@@ -16,7 +16,7 @@
 			c.Current = false
 		}
 	}
-	c.Majority, c.Members = 2*live > p.members, p.members
+	c.Majority, c.Members, c.Missing = 2*live > p.members, p.members, max(0, p.members-live)
 	return c
 }
 
--- a/gateway/cluster/origins.go
+++ b/gateway/cluster/origins.go
@@ -44,6 +44,11 @@
 	o.update(origin.BegunMsg{Now: o.deps.StateMachine.Now(), Service: service, Record: r})
 }
 
+// MetUnlisted records that a server accepts connections as a start that no entry names.
+func (o *Origins) MetUnlisted(service, start string) {
+	o.update(origin.UnlistedStartMsg{Now: o.deps.StateMachine.Now(), Service: service, Start: start})
+}
+
 // Ended records that a stream has been delivered to its end.
 func (o *Origins) Ended(key origin.Key) { o.update(origin.EndedMsg{Key: key}) }
 
@@ -158,7 +163,16 @@
 		return
 	}
 	o.serversRevision = list.Revision
-	o.execute(o.machine.Update(origin.ListedMsg{Now: o.deps.StateMachine.Now(), Services: listedVersions(list.Servers)}))
+	o.execute(o.machine.Update(origin.ListedMsg{Now: o.deps.StateMachine.Now(), Services: listedVersions(list.Servers), Servers: serverIDs(list.Servers)}))
+}
+
+// serverIDs returns the IDs of the servers.
+func serverIDs(servers []direct.Server) []string {
+	out := make([]string, 0, len(servers))
+	for _, s := range servers {
+		out = append(out, s.ID)
+	}
+	return out
 }
 
 // listedVersions returns the versions of the servers, by service.
--- a/gateway/fakeserver_test.go
+++ b/gateway/fakeserver_test.go
@@ -54,6 +54,7 @@
 type noOrigins struct{}
 
 func (noOrigins) Begun(string, origin.Record) {}
+func (noOrigins) MetUnlisted(_, _ string)     {}
 func (noOrigins) Ended(origin.Key)            {}
 func (noOrigins) Lookup(context.Context, string, origin.Key) origin.Resolution {
 	return origin.Resolution{}
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -81,11 +81,24 @@
 	a.x.front.stats.ServerIdentified(a.identity.incarnation)
 	if a.identity.incarnation == direct.OtherIncarnation {
 		a.logOtherStart(conn)
+		a.recordUnlisted(conn)
 	}
 	a.x.front.core.Update(direct.IncarnationMsg{Now: a.x.front.core.Now(), ID: a.id, Incarnation: a.identity.incarnation, NewConn: !conn.IsReused()})
 	return nil
 }
 
+// recordUnlisted records that a new connection leads to a start of the server that no entry names.
+func (a *attempt) recordUnlisted(conn *backend.Conn) {
+	millis, told := conn.ServerStart()
+	if !told || conn.IsReused() {
+		return
+	}
+	start := direct.UnlistedID(direct.UnlistedVersion(a.cmd.Server.Name(), millis))
+	if _, listed := a.x.front.listedVersion(start); !listed {
+		a.x.front.origins.MetUnlisted(a.x.service, start)
+	}
+}
+
 // leadsToNextStart reports whether the server is known to have restarted since its entry: a new connection
 // leads to another start.
 func (a *attempt) leadsToNextStart() bool {
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -24,6 +24,7 @@
 // origins tells which version of the servers began a stream.
 type origins interface {
 	Begun(service string, r origin.Record)
+	MetUnlisted(service, start string)
 	Ended(key origin.Key)
 	Lookup(ctx context.Context, service string, key origin.Key) origin.Resolution
 }
--- a/origin/conclude.go
+++ b/origin/conclude.go
@@ -15,6 +15,10 @@
 		m.askRegions(now, l)
 	case several:
 		m.finish(l, Resolution{Evidence: SeveralVersions})
+	case m.mayHaveBegunUnlisted(l):
+		if l.hasHeardAll(now) {
+			m.finish(l, Resolution{Evidence: VersionUnlisted})
+		}
 	case m.reading.isFreshFor(l):
 		m.concludeFromRead(now, l)
 	case !m.reading.hasFailedSince(l.startedAt):
@@ -83,6 +87,9 @@
 
 // lateResolution returns the resolution of a lookup whose call to the source has not ended in time.
 func (m *Machine) lateResolution(l *lookup) Resolution {
+	if m.mayHaveBegunUnlisted(l) {
+		return Resolution{Evidence: VersionUnlisted}
+	}
 	if l.isVouchedFor() && !m.versions.several(l.query.Service) {
 		return m.onlyVersion(l.query.Service, RoutersAgree)
 	}
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -18,6 +18,7 @@
 	home     []Router // those of them that hold the records of this router's streams
 	records  table
 	versions recentVersions
+	unlisted unlistedStarts
 	sharing  map[string]bool     // services whose records are sent to other routers
 	outgoing map[string][]Record // by the router that they go to
 
@@ -45,6 +46,7 @@
 		self: self, versions: newRecentVersions(firstStart), sharing: make(map[string]bool),
 		outgoing: make(map[string][]Record), lookups: make(map[uint64]*lookup), probes: make(map[uint64]string),
 		confirmations: make(map[Key]*confirmation), confirming: make(map[uint64]Key),
+		unlisted: make(unlistedStarts),
 	}
 }
 
@@ -67,7 +69,10 @@
 		m.setRouters(msg.Routers)
 	case ListedMsg:
 		m.versions.setListed(msg.Now, msg.Services)
+		m.unlisted.list(msg.Servers)
 		m.updateSharing(msg.Now)
+	case UnlistedStartMsg:
+		m.unlisted.add(msg.Now, msg.Service, msg.Start)
 	case StoredMsg:
 		m.handleStored(msg)
 	case RecordsMsg:
@@ -96,7 +101,9 @@
 	r := msg.Record
 	old, known := m.records.get(msg.Now, r.Key)
 	m.records.put(msg.Now, r.Key, entry{version: r.Version, expiresAt: msg.Now + clampLifetime(r.Lifetime), service: msg.Service})
-	if !isUnknown(r.Version) {
+	if isUnknown(r.Version) {
+		m.unlisted.add(msg.Now, msg.Service, unlistedStart(r.Version))
+	} else {
 		m.versions.known.add(msg.Service, r.Version, msg.Now+versionRetention)
 	}
 	m.updateSharing(msg.Now)
@@ -135,6 +142,7 @@
 		m.records.expire(now)
 		m.expireConfirmations(now)
 		m.versions.expire(now)
+		m.unlisted.expire(now)
 		m.updateSharing(now)
 		m.searchHistory(now)
 	}
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -33,6 +33,8 @@
 	Majority bool
 	// Members is the number of these routers, with this one; 0: it is not known.
 	Members int
+	// Missing is the number of these routers of which no heartbeat has arrived lately.
+	Missing int
 	// Current reports that no router which this one has heard of has a newer list of servers.
 	Current bool
 	// SourceFailing reports that the last call to the source failed.
@@ -53,6 +55,15 @@
 type ListedMsg struct {
 	Now      time.Duration
 	Services map[string][]string
+	// Servers are the IDs of all servers, which name their starts.
+	Servers []string
+}
+
+// UnlistedStartMsg reports that a server of a service accepts connections as a start that no entry names.
+type UnlistedStartMsg struct {
+	Now     time.Duration
+	Service string
+	Start   string // the ID that its entry will have
 }
 
 // StoredMsg delivers the versions that the source keeps, by service: those that may have begun
@@ -102,19 +113,20 @@
 // idle.
 type TickMsg struct{ Now time.Duration }
 
-func (BegunMsg) isMsg()       {}
-func (EndedMsg) isMsg()       {}
-func (LookupMsg) isMsg()      {}
-func (ContactLostMsg) isMsg() {}
-func (RecoveredMsg) isMsg()   {}
-func (RoutersMsg) isMsg()     {}
-func (ListedMsg) isMsg()      {}
-func (StoredMsg) isMsg()      {}
-func (RecordsMsg) isMsg()     {}
-func (QueryMsg) isMsg()       {}
-func (AnswerMsg) isMsg()      {}
-func (LeaveMsg) isMsg()       {}
-func (TickMsg) isMsg()        {}
+func (BegunMsg) isMsg()         {}
+func (EndedMsg) isMsg()         {}
+func (LookupMsg) isMsg()        {}
+func (ContactLostMsg) isMsg()   {}
+func (RecoveredMsg) isMsg()     {}
+func (RoutersMsg) isMsg()       {}
+func (ListedMsg) isMsg()        {}
+func (UnlistedStartMsg) isMsg() {}
+func (StoredMsg) isMsg()        {}
+func (RecordsMsg) isMsg()       {}
+func (QueryMsg) isMsg()         {}
+func (AnswerMsg) isMsg()        {}
+func (LeaveMsg) isMsg()         {}
+func (TickMsg) isMsg()          {}
 
 // Query asks which version began a stream.
 type Query struct {
--- /dev/null
+++ b/origin/unlisted_test.go
@@ -0,0 +1,70 @@
+package origin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const start = "n-0@7"
+
+// meet reports to all routers but the first that a server has restarted.
+func (s *fleetSim) meet() {
+	for _, r := range s.routers[1:] {
+		s.update(r, UnlistedStartMsg{Now: s.now, Service: service, Start: start})
+	}
+}
+
+// TestMetStartIsNotTakenForTheListedVersion guards against a stream that goes on at the only listed version at a
+// router which has met the restarted server that began it, since the stream's router was cut off until it was lost,
+// counted as live or not.
+func TestMetStartIsNotTakenForTheListedVersion(t *testing.T) {
+	for _, size := range []int{2, 3, 5, 12} {
+		for _, missing := range []bool{false, true} {
+			if size > copies+extraAsked+1 && !missing {
+				continue // not all of the others are asked
+			}
+			s := newUnlistedSim(t, size)
+			s.cut[s.routers[0].self.Address] = true
+			s.begin(s.routers[0], "odd", UnknownVersion+start)
+			s.meet()
+			s.advance(100 * time.Millisecond)
+			s.routers[0].kill()
+			if missing {
+				s.exchangeRouters()
+				s.contact.Missing = 1
+			}
+			s.requireUnknown("odd")
+			s.storeErr = errAway
+			s.contact.SourceFailing = true
+			s.requireUnknown("odd")
+		}
+	}
+}
+
+// TestMetStartStopsNoStream guards against streams of the only version that nobody may continue, since a server has
+// restarted: while all routers answer, and, whether or not they do, once its entry has come or nobody may resume its
+// streams any more.
+func TestMetStartStopsNoStream(t *testing.T) {
+	for _, size := range []int{2, 3, 5, 12} {
+		s := newUnlistedSim(t, size)
+		s.meet()
+		for _, r := range s.routers {
+			require.Equal(t, "v1", s.lookup(r, "v1-0").Version, "%s of %d routers", r.self.Address, size)
+		}
+		s.contact.Missing = 1
+		for _, r := range s.routers[1:] {
+			require.Equal(t, VersionUnlisted, s.lookupKey(r, 1).Evidence)
+			s.update(r, ListedMsg{Now: s.now, Services: s.listed, Servers: []string{start}})
+			require.Equal(t, "v1", s.lookup(r, "v1-0").Version, "%s of %d routers, with its entry", r.self.Address, size)
+		}
+		s.meet()
+		for s.now += MaxLifetime; s.now%time.Second > 0; s.advance(TickInterval) {
+		}
+		s.advance(2 * IdleInterval)
+		for _, r := range s.routers[1:] {
+			require.Equal(t, "v1", s.lookup(r, "v1-0").Version, "%s of %d routers, later", r.self.Address, size)
+		}
+	}
+}
