A start that is met while a stream looks for a server casts doubt on its version

What callers saw: as before, if the router met the restarted server only with the request that resumes the stream: its version was inferred already, so that it went on at the next server of the listed one.

Change: if an attempt is withheld since its server has restarted, and the stream has no record, its version is looked up again, and the request refused (origin_unknown) unless the conclusion still holds.

Measured: TestMetStartCastsDoubtOnAnInference red without the look-up (200 for 503), green with it; streams that may still be inferred go on there.

--- a/gateway/attemptend.go
+++ b/gateway/attemptend.go
@@ -17,6 +17,9 @@
 		}
 		a.endExpired(o)
 		return o, true
+	case a.leavesOriginInDoubt(o):
+		a.x.originInDoubt()
+		return o, true
 	}
 	return o, false
 }
--- a/gateway/streamorigin.go
+++ b/gateway/streamorigin.go
@@ -69,6 +69,30 @@
 	return nil
 }
 
+// leavesOriginInDoubt reports whether the version that began a stream, of which there was no record, can't be
+// concluded any more: the server of the attempt turned out to have restarted since its entry.
+func (a *attempt) leavesOriginInDoubt(o direct.Outcome) bool {
+	s := &a.x.stream
+	if o != direct.Withheld || a.identity.incarnation != direct.OtherIncarnation || a.x.headSent || s.version == "" || s.recorded {
+		return false
+	}
+	resolution := a.x.front.origins.Lookup(a.x.work, a.x.service, s.key)
+	if resolution.Certainty != origin.Unknown && resolution.Version == s.version {
+		return false
+	}
+	a.x.logOriginUnknown(a.x.info.firstAttempt(), resolution.Evidence)
+	return true
+}
+
+// originInDoubt ends a request whose stream may have begun at another version.
+func (x *exchange) originInDoubt() {
+	if x.mayHaveRun.Load() {
+		x.fail(reasonOriginUnknown)
+		return
+	}
+	x.refuse(reasonOriginUnknown, originRetryAfter)
+}
+
 // resolveStart returns the version of a start of a server that began a stream before its entry came.
 func (f *front) resolveStart(id string) origin.Resolution {
 	if version, listed := f.listedVersion(id); listed {
