--- a/origin/unlisted_loss_test.go
+++ b/origin/unlisted_loss_test.go
@@ -107,6 +107,21 @@
 	}
 }
 
+// TestUnknownVersionOfLostRouterIsNotGuessed guards against a stream that goes on at the only listed version, since
+// its router was cut off from the others from before it began until it was lost.
+func TestUnknownVersionOfLostRouterIsNotGuessed(t *testing.T) {
+	for _, size := range []int{2, 3, 5, 12} {
+		t.Run(fmt.Sprint(size, "_routers"), func(t *testing.T) {
+			s := newUnlistedSim(t, size)
+			s.cut[s.routers[0].self.Address] = true
+			s.begin(s.routers[0], "odd", UnknownVersion)
+			s.advance(100 * time.Millisecond)
+			s.routers[0].kill()
+			s.requireUnknown("odd")
+		})
+	}
+}
+
 // at returns the router at an address.
 func (s *fleetSim) at(address string) *simRouter {
 	for _, r := range s.routers {
