A router that has just started infers nothing beside a restarted server

By the routers' lines all three had been killed and started again within .26 s. edge-3 began the stream at a server restarted in place, as of unknown version, while it knew no other router. edge-1, started 90 ms before the stream was taken up there, had heard of edge-2 only, and met another restarted server with that very request.

Cause: a router that has just started takes those of which it has heard for all members, so that its two routers were most, and all, of the fleet.

Measured: TestStartedRoutersTakeNoMetStartForTheListedVersion, that order on a fake clock, red without the change and green with it.

--- a/gateway/cluster/contact.go
+++ b/gateway/cluster/contact.go
@@ -16,7 +16,9 @@
 			c.Current = false
 		}
 	}
-	c.Majority, c.Members, c.Missing = 2*live > p.members, p.members, max(0, p.members-live)
+	c.Majority, c.Members = 2*live > p.members, p.members
+	c.Missing = max(p.members, len(p.known)+1) - live
+	c.Starting = p.deps.StateMachine.Now() < warmUpTime
 	return c
 }
 
--- a/gateway/cluster/contact_test.go
+++ b/gateway/cluster/contact_test.go
@@ -18,8 +18,22 @@
 	c := p.contact()
 	require.Equal(t, 1, c.Missing)
 	require.True(t, c.Majority)
-	p.members = 1
-	require.Equal(t, 0, p.contact().Missing, "the number of members is late")
+	delete(p.known, "c")
+	require.Equal(t, 1, p.contact().Missing, "while the store is away, the number of members does not fall")
+	p.members = 2
+	require.Equal(t, 0, p.contact().Missing)
+	p.Add("d")
+	require.Equal(t, 1, p.contact().Missing, "it has not been heard yet")
+	require.Equal(t, 2, p.contact().Members)
+}
+
+// TestStartedRouterKnowsNoMembers guards against a router that has just started and takes those of which it has heard
+// for all members.
+func TestStartedRouterKnowsNoMembers(t *testing.T) {
+	p := newTestPeers("a", &peer{address: "b"})
+	require.False(t, p.contact().Starting)
+	p.deps.StateMachine = newTestMachine()
+	require.True(t, p.contact().Starting)
 }
 
 // TestEntriesNameStarts verifies that a start which was met is known by the ID that its entry will have.
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -33,8 +33,11 @@
 	Majority bool
 	// Members is the number of these routers, with this one; 0: it is not known.
 	Members int
-	// Missing is the number of these routers of which no heartbeat has arrived lately.
+	// Missing is the number of known routers of which no heartbeat has arrived lately.
 	Missing int
+	// Starting reports that this router has started so recently that there may be members of which it has not
+	// heard.
+	Starting bool
 	// Current reports that no router which this one has heard of has a newer list of servers.
 	Current bool
 	// SourceFailing reports that the last call to the source failed.
--- a/origin/unlisted_test.go
+++ b/origin/unlisted_test.go
@@ -68,3 +68,27 @@
 		}
 	}
 }
+
+// TestStartedRoutersTakeNoMetStartForTheListedVersion guards against a stream that goes on at the only listed version,
+// since all routers have just restarted: the one that began it is not known yet to the one that takes it up.
+func TestStartedRoutersTakeNoMetStartForTheListedVersion(t *testing.T) {
+	s := newUnlistedSim(t, 3)
+	for _, r := range s.routers {
+		s.restart(r)
+	}
+	edge1, edge2, edge3 := s.routers[0], s.routers[1], s.routers[2]
+	s.begin(edge3, "odd", UnknownVersion+start)
+	s.update(edge1, RoutersMsg{Routers: []Router{edge2.self}})
+	s.contact.Members, s.contact.Starting = 2, true
+	require.Equal(t, "v1", s.lookup(edge1, "v1-0").Version, "it has met no other start")
+	s.update(edge1, UnlistedStartMsg{Now: s.now, Service: service, Start: start})
+	require.Equal(t, VersionUnlisted, s.lookupKey(edge1, KeyOf(service, "red", "odd")).Evidence)
+
+	s.exchangeRouters()
+	s.contact.Members, s.contact.Starting = 3, false
+	s.advance(200 * time.Millisecond)
+	require.Equal(t, UnknownVersion+start, s.lookup(edge1, "odd").Version)
+	require.Equal(t, "v1", s.lookup(edge1, "v1-0").Version)
+	edge3.kill()
+	require.Equal(t, UnknownVersion+start, s.lookup(edge2, "odd").Version)
+}
