A question that needs all answers is asked again

Cause: a lookup of a single version asks the silent routers no second time once one has answered. Beside a start that was met all answers are needed, so that a lost datagram refused the stream.

Measured: TestLostQuestionBesideAMetStartStopsNoStream red before (3 routers, first question), green with 2, 3, 5 and 12 routers.

--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -174,7 +174,7 @@
 			m.conclude(now, l)
 		case age >= queryRetryDelay && !l.repeated:
 			l.repeated = true
-			if len(l.unanswered) < l.asked && m.knowsOnlyVersion(l.query.Service) {
+			if len(l.unanswered) < l.asked && m.knowsOnlyVersion(l.query.Service) && !m.mayHaveBegunUnlisted(l) {
 				m.conclude(now, l)
 				continue
 			}
--- a/origin/unlisted_test.go
+++ b/origin/unlisted_test.go
@@ -92,3 +92,20 @@
 	edge3.kill()
 	require.Equal(t, UnknownVersion+start, s.lookup(edge2, "odd").Version)
 }
+
+// TestLostQuestionBesideAMetStartStopsNoStream guards against a stream of the only version that is refused, since one
+// question about it was lost, and needs all answers.
+func TestLostQuestionBesideAMetStartStopsNoStream(t *testing.T) {
+	for _, size := range []int{2, 3, 5, 12} {
+		for lost := range min(size-1, copies+extraAsked) {
+			s := newUnlistedSim(t, size)
+			s.meet()
+			r := s.routers[1]
+			s.update(r, LookupMsg{Now: s.now, ID: 1, Service: service, Key: 1, Contact: s.contact})
+			read := len(s.inFlight) - min(size-1, copies+extraAsked)
+			s.inFlight = append(s.inFlight[:read+lost:read+lost], s.inFlight[read+lost+1:]...)
+			s.advance(LookupTimeout)
+			require.Equal(t, Resolution{Certainty: Inferred, Evidence: SourceRead, Version: "v1"}, s.results[1], "question %d of %d routers", lost, size)
+		}
+	}
+}
