Answers tell that a restarted server was met

Cause: only a router that had itself met a start without an entry asked for all answers.

Change: an answer says so (one bit, left out otherwise; earlier builds ignore it), and the lookup then needs what it needs where the router itself has met one. It is not kept, so that routers don't renew it for one another.

TestMetStartStopsNoStream now lets the entry come to all routers before it requires streams to go on with one missing: a router without it still says that it has met the start.

Measured: TestStartMetElsewhereIsNotTakenForTheListedVersion red without the change (3 routers), green with it.

--- a/gateway/cluster/originmessage.go
+++ b/gateway/cluster/originmessage.go
@@ -39,6 +39,8 @@
 	// Left holds how long each of Versions still counts, in units of lifetimeUnit.
 	Left     []uint16 `msgpack:"t,omitempty"`
 	Complete bool     `msgpack:"c,omitempty"`
+	// MetUnlisted is not known to builds before it.
+	MetUnlisted bool `msgpack:"u,omitempty"`
 }
 
 const (
@@ -89,7 +91,7 @@
 
 // packOriginAnswer encodes an answer.
 func packOriginAnswer(a origin.Answer) *originAnswer {
-	out := &originAnswer{Number: a.Number, Service: a.Service, Found: a.Found, Version: a.Version, Complete: a.Complete}
+	out := &originAnswer{Number: a.Number, Service: a.Service, Found: a.Found, Version: a.Version, Complete: a.Complete, MetUnlisted: a.MetUnlisted}
 	for _, v := range a.Versions {
 		out.Versions = append(out.Versions, v.Name)
 		out.Left = append(out.Left, uint16(min(v.Left, origin.MaxLifetime)/lifetimeUnit))
@@ -99,7 +101,7 @@
 
 // unpack returns the answer. A version without a time counts as if its servers had just gone.
 func (a *originAnswer) unpack() origin.Answer {
-	out := origin.Answer{Number: a.Number, Service: a.Service, Found: a.Found, Version: a.Version, Complete: a.Complete}
+	out := origin.Answer{Number: a.Number, Service: a.Service, Found: a.Found, Version: a.Version, Complete: a.Complete, MetUnlisted: a.MetUnlisted}
 	for i, name := range a.Versions {
 		left := origin.MaxLifetime
 		if i < len(a.Left) {
--- a/gateway/cluster/originmessage_test.go
+++ b/gateway/cluster/originmessage_test.go
@@ -75,3 +75,14 @@
 		require.Less(t, bytes, float64(maxBytesPerSecond))
 	}
 }
+
+// TestMetStartsSurviveEncoding verifies that a router learns that another one has met a start without an entry.
+func TestMetStartsSurviveEncoding(t *testing.T) {
+	for _, met := range []bool{false, true} {
+		body, err := encodeOrigin(originMessage{Answer: packOriginAnswer(origin.Answer{Number: 7, MetUnlisted: met})})
+		require.NoError(t, err)
+		m, err := decodeOrigin(body)
+		require.NoError(t, err)
+		require.Equal(t, met, m.Answer.unpack().MetUnlisted)
+	}
+}
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -33,6 +33,7 @@
 	askedRegions bool            // routers of other regions were asked too
 	askedMost    bool            // routers were asked whether they are in touch with this one
 	concluding   bool            // no router that has answered has a record
+	toldUnlisted bool            // a router that has answered has met a start that no entry names
 	unlisted     string          // unknown version in the record of a router that has answered; empty: none
 }
 
@@ -110,7 +111,7 @@
 // answer answers another router's question.
 func (m *Machine) answer(msg QueryMsg) {
 	q := msg.Query
-	a := Answer{Number: q.Number, Service: q.Service}
+	a := Answer{Number: q.Number, Service: q.Service, MetUnlisted: m.unlisted.any(q.Service)}
 	a.Versions, a.Complete = m.versions.tell(msg.Now, q.Service)
 	if e, ok := m.records.get(msg.Now, q.Key); ok {
 		a.Found, a.Version = true, e.version
@@ -135,6 +136,7 @@
 		return
 	}
 	delete(l.unanswered, msg.From)
+	l.toldUnlisted = l.toldUnlisted || a.MetUnlisted
 	switch {
 	case a.Found && isUnknown(a.Version) && len(l.unanswered) > 0:
 		l.unlisted = a.Version // another router may know the version by now
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -148,6 +148,8 @@
 	// Complete reports that none is missing.
 	Versions []RecentVersion
 	Complete bool
+	// MetUnlisted reports that a server of the service has accepted connections as a start that no entry names.
+	MetUnlisted bool
 }
 
 // RecentVersion is a version whose streams can still be resumed.
--- a/origin/unlisted.go
+++ b/origin/unlisted.go
@@ -57,8 +57,9 @@
 }
 
 // mayHaveBegunUnlisted reports whether a stream without a record may have begun at a server that had restarted
-// since its entry: this router has met such a server, and some router that may have met it, too, has not answered,
-// or is not known yet.
+// since its entry: this router, or one that has answered, has met such a server, and some router that may have met
+// it, too, has not answered, or is not known yet.
 func (m *Machine) mayHaveBegunUnlisted(l *lookup) bool {
-	return m.unlisted.any(l.query.Service) && (len(l.unanswered) > 0 || l.contact.Missing > 0 || l.contact.Starting)
+	met := m.unlisted.any(l.query.Service) || l.toldUnlisted
+	return met && (len(l.unanswered) > 0 || l.contact.Missing > 0 || l.contact.Starting)
 }
--- a/origin/unlisted_test.go
+++ b/origin/unlisted_test.go
@@ -56,7 +56,11 @@
 		s.contact.Missing = 1
 		for _, r := range s.routers[1:] {
 			require.Equal(t, VersionUnlisted, s.lookupKey(r, 1).Evidence)
+		}
+		for _, r := range s.routers[1:] {
 			s.update(r, ListedMsg{Now: s.now, Services: s.listed, Servers: []string{start}})
+		}
+		for _, r := range s.routers {
 			require.Equal(t, "v1", s.lookup(r, "v1-0").Version, "%s of %d routers, with its entry", r.self.Address, size)
 		}
 		s.meet()
@@ -109,3 +113,25 @@
 		}
 	}
 }
+
+// TestStartMetElsewhereIsNotTakenForTheListedVersion guards against a stream that goes on at the only listed version at
+// a router that has not met the restarted server, though one that it asks has, and another one is missing. Streams go on
+// while none is.
+func TestStartMetElsewhereIsNotTakenForTheListedVersion(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		s := newUnlistedSim(t, size)
+		s.cut[s.routers[0].self.Address] = true
+		s.begin(s.routers[0], "odd", UnknownVersion+start)
+		s.update(s.routers[1], UnlistedStartMsg{Now: s.now, Service: service, Start: start})
+		s.advance(100 * time.Millisecond)
+		s.routers[0].kill()
+		s.requireUnknown("odd")
+		s.exchangeRouters()
+		s.contact.Missing = 1
+		s.requireUnknown("odd")
+		s.contact.Missing, s.contact.Starting = 0, true
+		s.requireUnknown("odd")
+		s.contact.Starting = false
+		s.requireGoesOn("v1-0")
+	}
+}
