A router that has just started asks those that it hears of during a lookup

By the routers' lines all had restarted within .3 s; the one that took the stream up, some 100 ms after its start, heard of the first other router 10 ms later, and met no restarted server before. The router that had begun the stream ran, and had its record.

Cause: a lookup asks the routers that are known as it begins. With none, the source alone was evidence.

Measured: TestStartedRouterAsksThoseItHearsOf red without the wait, green with it, knowing none and one of two others; a router that is alone still infers.

--- a/origin/conclude.go
+++ b/origin/conclude.go
@@ -15,6 +15,7 @@
 		m.askRegions(now, l)
 	case several:
 		m.finish(l, Resolution{Evidence: SeveralVersions})
+	case l.awaitsRouters(now):
 	case m.mayHaveBegunUnlisted(l):
 		if l.hasHeardAll(now) {
 			m.finish(l, Resolution{Evidence: VersionUnlisted})
--- a/origin/lookup.go
+++ b/origin/lookup.go
@@ -13,6 +13,8 @@
 	queryTimeout = 120 * time.Millisecond
 	// LookupTimeout bounds a lookup, including a call to the source.
 	LookupTimeout = 500 * time.Millisecond
+	// startingWait is how long a router that has just started waits for others of which it has not heard yet.
+	startingWait = 300 * time.Millisecond
 	// maxLookups bounds the lookups in progress. More of them fail at once.
 	maxLookups = 512
 	// maxVouchers is the number of routers that are asked whether they are in touch with this one.
@@ -28,6 +30,7 @@
 	startedAt    time.Duration
 	askedAt      time.Duration
 	asked        int             // routers that were asked last
+	questioned   map[string]bool // all routers that were asked
 	unanswered   map[string]bool // those of them that have not answered yet
 	repeated     bool            // the question was sent once more to these
 	askedRegions bool            // routers of other regions were asked too
@@ -49,7 +52,7 @@
 	}
 	m.lastNumber++
 	l := &lookup{
-		id: msg.ID, contact: msg.Contact, startedAt: msg.Now, unanswered: make(map[string]bool),
+		id: msg.ID, contact: msg.Contact, startedAt: msg.Now, questioned: make(map[string]bool), unanswered: make(map[string]bool),
 		query: Query{Number: m.lastNumber, Service: msg.Service, Key: msg.Key},
 	}
 	m.lookups[l.query.Number] = l
@@ -70,14 +73,34 @@
 	l.askedAt, l.asked, l.repeated = now, len(routers), false
 	clear(l.unanswered)
 	for _, r := range routers {
-		l.unanswered[r.Address] = true
-		m.emit(QueryCmd{To: r.Address, Query: l.query})
+		m.question(l, r)
 	}
 	if len(routers) == 0 {
 		m.conclude(now, l)
 	}
 }
 
+func (m *Machine) question(l *lookup, r *Router) {
+	l.questioned[r.Address], l.unanswered[r.Address] = true, true
+	m.emit(QueryCmd{To: r.Address, Query: l.query})
+}
+
+// askNewcomers asks the routers of which this one, which has just started, has heard since.
+func (m *Machine) askNewcomers(now time.Duration, l *lookup) {
+	for _, r := range asked(l.query.Key, m.home) {
+		if !l.questioned[r.Address] {
+			l.askedAt, l.repeated = now, false
+			l.asked++
+			m.question(l, r)
+		}
+	}
+}
+
+// awaitsRouters reports whether a lookup waits for routers of which this one may not have heard yet.
+func (l *lookup) awaitsRouters(now time.Duration) bool {
+	return l.contact.Starting && now-l.startedAt < startingWait
+}
+
 // recorded returns the resolution of a stream with a record.
 func recorded(version string) Resolution {
 	switch {
@@ -168,6 +191,9 @@
 func (m *Machine) advanceLookups(now time.Duration) {
 	for _, number := range slices.Sorted(maps.Keys(m.lookups)) {
 		l := m.lookups[number]
+		if l.awaitsRouters(now) {
+			m.askNewcomers(now, l)
+		}
 		age := now - l.askedAt
 		switch {
 		case now-l.startedAt >= LookupTimeout-TickInterval:
--- a/origin/unlisted_test.go
+++ b/origin/unlisted_test.go
@@ -135,3 +135,33 @@
 		s.requireGoesOn("v1-0")
 	}
 }
+
+// TestStartedRouterAsksThoseItHearsOf guards against a stream that goes on at the only listed version, since the router
+// that takes it up has just started, and knows no other one yet.
+func TestStartedRouterAsksThoseItHearsOf(t *testing.T) {
+	for known := range 2 {
+		s := newUnlistedSim(t, 3)
+		for _, r := range s.routers {
+			s.restart(r)
+		}
+		edge1, edge2, edge3 := s.routers[0], s.routers[1], s.routers[2]
+		s.begin(edge3, "odd", UnknownVersion+start)
+		s.update(edge1, RoutersMsg{Routers: []Router{edge2.self}[:known]})
+		s.contact.Members, s.contact.Starting = known+1, true
+		s.update(edge1, LookupMsg{Now: s.now, ID: 1, Service: service, Key: KeyOf(service, "red", "odd"), Contact: s.contact})
+		s.advance(200 * time.Millisecond)
+		require.Empty(t, s.results)
+		s.exchangeRouters()
+		s.advance(100 * time.Millisecond)
+		require.Equal(t, Resolution{Certainty: Recorded, Version: UnknownVersion + start}, s.results[1], "it knew %d routers", known)
+	}
+}
+
+// TestStartedRouterAloneStopsNoStream guards against streams of a single version that are refused since no other router
+// is heard.
+func TestStartedRouterAloneStopsNoStream(t *testing.T) {
+	s := newUnlistedSim(t, 1)
+	s.restart(s.routers[0])
+	s.contact.Starting = true
+	require.Equal(t, Resolution{Certainty: Inferred, Evidence: SourceRead, Version: "v1"}, s.lookupKey(s.routers[0], 1))
+}
