--- a/gateway/cluster/contact.go
+++ b/gateway/cluster/contact.go
@@ -17,6 +17,8 @@
 		}
 	}
 	c.Majority, c.Members = 2*live > p.members, p.members
+	c.Missing = max(p.members, len(p.known)+1) - live
+	c.Starting = p.deps.StateMachine.Now() < warmUpTime
 	return c
 }
 
--- a/origin/machine.go
+++ b/origin/machine.go
@@ -18,6 +18,7 @@
 	home     []Router // those of them that hold the records of this router's streams
 	records  table
 	versions recentVersions
+	unlisted unlistedStarts
 	sharing  map[string]bool     // services whose records are sent to other routers
 	outgoing map[string][]Record // by the router that they go to
 
@@ -25,6 +26,10 @@
 	unchecked    []Key
 	previousHome []Router
 
+	confirmations map[Key]*confirmation // of records that are sent until they are confirmed
+	confirming    map[uint64]Key        // streams of confirmations, by number of the query
+	unconfirmed   []Key                 // confirmations that some routers may still lack
+
 	lookups    map[uint64]*lookup // by number of the query
 	probes     map[uint64]string  // services that are asked for, by number of the query
 	lastNumber uint64
@@ -40,6 +45,8 @@
 	return &Machine{
 		self: self, versions: newRecentVersions(firstStart), sharing: make(map[string]bool),
 		outgoing: make(map[string][]Record), lookups: make(map[uint64]*lookup), probes: make(map[uint64]string),
+		confirmations: make(map[Key]*confirmation), confirming: make(map[uint64]Key),
+		unlisted: make(unlistedStarts),
 	}
 }
 
@@ -62,7 +69,10 @@
 		m.setRouters(msg.Routers)
 	case ListedMsg:
 		m.versions.setListed(msg.Now, msg.Services)
+		m.unlisted.list(msg.Servers)
 		m.updateSharing(msg.Now)
+	case UnlistedStartMsg:
+		m.unlisted.add(msg.Now, msg.Service, msg.Start)
 	case StoredMsg:
 		m.handleStored(msg)
 	case RecordsMsg:
@@ -91,7 +101,9 @@
 	r := msg.Record
 	old, known := m.records.get(msg.Now, r.Key)
 	m.records.put(msg.Now, r.Key, entry{version: r.Version, expiresAt: msg.Now + clampLifetime(r.Lifetime), service: msg.Service})
-	if !isUnknown(r.Version) {
+	if isUnknown(r.Version) {
+		m.unlisted.add(msg.Now, msg.Service, unlistedStart(r.Version))
+	} else {
 		m.versions.known.add(msg.Service, r.Version, msg.Now+versionRetention)
 	}
 	m.updateSharing(msg.Now)
@@ -108,6 +120,7 @@
 
 // end drops the entry of a stream of this router, unless other routers may ask for it.
 func (m *Machine) end(key Key) {
+	m.endConfirmation(key)
 	e, ok := m.records.entries[key]
 	if !ok {
 		return
@@ -123,11 +136,13 @@
 func (m *Machine) tick(now time.Duration) {
 	m.advanceLookups(now)
 	m.reshare(now)
-	m.flush()
+	m.advanceConfirmations(now)
 	if now-m.expiredAt >= IdleInterval {
 		m.expiredAt = now
 		m.records.expire(now)
+		m.expireConfirmations(now)
 		m.versions.expire(now)
+		m.unlisted.expire(now)
 		m.updateSharing(now)
 		m.searchHistory(now)
 	}
@@ -135,5 +150,5 @@
 
 // Idle reports whether nothing is to be done for an IdleInterval.
 func (m *Machine) Idle() bool {
-	return len(m.outgoing) == 0 && len(m.lookups) == 0 && len(m.unchecked) == 0
+	return len(m.outgoing) == 0 && len(m.lookups) == 0 && len(m.unchecked) == 0 && len(m.unconfirmed) == 0
 }
