--- a/review/standin2/barred.go
+++ b/review/standin2/barred.go
@@ -18,13 +18,15 @@
 const (
 	// engineKills is how often all engines are killed at once, engineDown how long they are away, and engineKillGap the
 	// time from one kill to the next.
-	engineKills   = 6
-	engineDown    = 700 * time.Millisecond
-	engineKillGap = 1200 * time.Millisecond
+	engineKills   = 5
+	engineDown    = 2 * time.Second
+	engineKillGap = 2600 * time.Millisecond
 	// firstKill, finalFault and dayEnd are the times of the first kill, of the final fault and of the last request.
 	firstKill  = 12 * time.Second
-	finalFault = 22 * time.Second
-	dayEnd     = 45 * time.Second
+	finalFault = 30 * time.Second
+	dayEnd     = 56 * time.Second
+	// processDown is how long processes are away after the final fault.
+	processDown = 700 * time.Millisecond
 	// recoveryTime is recovery_s.
 	recoveryTime = 12 * time.Second
 	// soundParts are the parts that begin the prompts of all requests: sound ones, of an application that sends the same
@@ -58,7 +60,7 @@
 		return err
 	}
 	// killEngines ends all engines at once. Their entries go after three heartbeats, and others start in their places.
-	killEngines := func() int {
+	killEngines := func(down time.Duration) int {
 		mu.Lock()
 		var victims []*engine
 		for e := range live {
@@ -69,7 +71,7 @@
 		for _, e := range victims {
 			go e.close()
 			time.AfterFunc(3*1200*time.Millisecond, func() { f.store.Delete("servers", e.id) })
-			time.AfterFunc(engineDown, func() { _ = add(e.zone) })
+			time.AfterFunc(down, func() { _ = add(e.zone) })
 		}
 		return len(victims)
 	}
@@ -92,16 +94,16 @@
 		all.Go(func() {
 			for k := 0; k < engineKills && os.Getenv("TROUBLE") != "final"; k++ {
 				time.Sleep(time.Until(start.Add(firstKill + time.Duration(k)*engineKillGap)))
-				f.record.Notef("at %.1f s %d engines are killed", time.Since(start).Seconds(), killEngines())
+				f.record.Notef("at %.1f s %d engines are killed", time.Since(start).Seconds(), killEngines(engineDown))
 			}
 			time.Sleep(time.Until(start.Add(finalFault)))
-			f.record.Notef("at %.1f s the final fault: all routers and %d engines are killed", time.Since(start).Seconds(), killEngines())
+			f.record.Notef("at %.1f s the final fault: all routers and %d engines are killed", time.Since(start).Seconds(), killEngines(processDown))
 			var kills sync.WaitGroup
 			for _, r := range f.routers {
 				kills.Go(r.kill)
 			}
 			kills.Wait()
-			time.Sleep(engineDown)
+			time.Sleep(processDown)
 			for _, r := range f.routers {
 				if err := r.start(); err != nil {
 					f.record.Notef("%s does not start: %v", r.name, err)
