--- a/review/standin2/barred.go
+++ b/review/standin2/barred.go
@@ -119,6 +119,7 @@
 		at     time.Duration
 		served bool
 		status int
+		body   string
 	}
 	var outcomes []outcome
 	keys := []string{"key-blue", "key-red"}
@@ -133,7 +134,7 @@
 				}})
 				mu.Lock()
 				defer mu.Unlock()
-				outcomes = append(outcomes, outcome{at, got.err == nil && got.status == http.StatusOK && strings.Count(got.body, "\n\n") == 58, got.status})
+				outcomes = append(outcomes, outcome{at, got.err == nil && got.status == http.StatusOK && strings.Count(got.body, "\n\n") == 58, got.status, got.body})
 			})
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -164,6 +165,8 @@
 			sentAfter++
 			if o.served {
 				servedAfter++
+			} else if sentAfter-servedAfter == 1 {
+				f.record.Notef("the first of these that is not served gets %d %q", o.status, o.body)
 			}
 		}
 	}
