--- a/review/standin2/barred.go
+++ b/review/standin2/barred.go
@@ -97,6 +97,8 @@
 				f.record.Notef("at %.1f s %d engines are killed", time.Since(start).Seconds(), killEngines(engineDown))
 			}
 			time.Sleep(time.Until(start.Add(finalFault)))
+			f.store.Put("config", "main", f.config(7))
+			f.record.Notef("at %.1f s version 7 of the configuration is acknowledged", time.Since(start).Seconds())
 			f.record.Notef("at %.1f s the final fault: all routers and %d engines are killed", time.Since(start).Seconds(), killEngines(processDown))
 			var kills sync.WaitGroup
 			for _, r := range f.routers {
