--- a/review/standin2/barred.go
+++ b/review/standin2/barred.go
@@ -16,34 +16,63 @@
 func init() { cases["barred"] = playBarred }
 
 const (
-	// engineKills is how often all engines are killed at once, engineDown how long they are away, and engineKillGap the
-	// time from one kill to the next.
-	engineKills   = 5
-	engineDown    = 2 * time.Second
-	engineKillGap = 2600 * time.Millisecond
-	// firstKill, finalFault and dayEnd are the times of the first kill, of the final fault and of the last request.
-	firstKill  = 12 * time.Second
-	finalFault = 30 * time.Second
+	// crashingGroups groups of crashingRequests different requests come, each request every crashingInterval for groupTime,
+	// at any machine. crashDelay is the time from the first token of such a request to the crash of its engine, and
+	// crashedTime how long the engine is away.
+	crashingGroups   = 4
+	crashingRequests = 8
+	groupTime        = 2500 * time.Millisecond
+	groupInterval    = 6 * time.Second
+	crashingInterval = 500 * time.Millisecond
+	crashDelay       = 100 * time.Millisecond
+	crashedTime      = 4 * time.Second
+	// firstGroup and dayEnd are the times of the first group and of the last request.
+	firstGroup = 10 * time.Second
 	dayEnd     = 56 * time.Second
-	// processDown is how long processes are away after the final fault.
-	processDown = 700 * time.Millisecond
-	// recoveryTime is recovery_s.
-	recoveryTime = 12 * time.Second
-	// soundParts are the parts that begin the prompts of all requests: sound ones, of an application that sends the same
-	// instructions before each question.
-	soundParts = "a1c0ffee:512,b2c0ffee:4870"
+	// crashingBody begins the bodies of the requests that crash engines.
+	crashingBody = "all years of member "
+	// soundPart begins the prompts of all requests: a sound part, the instructions that an application sends before each
+	// question. crashingPart crashes the engines that begin to write on it.
+	soundPart    = "a1c0ffee:5382"
+	crashingPart = "dead4711:40"
 )
 
-// playBarred sends sound streams whose prompts begin alike. All engines are killed at once some times; later all
-// processes are, as a day's final fault. TROUBLE=final has the final fault alone.
+// playBarred sends sound streams whose prompts begin with the same part. Some other requests crash each engine that begins
+// to run them, and so does a part of prompts. TROUBLE=part has the part alone.
 func playBarred(f *fleet, trouble bool) (bool, error) {
 	f.store.Put("config", "main", f.config(3))
 	var mu sync.Mutex
-	live := make(map[*engine]bool)
-	generation := 0
+	crashed := make(map[*engine]bool)
+	var lastCrash time.Time
+	generation, partCrashes := 0, 0
 	var add func(zone string) error
-	handle := func(e *engine, conn net.Conn, r *http.Request, _ string) bool {
+	crash := func(e *engine, why string, byPart bool) {
+		mu.Lock()
+		again := crashed[e]
+		if !again {
+			crashed[e], lastCrash = true, time.Now()
+			if byPart {
+				partCrashes++
+			}
+		}
+		mu.Unlock()
+		if again {
+			return
+		}
+		f.record.Notef("%s crashes: %s", e.id, why)
+		e.close()
+		time.AfterFunc(3*1200*time.Millisecond, func() { f.store.Delete("servers", e.id) })
+		time.AfterFunc(crashedTime, func() { _ = add(e.zone) })
+	}
+	handle := func(e *engine, conn net.Conn, r *http.Request, body string) bool {
+		f.record.Notef("%s runs %s", e.id, r.Header.Get(wire["attempt"]))
 		time.Sleep(100 * time.Millisecond) // it reads the prompt
+		byPart := strings.Contains(r.Header.Get(wire["prefix"]), crashingPart)
+		if byPart || strings.HasPrefix(body, crashingBody) {
+			time.Sleep(crashDelay)
+			crash(e, body, byPart)
+			return false
+		}
 		return e.stream(conn, r, 58, 20*time.Millisecond)
 	}
 	add = func(zone string) error {
@@ -51,30 +80,9 @@
 		generation++
 		id := fmt.Sprint("i-", generation)
 		mu.Unlock()
-		e, err := f.addEngine(id, "llm", zone, 64, handle)
-		if err == nil {
-			mu.Lock()
-			live[e] = true
-			mu.Unlock()
-		}
+		_, err := f.addEngine(id, "llm", zone, 64, handle)
 		return err
 	}
-	// killEngines ends all engines at once. Their entries go after three heartbeats, and others start in their places.
-	killEngines := func(down time.Duration) int {
-		mu.Lock()
-		var victims []*engine
-		for e := range live {
-			victims = append(victims, e)
-		}
-		clear(live)
-		mu.Unlock()
-		for _, e := range victims {
-			go e.close()
-			time.AfterFunc(3*1200*time.Millisecond, func() { f.store.Delete("servers", e.id) })
-			time.AfterFunc(down, func() { _ = add(e.zone) })
-		}
-		return len(victims)
-	}
 	for i := range 9 {
 		if err := add(zoneNames[i%3]); err != nil {
 			return false, err
@@ -88,90 +96,102 @@
 	}
 	time.Sleep(4 * time.Second)
 	start := time.Now()
-	var backAt time.Duration // when the machines are back after the final fault
 	var all sync.WaitGroup
+	keys := []string{"key-blue", "key-red"}
+	routes := []string{"week-review", "hour-query", "code-check"}
+	send := func(r *router, n int, key, body, prefix string) reply {
+		id := fmt.Sprintf("%016x", rand.Uint64())
+		got := r.do(request{method: "POST", path: "/" + routes[n%3] + "/x", key: key, id: id, body: body, deadline: 3 * time.Second, header: map[string]string{
+			wire["tokens"]: "5482,290", wire["prefix"]: prefix,
+		}})
+		f.record.Notef("%s sent to %s, %q: status %d, %d events %.20q", id, r.name, body, got.status, strings.Count(got.body, "\n\n"), got.body)
+		return got
+	}
+	anyRouter := func() *router { return f.routers[rand.IntN(len(f.routers))] }
+	// sendCrashing sends one of the requests that crash engines, again and again.
+	sendCrashing := func(group, k int) {
+		begin := start.Add(firstGroup + time.Duration(group)*groupInterval)
+		time.Sleep(time.Until(begin) + time.Duration(rand.Int64N(int64(crashingInterval))))
+		for time.Since(begin) < groupTime {
+			r, body := anyRouter(), fmt.Sprint(crashingBody, crashingRequests*group+k)
+			send(r, k, keys[0], body, fmt.Sprintf("%s,%x:100", soundPart, 4711+crashingRequests*group+k))
+			time.Sleep(crashingInterval)
+		}
+	}
+	// sendPart sends requests with the part that crashes engines, no two alike, until the end.
+	sendPart := func() {
+		time.Sleep(time.Until(start.Add(firstGroup)))
+		for n := 0; time.Since(start) < dayEnd; n++ {
+			r, body := anyRouter(), fmt.Sprintf("the part, request %d", n)
+			send(r, n, keys[0], body, fmt.Sprintf("%s,%s,%x:100", soundPart, crashingPart, rand.Uint32()))
+			time.Sleep(crashingInterval)
+		}
+	}
 	if trouble {
-		all.Go(func() {
-			for k := 0; k < engineKills && os.Getenv("TROUBLE") != "final"; k++ {
-				time.Sleep(time.Until(start.Add(firstKill + time.Duration(k)*engineKillGap)))
-				f.record.Notef("at %.1f s %d engines are killed", time.Since(start).Seconds(), killEngines(engineDown))
-			}
-			time.Sleep(time.Until(start.Add(finalFault)))
-			f.store.Put("config", "main", f.config(7))
-			f.record.Notef("at %.1f s version 7 of the configuration is acknowledged", time.Since(start).Seconds())
-			f.record.Notef("at %.1f s the final fault: all routers and %d engines are killed", time.Since(start).Seconds(), killEngines(processDown))
-			var kills sync.WaitGroup
-			for _, r := range f.routers {
-				kills.Go(r.kill)
+		all.Go(sendPart)
+		for n := range crashingGroups * crashingRequests {
+			if os.Getenv("TROUBLE") != "part" {
+				all.Go(func() { sendCrashing(n/crashingRequests, n%crashingRequests) })
 			}
-			kills.Wait()
-			time.Sleep(processDown)
-			for _, r := range f.routers {
-				if err := r.start(); err != nil {
-					f.record.Notef("%s does not start: %v", r.name, err)
-				}
-			}
-			mu.Lock()
-			backAt = time.Since(start)
-			mu.Unlock()
-			f.record.Notef("at %.1f s all are back", backAt.Seconds())
-		})
+		}
 	}
 	type outcome struct {
-		at     time.Duration
-		served bool
-		status int
-		body   string
+		at         time.Duration
+		begun      bool
+		status     int
+		body, host string
 	}
 	var outcomes []outcome
-	keys := []string{"key-blue", "key-red"}
-	routes := []string{"week-review", "hour-query", "code-check"}
 	for n := 0; time.Since(start) < dayEnd; n++ {
 		for i, r := range f.routers {
 			all.Go(func() {
-				id := fmt.Sprintf("%016x", rand.Uint64())
 				at := time.Since(start)
-				got := r.do(request{method: "POST", path: "/" + routes[n%3] + "/x", key: keys[(n+i)%2], id: id, body: "hours of " + id, deadline: 3 * time.Second, header: map[string]string{
-					wire["tokens"]: "5482,290", wire["prefix"]: fmt.Sprintf("%s,%x:100", soundParts, rand.Uint32()),
-				}})
+				got := send(r, n, keys[(n+i)%2], fmt.Sprintf("hours, question %d-%d", n, i), fmt.Sprintf("%s,%x:100", soundPart, rand.Uint32()))
 				mu.Lock()
 				defer mu.Unlock()
-				outcomes = append(outcomes, outcome{at, got.err == nil && got.status == http.StatusOK && strings.Count(got.body, "\n\n") == 58, got.status, got.body})
+				outcomes = append(outcomes, outcome{at, got.status == http.StatusOK && strings.Contains(got.body, "\n\n"), got.status, got.body, r.name})
 			})
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	all.Wait()
 	for from := time.Duration(0); from < dayEnd; from += 3 * time.Second {
-		sent, served, byStatus := 0, 0, make(map[int]int)
+		sent, begun, byStatus := 0, 0, make(map[int]int)
 		for _, o := range outcomes {
 			if o.at >= from && o.at < from+3*time.Second {
 				sent++
 				byStatus[o.status]++
-				if o.served {
-					served++
+				if o.begun {
+					begun++
 				}
 			}
 		}
-		f.record.Notef("sent from %v to %v: %d, served %d; by status (0: none) %v", from, from+3*time.Second, sent, served, byStatus)
+		f.record.Notef("sound requests sent from %v to %v: %d, begun %d; by status (0: none) %v", from, from+3*time.Second, sent, begun, byStatus)
+	}
+	// The rule counts from 2 x contact_ms after the fifth crash by the part, or its last one. Counted here is from as long
+	// after the last crash by anything.
+	judged := firstGroup + time.Duration(crashingGroups)*groupInterval
+	if trouble {
+		judged = lastCrash.Add(2 * contactTime).Sub(start)
 	}
-	sentBefore, servedBefore, sentAfter, servedAfter := 0, 0, 0, 0
+	sentBefore, begunBefore, sentAfter, begunAfter := 0, 0, 0, 0
 	for _, o := range outcomes {
 		switch {
-		case o.at < finalFault:
+		case o.at < firstGroup-time.Second:
 			sentBefore++
-			if o.served {
-				servedBefore++
+			if o.begun {
+				begunBefore++
 			}
-		case o.at > backAt+recoveryTime:
+		case o.at > judged:
 			sentAfter++
-			if o.served {
-				servedAfter++
-			} else if sentAfter-servedAfter == 1 {
-				f.record.Notef("the first of these that is not served gets %d %q", o.status, o.body)
+			if o.begun {
+				begunAfter++
+			} else if sentAfter-begunAfter == 1 {
+				f.record.Notef("the first of those judged that does not begin: sent to %s, status %d %q", o.host, o.status, o.body)
 			}
 		}
 	}
-	f.record.Notef("before the final fault %d of %d were served; later than recovery_s after the machines were back %d of %d", servedBefore, sentBefore, servedAfter, sentAfter)
-	return 4*servedBefore >= sentBefore && 4*servedAfter < sentAfter, nil
+	f.record.Notef("%d engines crashed, %d of them by the part", len(crashed), partCrashes)
+	f.record.Notef("sound requests that begin at the first attempt: %d of %d before the first crash, %d of %d later than 2 x contact_ms after the last crash (from %.1f s on)", begunBefore, sentBefore, begunAfter, sentAfter, judged.Seconds())
+	return sentBefore >= 20 && sentAfter >= 20 && 2*begunAfter*sentBefore < begunBefore*sentAfter, nil
 }
